--- /dev/null
+++ b/apps/bluebellvalve/main.cc
@@ -0,0 +1,239 @@
+// The operators' command. See docs/OPERATORS.md.
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+#include <httplib.h>
+
+#include <array>
+#include <cstdio>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "bbv_config/bbv_config.h"
+#include "bbv_core/event.h"
+#include "bbv_node/caller_authentication.h"
+#include "bbv_platform/http_connection.h"
+#include "bbv_settings/bbv_settings.h"
+
+ABSL_FLAG(std::string,
+          entry,
+          "127.0.0.1:8080",
+          "HTTP address of any entry, as IP:PORT");
+ABSL_FLAG(std::string,
+          operator_key_file,
+          "",
+          "File whose first line is the operator key");
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kExitOk = 0;
+constexpr int kExitRefused = 1;
+constexpr int kExitUsage = 2;
+constexpr int kExitFaults = 3;
+constexpr int kExitUnreachable = 4;
+constexpr bbv::Milliseconds kTimeout{15'000};
+
+using Arguments = std::vector<std::string>;
+
+int Fail(int code, const std::string& message) {
+  std::fprintf(stderr, "bluebellvalve: %s\n", message.c_str());
+  return code;
+}
+
+std::string FirstLine(const std::string& path) {
+  std::ifstream file(path);
+  std::string line;
+  std::getline(file, line);
+  return line;
+}
+
+// Prints each fault; the exit code says whether there were any.
+int PrintFaults(const std::string& path, const bbv::Faults& faults) {
+  for (const bbv::Fault& fault : faults)
+    std::fprintf(stderr, "%s\n", fault.ToString().c_str());
+  if (!faults.empty())
+    return kExitFaults;
+  std::printf("%s: no faults\n", path.c_str());
+  return kExitOk;
+}
+
+int RunCheck(const Arguments& arguments) {
+  const std::string& path = arguments[0];
+  bbv::Faults faults;
+  const auto table = bbv::ParseTomlFile(path, &faults);
+  if (table && table->contains("node"))
+    bbv::LoadNodeSettings(path, &faults);
+  else if (table)
+    bbv::LoadConfigurationFile(path, &faults);
+  return PrintFaults(path, faults);
+}
+
+// Sends a request to the entry; `response` is only set on exit code 0 or 1.
+int CallEntry(const std::string& method,
+              const std::string& path,
+              const std::string& body,
+              json* answer) {
+  const auto address = bbv::ParseSocketAddress(absl::GetFlag(FLAGS_entry));
+  if (!address)
+    return Fail(kExitUsage, "--entry must be IP:PORT");
+  bbv::HttpConnection connection(*address, bbv::Step::kOperator, kTimeout);
+  httplib::Request request;
+  request.method = method;
+  request.path = path;
+  request.body = body;
+  request.set_header(
+      "Authorization",
+      "Bearer " + FirstLine(absl::GetFlag(FLAGS_operator_key_file)));
+  request.set_header("Content-Type", "application/json");
+  const auto response = connection.Send(std::move(request));
+  if (!response)
+    return Fail(kExitUnreachable, response.error().ToString());
+  *answer = json::parse(response->body, nullptr, false);
+  if (response->status == 200)
+    return kExitOk;
+  std::string message = "status " + std::to_string(response->status);
+  if (answer->is_object() && answer->contains("error"))
+    message = (*answer)["error"].value("message", message);
+  return Fail(kExitRefused, message);
+}
+
+void PrintLines(const json& answer, const char* key) {
+  for (const json& line : answer.value(key, json::array()))
+    std::printf("  %s\n", line.get<std::string>().c_str());
+}
+
+int SendPlan(const json& body) {
+  json answer;
+  const int code = CallEntry("POST", "/operator/plans", body.dump(), &answer);
+  if (code != kExitOk)
+    return code;
+  const std::string plan = answer.value("plan", "");
+  std::printf("plan %s: %s\n", plan.c_str(),
+              answer.value("summary", "").c_str());
+  PrintLines(answer, "effects");
+  PrintLines(answer, "in_flight");
+  std::printf("nothing is changed yet; to apply: bluebellvalve confirm %s\n",
+              plan.c_str());
+  return kExitOk;
+}
+
+int PlanImport(const std::string& path) {
+  bbv::Faults faults;
+  const bbv::Configuration wanted = bbv::LoadConfigurationFile(path, &faults);
+  if (!faults.empty())
+    return PrintFaults(path, faults);
+  json entities = json::array();
+  for (const bbv::EntityChange& change : wanted.ToChanges()) {
+    entities.push_back({{"kind", bbv::kEntityKindNames.Name(change.key.kind)},
+                        {"name", change.key.name},
+                        {"value", change.value}});
+  }
+  return SendPlan({{"entities", entities}});
+}
+
+int RunPlan(const Arguments& arguments) {
+  if (arguments[0] == "import") {
+    if (arguments.size() != 2)
+      return Fail(kExitUsage, "usage: plan import FILE");
+    return PlanImport(arguments[1]);
+  }
+  return SendPlan(
+      {{"verb", arguments[0]},
+       {"arguments", Arguments(arguments.begin() + 1, arguments.end())}});
+}
+
+int RunConfirm(const Arguments& arguments) {
+  json answer;
+  const int code = CallEntry(
+      "POST", "/operator/plans/" + arguments[0] + "/confirm", "", &answer);
+  if (code != kExitOk)
+    return code;
+  std::printf("plan %s is confirmed; configuration version %s\n",
+              arguments[0].c_str(), answer["version"].dump().c_str());
+  return kExitOk;
+}
+
+int RunStatus(const Arguments&) {
+  json answer;
+  const int code = CallEntry("GET", "/operator/status", "", &answer);
+  if (code == kExitOk)
+    std::printf("%s\n", answer.dump(2).c_str());
+  return code;
+}
+
+int RunEvents(const Arguments&) {
+  for (const bbv::EventDescription& row : bbv::AllEvents())
+    std::printf("BBV%04u %s\n", static_cast<unsigned>(row.event),
+                std::string(row.name).c_str());
+  return kExitOk;
+}
+
+int RunHashKey(const Arguments& arguments) {
+  const std::string key = FirstLine(arguments[0]);
+  if (key.empty())
+    return Fail(kExitUsage, arguments[0] + " has no key in its first line");
+  std::printf("%s\n", bbv::Sha256Hexadecimal(key).c_str());
+  return kExitOk;
+}
+
+int RunVersion(const Arguments&) {
+  std::printf("bluebellvalve " BBV_VERSION "\n");
+  return kExitOk;
+}
+
+struct Command {
+  const char* name;
+  std::size_t minimum_arguments;
+  const char* usage;
+  int (*run)(const Arguments&);
+};
+
+constexpr std::array<Command, 7> kCommands = {{
+    {"check", 1, "check FILE", RunCheck},
+    {"plan", 1, "plan import FILE | plan INTENT ARGUMENT...", RunPlan},
+    {"confirm", 1, "confirm PLAN", RunConfirm},
+    {"status", 0, "status", RunStatus},
+    {"events", 0, "events", RunEvents},
+    {"hash-key", 1, "hash-key FILE", RunHashKey},
+    {"version", 0, "version", RunVersion},
+}};
+
+std::string Usage() {
+  std::string usage = "Operates a bluebellvalve installation.\n";
+  for (const Command& command : kCommands)
+    usage += std::string("  bluebellvalve ") + command.usage + "\n";
+  for (const std::string& intent : bbv::IntentUsages())
+    usage += "  bluebellvalve plan " + intent + "\n";
+  usage +=
+      "exit codes: 0 done, 1 refused, 2 usage, 3 faults found, 4 no answer";
+  return usage;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage(Usage());
+  absl::FlagsUsageConfig config;
+  config.version_string = [] {
+    return std::string("bluebellvalve " BBV_VERSION "\n");
+  };
+  config.contains_help_flags = [](absl::string_view) { return true; };
+  absl::SetFlagsUsageConfig(config);
+  const std::vector<char*> positional = absl::ParseCommandLine(argc, argv);
+  const Arguments words(positional.begin() + 1, positional.end());
+  for (const Command& command : kCommands) {
+    if (words.empty() || words[0] != command.name)
+      continue;
+    const Arguments arguments(words.begin() + 1, words.end());
+    if (arguments.size() < command.minimum_arguments)
+      return Fail(kExitUsage, std::string("usage: ") + command.usage);
+    return command.run(arguments);
+  }
+  return Fail(kExitUsage, Usage());
+}
--- /dev/null
+++ b/apps/bluebellvalved/main.cc
@@ -0,0 +1,82 @@
+// The node process: an entry, or the side of one target, by its settings file.
+//
+// Exit codes: 0 stopped as told, 2 wrong usage, 3 settings at fault, 4 could
+// not start.
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+#include <glog/logging.h>
+
+#include <cstdio>
+#include <string>
+
+#include "bbv_node/bbv_node.h"
+#include "bbv_settings/bbv_settings.h"
+
+ABSL_FLAG(std::string, settings, "", "Path of the node's settings file (TOML)");
+
+namespace {
+
+constexpr int kExitStopped = 0;
+constexpr int kExitUsage = 2;
+constexpr int kExitSettings = 3;
+constexpr int kExitStart = 4;
+
+void StartLogging(const bbv::NodeSettings& settings) {
+  FLAGS_logtostderr = settings.log_directory.empty();
+  FLAGS_log_dir = settings.log_directory;
+  FLAGS_max_log_size = settings.log_file_megabytes;
+  FLAGS_logbufsecs = 0;
+  FLAGS_v = settings.log_verbosity;
+  if (settings.log_level == "warning")
+    FLAGS_minloglevel = google::GLOG_WARNING;
+  else if (settings.log_level == "error")
+    FLAGS_minloglevel = google::GLOG_ERROR;
+  google::InitGoogleLogging("bluebellvalved");
+}
+
+template <typename Node>
+int RunNode(const bbv::NodeSettings& settings) {
+  Node node(settings);
+  if (const auto started = node.Start(); !started) {
+    LOG(ERROR) << started.error().ToString();
+    return kExitStart;
+  }
+  bbv::WaitForStopSignal();
+  node.Stop();
+  return kExitStopped;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage(
+      "Runs one bluebellvalve node.\n"
+      "usage: bluebellvalved --settings=FILE\n"
+      "exit codes: 0 stopped, 2 usage, 3 settings at fault, 4 no start");
+  absl::FlagsUsageConfig config;
+  config.version_string = [] {
+    return std::string("bluebellvalved " BBV_VERSION "\n");
+  };
+  config.contains_help_flags = [](absl::string_view) { return true; };
+  absl::SetFlagsUsageConfig(config);
+  absl::ParseCommandLine(argc, argv);
+  const std::string path = absl::GetFlag(FLAGS_settings);
+  if (path.empty()) {
+    std::fprintf(stderr, "bluebellvalved: --settings=FILE is required\n");
+    return kExitUsage;
+  }
+  bbv::Faults faults;
+  const bbv::NodeSettings settings = bbv::LoadNodeSettings(path, &faults);
+  for (const bbv::Fault& fault : faults)
+    std::fprintf(stderr, "%s\n", fault.ToString().c_str());
+  if (!faults.empty())
+    return kExitSettings;
+  bbv::BlockStopSignals();
+  StartLogging(settings);
+  if (settings.role == bbv::NodeRole::kEntry)
+    return RunNode<bbv::EntryNode>(settings);
+  return RunNode<bbv::SideNode>(settings);
+}
--- /dev/null
+++ b/modules/bbv_config/configuration_fold.cc
@@ -0,0 +1,258 @@
+#include "bbv_config/configuration_fold.h"
+
+#include <cassert>
+#include <utility>
+
+#include "bbv_core/hashing.h"
+
+namespace bbv {
+
+using nlohmann::json;
+
+namespace {
+
+// Plans kept for late confirmations and questions about their outcome.
+constexpr std::size_t kMaximumPlans = 256;
+
+json ChangeToJson(const EntityChange& change) {
+  return {{"kind", kEntityKindNames.Name(change.key.kind)},
+          {"name", change.key.name},
+          {"value", change.value}};
+}
+
+EntityKey KeyFromJson(const json& in) {
+  const auto kind = kEntityKindNames.Find(in.at("kind").get<std::string>());
+  if (!kind)
+    throw json::other_error::create(501, "unknown kind of entity", &in);
+  return {*kind, in.at("name").get<std::string>()};
+}
+
+json PlanToJson(const Plan& plan) {
+  json changes = json::array();
+  for (const EntityChange& change : plan.changes)
+    changes.push_back(ChangeToJson(change));
+  json reads = json::array();
+  for (const auto& [key, version] : plan.versions_read) {
+    reads.push_back({{"kind", kEntityKindNames.Name(key.kind)},
+                     {"name", key.name},
+                     {"version", version}});
+  }
+  return {{"type", "plan"},
+          {"plan", plan.id},
+          {"summary", plan.summary},
+          {"changes", changes},
+          {"reads", reads}};
+}
+
+Plan PlanFromJson(const json& in) {
+  Plan plan;
+  in.at("plan").get_to(plan.id);
+  in.at("summary").get_to(plan.summary);
+  for (const json& change : in.at("changes"))
+    plan.changes.push_back({KeyFromJson(change), change.at("value")});
+  for (const json& read : in.at("reads"))
+    plan.versions_read[KeyFromJson(read)] = read.at("version").get<uint64_t>();
+  return plan;
+}
+
+}  // namespace
+
+std::string MakePlanRecord(const Plan& plan) {
+  return PlanToJson(plan).dump();
+}
+
+std::string MakeConfirmRecord(const std::string& id) {
+  return json{{"type", "confirm"}, {"plan", id}}.dump();
+}
+
+std::string MakeCheckpointRecord(const std::string& snapshot) {
+  return json{{"type", "checkpoint"}, {"snapshot", snapshot}}.dump();
+}
+
+std::string CheckpointSnapshot(const std::string& record) {
+  const json parsed = json::parse(record, nullptr, false);
+  if (!parsed.is_object() || parsed.value("type", "") != "checkpoint")
+    return "";
+  return parsed.value("snapshot", "");
+}
+
+Result<void> ConfigurationFold::Apply(uint64_t offset,
+                                      const std::string& record) {
+  assert(offset == next_offset_);
+  next_offset_ = offset + 1;
+  try {
+    return ApplyRecord(offset, json::parse(record));
+  } catch (const json::exception& error) {
+    return Fail(Step::kConfiguration, "offset " + std::to_string(offset),
+                error.what());
+  }
+}
+
+Result<void> ConfigurationFold::ApplyRecord(uint64_t offset,
+                                            const json& record) {
+  const auto type = record.at("type").get<std::string>();
+  if (type == "plan")
+    return ApplyPlan(offset, record);
+  if (type == "confirm")
+    return ApplyConfirm(offset, record);
+  if (type == "checkpoint")
+    return {};
+  return Fail(Step::kConfiguration, "offset " + std::to_string(offset),
+              "unknown record type " + type);
+}
+
+Result<void> ConfigurationFold::ApplyPlan(uint64_t offset, const json& record) {
+  Plan plan = PlanFromJson(record);
+  // The first plan under an id stands: an appended record can be repeated.
+  const std::string id = plan.id;
+  plans_.try_emplace(id, PlanEntry{std::move(plan), {}, offset});
+  ForgetOldPlans();
+  return {};
+}
+
+Result<void> ConfigurationFold::ApplyConfirm(uint64_t offset,
+                                             const json& record) {
+  const auto id = record.at("plan").get<std::string>();
+  const auto it = plans_.find(id);
+  if (it == plans_.end())
+    return Fail(Step::kConfiguration, id, "no such plan");
+  PlanEntry& entry = it->second;
+  if (entry.outcome.state != PlanState::kPending)
+    return {};
+  const std::string conflict = FindConflict(entry.plan);
+  if (!conflict.empty()) {
+    entry.outcome = {PlanState::kRejected, conflict};
+    return {};
+  }
+  Configuration changed = configuration_;
+  for (const EntityChange& change : entry.plan.changes) {
+    if (const auto applied = changed.Apply(change); !applied) {
+      entry.outcome = {PlanState::kRejected, applied.error().message};
+      return {};
+    }
+  }
+  const auto faults = changed.Inconsistencies();
+  if (!faults.empty()) {
+    entry.outcome = {PlanState::kRejected, faults.front()};
+    return {};
+  }
+  entry.outcome = {PlanState::kConfirmed, id};
+  Commit(offset, std::move(changed), entry.plan);
+  return {};
+}
+
+std::string ConfigurationFold::FindConflict(const Plan& plan) const {
+  for (const auto& [key, version] : plan.versions_read) {
+    if (EntityVersion(key) == version)
+      continue;
+    const auto it = versions_.find(key);
+    const std::string winner = it == versions_.end() ? "?" : it->second.plan;
+    return "plan " + winner + " changed " + key.ToString() + " first";
+  }
+  return "";
+}
+
+void ConfigurationFold::Commit(uint64_t offset,
+                               Configuration changed,
+                               const Plan& plan) {
+  configuration_ = std::move(changed);
+  version_ = offset + 1;
+  for (const EntityChange& change : plan.changes)
+    versions_[change.key] = {version_, plan.id};
+  UpdateDigest();
+}
+
+void ConfigurationFold::ForgetOldPlans() {
+  while (plans_.size() > kMaximumPlans) {
+    auto oldest = plans_.begin();
+    for (auto it = plans_.begin(); it != plans_.end(); ++it) {
+      if (it->second.offset < oldest->second.offset)
+        oldest = it;
+    }
+    plans_.erase(oldest);
+  }
+}
+
+std::string ConfigurationFold::Snapshot() const {
+  json changes = json::array();
+  for (const EntityChange& change : configuration_.ToChanges())
+    changes.push_back(ChangeToJson(change));
+  json versions = json::array();
+  for (const auto& [key, entry] : versions_) {
+    versions.push_back({{"kind", kEntityKindNames.Name(key.kind)},
+                        {"name", key.name},
+                        {"version", entry.version},
+                        {"plan", entry.plan}});
+  }
+  json plans = json::array();
+  for (const auto& [id, entry] : plans_) {
+    plans.push_back({{"plan", PlanToJson(entry.plan)},
+                     {"state", kPlanStateNames.Name(entry.outcome.state)},
+                     {"decided_by", entry.outcome.decided_by},
+                     {"offset", entry.offset}});
+  }
+  return json{{"changes", changes},
+              {"versions", versions},
+              {"plans", plans},
+              {"next_offset", next_offset_},
+              {"version", version_}}
+      .dump();
+}
+
+Result<void> ConfigurationFold::Restore(const std::string& snapshot) {
+  try {
+    const json in = json::parse(snapshot);
+    ConfigurationFold restored;
+    for (const json& change : in.at("changes")) {
+      const auto applied = restored.configuration_.Apply(
+          {KeyFromJson(change), change.at("value")});
+      if (!applied)
+        return applied;
+    }
+    for (const json& row : in.at("versions")) {
+      restored.versions_[KeyFromJson(row)] = {
+          row.at("version").get<uint64_t>(), row.at("plan").get<std::string>()};
+    }
+    for (const json& row : in.at("plans")) {
+      PlanEntry entry;
+      entry.plan = PlanFromJson(row.at("plan"));
+      entry.outcome.state =
+          kPlanStateNames.Find(row.at("state").get<std::string>())
+              .value_or(PlanState::kPending);
+      row.at("decided_by").get_to(entry.outcome.decided_by);
+      row.at("offset").get_to(entry.offset);
+      restored.plans_[entry.plan.id] = entry;
+    }
+    in.at("next_offset").get_to(restored.next_offset_);
+    in.at("version").get_to(restored.version_);
+    restored.UpdateDigest();
+    *this = std::move(restored);
+    return {};
+  } catch (const json::exception& error) {
+    return Fail(Step::kConfiguration, "snapshot", error.what());
+  }
+}
+
+uint64_t ConfigurationFold::EntityVersion(const EntityKey& key) const {
+  const auto it = versions_.find(key);
+  return it == versions_.end() ? 0 : it->second.version;
+}
+
+const Plan* ConfigurationFold::FindPlan(const std::string& id) const {
+  const auto it = plans_.find(id);
+  return it == plans_.end() ? nullptr : &it->second.plan;
+}
+
+const PlanOutcome* ConfigurationFold::FindOutcome(const std::string& id) const {
+  const auto it = plans_.find(id);
+  return it == plans_.end() ? nullptr : &it->second.outcome;
+}
+
+void ConfigurationFold::UpdateDigest() {
+  uint64_t digest = version_;
+  for (const EntityChange& change : configuration_.ToChanges())
+    digest = HashBytes(ChangeToJson(change).dump(), digest);
+  digest_ = digest;
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_core/event.cc
@@ -0,0 +1,105 @@
+#include "bbv_core/event.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace bbv {
+namespace {
+
+constexpr std::array kEvents = {
+    EventDescription{Event::kNodeStarted, "node-started"},
+    EventDescription{Event::kNodeReady, "node-ready"},
+    EventDescription{Event::kNodeLeaving, "node-leaving"},
+    EventDescription{Event::kNodeStopped, "node-stopped"},
+    EventDescription{Event::kSettingsRejected, "settings-rejected"},
+    EventDescription{Event::kPeerConnected, "peer-connected"},
+    EventDescription{Event::kPeerLost, "peer-lost"},
+    EventDescription{Event::kPeerSilent, "peer-silent"},
+    EventDescription{Event::kPeerRejected, "peer-rejected"},
+    EventDescription{Event::kFrameRejected, "frame-rejected"},
+    EventDescription{Event::kConfigurationApplied, "configuration-applied"},
+    EventDescription{Event::kConfigurationFromPeer, "configuration-from-peer"},
+    EventDescription{Event::kConfigurationRecordRejected,
+                     "configuration-record-rejected"},
+    EventDescription{Event::kLogUnavailable, "log-unavailable"},
+    EventDescription{Event::kLogAvailable, "log-available"},
+    EventDescription{Event::kLogGap, "log-gap"},
+    EventDescription{Event::kAttemptStarted, "attempt-started"},
+    EventDescription{Event::kAttemptFailed, "attempt-failed"},
+    EventDescription{Event::kRequestRefused, "request-refused"},
+    EventDescription{Event::kRequestFinished, "request-finished"},
+    EventDescription{Event::kRequestResumed, "request-resumed"},
+    EventDescription{Event::kClientRequestRejected, "client-request-rejected"},
+    EventDescription{Event::kEngineFault, "engine-fault"},
+    EventDescription{Event::kEngineLoaded, "engine-loaded"},
+    EventDescription{Event::kEngineOrderRefused, "engine-order-refused"},
+    EventDescription{Event::kClaimWon, "claim-won"},
+    EventDescription{Event::kClaimLost, "claim-lost"},
+    EventDescription{Event::kCallOutcomeUnknown, "call-outcome-unknown"},
+    EventDescription{Event::kInstanceListUnavailable,
+                     "instance-list-unavailable"},
+    EventDescription{Event::kInstanceLeaving, "instance-leaving"},
+};
+
+// Events of the ordinary course of each request: written at verbosity 1 only.
+constexpr bool IsPerRequest(Event event) {
+  return event == Event::kAttemptStarted || event == Event::kRequestFinished ||
+         event == Event::kClaimWon || event == Event::kRequestRefused;
+}
+
+constexpr bool IsWarning(Event event) {
+  switch (event) {
+    case Event::kSettingsRejected:
+    case Event::kPeerSilent:
+    case Event::kPeerRejected:
+    case Event::kFrameRejected:
+    case Event::kConfigurationRecordRejected:
+    case Event::kLogUnavailable:
+    case Event::kLogGap:
+    case Event::kAttemptFailed:
+    case Event::kEngineFault:
+    case Event::kCallOutcomeUnknown:
+    case Event::kInstanceListUnavailable:
+      return true;
+    default:
+      return false;
+  }
+}
+
+std::string_view EventName(Event event) {
+  const auto* it = std::find_if(
+      kEvents.begin(), kEvents.end(),
+      [event](const EventDescription& row) { return row.event == event; });
+  return it == kEvents.end() ? "?" : it->name;
+}
+
+}  // namespace
+
+std::span<const EventDescription> AllEvents() {
+  return kEvents;
+}
+
+void LogEvent(Event event, std::initializer_list<EventField> fields) {
+  if (IsPerRequest(event) && !VLOG_IS_ON(1))
+    return;
+  char number[16];
+  std::snprintf(number, sizeof(number), "BBV%04u ",
+                static_cast<unsigned>(event));
+  std::string line = number;
+  line += EventName(event);
+  for (const EventField& field : fields) {
+    line += ' ';
+    line += field.name;
+    line += '=';
+    line += field.value.empty() ? "-" : field.value;
+  }
+  if (IsWarning(event))
+    LOG(WARNING) << line;
+  else
+    LOG(INFO) << line;
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_core/event.h
@@ -0,0 +1,67 @@
+#ifndef MODULES_BBV_CORE_EVENT_H_
+#define MODULES_BBV_CORE_EVENT_H_
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace bbv {
+
+// The numbered log events. Numbers are never reused; docs/EVENTS.md is the
+// catalogue and a test keeps the two alike.
+enum class Event : uint16_t {
+  kNodeStarted = 1,
+  kNodeReady = 2,
+  kNodeLeaving = 3,
+  kNodeStopped = 4,
+  kSettingsRejected = 5,
+  kPeerConnected = 10,
+  kPeerLost = 11,
+  kPeerSilent = 12,
+  kPeerRejected = 13,
+  kFrameRejected = 14,
+  kConfigurationApplied = 20,
+  kConfigurationFromPeer = 21,
+  kConfigurationRecordRejected = 22,
+  kLogUnavailable = 23,
+  kLogAvailable = 24,
+  kLogGap = 25,
+  kAttemptStarted = 30,
+  kAttemptFailed = 31,
+  kRequestRefused = 32,
+  kRequestFinished = 33,
+  kRequestResumed = 34,
+  kClientRequestRejected = 35,
+  kEngineFault = 40,
+  kEngineLoaded = 41,
+  kEngineOrderRefused = 42,
+  kClaimWon = 50,
+  kClaimLost = 51,
+  kCallOutcomeUnknown = 52,
+  kInstanceListUnavailable = 60,
+  kInstanceLeaving = 61,
+};
+
+// One row of the catalogue.
+struct EventDescription {
+  Event event;
+  std::string_view name;
+};
+
+// Returns every event, in the order of their numbers. Thread safe.
+std::span<const EventDescription> AllEvents();
+
+// One named value of an event.
+struct EventField {
+  std::string_view name;
+  std::string value;
+};
+
+// Writes "BBV0010 peer-connected peer=... ..." to the log. Severity follows
+// the event. Thread safe.
+void LogEvent(Event event, std::initializer_list<EventField> fields);
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_CORE_EVENT_H_
--- /dev/null
+++ b/modules/bbv_core/hashing.cc
@@ -0,0 +1,20 @@
+#include "bbv_core/hashing.h"
+
+#include <xxhash.h>
+
+namespace bbv {
+
+uint64_t HashBytes(std::string_view data, uint64_t seed) {
+  return XXH3_64bits_withSeed(data.data(), data.size(), seed);
+}
+
+Hash128 HashBytes128(std::string_view data) {
+  const XXH128_hash_t hash = XXH3_128bits(data.data(), data.size());
+  return {hash.high64, hash.low64};
+}
+
+uint64_t HashPair(uint64_t left, uint64_t right) {
+  return XXH3_64bits_withSeed(&left, sizeof(left), right);
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_node/caller_request_scope.h
@@ -0,0 +1,47 @@
+#ifndef MODULES_BBV_NODE_CALLER_REQUEST_SCOPE_H_
+#define MODULES_BBV_NODE_CALLER_REQUEST_SCOPE_H_
+
+#include <string>
+
+#include "bbv_node/entry_node.h"
+#include "bbv_node/http_answers.h"
+
+namespace bbv {
+
+// Counts a caller's request as open for as long as it lives.
+//
+// Thread safety: none, one handler at a time.
+class CallerRequestScope {
+ public:
+  // Refuses the request in `response` when the node takes no more.
+  CallerRequestScope(EntryNode* node, httplib::Response* response)
+      : node_(node) {
+    const auto begun = node->BeginCallerRequest();
+    admitted_ = begun.has_value();
+    if (admitted_)
+      return;
+    const Reason reason = begun.error().message == "leaving"
+                              ? Reason::kLeaving
+                              : Reason::kOverloaded;
+    node->metrics().CountRefusal(reason);
+    SetRefusal(response, {Outcome::kNotRun, reason, kRetryAfterMs});
+  }
+  CallerRequestScope(const CallerRequestScope&) = delete;
+  CallerRequestScope& operator=(const CallerRequestScope&) = delete;
+  ~CallerRequestScope() {
+    if (admitted_)
+      node_->EndCallerRequest();
+  }
+
+  bool admitted() const { return admitted_; }
+
+ private:
+  static constexpr uint32_t kRetryAfterMs = 1000;
+
+  EntryNode* node_;
+  bool admitted_ = false;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_NODE_CALLER_REQUEST_SCOPE_H_
--- /dev/null
+++ b/modules/bbv_node/completion_handler.h
@@ -0,0 +1,16 @@
+#ifndef MODULES_BBV_NODE_COMPLETION_HANDLER_H_
+#define MODULES_BBV_NODE_COMPLETION_HANDLER_H_
+
+#include <httplib.h>
+
+namespace bbv {
+
+class EntryNode;
+
+// Adds POST /v1/completions and /v1/chat/completions to `server`.
+// `node` must outlive the server. See docs/CALLERS.md for the interface.
+void AddCompletionRoutes(httplib::Server* server, EntryNode* node);
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_NODE_COMPLETION_HANDLER_H_
--- /dev/null
+++ b/modules/bbv_node/http_answers.h
@@ -0,0 +1,36 @@
+#ifndef MODULES_BBV_NODE_HTTP_ANSWERS_H_
+#define MODULES_BBV_NODE_HTTP_ANSWERS_H_
+
+#include <httplib.h>
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "bbv_routing/refusal.h"
+
+namespace bbv {
+
+// Headers of the callers' interface; see docs/CALLERS.md.
+inline constexpr char kOutcomeHeader[] = "Bluebellvalve-Outcome";
+inline constexpr char kRequestIdHeader[] = "Bluebellvalve-Request-Id";
+inline constexpr char kReasonHeader[] = "Bluebellvalve-Reason";
+
+// Fills in an error answer with its outcome. `code` is a word for programs,
+// `message` a sentence for people. Thread safe.
+void SetErrorAnswer(httplib::Response* response,
+                    int status,
+                    Outcome outcome,
+                    const std::string& code,
+                    const std::string& message);
+
+// Fills in the answer to a refused request: status, outcome, reason and, where
+// coming back helps, Retry-After. Thread safe.
+void SetRefusal(httplib::Response* response, const Refusal& refusal);
+
+// Returns the error body of a refusal, also sent as the last event of a stream
+// that broke off. Thread safe.
+nlohmann::json RefusalBody(const Refusal& refusal);
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_NODE_HTTP_ANSWERS_H_
--- /dev/null
+++ b/modules/bbv_node/http_server.h
@@ -0,0 +1,50 @@
+#ifndef MODULES_BBV_NODE_HTTP_SERVER_H_
+#define MODULES_BBV_NODE_HTTP_SERVER_H_
+
+#include <httplib.h>
+
+#include <functional>
+#include <string>
+#include <thread>
+
+#include "bbv_core/error.h"
+#include "bbv_observe/metrics.h"
+#include "bbv_settings/node_settings.h"
+
+namespace bbv {
+
+// A node's HTTP listener with its bounds, and the routes that every role has:
+// /livez, /readyz and /metrics.
+//
+// Thread safety: routes are added before Start(); handlers run on the
+// listener's own threads.
+class HttpServer {
+ public:
+  struct Probes {
+    std::function<bool()> ready;
+    std::function<std::string()> metrics;
+  };
+
+  HttpServer(const NodeSettings& settings, Metrics* metrics, Probes probes);
+  ~HttpServer();
+
+  // For adding routes. Precondition: not started.
+  httplib::Server& routes() { return server_; }
+
+  Result<void> Start();
+
+  // Stops listening and waits for the requests in progress. Idempotent.
+  void Stop();
+
+ private:
+  void AddProbes(Probes probes);
+  void AddFaultHandlers(Metrics* metrics);
+
+  const SocketAddress address_;
+  httplib::Server server_;
+  std::thread thread_;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_NODE_HTTP_SERVER_H_
--- /dev/null
+++ b/modules/bbv_node/log_follower.h
@@ -0,0 +1,47 @@
+#ifndef MODULES_BBV_NODE_LOG_FOLLOWER_H_
+#define MODULES_BBV_NODE_LOG_FOLLOWER_H_
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <thread>
+
+#include "bbv_platform/log_client.h"
+
+namespace bbv {
+
+// Follows one stream of the log on a thread of its own.
+//
+// Thread safety: Start() and Stop() from the owner; callbacks come from the
+// follower's thread.
+class LogFollower {
+ public:
+  struct Callbacks {
+    std::function<void(LogRecords)> take_records;
+    // Called when reading starts or stops working.
+    std::function<void(bool available)> set_available;
+  };
+
+  LogFollower(const SocketAddress& address,
+              Milliseconds timeout,
+              std::string stream,
+              Callbacks callbacks);
+  ~LogFollower();
+
+  void Start();
+  void Stop();
+
+ private:
+  void Run();
+
+  LogClient client_;
+  const std::string stream_;
+  const Callbacks callbacks_;
+  const Milliseconds wait_;
+  std::atomic<bool> stopping_{false};
+  std::thread thread_;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_NODE_LOG_FOLLOWER_H_
--- /dev/null
+++ b/modules/bbv_node/peer_handshake.h
@@ -0,0 +1,61 @@
+#ifndef MODULES_BBV_NODE_PEER_HANDSHAKE_H_
+#define MODULES_BBV_NODE_PEER_HANDSHAKE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "bbv_core/error.h"
+#include "bbv_wire/bbv_wire.h"
+
+namespace bbv {
+
+// Who a node is towards its peers.
+struct NodeIdentity {
+  std::string name;
+  wire::Role role = wire::Role::kEntry;
+  uint64_t epoch = 0;
+};
+
+// One connection's mutual proof of the shared peer key: each end sends a
+// nonce, then an HMAC-SHA256 over both nonces and its own name.
+//
+// Thread safety: none, owned by the network thread.
+class PeerHandshake {
+ public:
+  // `key` is the shared secret.
+  PeerHandshake(NodeIdentity own, std::string key);
+
+  // Returns the message that opens the handshake.
+  wire::HelloT MakeHello() const;
+
+  // Takes the peer's Hello and returns this end's proof; an error (step
+  // kHandshake) for a malformed one or one under this node's own name.
+  Result<wire::HelloProofT> TakeHello(const wire::HelloT& hello);
+
+  // Takes the peer's proof. Precondition: TakeHello() succeeded.
+  Result<void> TakeProof(const wire::HelloProofT& proof);
+
+  bool greeted() const { return greeted_; }
+  bool authenticated() const { return authenticated_; }
+
+  // Precondition: greeted(). Only to be believed when authenticated().
+  const NodeIdentity& peer() const { return peer_; }
+
+ private:
+  std::vector<uint8_t> MakeMac(const std::vector<uint8_t>& first_nonce,
+                               const std::vector<uint8_t>& second_nonce,
+                               const std::string& name) const;
+
+  NodeIdentity own_;
+  std::string key_;
+  std::vector<uint8_t> nonce_;
+  std::vector<uint8_t> peer_nonce_;
+  NodeIdentity peer_;
+  bool greeted_ = false;
+  bool authenticated_ = false;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_NODE_PEER_HANDSHAKE_H_
--- /dev/null
+++ b/modules/bbv_node/request_mailbox.h
@@ -0,0 +1,49 @@
+#ifndef MODULES_BBV_NODE_REQUEST_MAILBOX_H_
+#define MODULES_BBV_NODE_REQUEST_MAILBOX_H_
+
+#include <condition_variable>
+#include <cstdint>
+#include <mutex>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "bbv_core/instant.h"
+#include "bbv_core/ref_counted.h"
+#include "bbv_routing/refusal.h"
+
+namespace bbv {
+
+// What has arrived for one caller since it last looked.
+struct Delivery {
+  // Index of the first of `tokens`, from the first generated token.
+  uint32_t first_index = 0;
+  std::vector<uint64_t> tokens;
+  bool finished = false;
+  std::optional<Refusal> refusal;
+
+  bool is_final() const { return finished || refusal.has_value(); }
+};
+
+// Carries tokens from the control thread to the HTTP thread of one caller.
+//
+// Thread safety: all methods from any thread.
+class RequestMailbox : public RefCounted {
+ public:
+  void PutTokens(uint32_t first_index,
+                 std::span<const uint64_t> tokens,
+                 bool finished);
+  void PutRefusal(const Refusal& refusal);
+
+  // Waits for news until `deadline`; an empty Delivery when there is none.
+  Delivery Take(Instant deadline);
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable news_;
+  Delivery pending_;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_NODE_REQUEST_MAILBOX_H_
--- /dev/null
+++ b/modules/bbv_node/side_node.h
@@ -0,0 +1,95 @@
+#ifndef MODULES_BBV_NODE_SIDE_NODE_H_
+#define MODULES_BBV_NODE_SIDE_NODE_H_
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+#include "bbv_node/control_thread.h"
+#include "bbv_node/http_server.h"
+#include "bbv_node/log_follower.h"
+#include "bbv_node/peer_network.h"
+#include "bbv_node/worker_pool.h"
+#include "bbv_observe/bbv_observe.h"
+#include "bbv_platform/bbv_platform.h"
+#include "bbv_roles/side_logic.h"
+
+namespace bbv {
+
+// The side of one target: SideLogic with its threads and sockets.
+//
+// Thread safety: Start() and Stop() from the owner.
+class SideNode : public SideActions, public PeerNetworkListener {
+ public:
+  explicit SideNode(NodeSettings settings);
+  ~SideNode() override;
+
+  Result<void> Start();
+
+  // Ends the node gracefully: takes no new work, finishes what is under way,
+  // then stops. Blocks until then.
+  void Stop();
+
+  // SideActions, on the control thread.
+  void Send(const std::string& peer, wire::FrameT frame) override;
+  void SendToStage(const std::string& target,
+                   const std::string& address,
+                   wire::FrameT frame) override;
+  void RunEngine(wire::EngineBatchT batch) override;
+  void CallService(const wire::ServiceCallT& call) override;
+  void AppendClaims(std::string record) override;
+  void OrderLoad(const LoadOrder& order) override;
+
+  // PeerNetworkListener, on the network thread.
+  void PeerConnected(const NodeIdentity& peer) override;
+  void PeerLost(const std::string& peer) override;
+  void FrameReceived(const std::string& peer, wire::FrameT frame) override;
+  void PeerFault(const std::string& fault) override;
+
+ private:
+  // A hop's place in a trace, from the first step until the release.
+  struct HopSpan {
+    TraceContext context;
+    uint64_t start_unix_nanoseconds = 0;
+  };
+
+  void Tick(Instant now);
+  void PollInstances();
+  std::string SerializeMetrics();
+  void TraceFrame(const wire::FrameT& frame);
+  void EndHop(const RequestId& id, const std::string& name);
+
+  const NodeSettings settings_;
+  Metrics metrics_;
+  SpanWriter spans_;
+  std::mt19937_64 random_;
+  SideLogic logic_;
+  PeerNetwork network_;
+  ControlThread control_;
+  LogFollower configuration_follower_;
+  std::unique_ptr<LogFollower> claim_follower_;
+  WorkerPool engine_worker_;
+  WorkerPool order_worker_;
+  WorkerPool call_workers_;
+  WorkerPool log_worker_;
+  WorkerPool instance_worker_;
+  EngineClient engine_client_;
+  EngineClient order_client_;
+  LogClient log_client_;
+  InstanceListClient instance_list_client_;
+  HttpServer http_;
+  std::atomic<bool> ready_{false};
+  std::atomic<bool> stopping_{false};
+  bool started_ = false;
+  // Owned by the control thread.
+  std::unordered_map<RequestId, HopSpan, RequestIdHash> hops_;
+  Instant next_instance_poll_{};
+  Instant next_heartbeat_update_{};
+  bool listed_leaving_ = false;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_NODE_SIDE_NODE_H_
--- /dev/null
+++ b/modules/bbv_once/call_runner.cc
@@ -0,0 +1,463 @@
+#include "bbv_once/call_runner.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "bbv_core/event.h"
+
+namespace bbv {
+namespace {
+
+constexpr uint32_t kRetryAfterMs = 500;
+// Answers with larger bodies are kept in memory only, not on the log.
+constexpr std::size_t kMaximumRecordedBodyBytes = 4096;
+constexpr char kContentType[] = "Content-Type";
+
+wire::ServiceAnswerT MakeAnswer(Outcome outcome,
+                                Reason reason,
+                                uint32_t retry_after_ms) {
+  wire::ServiceAnswerT answer;
+  answer.outcome = outcome;
+  answer.reason = static_cast<uint8_t>(reason);
+  answer.retry_after_milliseconds = retry_after_ms;
+  return answer;
+}
+
+std::string FindContentType(const wire::ServiceAnswerT& answer) {
+  for (const wire::HeaderT& header : answer.headers) {
+    if (header.name == kContentType)
+      return header.value;
+  }
+  return "";
+}
+
+}  // namespace
+
+CallRunner::CallRunner(ClaimHolder holder,
+                       CallLimits limits,
+                       CallActions* actions)
+    : holder_(std::move(holder)), limits_(limits), actions_(actions) {
+  assert(actions != nullptr);
+  assert(limits.maximum_running > 0);
+}
+
+void CallRunner::TakeCall(const std::string& peer,
+                          wire::ServiceCallT call,
+                          Instant now) {
+  Call* known = Find(call.request);
+  if (known == nullptr) {
+    TakeNewCall(peer, std::move(call), now);
+    return;
+  }
+  if (known->fingerprint != call.fingerprint) {
+    SendAnswer(peer, call.request,
+               MakeAnswer(Outcome::kNotRun, Reason::kKeyReused, 0));
+    return;
+  }
+  const Instant deadline = now + Milliseconds(call.remaining_milliseconds);
+  // A claim can be read before the call that it is for arrives again.
+  if (known->state == State::kHeld || known->state == State::kClaiming)
+    known->call = std::move(call);
+  TakeKnownCall(peer, known, deadline);
+  RunWaiting(now);
+  AppendIfDue(now);
+}
+
+void CallRunner::TakeNewCall(const std::string& peer,
+                             wire::ServiceCallT call,
+                             Instant now) {
+  const Reason refusal = FindRefusal(call);
+  if (refusal != Reason::kNone) {
+    SendAnswer(peer, call.request,
+               MakeAnswer(Outcome::kNotRun, refusal, kRetryAfterMs));
+    return;
+  }
+  auto added = std::make_unique<Call>();
+  added->id = call.request;
+  added->keyed = call.keyed;
+  added->fingerprint = call.fingerprint;
+  added->account = call.account;
+  added->holder = holder_;
+  added->waiters.push_back(
+      {peer, now + Milliseconds(call.remaining_milliseconds)});
+  added->call = std::move(call);
+  Call* entered = added.get();
+  calls_[entered->id] = std::move(added);
+  if (entered->keyed)
+    QueueClaim(entered);
+  else
+    Enqueue(entered);
+  RunWaiting(now);
+  AppendIfDue(now);
+}
+
+void CallRunner::TakeKnownCall(const std::string& peer,
+                               Call* call,
+                               Instant deadline) {
+  switch (call->state) {
+    case State::kFinished:
+    case State::kUnknown:
+      SendAnswer(peer, call->id, call->answer);
+      return;
+    case State::kForeign: {
+      auto answer = MakeAnswer(Outcome::kUnknown, Reason::kClaimedElsewhere, 0);
+      answer.holder = call->holder.target;
+      SendAnswer(peer, call->id, std::move(answer));
+      return;
+    }
+    case State::kVoided:
+      SendAnswer(peer, call->id,
+                 MakeAnswer(Outcome::kNotRun, Reason::kLeaving, kRetryAfterMs));
+      return;
+    case State::kHeld:
+      if (leaving_) {
+        SendAnswer(
+            peer, call->id,
+            MakeAnswer(Outcome::kNotRun, Reason::kLeaving, kRetryAfterMs));
+        return;
+      }
+      call->waiters.push_back({peer, deadline});
+      Enqueue(call);
+      return;
+    case State::kClaiming:
+      if (!log_available_) {
+        SendAnswer(peer, call->id,
+                   MakeAnswer(Outcome::kNotRun, Reason::kLogUnavailable,
+                              kRetryAfterMs));
+        return;
+      }
+      call->waiters.push_back({peer, deadline});
+      QueueClaim(call);
+      return;
+    case State::kQueued:
+    case State::kRunning:
+      call->waiters.push_back({peer, deadline});
+      return;
+  }
+}
+
+Reason CallRunner::FindRefusal(const wire::ServiceCallT& call) const {
+  if (leaving_)
+    return Reason::kLeaving;
+  if (call.remaining_milliseconds == 0)
+    return Reason::kDeadline;
+  if (call.keyed && !log_available_)
+    return Reason::kLogUnavailable;
+  if (waiting_.size() >= limits_.maximum_queued)
+    return Reason::kOverloaded;
+  return Reason::kNone;
+}
+
+void CallRunner::Enqueue(Call* call) {
+  call->state = State::kQueued;
+  waiting_.Push(call);
+}
+
+void CallRunner::RunWaiting(Instant now) {
+  while (!waiting_.empty() && running_count_ < limits_.maximum_running) {
+    Call* call = waiting_.Pop();
+    // After a pause the deadline may have passed: it is checked here, last
+    // thing before the run.
+    call->state = State::kHeld;
+    ExpireWaiters(call, now);
+    if (call->waiters.empty()) {
+      if (!call->keyed)
+        calls_.erase(call->id);
+      continue;
+    }
+    call->state = State::kRunning;
+    ++running_count_;
+    ++calls_run_;
+    actions_->CallService(call->call);
+  }
+}
+
+void CallRunner::TakeCallResult(const RequestId& id,
+                                Result<wire::ServiceAnswerT> result,
+                                Instant now) {
+  Call* call = Find(id);
+  assert(call != nullptr && call->state == State::kRunning);
+  --running_count_;
+  if (result) {
+    call->state = State::kFinished;
+    call->answer = std::move(*result);
+    call->answer.outcome = Outcome::kRan;
+    if (call->keyed)
+      RecordAnswer(*call);
+    Answer(call, call->answer);
+  } else if (result.error().not_performed) {
+    call->state = State::kHeld;
+    AnswerNotRun(call, Reason::kTargetFault);
+  } else {
+    LogEvent(Event::kCallOutcomeUnknown,
+             {{"request", ToString(id)}, {"error", result.error().ToString()}});
+    call->state = State::kUnknown;
+    call->answer = MakeAnswer(Outcome::kUnknown, Reason::kTargetFault, 0);
+    Answer(call, call->answer);
+  }
+  if (!call->keyed)
+    calls_.erase(id);
+  else
+    call->call = {};
+  RunWaiting(now);
+  AppendIfDue(now);
+}
+
+void CallRunner::RecordAnswer(const Call& call) {
+  ClaimAnswer answer;
+  answer.key = call.id;
+  answer.status = call.answer.status;
+  answer.content_type = FindContentType(call.answer);
+  answer.body_kept = call.answer.body.size() <= kMaximumRecordedBodyBytes;
+  if (answer.body_kept)
+    answer.body.assign(call.answer.body.begin(), call.answer.body.end());
+  pending_.answers.push_back(std::move(answer));
+}
+
+void CallRunner::QueueClaim(Call* call) {
+  call->state = State::kClaiming;
+  if (call->claim_queued)
+    return;
+  call->claim_queued = true;
+  pending_.claims.push_back({call->id, call->fingerprint});
+}
+
+void CallRunner::AppendIfDue(Instant now) {
+  if (append_outstanding_ || pending_.empty() || now < next_append_at_)
+    return;
+  pending_.holder = holder_;
+  in_append_ = std::move(pending_);
+  pending_ = {};
+  append_outstanding_ = true;
+  next_append_at_ = now + limits_.claim_interval;
+  ++appends_;
+  actions_->AppendClaims(EncodeClaimRecord(in_append_));
+}
+
+void CallRunner::TakeAppendResult(const Result<void>& result, Instant now) {
+  assert(append_outstanding_);
+  append_outstanding_ = false;
+  for (const Claim& claim : in_append_.claims) {
+    Call* call = Find(claim.key);
+    if (call == nullptr || call->state != State::kClaiming)
+      continue;
+    // From here on only reading settles it; a further call may claim again,
+    // which is harmless since the holder is the same.
+    call->claim_queued = false;
+    if (!result && result.error().not_performed) {
+      AnswerNotRun(call, Reason::kLogUnavailable);
+      calls_.erase(claim.key);
+    }
+  }
+  if (!result) {
+    pending_.answers.insert(pending_.answers.begin(),
+                            in_append_.answers.begin(),
+                            in_append_.answers.end());
+    pending_.voids.insert(pending_.voids.begin(), in_append_.voids.begin(),
+                          in_append_.voids.end());
+    next_append_at_ = now + Milliseconds(kRetryAfterMs);
+  }
+  in_append_ = {};
+  AppendIfDue(now);
+}
+
+void CallRunner::TakeClaimRecords(const LogRecords& records, Instant now) {
+  if (records.first_offset > read_offset_ && read_offset_ > 0)
+    TakeGap();
+  uint64_t offset = records.first_offset;
+  for (const std::string& text : records.records) {
+    const bool fresh = offset >= read_offset_;
+    ++offset;
+    if (!fresh)
+      continue;
+    const auto record = DecodeClaimRecord(text);
+    if (!record)
+      continue;
+    for (const Claim& claim : record->claims)
+      TakeClaim(record->holder, claim, now);
+    for (const ClaimAnswer& answer : record->answers)
+      TakeRecordedAnswer(answer);
+    for (const RequestId& key : record->voids)
+      TakeVoid(record->holder, key);
+  }
+  read_offset_ = std::max(read_offset_, offset);
+  RunWaiting(now);
+  AppendIfDue(now);
+}
+
+void CallRunner::TakeClaim(const ClaimHolder& holder,
+                           const Claim& claim,
+                           Instant now) {
+  Call* call = Find(claim.key);
+  const bool own = holder == holder_;
+  if (call == nullptr) {
+    auto added = std::make_unique<Call>();
+    added->id = claim.key;
+    added->keyed = true;
+    added->fingerprint = claim.fingerprint;
+    call = added.get();
+    calls_[claim.key] = std::move(added);
+    if (own)
+      call->state = State::kHeld;
+    else
+      TakeForeignClaim(call, holder);
+    call->holder = holder;
+    return;
+  }
+  // Only the first claim counts, and that one settles kClaiming.
+  if (call->state != State::kClaiming)
+    return;
+  if (call->fingerprint != claim.fingerprint) {
+    for (const Waiter& waiter : call->waiters)
+      SendAnswer(waiter.peer, call->id,
+                 MakeAnswer(Outcome::kNotRun, Reason::kKeyReused, 0));
+    call->waiters.clear();
+    call->fingerprint = claim.fingerprint;
+  }
+  call->holder = holder;
+  if (own)
+    TakeOwnClaim(call, now);
+  else
+    TakeForeignClaim(call, holder);
+}
+
+void CallRunner::TakeOwnClaim(Call* call, Instant now) {
+  LogEvent(Event::kClaimWon, {{"request", ToString(call->id)}});
+  call->state = State::kHeld;
+  ExpireWaiters(call, now);
+  if (!call->waiters.empty())
+    Enqueue(call);
+}
+
+void CallRunner::TakeForeignClaim(Call* call, const ClaimHolder& holder) {
+  LogEvent(Event::kClaimLost,
+           {{"request", ToString(call->id)}, {"holder", holder.target}});
+  if (holder.target == holder_.target) {
+    // An earlier run of this very side: it may have run the call.
+    call->state = State::kUnknown;
+    call->answer = MakeAnswer(Outcome::kUnknown, Reason::kClaimLost, 0);
+    Answer(call, call->answer);
+    return;
+  }
+  call->state = State::kForeign;
+  auto answer = MakeAnswer(Outcome::kUnknown, Reason::kClaimedElsewhere, 0);
+  answer.holder = holder.target;
+  Answer(call, answer);
+}
+
+void CallRunner::TakeRecordedAnswer(const ClaimAnswer& answer) {
+  Call* call = Find(answer.key);
+  if (call == nullptr ||
+      (call->state != State::kForeign && call->state != State::kUnknown))
+    return;
+  call->state = State::kFinished;
+  call->answer = {};
+  call->answer.outcome = Outcome::kRan;
+  call->answer.status = answer.status;
+  call->answer.body.assign(answer.body.begin(), answer.body.end());
+  if (!answer.content_type.empty()) {
+    wire::HeaderT header;
+    header.name = kContentType;
+    header.value = answer.content_type;
+    call->answer.headers.push_back(std::move(header));
+  }
+  if (!answer.body_kept)
+    call->answer.reason = static_cast<uint8_t>(Reason::kClaimLost);
+}
+
+void CallRunner::TakeVoid(const ClaimHolder& holder, const RequestId& key) {
+  const Call* call = Find(key);
+  if (call == nullptr || !(call->holder == holder))
+    return;
+  const bool settled = call->state == State::kForeign ||
+                       call->state == State::kVoided ||
+                       call->state == State::kUnknown;
+  if (settled)
+    calls_.erase(key);
+}
+
+void CallRunner::TakeGap() {
+  LogEvent(Event::kLogGap, {{"stream", "claims"}});
+  // A claim dropped unread may have come before this side's own, so none of
+  // them can be won any more: they belong to an earlier epoch now.
+  ++holder_.epoch;
+}
+
+void CallRunner::SetLeaving(bool leaving) {
+  if (leaving == leaving_)
+    return;
+  leaving_ = leaving;
+  if (!leaving)
+    return;
+  for (const auto& [id, call] : calls_) {
+    if (call->state != State::kHeld || !(call->holder == holder_))
+      continue;
+    call->state = State::kVoided;
+    pending_.voids.push_back(id);
+  }
+}
+
+void CallRunner::PeerLost(const std::string& peer) {
+  for (const auto& [id, call] : calls_) {
+    std::erase_if(call->waiters, [&peer](const Waiter& waiter) {
+      return waiter.peer == peer;
+    });
+  }
+}
+
+void CallRunner::Tick(Instant now) {
+  for (const auto& [id, call] : calls_) {
+    if (call->state == State::kClaiming)
+      ExpireWaiters(call.get(), now);
+  }
+  RunWaiting(now);
+  AppendIfDue(now);
+}
+
+void CallRunner::ExpireWaiters(Call* call, Instant now) {
+  std::erase_if(call->waiters, [&](const Waiter& waiter) {
+    if (waiter.deadline > now)
+      return false;
+    const Reason reason = call->state == State::kClaiming
+                              ? Reason::kLogUnavailable
+                              : Reason::kDeadline;
+    SendAnswer(waiter.peer, call->id,
+               MakeAnswer(Outcome::kNotRun, reason, kRetryAfterMs));
+    return true;
+  });
+}
+
+bool CallRunner::idle() const {
+  if (running_count_ > 0 || !waiting_.empty())
+    return false;
+  if (log_available_ && (append_outstanding_ || !pending_.empty()))
+    return false;
+  return std::all_of(calls_.begin(), calls_.end(), [](const auto& row) {
+    return row.second->waiters.empty();
+  });
+}
+
+void CallRunner::Answer(Call* call, const wire::ServiceAnswerT& answer) {
+  for (const Waiter& waiter : call->waiters)
+    SendAnswer(waiter.peer, call->id, answer);
+  call->waiters.clear();
+}
+
+void CallRunner::AnswerNotRun(Call* call, Reason reason) {
+  Answer(call, MakeAnswer(Outcome::kNotRun, reason, kRetryAfterMs));
+}
+
+void CallRunner::SendAnswer(const std::string& peer,
+                            const RequestId& id,
+                            wire::ServiceAnswerT answer) {
+  answer.request = id;
+  actions_->Send(peer, MakeFrame(std::move(answer)));
+}
+
+CallRunner::Call* CallRunner::Find(const RequestId& id) {
+  const auto it = calls_.find(id);
+  return it == calls_.end() ? nullptr : it->second.get();
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_once/service_coordinator.cc
@@ -0,0 +1,220 @@
+#include "bbv_once/service_coordinator.h"
+
+#include <cassert>
+#include <utility>
+#include <vector>
+
+#include "bbv_core/event.h"
+
+namespace bbv {
+namespace {
+
+constexpr uint32_t kMaximumAttempts = 4;
+constexpr double kRetryShare = 0.2;
+constexpr double kMaximumSavedRetries = 50;
+constexpr uint32_t kRetryAfterMs = 500;
+
+// Sides answer a little before the caller's deadline, so that a call that was
+// not run is known as such.
+constexpr Milliseconds kAnswerMargin{100};
+
+}  // namespace
+
+ServiceCoordinator::ServiceCoordinator(TargetTable* table,
+                                       TargetChooser* chooser,
+                                       ServiceActions* actions)
+    : table_(table),
+      chooser_(chooser),
+      actions_(actions),
+      retry_budget_(kRetryShare, kMaximumSavedRetries) {
+  assert(table != nullptr && chooser != nullptr && actions != nullptr);
+}
+
+void ServiceCoordinator::Start(uint64_t caller,
+                               wire::ServiceCallT call,
+                               Instant deadline,
+                               Instant now) {
+  assert(deadline > now);
+  const auto [it, inserted] = calls_.try_emplace(caller);
+  assert(inserted);
+  Call& added = it->second;
+  added.caller = caller;
+  added.call = std::move(call);
+  added.deadline = deadline;
+  added.last_refusal = {Outcome::kNotRun, Reason::kNoTarget, kRetryAfterMs};
+  retry_budget_.RecordAttempt();
+  SendToNext(&added, now);
+}
+
+void ServiceCoordinator::SendToNext(Call* call, Instant now) {
+  const std::string& service = call->call.service;
+  const std::string target =
+      call->call.keyed
+          ? chooser_->ChooseForKey(service, call->call.request, call->excluded,
+                                   now)
+          : chooser_->ChooseForService(service, call->excluded, now);
+  const bool retry = call->attempts > 0;
+  if (target.empty() || call->attempts >= kMaximumAttempts ||
+      (retry && !retry_budget_.TryTakeRetry())) {
+    Refuse(call, call->last_refusal);
+    return;
+  }
+  if (retry)
+    ++retries_;
+  SendTo(call, target, now);
+}
+
+void ServiceCoordinator::SendTo(Call* call,
+                                const std::string& target,
+                                Instant now) {
+  call->target = target;
+  ++call->attempts;
+  table_->AddOutstanding(target);
+  wire::ServiceCallT message = call->call;
+  message.remaining_milliseconds =
+      RemainingMilliseconds(call->deadline - kAnswerMargin, now);
+  actions_->Send(target, MakeFrame(std::move(message)));
+}
+
+void ServiceCoordinator::TakeAnswer(const std::string& peer,
+                                    const wire::ServiceAnswerT& answer,
+                                    Instant now) {
+  std::vector<uint64_t> callers;
+  for (const auto& [caller, call] : calls_) {
+    if (call.call.request == answer.request && call.target == peer)
+      callers.push_back(caller);
+  }
+  for (const uint64_t caller : callers) {
+    if (const auto it = calls_.find(caller); it != calls_.end())
+      TakeAnswerFor(&it->second, peer, answer, now);
+  }
+}
+
+void ServiceCoordinator::TakeAnswerFor(Call* call,
+                                       const std::string& peer,
+                                       const wire::ServiceAnswerT& answer,
+                                       Instant now) {
+  table_->RemoveOutstanding(peer);
+  call->target.clear();
+  switch (answer.outcome) {
+    case Outcome::kRan: {
+      table_->RecordSuccess(peer);
+      const uint64_t caller = call->caller;
+      calls_.erase(caller);
+      actions_->AnswerCall(caller, answer);
+      return;
+    }
+    case Outcome::kNotRun:
+      TakeNotRun(call, peer, answer, now);
+      return;
+    case Outcome::kUnknown:
+      TakeUnknown(call, peer, answer, now);
+      return;
+  }
+}
+
+void ServiceCoordinator::TakeNotRun(Call* call,
+                                    const std::string& peer,
+                                    const wire::ServiceAnswerT& answer,
+                                    Instant now) {
+  const Reason reason = ReasonFromNumber(answer.reason);
+  if (reason == Reason::kTargetFault)
+    table_->RecordFault(peer, now);
+  call->last_refusal = {call->in_doubt ? Outcome::kUnknown : Outcome::kNotRun,
+                        reason, answer.retry_after_milliseconds};
+  const bool final = reason == Reason::kKeyReused ||
+                     reason == Reason::kDeadline ||
+                     reason == Reason::kLogUnavailable;
+  if (final) {
+    Refuse(call, call->last_refusal);
+    return;
+  }
+  call->excluded.insert(peer);
+  SendToNext(call, now);
+}
+
+void ServiceCoordinator::TakeUnknown(Call* call,
+                                     const std::string& peer,
+                                     const wire::ServiceAnswerT& answer,
+                                     Instant now) {
+  const Reason reason = ReasonFromNumber(answer.reason);
+  if (reason == Reason::kClaimedElsewhere) {
+    FollowHolder(call, answer.holder, now);
+    return;
+  }
+  call->in_doubt = true;
+  if (!call->call.idempotent) {
+    Refuse(call, {Outcome::kUnknown, reason, 0});
+    return;
+  }
+  call->excluded.insert(peer);
+  table_->RecordFault(peer, now);
+  call->last_refusal = {Outcome::kUnknown, reason, kRetryAfterMs};
+  SendToNext(call, now);
+}
+
+void ServiceCoordinator::FollowHolder(Call* call,
+                                      const std::string& holder,
+                                      Instant now) {
+  const TargetEntry* entry = table_->Find(holder);
+  const bool reachable = entry != nullptr && entry->connected;
+  // The holder alone knows what became of the call. While it cannot be asked
+  // the outcome is unknown; its recorded answer may yet arrive.
+  if (!reachable || call->attempts >= kMaximumAttempts) {
+    Refuse(call, {Outcome::kUnknown, Reason::kClaimedElsewhere, kRetryAfterMs});
+    return;
+  }
+  SendTo(call, holder, now);
+}
+
+void ServiceCoordinator::PeerLost(const std::string& peer, Instant now) {
+  std::vector<uint64_t> callers;
+  for (const auto& [caller, call] : calls_) {
+    if (call.target == peer)
+      callers.push_back(caller);
+  }
+  for (const uint64_t caller : callers) {
+    const auto it = calls_.find(caller);
+    if (it == calls_.end())
+      continue;
+    Call& call = it->second;
+    call.target.clear();
+    call.in_doubt = true;
+    call.last_refusal = {Outcome::kUnknown, Reason::kPeerLost, kRetryAfterMs};
+    if (!call.call.idempotent && !call.call.keyed) {
+      Refuse(&call, {Outcome::kUnknown, Reason::kPeerLost, 0});
+      continue;
+    }
+    call.excluded.insert(peer);
+    SendToNext(&call, now);
+  }
+}
+
+void ServiceCoordinator::Tick(Instant now) {
+  std::vector<uint64_t> callers;
+  for (const auto& [caller, call] : calls_) {
+    if (call.deadline <= now)
+      callers.push_back(caller);
+  }
+  for (const uint64_t caller : callers) {
+    const auto it = calls_.find(caller);
+    if (it != calls_.end())
+      Refuse(&it->second, {Outcome::kUnknown, Reason::kDeadline, 0});
+  }
+}
+
+void ServiceCoordinator::Refuse(Call* call, const Refusal& refusal) {
+  const Refusal told = refusal;
+  if (!call->target.empty())
+    table_->RemoveOutstanding(call->target);
+  if (told.outcome == Outcome::kUnknown) {
+    LogEvent(Event::kCallOutcomeUnknown,
+             {{"request", ToString(call->call.request)},
+              {"reason", std::string(kReasonNames.Name(told.reason))}});
+  }
+  const uint64_t caller = call->caller;
+  calls_.erase(caller);
+  actions_->RefuseCall(caller, told);
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_once/service_coordinator.h
@@ -0,0 +1,102 @@
+#ifndef MODULES_BBV_ONCE_SERVICE_COORDINATOR_H_
+#define MODULES_BBV_ONCE_SERVICE_COORDINATOR_H_
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "bbv_core/instant.h"
+#include "bbv_routing/refusal.h"
+#include "bbv_routing/retry_budget.h"
+#include "bbv_routing/target_chooser.h"
+#include "bbv_wire/frame_codec.h"
+
+namespace bbv {
+
+// What a service coordinator asks of its surroundings.
+class ServiceActions {
+ public:
+  virtual ~ServiceActions() = default;
+  virtual void Send(const std::string& peer, wire::FrameT frame) = 0;
+
+  // Hands the answer to one caller of the call `id`.
+  virtual void AnswerCall(uint64_t caller,
+                          const wire::ServiceAnswerT& answer) = 0;
+
+  // Ends one caller's call without an answer.
+  virtual void RefuseCall(uint64_t caller, const Refusal& refusal) = 0;
+};
+
+// The plain-service calls of one entry.
+//
+// A call is sent again only when it may run twice (idempotent), when the side
+// proved that it was not run, or when it has a key, whose claim on the log
+// keeps every second run away. Any other lost call ends as unknown at once.
+// Thread safety: none, owned by the control thread. See CallRunner.
+class ServiceCoordinator {
+ public:
+  // All must outlive the coordinator.
+  ServiceCoordinator(TargetTable* table,
+                     TargetChooser* chooser,
+                     ServiceActions* actions);
+
+  // Takes a caller's call. `caller` is unique for ever; equal keyed calls of
+  // several callers share their request id. One answer or refusal follows.
+  void Start(uint64_t caller,
+             wire::ServiceCallT call,
+             Instant deadline,
+             Instant now);
+
+  void TakeAnswer(const std::string& peer,
+                  const wire::ServiceAnswerT& answer,
+                  Instant now);
+  void PeerLost(const std::string& peer, Instant now);
+  void Tick(Instant now);
+
+  std::size_t open_calls() const { return calls_.size(); }
+  uint64_t retries() const { return retries_; }
+
+ private:
+  struct Call {
+    uint64_t caller = 0;
+    wire::ServiceCallT call;
+    Instant deadline{};
+    std::string target;
+    std::set<std::string> excluded;
+    uint32_t attempts = 0;
+    // Whether an earlier try ended without word on whether it ran.
+    bool in_doubt = false;
+    Refusal last_refusal;
+  };
+
+  using Calls = std::unordered_map<uint64_t, Call>;
+
+  void SendToNext(Call* call, Instant now);
+  void SendTo(Call* call, const std::string& target, Instant now);
+  void TakeAnswerFor(Call* call,
+                     const std::string& peer,
+                     const wire::ServiceAnswerT& answer,
+                     Instant now);
+  void FollowHolder(Call* call, const std::string& holder, Instant now);
+  void TakeNotRun(Call* call,
+                  const std::string& peer,
+                  const wire::ServiceAnswerT& answer,
+                  Instant now);
+  void TakeUnknown(Call* call,
+                   const std::string& peer,
+                   const wire::ServiceAnswerT& answer,
+                   Instant now);
+  void Refuse(Call* call, const Refusal& refusal);
+
+  TargetTable* table_;
+  TargetChooser* chooser_;
+  ServiceActions* actions_;
+  RetryBudget retry_budget_;
+  Calls calls_;
+  uint64_t retries_ = 0;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_ONCE_SERVICE_COORDINATOR_H_
--- /dev/null
+++ b/modules/bbv_pipeline/request_coordinator.cc
@@ -0,0 +1,422 @@
+#include "bbv_pipeline/request_coordinator.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "bbv_core/event.h"
+
+namespace bbv {
+namespace {
+
+// A running attempt that brings no token for this long is given up.
+constexpr Milliseconds kProgressTimeout{5000};
+// A request whose tokens have begun waits this long for a usable chain.
+constexpr Milliseconds kChainWait{3000};
+// A request whose caller went away goes on this long.
+constexpr Milliseconds kDetachedLife{10'000};
+// Sides are given this long to answer for a request of a lost entry.
+constexpr Milliseconds kResumeWait{400};
+// A request refused by this many chains is refused to its caller.
+constexpr uint32_t kMaximumRefusedAttempts = 3;
+constexpr uint32_t kMaximumFailedAttempts = 8;
+constexpr double kRetryShare = 0.2;
+constexpr double kMaximumSavedRetries = 50;
+constexpr uint32_t kNoTargetRetryAfterMs = 500;
+
+}  // namespace
+
+RequestCoordinator::RequestCoordinator(std::string entry,
+                                       TargetTable* table,
+                                       TargetChooser* chooser,
+                                       RequestActions* actions)
+    : entry_(std::move(entry)),
+      table_(table),
+      chooser_(chooser),
+      actions_(actions),
+      retry_budget_(kRetryShare, kMaximumSavedRetries) {
+  assert(table != nullptr && chooser != nullptr && actions != nullptr);
+}
+
+void RequestCoordinator::Start(ModelRequest request, Instant now) {
+  assert(request.deadline > now && !request.prompt.empty());
+  const RequestId id = request.id;
+  if (requests_.contains(id)) {
+    if (!Attach(request))
+      actions_->RefuseRequest(id, {Outcome::kUnknown, Reason::kBadRequest, 0});
+    return;
+  }
+  Request& added = requests_[id];
+  added.spec = std::move(request);
+  if (!added.spec.resuming) {
+    retry_budget_.RecordAttempt();
+    StartAttempt(&added, now);
+    return;
+  }
+  added.phase = Phase::kResuming;
+  added.may_have_run = true;
+  added.phase_deadline = now + kResumeWait;
+  AskSides(added.spec);
+}
+
+bool RequestCoordinator::Attach(const ModelRequest& request) {
+  Request& known = requests_.at(request.id);
+  const bool allowed = request.resuming &&
+                       known.spec.account == request.account &&
+                       request.delivered_before <= known.tokens.size();
+  if (!allowed)
+    return false;
+  known.detached = false;
+  const std::vector<uint64_t> rest(
+      known.tokens.begin() + request.delivered_before, known.tokens.end());
+  if (!rest.empty())
+    actions_->DeliverTokens(request.id, request.delivered_before, rest, false);
+  return true;
+}
+
+void RequestCoordinator::AskSides(const ModelRequest& request) {
+  wire::ResumeT resume;
+  resume.request = request.id;
+  resume.account = request.account;
+  for (const auto& [name, entry] : table_->entries()) {
+    if (entry.connected && entry.target.is_engine())
+      actions_->Send(name, MakeFrame(wire::ResumeT(resume)));
+  }
+}
+
+void RequestCoordinator::StartAttempt(Request* request, Instant now) {
+  Chain chain =
+      chooser_->ChooseChain(request->spec.model, request->excluded, now);
+  // A chain with a stage that failed this request before beats none.
+  if (chain.empty() && !request->excluded.empty()) {
+    request->excluded.clear();
+    chain = chooser_->ChooseChain(request->spec.model, request->excluded, now);
+  }
+  if (chain.empty()) {
+    WaitForChain(request, now);
+    return;
+  }
+  request->phase = Phase::kRunning;
+  request->chain = std::move(chain.stages);
+  request->version = std::move(chain.version);
+  ++request->attempt_number;
+  ++attempts_started_;
+  request->progress_deadline = now + kProgressTimeout;
+  for (const Target& stage : request->chain)
+    table_->AddOutstanding(stage.name);
+  SendAttempt(*request, now);
+}
+
+void RequestCoordinator::WaitForChain(Request* request, Instant now) {
+  // Nothing is kept waiting before its first token: its caller is told when to
+  // come back instead.
+  if (!request->may_have_run) {
+    Refuse(request->spec.id,
+           {Outcome::kNotRun, Reason::kNoTarget, kNoTargetRetryAfterMs});
+    return;
+  }
+  if (request->phase != Phase::kWaitingForChain) {
+    request->phase = Phase::kWaitingForChain;
+    request->phase_deadline = now + kChainWait;
+  }
+}
+
+void RequestCoordinator::SendAttempt(const Request& request, Instant now) {
+  const ModelRequest& spec = request.spec;
+  wire::AttemptT attempt;
+  attempt.entry = entry_;
+  attempt.account = spec.account;
+  attempt.model = spec.model.name;
+  attempt.version = request.version;
+  for (const Target& stage : request.chain) {
+    wire::StageT wire_stage;
+    wire_stage.target = stage.name;
+    wire_stage.address = stage.address;
+    attempt.chain.push_back(std::move(wire_stage));
+  }
+  attempt.prompt_length = spec.prompt.size();
+  attempt.end_position = spec.prompt.size() + spec.maximum_tokens;
+  attempt.remaining_milliseconds = RemainingMilliseconds(spec.deadline, now);
+  attempt.priority = spec.priority;
+  attempt.weight = spec.weight;
+  attempt.traceparent = spec.traceparent;
+  attempt.delivered_tokens = request.tokens;
+
+  wire::StepT step;
+  step.request = spec.id;
+  step.attempt_number = request.attempt_number;
+  step.values = spec.prompt;
+  step.values.insert(step.values.end(), request.tokens.begin(),
+                     request.tokens.end());
+  step.attempt = std::make_unique<wire::AttemptT>(std::move(attempt));
+  wire::StepBatchT batch;
+  batch.steps.push_back(std::move(step));
+  LogEvent(Event::kAttemptStarted,
+           {{"request", ToString(spec.id)},
+            {"attempt", std::to_string(request.attempt_number)},
+            {"first", request.chain.front().name}});
+  actions_->Send(request.chain.front().name, MakeFrame(std::move(batch)));
+}
+
+void RequestCoordinator::ReleaseAttempt(const Request& request) {
+  for (const Target& stage : request.chain) {
+    wire::ReleaseT release;
+    release.request = request.spec.id;
+    release.attempt_number = request.attempt_number;
+    wire::ReleaseBatchT batch;
+    batch.releases.push_back(release);
+    actions_->Send(stage.name, MakeFrame(std::move(batch)));
+    table_->RemoveOutstanding(stage.name);
+  }
+}
+
+void RequestCoordinator::Detach(const RequestId& id, Instant now) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end())
+    return;
+  it->second.detached = true;
+  it->second.detached_deadline = now + kDetachedLife;
+}
+
+void RequestCoordinator::EndRequest(const RequestId& id) {
+  const auto it = requests_.find(id);
+  assert(it != requests_.end());
+  ReleaseAttempt(it->second);
+  requests_.erase(it);
+}
+
+void RequestCoordinator::Refuse(const RequestId& id, const Refusal& refusal) {
+  LogEvent(Event::kRequestRefused,
+           {{"request", ToString(id)},
+            {"outcome", std::string(kOutcomeNames.Name(refusal.outcome))},
+            {"reason", std::string(kReasonNames.Name(refusal.reason))}});
+  EndRequest(id);
+  actions_->RefuseRequest(id, refusal);
+}
+
+void RequestCoordinator::TakeTokens(const wire::TokenBatchT& batch,
+                                    Instant now) {
+  for (const wire::TokenT& token : batch.tokens)
+    TakeToken(token, now);
+}
+
+void RequestCoordinator::TakeToken(const wire::TokenT& token, Instant now) {
+  const auto it = requests_.find(token.request);
+  if (it == requests_.end())
+    return;
+  Request& request = it->second;
+  if (request.phase != Phase::kRunning ||
+      token.attempt_number != request.attempt_number)
+    return;
+  const std::size_t expected =
+      request.spec.prompt.size() + request.tokens.size();
+  if (token.position < expected)
+    return;
+  if (token.position > expected) {
+    FailAttempt(&request, "", Reason::kGap, now);
+    return;
+  }
+  request.may_have_run = true;
+  request.progress_deadline = now + kProgressTimeout;
+  const uint32_t index = request.tokens.size();
+  request.tokens.push_back(token.token);
+  if (token.finished) {
+    for (const Target& stage : request.chain)
+      table_->RecordSuccess(stage.name);
+    EndRequest(token.request);
+  }
+  actions_->DeliverTokens(token.request, index, {&token.token, 1},
+                          token.finished);
+}
+
+void RequestCoordinator::TakeFailure(const std::string& peer,
+                                     const wire::AttemptFailureT& failure,
+                                     Instant now) {
+  const auto it = requests_.find(failure.request);
+  if (it == requests_.end())
+    return;
+  Request& request = it->second;
+  if (request.phase != Phase::kRunning ||
+      failure.attempt_number != request.attempt_number)
+    return;
+  const Reason reason = ReasonFromNumber(failure.reason);
+  if (failure.outcome == Outcome::kNotRun) {
+    const bool first_stage = request.chain.front().name == peer;
+    if (!first_stage)
+      request.may_have_run = true;
+    request.excluded.insert(peer);
+    TakeRefusedAttempt(&request, failure, now);
+    return;
+  }
+  request.may_have_run = true;
+  FailAttempt(&request, failure.target, reason, now);
+}
+
+void RequestCoordinator::TakeRefusedAttempt(
+    Request* request,
+    const wire::AttemptFailureT& failure,
+    Instant now) {
+  ++request->refused_attempts;
+  ReleaseAttempt(*request);
+  request->chain.clear();
+  const bool give_up = request->refused_attempts >= kMaximumRefusedAttempts ||
+                       !retry_budget_.TryTakeRetry();
+  if (give_up && request->tokens.empty()) {
+    const Outcome outcome =
+        request->may_have_run ? Outcome::kRan : Outcome::kNotRun;
+    Refuse(request->spec.id, {outcome, ReasonFromNumber(failure.reason),
+                              failure.retry_after_milliseconds});
+    return;
+  }
+  Retry(request, now);
+}
+
+void RequestCoordinator::FailAttempt(Request* request,
+                                     const std::string& target,
+                                     Reason reason,
+                                     Instant now) {
+  LogEvent(Event::kAttemptFailed,
+           {{"request", ToString(request->spec.id)},
+            {"attempt", std::to_string(request->attempt_number)},
+            {"target", target},
+            {"reason", std::string(kReasonNames.Name(reason))}});
+  ReleaseAttempt(*request);
+  request->chain.clear();
+  request->may_have_run = true;
+  if (!target.empty()) {
+    request->excluded.insert(target);
+    table_->RecordFault(target, now);
+  }
+  ++request->failed_attempts;
+  if (request->failed_attempts >= kMaximumFailedAttempts) {
+    Refuse(request->spec.id, {Outcome::kRan, reason, kNoTargetRetryAfterMs});
+    return;
+  }
+  Retry(request, now);
+}
+
+void RequestCoordinator::Retry(Request* request, Instant now) {
+  // Another entry may have taken it over; it must not be disturbed.
+  if (request->detached) {
+    EndRequest(request->spec.id);
+    return;
+  }
+  ++retries_;
+  request->phase = Phase::kRunning;
+  StartAttempt(request, now);
+}
+
+void RequestCoordinator::TakeResumed(const wire::ResumedT& resumed,
+                                     Instant now) {
+  const auto it = requests_.find(resumed.request);
+  if (it == requests_.end() || it->second.phase != Phase::kResuming)
+    return;
+  Request& request = it->second;
+  // Later attempts must outnumber those that the lost entry started.
+  request.attempt_number =
+      std::max(request.attempt_number, resumed.attempt_number);
+  if (!resumed.attempt || resumed.attempt_number < request.attempt_number)
+    return;
+  const auto generated_start = request.spec.prompt.size();
+  if (resumed.first_position != generated_start ||
+      resumed.tokens.size() < request.spec.delivered_before)
+    return;
+  LogEvent(Event::kRequestResumed,
+           {{"request", ToString(resumed.request)},
+            {"tokens", std::to_string(resumed.tokens.size())}});
+  request.phase = Phase::kRunning;
+  request.version = resumed.attempt->version;
+  request.progress_deadline = now + kProgressTimeout;
+  for (const wire::StageT& stage : resumed.attempt->chain) {
+    Target target;
+    target.name = stage.target;
+    target.address = stage.address;
+    request.chain.push_back(target);
+    table_->AddOutstanding(target.name);
+  }
+  request.tokens = resumed.tokens;
+  DeliverResumed(&request, resumed);
+}
+
+void RequestCoordinator::DeliverResumed(Request* request,
+                                        const wire::ResumedT& resumed) {
+  const RequestId id = request->spec.id;
+  const uint32_t skip = request->spec.delivered_before;
+  const std::vector<uint64_t> rest(request->tokens.begin() + skip,
+                                   request->tokens.end());
+  if (resumed.finished)
+    EndRequest(id);
+  if (!rest.empty() || resumed.finished)
+    actions_->DeliverTokens(id, skip, rest, resumed.finished);
+}
+
+void RequestCoordinator::PeerLost(const std::string& peer, Instant now) {
+  const auto lost = Select([&](const Request& request) {
+    return std::any_of(request.chain.begin(), request.chain.end(),
+                       [&](const Target& stage) { return stage.name == peer; });
+  });
+  for (const RequestId& id : lost) {
+    if (const auto it = requests_.find(id); it != requests_.end())
+      FailAttempt(&it->second, peer, Reason::kPeerLost, now);
+  }
+}
+
+void RequestCoordinator::Tick(Instant now) {
+  const auto due = Select([&](const Request& request) {
+    return request.spec.deadline <= now ||
+           (request.detached && request.detached_deadline <= now) ||
+           request.phase != Phase::kRunning || request.progress_deadline <= now;
+  });
+  for (const RequestId& id : due) {
+    if (const auto it = requests_.find(id); it != requests_.end())
+      TickRequest(&it->second, now);
+  }
+}
+
+void RequestCoordinator::TickRequest(Request* request, Instant now) {
+  const RequestId id = request->spec.id;
+  if (request->detached && request->detached_deadline <= now) {
+    EndRequest(id);
+    return;
+  }
+  if (request->spec.deadline <= now) {
+    Refuse(id, {request->may_have_run || request->phase == Phase::kRunning
+                    ? Outcome::kUnknown
+                    : Outcome::kNotRun,
+                Reason::kDeadline, 0});
+    return;
+  }
+  switch (request->phase) {
+    case Phase::kRunning:
+      FailAttempt(request, "", Reason::kDeadline, now);
+      return;
+    case Phase::kResuming:
+      if (request->phase_deadline > now)
+        return;
+      // Nothing was received yet, so any continuation is a right one.
+      if (request->spec.delivered_before == 0)
+        StartAttempt(request, now);
+      else
+        Refuse(id, {Outcome::kUnknown, Reason::kUnknownRequest, 0});
+      return;
+    case Phase::kWaitingForChain:
+      if (request->phase_deadline <= now) {
+        Refuse(id, {Outcome::kRan, Reason::kNoTarget, kNoTargetRetryAfterMs});
+        return;
+      }
+      StartAttempt(request, now);
+      return;
+  }
+}
+
+std::vector<RequestId> RequestCoordinator::Select(
+    const std::function<bool(const Request&)>& wanted) const {
+  std::vector<RequestId> ids;
+  for (const auto& [id, request] : requests_) {
+    if (wanted(request))
+      ids.push_back(id);
+  }
+  return ids;
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_pipeline/sequence_runner.cc
@@ -0,0 +1,457 @@
+#include "bbv_pipeline/sequence_runner.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "bbv_core/event.h"
+
+namespace bbv {
+namespace {
+
+// Finished answers and orphaned sequences stay this long for a caller that
+// comes back through another entry.
+constexpr Milliseconds kRetention{15'000};
+constexpr Milliseconds kTombstoneLife{120'000};
+constexpr uint32_t kMinimumRetryAfterMs = 100;
+constexpr uint32_t kMaximumRetryAfterMs = 5000;
+// Later stages admit above their limit: the stages before have done work.
+constexpr uint32_t kLaterStageFactor = 2;
+
+}  // namespace
+
+SequenceRunner::SequenceRunner(std::string target,
+                               SequenceLimits limits,
+                               SequenceActions* actions)
+    : target_(std::move(target)), limits_(limits), actions_(actions) {
+  assert(actions != nullptr);
+  assert(limits.maximum_running > 0 && limits.maximum_batch_tokens > 0);
+}
+
+void SequenceRunner::SetLoadedVersions(std::vector<std::string> versions) {
+  loaded_versions_ = std::move(versions);
+}
+
+void SequenceRunner::TakeSteps(const wire::StepBatchT& batch, Instant now) {
+  for (const wire::StepT& step : batch.steps)
+    TakeStep(step, now);
+  StartIteration(now);
+}
+
+void SequenceRunner::TakeStep(const wire::StepT& step, Instant now) {
+  const auto buried = tombstones_.find(step.request);
+  if (buried != tombstones_.end() &&
+      step.attempt_number <= buried->second.attempt_number)
+    return;
+  Sequence* sequence = Find(step.request);
+  if (sequence != nullptr && step.attempt_number < sequence->attempt_number)
+    return;
+  if (sequence != nullptr && step.attempt_number > sequence->attempt_number) {
+    Drop(step.request, now);
+    sequence = nullptr;
+  }
+  if (sequence == nullptr)
+    OpenSequence(step, now);
+  else
+    ContinueSequence(sequence, step, now);
+}
+
+void SequenceRunner::OpenSequence(const wire::StepT& step, Instant now) {
+  if (!step.attempt || step.values.empty())
+    return;
+  const wire::AttemptT& attempt = *step.attempt;
+  const auto stage = std::find_if(
+      attempt.chain.begin(), attempt.chain.end(),
+      [this](const wire::StageT& it) { return it.target == target_; });
+  if (stage == attempt.chain.end()) {
+    RefuseAttempt(attempt.entry, step, Reason::kBadRequest);
+    return;
+  }
+  const bool first_stage = stage == attempt.chain.begin();
+  Reason refusal = FindRefusal(step, first_stage);
+  if (refusal == Reason::kNone && attempt.remaining_milliseconds == 0)
+    refusal = Reason::kDeadline;
+  if (refusal != Reason::kNone) {
+    RefuseAttempt(attempt.entry, step, refusal);
+    return;
+  }
+  auto opened = std::make_unique<Sequence>();
+  opened->request = step.request;
+  opened->attempt_number = step.attempt_number;
+  opened->attempt = attempt;
+  opened->stage = stage - attempt.chain.begin();
+  opened->values = step.values;
+  opened->next_position = step.position;
+  opened->tokens = attempt.delivered_tokens;
+  opened->deadline = now + Milliseconds(attempt.remaining_milliseconds);
+  opened->account = attempt.account;
+  opened->weight = std::max<uint32_t>(attempt.weight, 1);
+  opened->priority = attempt.priority;
+  opened->cost = attempt.end_position;
+  Sequence* sequence = opened.get();
+  sequences_[step.request] = std::move(opened);
+  if (first_stage) {
+    sequence->state = State::kWaiting;
+    waiting_.Push(sequence);
+    AdmitWaiting();
+  } else {
+    ++running_count_;
+    MakeReady(sequence);
+  }
+}
+
+Reason SequenceRunner::FindRefusal(const wire::StepT& step,
+                                   bool first_stage) const {
+  if (leaving_)
+    return Reason::kLeaving;
+  if (step.position != 0)
+    return Reason::kGap;
+  if (std::find(loaded_versions_.begin(), loaded_versions_.end(),
+                step.attempt->version) == loaded_versions_.end())
+    return Reason::kWrongVersion;
+  const bool full = first_stage ? waiting_.size() >= limits_.maximum_queued &&
+                                      running_count_ >= limits_.maximum_running
+                                : running_count_ >= limits_.maximum_running *
+                                                        kLaterStageFactor;
+  if (full)
+    return Reason::kOverloaded;
+  return Reason::kNone;
+}
+
+void SequenceRunner::RefuseAttempt(const std::string& entry,
+                                   const wire::StepT& step,
+                                   Reason reason) {
+  wire::AttemptFailureT failure;
+  failure.request = step.request;
+  failure.attempt_number = step.attempt_number;
+  failure.outcome = Outcome::kNotRun;
+  failure.reason = static_cast<uint8_t>(reason);
+  failure.retry_after_milliseconds = RetryAfterMilliseconds();
+  actions_->Send(entry, MakeFrame(std::move(failure)));
+}
+
+void SequenceRunner::ContinueSequence(Sequence* sequence,
+                                      const wire::StepT& step,
+                                      Instant now) {
+  if (step.values.empty() || sequence->state == State::kRetained)
+    return;
+  const bool repeats_last = !sequence->last_result.empty() &&
+                            step.position == sequence->last_position;
+  if (repeats_last) {
+    Outgoing outgoing;
+    EmitResult(sequence, &outgoing);
+    Flush(&outgoing);
+    return;
+  }
+  const bool pending = sequence->state != State::kIdle;
+  if (step.position == sequence->next_position && !pending) {
+    sequence->values = step.values;
+    MakeReady(sequence);
+    return;
+  }
+  // An old step, or the one that waits or runs once more: its result goes out
+  // once.
+  if (step.position <= sequence->next_position)
+    return;
+  FailSequence(sequence, "", Reason::kGap, now);
+}
+
+void SequenceRunner::FailSequence(Sequence* sequence,
+                                  const std::string& target,
+                                  Reason reason,
+                                  Instant now) {
+  wire::AttemptFailureT failure;
+  failure.request = sequence->request;
+  failure.attempt_number = sequence->attempt_number;
+  failure.target = target;
+  failure.outcome = Outcome::kRan;
+  failure.reason = static_cast<uint8_t>(reason);
+  actions_->Send(sequence->attempt.entry, MakeFrame(std::move(failure)));
+  Drop(sequence->request, now);
+}
+
+void SequenceRunner::MakeReady(Sequence* sequence) {
+  sequence->state = State::kReady;
+  ready_.PushBack(sequence);
+}
+
+void SequenceRunner::AdmitWaiting() {
+  while (!waiting_.empty() && running_count_ < limits_.maximum_running) {
+    Sequence* sequence = waiting_.Pop();
+    ++running_count_;
+    MakeReady(sequence);
+  }
+}
+
+void SequenceRunner::StartIteration(Instant now) {
+  if (engine_busy_ || ready_.empty())
+    return;
+  // Steps of one version a call: engines run one set of weights at a time.
+  const std::string version = ready_.Front()->attempt.version;
+  wire::EngineBatchT batch;
+  batch.version = version;
+  batch.releases = std::exchange(engine_releases_, {});
+  std::size_t tokens = 0;
+  std::vector<Sequence*> deferred;
+  while (!ready_.empty() && tokens < limits_.maximum_batch_tokens) {
+    Sequence* sequence = ready_.PopFront();
+    if (sequence->attempt.version != version) {
+      deferred.push_back(sequence);
+      continue;
+    }
+    sequence->state = State::kInEngine;
+    wire::StepT step;
+    step.request = sequence->request;
+    step.attempt_number = sequence->attempt_number;
+    step.position = sequence->next_position;
+    step.values = std::move(sequence->values);
+    sequence->values.clear();
+    sequence->last_position = step.position;
+    sequence->next_position += step.values.size();
+    tokens += step.values.size();
+    batch.steps.push_back(std::move(step));
+  }
+  for (Sequence* sequence : deferred)
+    ready_.PushBack(sequence);
+  engine_busy_ = true;
+  iteration_started_ = now;
+  steps_run_ += batch.steps.size();
+  actions_->RunEngine(std::move(batch));
+}
+
+void SequenceRunner::TakeEngineResults(const wire::EngineResultsT& results,
+                                       Instant now) {
+  assert(engine_busy_);
+  engine_busy_ = false;
+  const auto n =
+      std::chrono::duration_cast<Microseconds>(now - iteration_started_);
+  step_microseconds_ = (step_microseconds_ * 7 + n.count()) / 8;
+  Outgoing outgoing;
+  for (const wire::EngineResultT& result : results.results)
+    TakeResult(result, &outgoing, now);
+  Flush(&outgoing);
+  AdmitWaiting();
+  StartIteration(now);
+}
+
+void SequenceRunner::TakeResult(const wire::EngineResultT& result,
+                                Outgoing* outgoing,
+                                Instant now) {
+  Sequence* sequence = Find(result.request);
+  if (sequence == nullptr || sequence->state != State::kInEngine ||
+      sequence->attempt_number != result.attempt_number)
+    return;
+  sequence->state = State::kIdle;
+  if (result.status != wire::EngineStatus::kDone || result.values.empty()) {
+    FailSequence(sequence, target_, Reason::kTargetFault, now);
+    return;
+  }
+  sequence->last_result = result.values;
+  if (sequence->is_last_stage()) {
+    const uint32_t position = sequence->next_position;
+    sequence->tokens.push_back(result.values.back());
+    sequence->finished =
+        result.finished || position + 1 >= sequence->attempt.end_position;
+  }
+  EmitResult(sequence, outgoing);
+}
+
+void SequenceRunner::EmitResult(Sequence* sequence, Outgoing* outgoing) {
+  if (sequence->is_last_stage()) {
+    EmitTokens(sequence, sequence->next_position, outgoing);
+    return;
+  }
+  const wire::StageT& next = sequence->attempt.chain[sequence->stage + 1];
+  wire::StepT step;
+  step.request = sequence->request;
+  step.attempt_number = sequence->attempt_number;
+  step.position = sequence->last_position;
+  step.values = sequence->last_result;
+  if (step.position == 0)
+    step.attempt = std::make_unique<wire::AttemptT>(sequence->attempt);
+  outgoing->stages[next.target] = next;
+  outgoing->steps[next.target].steps.push_back(std::move(step));
+}
+
+void SequenceRunner::EmitTokens(Sequence* sequence,
+                                uint32_t position,
+                                Outgoing* outgoing) {
+  wire::TokenT token;
+  token.request = sequence->request;
+  token.attempt_number = sequence->attempt_number;
+  token.position = position;
+  token.token = sequence->last_result.back();
+  token.finished = sequence->finished;
+  outgoing->tokens[sequence->attempt.entry].tokens.push_back(token);
+  if (sequence->finished)
+    return;
+  const wire::StageT& first = sequence->attempt.chain.front();
+  wire::StepT step;
+  step.request = sequence->request;
+  step.attempt_number = sequence->attempt_number;
+  step.position = position;
+  step.values = {token.token};
+  outgoing->stages[first.target] = first;
+  outgoing->steps[first.target].steps.push_back(std::move(step));
+}
+
+void SequenceRunner::Flush(Outgoing* outgoing) {
+  for (auto& [entry, tokens] : outgoing->tokens)
+    actions_->Send(entry, MakeFrame(std::move(tokens)));
+  for (auto& [target, steps] : outgoing->steps) {
+    if (target == target_) {
+      // A chain of one stage feeds itself.
+      for (const wire::StepT& step : steps.steps)
+        TakeStep(step, iteration_started_);
+      continue;
+    }
+    actions_->SendToStage(target, outgoing->stages[target].address,
+                          MakeFrame(std::move(steps)));
+  }
+}
+
+void SequenceRunner::TakeEngineFault(Instant now) {
+  assert(engine_busy_);
+  engine_busy_ = false;
+  std::vector<Sequence*> in_doubt;
+  for (const auto& [id, sequence] : sequences_) {
+    if (sequence->state == State::kInEngine)
+      in_doubt.push_back(sequence.get());
+  }
+  for (Sequence* sequence : in_doubt)
+    FailSequence(sequence, target_, Reason::kTargetFault, now);
+  AdmitWaiting();
+  StartIteration(now);
+}
+
+void SequenceRunner::TakeReleases(const std::string& peer,
+                                  const wire::ReleaseBatchT& batch,
+                                  Instant now) {
+  for (const wire::ReleaseT& release : batch.releases) {
+    Sequence* sequence = Find(release.request);
+    if (sequence != nullptr && sequence->attempt.entry != peer)
+      continue;
+    const bool applies = sequence != nullptr &&
+                         sequence->attempt_number <= release.attempt_number;
+    Bury(release.request, release.attempt_number, now);
+    if (!applies)
+      continue;
+    const bool retain = sequence->finished && sequence->is_last_stage();
+    if (!retain) {
+      Drop(release.request, now);
+      continue;
+    }
+    if (sequence->state != State::kRetained) {
+      Unlink(sequence);
+      sequence->state = State::kRetained;
+    }
+    sequence->deadline = now + kRetention;
+  }
+  AdmitWaiting();
+  StartIteration(now);
+}
+
+void SequenceRunner::TakeResume(const std::string& peer,
+                                const wire::ResumeT& resume) {
+  Sequence* sequence = Find(resume.request);
+  wire::ResumedT resumed;
+  resumed.request = resume.request;
+  if (sequence == nullptr || sequence->attempt.account != resume.account)
+    return;
+  sequence->attempt.entry = peer;
+  resumed.attempt_number = sequence->attempt_number;
+  if (sequence->is_last_stage()) {
+    resumed.attempt = std::make_unique<wire::AttemptT>(sequence->attempt);
+    resumed.first_position = sequence->attempt.prompt_length;
+    resumed.tokens = sequence->tokens;
+    resumed.finished = sequence->finished;
+  }
+  actions_->Send(peer, MakeFrame(std::move(resumed)));
+}
+
+void SequenceRunner::PeerLost(const std::string& peer, Instant now) {
+  std::vector<Sequence*> failed;
+  for (const auto& [id, sequence] : sequences_) {
+    if (sequence->state == State::kRetained)
+      continue;
+    const auto& chain = sequence->attempt.chain;
+    const wire::StageT& next =
+        sequence->is_last_stage() ? chain.front() : chain[sequence->stage + 1];
+    if (next.target == peer)
+      failed.push_back(sequence.get());
+    else if (sequence->attempt.entry == peer)
+      sequence->deadline = std::min(sequence->deadline, now + kRetention);
+  }
+  for (Sequence* sequence : failed)
+    FailSequence(sequence, peer, Reason::kPeerLost, now);
+  AdmitWaiting();
+  StartIteration(now);
+}
+
+void SequenceRunner::Tick(Instant now) {
+  std::vector<RequestId> expired;
+  for (const auto& [id, sequence] : sequences_) {
+    if (sequence->deadline <= now)
+      expired.push_back(id);
+  }
+  for (const RequestId& id : expired)
+    Drop(id, now);
+  std::erase_if(tombstones_, [now](const auto& tombstone) {
+    return tombstone.second.forget_at <= now;
+  });
+  AdmitWaiting();
+  StartIteration(now);
+}
+
+void SequenceRunner::Unlink(Sequence* sequence) {
+  switch (sequence->state) {
+    case State::kWaiting:
+      waiting_.Remove(sequence);
+      return;
+    case State::kReady:
+      ready_.Remove(sequence);
+      --running_count_;
+      return;
+    case State::kIdle:
+    case State::kInEngine:
+      --running_count_;
+      return;
+    case State::kRetained:
+      return;
+  }
+}
+
+void SequenceRunner::Drop(const RequestId& request, Instant now) {
+  const auto it = sequences_.find(request);
+  assert(it != sequences_.end());
+  const uint32_t attempt_number = it->second->attempt_number;
+  Unlink(it->second.get());
+  sequences_.erase(it);
+  wire::ReleaseT release;
+  release.request = request;
+  release.attempt_number = attempt_number;
+  engine_releases_.push_back(release);
+  Bury(request, attempt_number, now);
+}
+
+void SequenceRunner::Bury(const RequestId& request,
+                          uint32_t attempt_number,
+                          Instant now) {
+  Tombstone& tombstone = tombstones_[request];
+  tombstone.attempt_number = std::max(tombstone.attempt_number, attempt_number);
+  tombstone.forget_at = std::max(tombstone.forget_at, now + kTombstoneLife);
+}
+
+uint32_t SequenceRunner::RetryAfterMilliseconds() const {
+  // About one queue's worth of iterations.
+  const uint64_t wait =
+      static_cast<uint64_t>(step_microseconds_) * (waiting_.size() + 1) / 1000;
+  return std::clamp<uint64_t>(wait, kMinimumRetryAfterMs, kMaximumRetryAfterMs);
+}
+
+SequenceRunner::Sequence* SequenceRunner::Find(const RequestId& request) {
+  const auto it = sequences_.find(request);
+  return it == sequences_.end() ? nullptr : it->second.get();
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_platform/bbv_platform.h
@@ -0,0 +1,15 @@
+// bbv_platform: clients of what surrounds the system.
+//
+// The platform's log service and instance list, and a side's target: a model
+// engine or a plain service. All speak HTTP through cpp-httplib; every call
+// blocks its thread and says in its error whether it was surely not performed.
+#ifndef MODULES_BBV_PLATFORM_BBV_PLATFORM_H_
+#define MODULES_BBV_PLATFORM_BBV_PLATFORM_H_
+
+#include "bbv_platform/engine_client.h"
+#include "bbv_platform/http_connection.h"
+#include "bbv_platform/instance_list_client.h"
+#include "bbv_platform/log_client.h"
+#include "bbv_platform/service_client.h"
+
+#endif  // MODULES_BBV_PLATFORM_BBV_PLATFORM_H_
--- /dev/null
+++ b/modules/bbv_platform/engine_client.cc
@@ -0,0 +1,61 @@
+#include "bbv_platform/engine_client.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bbv {
+
+EngineClient::EngineClient(const SocketAddress& address, Milliseconds timeout)
+    : connection_(address, Step::kEngineStep, timeout) {}
+
+Result<wire::EngineResultsT> EngineClient::RunStep(
+    const wire::EngineBatchT& batch) {
+  flatbuffers::FlatBufferBuilder builder(1024);
+  builder.Finish(wire::EngineBatch::Pack(builder, &batch));
+  const std::string body(
+      reinterpret_cast<const char*>(builder.GetBufferPointer()),
+      builder.GetSize());
+  const auto response =
+      connection_.Post("/v1/step", body, "application/octet-stream");
+  if (!response)
+    return tl::make_unexpected(response.error());
+  if (response->status != 200)
+    return Fail(Step::kEngineStep, connection_.peer(),
+                "status " + std::to_string(response->status));
+  const auto* bytes = reinterpret_cast<const uint8_t*>(response->body.data());
+  flatbuffers::Verifier verifier(bytes, response->body.size());
+  if (!verifier.VerifyBuffer<wire::EngineResults>(nullptr))
+    return Fail(Step::kEngineStep, connection_.peer(),
+                "results fail verification");
+  wire::EngineResultsT results;
+  flatbuffers::GetRoot<wire::EngineResults>(bytes)->UnPackTo(&results);
+  return results;
+}
+
+Result<std::vector<std::string>> EngineClient::Load(const std::string& model,
+                                                    const std::string& version,
+                                                    uint32_t first_layer,
+                                                    uint32_t end_layer,
+                                                    uint64_t fence) {
+  const nlohmann::json order = {{"model", model},
+                                {"version", version},
+                                {"first_layer", first_layer},
+                                {"end_layer", end_layer},
+                                {"fence", fence}};
+  const auto response =
+      connection_.Post("/v1/load", order.dump(), "application/json");
+  if (!response)
+    return tl::make_unexpected(response.error());
+  if (response->status != 200)
+    return Fail(
+        Step::kEngineOrder, connection_.peer(),
+        "status " + std::to_string(response->status) + " " + response->body);
+  try {
+    return nlohmann::json::parse(response->body)
+        .at("loaded")
+        .get<std::vector<std::string>>();
+  } catch (const nlohmann::json::exception& error) {
+    return Fail(Step::kEngineOrder, connection_.peer(), error.what());
+  }
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_platform/http_connection.cc
@@ -0,0 +1,49 @@
+#include "bbv_platform/http_connection.h"
+
+#include <utility>
+
+namespace bbv {
+
+HttpConnection::HttpConnection(const SocketAddress& address,
+                               Step step,
+                               Milliseconds timeout)
+    : peer_(address.ToString()),
+      step_(step),
+      client_(std::make_unique<httplib::Client>(address.ip, address.port)) {
+  client_->set_keep_alive(true);
+  client_->set_tcp_nodelay(true);
+  client_->set_connection_timeout(timeout);
+  client_->set_read_timeout(timeout);
+  client_->set_write_timeout(timeout);
+}
+
+Result<httplib::Response> HttpConnection::Get(const std::string& path) {
+  return Convert(client_->Get(path));
+}
+
+Result<httplib::Response> HttpConnection::Post(const std::string& path,
+                                               const std::string& body,
+                                               const char* content_type) {
+  return Convert(client_->Post(path, body, content_type));
+}
+
+Result<httplib::Response> HttpConnection::Send(httplib::Request request) {
+  return Convert(client_->send(request));
+}
+
+void HttpConnection::Abort() {
+  client_->stop();
+}
+
+Result<httplib::Response> HttpConnection::Convert(
+    httplib::Result result) const {
+  if (result)
+    return std::move(result.value());
+  // Without a connection nothing can have reached the peer.
+  const bool not_performed =
+      result.error() == httplib::Error::Connection ||
+      result.error() == httplib::Error::ConnectionTimeout;
+  return Fail(step_, peer_, httplib::to_string(result.error()), not_performed);
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_platform/instance_list_client.cc
@@ -0,0 +1,31 @@
+#include "bbv_platform/instance_list_client.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bbv {
+
+InstanceListClient::InstanceListClient(const SocketAddress& address,
+                                       Milliseconds timeout)
+    : connection_(address, Step::kInstanceList, timeout) {}
+
+Result<std::vector<std::string>> InstanceListClient::ReadLeaving() {
+  const auto response = connection_.Get("/v1/instances");
+  if (!response)
+    return tl::make_unexpected(response.error());
+  if (response->status != 200)
+    return Fail(Step::kInstanceList, connection_.peer(),
+                "status " + std::to_string(response->status));
+  try {
+    const auto in = nlohmann::json::parse(response->body);
+    std::vector<std::string> leaving;
+    for (const auto& instance : in.at("instances")) {
+      if (instance.at("state").get<std::string>() == "leaving")
+        leaving.push_back(instance.at("name").get<std::string>());
+    }
+    return leaving;
+  } catch (const nlohmann::json::exception& error) {
+    return Fail(Step::kInstanceList, connection_.peer(), error.what());
+  }
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_roles/side_logic.h
@@ -0,0 +1,88 @@
+#ifndef MODULES_BBV_ROLES_SIDE_LOGIC_H_
+#define MODULES_BBV_ROLES_SIDE_LOGIC_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "bbv_once/call_runner.h"
+#include "bbv_pipeline/sequence_runner.h"
+#include "bbv_roles/configuration_sharing.h"
+#include "bbv_roles/version_loader.h"
+
+namespace bbv {
+
+// What a side's logic asks of the node around it.
+class SideActions : public SequenceActions, public CallActions {
+ public:
+  ~SideActions() override = default;
+  void Send(const std::string& peer, wire::FrameT frame) override = 0;
+
+  // Sends an order to the engine; SideLogic::TakeOrderResult() must follow.
+  virtual void OrderLoad(const LoadOrder& order) = 0;
+};
+
+// What a side is told by its settings.
+struct SideOptions {
+  std::string target;
+  bool is_engine = true;
+  uint64_t epoch = 0;
+  SequenceLimits sequence_limits;
+  CallLimits call_limits;
+};
+
+// Everything a side decides for its one target.
+//
+// Thread safety: none, owned by the control thread. See SideNode in bbv_node.
+class SideLogic {
+ public:
+  // `actions` must outlive the logic.
+  SideLogic(const SideOptions& options, SideActions* actions);
+
+  void TakeFrame(const std::string& peer,
+                 const wire::FrameT& frame,
+                 Instant now);
+  void PeerLost(const std::string& peer, Instant now);
+
+  void TakeConfigurationRecords(const LogRecords& records, Instant now);
+  void TakeClaimRecords(const LogRecords& records, Instant now);
+  void SetLogAvailable(bool available);
+  void TakeAppendResult(const Result<void>& result, Instant now);
+
+  void TakeEngineResults(const Result<wire::EngineResultsT>& results,
+                         Instant now);
+  void TakeOrderResult(const Result<EngineState>& result, Instant now);
+  void TakeCallResult(const RequestId& id,
+                      Result<wire::ServiceAnswerT> result,
+                      Instant now);
+
+  // The process was told to stop, or the instance list says that it leaves.
+  void SetStopping(bool stopping);
+
+  void Tick(Instant now);
+
+  wire::HeartbeatT MakeHeartbeat() const;
+
+  // Returns whether no work is under way, so that a stopping process may end.
+  bool idle() const;
+
+  const ConfigurationSharing& sharing() const { return sharing_; }
+  const SequenceRunner& sequences() const { return sequences_; }
+  const CallRunner& calls() const { return calls_; }
+
+ private:
+  void ConfigurationChanged();
+  void UpdateLeaving();
+
+  SideOptions options_;
+  ConfigurationSharing sharing_;
+  VersionLoader loader_;
+  SequenceRunner sequences_;
+  CallRunner calls_;
+  bool stopping_ = false;
+  bool draining_ = false;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_ROLES_SIDE_LOGIC_H_
--- /dev/null
+++ b/modules/bbv_routing/account_index.h
@@ -0,0 +1,29 @@
+#ifndef MODULES_BBV_ROUTING_ACCOUNT_INDEX_H_
+#define MODULES_BBV_ROUTING_ACCOUNT_INDEX_H_
+
+#include <string>
+#include <unordered_map>
+
+#include "bbv_config/configuration.h"
+
+namespace bbv {
+
+// Finds client accounts by the hash of their bearer key.
+//
+// Thread safety: none, one thread at a time.
+class AccountIndex {
+ public:
+  // Replaces the contents by the accounts of `configuration`.
+  void Rebuild(const Configuration& configuration);
+
+  // Returns the account whose key has this SHA-256, or nullptr. Valid until
+  // the next Rebuild().
+  const Account* Find(const std::string& key_sha256) const;
+
+ private:
+  std::unordered_map<std::string, Account> accounts_by_key_;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_ROUTING_ACCOUNT_INDEX_H_
--- /dev/null
+++ b/modules/bbv_routing/target_chooser.cc
@@ -0,0 +1,140 @@
+#include "bbv_routing/target_chooser.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "bbv_core/hashing.h"
+
+namespace bbv {
+namespace {
+
+// Expected time grows by this factor towards targets in other zones.
+constexpr double kOtherZoneFactor = 1.15;
+// And by this one towards a target that has just returned from ejection.
+constexpr double kReturningFactor = 3.0;
+
+bool Holds(const TargetEntry& entry, const std::string& version) {
+  return std::find(entry.loaded_versions.begin(), entry.loaded_versions.end(),
+                   version) != entry.loaded_versions.end();
+}
+
+void Exclude(const std::set<std::string>& excluded,
+             std::vector<const TargetEntry*>* entries) {
+  std::erase_if(*entries, [&](const TargetEntry* entry) {
+    return excluded.contains(entry->target.name);
+  });
+}
+
+}  // namespace
+
+TargetChooser::TargetChooser(const TargetTable* table,
+                             std::string zone,
+                             uint64_t seed)
+    : table_(table), zone_(std::move(zone)), generator_(seed) {
+  assert(table != nullptr);
+}
+
+Chain TargetChooser::ChooseChain(const Model& model,
+                                 const std::set<std::string>& excluded,
+                                 Instant now) {
+  now_ = now;
+  Candidates usable = table_->UsableForModel(model.name, now);
+  Exclude(excluded, &usable);
+  Chain chain = ChooseVersion(model, model.version, usable);
+  if (!chain.empty())
+    return chain;
+  std::set<std::string> versions;
+  for (const TargetEntry* entry : usable)
+    versions.insert(entry->loaded_versions.begin(),
+                    entry->loaded_versions.end());
+  for (const std::string& version : versions) {
+    chain = ChooseVersion(model, version, usable);
+    if (!chain.empty())
+      return chain;
+  }
+  return {};
+}
+
+Chain TargetChooser::ChooseVersion(const Model& model,
+                                   const std::string& version,
+                                   const Candidates& usable) {
+  Candidates holding;
+  std::vector<const Target*> targets;
+  for (const TargetEntry* entry : usable) {
+    if (!Holds(*entry, version))
+      continue;
+    holding.push_back(entry);
+    targets.push_back(&entry->target);
+  }
+  const auto reachable = ReachableBoundaries(model, targets);
+  Chain chain;
+  chain.version = version;
+  uint32_t boundary = 0;
+  while (boundary < model.layers) {
+    Candidates candidates;
+    for (const TargetEntry* entry : holding) {
+      if (entry->target.first_layer == boundary &&
+          std::binary_search(reachable.begin(), reachable.end(),
+                             entry->target.end_layer))
+        candidates.push_back(entry);
+    }
+    if (candidates.empty())
+      return {};
+    const TargetEntry* chosen = ChooseOne(candidates);
+    chain.stages.push_back(chosen->target);
+    boundary = chosen->target.end_layer;
+  }
+  return chain;
+}
+
+std::string TargetChooser::ChooseForService(
+    const std::string& service,
+    const std::set<std::string>& excluded,
+    Instant now) {
+  now_ = now;
+  Candidates usable = table_->UsableForService(service, now);
+  Exclude(excluded, &usable);
+  return usable.empty() ? "" : ChooseOne(usable)->target.name;
+}
+
+std::string TargetChooser::ChooseForKey(const std::string& service,
+                                        const RequestId& key,
+                                        const std::set<std::string>& excluded,
+                                        Instant now) {
+  Candidates usable = table_->UsableForService(service, now);
+  Exclude(excluded, &usable);
+  const TargetEntry* home = nullptr;
+  uint64_t best = 0;
+  for (const TargetEntry* entry : usable) {
+    const uint64_t score = HashPair(key.low(), HashBytes(entry->target.name));
+    if (home == nullptr || score > best) {
+      home = entry;
+      best = score;
+    }
+  }
+  return home == nullptr ? "" : home->target.name;
+}
+
+const TargetEntry* TargetChooser::ChooseOne(const Candidates& candidates) {
+  assert(!candidates.empty());
+  std::uniform_int_distribution<std::size_t> pick(0, candidates.size() - 1);
+  const TargetEntry* left = candidates[pick(generator_)];
+  const TargetEntry* right = candidates[pick(generator_)];
+  return ExpectedFinish(*left) <= ExpectedFinish(*right) ? left : right;
+}
+
+double TargetChooser::ExpectedFinish(const TargetEntry& entry) const {
+  // The heartbeat lags; work placed from here since is in `outstanding`.
+  const double load =
+      1.0 + std::max(entry.queued + entry.running, entry.outstanding);
+  double expected = load / (static_cast<double>(entry.target.capacity) *
+                            static_cast<double>(entry.target.speed));
+  if (entry.target.zone != zone_)
+    expected *= kOtherZoneFactor;
+  if (now_ < entry.full_share_at)
+    expected *= kReturningFactor;
+  return expected;
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_settings/toml_reader.cc
@@ -0,0 +1,157 @@
+#include "bbv_settings/toml_reader.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace bbv {
+namespace {
+
+int LineOf(const toml::node& node) {
+  return static_cast<int>(node.source().begin.line);
+}
+
+std::string Join(const std::vector<std::string>& texts) {
+  std::string result;
+  for (const std::string& text : texts)
+    result += (result.empty() ? "" : ", ") + text;
+  return result;
+}
+
+}  // namespace
+
+TomlReader::TomlReader(const toml::table& table,
+                       std::string file,
+                       std::string prefix,
+                       Faults* faults)
+    : table_(table),
+      file_(std::move(file)),
+      prefix_(std::move(prefix)),
+      faults_(faults) {
+  assert(faults != nullptr);
+}
+
+std::string TomlReader::RequiredString(std::string_view key) {
+  const std::string value = String(key, "");
+  if (value.empty() && Find(key) == nullptr)
+    AddFault(key, "is missing; a text is required");
+  else if (value.empty())
+    AddFault(key, "must be a text that is not empty");
+  return value;
+}
+
+std::string TomlReader::String(std::string_view key, std::string fallback) {
+  const toml::node* node = Find(key);
+  if (node == nullptr)
+    return fallback;
+  if (const auto value = node->value_exact<std::string>())
+    return *value;
+  AddFault(key, "must be a text");
+  return fallback;
+}
+
+std::string TomlReader::Choice(std::string_view key,
+                               std::string fallback,
+                               const std::vector<std::string>& allowed) {
+  std::string value = String(key, fallback);
+  if (std::find(allowed.begin(), allowed.end(), value) != allowed.end())
+    return value;
+  AddFault(key, "must be one of " + Join(allowed));
+  return fallback.empty() ? allowed.front() : fallback;
+}
+
+int64_t TomlReader::Integer(std::string_view key,
+                            int64_t fallback,
+                            IntegerRange range) {
+  const toml::node* node = Find(key);
+  if (node == nullptr)
+    return fallback;
+  const auto value = node->value_exact<int64_t>();
+  if (value && *value >= range.minimum && *value <= range.maximum)
+    return *value;
+  AddFault(key, "must be a whole number from " + std::to_string(range.minimum) +
+                    " to " + std::to_string(range.maximum));
+  return fallback;
+}
+
+bool TomlReader::Boolean(std::string_view key, bool fallback) {
+  const toml::node* node = Find(key);
+  if (node == nullptr)
+    return fallback;
+  if (const auto value = node->value_exact<bool>())
+    return *value;
+  AddFault(key, "must be true or false");
+  return fallback;
+}
+
+std::vector<std::string> TomlReader::StringList(std::string_view key) {
+  std::vector<std::string> values;
+  const toml::node* node = Find(key);
+  if (node == nullptr)
+    return values;
+  const toml::array* array = node->as_array();
+  if (array == nullptr) {
+    AddFault(key, "must be a list of texts");
+    return values;
+  }
+  for (const toml::node& item : *array) {
+    if (const auto value = item.value_exact<std::string>())
+      values.push_back(*value);
+    else
+      AddFault(key, "must hold texts only");
+  }
+  return values;
+}
+
+std::optional<SocketAddress> TomlReader::Address(std::string_view key,
+                                                 bool required) {
+  const std::string text = String(key, "");
+  if (text.empty() && !required)
+    return std::nullopt;
+  auto address = ParseSocketAddress(text);
+  if (!address)
+    AddFault(key, "must be an address such as 127.0.0.1:7000");
+  return address;
+}
+
+const toml::table* TomlReader::Table(std::string_view key) {
+  const toml::node* node = Find(key);
+  if (node == nullptr)
+    return nullptr;
+  if (node->as_table() == nullptr)
+    AddFault(key, "must be a table");
+  return node->as_table();
+}
+
+void TomlReader::RejectUnknownKeys() {
+  for (const auto& [key, node] : table_) {
+    if (!known_keys_.contains(key.str()))
+      AddFault(key.str(), "is not a known key");
+  }
+}
+
+void TomlReader::AddFault(std::string_view key, std::string message) {
+  const toml::node* node = table_.get(key);
+  const int line = LineOf(node != nullptr ? *node : table_);
+  faults_->push_back(
+      {file_, line, prefix_ + std::string(key), std::move(message)});
+}
+
+const toml::node* TomlReader::Find(std::string_view key) {
+  known_keys_.emplace(key);
+  return table_.get(key);
+}
+
+std::optional<toml::table> ParseTomlFile(const std::string& path,
+                                         Faults* faults) {
+  assert(faults != nullptr);
+  try {
+    return toml::parse_file(path);
+  } catch (const toml::parse_error& error) {
+    const int line = static_cast<int>(error.source().begin.line);
+    faults->push_back({path, line, "syntax", std::string(error.description())});
+    return std::nullopt;
+  }
+}
+
+}  // namespace bbv
