--- /dev/null
+++ b/modules/bbv_config/configuration_log_test.cc
@@ -0,0 +1,152 @@
+#include "bbv_config/configuration_log.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+#include <vector>
+
+#include "bbv_config/intent.h"
+
+namespace {
+
+using bbv::ConfigurationFold;
+using bbv::ConfigurationLog;
+using bbv::LogRecords;
+
+void IgnoreFault(const bbv::Error&) {}
+
+// A log that a test appends to and trims.
+class TestLog {
+ public:
+  void Append(const std::string& record) { records_.push_back(record); }
+
+  LogRecords ReadFrom(uint64_t offset, uint64_t start = 0) const {
+    LogRecords result;
+    result.log_start = start;
+    result.log_end = records_.size();
+    result.first_offset = std::max(offset, start);
+    for (uint64_t it = result.first_offset; it < records_.size(); ++it)
+      result.records.push_back(records_[it]);
+    return result;
+  }
+
+  // Appends a plan that sets an account's weight, and its confirmation.
+  void ChangeWeight(const ConfigurationFold& fold, uint32_t weight) {
+    bbv::Configuration wanted = fold.configuration();
+    wanted.accounts["a"] = {"a", std::string(64, '0'), weight, 5};
+    const std::string id = "p-" + std::to_string(records_.size());
+    Append(bbv::MakePlanRecord(bbv::MakeImportPlan(fold, wanted, id)));
+    Append(bbv::MakeConfirmRecord(id));
+  }
+
+ private:
+  std::vector<std::string> records_;
+};
+
+uint32_t WeightOf(const ConfigurationLog& log) {
+  const auto& accounts = log.fold().configuration().accounts;
+  const auto it = accounts.find("a");
+  return it == accounts.end() ? 0 : it->second.weight;
+}
+
+}  // namespace
+
+TEST_GROUP(ConfigurationLog) {
+  TestLog log;
+  ConfigurationLog writer{IgnoreFault};
+
+  void Change(uint32_t weight) {
+    log.ChangeWeight(writer.fold(), weight);
+    writer.TakeFromLog(log.ReadFrom(writer.read_offset()));
+  }
+};
+
+TEST(ConfigurationLog, StartsFromACheckpointPastRetention) {
+  Change(1);
+  Change(2);
+  log.Append(bbv::MakeCheckpointRecord(writer.fold().Snapshot()));
+  writer.TakeFromLog(log.ReadFrom(writer.read_offset()));
+  Change(3);
+  ConfigurationLog late{IgnoreFault};
+  late.TakeFromLog(log.ReadFrom(0, 4));
+  CHECK_EQUAL(3, WeightOf(late));
+  CHECK_EQUAL(writer.fold().digest(), late.fold().digest());
+  CHECK_TRUE(late.caught_up());
+}
+
+TEST(ConfigurationLog, WithoutACheckpointAGapIsNotCrossed) {
+  Change(1);
+  Change(2);
+  ConfigurationLog late{IgnoreFault};
+  late.TakeFromLog(log.ReadFrom(0, 2));
+  CHECK_EQUAL(0, WeightOf(late));
+  CHECK_FALSE(late.caught_up());
+  // A peer that has it all helps.
+  const auto update = writer.MakeUpdate(0);
+  late.TakeFromPeer(update);
+  CHECK_EQUAL(2, WeightOf(late));
+}
+
+TEST(ConfigurationLog, PeersNeverTakeItBack) {
+  Change(1);
+  ConfigurationLog behind{IgnoreFault};
+  behind.TakeFromLog(log.ReadFrom(0));
+  const auto old = behind.MakeUpdate(0);
+  bbv::ConfigurationUpdate old_snapshot;
+  old_snapshot.snapshot = behind.fold().Snapshot();
+  Change(2);
+  CHECK_FALSE(writer.TakeFromPeer(old));
+  CHECK_FALSE(writer.TakeFromPeer(old_snapshot));
+  CHECK_EQUAL(2, WeightOf(writer));
+  CHECK_TRUE(behind.TakeFromPeer(writer.MakeUpdate(behind.read_offset())));
+  CHECK_EQUAL(2, WeightOf(behind));
+}
+
+TEST(ConfigurationLog, BadRecordsAreSkippedAlikeEverywhere) {
+  Change(1);
+  log.Append("{not json");
+  log.Append(R"({"type":"confirm","plan":"none"})");
+  log.Append(R"({"type":"weather"})");
+  Change(2);
+  int faults = 0;
+  ConfigurationLog reader([&faults](const bbv::Error&) { ++faults; });
+  reader.TakeFromLog(log.ReadFrom(0));
+  CHECK_EQUAL(3, faults);
+  CHECK_EQUAL(2, WeightOf(reader));
+}
+
+TEST(ConfigurationLog, RepeatedRecordsChangeNothing) {
+  Change(1);
+  const uint64_t version = writer.fold().version();
+  log.Append(log.ReadFrom(0).records[0]);
+  log.Append(log.ReadFrom(0).records[1]);
+  writer.TakeFromLog(log.ReadFrom(writer.read_offset()));
+  CHECK_EQUAL(version, writer.fold().version());
+}
+
+TEST(ConfigurationLog, PlansThatDoNotFitAreRejected) {
+  Change(1);
+  const bbv::Intent intent{"add-target",
+                           {"t", "127.0.0.1:1", "zone", "nowhere"}};
+  const auto plan = bbv::MakePlan(writer.fold(), intent, "p-bad");
+  CHECK_TRUE(plan.has_value());
+  log.Append(bbv::MakePlanRecord(*plan));
+  log.Append(bbv::MakeConfirmRecord("p-bad"));
+  writer.TakeFromLog(log.ReadFrom(writer.read_offset()));
+  CHECK_TRUE(writer.fold().FindOutcome("p-bad")->state ==
+             bbv::PlanState::kRejected);
+  CHECK_TRUE(writer.fold().configuration().targets.empty());
+}
+
+TEST(ConfigurationLog, IntentsNameTheWordAtFault) {
+  Change(1);
+  const std::vector<bbv::Intent> bad = {{"dance", {}},
+                                        {"drain", {"nobody"}},
+                                        {"drain", {}},
+                                        {"share", {"a", "0"}},
+                                        {"share", {"a", "x"}},
+                                        {"share", {"b", "1"}},
+                                        {"add-version", {"m", "v"}}};
+  for (const auto& intent : bad)
+    CHECK_FALSE(bbv::MakePlan(writer.fold(), intent, "p").has_value());
+}
--- /dev/null
+++ b/modules/bbv_once/claim_record_test.cc
@@ -0,0 +1,38 @@
+#include "bbv_once/claim_record.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <rapidcheck.h>
+
+#include <string>
+
+TEST_GROUP(ClaimRecord){};
+
+TEST(ClaimRecord, ReadsBackWhateverBytesTheAnswerHas) {
+  setenv("RC_PARAMS", "seed=20261204 max_success=300", 0);
+  const bool holds = rc::check("records read back", [] {
+    bbv::ClaimRecord record;
+    record.holder = {"s0", *rc::gen::arbitrary<uint64_t>()};
+    record.claims.push_back({bbv::RequestId(1, 2), 3});
+    bbv::ClaimAnswer answer;
+    answer.key = bbv::RequestId(4, 5);
+    answer.status = 200;
+    answer.content_type = "text/plain";
+    for (const uint8_t byte : *rc::gen::arbitrary<std::vector<uint8_t>>())
+      answer.body.push_back(static_cast<char>(byte));
+    record.answers.push_back(answer);
+    record.voids.push_back(bbv::RequestId(6, 7));
+    const auto read = bbv::DecodeClaimRecord(bbv::EncodeClaimRecord(record));
+    RC_ASSERT(read.has_value());
+    RC_ASSERT(read->holder == record.holder);
+    RC_ASSERT(read->claims[0].fingerprint == 3U);
+    RC_ASSERT(read->answers[0].body == answer.body);
+    RC_ASSERT(read->voids[0] == bbv::RequestId(6, 7));
+  });
+  CHECK_TRUE(holds);
+}
+
+TEST(ClaimRecord, RefusesOtherTexts) {
+  for (const char* text : {"", "{}", "[1]", R"({"t":"s","e":1,"c":[["x",1]]})"})
+    CHECK_FALSE(bbv::DecodeClaimRecord(text).has_value());
+}
