Hold as many sequences as keep the engine's batches full

Cause: a side held at most 64 sequences, its engine's batch. With four stages a sequence is away three quarters of the time, so batches were a quarter full.

Change: the side's limit adapts (grows while it binds and batches are not full, shrinks while sequences wait); heartbeats carry it; entries place work only where there is room, but for accounts below their share and for work begun, and refuse the rest at once as not run. The retry budget is 10 % of attempts.

--- a/modules/bbv_node/side_node.cc
+++ b/modules/bbv_node/side_node.cc
@@ -14,6 +14,7 @@
 constexpr Milliseconds kStopPollInterval{20};
 // Loading weights takes longer than a step.
 constexpr Milliseconds kLoadTimeout{60'000};
+constexpr int kMaximumCallThreads = 64;
 constexpr std::size_t kMaximumOpenHops = 10'000;
 
 uint64_t RandomSeed() {
@@ -21,6 +22,12 @@
   return (static_cast<uint64_t>(device()) << 32) | device();
 }
 
+int CallThreads(const NodeSettings& settings) {
+  if (settings.target_kind == TargetKind::kEngine)
+    return 1;
+  return std::min(settings.maximum_running, kMaximumCallThreads);
+}
+
 SideOptions MakeOptions(const NodeSettings& settings, uint64_t epoch) {
   SideOptions options;
   options.target = settings.target_name;
@@ -29,7 +36,9 @@
   options.sequence_limits.maximum_running = settings.maximum_running;
   options.sequence_limits.maximum_queued = settings.maximum_queued;
   options.sequence_limits.maximum_batch_tokens = settings.maximum_batch_tokens;
-  options.call_limits.maximum_running = settings.maximum_running;
+  options.sequence_limits.maximum_batch_sequences =
+      settings.maximum_batch_sequences;
+  options.call_limits.maximum_running = CallThreads(settings);
   options.call_limits.maximum_queued = settings.maximum_queued;
   options.call_limits.claim_interval = Milliseconds(settings.claim_interval_ms);
   return options;
@@ -50,11 +59,6 @@
   return options;
 }
 
-int CallThreads(const NodeSettings& settings) {
-  return settings.target_kind == TargetKind::kService ? settings.maximum_running
-                                                      : 1;
-}
-
 }  // namespace
 
 SideNode::SideNode(NodeSettings settings)
--- a/modules/bbv_pipeline/request_coordinator.cc
+++ b/modules/bbv_pipeline/request_coordinator.cc
@@ -23,7 +23,7 @@
 // Bounds of the random distance between the attempt numbers of two entries.
 constexpr uint64_t kLeastAttemptDistance = 1ULL << 16;
 constexpr uint64_t kGreatestAttemptDistance = 1ULL << 48;
-constexpr double kRetryShare = 0.2;
+constexpr double kRetryShare = 0.1;
 constexpr double kMaximumSavedRetries = 50;
 constexpr uint32_t kNoTargetRetryAfterMs = 500;
 
@@ -53,6 +53,9 @@
   }
   Request& added = requests_[id];
   added.spec = std::move(request);
+  AccountUse& use = use_[added.spec.account];
+  ++use.open;
+  use.weight = added.spec.weight;
   if (!added.spec.resuming) {
     retry_budget_.RecordAttempt();
     StartAttempt(&added, now);
@@ -99,15 +102,20 @@
 }
 
 void RequestCoordinator::StartAttempt(Request* request, Instant now) {
-  Chain chain =
-      chooser_->ChooseChain(request->spec.model, request->excluded, now);
+  const Model& model = request->spec.model;
+  // Room is not asked for where work is done already, nor from an account
+  // below its share: the side's fair queue will make it room.
+  const RoomPolicy room = request->may_have_run || IsUnderShare(request->spec)
+                              ? RoomPolicy::kAnyUsable
+                              : RoomPolicy::kOnlyWithRoom;
+  Chain chain = chooser_->ChooseChain(model, request->excluded, room, now);
   // A chain with a stage that failed this request before beats none.
-  if (chain.empty() && !request->excluded.empty()) {
+  if (chain.empty() && !chain.lacks_room && !request->excluded.empty()) {
     request->excluded.clear();
-    chain = chooser_->ChooseChain(request->spec.model, request->excluded, now);
+    chain = chooser_->ChooseChain(model, request->excluded, room, now);
   }
   if (chain.empty()) {
-    WaitForChain(request, now);
+    WaitForChain(request, chain.lacks_room, now);
     return;
   }
   request->phase = Phase::kRunning;
@@ -121,12 +129,28 @@
   SendAttempt(*request, now);
 }
 
-void RequestCoordinator::WaitForChain(Request* request, Instant now) {
+bool RequestCoordinator::IsUnderShare(const ModelRequest& request) const {
+  uint64_t open = 0;
+  uint64_t weights = 0;
+  for (const auto& [account, use] : use_) {
+    open += use.open;
+    weights += use.weight;
+  }
+  // Alone, an account has no share to be below of.
+  return use_.size() > 1 &&
+         use_.at(request.account).open * weights < open * request.weight;
+}
+
+void RequestCoordinator::WaitForChain(Request* request,
+                                      bool lacks_room,
+                                      Instant now) {
   // Nothing is kept waiting before its first token: its caller is told when to
   // come back instead.
   if (!request->may_have_run) {
-    Refuse(request->spec.id,
-           {Outcome::kNotRun, Reason::kNoTarget, kNoTargetRetryAfterMs});
+    Refuse(
+        request->spec.id,
+        {Outcome::kNotRun, lacks_room ? Reason::kOverloaded : Reason::kNoTarget,
+         kNoTargetRetryAfterMs});
     return;
   }
   if (request->phase != Phase::kWaitingForChain) {
@@ -196,6 +220,9 @@
   const auto it = requests_.find(id);
   assert(it != requests_.end());
   ReleaseAttempt(it->second);
+  const auto use = use_.find(it->second.spec.account);
+  if (--use->second.open == 0)
+    use_.erase(use);
   requests_.erase(it);
 }
 
--- a/modules/bbv_pipeline/request_coordinator.h
+++ b/modules/bbv_pipeline/request_coordinator.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <random>
 #include <set>
 #include <span>
@@ -120,13 +121,19 @@
     Instant phase_deadline{};
   };
 
+  struct AccountUse {
+    uint32_t open = 0;
+    uint32_t weight = 1;
+  };
+
   using Requests = std::unordered_map<RequestId, Request, RequestIdHash>;
 
   bool Attach(const ModelRequest& request);
   void AskSides(const ModelRequest& request);
   void TakeOver(Request* request, uint64_t highest_attempt);
   void StartAttempt(Request* request, Instant now);
-  void WaitForChain(Request* request, Instant now);
+  bool IsUnderShare(const ModelRequest& request) const;
+  void WaitForChain(Request* request, bool lacks_room, Instant now);
   void SendAttempt(const Request& request, Instant now);
   void ReleaseAttempt(const Request& request);
   void FailAttempt(Request* request,
@@ -153,6 +160,8 @@
   RetryBudget retry_budget_;
   std::mt19937_64 generator_;
   Requests requests_;
+  // Open requests by client account.
+  std::map<std::string, AccountUse> use_;
   uint64_t attempts_started_ = 0;
   uint64_t retries_ = 0;
 };
--- a/modules/bbv_pipeline/sequence_runner.cc
+++ b/modules/bbv_pipeline/sequence_runner.cc
@@ -23,7 +23,10 @@
 SequenceRunner::SequenceRunner(std::string target,
                                SequenceLimits limits,
                                SequenceActions* actions)
-    : target_(std::move(target)), limits_(limits), actions_(actions) {
+    : target_(std::move(target)),
+      limits_(limits),
+      actions_(actions),
+      limit_(limits.maximum_batch_sequences, limits.maximum_running) {
   assert(actions != nullptr);
   assert(limits.maximum_running > 0 && limits.maximum_batch_tokens > 0);
 }
@@ -110,7 +113,7 @@
                 step.attempt->version) == loaded_versions_.end())
     return Reason::kWrongVersion;
   const bool full = first_stage ? waiting_.size() >= limits_.maximum_queued &&
-                                      running_count_ >= limits_.maximum_running
+                                      running_count_ >= limit_.limit()
                                 : running_count_ >= limits_.maximum_running *
                                                         kLaterStageFactor;
   if (full)
@@ -178,7 +181,7 @@
 }
 
 void SequenceRunner::AdmitWaiting() {
-  while (!waiting_.empty() && running_count_ < limits_.maximum_running) {
+  while (!waiting_.empty() && running_count_ < limit_.limit()) {
     Sequence* sequence = waiting_.Pop();
     ++running_count_;
     MakeReady(sequence);
@@ -195,7 +198,8 @@
   batch.releases = std::exchange(engine_releases_, {});
   std::size_t tokens = 0;
   std::vector<Sequence*> deferred;
-  while (!ready_.empty() && tokens < limits_.maximum_batch_tokens) {
+  while (!ready_.empty() && tokens < limits_.maximum_batch_tokens &&
+         batch.steps.size() < limits_.maximum_batch_sequences) {
     Sequence* sequence = ready_.PopFront();
     if (sequence->attempt.version != version) {
       deferred.push_back(sequence);
@@ -213,6 +217,7 @@
     tokens += step.values.size();
     batch.steps.push_back(std::move(step));
   }
+  limit_.Observe(batch.steps.size(), ready_.size(), running_count_);
   for (Sequence* sequence : deferred)
     ready_.PushBack(sequence);
   engine_busy_ = true;
--- a/modules/bbv_pipeline/sequence_runner.h
+++ b/modules/bbv_pipeline/sequence_runner.h
@@ -11,6 +11,7 @@
 #include "bbv_core/instant.h"
 #include "bbv_core/intrusive_list.h"
 #include "bbv_core/reason.h"
+#include "bbv_routing/adaptive_limit.h"
 #include "bbv_routing/fair_queue.h"
 #include "bbv_routing/refusal.h"
 #include "bbv_wire/frame_codec.h"
@@ -41,6 +42,7 @@
   uint32_t maximum_running = 64;
   uint32_t maximum_queued = 64;
   uint32_t maximum_batch_tokens = 4096;
+  uint32_t maximum_batch_sequences = 64;
 };
 
 // The attempts that one engine takes part in.
@@ -88,6 +90,9 @@
   std::size_t running() const { return running_count_; }
   std::size_t queued() const { return waiting_.size(); }
 
+  // Returns how many sequences the side should hold at present.
+  uint32_t limit() const { return limit_.limit(); }
+
   // Returns the mean time between an iteration's start and its end.
   uint32_t step_microseconds() const { return step_microseconds_; }
   uint64_t steps_run() const { return steps_run_; }
@@ -170,6 +175,7 @@
   std::string target_;
   SequenceLimits limits_;
   SequenceActions* actions_;
+  AdaptiveLimit limit_;
   Sequences sequences_;
   FairQueue<Sequence> waiting_;
   IntrusiveList<Sequence> ready_;
--- a/modules/bbv_roles/entry_logic.cc
+++ b/modules/bbv_roles/entry_logic.cc
@@ -16,12 +16,13 @@
 EntryLogic::EntryLogic(std::string name,
                        std::string zone,
                        uint64_t seed,
-                       EntryActions* actions)
+                       EntryActions* actions,
+                       ChoicePolicy policy)
     : actions_(actions),
       sharing_([actions](const std::string& peer, wire::FrameT frame) {
         actions->Send(peer, std::move(frame));
       }),
-      chooser_(&targets_, std::move(zone), seed),
+      chooser_(&targets_, std::move(zone), seed, policy),
       requests_(std::move(name), seed + 1, &targets_, &chooser_, actions),
       services_(&targets_, &chooser_, actions) {
   assert(actions != nullptr);
--- a/modules/bbv_roles/entry_logic.h
+++ b/modules/bbv_roles/entry_logic.h
@@ -41,7 +41,8 @@
   EntryLogic(std::string name,
              std::string zone,
              uint64_t seed,
-             EntryActions* actions);
+             EntryActions* actions,
+             ChoicePolicy policy = ChoicePolicy::kExpectedFinish);
 
   // Takes one message from a peer; heartbeats and everything else.
   void TakeFrame(const std::string& peer,
--- a/modules/bbv_roles/side_logic.cc
+++ b/modules/bbv_roles/side_logic.cc
@@ -118,6 +118,8 @@
   heartbeat.ready = !options_.is_engine || !loader_.loaded_versions().empty();
   heartbeat.queued = sequences_.queued() + calls_.queued();
   heartbeat.running = sequences_.running() + calls_.running();
+  heartbeat.limit = options_.is_engine ? sequences_.limit()
+                                       : options_.call_limits.maximum_running;
   heartbeat.step_microseconds = sequences_.step_microseconds();
   return heartbeat;
 }
--- a/modules/bbv_routing/bbv_routing.h
+++ b/modules/bbv_routing/bbv_routing.h
@@ -8,6 +8,7 @@
 #define MODULES_BBV_ROUTING_BBV_ROUTING_H_
 
 #include "bbv_routing/account_index.h"
+#include "bbv_routing/adaptive_limit.h"
 #include "bbv_routing/fair_queue.h"
 #include "bbv_routing/refusal.h"
 #include "bbv_routing/retry_budget.h"
--- a/modules/bbv_routing/target_chooser.cc
+++ b/modules/bbv_routing/target_chooser.cc
@@ -19,28 +19,47 @@
                    version) != entry.loaded_versions.end();
 }
 
-void Exclude(const std::set<std::string>& excluded,
-             std::vector<const TargetEntry*>* entries) {
-  std::erase_if(*entries, [&](const TargetEntry* entry) {
-    return excluded.contains(entry->target.name);
-  });
-}
-
 }  // namespace
 
 TargetChooser::TargetChooser(const TargetTable* table,
                              std::string zone,
-                             uint64_t seed)
-    : table_(table), zone_(std::move(zone)), generator_(seed) {
+                             uint64_t seed,
+                             ChoicePolicy policy)
+    : table_(table), zone_(std::move(zone)), generator_(seed), policy_(policy) {
   assert(table != nullptr);
 }
 
+TargetChooser::Candidates TargetChooser::WithoutExcluded(
+    Candidates candidates,
+    const std::set<std::string>& excluded) const {
+  if (policy_ == ChoicePolicy::kRoundRobin)
+    return candidates;
+  std::erase_if(candidates, [&](const TargetEntry* entry) {
+    return excluded.contains(entry->target.name);
+  });
+  return candidates;
+}
+
 Chain TargetChooser::ChooseChain(const Model& model,
                                  const std::set<std::string>& excluded,
+                                 RoomPolicy room,
                                  Instant now) {
   now_ = now;
-  Candidates usable = table_->UsableForModel(model.name, now);
-  Exclude(excluded, &usable);
+  const Candidates usable =
+      WithoutExcluded(table_->UsableForModel(model.name, now), excluded);
+  if (room == RoomPolicy::kAnyUsable || policy_ == ChoicePolicy::kRoundRobin)
+    return ChooseAmong(model, usable);
+  Candidates with_room = usable;
+  std::erase_if(with_room, [](const TargetEntry* entry) {
+    return !TargetTable::HasRoom(*entry);
+  });
+  Chain chain = ChooseAmong(model, with_room);
+  if (chain.empty())
+    chain.lacks_room = !ChooseAmong(model, usable).empty();
+  return chain;
+}
+
+Chain TargetChooser::ChooseAmong(const Model& model, const Candidates& usable) {
   Chain chain = ChooseVersion(model, model.version, usable);
   if (!chain.empty())
     return chain;
@@ -93,8 +112,8 @@
     const std::set<std::string>& excluded,
     Instant now) {
   now_ = now;
-  Candidates usable = table_->UsableForService(service, now);
-  Exclude(excluded, &usable);
+  const Candidates usable =
+      WithoutExcluded(table_->UsableForService(service, now), excluded);
   return usable.empty() ? "" : ChooseOne(usable)->target.name;
 }
 
@@ -102,8 +121,8 @@
                                         const RequestId& key,
                                         const std::set<std::string>& excluded,
                                         Instant now) {
-  Candidates usable = table_->UsableForService(service, now);
-  Exclude(excluded, &usable);
+  const Candidates usable =
+      WithoutExcluded(table_->UsableForService(service, now), excluded);
   const TargetEntry* home = nullptr;
   uint64_t best = 0;
   for (const TargetEntry* entry : usable) {
@@ -118,6 +137,8 @@
 
 const TargetEntry* TargetChooser::ChooseOne(const Candidates& candidates) {
   assert(!candidates.empty());
+  if (policy_ == ChoicePolicy::kRoundRobin)
+    return candidates[next_in_turn_++ % candidates.size()];
   std::uniform_int_distribution<std::size_t> pick(0, candidates.size() - 1);
   const TargetEntry* left = candidates[pick(generator_)];
   const TargetEntry* right = candidates[pick(generator_)];
@@ -125,11 +146,10 @@
 }
 
 double TargetChooser::ExpectedFinish(const TargetEntry& entry) const {
-  // The heartbeat lags; work placed from here since is in `outstanding`.
-  const double load =
-      1.0 + std::max(entry.queued + entry.running, entry.outstanding);
-  double expected = load / (static_cast<double>(entry.target.capacity) *
-                            static_cast<double>(entry.target.speed));
+  // The limit follows what the target carries, so that load against it is the
+  // expected wait; the heartbeat lags by what was placed since.
+  const double load = 1.0 + entry.queued + entry.running + entry.placed;
+  double expected = load / (1.0 + entry.limit);
   if (entry.target.zone != zone_)
     expected *= kOtherZoneFactor;
   if (now_ < entry.full_share_at)
--- a/modules/bbv_routing/target_chooser.h
+++ b/modules/bbv_routing/target_chooser.h
@@ -17,9 +17,22 @@
 struct Chain {
   std::string version;
   std::vector<Target> stages;
+  // Set when only a lack of room kept a chain from being found.
+  bool lacks_room = false;
   bool empty() const { return stages.empty(); }
 };
 
+// Whether targets that are full may be chosen.
+enum class RoomPolicy : uint8_t { kOnlyWithRoom, kAnyUsable };
+
+// How one target is picked among those that fit.
+enum class ChoicePolicy : uint8_t {
+  // Least expected finishing time of two random candidates.
+  kExpectedFinish,
+  // Each in turn, whatever its load and health: the baseline of the benches.
+  kRoundRobin,
+};
+
 // Picks targets by expected finishing time among two random candidates.
 //
 // Pure but for the generator it is handed. Thread safety: none, owned by the
@@ -27,12 +40,16 @@
 class TargetChooser {
  public:
   // `table` must outlive the chooser; `zone` is the entry's own.
-  TargetChooser(const TargetTable* table, std::string zone, uint64_t seed);
+  TargetChooser(const TargetTable* table,
+                std::string zone,
+                uint64_t seed,
+                ChoicePolicy policy = ChoicePolicy::kExpectedFinish);
 
   // Returns a chain for `model` that avoids `excluded` targets, preferring
   // `model.version` and falling back to any version that a whole chain holds.
   Chain ChooseChain(const Model& model,
                     const std::set<std::string>& excluded,
+                    RoomPolicy room,
                     Instant now);
 
   // Returns the target for a call of `service`, or "".
@@ -50,15 +67,20 @@
  private:
   using Candidates = std::vector<const TargetEntry*>;
 
+  Chain ChooseAmong(const Model& model, const Candidates& usable);
   Chain ChooseVersion(const Model& model,
                       const std::string& version,
                       const Candidates& usable);
   const TargetEntry* ChooseOne(const Candidates& candidates);
+  Candidates WithoutExcluded(Candidates candidates,
+                             const std::set<std::string>& excluded) const;
   double ExpectedFinish(const TargetEntry& entry) const;
 
   const TargetTable* table_;
   std::string zone_;
   std::mt19937_64 generator_;
+  ChoicePolicy policy_;
+  std::size_t next_in_turn_ = 0;
   Instant now_{};
 };
 
--- a/modules/bbv_routing/target_table.cc
+++ b/modules/bbv_routing/target_table.cc
@@ -11,6 +11,8 @@
 constexpr uint32_t kMaximumEjectionDoublings = 5;
 // A returning target is chosen more rarely for this long.
 constexpr Milliseconds kSlowReturn{2000};
+// A side may have this part of its limit waiting.
+constexpr uint32_t kQueueShare = 8;
 
 }  // namespace
 
@@ -49,6 +51,8 @@
   entry->queued = heartbeat.queued;
   entry->running = heartbeat.running;
   entry->step_microseconds = heartbeat.step_microseconds;
+  entry->limit = heartbeat.limit;
+  entry->placed = 0;
 }
 
 void TargetTable::TakeInstanceList(const std::vector<std::string>& leaving) {
@@ -79,8 +83,10 @@
 
 void TargetTable::AddOutstanding(const std::string& target) {
   TargetEntry* entry = FindMutable(target);
-  if (entry != nullptr)
-    ++entry->outstanding;
+  if (entry == nullptr)
+    return;
+  ++entry->outstanding;
+  ++entry->placed;
 }
 
 void TargetTable::RemoveOutstanding(const std::string& target) {
@@ -100,6 +106,11 @@
          entry.ejected_until <= now;
 }
 
+bool TargetTable::HasRoom(const TargetEntry& entry) {
+  return entry.queued + entry.running + entry.placed <
+         entry.limit + entry.limit / kQueueShare;
+}
+
 std::vector<const TargetEntry*> TargetTable::UsableForModel(
     const std::string& model,
     Instant now) const {
--- a/modules/bbv_routing/target_table.h
+++ b/modules/bbv_routing/target_table.h
@@ -23,6 +23,9 @@
   uint32_t queued = 0;
   uint32_t running = 0;
   uint32_t step_microseconds = 0;
+  uint32_t limit = 0;
+  // Work placed from here since that heartbeat.
+  uint32_t placed = 0;
   // From the instance list.
   bool listed_leaving = false;
   // Work that this entry has placed here and not seen end.
@@ -66,6 +69,10 @@
   // ready, not leaving by any account and not ejected.
   static bool IsUsable(const TargetEntry& entry, Instant now);
 
+  // Returns whether `entry` can begin more work soon, by its last heartbeat and
+  // what was placed since.
+  static bool HasRoom(const TargetEntry& entry);
+
   // Returns the usable targets of a model, or of a service.
   std::vector<const TargetEntry*> UsableForModel(const std::string& model,
                                                  Instant now) const;
--- a/modules/bbv_routing/target_table_test.cc
+++ b/modules/bbv_routing/target_table_test.cc
@@ -12,6 +12,7 @@
 using bbv::Milliseconds;
 
 constexpr char kModelName[] = "m";
+constexpr auto kAny = bbv::RoomPolicy::kAnyUsable;
 
 bbv::Target MakeTarget(const std::string& name, uint32_t first, uint32_t end) {
   bbv::Target target;
@@ -38,6 +39,7 @@
     table.SetConnected(name, true);
     bbv::wire::HeartbeatT heartbeat;
     heartbeat.ready = true;
+    heartbeat.limit = 100;
     heartbeat.loaded_versions = versions;
     table.TakeHeartbeat(name, heartbeat);
   }
@@ -81,14 +83,14 @@
   Add("b", 2, 4, {"v1"});
   Add("dead-end", 0, 3, {"v2"});
   bbv::TargetChooser chooser(&table, "z", 1);
-  bbv::Chain chain = chooser.ChooseChain(model, {}, now);
+  bbv::Chain chain = chooser.ChooseChain(model, {}, kAny, now);
   STRCMP_EQUAL("v1", chain.version.c_str());
   CHECK_EQUAL(2, chain.stages.size());
   Add("c", 2, 4, {"v2"});
-  chain = chooser.ChooseChain(model, {}, now);
+  chain = chooser.ChooseChain(model, {}, kAny, now);
   STRCMP_EQUAL("v2", chain.version.c_str());
   STRCMP_EQUAL("c", chain.stages[1].name.c_str());
-  CHECK_TRUE(chooser.ChooseChain(model, {"a"}, now).empty());
+  CHECK_TRUE(chooser.ChooseChain(model, {"a"}, kAny, now).empty());
 }
 
 TEST(TargetTable, BusyTargetsAreChosenLess) {
@@ -99,11 +101,22 @@
   bbv::TargetChooser chooser(&table, "z", 1);
   int chosen_a = 0;
   for (int it = 0; it < 200; ++it)
-    chosen_a += chooser.ChooseChain(model, {}, now).stages[0].name == "a";
+    chosen_a += chooser.ChooseChain(model, {}, kAny, now).stages[0].name == "a";
   // Only when both draws fall on it.
   CHECK_TRUE(chosen_a > 20 && chosen_a < 80);
 }
 
+TEST(TargetTable, AFullTargetIsToldFromAMissingOne) {
+  Add("a", 0, 4, {"v2"});
+  bbv::TargetChooser chooser(&table, "z", 1);
+  for (int it = 0; it < 200; ++it)
+    table.AddOutstanding("a");
+  constexpr auto kRoom = bbv::RoomPolicy::kOnlyWithRoom;
+  CHECK_TRUE(chooser.ChooseChain(model, {}, kRoom, now).lacks_room);
+  CHECK_FALSE(chooser.ChooseChain(model, {}, kAny, now).empty());
+  CHECK_FALSE(chooser.ChooseChain(model, {"a"}, kRoom, now).lacks_room);
+}
+
 TEST(TargetTable, RetriesAreAShareOfAttempts) {
   bbv::RetryBudget budget(0.2, 2);
   CHECK_TRUE(budget.TryTakeRetry());
--- a/modules/bbv_settings/node_settings.cc
+++ b/modules/bbv_settings/node_settings.cc
@@ -106,8 +106,10 @@
   settings->target_timeout_ms =
       reader->Integer("timeout_ms", 10'000, kTimeoutRangeMs);
   settings->maximum_running =
-      reader->Integer("maximum_running", 64, kCountRange);
+      reader->Integer("maximum_running", 512, kCountRange);
   settings->maximum_queued = reader->Integer("maximum_queued", 64, kCountRange);
+  settings->maximum_batch_sequences =
+      reader->Integer("maximum_batch_sequences", 64, kCountRange);
   settings->maximum_batch_tokens =
       reader->Integer("maximum_batch_tokens", 4096, kCountRange);
 }
--- a/modules/bbv_settings/node_settings.h
+++ b/modules/bbv_settings/node_settings.h
@@ -56,6 +56,7 @@
   int maximum_running = 0;
   int maximum_queued = 0;
   int maximum_batch_tokens = 0;
+  int maximum_batch_sequences = 0;
 
   std::string log_directory;
   std::string log_level;
--- a/modules/bbv_wire/wire_generated.h
+++ b/modules/bbv_wire/wire_generated.h
@@ -875,6 +875,7 @@
   std::vector<std::string> loaded_versions{};
   uint32_t queued = 0;
   uint32_t running = 0;
+  uint32_t limit = 0;
   uint32_t step_microseconds = 0;
 };
 
@@ -891,7 +892,8 @@
     VT_LOADED_VERSIONS = 12,
     VT_QUEUED = 14,
     VT_RUNNING = 16,
-    VT_STEP_MICROSECONDS = 18
+    VT_LIMIT = 18,
+    VT_STEP_MICROSECONDS = 20
   };
   uint64_t configuration_offset() const {
     return GetField<uint64_t>(VT_CONFIGURATION_OFFSET, 0);
@@ -914,6 +916,10 @@
   uint32_t running() const {
     return GetField<uint32_t>(VT_RUNNING, 0);
   }
+  /// How many sequences or calls the side should hold at present.
+  uint32_t limit() const {
+    return GetField<uint32_t>(VT_LIMIT, 0);
+  }
   uint32_t step_microseconds() const {
     return GetField<uint32_t>(VT_STEP_MICROSECONDS, 0);
   }
@@ -928,6 +934,7 @@
            verifier.VerifyVectorOfStrings(loaded_versions()) &&
            VerifyField<uint32_t>(verifier, VT_QUEUED, 4) &&
            VerifyField<uint32_t>(verifier, VT_RUNNING, 4) &&
+           VerifyField<uint32_t>(verifier, VT_LIMIT, 4) &&
            VerifyField<uint32_t>(verifier, VT_STEP_MICROSECONDS, 4) &&
            verifier.EndTable();
   }
@@ -961,6 +968,9 @@
   void add_running(uint32_t running) {
     fbb_.AddElement<uint32_t>(Heartbeat::VT_RUNNING, running, 0);
   }
+  void add_limit(uint32_t limit) {
+    fbb_.AddElement<uint32_t>(Heartbeat::VT_LIMIT, limit, 0);
+  }
   void add_step_microseconds(uint32_t step_microseconds) {
     fbb_.AddElement<uint32_t>(Heartbeat::VT_STEP_MICROSECONDS, step_microseconds, 0);
   }
@@ -984,11 +994,13 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> loaded_versions = 0,
     uint32_t queued = 0,
     uint32_t running = 0,
+    uint32_t limit = 0,
     uint32_t step_microseconds = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_configuration_digest(configuration_digest);
   builder_.add_configuration_offset(configuration_offset);
   builder_.add_step_microseconds(step_microseconds);
+  builder_.add_limit(limit);
   builder_.add_running(running);
   builder_.add_queued(queued);
   builder_.add_loaded_versions(loaded_versions);
@@ -1011,6 +1023,7 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *loaded_versions = nullptr,
     uint32_t queued = 0,
     uint32_t running = 0,
+    uint32_t limit = 0,
     uint32_t step_microseconds = 0) {
   auto loaded_versions__ = loaded_versions ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*loaded_versions) : 0;
   return bbv::wire::CreateHeartbeat(
@@ -1022,6 +1035,7 @@
       loaded_versions__,
       queued,
       running,
+      limit,
       step_microseconds);
 }
 
@@ -3414,6 +3428,7 @@
       (lhs.loaded_versions == rhs.loaded_versions) &&
       (lhs.queued == rhs.queued) &&
       (lhs.running == rhs.running) &&
+      (lhs.limit == rhs.limit) &&
       (lhs.step_microseconds == rhs.step_microseconds);
 }
 
@@ -3438,6 +3453,7 @@
   { auto _e = loaded_versions(); if (_e) { _o->loaded_versions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loaded_versions[_i] = _e->Get(_i)->str(); } } }
   { auto _e = queued(); _o->queued = _e; }
   { auto _e = running(); _o->running = _e; }
+  { auto _e = limit(); _o->limit = _e; }
   { auto _e = step_microseconds(); _o->step_microseconds = _e; }
 }
 
@@ -3456,6 +3472,7 @@
   auto _loaded_versions = _o->loaded_versions.size() ? _fbb.CreateVectorOfStrings(_o->loaded_versions) : 0;
   auto _queued = _o->queued;
   auto _running = _o->running;
+  auto _limit = _o->limit;
   auto _step_microseconds = _o->step_microseconds;
   return bbv::wire::CreateHeartbeat(
       _fbb,
@@ -3466,6 +3483,7 @@
       _loaded_versions,
       _queued,
       _running,
+      _limit,
       _step_microseconds);
 }
 
--- a/tests/scenario.cc
+++ b/tests/scenario.cc
@@ -77,7 +77,7 @@
       {"repeat", {2, [](Floor* f, const W& w) { f->Repeat(w[1], w[2]); }}},
       {"log", {1, [](Floor* f, const W& w) { RunLogCommand(f, w[1]); }}},
       {"lose-answer",
-       {1, [](Floor* f, const W& w) { f->LoseTargetAnswer(w[1]); }}},
+       {1, [](Floor* f, const W& w) { f->LoseTargetAnswers(w[1], 1); }}},
       {"refuse-call",
        {1, [](Floor* f, const W& w) { f->RefuseTargetCall(w[1]); }}},
       {"stop", {1, [](Floor* f, const W& w) { f->StopNode(w[1]); }}},
--- a/tests/virtual_floor.cc
+++ b/tests/virtual_floor.cc
@@ -21,6 +21,10 @@
 constexpr Milliseconds kLogTimeout{300};
 constexpr std::size_t kReadLimit = 512;
 
+std::string AccountName(std::size_t number) {
+  return number == 0 ? "workshop" : "a" + std::to_string(number);
+}
+
 std::vector<uint64_t> PromptOf(const std::string& name) {
   return {name.begin(), name.end()};
 }
@@ -68,7 +72,11 @@
   EntryHost(VirtualFloor* floor, Host* host)
       : floor_(floor),
         host_(host),
-        logic(host->name, "zone-0", floor->generator_(), this) {}
+        logic(host->name,
+              "zone-0",
+              floor->generator_(),
+              this,
+              floor->shape_.policy) {}
 
   void Send(const std::string& peer, wire::FrameT frame) override {
     floor_->Transmit(host_->name, peer, std::move(frame));
@@ -78,12 +86,18 @@
                      std::span<const uint64_t> tokens,
                      bool finished) override {
     // Deliveries to a caller that has moved to another entry go nowhere.
-    if (Serves(id))
-      floor_->judge_.Delivered(id, first_index, tokens, finished);
+    if (!Serves(id))
+      return;
+    floor_->judge_.Delivered(id, first_index, tokens, finished);
+    if (floor_->on_delivery)
+      floor_->on_delivery(id, tokens.size(), finished);
   }
   void RefuseRequest(const RequestId& id, const Refusal& refusal) override {
-    if (Serves(id))
-      floor_->judge_.Refused(id, refusal);
+    if (!Serves(id))
+      return;
+    floor_->judge_.Refused(id, refusal);
+    if (floor_->on_refusal)
+      floor_->on_refusal(id, refusal);
   }
   void AnswerCall(uint64_t caller, const wire::ServiceAnswerT&) override {
     floor_->judge_.CallAnswered(floor_->callers_.at(caller));
@@ -136,7 +150,11 @@
     VirtualFloor* floor = floor_;
     auto results = std::make_shared<Result<wire::EngineResultsT>>(
         Fail(Step::kEngineStep, host->name, "no engine"));
-    floor->At(floor->now_ + floor->Latency(300, 1500), [=] {
+    const Microseconds time =
+        floor->shape_.engine_time
+            ? floor->shape_.engine_time(floor->targets_.at(host->name), *shared)
+            : floor->Latency(300, 1500);
+    floor->At(floor->now_ + time, [=] {
       if (!host->target_alive)
         return;
       auto ran = host->engine->RunStep(*shared);
@@ -145,7 +163,7 @@
       else
         *results = std::move(ran);
     });
-    floor->Post(host, floor->Latency(1600, 3000), [=] {
+    floor->Post(host, time + floor->Latency(100, 1500), [=] {
       host->side->logic.TakeEngineResults(*results, floor->now_);
     });
   }
@@ -218,6 +236,7 @@
       judge_(standins::WeightsOf(kModel, kVersion), shape.layers) {
   now_ += std::chrono::hours(1);
   const Configuration configuration = MakeConfiguration();
+  targets_ = configuration.targets;
   const ConfigurationFold empty;
   log_.Append(kConfigurationStream,
               MakePlanRecord(MakeImportPlan(empty, configuration, "p-0")));
@@ -248,7 +267,11 @@
 
 Configuration VirtualFloor::MakeConfiguration() const {
   Configuration configuration;
-  configuration.accounts["workshop"] = {"workshop", std::string(64, '0'), 1, 5};
+  for (std::size_t it = 0; it < shape_.account_weights.size(); ++it) {
+    const std::string name = AccountName(it);
+    configuration.accounts[name] = {name, std::string(64, '0'),
+                                    shape_.account_weights[it], 5};
+  }
   configuration.models[kModel] = {kModel, shape_.layers, kVersion};
   configuration.services[kService] = {kService, {{"GET", "/"}}};
   const uint32_t span = shape_.layers / shape_.stages;
@@ -262,6 +285,8 @@
       target.first_layer = stage * span;
       target.end_layer =
           stage + 1 == shape_.stages ? shape_.layers : (stage + 1) * span;
+      target.speed = shape_.speeds[replica % shape_.speeds.size()];
+      target.capacity = shape_.maximum_running;
       configuration.targets[target.name] = target;
     }
   }
@@ -300,6 +325,8 @@
     options.target = node;
     options.is_engine = node[0] == 't';
     options.epoch = next_epoch_++;
+    options.sequence_limits.maximum_running = shape_.maximum_running;
+    options.sequence_limits.maximum_queued = shape_.maximum_queued;
     host->side = std::make_unique<SideHost>(this, host, options);
     if (node[0] == 's')
       host->side->logic.SetLogAvailable(!log_outage_);
@@ -594,20 +621,32 @@
 void VirtualFloor::StartRequest(const std::string& name,
                                 const std::string& entry,
                                 uint32_t tokens) {
-  Host* host = Find(entry);
-  const RequestId id = RequestIdOf(name);
-  judge_.ExpectAnswer(id, PromptOf(name), tokens);
-  request_tokens_[name] = tokens;
-  request_entries_[ToString(id)] = entry;
+  WorkItem work;
+  work.name = name;
+  work.entry = entry;
+  work.prompt_tokens = name.size();
+  work.tokens = tokens;
+  StartWork(work);
+}
+
+void VirtualFloor::StartWork(const WorkItem& work) {
+  Host* host = Find(work.entry);
+  const RequestId id = RequestIdOf(work.name);
+  std::vector<uint64_t> prompt = PromptOf(work.name);
+  prompt.resize(work.prompt_tokens, 0);
+  judge_.ExpectAnswer(id, prompt, work.tokens);
+  request_tokens_[work.name] = work.tokens;
+  request_entries_[ToString(id)] = work.entry;
   if (!host->alive || !host->entry->logic.ready())
     judge_.CallerGone(id);
   ModelRequest request;
   request.id = id;
-  request.account = "workshop";
+  request.account = AccountName(work.account);
+  request.weight = shape_.account_weights[work.account];
   request.model = {kModel, shape_.layers, kVersion};
-  request.prompt = PromptOf(name);
-  request.maximum_tokens = tokens;
-  request.deadline = now_ + kRequestTimeout;
+  request.prompt = std::move(prompt);
+  request.maximum_tokens = work.tokens;
+  request.deadline = now_ + work.timeout;
   judge_.Asked(id);
   Post(host, Microseconds(0), [this, host, request] {
     if (host->entry->logic.ready() && request.deadline > now_)
@@ -617,6 +656,15 @@
   });
 }
 
+uint64_t VirtualFloor::AttemptsStarted() const {
+  uint64_t attempts = 0;
+  for (const auto& [name, host] : hosts_) {
+    if (host->entry)
+      attempts += host->entry->logic.requests().attempts_started();
+  }
+  return attempts;
+}
+
 void VirtualFloor::ResumeRequest(const std::string& name,
                                  const std::string& entry) {
   Host* host = Find(entry);
@@ -750,8 +798,8 @@
   }
 }
 
-void VirtualFloor::LoseTargetAnswer(const std::string& node) {
-  ++Find(node)->lost_answers;
+void VirtualFloor::LoseTargetAnswers(const std::string& node, int count) {
+  Find(node)->lost_answers += count;
 }
 
 void VirtualFloor::RefuseTargetCall(const std::string& node) {
--- a/tests/virtual_floor.h
+++ b/tests/virtual_floor.h
@@ -28,6 +28,27 @@
   int replicas = 2;
   int services = 2;
   uint32_t layers = 6;
+  // One account for each weight; the first is "workshop", then "a1", "a2".
+  std::vector<uint32_t> account_weights = {1};
+  // Speeds by replica, repeated as needed.
+  std::vector<uint32_t> speeds = {100};
+  uint32_t maximum_running = 64;
+  uint32_t maximum_queued = 64;
+  ChoicePolicy policy = ChoicePolicy::kExpectedFinish;
+  // How long an engine takes for an iteration; without it 0.3 to 1.5 ms.
+  std::function<Microseconds(const Target&, const wire::EngineBatchT&)>
+      engine_time;
+};
+
+// One caller's request for StartWork().
+struct WorkItem {
+  std::string name;
+  std::string entry;
+  std::size_t account = 0;
+  uint32_t prompt_tokens = 1;
+  uint32_t tokens = 1;
+  // From its start until it is given up.
+  Milliseconds timeout{20'000};
 };
 
 // Entries and sides (the real decision code) joined by fake links, engines,
@@ -49,6 +70,7 @@
   void StartRequest(const std::string& name,
                     const std::string& entry,
                     uint32_t tokens);
+  void StartWork(const WorkItem& work);
   void ResumeRequest(const std::string& name, const std::string& entry);
   void StartCall(const std::string& caller,
                  const std::string& entry,
@@ -70,7 +92,7 @@
   void LoseLogAnswers(int n) { log_lost_answers_ += n; }
   void DelayLogAppends(int n) { log_delayed_appends_ += n; }
   void TrimLog(const std::string& stream, uint64_t offset);
-  void LoseTargetAnswer(const std::string& node);
+  void LoseTargetAnswers(const std::string& node, int count);
   void RefuseTargetCall(const std::string& node);
   void StopNode(const std::string& node);
   void ListLeaving(const std::string& node, Milliseconds lag);
@@ -86,6 +108,14 @@
   RequestId CallIdOf(const std::string& caller) const;
   Judge& judge() { return judge_; }
 
+  // What callers see, for benches.
+  std::function<void(const RequestId&, std::size_t tokens, bool finished)>
+      on_delivery;
+  std::function<void(const RequestId&, const Refusal&)> on_refusal;
+
+  // Attempts that all entries started.
+  uint64_t AttemptsStarted() const;
+
   // Returns whether every live node holds one configuration.
   bool ConfigurationsAgree() const;
   std::vector<std::string> NodeNames() const;
@@ -149,6 +179,7 @@
   std::vector<std::shared_ptr<Connection>> connections_;
   std::set<std::pair<std::string, std::string>> wanted_;
   std::set<std::pair<std::string, std::string>> cuts_;
+  std::map<std::string, Target> targets_;
   standins::FakeLog log_;
   bool log_outage_ = false;
   int log_lost_answers_ = 0;
--- a/tools/check-guards.sh
+++ b/tools/check-guards.sh
@@ -32,9 +32,11 @@
     grep error: "$scratch/build.log" | head -3
     missed=$((missed + 1))
   else
-    scenarios=$("$scratch/build/bbv_tests" -sg Scenario 2>&1 |
+    # Without a guard a run may also never end, or eat all memory.
+    ulimit -v 8000000
+    scenarios=$(timeout 60 "$scratch/build/bbv_tests" -sg Scenario 2>&1 |
       grep -oE '[a-z0-9-]+\.txt seed' | sort -u | wc -l)
-    scripts=$("$scratch/build/fault_scripts" 1 2000 "$jobs" 2>&1 | tail -n 1)
+    scripts=$(timeout 60 "$scratch/build/fault_scripts" 1 2000 "$jobs" 2>&1 | tail -n 1)
     if [ "$scenarios" -gt 0 ] || [[ "$scripts" != *" 0 failed" ]]; then
       echo "held $name: $scenarios scenario files fail; $scripts"
       held=$((held + 1))
