Match speeds within a chain, count ended work and keep queues short

Cause, by what each target held at the offered bound: fast targets were at their 512 places with half-full batches, since each sequence waits for the slowest stage of its chain and keeps its places at the fast ones; entries counted what they placed since the last heartbeat but not what ended; and the 64 places of a side's queue made everyone wait.

Change: later stages are chosen among those nearest in speed to the first; ended work lowers the load seen; a limit does not shrink before its effect shows; 8 waiting places for engines.

--- a/bench/policy.cc
+++ b/bench/policy.cc
@@ -23,7 +23,7 @@
 ABSL_FLAG(int, stages, 4, "stages of the model");
 ABSL_FLAG(int, replicas, 10, "targets a stage");
 ABSL_FLAG(int, running, 512, "requests a target runs at once");
-ABSL_FLAG(int, queued, 64, "requests a first stage holds back");
+ABSL_FLAG(int, queued, 8, "requests a first stage holds back");
 
 namespace {
 
--- a/modules/bbv_pipeline/sequence_runner.h
+++ b/modules/bbv_pipeline/sequence_runner.h
@@ -40,7 +40,7 @@
 // Limits of one side. Counts are of sequences but for the batch, in tokens.
 struct SequenceLimits {
   uint32_t maximum_running = 64;
-  uint32_t maximum_queued = 64;
+  uint32_t maximum_queued = 8;
   uint32_t maximum_batch_tokens = 4096;
   uint32_t maximum_batch_sequences = 64;
 };
--- a/modules/bbv_routing/adaptive_limit.cc
+++ b/modules/bbv_routing/adaptive_limit.cc
@@ -17,7 +17,9 @@
                             std::size_t left_behind,
                             std::size_t held) {
   if (left_behind > batch_ / 4) {
-    limit_ = std::max(minimum_, limit_ - 1);
+    // While more are held than the limit allows, its effect is still to come.
+    if (held <= limit_)
+      limit_ = std::max(minimum_, limit_ - 1);
     return;
   }
   // Only a limit that binds says anything about being too low.
--- a/modules/bbv_routing/adaptive_limit_test.cc
+++ b/modules/bbv_routing/adaptive_limit_test.cc
@@ -24,3 +24,10 @@
     limit.Observe(16, 10, limit.limit());
   CHECK_EQUAL(8, limit.limit());
 }
+
+TEST(AdaptiveLimit, WaitsForItsEffectBeforeShrinkingFurther) {
+  bbv::AdaptiveLimit limit(16, 100);
+  for (int it = 0; it < 200; ++it)
+    limit.Observe(16, 10, 32);
+  CHECK_EQUAL(31, limit.limit());
+}
--- a/modules/bbv_routing/target_chooser.cc
+++ b/modules/bbv_routing/target_chooser.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <utility>
 
 #include "bbv_core/hashing.h"
@@ -13,12 +14,38 @@
 constexpr double kOtherZoneFactor = 1.15;
 // And by this one towards a target that has just returned from ejection.
 constexpr double kReturningFactor = 3.0;
+// Speeds this near count as the same; see SpeedDistance().
+constexpr double kSameSpeedDistance = 0.2;
 
 bool Holds(const TargetEntry& entry, const std::string& version) {
   return std::find(entry.loaded_versions.begin(), entry.loaded_versions.end(),
                    version) != entry.loaded_versions.end();
 }
 
+// How far apart two speeds are: 1 for a factor of two.
+double SpeedDistance(uint32_t left, uint32_t right) {
+  return std::abs(std::log2(static_cast<double>(left) / right));
+}
+
+// Returns the candidates whose speed is about `speed`, else the nearest ones.
+// A sequence waits for the slowest stage of its chain at each token, and keeps
+// its place at the fast ones meanwhile.
+std::vector<const TargetEntry*> NearestInSpeed(
+    const std::vector<const TargetEntry*>& candidates,
+    uint32_t speed) {
+  assert(!candidates.empty());
+  double nearest = SpeedDistance(candidates.front()->target.speed, speed);
+  for (const TargetEntry* entry : candidates)
+    nearest = std::min(nearest, SpeedDistance(entry->target.speed, speed));
+  std::vector<const TargetEntry*> result;
+  for (const TargetEntry* entry : candidates) {
+    if (SpeedDistance(entry->target.speed, speed) <=
+        nearest + kSameSpeedDistance)
+      result.push_back(entry);
+  }
+  return result;
+}
+
 }  // namespace
 
 TargetChooser::TargetChooser(const TargetTable* table,
@@ -100,6 +127,8 @@
     }
     if (candidates.empty())
       return {};
+    if (!chain.stages.empty() && policy_ == ChoicePolicy::kExpectedFinish)
+      candidates = NearestInSpeed(candidates, chain.stages.front().speed);
     const TargetEntry* chosen = ChooseOne(candidates);
     chain.stages.push_back(chosen->target);
     boundary = chosen->target.end_layer;
@@ -148,7 +177,7 @@
 double TargetChooser::ExpectedFinish(const TargetEntry& entry) const {
   // The limit follows what the target carries, so that load against it is the
   // expected wait; the heartbeat lags by what was placed since.
-  const double load = 1.0 + entry.queued + entry.running + entry.placed;
+  const double load = 1.0 + static_cast<double>(TargetTable::Load(entry));
   double expected = load / (1.0 + entry.limit);
   if (entry.target.zone != zone_)
     expected *= kOtherZoneFactor;
--- a/modules/bbv_routing/target_table.cc
+++ b/modules/bbv_routing/target_table.cc
@@ -91,8 +91,10 @@
 
 void TargetTable::RemoveOutstanding(const std::string& target) {
   TargetEntry* entry = FindMutable(target);
-  if (entry != nullptr && entry->outstanding > 0)
-    --entry->outstanding;
+  if (entry == nullptr || entry->outstanding == 0)
+    return;
+  --entry->outstanding;
+  --entry->placed;
 }
 
 const TargetEntry* TargetTable::Find(const std::string& target) const {
@@ -106,9 +108,13 @@
          entry.ejected_until <= now;
 }
 
+int64_t TargetTable::Load(const TargetEntry& entry) {
+  return std::max<int64_t>(
+      0, static_cast<int64_t>(entry.queued) + entry.running + entry.placed);
+}
+
 bool TargetTable::HasRoom(const TargetEntry& entry) {
-  return entry.queued + entry.running + entry.placed <
-         entry.limit + entry.limit / kQueueShare;
+  return Load(entry) < entry.limit + entry.limit / kQueueShare;
 }
 
 std::vector<const TargetEntry*> TargetTable::UsableForModel(
--- a/modules/bbv_routing/target_table.h
+++ b/modules/bbv_routing/target_table.h
@@ -24,8 +24,9 @@
   uint32_t running = 0;
   uint32_t step_microseconds = 0;
   uint32_t limit = 0;
-  // Work placed from here since that heartbeat.
-  uint32_t placed = 0;
+  // Work placed from here since that heartbeat less work that ended; may be
+  // negative.
+  int64_t placed = 0;
   // From the instance list.
   bool listed_leaving = false;
   // Work that this entry has placed here and not seen end.
@@ -69,6 +70,10 @@
   // ready, not leaving by any account and not ejected.
   static bool IsUsable(const TargetEntry& entry, Instant now);
 
+  // Returns the work at the target: by its last heartbeat and what changed from
+  // here since.
+  static int64_t Load(const TargetEntry& entry);
+
   // Returns whether `entry` can begin more work soon, by its last heartbeat and
   // what was placed since.
   static bool HasRoom(const TargetEntry& entry);
--- a/modules/bbv_settings/node_settings.cc
+++ b/modules/bbv_settings/node_settings.cc
@@ -13,6 +13,9 @@
 constexpr IntegerRange kCountRange{1, 1'000'000};
 constexpr IntegerRange kBytesRange{1024, 1 << 28};
 constexpr std::size_t kMinimumKeyLength = 16;
+// Sequences and calls that wait at a side unless set otherwise.
+constexpr int64_t kEngineQueue = 8;
+constexpr int64_t kServiceQueue = 64;
 
 // Hands the table `key` of `root` to `read`; a missing one reads as empty, so
 // that its required keys are reported.
@@ -107,7 +110,9 @@
       reader->Integer("timeout_ms", 10'000, kTimeoutRangeMs);
   settings->maximum_running =
       reader->Integer("maximum_running", 512, kCountRange);
-  settings->maximum_queued = reader->Integer("maximum_queued", 64, kCountRange);
+  const bool engine = settings->target_kind == TargetKind::kEngine;
+  settings->maximum_queued = reader->Integer(
+      "maximum_queued", engine ? kEngineQueue : kServiceQueue, kCountRange);
   settings->maximum_batch_sequences =
       reader->Integer("maximum_batch_sequences", 64, kCountRange);
   settings->maximum_batch_tokens =
