--- a/modules/bbv_node/caller_request_scope.h
+++ b/modules/bbv_node/caller_request_scope.h
@@ -16,13 +16,10 @@
   // Refuses the request in `response` when the node takes no more.
   CallerRequestScope(EntryNode* node, httplib::Response* response)
       : node_(node) {
-    const auto begun = node->BeginCallerRequest();
-    admitted_ = begun.has_value();
+    const Reason reason = node->BeginCallerRequest();
+    admitted_ = reason == Reason::kNone;
     if (admitted_)
       return;
-    const Reason reason = begun.error().message == "leaving"
-                              ? Reason::kLeaving
-                              : Reason::kOverloaded;
     node->metrics().CountRefusal(reason);
     SetRefusal(response, {Outcome::kNotRun, reason, kRetryAfterMs});
   }
--- a/modules/bbv_node/entry_node.cc
+++ b/modules/bbv_node/entry_node.cc
@@ -155,13 +155,13 @@
   });
 }
 
-Result<void> EntryNode::BeginCallerRequest() {
+Reason EntryNode::BeginCallerRequest() {
   if (refusing_)
-    return Fail(Step::kOperator, settings_.name, "leaving", true);
+    return Reason::kLeaving;
   if (++open_requests_ <= settings_.maximum_open_requests)
-    return {};
+    return Reason::kNone;
   --open_requests_;
-  return Fail(Step::kOperator, settings_.name, "overloaded", true);
+  return Reason::kOverloaded;
 }
 
 void EntryNode::EndCallerRequest() {
--- a/modules/bbv_node/entry_node.h
+++ b/modules/bbv_node/entry_node.h
@@ -58,9 +58,9 @@
   // Appends to the configuration stream and waits for the platform's answer.
   void AppendConfiguration(std::string record) override;
 
-  // Returns whether another request may be taken; counts it until
-  // EndCallerRequest().
-  Result<void> BeginCallerRequest();
+  // Counts another request until EndCallerRequest(); returns why it may not be
+  // taken instead, or kNone.
+  Reason BeginCallerRequest();
   void EndCallerRequest();
 
   const NodeSettings& settings() const { return settings_; }
--- a/modules/bbv_settings/toml_reader.cc
+++ b/modules/bbv_settings/toml_reader.cc
@@ -32,7 +32,7 @@
 }
 
 std::string TomlReader::RequiredString(std::string_view key) {
-  const std::string value = String(key, "");
+  std::string value = String(key, "");
   if (value.empty() && Find(key) == nullptr)
     AddFault(key, "is missing; a text is required");
   else if (value.empty())
--- a/tests/virtual_floor.cc
+++ b/tests/virtual_floor.cc
@@ -15,7 +15,6 @@
 constexpr Milliseconds kSilenceTimeout{1000};
 constexpr Milliseconds kHeartbeatInterval{250};
 constexpr Milliseconds kTickInterval{50};
-constexpr Milliseconds kReconnectDelay{100};
 constexpr Milliseconds kRequestTimeout{20'000};
 constexpr Milliseconds kCallTimeout{4000};
 constexpr Milliseconds kLogTimeout{300};
