--- a/modules/bbv_core/event.cc
+++ b/modules/bbv_core/event.cc
@@ -14,7 +14,6 @@
     EventDescription{Event::kNodeReady, "node-ready"},
     EventDescription{Event::kNodeLeaving, "node-leaving"},
     EventDescription{Event::kNodeStopped, "node-stopped"},
-    EventDescription{Event::kSettingsRejected, "settings-rejected"},
     EventDescription{Event::kPeerConnected, "peer-connected"},
     EventDescription{Event::kPeerLost, "peer-lost"},
     EventDescription{Event::kPeerSilent, "peer-silent"},
@@ -52,7 +51,6 @@
 
 constexpr bool IsWarning(Event event) {
   switch (event) {
-    case Event::kSettingsRejected:
     case Event::kPeerSilent:
     case Event::kPeerRejected:
     case Event::kFrameRejected:
--- a/modules/bbv_core/event.h
+++ b/modules/bbv_core/event.h
@@ -15,7 +15,6 @@
   kNodeReady = 2,
   kNodeLeaving = 3,
   kNodeStopped = 4,
-  kSettingsRejected = 5,
   kPeerConnected = 10,
   kPeerLost = 11,
   kPeerSilent = 12,
--- a/modules/bbv_pipeline/sequence_runner.cc
+++ b/modules/bbv_pipeline/sequence_runner.cc
@@ -362,11 +362,11 @@
 void SequenceRunner::TakeResume(const std::string& peer,
                                 const wire::ResumeT& resume) {
   Sequence* sequence = Find(resume.request);
-  wire::ResumedT resumed;
-  resumed.request = resume.request;
   if (sequence == nullptr || sequence->attempt.account != resume.account)
     return;
   sequence->attempt.entry = peer;
+  wire::ResumedT resumed;
+  resumed.request = resume.request;
   resumed.attempt_number = sequence->attempt_number;
   if (sequence->is_last_stage()) {
     resumed.attempt = std::make_unique<wire::AttemptT>(sequence->attempt);
--- a/tests/scenario.cc
+++ b/tests/scenario.cc
@@ -152,10 +152,12 @@
     if (words[0] != "expect")
       continue;
     const std::string seen = Observe(floor, words);
-    if (seen != words.back())
-      faults->push_back("expected " + words[1] + " " +
-                        words.at(2 % words.size()) + " " + words.back() +
-                        ", saw " + seen);
+    if (seen == words.back())
+      continue;
+    std::string line;
+    for (const std::string& word : words)
+      line += word + " ";
+    faults->push_back(line + "but saw " + seen);
   }
 }
 
