--- a/tests/scenario.cc
+++ b/tests/scenario.cc
@@ -156,8 +156,8 @@
       continue;
     std::string line;
     for (const std::string& word : words)
-      line += word + " ";
-    faults->push_back(line + "but saw " + seen);
+      line.append(word).append(" ");
+    faults->push_back(line.append("but saw ").append(seen));
   }
 }
 
