Return a plain bool for a changed configuration and drop unused bench state

Cause: on reading the whole change again, an enumeration of two values stood beside a bool that says the same, and bench/policy kept sums that nothing read and a cast around const. Change: TakeFrame answers like TakeFromLog; the unused state is gone. Behaviour and assertions are as before.

--- a/bench/policy.cc
+++ b/bench/policy.cc
@@ -94,7 +94,6 @@
   std::size_t account = 0;
   Instant started{};
   Instant last{};
-  bool finished = false;
 };
 
 // Offers Poisson arrivals to one floor and measures what callers see.
@@ -102,8 +101,9 @@
  public:
   LoadRun(const bbv::FloorShape& shape, uint64_t seed)
       : floor_(shape, seed), generator_(seed), entries_(shape.entries) {
-    floor_.on_delivery = [this](const bbv::RequestId& id, std::size_t n,
-                                bool finished) { Delivered(id, n, finished); };
+    floor_.on_delivery = [this](const bbv::RequestId& id, std::size_t n, bool) {
+      Delivered(id, n);
+    };
     floor_.on_refusal = [this](const bbv::RequestId& id, const bbv::Refusal&) {
       if (seen_[id].started >= measure_from_)
         ++refused_;
@@ -135,12 +135,8 @@
     const std::chrono::duration<double> span = measure_until_ - measure_from_;
     return static_cast<double>(tokens_) / span.count();
   }
-  double goodput_per_second() const {
-    const std::chrono::duration<double> span = measure_until_ - measure_from_;
-    return static_cast<double>(finished_tokens_) / span.count();
-  }
 
-  Row Report(const std::string& policy, double offered, double bound) const {
+  Row Report(const std::string& policy, double offered, double bound) {
     std::vector<double> first;
     for (const auto& [account, values] : first_token_)
       first.insert(first.end(), values.begin(), values.end());
@@ -155,8 +151,8 @@
         arrivals_ == 0 ? 0.0 : static_cast<double>(refused_) / arrivals_;
     row["attempts/request"] =
         static_cast<double>(floor_.AttemptsStarted()) /
-        static_cast<double>(std::max<uint64_t>(admitted_and_refused(), 1));
-    row["violations"] = violations();
+        static_cast<double>(std::max<uint64_t>(all_arrivals_, 1));
+    row["violations"] = floor_.judge().violations().size();
     return row;
   }
 
@@ -166,11 +162,6 @@
   }
 
  private:
-  uint64_t admitted_and_refused() const { return all_arrivals_; }
-  std::size_t violations() const {
-    return const_cast<bbv::VirtualFloor&>(floor_).judge().violations().size();
-  }
-
   void Arrive(std::size_t account) {
     std::geometric_distribution<uint32_t> tokens(1.0 / kMeanTokens);
     bbv::WorkItem work;
@@ -188,7 +179,7 @@
     floor_.StartWork(work);
   }
 
-  void Delivered(const bbv::RequestId& id, std::size_t n, bool finished) {
+  void Delivered(const bbv::RequestId& id, std::size_t n) {
     Seen& seen = seen_[id];
     const Instant now = floor_.now();
     const auto milliseconds = [now](Instant since) {
@@ -200,11 +191,8 @@
         first_token_[seen.account].push_back(milliseconds(seen.started));
       else
         between_.push_back(milliseconds(seen.last));
-      if (finished)
-        finished_tokens_ += n;
     }
     seen.last = now;
-    seen.finished = finished;
   }
 
   bbv::VirtualFloor floor_;
@@ -220,7 +208,6 @@
   uint64_t arrivals_ = 0;
   uint64_t refused_ = 0;
   uint64_t tokens_ = 0;
-  uint64_t finished_tokens_ = 0;
 };
 
 struct NamedPolicy {
--- a/modules/bbv_roles/configuration_sharing.cc
+++ b/modules/bbv_roles/configuration_sharing.cc
@@ -27,17 +27,17 @@
   return changed;
 }
 
-SharingEffect ConfigurationSharing::TakeFrame(const std::string& peer,
-                                              const wire::FrameT& frame,
-                                              Instant now) {
+bool ConfigurationSharing::TakeFrame(const std::string& peer,
+                                     const wire::FrameT& frame,
+                                     Instant now) {
   const wire::BodyUnion& body = frame.body;
   if (const auto* heartbeat = body.AsHeartbeat())
     TakeHeartbeat(peer, *heartbeat, now);
   else if (const auto* pull = body.AsConfigurationPull())
     TakePull(peer, *pull);
   else if (const auto* share = body.AsConfigurationShare())
-    return TakeShare(*share) ? SharingEffect::kChanged : SharingEffect::kNone;
-  return SharingEffect::kNone;
+    return TakeShare(*share);
+  return false;
 }
 
 bool ConfigurationSharing::TakeShare(const wire::ConfigurationShareT& share) {
--- a/modules/bbv_roles/configuration_sharing.h
+++ b/modules/bbv_roles/configuration_sharing.h
@@ -11,14 +11,6 @@
 
 namespace bbv {
 
-// What a frame meant to ConfigurationSharing.
-enum class SharingEffect : uint8_t {
-  // The frame is about other things (a heartbeat may be both).
-  kNone,
-  // The configuration in force changed.
-  kChanged,
-};
-
 // Keeps a node's configuration level with the log and with its peers.
 //
 // Heartbeats carry the offset held; the node that is behind pulls, so that an
@@ -33,10 +25,11 @@
   // Returns whether the configuration in force changed.
   bool TakeFromLog(const LogRecords& records);
 
-  // Takes heartbeats, pulls and shares from a peer; others mean nothing here.
-  SharingEffect TakeFrame(const std::string& peer,
-                          const wire::FrameT& frame,
-                          Instant now);
+  // As TakeFromLog(), for a peer's heartbeats, pulls and shares; other frames
+  // mean nothing here.
+  bool TakeFrame(const std::string& peer,
+                 const wire::FrameT& frame,
+                 Instant now);
 
   const ConfigurationLog& log() const { return log_; }
   const ConfigurationFold& fold() const { return log_.fold(); }
--- a/modules/bbv_roles/entry_logic.cc
+++ b/modules/bbv_roles/entry_logic.cc
@@ -31,7 +31,7 @@
 void EntryLogic::TakeFrame(const std::string& peer,
                            const wire::FrameT& frame,
                            Instant now) {
-  if (sharing_.TakeFrame(peer, frame, now) == SharingEffect::kChanged)
+  if (sharing_.TakeFrame(peer, frame, now))
     ConfigurationChanged();
   const wire::BodyUnion& body = frame.body;
   switch (body.type) {
--- a/modules/bbv_roles/side_logic.cc
+++ b/modules/bbv_roles/side_logic.cc
@@ -23,7 +23,7 @@
 void SideLogic::TakeFrame(const std::string& peer,
                           const wire::FrameT& frame,
                           Instant now) {
-  if (sharing_.TakeFrame(peer, frame, now) == SharingEffect::kChanged)
+  if (sharing_.TakeFrame(peer, frame, now))
     ConfigurationChanged();
   const wire::BodyUnion& body = frame.body;
   switch (body.type) {
