--- a/apps/bluebellvalved/main.cc
+++ b/apps/bluebellvalved/main.cc
@@ -1,4 +1,5 @@
-// The node process: an entry, or the side of one target, by its settings file.
+// The node process: an entry, or the side of one target, by its settings file;
+// with --fleet an entry before targets that forward among themselves.
 //
 // Exit codes: 0 stopped as told, 2 wrong usage, 3 settings at fault, 4 could
 // not start.
@@ -9,13 +10,21 @@
 #include <absl/flags/usage_config.h>
 #include <glog/logging.h>
 
+#include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <string>
 
+#include "bbv_entry/bbv_entry.h"
 #include "bbv_node/bbv_node.h"
 #include "bbv_settings/bbv_settings.h"
 
 ABSL_FLAG(std::string, settings, "", "Path of the node's settings file (TOML)");
+ABSL_FLAG(bool,
+          fleet,
+          false,
+          "Run an entry before targets that forward among themselves; without "
+          "--settings its file is named by BLUEBELLVALVE_CONFIG");
 
 namespace {
 
@@ -49,12 +58,45 @@
   return kExitStopped;
 }
 
+int PrintFaults(const bbv::Faults& faults) {
+  for (const bbv::Fault& fault : faults)
+    std::fprintf(stderr, "%s\n", fault.ToString().c_str());
+  return kExitSettings;
+}
+
+int RunFleetEntry(const std::string& path) {
+  bbv::Faults faults;
+  bbv::FleetSettings settings = bbv::LoadFleetSettings(path, &faults);
+  if (!faults.empty())
+    return PrintFaults(faults);
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging("bluebellvalved");
+  google::InstallFailureSignalHandler();
+  std::signal(SIGPIPE, SIG_IGN);
+  bbv::FleetEntry entry(std::move(settings), path);
+  if (const std::string fault = entry.Start(); !fault.empty()) {
+    LOG(ERROR) << fault;
+    return kExitStart;
+  }
+  entry.Run();
+  return kExitStopped;
+}
+
+// Returns the settings file that was named, empty when none was.
+std::string SettingsPath() {
+  const std::string path = absl::GetFlag(FLAGS_settings);
+  const char* named = std::getenv("BLUEBELLVALVE_CONFIG");
+  if (path.empty() && absl::GetFlag(FLAGS_fleet) && named != nullptr)
+    return named;
+  return path;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage(
       "Runs one bluebellvalve node.\n"
-      "usage: bluebellvalved --settings=FILE\n"
+      "usage: bluebellvalved [--fleet] --settings=FILE\n"
       "exit codes: 0 stopped, 2 usage, 3 settings at fault, 4 no start");
   absl::FlagsUsageConfig config;
   config.version_string = [] {
@@ -63,17 +105,17 @@
   config.contains_help_flags = [](absl::string_view) { return true; };
   absl::SetFlagsUsageConfig(config);
   absl::ParseCommandLine(argc, argv);
-  const std::string path = absl::GetFlag(FLAGS_settings);
+  const std::string path = SettingsPath();
   if (path.empty()) {
     std::fprintf(stderr, "bluebellvalved: --settings=FILE is required\n");
     return kExitUsage;
   }
+  if (absl::GetFlag(FLAGS_fleet))
+    return RunFleetEntry(path);
   bbv::Faults faults;
   const bbv::NodeSettings settings = bbv::LoadNodeSettings(path, &faults);
-  for (const bbv::Fault& fault : faults)
-    std::fprintf(stderr, "%s\n", fault.ToString().c_str());
   if (!faults.empty())
-    return kExitSettings;
+    return PrintFaults(faults);
   bbv::BlockStopSignals();
   StartLogging(settings);
   if (settings.role == bbv::NodeRole::kEntry)
--- /dev/null
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -0,0 +1,412 @@
+#include "bbv_entry/fleet_entry.h"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <csignal>
+#include <utility>
+
+#include "bbv_core/hashing.h"
+#include "platform/call_codec.h"
+
+namespace bbv {
+namespace {
+
+constexpr Milliseconds kTick{20};
+constexpr Milliseconds kGaugePause{500};
+// After the stop signal, callers are still sent here until the balancer has
+// noticed.
+constexpr Milliseconds kStopNotice{2600};
+// The end by force is not waited for.
+constexpr Milliseconds kStopMargin{300};
+constexpr Milliseconds kDefaultWait{30'000};
+// A stream that stays silent for this long is taken off its path whatever its
+// targets say.
+constexpr int kDescriptorsKept = 400;
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+// Time a caller is told to wait while this entry is not ready.
+constexpr std::string_view kNotReadyRetry = "0.5";
+// Share of the caller's answer limit that calls are expected to use.
+constexpr double kExpectedAnswerShare = 0.8;
+
+double ExpectedAnswerTokens(const platform::CallerFields& fields) {
+  return kExpectedAnswerShare * fields.max_answer_tokens;
+}
+
+}  // namespace
+
+FleetEntry::FleetEntry(FleetSettings settings, std::string settings_path)
+    : settings_(std::move(settings)),
+      settings_path_(std::move(settings_path)),
+      log_(settings_.name),
+      random_(std::random_device{}()),
+      client_(&loop_),
+      store_(&client_, settings_.store_address, &log_),
+      selector_(&board_, settings_.zone),
+      configuration_(&store_,
+                     &log_,
+                     [this](const std::shared_ptr<FleetIndex>&) {
+                       peers_.TellConfiguration();
+                     }),
+      targets_(&store_, &log_, &board_),
+      planner_(&store_,
+               &client_,
+               &log_,
+               &board_,
+               settings_.peers_address.ToString(),
+               settings_.group_minimum_ms),
+      stalls_(&client_,
+              &board_,
+              [this](const std::string& id, std::string_view evidence) {
+                TakeTargetFault(id, evidence, true);
+              }),
+      loads_(&client_, &board_),
+      links_(&loop_, &store_, &log_, settings_.name, settings_.peers_address),
+      peers_(&links_,
+             &board_,
+             &configuration_,
+             &planner_,
+             [this](const std::string& id, std::string_view evidence) {
+               TakeTargetFault(id, evidence, false);
+             }) {
+  context_.client = &client_;
+  context_.board = &board_;
+  context_.selector = &selector_;
+  context_.log = &log_;
+  context_.metrics = &metrics_;
+  context_.random = &random_;
+  context_.budget = [this](const std::string& service) {
+    return BudgetOf(service);
+  };
+  context_.on_target_fault = [this](const std::string& id,
+                                    std::string_view evidence, bool witnessed) {
+    TakeTargetFault(id, evidence, witnessed);
+  };
+}
+
+FleetEntry::~FleetEntry() = default;
+
+std::string FleetEntry::Start() {
+  std::string fault =
+      callers_listener_.Listen(&loop_, settings_.callers_address,
+                               [this](std::unique_ptr<TcpStream> stream) {
+                                 AcceptCaller(std::move(stream));
+                               });
+  if (fault.empty()) {
+    fault = readiness_server_.Listen(
+        &loop_, settings_.readiness_address, [this](const HttpHead&) {
+          return SmallAnswer{
+              IsReady(EventLoop::Now()) ? 200 : kUnavailable, {}, {}};
+        });
+  }
+  if (fault.empty()) {
+    fault = metrics_server_.Listen(
+        &loop_, settings_.metrics_address, [this](const HttpHead&) {
+          return SmallAnswer{200, "text/plain; version=0.0.4",
+                             metrics_.Serialize()};
+        });
+  }
+  if (fault.empty())
+    fault = peers_.Start(settings_.peer_seeds);
+  if (!fault.empty())
+    return fault;
+  loop_.SetTick(kTick, [this] { OnTick(); });
+  loop_.OnSignal(SIGTERM, [this] { BeginStop(); });
+  loop_.OnSignal(SIGINT, [this] { BeginStop(); });
+  loop_.OnSignal(SIGHUP, [this] { Reload(); });
+  log_.Write(Event::kNodeStarted, EventLoop::Now(),
+             {{"zone", settings_.zone},
+              {"callers", settings_.callers_address.ToString()},
+              {"store", settings_.store_address.ToString()}});
+  return {};
+}
+
+void FleetEntry::Run() {
+  loop_.Run();
+  log_.Write(Event::kNodeStopped, EventLoop::Now(), {});
+  log_.Flush(EventLoop::Now());
+}
+
+bool FleetEntry::IsReady(Instant) const {
+  return !stopping_ && configuration_.current() != nullptr &&
+         targets_.complete();
+}
+
+void FleetEntry::AcceptCaller(std::unique_ptr<TcpStream> stream) {
+  const auto limit = static_cast<std::size_t>(
+      std::max(64, (settings_.maximum_connections - kDescriptorsKept) * 3 / 4));
+  if (callers_.size() >= limit)
+    return;
+  const CallerLimits limits =
+      configuration_.current() == nullptr
+          ? CallerLimits{}
+          : configuration_.current()->configuration().limits;
+  const uint64_t id = next_connection_++;
+  auto connection =
+      std::make_unique<CallerConnection>(id, std::move(stream), limits, this);
+  if (stopping_)
+    connection->StopKeeping();
+  callers_.emplace(id, std::move(connection));
+}
+
+SharedRetryBudget* FleetEntry::BudgetOf(const std::string& service) {
+  const auto it = budgets_.find(service);
+  if (it != budgets_.end())
+    return &it->second;
+  SharedRetryBudget::Limits limits;
+  limits.ratio = settings_.retry_share;
+  limits.extra = settings_.retry_extra;
+  limits.window = Milliseconds(settings_.retry_window_ms);
+  SharedRetryBudget budget(limits);
+  budget.SetEntries(std::max(1, entries_));
+  return &budgets_.emplace(service, std::move(budget)).first->second;
+}
+
+void FleetEntry::Refuse(CallerConnection* connection,
+                        const std::string& attempt_id,
+                        int status,
+                        std::string_view cause,
+                        bool may_return) {
+  log_.Write(Event::kCallRefused, EventLoop::Now(),
+             {{"id", attempt_id},
+              {"status", static_cast<int64_t>(status)},
+              {"cause", std::string(cause)},
+              {"outcome", "not-run"}});
+  metrics_.CountBadRequest(status);
+  std::string fields;
+  if (!attempt_id.empty())
+    AppendField(platform::kAttemptIdField, attempt_id, &fields);
+  if (may_return)
+    AppendField("Retry-After", kNotReadyRetry, &fields);
+  connection->Answer(status, {}, fields, {});
+}
+
+void FleetEntry::OnRequest(CallerConnection* connection,
+                           HttpHead head,
+                           std::string body) {
+  const Instant now = EventLoop::Now();
+  const platform::CallerFields fields = platform::DecodeCaller(head);
+  const std::shared_ptr<FleetIndex>& index = configuration_.current();
+  if (index == nullptr) {
+    Refuse(connection, fields.attempt_id, kUnavailable, "no configuration",
+           true);
+    return;
+  }
+  const std::string_view path =
+      std::string_view(head.target).substr(0, head.target.find('?'));
+  const ServiceRoute* route = index->FindRoute(fields.host, path);
+  if (route == nullptr) {
+    Refuse(connection, fields.attempt_id, kNotFound, "no route", false);
+    return;
+  }
+  CallRequest request;
+  const bool keyed = !index->configuration().accounts.empty();
+  if (keyed && !route->open_to_all) {
+    request.account = index->FindAccount(fields.key);
+    if (request.account == nullptr) {
+      Refuse(connection, fields.attempt_id, kUnauthorized, "unknown key",
+             false);
+      return;
+    }
+  }
+  if (fields.attempt_id.empty()) {
+    Refuse(connection, fields.attempt_id, kBadRequest, "no id", false);
+    return;
+  }
+  const Milliseconds wait(fields.wait_ms.value_or(kDefaultWait.count()));
+  request.attempt_id = fields.attempt_id;
+  request.route = route;
+  request.service =
+      FleetIndex::PickService(*route, HashBytes(fields.attempt_id));
+  request.arrived = now;
+  request.caller_deadline = now + wait;
+  request.deadline = request.caller_deadline;
+  if (route->timeout_ms > 0) {
+    request.deadline =
+        std::min(request.deadline, now + Milliseconds(route->timeout_ms));
+  }
+  request.prompt_tokens = fields.prompt_tokens;
+  request.answer_tokens = ExpectedAnswerTokens(fields);
+  request.last_event = fields.last_event.value_or(kNoEvent);
+  auto call = std::make_unique<RelayedCall>(&context_, index, connection,
+                                            std::move(request), std::move(head),
+                                            std::move(body));
+  RelayedCall* started = call.get();
+  std::unique_ptr<RelayedCall>& slot = calls_[connection->id()];
+  if (slot != nullptr)
+    ended_calls_.push_back(std::move(slot));
+  slot = std::move(call);
+  started->Start(now);
+}
+
+void FleetEntry::OnCallerGone(CallerConnection* connection) {
+  const auto it = calls_.find(connection->id());
+  if (it == calls_.end())
+    return;
+  it->second->OnCallerGone(EventLoop::Now());
+  ended_calls_.push_back(std::move(it->second));
+  calls_.erase(it);
+}
+
+void FleetEntry::OnBadRequest(CallerConnection*, int status) {
+  metrics_.CountBadRequest(status);
+  log_.Write(Event::kCallRefused, EventLoop::Now(),
+             {{"status", static_cast<int64_t>(status)},
+              {"cause", "malformed request"}});
+}
+
+void FleetEntry::TakeTargetFault(const std::string& target_id,
+                                 std::string_view evidence,
+                                 bool witnessed) {
+  const Instant now = EventLoop::Now();
+  FleetTarget* target = board_.Find(target_id);
+  if (target == nullptr)
+    return;
+  if (board_.IsUsable(*target, now)) {
+    const Instant until = board_.Suspect(target, now);
+    log_.Write(
+        Event::kTargetSuspected, now,
+        {{"target", target_id},
+         {"evidence", std::string(evidence)},
+         {"for_ms", static_cast<int64_t>(RemainingMilliseconds(until, now))}});
+    if (witnessed)
+      peers_.TellFault(*target, evidence);
+  }
+  if (const auto address = ParseSocketAddress(target->record.address))
+    client_.Forget(*address);
+  std::vector<RelayedCall*> affected;
+  for (const auto& [id, call] : calls_)
+    affected.push_back(call.get());
+  for (RelayedCall* it : affected)
+    it->OnPathFault(target_id, now);
+}
+
+void FleetEntry::OnTick() {
+  const Instant now = EventLoop::Now();
+  client_.OnTick(now);
+  configuration_.OnTick(now);
+  targets_.OnTick(now);
+  planner_.OnTick(configuration_.current(), targets_.complete(),
+                  targets_.last_new_target(), now);
+  if (planner_.holds_lease() && configuration_.current() != nullptr)
+    loads_.OnTick(*configuration_.current(), now);
+  peers_.OnTick(now);
+  ShareBudgets();
+  TickCalls(now);
+  TickCallers(now);
+  readiness_server_.OnTick(now);
+  metrics_server_.OnTick(now);
+  UpdateGauges(now);
+  log_.Flush(now);
+  if (stopping_)
+    TickStop(now);
+}
+
+void FleetEntry::ShareBudgets() {
+  // Few are assumed until some were heard; one that falls silent may still
+  // spend its part, so the number falls only with a restart of this entry.
+  const int entries = std::max({entries_, links_.live_entries(),
+                                static_cast<int>(settings_.peer_seeds.size())});
+  if (entries == entries_)
+    return;
+  entries_ = entries;
+  for (auto& [service, budget] : budgets_)
+    budget.SetEntries(entries_);
+}
+
+void FleetEntry::TickCalls(Instant now) {
+  for (auto it = calls_.begin(); it != calls_.end();) {
+    if (it->second->done()) {
+      ended_calls_.push_back(std::move(it->second));
+      it = calls_.erase(it);
+      continue;
+    }
+    ++it;
+  }
+  std::vector<RelayedCall*> open;
+  open.reserve(calls_.size());
+  for (const auto& [id, call] : calls_)
+    open.push_back(call.get());
+  for (RelayedCall* it : open) {
+    it->OnTick(now);
+    if (it->call().IsStalled(now))
+      stalls_.Suspect(it->call().dispatch().target_id, now);
+  }
+  ended_calls_.clear();
+}
+
+void FleetEntry::TickCallers(Instant now) {
+  std::erase_if(callers_, [now](auto& it) { return !it.second->OnTick(now); });
+}
+
+void FleetEntry::UpdateGauges(Instant now) {
+  if (now < next_gauges_)
+    return;
+  next_gauges_ = now + kGaugePause;
+  metrics_.SetGauge("caller_connections", static_cast<double>(callers_.size()));
+  metrics_.SetGauge("calls_under_way", static_cast<double>(calls_.size()));
+  metrics_.SetGauge("targets", static_cast<double>(board_.rows().size()));
+  metrics_.SetGauge("holds_planner_lease", planner_.holds_lease() ? 1 : 0);
+  metrics_.SetGauge("live_entries", links_.live_entries());
+  metrics_.SetGauge("store_reachable", store_.reachable() ? 1 : 0);
+  metrics_.SetGauge("store_calls", static_cast<double>(store_.calls()));
+  metrics_.SetGauge("log_lines_dropped", static_cast<double>(log_.dropped()));
+  metrics_.SetGauge("target_connections_opened",
+                    static_cast<double>(client_.connections_opened()));
+  if (configuration_.current() != nullptr) {
+    metrics_.SetGauge(
+        "configuration_version",
+        static_cast<double>(configuration_.current()->configuration().version));
+  }
+  rusage usage{};
+  if (getrusage(RUSAGE_SELF, &usage) == 0) {
+    const auto seconds = [](const timeval& it) {
+      return static_cast<double>(it.tv_sec) +
+             static_cast<double>(it.tv_usec) / 1e6;
+    };
+    metrics_.SetGauge("processor_seconds",
+                      seconds(usage.ru_utime) + seconds(usage.ru_stime));
+    metrics_.SetGauge("peak_memory_kilobytes",
+                      static_cast<double>(usage.ru_maxrss));
+  }
+}
+
+void FleetEntry::BeginStop() {
+  if (std::exchange(stopping_, true))
+    return;
+  stop_began_ = EventLoop::Now();
+  stop_deadline_ =
+      stop_began_ + Milliseconds(settings_.stop_timeout_ms) - kStopMargin;
+  log_.Write(Event::kNodeLeaving, stop_began_,
+             {{"calls", static_cast<int64_t>(calls_.size())}});
+  planner_.Leave();
+  for (const auto& [id, connection] : callers_)
+    connection->StopKeeping();
+}
+
+void FleetEntry::TickStop(Instant now) {
+  const bool finished = now >= stop_began_ + kStopNotice && calls_.empty();
+  if (!finished && now < stop_deadline_)
+    return;
+  loop_.Stop();
+}
+
+void FleetEntry::Reload() {
+  Faults faults;
+  const FleetSettings settings = LoadFleetSettings(settings_path_, &faults);
+  const Instant now = EventLoop::Now();
+  if (!faults.empty()) {
+    log_.Write(Event::kSettingsReloaded, now,
+               {{"accepted", false}, {"fault", faults.front().ToString()}});
+    return;
+  }
+  // Addresses stay as they are until the next start.
+  settings_.stop_timeout_ms = settings.stop_timeout_ms;
+  settings_.maximum_connections = settings.maximum_connections;
+  log_.Write(Event::kSettingsReloaded, now, {{"accepted", true}});
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_entry/fleet_entry.h
@@ -0,0 +1,117 @@
+#ifndef MODULES_BBV_ENTRY_FLEET_ENTRY_H_
+#define MODULES_BBV_ENTRY_FLEET_ENTRY_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "bbv_entry/fleet_follower.h"
+#include "bbv_entry/load_watch.h"
+#include "bbv_entry/peer_exchange.h"
+#include "bbv_entry/peer_links.h"
+#include "bbv_entry/planner_agent.h"
+#include "bbv_entry/relayed_call.h"
+#include "bbv_entry/stall_watch.h"
+#include "bbv_entry/store_client.h"
+#include "bbv_fleet/bbv_fleet.h"
+#include "bbv_front/caller_connection.h"
+#include "bbv_front/event_loop.h"
+#include "bbv_front/http_client.h"
+#include "bbv_front/small_http_server.h"
+#include "bbv_observe/decision_log.h"
+#include "bbv_observe/fleet_metrics.h"
+#include "bbv_settings/fleet_settings.h"
+
+namespace bbv {
+
+// An entry before targets that forward among themselves: takes callers'
+// requests, follows the store, and plans layers when it holds the lease.
+//
+// Thread safety: none, everything runs on the thread that calls Run().
+class FleetEntry final : public CallerRequests {
+ public:
+  // `settings_path` is read again on SIGHUP.
+  FleetEntry(FleetSettings settings, std::string settings_path);
+  ~FleetEntry() override;
+
+  // Returns an empty text, or why the entry cannot start.
+  std::string Start();
+
+  // Runs until the entry has stopped after SIGTERM or SIGINT.
+  void Run();
+
+  // CallerRequests:
+  void OnRequest(CallerConnection* connection,
+                 HttpHead head,
+                 std::string body) override;
+  void OnCallerGone(CallerConnection* connection) override;
+  void OnBadRequest(CallerConnection* connection, int status) override;
+
+ private:
+  void AcceptCaller(std::unique_ptr<TcpStream> stream);
+  void OnTick();
+  void TickCallers(Instant now);
+  void TickCalls(Instant now);
+  void TickStop(Instant now);
+  void ShareBudgets();
+  void BeginStop();
+  void Reload();
+  void UpdateGauges(Instant now);
+  // A target failed; `witnessed` when other targets saw it, so that it holds
+  // for all entries and not for this one's connections alone.
+  void TakeTargetFault(const std::string& target_id,
+                       std::string_view evidence,
+                       bool witnessed);
+  bool IsReady(Instant now) const;
+  void Refuse(CallerConnection* connection,
+              const std::string& attempt_id,
+              int status,
+              std::string_view cause,
+              bool may_return);
+  SharedRetryBudget* BudgetOf(const std::string& service);
+
+  FleetSettings settings_;
+  std::string settings_path_;
+  EventLoop loop_;
+  DecisionLog log_;
+  FleetMetrics metrics_;
+  std::mt19937_64 random_;
+  HttpClient client_;
+  StoreClient store_;
+  TargetBoard board_;
+  TargetSelector selector_;
+  ConfigurationFollower configuration_;
+  TargetFollower targets_;
+  PlannerAgent planner_;
+  StallWatch stalls_;
+  LoadWatch loads_;
+  PeerLinks links_;
+  PeerExchange peers_;
+  CallContext context_;
+  std::map<std::string, SharedRetryBudget> budgets_;
+  TcpListener callers_listener_;
+  SmallHttpServer readiness_server_;
+  SmallHttpServer metrics_server_;
+
+  uint64_t next_connection_ = 1;
+  std::unordered_map<uint64_t, std::unique_ptr<CallerConnection>> callers_;
+  // Calls by their caller's connection, and those whose callers have left.
+  std::unordered_map<uint64_t, std::unique_ptr<RelayedCall>> calls_;
+  std::vector<std::unique_ptr<RelayedCall>> ended_calls_;
+
+  bool stopping_ = false;
+  Instant stop_began_{};
+  Instant stop_deadline_{};
+  Instant next_gauges_{};
+  // Entries that share the retry budget, as of the last look.
+  int entries_ = 0;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_ENTRY_FLEET_ENTRY_H_
--- /dev/null
+++ b/modules/bbv_entry/peer_exchange.cc
@@ -0,0 +1,158 @@
+#include "bbv_entry/peer_exchange.h"
+
+#include <cassert>
+#include <utility>
+
+namespace bbv {
+namespace {
+
+// Reports older than this are not handed on.
+constexpr Milliseconds kReportHandOn{2000};
+// A heartbeat that may have been on its way while a peer saw the fault.
+constexpr int64_t kHeartbeatsOnTheWay = 1;
+
+}  // namespace
+
+PeerExchange::PeerExchange(PeerLinks* links,
+                           TargetBoard* board,
+                           ConfigurationFollower* configuration,
+                           PlannerAgent* planner,
+                           OnFault on_fault)
+    : links_(links),
+      board_(board),
+      configuration_(configuration),
+      planner_(planner),
+      on_fault_(std::move(on_fault)) {
+  assert(links != nullptr && board != nullptr);
+  assert(configuration != nullptr && planner != nullptr);
+}
+
+std::string PeerExchange::Start(const std::vector<SocketAddress>& seeds) {
+  return links_->Start(
+      seeds,
+      [this](const std::string& peer, const wire::FrameT& frame) {
+        OnMessage(peer, frame);
+      },
+      [this](const std::string& peer) {
+        if (configuration_->current() != nullptr)
+          links_->Send(peer, MakeConfiguration());
+      },
+      [this](const std::string& peer) { board_->SetPeerLoad(peer, {}); });
+}
+
+wire::FrameT PeerExchange::MakeConfiguration() const {
+  wire::EntryConfigurationT message;
+  message.version = configuration_->current()->configuration().version;
+  message.text = configuration_->text();
+  return MakeFrame(std::move(message));
+}
+
+void PeerExchange::TellConfiguration() {
+  if (configuration_->current() != nullptr)
+    links_->SendAll(MakeConfiguration());
+}
+
+void PeerExchange::OnTick(Instant now) {
+  links_->OnTick(now);
+  if (now < next_state_)
+    return;
+  next_state_ = now + links_->state_pause();
+  links_->SendAll(MakeFrame(MakeState(now)));
+}
+
+wire::EntryStateT PeerExchange::MakeState(Instant now) const {
+  wire::EntryStateT state;
+  if (configuration_->current() != nullptr) {
+    state.configuration_version =
+        configuration_->current()->configuration().version;
+  }
+  if (planner_->holds_lease())
+    state.planner_generation = planner_->generation();
+  for (const auto& [id, row] : board_->rows()) {
+    if (row->own_calls > 0) {
+      wire::OwnLoadT load;
+      load.target = id;
+      load.calls = static_cast<uint32_t>(row->own_calls);
+      load.token_layers = row->own_token_layers;
+      state.own.push_back(std::move(load));
+    }
+    if (!planner_->holds_lease() || now > row->reported_at + kReportHandOn)
+      continue;
+    wire::EngineLoadT engine;
+    engine.target = id;
+    engine.started_unix_ms = row->report.started_unix_ms;
+    engine.pace = row->report.pace;
+    engine.active = static_cast<uint32_t>(row->report.active);
+    engine.queued = static_cast<uint32_t>(row->report.queued);
+    engine.used_token_layers = row->report.used_token_layers;
+    if (row->report.layers) {
+      engine.from_layer = static_cast<uint32_t>(row->report.layers->from);
+      engine.to_layer = static_cast<uint32_t>(row->report.layers->to);
+    }
+    engine.age_ms = RemainingMilliseconds(now, row->reported_at);
+    state.engines.push_back(std::move(engine));
+  }
+  return state;
+}
+
+void PeerExchange::TellFault(const FleetTarget& target,
+                             std::string_view evidence) {
+  wire::EntryStateT state = MakeState(EventLoop::Now());
+  wire::TargetFaultT fault;
+  fault.target = target.record.id;
+  fault.started_unix_ms = target.record.started_unix_ms;
+  fault.heartbeat = target.record.heartbeat;
+  fault.evidence = evidence;
+  state.faults.push_back(std::move(fault));
+  links_->SendAll(MakeFrame(std::move(state)));
+}
+
+void PeerExchange::OnMessage(const std::string& peer,
+                             const wire::FrameT& frame) {
+  if (const auto* state = frame.body.AsEntryState())
+    TakeState(peer, *state);
+  else if (const auto* message = frame.body.AsEntryConfiguration())
+    configuration_->Take(message->text, peer, EventLoop::Now());
+}
+
+void PeerExchange::TakeState(const std::string& peer,
+                             const wire::EntryStateT& state) {
+  const Instant now = EventLoop::Now();
+  std::vector<PeerLoad> loads;
+  loads.reserve(state.own.size());
+  for (const wire::OwnLoadT& it : state.own) {
+    loads.push_back({it.target, static_cast<int>(it.calls), it.token_layers});
+  }
+  board_->SetPeerLoad(peer, std::move(loads));
+  for (const wire::EngineLoadT& it : state.engines) {
+    EngineLoadReport report;
+    report.pace = it.pace;
+    report.active = static_cast<int>(it.active);
+    report.queued = static_cast<int>(it.queued);
+    report.used_token_layers = it.used_token_layers;
+    report.started_unix_ms = it.started_unix_ms;
+    if (it.to_layer > it.from_layer) {
+      report.layers = LayerRange{static_cast<int>(it.from_layer),
+                                 static_cast<int>(it.to_layer)};
+    }
+    board_->ApplyReport(it.target, report, now - Milliseconds(it.age_ms));
+  }
+  for (const wire::TargetFaultT& it : state.faults)
+    TakeFault(it);
+  const bool behind = configuration_->current() != nullptr &&
+                      state.configuration_version <
+                          configuration_->current()->configuration().version;
+  if (behind)
+    links_->Send(peer, MakeConfiguration());
+}
+
+void PeerExchange::TakeFault(const wire::TargetFaultT& fault) {
+  const FleetTarget* target = board_->Find(fault.target);
+  if (target == nullptr ||
+      target->record.started_unix_ms != fault.started_unix_ms ||
+      target->record.heartbeat > fault.heartbeat + kHeartbeatsOnTheWay)
+    return;
+  on_fault_(fault.target, "peer: " + fault.evidence);
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_entry/peer_exchange.h
@@ -0,0 +1,61 @@
+#ifndef MODULES_BBV_ENTRY_PEER_EXCHANGE_H_
+#define MODULES_BBV_ENTRY_PEER_EXCHANGE_H_
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "bbv_entry/fleet_follower.h"
+#include "bbv_entry/peer_links.h"
+#include "bbv_entry/planner_agent.h"
+#include "bbv_fleet/bbv_fleet.h"
+
+namespace bbv {
+
+// What entries tell each other: the configuration, what each has under way,
+// engines' reports, and targets found at fault.
+//
+// Thread safety: none, the loop's thread.
+class PeerExchange {
+ public:
+  // Called for a target that a peer found at fault.
+  using OnFault =
+      std::function<void(const std::string& target_id, std::string_view)>;
+
+  PeerExchange(PeerLinks* links,
+               TargetBoard* board,
+               ConfigurationFollower* configuration,
+               PlannerAgent* planner,
+               OnFault on_fault);
+
+  // Returns an empty text, or why it cannot listen.
+  std::string Start(const std::vector<SocketAddress>& seeds);
+
+  // Tells the peers when that is due.
+  void OnTick(Instant now);
+
+  // Tells all peers at once of a target at fault.
+  void TellFault(const FleetTarget& target, std::string_view evidence);
+
+  // Hands the newest configuration to all peers.
+  void TellConfiguration();
+
+ private:
+  void OnMessage(const std::string& peer, const wire::FrameT& frame);
+  void TakeState(const std::string& peer, const wire::EntryStateT& state);
+  void TakeFault(const wire::TargetFaultT& fault);
+  wire::FrameT MakeConfiguration() const;
+  wire::EntryStateT MakeState(Instant now) const;
+
+  PeerLinks* links_;
+  TargetBoard* board_;
+  ConfigurationFollower* configuration_;
+  PlannerAgent* planner_;
+  OnFault on_fault_;
+  Instant next_state_{};
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_ENTRY_PEER_EXCHANGE_H_
--- /dev/null
+++ b/modules/bbv_entry/planner_agent.cc
@@ -0,0 +1,259 @@
+#include "bbv_entry/planner_agent.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+#include <vector>
+
+#include "bbv_entry/target_question.h"
+
+namespace bbv {
+namespace {
+
+constexpr std::string_view kGroup = "bluebellvalve-planner";
+constexpr std::string_view kGroupTopic = "bluebellvalve-planner";
+constexpr Milliseconds kLease{3000};
+constexpr Milliseconds kRenewPause{900};
+constexpr Milliseconds kStoreTimeout{1000};
+constexpr Milliseconds kPlanPause{100};
+// A list that is still growing is not planned on.
+constexpr Milliseconds kListSettled{1500};
+// Time for which a target must be unusable before its layers are taken over.
+constexpr Milliseconds kLossPatience{200};
+constexpr Milliseconds kOrderTimeout{500};
+constexpr Milliseconds kOrderGivenUp{4000};
+constexpr Milliseconds kLoadQuestionPause{200};
+constexpr int kOk = 200;
+constexpr int kAccepted = 202;
+constexpr int kConflict = 409;
+
+}  // namespace
+
+PlannerAgent::PlannerAgent(StoreClient* store,
+                           HttpClient* client,
+                           DecisionLog* log,
+                           TargetBoard* board,
+                           std::string member,
+                           int lease_minimum_ms)
+    : store_(store),
+      client_(client),
+      log_(log),
+      board_(board),
+      member_(std::move(member)),
+      lease_(std::max(kLease, Milliseconds(lease_minimum_ms))) {
+  assert(store != nullptr && client != nullptr && board != nullptr);
+}
+
+void PlannerAgent::OnTick(const std::shared_ptr<FleetIndex>& configuration,
+                          bool list_complete,
+                          Instant last_new_target,
+                          Instant now) {
+  RenewLease(now);
+  if (!holds_lease_ || configuration == nullptr || !list_complete ||
+      now < next_plan_)
+    return;
+  next_plan_ = now + kPlanPause;
+  SettleOrders(now);
+  const bool any_layers = std::any_of(
+      board_->rows().begin(), board_->rows().end(),
+      [](const auto& row) { return row.second->record.layers.has_value(); });
+  if (!any_layers && pending_.empty() && now < last_new_target + kListSettled)
+    return;
+  for (const ServiceDescription& it : configuration->configuration().services) {
+    if (it.engine)
+      PlanService(it, now);
+  }
+}
+
+void PlannerAgent::RenewLease(Instant now) {
+  // While the store cannot be reached nobody else is given the lease, or this
+  // entry alone is cut off and the orders' preconditions keep the two apart.
+  if (holds_lease_ && now >= lease_until_ && store_->reachable())
+    SetLease(false, now);
+  if (joining_ || leaving_ || now < next_join_)
+    return;
+  joining_ = true;
+  next_join_ = now + kRenewPause;
+  store_->Call(
+      platform::EncodeJoin(kGroup, member_, kGroupTopic,
+                           static_cast<int>(lease_.count()), generation_),
+      kStoreTimeout, [this, sent = now](const Result<StoreAnswer>& answer) {
+        joining_ = false;
+        if (!answer || answer->status != kOk || leaving_)
+          return;
+        const auto group = platform::DecodeGroup(answer->body);
+        if (!group)
+          return;
+        generation_ = group->generation;
+        const bool first_part = std::any_of(
+            group->parts.begin(), group->parts.end(),
+            [](const platform::GroupPart& it) { return it.part == 0; });
+        // Counted from the sending, which the store cannot have seen later.
+        lease_until_ = sent + lease_;
+        SetLease(first_part, EventLoop::Now());
+      });
+}
+
+void PlannerAgent::SetLease(bool held, Instant now) {
+  if (held == holds_lease_)
+    return;
+  holds_lease_ = held;
+  pending_.clear();
+  log_->Write(held ? Event::kPlannerGained : Event::kPlannerLost, now,
+              {{"generation", generation_}});
+}
+
+void PlannerAgent::Leave() {
+  if (std::exchange(leaving_, true))
+    return;
+  SetLease(false, EventLoop::Now());
+  store_->Call(platform::EncodeLeave(kGroup, member_), kStoreTimeout,
+               [](const Result<StoreAnswer>&) {});
+}
+
+std::vector<PlannerTarget> PlannerAgent::CollectTargets(
+    const ServiceDescription& service,
+    Instant now) {
+  const EngineModel& model = *service.engine;
+  std::vector<PlannerTarget> targets;
+  std::vector<PlannerTarget> slow;
+  std::map<std::string, int> capacity;
+  for (const auto& [id, row] : board_->rows()) {
+    if (row->record.service != service.name)
+      continue;
+    if (!board_->IsUsable(*row, now)) {
+      const Instant since = missing_since_.try_emplace(id, now).first->second;
+      if (row->record.leaving || now >= since + kLossPatience)
+        continue;
+    } else {
+      missing_since_.erase(id);
+    }
+    PlannerTarget target{id, row->record.zone, row->record.accelerator,
+                         row->record.layers};
+    if (const auto it = pending_.find(id); it != pending_.end())
+      target.layers = it->second.layers;
+    if (TargetBoard::IsSlow(*row, now)) {
+      slow.push_back(std::move(target));
+      continue;
+    }
+    capacity[target.zone] += LayerPlanner::MaxLayers(model, target.accelerator);
+    targets.push_back(std::move(target));
+  }
+  std::erase_if(missing_since_, [this](const auto& it) {
+    return board_->Find(it.first) == nullptr;
+  });
+  // Slow targets are done without where the others can hold a copy.
+  for (PlannerTarget& it : slow) {
+    if (capacity[it.zone] < model.layers)
+      targets.push_back(std::move(it));
+  }
+  return targets;
+}
+
+void PlannerAgent::PlanService(const ServiceDescription& service, Instant now) {
+  const EngineModel& model = *service.engine;
+  const std::vector<PlannerTarget> targets = CollectTargets(service, now);
+  for (const Placement& it : LayerPlanner::Plan(model, targets)) {
+    const FleetTarget* target = board_->Find(it.id);
+    const double share =
+        static_cast<double>(it.layers.size()) / std::max(1, model.layers);
+    Order order;
+    order.layers = it.layers;
+    order.started_unix_ms = target->record.started_unix_ms;
+    order.deadline = now + kOrderGivenUp +
+                     Milliseconds(static_cast<int>(2 * share * model.load_ms));
+    order.send_again = now + kOrderTimeout;
+    pending_[it.id] = order;
+    // A target that has just started and holds nothing has begun no order.
+    if (target->record.layers)
+      AskReport(it.id);
+    else
+      SendOrder(it.id, 0);
+  }
+}
+
+void PlannerAgent::SettleOrders(Instant now) {
+  for (auto it = pending_.begin(); it != pending_.end();) {
+    const FleetTarget* target = board_->Find(it->first);
+    const bool settled =
+        target == nullptr ||
+        target->record.started_unix_ms != it->second.started_unix_ms ||
+        target->record.layers == it->second.layers || target->record.leaving;
+    if (settled || now >= it->second.deadline) {
+      it = pending_.erase(it);
+      continue;
+    }
+    // Also asked while it loads, since the list tells of the end late.
+    if (now >= it->second.send_again) {
+      it->second.send_again =
+          now + (it->second.answered ? kLoadQuestionPause : kOrderTimeout);
+      AskReport(it->first);
+    }
+    ++it;
+  }
+}
+
+void PlannerAgent::AskReport(const std::string& id) {
+  const FleetTarget* target = board_->Find(id);
+  if (target == nullptr)
+    return;
+  WholeAnswer::Fetch(
+      client_,
+      MakeTargetRequest(target->record.address, "GET", platform::kReportPath,
+                        {}, EventLoop::Now() + kOrderTimeout),
+      [this, id](const HttpAnswer* answer) {
+        const auto order = pending_.find(id);
+        if (answer == nullptr || answer->head.status != kOk ||
+            order == pending_.end())
+          return;
+        const auto report = platform::DecodeTargetReport(answer->body);
+        if (!report)
+          return;
+        board_->ApplyReport(id, report->load, EventLoop::Now());
+        if (report->order_under_way || order->second.answered)
+          return;
+        if (report->load.layers == order->second.layers) {
+          order->second.answered = true;
+          return;
+        }
+        SendOrder(id, report->orders_begun);
+      });
+}
+
+void PlannerAgent::SendOrder(const std::string& id, int64_t orders_begun) {
+  const FleetTarget* target = board_->Find(id);
+  const auto order = pending_.find(id);
+  if (target == nullptr || order == pending_.end())
+    return;
+  const LayerRange layers = order->second.layers;
+  ++orders_;
+  log_->Write(Event::kLayerOrderSent, EventLoop::Now(),
+              {{"target", id},
+               {"from_layer", static_cast<int64_t>(layers.from)},
+               {"to_layer", static_cast<int64_t>(layers.to)},
+               {"orders_begun", orders_begun}});
+  WholeAnswer::Fetch(
+      client_,
+      MakeTargetRequest(target->record.address, "POST", platform::kOrderPath,
+                        platform::EncodePlaceOrder(layers, orders_begun),
+                        EventLoop::Now() + kOrderTimeout),
+      [this, id](const HttpAnswer* answer) {
+        OnOrderAnswered(id, answer == nullptr ? 0 : answer->head.status);
+      });
+}
+
+void PlannerAgent::OnOrderAnswered(const std::string& id, int status) {
+  log_->Write(Event::kLayerOrderAnswered, EventLoop::Now(),
+              {{"target", id}, {"status", static_cast<int64_t>(status)}});
+  const auto order = pending_.find(id);
+  if (order == pending_.end())
+    return;
+  if (status == kOk || status == kAccepted) {
+    order->second.answered = true;
+    order->second.send_again = EventLoop::Now() + kLoadQuestionPause;
+  }
+  if (status == kConflict)
+    order->second.send_again = EventLoop::Now();
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_entry/planner_agent.h
@@ -0,0 +1,91 @@
+#ifndef MODULES_BBV_ENTRY_PLANNER_AGENT_H_
+#define MODULES_BBV_ENTRY_PLANNER_AGENT_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "bbv_entry/store_client.h"
+#include "bbv_fleet/bbv_fleet.h"
+#include "bbv_front/http_client.h"
+#include "bbv_observe/decision_log.h"
+#include "platform/target_codec.h"
+
+namespace bbv {
+
+// Places layers while this entry holds the planner's lease.
+//
+// The lease is membership in a group at the store: the member that is given
+// the group's first part plans. Two planners at once, while a lease lapses,
+// cannot harm: an order names how many orders its target has begun, so of two
+// orders from one state a target carries out one.
+// Thread safety: none, the loop's thread.
+class PlannerAgent {
+ public:
+  PlannerAgent(StoreClient* store,
+               HttpClient* client,
+               DecisionLog* log,
+               TargetBoard* board,
+               std::string member,
+               int lease_minimum_ms);
+
+  // Renews the lease and gives the orders that are due. `targets` tells how
+  // far the list is known.
+  void OnTick(const std::shared_ptr<FleetIndex>& configuration,
+              bool list_complete,
+              Instant last_new_target,
+              Instant now);
+
+  // Gives the lease back.
+  void Leave();
+
+  bool holds_lease() const { return holds_lease_; }
+  // Rises with each change of the group at the store.
+  int64_t generation() const { return generation_; }
+  uint64_t orders() const { return orders_; }
+
+ private:
+  // An order that was decided and is not known to be carried out.
+  struct Order {
+    LayerRange layers;
+    int64_t started_unix_ms = 0;
+    // When it is given up, or sent again.
+    Instant deadline{};
+    Instant send_again{};
+    bool answered = false;
+  };
+
+  void RenewLease(Instant now);
+  void SetLease(bool held, Instant now);
+  // Targets that planning counts on, with what they hold or will hold.
+  std::vector<PlannerTarget> CollectTargets(const ServiceDescription& service,
+                                            Instant now);
+  void PlanService(const ServiceDescription& service, Instant now);
+  void SettleOrders(Instant now);
+  void AskReport(const std::string& id);
+  void SendOrder(const std::string& id, int64_t orders_begun);
+  void OnOrderAnswered(const std::string& id, int status);
+  StoreClient* store_;
+  HttpClient* client_;
+  DecisionLog* log_;
+  TargetBoard* board_;
+  std::string member_;
+  Milliseconds lease_;
+  bool holds_lease_ = false;
+  bool joining_ = false;
+  bool leaving_ = false;
+  int64_t generation_ = 0;
+  Instant lease_until_{};
+  Instant next_join_{};
+  Instant next_plan_{};
+  std::map<std::string, Order> pending_;
+  // Since when a target has not counted for planning.
+  std::map<std::string, Instant> missing_since_;
+  uint64_t orders_ = 0;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_ENTRY_PLANNER_AGENT_H_
--- /dev/null
+++ b/modules/bbv_entry/relayed_call.cc
@@ -0,0 +1,339 @@
+#include "bbv_entry/relayed_call.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace bbv {
+namespace {
+
+constexpr Milliseconds kConnectTimeout{250};
+// Answers of plain services are relayed whole, up to this size.
+constexpr std::size_t kMaxAnswerBytes = 16U << 20U;
+constexpr Milliseconds kRetryWithoutTarget{1000};
+constexpr Milliseconds kRetryWithoutRoom{400};
+// Share of that by which callers' returns are spread.
+constexpr int kRetrySpreadPercent = 50;
+constexpr int kFirstFailureStatus = 500;
+
+double MillisecondsBetween(Instant from, Instant to) {
+  return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+}  // namespace
+
+RelayedCall::RelayedCall(CallContext* context,
+                         std::shared_ptr<FleetIndex> index,
+                         CallerConnection* caller,
+                         CallRequest request,
+                         HttpHead head,
+                         std::string body)
+    : context_(context),
+      index_(std::move(index)),
+      caller_(caller),
+      head_(std::move(head)),
+      body_(std::move(body)),
+      call_(std::move(request), this) {
+  assert(context != nullptr && caller != nullptr);
+}
+
+RelayedCall::~RelayedCall() {
+  CancelSend();
+}
+
+void RelayedCall::Start(Instant now) {
+  context_->budget(call_.request().service)->RecordCall(now);
+  call_.Start(now);
+}
+
+void RelayedCall::OnCallerGone(Instant now) {
+  caller_ = nullptr;
+  context_->log->Write(Event::kCallerLeft, now,
+                       {{"id", call_.request().attempt_id},
+                        {"target", sent_.target_id},
+                        {"last_event", call_.last_event()}});
+  call_.OnCallerLeft();
+}
+
+void RelayedCall::OnTick(Instant now) {
+  call_.OnTime(now);
+}
+
+void RelayedCall::OnPathFault(const std::string& target_id, Instant now) {
+  call_.OnPathFault(target_id, now);
+}
+
+std::optional<CallDispatch> RelayedCall::Choose(
+    const CallRequest& request,
+    const std::vector<std::string>& excluded,
+    Instant now,
+    CallEnd* end) {
+  return context_->selector->Select(*index_, request, excluded,
+                                    (*context_->random)(), now, end);
+}
+
+void RelayedCall::Send(const CallDispatch& dispatch, Instant now) {
+  const CallRequest& request = call_.request();
+  sent_ = dispatch;
+  sent_at_ = now;
+  under_way_ = true;
+  streaming_ = false;
+  answer_body_.clear();
+  splitter_.Reset();
+  context_->selector->Begin(sent_);
+  platform::ForwardFields fields;
+  if (request.account != nullptr)
+    fields.account = request.account->name;
+  fields.remaining_ms = RemainingMilliseconds(request.deadline, now);
+  fields.target_id = sent_.target_id;
+  if (!sent_.layers.empty()) {
+    fields.hop_addresses = sent_.hop_addresses;
+    fields.hop_layers = sent_.layers;
+  }
+  if (sent_.last_event >= 0)
+    fields.last_event = sent_.last_event;
+  fields.body_bytes = body_.size();
+  ExchangeRequest exchange;
+  exchange.address = ParseSocketAddress(sent_.target_address).value();
+  exchange.bytes = platform::EncodeForward(head_, fields) + body_;
+  exchange.id_field = platform::kAttemptIdField;
+  exchange.attempt_id = request.attempt_id;
+  // A kept connection may have been dropped unnoticed; what is sent on it then
+  // cannot be sent again.
+  exchange.may_reuse = request.route->kind != CallKind::kUnsafe;
+  exchange.connect_deadline = std::min(now + kConnectTimeout, request.deadline);
+  if (call_.sends() > 1) {
+    context_->log->Write(Event::kCallSent, now,
+                         {{"id", request.attempt_id},
+                          {"send", static_cast<int64_t>(call_.sends())},
+                          {"target", sent_.target_id},
+                          {"hops", static_cast<int64_t>(sent_.hop_ids.size())},
+                          {"after_event", sent_.last_event},
+                          {"remaining_ms", fields.remaining_ms}});
+  }
+  exchange_ = context_->client->Send(std::move(exchange), this);
+}
+
+void RelayedCall::CancelSend() {
+  if (!under_way_)
+    return;
+  FinishSend(false, sent_at_);
+  context_->client->Cancel(exchange_);
+}
+
+void RelayedCall::FinishSend(bool failed, Instant now) {
+  under_way_ = false;
+  context_->selector->Finish(sent_);
+  FleetTarget* target = context_->board->Find(sent_.target_id);
+  if (target != nullptr && now > sent_at_) {
+    context_->board->RecordOutcome(target, failed,
+                                   MillisecondsBetween(sent_at_, now));
+  }
+}
+
+bool RelayedCall::TakeRetry(Instant now) {
+  return context_->budget(call_.request().service)->TryTake(now);
+}
+
+Milliseconds RelayedCall::RetryAfter(const CallRequest&, CallEnd end) {
+  const Milliseconds base =
+      end == CallEnd::kNoRoom ? kRetryWithoutRoom : kRetryWithoutTarget;
+  const auto spread =
+      static_cast<int>((*context_->random)() % kRetrySpreadPercent);
+  return base + base * spread / 100;
+}
+
+void RelayedCall::Fail(const CallFailure& failure) {
+  const CallRequest& request = call_.request();
+  const Instant now = EventLoop::Now();
+  const bool refused = failure.knowledge == RunKnowledge::kNotRun;
+  context_->metrics->CountFailure(request.service, failure.end);
+  context_->log->Write(
+      refused ? Event::kCallRefused : Event::kCallFailed, now,
+      {{"id", request.attempt_id},
+       {"service", request.service},
+       {"status", static_cast<int64_t>(failure.status)},
+       {"cause", std::string(kCallEndNames.Name(failure.end))},
+       {"outcome", std::string(kRunKnowledgeNames.Name(failure.knowledge))},
+       {"sends", static_cast<int64_t>(call_.sends())},
+       {"last_target", sent_.target_id},
+       {"after_ms", MillisecondsBetween(request.arrived, now)},
+       {"retry_after_ms",
+        static_cast<int64_t>(
+            failure.retry_after.value_or(Milliseconds(0)).count())}});
+  if (caller_ == nullptr)
+    return;
+  std::string fields;
+  AppendField(platform::kAttemptIdField, request.attempt_id, &fields);
+  if (failure.retry_after) {
+    const auto text = std::to_string(
+        static_cast<double>(failure.retry_after->count()) / 1000);
+    AppendField("Retry-After", text, &fields);
+  }
+  std::exchange(caller_, nullptr)->Answer(failure.status, {}, fields, {});
+}
+
+std::string RelayedCall::RelayedFields() const {
+  std::string fields;
+  const std::string* connection = answer_head_.Find("Connection");
+  for (const HttpField& it : answer_head_.fields) {
+    if (IsConnectionField(it.name))
+      continue;
+    if (connection != nullptr && HasListToken(*connection, it.name))
+      continue;
+    AppendField(it.name, it.value, &fields);
+  }
+  return fields;
+}
+
+void RelayedCall::RelayAnswerAtHand() {
+  if (caller_ == nullptr)
+    return;
+  std::exchange(caller_, nullptr)
+      ->Answer(answer_head_.status, answer_head_.reason, RelayedFields(),
+               answer_body_);
+}
+
+void RelayedCall::BreakOff(CallEnd end) {
+  context_->metrics->CountFailure(call_.request().service, end);
+  context_->log->Write(Event::kCallFailed, EventLoop::Now(),
+                       {{"id", call_.request().attempt_id},
+                        {"cause", std::string(kCallEndNames.Name(end))},
+                        {"outcome", "broken off"},
+                        {"last_event", call_.last_event()},
+                        {"last_target", sent_.target_id}});
+  if (caller_ != nullptr)
+    std::exchange(caller_, nullptr)->Break();
+}
+
+bool RelayedCall::IsGoodStreamHead() const {
+  return call_.request().route->kind == CallKind::kStream &&
+         answer_head_.status == 200 && answer_.has_signature &&
+         !answer_.encoded;
+}
+
+void RelayedCall::OnAnswerHead(HttpHead head) {
+  answer_head_ = std::move(head);
+  answer_ = platform::DecodeAnswer(answer_head_);
+  streaming_ = IsGoodStreamHead();
+}
+
+void RelayedCall::OnAnswerBody(std::string_view data) {
+  if (streaming_) {
+    RelayEvents(data);
+    return;
+  }
+  answer_body_.append(data);
+  if (answer_body_.size() > kMaxAnswerBytes) {
+    context_->client->Cancel(exchange_);
+    FailSend({CallEnd::kBadAnswer, false, false, {}}, "answer too large");
+  }
+}
+
+void RelayedCall::RelayEvents(std::string_view data) {
+  chunk_.clear();
+  int64_t last = call_.last_event();
+  for (const StreamEvent& it : splitter_.Take(data)) {
+    // A target that goes on after an event does not send it again; ids ascend.
+    if (it.id && *it.id <= last) {
+      context_->client->Cancel(exchange_);
+      FailSend({CallEnd::kBadAnswer, false, false, {}}, "event out of order");
+      return;
+    }
+    if (it.id)
+      last = *it.id;
+    chunk_.append(it.text);
+  }
+  if (chunk_.empty() || caller_ == nullptr)
+    return;
+  const Instant now = EventLoop::Now();
+  if (!call_.relaying())
+    call_.OnAnswerBegun(now);
+  if (!head_relayed_) {
+    head_relayed_ = true;
+    context_->metrics->ObserveFirstEvent(
+        MillisecondsBetween(call_.request().arrived, now) / 1000);
+    caller_->BeginStream(answer_head_.status, answer_head_.reason,
+                         RelayedFields(), chunk_);
+  } else {
+    caller_->StreamChunk(chunk_);
+  }
+  call_.OnEventRelayed(last, now);
+}
+
+void RelayedCall::OnAnswerEnd() {
+  const Instant now = EventLoop::Now();
+  if (streaming_) {
+    if (splitter_.has_partial() || !call_.relaying()) {
+      FailSend({CallEnd::kBadAnswer, false, false, {}}, "stream cut");
+      return;
+    }
+    FinishSend(false, now);
+    call_.OnAnswerComplete();
+    context_->metrics->CountServed(call_.request().service);
+    if (caller_ != nullptr)
+      std::exchange(caller_, nullptr)->EndStream();
+    return;
+  }
+  if (answer_.not_run) {
+    FailSend({CallEnd::kNoRoom, true, false, answer_.fault_address},
+             "not run, status " + std::to_string(answer_head_.status));
+    return;
+  }
+  const bool success = answer_head_.status >= 200 && answer_head_.status < 300;
+  if (success && (!answer_.has_signature || answer_.encoded)) {
+    FailSend({CallEnd::kBadAnswer, false, false, {}}, "not the target's body");
+    return;
+  }
+  if (answer_head_.status >= kFirstFailureStatus || head_relayed_) {
+    FailSend({CallEnd::kBadAnswer, false, !head_relayed_, {}},
+             "status " + std::to_string(answer_head_.status));
+    return;
+  }
+  FinishSend(false, now);
+  call_.OnAnswerComplete();
+  context_->metrics->CountServed(call_.request().service);
+  context_->metrics->ObserveAnswer(
+      MillisecondsBetween(call_.request().arrived, now) / 1000);
+  RelayAnswerAtHand();
+}
+
+void RelayedCall::OnExchangeFailed(ExchangeFailure failure) {
+  SendFailure send;
+  send.not_run = failure == ExchangeFailure::kNotConnected;
+  send.end = failure == ExchangeFailure::kBadAnswer
+                 ? CallEnd::kBadAnswer
+                 : CallEnd::kConnectionBroken;
+  const std::string target_id = sent_.target_id;
+  FailSend(send, failure == ExchangeFailure::kNotConnected ? "not connected"
+                 : failure == ExchangeFailure::kBroken     ? "broken"
+                                                           : "bad answer");
+  // After this call has gone on, so that it is not moved twice.
+  if (failure == ExchangeFailure::kNotConnected)
+    context_->on_target_fault(target_id, "not connected", false);
+}
+
+void RelayedCall::FailSend(const SendFailure& failure,
+                           std::string_view evidence) {
+  const Instant now = EventLoop::Now();
+  if (!under_way_)
+    return;
+  FinishSend(true, now);
+  context_->log->Write(Event::kCallSendFailed, now,
+                       {{"id", call_.request().attempt_id},
+                        {"send", static_cast<int64_t>(call_.sends())},
+                        {"target", sent_.target_id},
+                        {"evidence", std::string(evidence)},
+                        {"at_fault", failure.fault_address},
+                        {"not_run", failure.not_run},
+                        {"after_ms", MillisecondsBetween(sent_at_, now)},
+                        {"last_event", call_.last_event()}});
+  call_.OnSendFailed(failure, now);
+  if (failure.fault_address.empty())
+    return;
+  if (const FleetTarget* it =
+          context_->board->FindAddress(failure.fault_address))
+    context_->on_target_fault(std::string(it->record.id), evidence, true);
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_entry/relayed_call.h
@@ -0,0 +1,113 @@
+#ifndef MODULES_BBV_ENTRY_RELAYED_CALL_H_
+#define MODULES_BBV_ENTRY_RELAYED_CALL_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "bbv_fleet/bbv_fleet.h"
+#include "bbv_front/caller_connection.h"
+#include "bbv_front/http_client.h"
+#include "bbv_observe/decision_log.h"
+#include "bbv_observe/fleet_metrics.h"
+#include "platform/call_codec.h"
+
+namespace bbv {
+
+// What all calls of an entry share.
+struct CallContext {
+  HttpClient* client = nullptr;
+  TargetBoard* board = nullptr;
+  TargetSelector* selector = nullptr;
+  DecisionLog* log = nullptr;
+  FleetMetrics* metrics = nullptr;
+  std::mt19937_64* random = nullptr;
+  // The retry budget of a service.
+  std::function<SharedRetryBudget*(const std::string&)> budget;
+  // A target failed on evidence that concerns all calls on it; `witnessed`
+  // when another target saw it.
+  std::function<void(const std::string& target_id,
+                     std::string_view evidence,
+                     bool witnessed)>
+      on_target_fault;
+};
+
+// One call on its way: carries out what FleetCall decides, between the
+// caller's connection and the exchanges with targets.
+//
+// Thread safety: none, the loop's thread.
+class RelayedCall final : public CallPorts, public ExchangeSink {
+ public:
+  // `index` is the configuration under which the call is served to its end.
+  RelayedCall(CallContext* context,
+              std::shared_ptr<FleetIndex> index,
+              CallerConnection* caller,
+              CallRequest request,
+              HttpHead head,
+              std::string body);
+  ~RelayedCall() override;
+
+  void Start(Instant now);
+  void OnCallerGone(Instant now);
+  void OnTick(Instant now);
+  // Takes the call off a path on which `target_id` was found dead.
+  void OnPathFault(const std::string& target_id, Instant now);
+
+  bool done() const { return call_.done(); }
+  const FleetCall& call() const { return call_; }
+
+  // CallPorts:
+  std::optional<CallDispatch> Choose(const CallRequest& request,
+                                     const std::vector<std::string>& excluded,
+                                     Instant now,
+                                     CallEnd* end) override;
+  void Send(const CallDispatch& dispatch, Instant now) override;
+  void CancelSend() override;
+  bool TakeRetry(Instant now) override;
+  void Fail(const CallFailure& failure) override;
+  void RelayAnswerAtHand() override;
+  void BreakOff(CallEnd end) override;
+  Milliseconds RetryAfter(const CallRequest& request, CallEnd end) override;
+
+  // ExchangeSink:
+  void OnAnswerHead(HttpHead head) override;
+  void OnAnswerBody(std::string_view data) override;
+  void OnAnswerEnd() override;
+  void OnExchangeFailed(ExchangeFailure failure) override;
+
+ private:
+  void RelayEvents(std::string_view data);
+  void FailSend(const SendFailure& failure, std::string_view evidence);
+  void FinishSend(bool failed, Instant now);
+  std::string RelayedFields() const;
+  bool IsGoodStreamHead() const;
+
+  CallContext* context_;
+  std::shared_ptr<FleetIndex> index_;
+  // Null once the caller has its answer or has left.
+  CallerConnection* caller_;
+  HttpHead head_;
+  std::string body_;
+  FleetCall call_;
+
+  HttpClient::ExchangeId exchange_ = 0;
+  bool under_way_ = false;
+  CallDispatch sent_;
+  Instant sent_at_{};
+  HttpHead answer_head_;
+  platform::AnswerFields answer_;
+  std::string answer_body_;
+  bool streaming_ = false;
+  bool head_relayed_ = false;
+  EventSplitter splitter_;
+  std::string chunk_;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_ENTRY_RELAYED_CALL_H_
--- /dev/null
+++ b/modules/bbv_entry/stall_watch.cc
@@ -0,0 +1,56 @@
+#include "bbv_entry/stall_watch.h"
+
+#include <cassert>
+#include <utility>
+
+#include "bbv_entry/target_question.h"
+
+namespace bbv {
+namespace {
+
+constexpr Milliseconds kQuestionPause{150};
+constexpr Milliseconds kQuestionTimeout{300};
+constexpr int kOk = 200;
+
+}  // namespace
+
+StallWatch::StallWatch(HttpClient* client, TargetBoard* board, OnFault on_fault)
+    : client_(client), board_(board), on_fault_(std::move(on_fault)) {
+  assert(client != nullptr && board != nullptr);
+}
+
+void StallWatch::Suspect(const std::string& target_id, Instant now) {
+  Instant& next = next_question_[target_id];
+  const FleetTarget* target = board_->Find(target_id);
+  if (now < next || target == nullptr)
+    return;
+  next = now + kQuestionPause + kQuestionTimeout;
+  ExchangeRequest request =
+      MakeTargetRequest(target->record.address, "GET", platform::kReportPath,
+                        {}, now + kQuestionTimeout);
+  WholeAnswer::Fetch(client_, std::move(request),
+                     [this, target_id](const HttpAnswer* answer) {
+                       OnReport(target_id, answer);
+                     });
+}
+
+void StallWatch::OnReport(const std::string& target_id,
+                          const HttpAnswer* answer) {
+  next_question_[target_id] = EventLoop::Now() + kQuestionPause;
+  if (answer == nullptr) {
+    on_fault_(target_id, "no report");
+    return;
+  }
+  if (answer->head.status != kOk)
+    return;
+  const auto report = platform::DecodeTargetReport(answer->body);
+  if (!report)
+    return;
+  board_->ApplyReport(target_id, report->load, EventLoop::Now());
+  for (const auto& it : report->stalled) {
+    if (const FleetTarget* hop = board_->FindAddress(it.hop_address))
+      on_fault_(std::string(hop->record.id), "streams wait for it");
+  }
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_entry/store_client.cc
@@ -0,0 +1,75 @@
+#include "bbv_entry/store_client.h"
+
+#include <cassert>
+#include <utility>
+
+namespace bbv {
+namespace {
+
+constexpr Milliseconds kConnectTimeout{700};
+constexpr int kServerErrors = 500;
+constexpr int kTooManyRequests = 429;
+
+std::string EncodeRequest(const platform::StoreCall& call,
+                          const SocketAddress& address) {
+  std::string out = call.method + ' ' + call.path + " HTTP/1.1\r\n";
+  AppendField("Host", address.ToString(), &out);
+  if (!call.content_type.empty())
+    AppendField("Content-Type", call.content_type, &out);
+  if (call.method != "GET")
+    AppendField("Content-Length", std::to_string(call.body.size()), &out);
+  out += "\r\n";
+  out += call.body;
+  return out;
+}
+
+}  // namespace
+
+StoreClient::StoreClient(HttpClient* client,
+                         SocketAddress address,
+                         DecisionLog* log)
+    : client_(client), address_(std::move(address)), log_(log) {
+  assert(client != nullptr && log != nullptr);
+}
+
+void StoreClient::Call(const platform::StoreCall& call,
+                       Milliseconds timeout,
+                       Done done) {
+  const Instant now = EventLoop::Now();
+  ExchangeRequest request;
+  request.address = address_;
+  request.bytes = EncodeRequest(call, address_);
+  request.connect_deadline = now + kConnectTimeout;
+  request.deadline = now + timeout;
+  ++calls_;
+  WholeAnswer::Fetch(
+      client_, std::move(request),
+      [this, done = std::move(done)](const HttpAnswer* answer) {
+        if (answer == nullptr) {
+          SetReachable(false, "no answer");
+          done(Fail(Step::kLogRead, address_.ToString(), "no answer"));
+          return;
+        }
+        const int status = answer->head.status;
+        const bool useful =
+            status < kServerErrors && status != kTooManyRequests;
+        SetReachable(useful, "status " + std::to_string(status));
+        if (useful)
+          done(StoreAnswer{status, answer->body});
+        else
+          done(Fail(Step::kLogRead, address_.ToString(),
+                    "status " + std::to_string(status)));
+      });
+}
+
+void StoreClient::SetReachable(bool reachable, const std::string& cause) {
+  if (reachable == reachable_)
+    return;
+  const Instant now = EventLoop::Now();
+  reachable_ = reachable;
+  reachable_since_ = now;
+  log_->Write(reachable ? Event::kStoreRegained : Event::kStoreLost, now,
+              {{"store", address_.ToString()}, {"cause", cause}});
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_entry/store_client.h
@@ -0,0 +1,54 @@
+#ifndef MODULES_BBV_ENTRY_STORE_CLIENT_H_
+#define MODULES_BBV_ENTRY_STORE_CLIENT_H_
+
+#include <functional>
+#include <string>
+
+#include "bbv_core/error.h"
+#include "bbv_front/http_client.h"
+#include "bbv_observe/decision_log.h"
+#include "platform/store_codec.h"
+
+namespace bbv {
+
+// An answer of the store.
+struct StoreAnswer {
+  int status = 0;
+  std::string body;
+};
+
+// Calls to the platform's store, each with a deadline of its own, over kept
+// connections.
+//
+// Thread safety: none, the loop's thread.
+class StoreClient {
+ public:
+  // Gets the answer, or an error (step kLogRead) when there is none in time.
+  using Done = std::function<void(const Result<StoreAnswer>&)>;
+
+  // All must outlive the client.
+  StoreClient(HttpClient* client, SocketAddress address, DecisionLog* log);
+
+  // Sends `call`; `done` is called once, never from within this call.
+  void Call(const platform::StoreCall& call, Milliseconds timeout, Done done);
+
+  // Whether the last call was answered usefully.
+  bool reachable() const { return reachable_; }
+  // Since when it is so; the past's start before the first call.
+  Instant reachable_since() const { return reachable_since_; }
+  uint64_t calls() const { return calls_; }
+
+ private:
+  void SetReachable(bool reachable, const std::string& cause);
+
+  HttpClient* client_;
+  SocketAddress address_;
+  DecisionLog* log_;
+  bool reachable_ = false;
+  Instant reachable_since_{};
+  uint64_t calls_ = 0;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_ENTRY_STORE_CLIENT_H_
--- /dev/null
+++ b/modules/bbv_entry/target_question.cc
@@ -0,0 +1,25 @@
+#include "bbv_entry/target_question.h"
+
+namespace bbv {
+
+ExchangeRequest MakeTargetRequest(const std::string& address,
+                                  std::string_view method,
+                                  std::string_view path,
+                                  const std::string& json_body,
+                                  Instant deadline) {
+  ExchangeRequest request;
+  request.address = ParseSocketAddress(address).value();
+  request.bytes.append(method).append(" ").append(path).append(" HTTP/1.1\r\n");
+  AppendField("Host", address, &request.bytes);
+  if (!json_body.empty()) {
+    AppendField("Content-Type", "application/json", &request.bytes);
+    AppendField("Content-Length", std::to_string(json_body.size()),
+                &request.bytes);
+  }
+  request.bytes += "\r\n" + json_body;
+  request.connect_deadline = deadline;
+  request.deadline = deadline;
+  return request;
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_fleet/bbv_fleet.h
@@ -0,0 +1,20 @@
+// bbv_fleet: the decisions of an entry before targets that forward among
+// themselves.
+//
+// Routes and accounts of a configuration, the table of targets and the
+// evidence about them, where layers are placed, the path of a call, the course
+// of a call to its final word, and the budget of repeated sends. Needs bbv_core
+// only. Opens no socket, reads no clock, starts no thread.
+#ifndef MODULES_BBV_FLEET_BBV_FLEET_H_
+#define MODULES_BBV_FLEET_BBV_FLEET_H_
+
+#include "bbv_fleet/fleet_call.h"
+#include "bbv_fleet/fleet_configuration.h"
+#include "bbv_fleet/fleet_index.h"
+#include "bbv_fleet/layer_planner.h"
+#include "bbv_fleet/path_chooser.h"
+#include "bbv_fleet/shared_retry_budget.h"
+#include "bbv_fleet/target_board.h"
+#include "bbv_fleet/target_selector.h"
+
+#endif  // MODULES_BBV_FLEET_BBV_FLEET_H_
--- /dev/null
+++ b/modules/bbv_fleet/fleet_call.h
@@ -0,0 +1,203 @@
+#ifndef MODULES_BBV_FLEET_FLEET_CALL_H_
+#define MODULES_BBV_FLEET_FLEET_CALL_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "bbv_core/instant.h"
+#include "bbv_core/name_table.h"
+#include "bbv_fleet/fleet_configuration.h"
+#include "bbv_fleet/path_chooser.h"
+
+namespace bbv {
+
+// What is known about whether a call ran at any target.
+enum class RunKnowledge : uint8_t { kNotRun, kRan, kUnknown };
+inline constexpr NameTable<RunKnowledge, 3> kRunKnowledgeNames({"not-run",
+                                                                "ran",
+                                                                "unknown"});
+
+// Why a call ended without a target's answer.
+enum class CallEnd : uint8_t {
+  kNoTarget,
+  kNoRoom,
+  kNoAttemptsLeft,
+  kRetryBudgetSpent,
+  kDeadline,
+  kConnectionBroken,
+  kBadAnswer,
+  kStopping,
+};
+inline constexpr NameTable<CallEnd, 8> kCallEndNames(
+    {"no-target", "no-room", "no-attempts-left", "retry-budget-spent",
+     "deadline", "connection-broken", "bad-answer", "stopping"});
+
+// Stands for an event's id before the first event.
+inline constexpr int64_t kNoEvent = -1;
+
+// What one caller asked for, decoded from its request.
+struct CallRequest {
+  // The caller's id of this attempt; targets give it back in their answers.
+  std::string attempt_id;
+  const ServiceRoute* route = nullptr;
+  const FleetAccount* account = nullptr;
+  std::string service;
+  // When the caller gives up.
+  Instant caller_deadline;
+  // The earlier of that and the route's timeout.
+  Instant deadline;
+  Instant arrived;
+  // Tokens that the prompt has and that the answer may have.
+  double prompt_tokens = 0;
+  double answer_tokens = 0;
+  // Last event that the caller has already; kNoEvent for none.
+  int64_t last_event = kNoEvent;
+};
+
+// Where a call is sent: a path for engines, one target for plain services.
+struct CallDispatch {
+  std::string target_id;
+  std::string target_address;
+  // Empty for plain services.
+  std::vector<LayerRange> layers;
+  std::vector<std::string> hop_ids;
+  std::vector<std::string> hop_addresses;
+  double tokens = 0;
+  // Expected milliseconds between two events of a stream.
+  double event_ms = 0;
+  // Last event that the caller has when it is sent; the target goes on after
+  // it.
+  int64_t last_event = kNoEvent;
+};
+
+// The final word on a call that is not a target's answer.
+struct CallFailure {
+  CallEnd end = CallEnd::kNoTarget;
+  RunKnowledge knowledge = RunKnowledge::kNotRun;
+  int status = 503;
+  // When room is expected; set with 503 only.
+  std::optional<Milliseconds> retry_after;
+};
+
+// How one send ended without a whole good answer.
+struct SendFailure {
+  CallEnd end = CallEnd::kConnectionBroken;
+  // Proved by the target, or no byte of the call left this process.
+  bool not_run = false;
+  // The target's own complete failure answer is at hand and may be relayed.
+  bool answer_at_hand = false;
+  // Address of the target that the answer names as the cause.
+  std::string fault_address;
+};
+
+// What a call makes others do. All methods are called from the call's own
+// methods and must not call back into it.
+class CallPorts {
+ public:
+  virtual ~CallPorts() = default;
+  // Chooses where to send; on failure sets `end` and returns nothing.
+  virtual std::optional<CallDispatch> Choose(
+      const CallRequest& request,
+      const std::vector<std::string>& excluded,
+      Instant now,
+      CallEnd* end) = 0;
+  // Sends the call.
+  virtual void Send(const CallDispatch& dispatch, Instant now) = 0;
+  // Closes the connection of the send that is under way.
+  virtual void CancelSend() = 0;
+  // Takes one repeat from the shared budget.
+  virtual bool TakeRetry(Instant now) = 0;
+  // Answers the caller; nothing of an answer was relayed before.
+  virtual void Fail(const CallFailure& failure) = 0;
+  // Relays the failure answer at hand.
+  virtual void RelayAnswerAtHand() = 0;
+  // Ends the caller's connection, since part of an answer was relayed.
+  virtual void BreakOff(CallEnd end) = 0;
+  // When a call refused now may come back.
+  virtual Milliseconds RetryAfter(const CallRequest& request, CallEnd end) = 0;
+};
+
+// The course of one call: sends, repeats, resumption and the final word.
+//
+// Deterministic: takes what happened and when, and acts through its ports.
+// Which failures are followed by another send:
+//
+//   known       safe     unsafe   resumable stream
+//   not run     again    again    again
+//   unknown     again    502/504  again, after the last event relayed
+//   ran         again    relayed  again, after the last event relayed
+//
+// Each within the deadline, the route's attempts and the retry budget. Ends
+// are final and said at once.
+// Thread safety: none, owned by the thread of its connection.
+class FleetCall {
+ public:
+  // `ports` must outlive the call.
+  FleetCall(CallRequest request, CallPorts* ports);
+
+  // Sends the call first. Call once.
+  void Start(Instant now);
+
+  // The send under way ended without a good answer.
+  void OnSendFailed(const SendFailure& failure, Instant now);
+
+  // The good answer's head has come; for streams, it is relayed.
+  void OnAnswerBegun(Instant now);
+
+  // An event was relayed to the caller. Ids ascend.
+  void OnEventRelayed(int64_t event_id, Instant now);
+
+  // The good answer is complete and relayed.
+  void OnAnswerComplete();
+
+  // The caller has left.
+  void OnCallerLeft();
+
+  // Called at or after next_check().
+  void OnTime(Instant now);
+
+  // A hop of the path was found dead: leaves the path at once.
+  void OnPathFault(const std::string& target_id, Instant now);
+
+  // Whether the stream has been silent for much longer than its path's usual
+  // pace.
+  bool IsStalled(Instant now) const;
+
+  // When OnTime() is due.
+  Instant next_check() const { return request_.deadline; }
+
+  bool done() const { return done_; }
+  bool relaying() const { return relaying_; }
+  const CallRequest& request() const { return request_; }
+  const CallDispatch& dispatch() const { return dispatch_; }
+  int sends() const { return sends_; }
+  int64_t last_event() const { return last_event_; }
+  RunKnowledge knowledge() const { return knowledge_; }
+  const std::vector<std::string>& excluded() const { return excluded_; }
+
+ private:
+  bool MayRepeat(const SendFailure& failure) const;
+  void SendAgain(const SendFailure& failure, Instant now);
+  void GiveUp(CallEnd end, bool answer_at_hand, Instant now);
+  void Exclude(const SendFailure& failure);
+
+  CallRequest request_;
+  CallPorts* ports_;
+  CallDispatch dispatch_;
+  std::vector<std::string> excluded_;
+  RunKnowledge knowledge_ = RunKnowledge::kNotRun;
+  // Sends in all, and those of them that may have run.
+  int sends_ = 0;
+  int runs_ = 0;
+  bool sending_ = false;
+  bool relaying_ = false;
+  bool done_ = false;
+  int64_t last_event_ = kNoEvent;
+  Instant last_progress_{};
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_FLEET_FLEET_CALL_H_
--- /dev/null
+++ b/modules/bbv_fleet/fleet_call_test.cc
@@ -0,0 +1,187 @@
+#include "bbv_fleet/fleet_call.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+using bbv::CallEnd;
+using bbv::CallFailure;
+using bbv::CallKind;
+using bbv::Instant;
+using bbv::Milliseconds;
+
+namespace {
+
+// Answers a call's actions from a script and keeps what it did.
+class FakePorts final : public bbv::CallPorts {
+ public:
+  std::optional<bbv::CallDispatch> Choose(
+      const bbv::CallRequest&,
+      const std::vector<std::string>& excluded,
+      Instant,
+      CallEnd* end) override {
+    for (const std::string& id : targets) {
+      bool out = false;
+      for (const std::string& it : excluded)
+        out = out || it == id;
+      if (out)
+        continue;
+      bbv::CallDispatch dispatch;
+      dispatch.target_id = id;
+      dispatch.hop_ids = {id, id + "-hop"};
+      dispatch.hop_addresses = {id + ":1", id + "-hop:1"};
+      dispatch.event_ms = 40;
+      return dispatch;
+    }
+    *end = CallEnd::kNoTarget;
+    return std::nullopt;
+  }
+  void Send(const bbv::CallDispatch& dispatch, Instant) override {
+    sent.push_back(dispatch);
+  }
+  void CancelSend() override { ++cancelled; }
+  bool TakeRetry(Instant) override { return retries_left-- > 0; }
+  void Fail(const CallFailure& it) override { failure = it; }
+  void RelayAnswerAtHand() override { ++relayed; }
+  void BreakOff(CallEnd) override { ++broken_off; }
+  Milliseconds RetryAfter(const bbv::CallRequest&, CallEnd) override {
+    return Milliseconds(700);
+  }
+
+  std::vector<std::string> targets = {"a", "b", "c", "d", "e", "f", "g"};
+  int retries_left = 100;
+  std::vector<bbv::CallDispatch> sent;
+  int cancelled = 0;
+  int relayed = 0;
+  int broken_off = 0;
+  std::optional<CallFailure> failure;
+};
+
+}  // namespace
+
+TEST_GROUP(FleetCall) {
+  FakePorts ports;
+  bbv::ServiceRoute route;
+  Instant now = Instant() + Milliseconds(1000);
+
+  bbv::FleetCall Make(CallKind kind, int attempts) {
+    route.kind = kind;
+    route.resumable = kind == CallKind::kStream;
+    route.max_attempts = attempts;
+    bbv::CallRequest request;
+    request.attempt_id = "x";
+    request.route = &route;
+    request.service = "s";
+    request.arrived = now;
+    request.caller_deadline = now + Milliseconds(1500);
+    request.deadline = now + Milliseconds(800);
+    return bbv::FleetCall(request, &ports);
+  }
+};
+
+TEST(FleetCall, UnsafeIsSentOnceWhenItsOutcomeIsUnknown) {
+  auto call = Make(CallKind::kUnsafe, 3);
+  call.Start(now);
+  call.OnSendFailed({CallEnd::kConnectionBroken, false, false, {}}, now);
+  CHECK_EQUAL(1, static_cast<int>(ports.sent.size()));
+  CHECK_EQUAL(502, ports.failure->status);
+  CHECK(!ports.failure->retry_after);
+}
+
+TEST(FleetCall, UnsafeIsSentAgainAfterProofThatItDidNotRun) {
+  auto call = Make(CallKind::kUnsafe, 1);
+  call.Start(now);
+  call.OnSendFailed({CallEnd::kNoRoom, true, false, {}}, now);
+  CHECK_EQUAL(2, static_cast<int>(ports.sent.size()));
+  STRCMP_EQUAL("b", ports.sent[1].target_id.c_str());
+}
+
+TEST(FleetCall, RefusalThatNothingRanSaysWhenToComeBack) {
+  ports.targets = {"a"};
+  auto call = Make(CallKind::kUnsafe, 1);
+  call.Start(now);
+  call.OnSendFailed({CallEnd::kNoRoom, true, false, {}}, now);
+  CHECK_EQUAL(503, ports.failure->status);
+  CHECK(ports.failure->retry_after.has_value());
+}
+
+TEST(FleetCall, UnsafeAtItsDeadlineIsNeverCalledNotRun) {
+  auto call = Make(CallKind::kUnsafe, 1);
+  call.Start(now);
+  call.OnTime(now + Milliseconds(800));
+  CHECK_EQUAL(1, ports.cancelled);
+  CHECK_EQUAL(504, ports.failure->status);
+}
+
+TEST(FleetCall, SafeIsSentAgainWithinItsAttemptsAndThenTheAnswerIsRelayed) {
+  auto call = Make(CallKind::kSafe, 2);
+  call.Start(now);
+  call.OnSendFailed({CallEnd::kBadAnswer, false, true, {}}, now);
+  CHECK_EQUAL(2, static_cast<int>(ports.sent.size()));
+  call.OnSendFailed({CallEnd::kBadAnswer, false, true, {}}, now);
+  CHECK_EQUAL(2, static_cast<int>(ports.sent.size()));
+  CHECK_EQUAL(1, ports.relayed);
+}
+
+TEST(FleetCall, RepeatsStopWhenTheBudgetIsSpent) {
+  ports.retries_left = 0;
+  auto call = Make(CallKind::kSafe, 2);
+  call.Start(now);
+  call.OnSendFailed({CallEnd::kConnectionBroken, false, false, {}}, now);
+  CHECK_EQUAL(1, static_cast<int>(ports.sent.size()));
+  CHECK(ports.failure->end == CallEnd::kRetryBudgetSpent);
+}
+
+TEST(FleetCall, AStreamGoesOnElsewhereAfterItsLastEvent) {
+  auto call = Make(CallKind::kStream, 2);
+  call.Start(now);
+  call.OnAnswerBegun(now);
+  call.OnEventRelayed(7, now);
+  call.OnSendFailed({CallEnd::kConnectionBroken, false, false, {}}, now);
+  CHECK_EQUAL(2, static_cast<int>(ports.sent.size()));
+  CHECK_EQUAL(7, static_cast<int>(ports.sent[1].last_event));
+  CHECK(!ports.failure);
+}
+
+TEST(FleetCall, AStreamLeavesAPathWhoseHopDied) {
+  auto call = Make(CallKind::kStream, 2);
+  call.Start(now);
+  call.OnAnswerBegun(now);
+  call.OnEventRelayed(3, now);
+  call.OnPathFault("a-hop", now);
+  CHECK_EQUAL(1, ports.cancelled);
+  CHECK_EQUAL(2, static_cast<int>(ports.sent.size()));
+  CHECK_EQUAL(3, static_cast<int>(ports.sent[1].last_event));
+}
+
+TEST(FleetCall, AStreamThatCannotGoOnIsBrokenOffAndNotEnded) {
+  auto call = Make(CallKind::kStream, 1);
+  route.resumable = false;
+  call.Start(now);
+  call.OnAnswerBegun(now);
+  call.OnEventRelayed(3, now);
+  call.OnSendFailed({CallEnd::kConnectionBroken, false, false, {}}, now);
+  CHECK_EQUAL(1, ports.broken_off);
+  CHECK(!ports.failure);
+}
+
+TEST(FleetCall, NothingIsSentOnceTheCallerHasLeft) {
+  auto call = Make(CallKind::kStream, 2);
+  call.Start(now);
+  call.OnCallerLeft();
+  CHECK_EQUAL(1, ports.cancelled);
+  call.OnSendFailed({CallEnd::kConnectionBroken, false, false, {}}, now);
+  call.OnPathFault("a", now);
+  CHECK_EQUAL(1, static_cast<int>(ports.sent.size()));
+}
+
+TEST(FleetCall, SilenceIsNoticedAgainstThePathsPace) {
+  auto call = Make(CallKind::kStream, 2);
+  call.Start(now);
+  call.OnAnswerBegun(now);
+  call.OnEventRelayed(3, now);
+  CHECK(!call.IsStalled(now + Milliseconds(200)));
+  CHECK(call.IsStalled(now + Milliseconds(260)));
+}
--- /dev/null
+++ b/modules/bbv_fleet/fleet_configuration.h
@@ -0,0 +1,118 @@
+#ifndef MODULES_BBV_FLEET_FLEET_CONFIGURATION_H_
+#define MODULES_BBV_FLEET_FLEET_CONFIGURATION_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "bbv_core/name_table.h"
+
+namespace bbv {
+
+// What may be repeated of a route's calls.
+enum class CallKind : uint8_t {
+  // May run any number of times.
+  kSafe,
+  // Runs at most once.
+  kUnsafe,
+  // A stream of numbered events.
+  kStream,
+};
+inline constexpr NameTable<CallKind, 3> kCallKindNames({"safe", "unsafe",
+                                                        "stream"});
+
+// One service that a route may use and its share of the route's calls.
+struct WeightedService {
+  std::string service;
+  uint32_t weight = 1;
+};
+
+// Where calls under one host and path prefix go, and how.
+struct ServiceRoute {
+  std::string name;
+  std::string host;
+  // Begins and ends with a slash.
+  std::string path_prefix;
+  CallKind kind = CallKind::kUnsafe;
+  // Whether a broken stream may go on at another target after its last event.
+  bool resumable = false;
+  // Whether calls need no key.
+  bool open_to_all = false;
+  int64_t timeout_ms = 0;
+  // Time to the answer, or to the first event, that callers aim for.
+  int64_t objective_ms = 0;
+  int priority = 0;
+  int max_attempts = 1;
+  std::vector<WeightedService> services;
+};
+
+// One kind of accelerator; its factors scale the model's times.
+struct AcceleratorKind {
+  std::string name;
+  double memory_mb = 0;
+  double step_factor = 1;
+  double read_factor = 1;
+};
+
+// What the engines of a service run and how long its parts take.
+struct EngineModel {
+  std::string model;
+  int layers = 0;
+  double layer_mb = 0;
+  // KV cache of one token over all layers.
+  double kv_bytes_per_token = 0;
+  double step_ms = 0;
+  // Loading all layers.
+  double load_ms = 0;
+  int concurrent_loads = 1;
+  double usual_prompt_tokens = 0;
+  double usual_answer_tokens = 0;
+  std::vector<AcceleratorKind> kinds;
+
+  // Returns the kind named `name`, or nullptr. Thread safe.
+  const AcceleratorKind* FindKind(const std::string& name) const {
+    for (const AcceleratorKind& it : kinds) {
+      if (it.name == name)
+        return &it;
+    }
+    return nullptr;
+  }
+};
+
+// A set of interchangeable targets; `engine` is set for model engines.
+struct ServiceDescription {
+  std::string name;
+  int max_connections = 0;
+  std::optional<EngineModel> engine;
+};
+
+// What callers may send and how long they may take.
+struct CallerLimits {
+  std::size_t max_header_bytes = 16384;
+  std::size_t max_body_bytes = 4U << 20U;
+  int64_t header_timeout_ms = 3000;
+  int64_t idle_timeout_ms = 15000;
+};
+
+// Who calls and which keys prove it.
+struct FleetAccount {
+  std::string name;
+  std::vector<std::string> keys;
+  // Goes before the route's priority when set; 0 is first.
+  std::optional<int> priority;
+};
+
+// The whole configuration as the operator stated it last.
+struct FleetConfiguration {
+  uint64_t version = 0;
+  std::vector<ServiceRoute> routes;
+  std::vector<ServiceDescription> services;
+  CallerLimits limits;
+  // Empty when calls need no keys.
+  std::vector<FleetAccount> accounts;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_FLEET_FLEET_CONFIGURATION_H_
--- /dev/null
+++ b/modules/bbv_fleet/fleet_index.cc
@@ -0,0 +1,65 @@
+#include "bbv_fleet/fleet_index.h"
+
+#include <cassert>
+#include <utility>
+
+namespace bbv {
+
+FleetIndex::FleetIndex(FleetConfiguration configuration)
+    : configuration_(std::move(configuration)) {
+  for (const ServiceRoute& it : configuration_.routes)
+    routes_[it.host][it.path_prefix] = &it;
+  for (const FleetAccount& account : configuration_.accounts) {
+    for (const std::string& key : account.keys)
+      accounts_[key] = &account;
+  }
+  for (const ServiceDescription& it : configuration_.services)
+    services_[it.name] = &it;
+}
+
+const ServiceRoute* FleetIndex::FindRoute(std::string_view host,
+                                          std::string_view path) const {
+  const auto prefixes = routes_.find(host);
+  if (prefixes == routes_.end())
+    return nullptr;
+  // Prefixes end with a slash, so only cuts behind a slash can match.
+  std::size_t end = path.rfind('/');
+  while (end != std::string_view::npos) {
+    const auto it = prefixes->second.find(path.substr(0, end + 1));
+    if (it != prefixes->second.end())
+      return it->second;
+    if (end == 0)
+      break;
+    end = path.rfind('/', end - 1);
+  }
+  return nullptr;
+}
+
+const FleetAccount* FleetIndex::FindAccount(std::string_view key) const {
+  const auto it = accounts_.find(key);
+  return it == accounts_.end() ? nullptr : it->second;
+}
+
+const ServiceDescription* FleetIndex::FindService(std::string_view name) const {
+  const auto it = services_.find(name);
+  return it == services_.end() ? nullptr : it->second;
+}
+
+const std::string& FleetIndex::PickService(const ServiceRoute& route,
+                                           uint64_t draw) {
+  assert(!route.services.empty());
+  uint64_t total = 0;
+  for (const WeightedService& it : route.services)
+    total += it.weight;
+  if (total == 0)
+    return route.services.front().service;
+  uint64_t left = draw % total;
+  for (const WeightedService& it : route.services) {
+    if (left < it.weight)
+      return it.service;
+    left -= it.weight;
+  }
+  return route.services.back().service;
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_fleet/fleet_index.h
@@ -0,0 +1,61 @@
+#ifndef MODULES_BBV_FLEET_FLEET_INDEX_H_
+#define MODULES_BBV_FLEET_FLEET_INDEX_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "bbv_fleet/fleet_configuration.h"
+
+namespace bbv {
+
+// One configuration with the look-ups that each call needs.
+//
+// Pointers returned stay valid as long as the index. Thread safety: immutable
+// after construction.
+class FleetIndex {
+ public:
+  explicit FleetIndex(FleetConfiguration configuration);
+  FleetIndex(const FleetIndex&) = delete;
+  FleetIndex& operator=(const FleetIndex&) = delete;
+
+  // Returns the route of `host` with the longest prefix of `path`, or nullptr.
+  const ServiceRoute* FindRoute(std::string_view host,
+                                std::string_view path) const;
+
+  // Returns the account that holds `key`, or nullptr.
+  const FleetAccount* FindAccount(std::string_view key) const;
+
+  // Returns the service named `name`, or nullptr.
+  const ServiceDescription* FindService(std::string_view name) const;
+
+  // Returns the service for a call of `route`, by the services' weights;
+  // `draw` is any number spread evenly. Precondition: the route has a service.
+  static const std::string& PickService(const ServiceRoute& route,
+                                        uint64_t draw);
+
+  const FleetConfiguration& configuration() const { return configuration_; }
+
+ private:
+  struct TextHash {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view text) const {
+      return std::hash<std::string_view>()(text);
+    }
+  };
+  template <typename Value>
+  using TextMap =
+      std::unordered_map<std::string, Value, TextHash, std::equal_to<>>;
+
+  FleetConfiguration configuration_;
+  // Routes of a host, by prefix.
+  TextMap<TextMap<const ServiceRoute*>> routes_;
+  TextMap<const FleetAccount*> accounts_;
+  TextMap<const ServiceDescription*> services_;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_FLEET_FLEET_INDEX_H_
--- /dev/null
+++ b/modules/bbv_fleet/layer_planner.cc
@@ -0,0 +1,322 @@
+#include "bbv_fleet/layer_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <map>
+#include <numeric>
+
+#include "bbv_core/hashing.h"
+
+namespace bbv {
+namespace {
+
+// Mean requests for which a target keeps memory beside its layers.
+constexpr double kLeastRequests = 20;
+constexpr double kBytesInMegabyte = 1e6;
+constexpr double kDefaultRequestTokens = 1000;
+
+double RequestMbPerLayer(const EngineModel& model) {
+  double tokens = model.usual_prompt_tokens + model.usual_answer_tokens;
+  if (tokens <= 0)
+    tokens = kDefaultRequestTokens;
+  return tokens * model.kv_bytes_per_token / model.layers / kBytesInMegabyte;
+}
+
+double MemoryMb(const EngineModel& model, const std::string& accelerator) {
+  const AcceleratorKind* kind = model.FindKind(accelerator);
+  return kind == nullptr ? 0 : kind->memory_mb;
+}
+
+int TotalCapacity(const EngineModel& model,
+                  const std::vector<PlannerTarget>& targets) {
+  int n = 0;
+  for (const PlannerTarget& it : targets)
+    n += LayerPlanner::MaxLayers(model, it.accelerator);
+  return n;
+}
+
+// One group of targets that together hold one copy.
+class CopyPlan {
+ public:
+  // The first `members` targets hold the copy; the others, from zones too
+  // small for one, only double parts of it.
+  CopyPlan(const EngineModel& model,
+           std::vector<PlannerTarget> targets,
+           std::size_t members)
+      : model_(model), targets_(std::move(targets)), members_(members) {
+    wanted_.reserve(targets_.size());
+    for (const PlannerTarget& it : targets_)
+      wanted_.push_back(it.layers);
+  }
+
+  void Compute() {
+    const bool fresh =
+        std::none_of(wanted_.begin(),
+                     wanted_.begin() + static_cast<std::ptrdiff_t>(members_),
+                     [](const auto& it) { return it.has_value(); });
+    if (fresh) {
+      PlaceAfresh(ShuffledOrder());
+    } else {
+      for (std::size_t it = 0; it < members_; ++it) {
+        if (!wanted_[it])
+          FillWithEmptyTarget(it);
+      }
+      ExtendNeighbours();
+      if (FirstGap())
+        PlaceAfresh(OrderByLayers());
+    }
+    for (std::size_t it = 0; it < targets_.size(); ++it) {
+      if (!wanted_[it])
+        FillWithEmptyTarget(it);
+    }
+  }
+
+  void AppendChanges(std::vector<Placement>* changes) const {
+    for (std::size_t it = 0; it < targets_.size(); ++it) {
+      if (wanted_[it] && wanted_[it] != targets_[it].layers)
+        changes->push_back({targets_[it].id, *wanted_[it]});
+    }
+  }
+
+ private:
+  // An order that mixes accelerator kinds, the same on every process.
+  std::vector<std::size_t> ShuffledOrder() const {
+    std::vector<std::size_t> order(members_);
+    std::iota(order.begin(), order.end(), 0);
+    std::sort(order.begin(), order.end(), [this](auto left, auto right) {
+      return HashBytes(targets_[left].id) < HashBytes(targets_[right].id);
+    });
+    return order;
+  }
+
+  // The order in which layers stand now, so that a new division moves little.
+  std::vector<std::size_t> OrderByLayers() const {
+    std::vector<std::size_t> order = ShuffledOrder();
+    std::stable_sort(order.begin(), order.end(), [this](auto left, auto right) {
+      return Middle(left) < Middle(right);
+    });
+    return order;
+  }
+
+  int Middle(std::size_t index) const {
+    const auto& range = targets_[index].layers;
+    return range ? range->from + range->to : model_.layers;
+  }
+
+  // Divides all layers over the targets in `order`, one range each, so that
+  // memory left for requests is alike. Does nothing when they don't fit.
+  void PlaceAfresh(const std::vector<std::size_t>& order) {
+    const std::vector<int> counts = Divide(order);
+    if (std::accumulate(counts.begin(), counts.end(), 0) < model_.layers)
+      return;
+    int at = 0;
+    for (std::size_t it = 0; it < order.size(); ++it) {
+      if (counts[it] == 0)
+        continue;
+      wanted_[order[it]] = LayerRange{at, at + counts[it]};
+      at += counts[it];
+    }
+  }
+
+  std::vector<int> Divide(const std::vector<std::size_t>& order) const {
+    std::vector<int> counts(order.size(), 0);
+    double memory = 0;
+    for (const std::size_t it : order)
+      memory += MemoryMb(model_, targets_[it].accelerator);
+    if (memory <= 0)
+      return counts;
+    int placed = 0;
+    std::vector<double> remainders(order.size(), 0);
+    for (std::size_t it = 0; it < order.size(); ++it) {
+      const double share = model_.layers *
+                           MemoryMb(model_, targets_[order[it]].accelerator) /
+                           memory;
+      counts[it] = std::min(static_cast<int>(share), Capacity(order[it]));
+      remainders[it] = share - counts[it];
+      placed += counts[it];
+    }
+    while (placed < model_.layers) {
+      int best = -1;
+      for (std::size_t it = 0; it < order.size(); ++it) {
+        if (counts[it] >= Capacity(order[it]))
+          continue;
+        if (best < 0 || remainders[it] > remainders[best])
+          best = static_cast<int>(it);
+      }
+      if (best < 0)
+        break;
+      ++counts[best];
+      remainders[best] -= 1;
+      ++placed;
+    }
+    return counts;
+  }
+
+  int Capacity(std::size_t index) const {
+    return LayerPlanner::MaxLayers(model_, targets_[index].accelerator);
+  }
+
+  std::vector<int> Coverage() const {
+    std::vector<int> coverage(model_.layers, 0);
+    for (std::size_t index = 0; index < members_; ++index) {
+      const auto& range = wanted_[index];
+      if (!range)
+        continue;
+      for (int it = range->from; it < std::min(range->to, model_.layers); ++it)
+        ++coverage[it];
+    }
+    return coverage;
+  }
+
+  std::optional<LayerRange> FirstGap() const {
+    const std::vector<int> coverage = Coverage();
+    const auto start = std::find(coverage.begin(), coverage.end(), 0);
+    if (start == coverage.end())
+      return std::nullopt;
+    const auto end =
+        std::find_if(start, coverage.end(), [](int n) { return n > 0; });
+    return LayerRange{static_cast<int>(start - coverage.begin()),
+                      static_cast<int>(end - coverage.begin())};
+  }
+
+  void FillWithEmptyTarget(std::size_t index) {
+    const int capacity = Capacity(index);
+    if (capacity == 0)
+      return;
+    if (const auto gap = FirstGap()) {
+      wanted_[index] =
+          LayerRange{gap->from, std::min(gap->to, gap->from + capacity)};
+      return;
+    }
+    // Doubles the range that has the least memory for requests, cut to fit.
+    const std::size_t weakest = WeakestRange();
+    if (weakest == targets_.size())
+      return;
+    LayerRange range = *wanted_[weakest];
+    range.to = std::min(range.to, range.from + ComfortableLayers(index));
+    wanted_[index] = range;
+  }
+
+  // Layers that leave half of the target's memory to requests.
+  int ComfortableLayers(std::size_t index) const {
+    const double memory = MemoryMb(model_, targets_[index].accelerator);
+    return std::clamp(static_cast<int>(memory / 2 / model_.layer_mb) + 1, 1,
+                      Capacity(index));
+  }
+
+  // The held range with the least memory for requests a layer, counting all
+  // targets that hold its first layer.
+  std::size_t WeakestRange() const {
+    std::size_t weakest = targets_.size();
+    double least = 0;
+    for (std::size_t it = 0; it < targets_.size(); ++it) {
+      if (!wanted_[it])
+        continue;
+      double room = 0;
+      for (std::size_t other = 0; other < targets_.size(); ++other) {
+        const auto& range = wanted_[other];
+        if (!range || range->from > wanted_[it]->from ||
+            range->to <= wanted_[it]->from)
+          continue;
+        const double memory = MemoryMb(model_, targets_[other].accelerator);
+        room += memory / range->size() - model_.layer_mb;
+      }
+      if (weakest == targets_.size() || room < least) {
+        weakest = it;
+        least = room;
+      }
+    }
+    return weakest;
+  }
+
+  // Grows the ranges beside each gap into it while their memory allows.
+  void ExtendNeighbours() {
+    const std::vector<std::optional<LayerRange>> before = wanted_;
+    while (const auto gap = FirstGap()) {
+      if (!GrowInto(*gap)) {
+        wanted_ = before;
+        return;
+      }
+    }
+  }
+
+  bool GrowInto(const LayerRange& gap) {
+    // One layer at a time onto the neighbour with the most room a layer.
+    int best = -1;
+    double most = 0;
+    for (std::size_t it = 0; it < members_; ++it) {
+      const auto& range = wanted_[it];
+      if (!range || (range->to != gap.from && range->from != gap.to))
+        continue;
+      if (range->size() >= Capacity(it))
+        continue;
+      const double room =
+          MemoryMb(model_, targets_[it].accelerator) / (range->size() + 1);
+      if (best < 0 || room > most) {
+        best = static_cast<int>(it);
+        most = room;
+      }
+    }
+    if (best < 0)
+      return false;
+    if (wanted_[best]->to == gap.from)
+      ++wanted_[best]->to;
+    else
+      --wanted_[best]->from;
+    return true;
+  }
+
+  const EngineModel& model_;
+  std::vector<PlannerTarget> targets_;
+  std::size_t members_;
+  std::vector<std::optional<LayerRange>> wanted_;
+};
+
+}  // namespace
+
+int LayerPlanner::MaxLayers(const EngineModel& model,
+                            const std::string& accelerator) {
+  if (model.layers <= 0 || model.layer_mb <= 0)
+    return 0;
+  const double memory = MemoryMb(model, accelerator);
+  const double per_layer =
+      model.layer_mb + kLeastRequests * RequestMbPerLayer(model);
+  return std::min(model.layers, static_cast<int>(memory / per_layer));
+}
+
+std::vector<Placement> LayerPlanner::Plan(
+    const EngineModel& model,
+    const std::vector<PlannerTarget>& targets) {
+  std::vector<Placement> changes;
+  if (model.layers <= 0)
+    return changes;
+  std::map<std::string, std::vector<PlannerTarget>> zones;
+  for (const PlannerTarget& it : targets) {
+    if (MaxLayers(model, it.accelerator) > 0)
+      zones[it.zone].push_back(it);
+  }
+  // Zones that cannot hold a copy share one; a rest too small for that doubles
+  // parts of the first zone's.
+  std::vector<std::vector<PlannerTarget>> groups;
+  std::vector<PlannerTarget> rest;
+  for (auto& [zone, members] : zones) {
+    if (TotalCapacity(model, members) >= model.layers)
+      groups.push_back(std::move(members));
+    else
+      rest.insert(rest.end(), members.begin(), members.end());
+  }
+  if (TotalCapacity(model, rest) >= model.layers || groups.empty())
+    groups.push_back(std::move(rest));
+  for (std::vector<PlannerTarget>& members : groups) {
+    const std::size_t n = members.size();
+    if (&members == &groups.front())
+      members.insert(members.end(), rest.begin(), rest.end());
+    CopyPlan plan(model, std::move(members), n);
+    plan.Compute();
+    plan.AppendChanges(&changes);
+  }
+  return changes;
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_fleet/layer_planner_test.cc
@@ -0,0 +1,157 @@
+#include "bbv_fleet/layer_planner.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "tests/fleet_fixtures.h"
+
+using bbv::EngineModel;
+using bbv::LayerPlanner;
+using bbv::LayerRange;
+using bbv::Placement;
+using bbv::PlannerTarget;
+
+namespace {
+
+using Targets = std::vector<PlannerTarget>;
+
+void Apply(const std::vector<Placement>& changes, Targets* targets) {
+  for (const Placement& change : changes) {
+    for (PlannerTarget& it : *targets) {
+      if (it.id == change.id)
+        it.layers = change.layers;
+    }
+  }
+}
+
+// Whether the targets of `zone` (all when empty) hold every layer.
+bool HoldsCopy(const EngineModel& model,
+               const Targets& targets,
+               const std::string& zone) {
+  std::vector<bool> held(model.layers, false);
+  for (const PlannerTarget& it : targets) {
+    if (!it.layers || (!zone.empty() && it.zone != zone))
+      continue;
+    for (int layer = it.layers->from; layer < it.layers->to; ++layer)
+      held[layer] = true;
+  }
+  for (const bool it : held) {
+    if (!it)
+      return false;
+  }
+  return true;
+}
+
+bool FitsMemory(const EngineModel& model, const Targets& targets) {
+  for (const PlannerTarget& it : targets) {
+    if (it.layers && it.layers->size() * model.layer_mb >
+                         model.FindKind(it.accelerator)->memory_mb)
+      return false;
+  }
+  return true;
+}
+
+int Capacity(const EngineModel& model,
+             const Targets& targets,
+             const std::string& zone) {
+  int n = 0;
+  for (const PlannerTarget& it : targets) {
+    if (zone.empty() || it.zone == zone)
+      n += LayerPlanner::MaxLayers(model, it.accelerator);
+  }
+  return n;
+}
+
+}  // namespace
+
+TEST_GROUP(LayerPlanner){};
+
+TEST(LayerPlanner, GivesEveryZoneOfTheDeploymentACopy) {
+  const EngineModel model = bbv_test::MakeModel();
+  Targets targets = bbv_test::MakeThreeZones();
+  Apply(LayerPlanner::Plan(model, targets), &targets);
+  for (const char* zone : {"a", "b", "c"})
+    CHECK(HoldsCopy(model, targets, zone));
+  CHECK(FitsMemory(model, targets));
+}
+
+TEST(LayerPlanner, ChangesNothingWithoutACause) {
+  const EngineModel model = bbv_test::MakeModel();
+  Targets targets = bbv_test::MakeThreeZones();
+  Apply(LayerPlanner::Plan(model, targets), &targets);
+  CHECK(LayerPlanner::Plan(model, targets).empty());
+}
+
+TEST(LayerPlanner, NeighboursTakeOverWhatAnyLostTargetHeld) {
+  const EngineModel model = bbv_test::MakeModel();
+  Targets placed = bbv_test::MakeThreeZones();
+  Apply(LayerPlanner::Plan(model, placed), &placed);
+  for (std::size_t lost = 0; lost < placed.size(); ++lost) {
+    Targets targets = placed;
+    const std::string zone = targets[lost].zone;
+    targets.erase(targets.begin() + static_cast<int>(lost));
+    Apply(LayerPlanner::Plan(model, targets), &targets);
+    CHECK(HoldsCopy(model, targets, zone));
+    CHECK(FitsMemory(model, targets));
+    CHECK(LayerPlanner::Plan(model, targets).empty());
+  }
+}
+
+TEST(LayerPlanner, ATargetThatReturnsEmptyIsGivenLayers) {
+  const EngineModel model = bbv_test::MakeModel();
+  Targets targets = bbv_test::MakeThreeZones();
+  Apply(LayerPlanner::Plan(model, targets), &targets);
+  targets[3].layers.reset();
+  const auto changes = LayerPlanner::Plan(model, targets);
+  CHECK_EQUAL(1, static_cast<int>(changes.size()));
+  STRCMP_EQUAL(targets[3].id.c_str(), changes[0].id.c_str());
+}
+
+TEST(LayerPlanner, DrawnDeploymentsKeepMemoryAndCopies) {
+  std::mt19937 random(7);
+  for (int run = 0; run < 250; ++run) {
+    EngineModel model = bbv_test::MakeModel();
+    model.layers = 20 + static_cast<int>(random() % 100);
+    model.kinds.clear();
+    const int kinds = 1 + static_cast<int>(random() % 4);
+    for (int it = 0; it < kinds; ++it) {
+      model.kinds.push_back({"k" + std::to_string(it),
+                             8000.0 + static_cast<double>(random() % 72000),
+                             1.0 + static_cast<double>(random() % 16), 1});
+    }
+    Targets targets;
+    const int zones = 1 + static_cast<int>(random() % 5);
+    for (int zone = 0; zone < zones; ++zone) {
+      const int n = 1 + static_cast<int>(random() % 20);
+      for (int it = 0; it < n; ++it) {
+        targets.push_back(
+            {"i-" + std::to_string(random()), "z" + std::to_string(zone),
+             "k" + std::to_string(random() % kinds), std::nullopt});
+      }
+    }
+    Apply(LayerPlanner::Plan(model, targets), &targets);
+    for (int step = 0; step < 6 && targets.size() > 1; ++step) {
+      CHECK(FitsMemory(model, targets));
+      for (int zone = 0; zone < zones; ++zone) {
+        const std::string name = "z" + std::to_string(zone);
+        if (Capacity(model, targets, name) >= model.layers)
+          CHECK(HoldsCopy(model, targets, name));
+      }
+      const auto again = LayerPlanner::Plan(model, targets);
+      if (!again.empty()) {
+        FAIL(("run " + std::to_string(run) + " step " + std::to_string(step) +
+              ": " + again[0].id + " " + std::to_string(again[0].layers.from) +
+              "-" + std::to_string(again[0].layers.to))
+                 .c_str());
+      }
+      targets.erase(targets.begin() +
+                    static_cast<int>(random() % targets.size()));
+      Apply(LayerPlanner::Plan(model, targets), &targets);
+    }
+  }
+}
--- /dev/null
+++ b/modules/bbv_fleet/path_chooser.cc
@@ -0,0 +1,218 @@
+#include "bbv_fleet/path_chooser.h"
+
+#include <algorithm>
+#include <cassert>
+#include <limits>
+#include <map>
+#include <set>
+
+#include "bbv_core/hashing.h"
+
+namespace bbv {
+namespace {
+
+// Milliseconds a token that each hop adds for forwarding.
+constexpr double kHopMs = 0.1;
+// Milliseconds a token by which another zone's path counts as slower, so that
+// it is taken only when the caller's own zone is loaded or broken.
+constexpr double kOtherZoneMs = 8.0;
+// As above, for a hop from one zone to another inside a path.
+constexpr double kCrossingMs = 20.0;
+// How much a target full of requests counts as slower than an empty one.
+constexpr double kFullTargetFactor = 3.0;
+// Share by which equal targets are spread.
+constexpr double kSpread = 0.1;
+constexpr double kBytesInMegabyte = 1e6;
+constexpr double kUnreached = std::numeric_limits<double>::infinity();
+
+}  // namespace
+
+PathChooser::PathChooser(TargetBoard* board) : board_(board) {
+  assert(board != nullptr);
+}
+
+double PathChooser::CapacityTokenLayers(const EngineModel& model,
+                                        const FleetTarget& target) {
+  const AcceleratorKind* kind = model.FindKind(target.record.accelerator);
+  if (kind == nullptr || !target.record.layers || model.layers == 0)
+    return 0;
+  const double free_mb =
+      kind->memory_mb - target.record.layers->size() * model.layer_mb;
+  const double bytes_per_token_layer = model.kv_bytes_per_token / model.layers;
+  if (bytes_per_token_layer <= 0)
+    return kUnreached;
+  return std::max(0.0, free_mb * kBytesInMegabyte / bytes_per_token_layer);
+}
+
+EnginePath PathChooser::Choose(const EngineModel& model,
+                               const PathQuery& query,
+                               Instant now,
+                               PathFailure* failure) const {
+  assert(failure != nullptr);
+  std::map<std::string_view, std::vector<Candidate>> zones;
+  std::vector<Candidate> all;
+  uint64_t draw = query.draw;
+  for (const auto& [id, row] : board_->rows()) {
+    FleetTarget* target = row.get();
+    if (target->record.service != query.service || !target->record.layers ||
+        !board_->IsUsable(*target, now))
+      continue;
+    if (query.excluded != nullptr &&
+        std::find(query.excluded->begin(), query.excluded->end(), id) !=
+            query.excluded->end())
+      continue;
+    const AcceleratorKind* kind = model.FindKind(target->record.accelerator);
+    if (kind == nullptr)
+      continue;
+    const double capacity = CapacityTokenLayers(model, *target);
+    const double used = target->UsedTokenLayers(now);
+    const double load = capacity > 0 ? std::min(1.0, used / capacity) : 1.0;
+    draw = HashPair(draw, all.size());
+    const double spread = 1 + kSpread * static_cast<double>(draw % 1024) / 1024;
+    Candidate candidate;
+    candidate.target = target;
+    candidate.layer_ms = model.step_ms * kind->step_factor * target->Pace(now) /
+                         model.layers *
+                         (1 + (kFullTargetFactor - 1) * load * load) *
+                         (1 + 4 * target->failure_share) * spread;
+    candidate.room_token_layers = capacity - used;
+    const auto zone = zones.try_emplace(target->record.zone).first;
+    candidate.zone = static_cast<int>(std::distance(zones.begin(), zone));
+    zone->second.push_back(candidate);
+    all.push_back(candidate);
+  }
+  EnginePath best;
+  double best_ms = kUnreached;
+  for (const auto& [zone, candidates] : zones) {
+    EnginePath path = SearchOnce(model, candidates, query.tokens, false);
+    const double away = zone == query.zone ? 0 : kOtherZoneMs;
+    if (path.empty() || path.token_ms + away >= best_ms)
+      continue;
+    best_ms = path.token_ms + away;
+    best = std::move(path);
+  }
+  *failure = PathFailure::kNone;
+  if (!best.empty())
+    return best;
+  // Zone numbers of `all` were taken while zones were still being added.
+  for (Candidate& it : all) {
+    it.zone = static_cast<int>(
+        std::distance(zones.begin(), zones.find(it.target->record.zone)));
+  }
+  best = SearchOnce(model, all, query.tokens, true);
+  if (!best.empty())
+    return best;
+  const bool held = !SearchOnce(model, all, 0, true).empty();
+  *failure = held ? PathFailure::kNoRoom : PathFailure::kLayersMissing;
+  return best;
+}
+
+EnginePath PathChooser::SearchOnce(const EngineModel& model,
+                                   const std::vector<Candidate>& candidates,
+                                   double tokens,
+                                   bool across_zones) {
+  EnginePath path =
+      Search(model, candidates, {tokens, across_zones, /*whole_hops=*/false});
+  std::set<const FleetTarget*> seen;
+  for (const Hop& it : path.hops) {
+    if (!seen.insert(it.target).second) {
+      // A target stands in a path once. Hops that end where their targets'
+      // layers end cannot come back to one.
+      return Search(model, candidates,
+                    {tokens, across_zones, /*whole_hops=*/true});
+    }
+  }
+  return path;
+}
+
+EnginePath PathChooser::Search(const EngineModel& model,
+                               const std::vector<Candidate>& candidates,
+                               const SearchLimits& limits) {
+  const bool across_zones = limits.across_zones;
+  // Shortest path over (layer reached, candidate used last), layers ascending.
+  struct Arrival {
+    double cost = kUnreached;
+    int candidate = -1;
+    int from = 0;
+  };
+  const int layers = model.layers;
+  std::vector<char> is_cut(layers + 1, 0);
+  for (const Candidate& it : candidates) {
+    is_cut[std::clamp(it.target->record.layers->from, 0, layers)] = 1;
+    is_cut[std::clamp(it.target->record.layers->to, 0, layers)] = 1;
+  }
+  const int zone_count = [&] {
+    int n = 0;
+    for (const Candidate& it : candidates)
+      n = std::max(n, it.zone + 1);
+    return across_zones ? n : 1;
+  }();
+  // best[layer][zone of the hop that reached it]
+  std::vector<std::vector<Arrival>> best(layers + 1,
+                                         std::vector<Arrival>(zone_count));
+  for (Arrival& it : best[0])
+    it.cost = 0;
+  for (int at = 0; at < layers; ++at) {
+    double cheapest = kUnreached;
+    for (const Arrival& it : best[at])
+      cheapest = std::min(cheapest, it.cost);
+    if (cheapest == kUnreached)
+      continue;
+    for (int index = 0; index < static_cast<int>(candidates.size()); ++index) {
+      const Candidate& it = candidates[index];
+      const LayerRange& held = *it.target->record.layers;
+      if (at < held.from || at >= held.to)
+        continue;
+      const int zone = across_zones ? it.zone : 0;
+      double cost = best[at][zone].cost;
+      if (at > 0)
+        cost = std::min(cost, cheapest + kCrossingMs);
+      if (cost == kUnreached)
+        continue;
+      for (int end = at + 1; end <= std::min(held.to, layers); ++end) {
+        if (!is_cut[end])
+          continue;
+        if (limits.tokens * (end - at) > it.room_token_layers)
+          break;
+        if (limits.whole_hops && end < std::min(held.to, layers))
+          continue;
+        const double total = cost + kHopMs + it.layer_ms * (end - at);
+        Arrival& arrival = best[end][zone];
+        if (total >= arrival.cost)
+          continue;
+        arrival = {total, index, at};
+      }
+    }
+  }
+  EnginePath path;
+  int zone = 0;
+  for (int it = 1; it < zone_count; ++it) {
+    if (best[layers][it].cost < best[layers][zone].cost)
+      zone = it;
+  }
+  if (best[layers][zone].cost == kUnreached)
+    return path;
+  path.token_ms = best[layers][zone].cost;
+  int at = layers;
+  while (at > 0) {
+    // The arrival's hop began either in the same zone or after a crossing.
+    const Arrival& arrival = best[at][zone];
+    const Candidate& it = candidates[arrival.candidate];
+    path.hops.push_back({it.target, {arrival.from, at}});
+    at = arrival.from;
+    if (at == 0)
+      break;
+    int previous = zone;
+    for (int other = 0; other < zone_count; ++other) {
+      const double crossing = other == zone ? 0 : kCrossingMs;
+      const double kept = previous == zone ? 0 : kCrossingMs;
+      if (best[at][other].cost + crossing < best[at][previous].cost + kept)
+        previous = other;
+    }
+    zone = previous;
+  }
+  std::reverse(path.hops.begin(), path.hops.end());
+  return path;
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_fleet/path_chooser.h
@@ -0,0 +1,106 @@
+#ifndef MODULES_BBV_FLEET_PATH_CHOOSER_H_
+#define MODULES_BBV_FLEET_PATH_CHOOSER_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "bbv_core/instant.h"
+#include "bbv_fleet/fleet_configuration.h"
+#include "bbv_fleet/target_board.h"
+
+namespace bbv {
+
+// One target of a path and the layers that it runs there.
+struct Hop {
+  FleetTarget* target = nullptr;
+  LayerRange layers;
+};
+
+// Targets that run every layer once and in order.
+struct EnginePath {
+  std::vector<Hop> hops;
+  // Expected milliseconds a token.
+  double token_ms = 0;
+
+  bool empty() const { return hops.empty(); }
+};
+
+// What a path is wanted for.
+struct PathQuery {
+  std::string_view service;
+  // Zone of the caller; paths there are preferred.
+  std::string_view zone;
+  // Tokens that every hop must have room for.
+  double tokens = 0;
+  // Targets to keep out, after failures of this call.
+  const std::vector<std::string>* excluded = nullptr;
+  // Any number spread evenly; breaks ties so that entries do not herd.
+  uint64_t draw = 0;
+};
+
+// Why no path was found.
+enum class PathFailure : uint8_t {
+  kNone,
+  // Some layer is held by no usable target.
+  kLayersMissing,
+  // Every path lacks room at some hop.
+  kNoRoom,
+};
+
+// Finds the path of least expected time for a call over targets that hold the
+// layers now.
+//
+// A path stays inside one availability zone where one can: activations of every
+// token cross each hop. Crossing paths are used only when no zone holds all
+// layers. Answers the load of days on which a zone has lost part of its layers:
+// whole calls move to other zones while their memory lasts.
+// Deterministic. Thread safety: none, owned by the board's thread.
+class PathChooser {
+ public:
+  // `board` must outlive the chooser.
+  explicit PathChooser(TargetBoard* board);
+
+  // Returns the best path, empty with `failure` set when there is none.
+  // Precondition: `failure` is not null.
+  EnginePath Choose(const EngineModel& model,
+                    const PathQuery& query,
+                    Instant now,
+                    PathFailure* failure) const;
+
+  // Tokens times layers that `target` can hold beside its layers.
+  static double CapacityTokenLayers(const EngineModel& model,
+                                    const FleetTarget& target);
+
+ private:
+  struct Candidate {
+    FleetTarget* target = nullptr;
+    int zone = 0;
+    double layer_ms = 0;
+    double room_token_layers = 0;
+  };
+
+  // What one search may use.
+  struct SearchLimits {
+    double tokens = 0;
+    bool across_zones = false;
+    // Whether each hop runs to the end of its target's layers.
+    bool whole_hops = false;
+  };
+
+  // Returns the shortest path on which each target stands once.
+  static EnginePath SearchOnce(const EngineModel& model,
+                               const std::vector<Candidate>& candidates,
+                               double tokens,
+                               bool across_zones);
+  static EnginePath Search(const EngineModel& model,
+                           const std::vector<Candidate>& candidates,
+                           const SearchLimits& limits);
+
+  TargetBoard* board_;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_FLEET_PATH_CHOOSER_H_
--- /dev/null
+++ b/modules/bbv_fleet/path_chooser_test.cc
@@ -0,0 +1,136 @@
+#include "bbv_fleet/path_chooser.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <set>
+#include <string>
+
+#include "tests/fleet_fixtures.h"
+
+using bbv::EnginePath;
+using bbv::FleetTarget;
+using bbv::Instant;
+using bbv::PathFailure;
+using bbv::PathQuery;
+
+TEST_GROUP(PathChooser) {
+  bbv::EngineModel model = bbv_test::MakeModel();
+  bbv::TargetBoard board;
+  bbv::PathChooser chooser{&board};
+  Instant now{};
+  PathFailure failure = PathFailure::kNone;
+
+  void setup() override {
+    now = Instant() + bbv::Milliseconds(1000);
+    bbv_test::ListThreeZones(&board, now);
+  }
+
+  EnginePath Choose(const char* zone, uint64_t draw) {
+    PathQuery query;
+    query.service = "engine";
+    query.zone = zone;
+    query.tokens = 900;
+    query.draw = draw;
+    return chooser.Choose(model, query, now, &failure);
+  }
+
+  // Every layer once, in order, on targets that hold it, each target once.
+  void CheckWhole(const EnginePath& path) {
+    int at = 0;
+    std::set<const FleetTarget*> seen;
+    for (const bbv::Hop& it : path.hops) {
+      CHECK_EQUAL(at, it.layers.from);
+      CHECK(it.target->record.layers->Holds(it.layers));
+      CHECK(seen.insert(it.target).second);
+      at = it.layers.to;
+    }
+    CHECK_EQUAL(model.layers, at);
+  }
+
+  std::set<std::string> ZonesOf(const EnginePath& path) {
+    std::set<std::string> zones;
+    for (const bbv::Hop& it : path.hops)
+      zones.insert(it.target->record.zone);
+    return zones;
+  }
+};
+
+TEST(PathChooser, StaysInTheCallersZone) {
+  for (uint64_t draw = 0; draw < 50; ++draw) {
+    const EnginePath path = Choose("b", draw);
+    CheckWhole(path);
+    CHECK(ZonesOf(path) == std::set<std::string>{"b"});
+  }
+}
+
+TEST(PathChooser, LeavesAZoneThatLostATarget) {
+  for (const auto& [id, row] : board.rows()) {
+    if (row->record.zone == "b") {
+      board.Suspect(board.Find(id), now);
+      break;
+    }
+  }
+  const EnginePath path = Choose("b", 1);
+  CheckWhole(path);
+  CHECK(!ZonesOf(path).contains("b"));
+  CHECK_EQUAL(1, static_cast<int>(ZonesOf(path).size()));
+}
+
+TEST(PathChooser, CrossesZonesOnlyWhenNoneHoldsAllLayers) {
+  std::set<std::string> broken;
+  for (const auto& [id, row] : board.rows()) {
+    // One target of each zone, each with other layers.
+    const auto& layers = *row->record.layers;
+    const bool wanted =
+        (row->record.zone == "a" && layers.from == 0) ||
+        (row->record.zone == "b" && layers.to == model.layers) ||
+        (row->record.zone == "c" && layers.Holds({39, 40}));
+    if (wanted && broken.insert(row->record.zone).second)
+      board.Suspect(board.Find(id), now);
+  }
+  CHECK_EQUAL(3, static_cast<int>(broken.size()));
+  const EnginePath path = Choose("a", 1);
+  CheckWhole(path);
+  CHECK(ZonesOf(path).size() > 1);
+}
+
+TEST(PathChooser, SaysWhetherRoomOrLayersLack) {
+  PathQuery query;
+  query.service = "engine";
+  query.zone = "a";
+  query.tokens = 1e9;
+  CHECK(chooser.Choose(model, query, now, &failure).empty());
+  CHECK(failure == PathFailure::kNoRoom);
+  std::vector<std::string> ids;
+  for (const auto& [id, row] : board.rows()) {
+    if (row->record.layers->from == 0)
+      ids.push_back(id);
+  }
+  for (const std::string& id : ids)
+    board.Remove(id);
+  query.tokens = 1;
+  CHECK(chooser.Choose(model, query, now, &failure).empty());
+  CHECK(failure == PathFailure::kLayersMissing);
+}
+
+TEST(PathChooser, MovesToAnotherZoneBeforeMemoryIsFull) {
+  // Plays the load of a zone whose callers hold ever more streams: all are
+  // placed with room, and other zones take what this one cannot.
+  int placed = 0;
+  std::set<std::string> zones;
+  while (true) {
+    const EnginePath path = Choose("c", static_cast<uint64_t>(placed));
+    if (path.empty())
+      break;
+    for (const bbv::Hop& it : path.hops) {
+      it.target->own_token_layers += 900.0 * it.layers.size();
+      CHECK(it.target->own_token_layers <=
+            bbv::PathChooser::CapacityTokenLayers(model, *it.target));
+    }
+    zones.merge(ZonesOf(path));
+    ++placed;
+  }
+  CHECK(failure == PathFailure::kNoRoom);
+  CHECK_EQUAL(3, static_cast<int>(zones.size()));
+  CHECK(placed > 500);
+}
--- /dev/null
+++ b/modules/bbv_fleet/shared_retry_budget.h
@@ -0,0 +1,56 @@
+#ifndef MODULES_BBV_FLEET_SHARED_RETRY_BUDGET_H_
+#define MODULES_BBV_FLEET_SHARED_RETRY_BUDGET_H_
+
+#include <cstdint>
+#include <deque>
+
+#include "bbv_core/instant.h"
+
+namespace bbv {
+
+// One entry's part of the bound on repeated sends to a service: in any window,
+// at most `ratio` of the calls of that window and a fixed number beside.
+//
+// The fixed number is divided by the entries that share it, so that the sum
+// over all entries keeps the bound also while they cannot talk.
+// Thread safety: none, owned by one thread.
+class SharedRetryBudget {
+ public:
+  struct Limits {
+    double ratio = 0;
+    double extra = 0;
+    Milliseconds window{10'000};
+  };
+
+  explicit SharedRetryBudget(Limits limits);
+
+  // Sets how many entries share the fixed number. Precondition: above 0.
+  void SetEntries(int entries);
+
+  // Counts a call's first send.
+  void RecordCall(Instant now);
+
+  // Takes one repeat; false when the window's budget is spent.
+  bool TryTake(Instant now);
+
+  // Repeats left at `now`.
+  double Available(Instant now);
+
+ private:
+  // Calls and repeats of one slice of the window.
+  struct Slice {
+    Instant start;
+    uint32_t calls = 0;
+    uint32_t repeats = 0;
+  };
+
+  Slice& CurrentSlice(Instant now);
+
+  Limits limits_;
+  int entries_ = 1;
+  std::deque<Slice> slices_;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_FLEET_SHARED_RETRY_BUDGET_H_
--- /dev/null
+++ b/modules/bbv_fleet/target_board.cc
@@ -0,0 +1,207 @@
+#include "bbv_fleet/target_board.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace bbv {
+namespace {
+
+// First and longest time for which a suspected target takes no calls.
+constexpr Milliseconds kFirstSuspicion{600};
+constexpr Milliseconds kLongestSuspicion{5000};
+constexpr int kLongestStreak = 4;
+// Weight of the newest call in the moving averages.
+constexpr double kAverageWeight = 0.1;
+// For how long a report is believed.
+constexpr Milliseconds kReportLifetime{2500};
+// For how long a report's layers go before those of the list, which lags.
+constexpr Milliseconds kReportedLayersLead{2000};
+constexpr double kSlowPace = 2.5;
+
+bool SameButHeartbeat(const TargetRecord& left, const TargetRecord& right) {
+  return left.service == right.service && left.address == right.address &&
+         left.zone == right.zone && left.accelerator == right.accelerator &&
+         left.slots == right.slots && left.leaving == right.leaving &&
+         left.layers == right.layers &&
+         left.started_unix_ms == right.started_unix_ms;
+}
+
+}  // namespace
+
+bool TargetBoard::Apply(const TargetRecord& record, Instant now) {
+  std::unique_ptr<FleetTarget>& row = rows_[record.id];
+  const bool added = row == nullptr;
+  if (added)
+    row = std::make_unique<FleetTarget>();
+  const bool restarted =
+      !added && row->record.started_unix_ms != record.started_unix_ms;
+  const bool changed = added || !SameButHeartbeat(row->record, record);
+  if (!added && row->record.address != record.address) {
+    const auto it = by_address_.find(row->record.address);
+    if (it != by_address_.end() && it->second == row.get())
+      by_address_.erase(it);
+  }
+  const std::optional<LayerRange> reported = row->record.layers;
+  const bool reported_lately =
+      !added && !restarted && now < row->reported_at + kReportedLayersLead;
+  row->record = record;
+  if (reported_lately)
+    row->record.layers = reported;
+  row->listed_at = now;
+  by_address_[record.address] = row.get();
+  if (restarted) {
+    row->fault_streak = 0;
+    row->failure_share = 0;
+    row->health = TargetHealth::kGood;
+    row->suspected_until = {};
+  }
+  if (record.leaving) {
+    row->health = TargetHealth::kLeaving;
+  } else if (row->health == TargetHealth::kSuspected &&
+             now >= row->suspected_until &&
+             record.heartbeat != row->suspected_heartbeat) {
+    row->health = TargetHealth::kGood;
+    ++revision_;
+  } else if (row->health == TargetHealth::kLeaving) {
+    row->health = TargetHealth::kGood;
+  }
+  if (changed)
+    ++revision_;
+  return changed;
+}
+
+bool TargetBoard::Remove(std::string_view id) {
+  const auto it = rows_.find(id);
+  if (it == rows_.end())
+    return false;
+  const auto address = by_address_.find(it->second->record.address);
+  if (address != by_address_.end() && address->second == it->second.get())
+    by_address_.erase(address);
+  rows_.erase(it);
+  ++revision_;
+  return true;
+}
+
+std::vector<std::string> TargetBoard::RemoveUnlistedSince(Instant since) {
+  std::vector<std::string> removed;
+  for (const auto& [id, row] : rows_) {
+    if (row->listed_at < since)
+      removed.push_back(id);
+  }
+  for (const std::string& id : removed)
+    Remove(id);
+  return removed;
+}
+
+FleetTarget* TargetBoard::Find(std::string_view id) {
+  const auto it = rows_.find(id);
+  return it == rows_.end() ? nullptr : it->second.get();
+}
+
+const FleetTarget* TargetBoard::Find(std::string_view id) const {
+  const auto it = rows_.find(id);
+  return it == rows_.end() ? nullptr : it->second.get();
+}
+
+FleetTarget* TargetBoard::FindAddress(std::string_view address) {
+  const auto it = by_address_.find(std::string(address));
+  return it == by_address_.end() ? nullptr : it->second;
+}
+
+Instant TargetBoard::Suspect(FleetTarget* target, Instant now) {
+  assert(target != nullptr);
+  // Several calls fail together when one target does; they count once.
+  if (target->health == TargetHealth::kSuspected &&
+      now < target->suspected_until)
+    return target->suspected_until;
+  const auto pause = std::min<Milliseconds>(
+      kLongestSuspicion, kFirstSuspicion * (1 << target->fault_streak));
+  target->fault_streak = std::min(target->fault_streak + 1, kLongestStreak);
+  target->suspected_until = now + pause;
+  target->suspected_heartbeat = target->record.heartbeat;
+  if (target->health != TargetHealth::kLeaving)
+    target->health = TargetHealth::kSuspected;
+  ++revision_;
+  return target->suspected_until;
+}
+
+void TargetBoard::RecordOutcome(FleetTarget* target,
+                                bool failed,
+                                double answer_ms) {
+  assert(target != nullptr);
+  target->failure_share +=
+      kAverageWeight * ((failed ? 1.0 : 0.0) - target->failure_share);
+  if (failed)
+    return;
+  target->fault_streak = 0;
+  if (target->answer_ms == 0)
+    target->answer_ms = answer_ms;
+  target->answer_ms += kAverageWeight * (answer_ms - target->answer_ms);
+}
+
+bool TargetBoard::IsUsable(const FleetTarget& target, Instant now) const {
+  if (target.health == TargetHealth::kGood)
+    return true;
+  if (target.health == TargetHealth::kLeaving)
+    return false;
+  // Without a heartbeat since, it stays out for the longest pause, so that a
+  // target is tried again also while the list is not to be had.
+  const bool heard = target.record.heartbeat != target.suspected_heartbeat;
+  return heard ? now >= target.suspected_until
+               : now >= target.suspected_until + kLongestSuspicion;
+}
+
+bool TargetBoard::IsSlow(const FleetTarget& target, Instant now) {
+  return target.Pace(now) >= kSlowPace;
+}
+
+bool TargetBoard::ApplyReport(std::string_view id,
+                              const EngineLoadReport& report,
+                              Instant at) {
+  FleetTarget* target = Find(id);
+  if (target == nullptr || at <= target->reported_at ||
+      report.started_unix_ms != target->record.started_unix_ms)
+    return false;
+  target->report = report;
+  target->reported_at = at;
+  if (target->record.layers == report.layers)
+    return false;
+  target->record.layers = report.layers;
+  ++revision_;
+  return true;
+}
+
+void TargetBoard::SetPeerLoad(const std::string& peer,
+                              std::vector<PeerLoad> loads) {
+  if (loads.empty())
+    peers_.erase(peer);
+  else
+    peers_[peer] = std::move(loads);
+  for (const auto& [id, row] : rows_) {
+    row->peer_calls = 0;
+    row->peer_token_layers = 0;
+  }
+  for (const auto& [name, list] : peers_) {
+    for (const PeerLoad& it : list) {
+      FleetTarget* target = Find(it.target_id);
+      if (target == nullptr)
+        continue;
+      target->peer_calls += it.calls;
+      target->peer_token_layers += it.token_layers;
+    }
+  }
+}
+
+double FleetTarget::Pace(Instant now) const {
+  return now < reported_at + kReportLifetime ? std::max(1.0, report.pace) : 1.0;
+}
+
+double FleetTarget::UsedTokenLayers(Instant now) const {
+  const double known = own_token_layers + peer_token_layers;
+  return now < reported_at + kReportLifetime
+             ? std::max(known, report.used_token_layers)
+             : known;
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_fleet/target_board.h
@@ -0,0 +1,174 @@
+#ifndef MODULES_BBV_FLEET_TARGET_BOARD_H_
+#define MODULES_BBV_FLEET_TARGET_BOARD_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "bbv_core/instant.h"
+#include "bbv_core/name_table.h"
+
+namespace bbv {
+
+// Layers [from, to) of a model.
+struct LayerRange {
+  int from = 0;
+  int to = 0;
+
+  int size() const { return to - from; }
+  bool Holds(const LayerRange& other) const {
+    return from <= other.from && other.to <= to;
+  }
+  bool operator==(const LayerRange&) const = default;
+};
+
+// What a target says of itself in the list.
+struct TargetRecord {
+  std::string id;
+  std::string service;
+  // "ip:port".
+  std::string address;
+  std::string zone;
+  // The accelerator's kind; empty for plain services.
+  std::string accelerator;
+  int slots = 0;
+  bool leaving = false;
+  // Empty when it holds no layers.
+  std::optional<LayerRange> layers;
+  // Unix milliseconds of its start; tells a restart under the same id.
+  int64_t started_unix_ms = 0;
+  // Counts the target's heartbeats within one start.
+  int64_t heartbeat = 0;
+};
+
+// What an engine said of its load.
+struct EngineLoadReport {
+  // How many times slower than usual it runs.
+  double pace = 1;
+  int active = 0;
+  int queued = 0;
+  // Tokens times layers in its memory that cannot yield.
+  double used_token_layers = 0;
+  std::optional<LayerRange> layers;
+  int64_t started_unix_ms = 0;
+};
+
+// Calls that another entry has under way at a target.
+struct PeerLoad {
+  std::string target_id;
+  int calls = 0;
+  double token_layers = 0;
+};
+
+// What direct evidence says about a target, beside the list.
+enum class TargetHealth : uint8_t {
+  kGood,
+  // Taken out until a deadline after failures of its own.
+  kSuspected,
+  // Takes no new calls.
+  kLeaving,
+};
+inline constexpr NameTable<TargetHealth, 3> kTargetHealthNames({"good",
+                                                                "suspected",
+                                                                "leaving"});
+
+// One row: the record, the load and the evidence of this process and its
+// peers.
+struct FleetTarget {
+  TargetRecord record;
+  TargetHealth health = TargetHealth::kGood;
+  Instant suspected_until{};
+  // Heartbeat and start seen when it was suspected; a later one speaks for it.
+  int64_t suspected_heartbeat = -1;
+  Instant listed_at{};
+  int fault_streak = 0;
+  // Share of recent calls that failed, as a moving average.
+  double failure_share = 0;
+  // Milliseconds of recent calls, as a moving average; 0 before the first.
+  double answer_ms = 0;
+
+  // Calls that this process has under way there.
+  int own_calls = 0;
+  // Tokens times layers of this process's calls there.
+  double own_token_layers = 0;
+  // The same two, summed over the other entries.
+  int peer_calls = 0;
+  double peer_token_layers = 0;
+  // The last report and when it was true.
+  EngineLoadReport report;
+  Instant reported_at{};
+
+  // How many times slower than usual it runs, 1 when that is not known.
+  double Pace(Instant now) const;
+  // Tokens times layers in use, by what is known here and what it said.
+  double UsedTokenLayers(Instant now) const;
+};
+
+// The table of targets and the evidence about them.
+//
+// Deterministic; reads no clock. Thread safety: none, owned by one thread.
+class TargetBoard {
+ public:
+  // Takes a listed record. Returns true when anything but its heartbeat
+  // changed.
+  bool Apply(const TargetRecord& record, Instant now);
+
+  // Takes a target off the list. Returns false when it was not on it.
+  bool Remove(std::string_view id);
+
+  // Removes every target that was not listed since `since`.
+  std::vector<std::string> RemoveUnlistedSince(Instant since);
+
+  // Returns the row of `id`, or nullptr.
+  FleetTarget* Find(std::string_view id);
+  const FleetTarget* Find(std::string_view id) const;
+
+  // Returns the row whose address is `address`, or nullptr.
+  FleetTarget* FindAddress(std::string_view address);
+
+  // A target did not do its part: refused connections, a stall, silence.
+  // It takes no calls until the time given back.
+  Instant Suspect(FleetTarget* target, Instant now);
+
+  // Takes what a target said `at` of its load; older reports and those of
+  // another start are left out. Returns whether its layers changed.
+  bool ApplyReport(std::string_view id,
+                   const EngineLoadReport& report,
+                   Instant at);
+
+  // Replaces what `peer` has under way; an empty list when it is gone.
+  void SetPeerLoad(const std::string& peer, std::vector<PeerLoad> loads);
+
+  // A call at `target` ended; `answer_ms` is ignored when it failed.
+  void RecordOutcome(FleetTarget* target, bool failed, double answer_ms);
+
+  // Whether `target` may take calls at `now`.
+  bool IsUsable(const FleetTarget& target, Instant now) const;
+
+  // Whether `target` runs so slowly that its layers are better held elsewhere.
+  static bool IsSlow(const FleetTarget& target, Instant now);
+
+  // Rows by id. Pointers stay valid until the row is removed.
+  const std::map<std::string, std::unique_ptr<FleetTarget>, std::less<>>& rows()
+      const {
+    return rows_;
+  }
+
+  // Counts changes of list or health, so that others know when to look again.
+  uint64_t revision() const { return revision_; }
+
+ private:
+  std::map<std::string, std::unique_ptr<FleetTarget>, std::less<>> rows_;
+  std::unordered_map<std::string, FleetTarget*> by_address_;
+  std::map<std::string, std::vector<PeerLoad>> peers_;
+  uint64_t revision_ = 0;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_FLEET_TARGET_BOARD_H_
--- /dev/null
+++ b/modules/bbv_fleet/target_board_test.cc
@@ -0,0 +1,112 @@
+#include "bbv_fleet/target_board.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "bbv_fleet/fleet_index.h"
+#include "bbv_fleet/shared_retry_budget.h"
+#include "tests/fleet_fixtures.h"
+
+using bbv::Instant;
+using bbv::Milliseconds;
+
+TEST_GROUP(TargetBoard) {
+  bbv::TargetBoard board;
+  Instant now = Instant() + Milliseconds(1000);
+  bbv::TargetRecord record = bbv_test::MakeRecord("t", "s", "a");
+
+  void setup() override {
+    board.Apply(record, now);
+  }
+  bool Usable(Milliseconds after) {
+    return board.IsUsable(*board.Find("t"), now + after);
+  }
+};
+
+TEST(TargetBoard, ASuspectedTargetReturnsWithALaterHeartbeat) {
+  board.Suspect(board.Find("t"), now);
+  CHECK(!Usable(Milliseconds(700)));
+  ++record.heartbeat;
+  board.Apply(record, now + Milliseconds(650));
+  CHECK(Usable(Milliseconds(700)));
+}
+
+TEST(TargetBoard, AListOutageDoesNotKeepASuspectedTargetOutForEver) {
+  board.Suspect(board.Find("t"), now);
+  CHECK(!Usable(Milliseconds(3000)));
+  CHECK(Usable(Milliseconds(6000)));
+}
+
+TEST(TargetBoard, SuspicionsInARowLastLonger) {
+  const Instant first = board.Suspect(board.Find("t"), now);
+  ++record.heartbeat;
+  board.Apply(record, first);
+  const Instant second = board.Suspect(board.Find("t"), first);
+  CHECK(second - first > first - now);
+}
+
+TEST(TargetBoard, ALeavingTargetTakesNoCalls) {
+  record.leaving = true;
+  board.Apply(record, now);
+  CHECK(!Usable(Milliseconds(0)));
+}
+
+TEST(TargetBoard, ARestartUnderTheSameIdClearsTheEvidence) {
+  board.Suspect(board.Find("t"), now);
+  record.started_unix_ms = 2;
+  board.Apply(record, now);
+  CHECK(Usable(Milliseconds(0)));
+}
+
+TEST(TargetBoard, WhatIsNotListedAgainIsRemoved) {
+  board.Apply(bbv_test::MakeRecord("u", "s", "a"), now + Milliseconds(10));
+  const auto removed = board.RemoveUnlistedSince(now + Milliseconds(5));
+  CHECK_EQUAL(1, static_cast<int>(removed.size()));
+  CHECK(board.Find("t") == nullptr);
+  CHECK(board.Find("u") != nullptr);
+}
+
+TEST_GROUP(FleetIndex){};
+
+TEST(FleetIndex, TheLongestPrefixOfTheHostWins) {
+  bbv::FleetConfiguration configuration;
+  for (const char* prefix : {"/", "/a/", "/a/b/"}) {
+    bbv::ServiceRoute route;
+    route.host = "h";
+    route.path_prefix = prefix;
+    route.services = {{"s", 1}};
+    configuration.routes.push_back(route);
+  }
+  const bbv::FleetIndex index(configuration);
+  STRCMP_EQUAL("/a/b/", index.FindRoute("h", "/a/b/c")->path_prefix.c_str());
+  STRCMP_EQUAL("/a/", index.FindRoute("h", "/a/bc")->path_prefix.c_str());
+  STRCMP_EQUAL("/", index.FindRoute("h", "/x")->path_prefix.c_str());
+  CHECK(index.FindRoute("other", "/a/b/c") == nullptr);
+}
+
+TEST(FleetIndex, WeightsDivideTheCalls) {
+  bbv::ServiceRoute route;
+  route.services = {{"s", 9}, {"t", 1}};
+  int second = 0;
+  for (uint64_t draw = 0; draw < 100; ++draw)
+    second += bbv::FleetIndex::PickService(route, draw) == "t" ? 1 : 0;
+  CHECK_EQUAL(10, second);
+}
+
+TEST_GROUP(SharedRetryBudget){};
+
+TEST(SharedRetryBudget, KeepsTheBoundInEveryWindowSummedOverEntries) {
+  constexpr int kEntries = 4;
+  constexpr double kExtra = 196;
+  bbv::SharedRetryBudget budget({0.2, kExtra, Milliseconds(10'000)});
+  budget.SetEntries(kEntries);
+  Instant now = Instant() + Milliseconds(1000);
+  int taken = 0;
+  for (int it = 0; it < 1000; ++it) {
+    if (it % 10 == 0)
+      budget.RecordCall(now);
+    taken += budget.TryTake(now) ? 1 : 0;
+    now += Milliseconds(10);
+  }
+  CHECK(taken <= 0.2 * 100 + kExtra / kEntries);
+  CHECK(taken >= 0.7 * (0.2 * 100 + kExtra / kEntries));
+}
--- /dev/null
+++ b/modules/bbv_fleet/target_selector.cc
@@ -0,0 +1,150 @@
+#include "bbv_fleet/target_selector.h"
+
+#include <algorithm>
+#include <cassert>
+#include <limits>
+#include <utility>
+
+namespace bbv {
+namespace {
+
+// Tokens that an event of a stream holds.
+constexpr double kTokensPerEvent = 2;
+// Expected work of a plain call before any was seen.
+constexpr double kUnknownAnswerMs = 50;
+// Added for targets in another zone.
+constexpr double kOtherZoneMs = 2;
+// How much a failing target counts as slower.
+constexpr double kFailureFactor = 6;
+// Calls that may wait at a plain target beyond its slots.
+constexpr int kWaitingAtTarget = 3;
+
+bool Contains(const std::vector<std::string>& list, const std::string& id) {
+  return std::find(list.begin(), list.end(), id) != list.end();
+}
+
+}  // namespace
+
+TargetSelector::TargetSelector(TargetBoard* board, std::string zone)
+    : board_(board), zone_(std::move(zone)), paths_(board) {
+  assert(board != nullptr);
+}
+
+std::optional<CallDispatch> TargetSelector::Select(
+    const FleetIndex& index,
+    const CallRequest& request,
+    const std::vector<std::string>& excluded,
+    uint64_t draw,
+    Instant now,
+    CallEnd* end) const {
+  assert(end != nullptr);
+  const ServiceDescription* service = index.FindService(request.service);
+  if (service != nullptr && service->engine)
+    return SelectPath(*service->engine, request, excluded, draw, now, end);
+  return SelectTarget(request, excluded, draw, now, end);
+}
+
+std::optional<CallDispatch> TargetSelector::SelectPath(
+    const EngineModel& model,
+    const CallRequest& request,
+    const std::vector<std::string>& excluded,
+    uint64_t draw,
+    Instant now,
+    CallEnd* end) const {
+  PathQuery query;
+  query.service = request.service;
+  query.zone = zone_;
+  query.tokens = request.prompt_tokens + request.answer_tokens;
+  query.excluded = &excluded;
+  query.draw = draw;
+  PathFailure failure = PathFailure::kNone;
+  const EnginePath path = paths_.Choose(model, query, now, &failure);
+  if (path.empty()) {
+    *end =
+        failure == PathFailure::kNoRoom ? CallEnd::kNoRoom : CallEnd::kNoTarget;
+    return std::nullopt;
+  }
+  CallDispatch dispatch;
+  dispatch.target_id = path.hops.front().target->record.id;
+  dispatch.target_address = path.hops.front().target->record.address;
+  for (const Hop& it : path.hops) {
+    dispatch.layers.push_back(it.layers);
+    dispatch.hop_ids.push_back(it.target->record.id);
+    dispatch.hop_addresses.push_back(it.target->record.address);
+  }
+  dispatch.tokens = query.tokens;
+  dispatch.event_ms = kTokensPerEvent * path.token_ms;
+  return dispatch;
+}
+
+std::optional<CallDispatch> TargetSelector::SelectTarget(
+    const CallRequest& request,
+    const std::vector<std::string>& excluded,
+    uint64_t draw,
+    Instant now,
+    CallEnd* end) const {
+  const FleetTarget* best = nullptr;
+  double best_ms = std::numeric_limits<double>::infinity();
+  bool any = false;
+  for (const auto& [id, row] : board_->rows()) {
+    const FleetTarget& target = *row;
+    if (target.record.service != request.service ||
+        !board_->IsUsable(target, now) || Contains(excluded, id))
+      continue;
+    any = true;
+    const int calls = target.own_calls + target.peer_calls;
+    const int slots = std::max(1, target.record.slots);
+    if (calls >= slots + kWaitingAtTarget)
+      continue;
+    draw = draw * 6364136223846793005ULL + 1442695040888963407ULL;
+    const double work =
+        target.answer_ms > 0 ? target.answer_ms : kUnknownAnswerMs;
+    const double zone = target.record.zone == zone_ ? 0 : kOtherZoneMs;
+    const double spread = static_cast<double>(draw >> 60U) / 16;
+    const double expected = work * (1 + static_cast<double>(calls) / slots) *
+                                (1 + kFailureFactor * target.failure_share) +
+                            zone + spread;
+    if (expected < best_ms) {
+      best_ms = expected;
+      best = &target;
+    }
+  }
+  if (best == nullptr) {
+    *end = any ? CallEnd::kNoRoom : CallEnd::kNoTarget;
+    return std::nullopt;
+  }
+  CallDispatch dispatch;
+  dispatch.target_id = best->record.id;
+  dispatch.target_address = best->record.address;
+  dispatch.hop_ids.push_back(best->record.id);
+  dispatch.hop_addresses.push_back(best->record.address);
+  return dispatch;
+}
+
+void TargetSelector::Begin(const CallDispatch& dispatch) {
+  for (std::size_t it = 0; it < dispatch.hop_ids.size(); ++it) {
+    FleetTarget* target = board_->Find(dispatch.hop_ids[it]);
+    if (target == nullptr)
+      continue;
+    ++target->own_calls;
+    if (it < dispatch.layers.size())
+      target->own_token_layers += dispatch.tokens * dispatch.layers[it].size();
+  }
+}
+
+void TargetSelector::Finish(const CallDispatch& dispatch) {
+  for (std::size_t it = 0; it < dispatch.hop_ids.size(); ++it) {
+    FleetTarget* target = board_->Find(dispatch.hop_ids[it]);
+    if (target == nullptr)
+      continue;
+    // A row that was listed anew in between counts from zero.
+    target->own_calls = std::max(0, target->own_calls - 1);
+    if (it < dispatch.layers.size()) {
+      target->own_token_layers =
+          std::max(0.0, target->own_token_layers -
+                            dispatch.tokens * dispatch.layers[it].size());
+    }
+  }
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_fleet/target_selector.h
@@ -0,0 +1,62 @@
+#ifndef MODULES_BBV_FLEET_TARGET_SELECTOR_H_
+#define MODULES_BBV_FLEET_TARGET_SELECTOR_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "bbv_core/instant.h"
+#include "bbv_fleet/fleet_call.h"
+#include "bbv_fleet/fleet_index.h"
+#include "bbv_fleet/path_chooser.h"
+#include "bbv_fleet/target_board.h"
+
+namespace bbv {
+
+// Chooses where a call goes and accounts for what is under way there.
+//
+// Engines get a path, plain services the target with the least expected wait.
+// Deterministic but for the draws it is handed. Thread safety: none, owned by
+// the board's thread.
+class TargetSelector {
+ public:
+  // `board` must outlive the selector; `zone` is this entry's own.
+  TargetSelector(TargetBoard* board, std::string zone);
+
+  // Returns where to send `request`, or nothing with `end` set.
+  // Precondition: `end` is not null.
+  std::optional<CallDispatch> Select(const FleetIndex& index,
+                                     const CallRequest& request,
+                                     const std::vector<std::string>& excluded,
+                                     uint64_t draw,
+                                     Instant now,
+                                     CallEnd* end) const;
+
+  // Counts a send as under way, or no longer.
+  void Begin(const CallDispatch& dispatch);
+  void Finish(const CallDispatch& dispatch);
+
+ private:
+  std::optional<CallDispatch> SelectPath(
+      const EngineModel& model,
+      const CallRequest& request,
+      const std::vector<std::string>& excluded,
+      uint64_t draw,
+      Instant now,
+      CallEnd* end) const;
+  std::optional<CallDispatch> SelectTarget(
+      const CallRequest& request,
+      const std::vector<std::string>& excluded,
+      uint64_t draw,
+      Instant now,
+      CallEnd* end) const;
+
+  TargetBoard* board_;
+  std::string zone_;
+  PathChooser paths_;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_FLEET_TARGET_SELECTOR_H_
--- /dev/null
+++ b/modules/bbv_front/small_http_server.cc
@@ -0,0 +1,41 @@
+#include "bbv_front/small_http_server.h"
+
+#include <utility>
+
+namespace bbv {
+namespace {
+
+constexpr std::size_t kMaxConnections = 64;
+
+}  // namespace
+
+std::string SmallHttpServer::Listen(EventLoop* loop,
+                                    const SocketAddress& address,
+                                    Handler handler) {
+  handler_ = std::move(handler);
+  return listener_.Listen(
+      loop, address, [this](std::unique_ptr<TcpStream> stream) {
+        if (connections_.size() >= kMaxConnections)
+          return;
+        const uint64_t id = next_id_++;
+        connections_[id] = std::make_unique<CallerConnection>(
+            id, std::move(stream), CallerLimits{}, this);
+      });
+}
+
+void SmallHttpServer::OnTick(Instant now) {
+  std::erase_if(connections_,
+                [now](auto& it) { return !it.second->OnTick(now); });
+}
+
+void SmallHttpServer::OnRequest(CallerConnection* connection,
+                                HttpHead head,
+                                std::string) {
+  const SmallAnswer answer = handler_(head);
+  std::string fields;
+  if (!answer.content_type.empty())
+    AppendField("Content-Type", answer.content_type, &fields);
+  connection->Answer(answer.status, {}, fields, answer.body);
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_front/tcp_stream.cc
@@ -0,0 +1,237 @@
+#include "bbv_front/tcp_stream.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cassert>
+#include <utility>
+
+namespace bbv {
+namespace {
+
+constexpr int kBacklog = 1024;
+// Unacknowledged data ends a connection after this time, so that links that
+// have gone silent do not keep what is queued on them.
+constexpr unsigned kUserTimeoutMs = 4000;
+constexpr std::size_t kReadBytes = 64 * 1024;
+
+void DeleteHandle(uv_handle_t* handle) {
+  delete reinterpret_cast<uv_tcp_t*>(handle);
+}
+
+void SetSocketOptions(uv_tcp_t* handle) {
+  uv_tcp_nodelay(handle, 1);
+  uv_os_fd_t fd = -1;
+  if (uv_fileno(reinterpret_cast<uv_handle_t*>(handle), &fd) == 0) {
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
+               sizeof(kUserTimeoutMs));
+  }
+}
+
+// All reads of a process share one buffer: data is parsed before the next one.
+void ShareReadBuffer(uv_handle_t*, std::size_t, uv_buf_t* buf) {
+  static std::array<char, kReadBytes> buffer;
+  buf->base = buffer.data();
+  buf->len = buffer.size();
+}
+
+}  // namespace
+
+// Queued data and its request.
+struct TcpStream::WriteRequest {
+  uv_write_t request{};
+  std::string data;
+};
+
+void TcpStream::Initialise(EventLoop* loop) {
+  handle_ = new uv_tcp_t;
+  uv_tcp_init(loop->raw(), handle_);
+  handle_->data = this;
+}
+
+std::unique_ptr<TcpStream> TcpStream::Connect(EventLoop* loop,
+                                              const SocketAddress& address,
+                                              TcpStreamDelegate* delegate) {
+  std::unique_ptr<TcpStream> stream(new TcpStream);
+  stream->Initialise(loop);
+  stream->delegate_ = delegate;
+  sockaddr_in target{};
+  uv_ip4_addr(address.ip.c_str(), address.port, &target);
+  auto* request = new uv_connect_t;
+  const int result = uv_tcp_connect(
+      request, stream->handle_, reinterpret_cast<const sockaddr*>(&target),
+      [](uv_connect_t* connect, int status) {
+        auto* self = static_cast<TcpStream*>(connect->handle->data);
+        delete connect;
+        if (self == nullptr)
+          return;
+        if (status != 0) {
+          self->End(StreamEnd::kRefused);
+          return;
+        }
+        self->connected_ = true;
+        SetSocketOptions(self->handle_);
+        self->StartReading();
+        if (self->delegate_ != nullptr)
+          self->delegate_->OnConnected();
+      });
+  if (result != 0) {
+    delete request;
+    return nullptr;
+  }
+  return stream;
+}
+
+std::unique_ptr<TcpStream> TcpStream::Accept(EventLoop* loop,
+                                             uv_stream_t* listener) {
+  std::unique_ptr<TcpStream> stream(new TcpStream);
+  stream->Initialise(loop);
+  if (uv_accept(listener, reinterpret_cast<uv_stream_t*>(stream->handle_)) != 0)
+    return nullptr;
+  stream->connected_ = true;
+  SetSocketOptions(stream->handle_);
+  return stream;
+}
+
+TcpStream::~TcpStream() {
+  if (handle_ == nullptr)
+    return;
+  handle_->data = nullptr;
+  if (!uv_is_closing(reinterpret_cast<uv_handle_t*>(handle_)))
+    uv_close(reinterpret_cast<uv_handle_t*>(handle_), DeleteHandle);
+}
+
+void TcpStream::StartReading() {
+  if (ended_)
+    return;
+  uv_read_start(
+      reinterpret_cast<uv_stream_t*>(handle_), ShareReadBuffer,
+      [](uv_stream_t* handle, ssize_t n, const uv_buf_t* buf) {
+        auto* self = static_cast<TcpStream*>(handle->data);
+        if (self == nullptr || n == 0)
+          return;
+        if (n < 0) {
+          self->End(n == UV_EOF ? StreamEnd::kClosed : StreamEnd::kBroken);
+          return;
+        }
+        if (self->delegate_ != nullptr)
+          self->delegate_->OnData({buf->base, static_cast<std::size_t>(n)});
+      });
+}
+
+void TcpStream::StopReading() {
+  if (!ended_)
+    uv_read_stop(reinterpret_cast<uv_stream_t*>(handle_));
+}
+
+void TcpStream::Write(std::string_view data) {
+  if (ended_ || data.empty())
+    return;
+  auto* stream = reinterpret_cast<uv_stream_t*>(handle_);
+  if (uv_stream_get_write_queue_size(stream) == 0) {
+    uv_buf_t buf = uv_buf_init(const_cast<char*>(data.data()),
+                               static_cast<unsigned>(data.size()));
+    const int n = uv_try_write(stream, &buf, 1);
+    // Failures show on the next read or queued write.
+    if (n > 0)
+      data.remove_prefix(static_cast<std::size_t>(n));
+    if (data.empty())
+      return;
+  }
+  auto* request = new WriteRequest;
+  request->data = data;
+  request->request.data = request;
+  uv_buf_t buf = uv_buf_init(request->data.data(),
+                             static_cast<unsigned>(request->data.size()));
+  const int result = uv_write(
+      &request->request, stream, &buf, 1, [](uv_write_t* write, int status) {
+        auto* self = static_cast<TcpStream*>(write->handle->data);
+        delete static_cast<WriteRequest*>(write->data);
+        if (self == nullptr)
+          return;
+        if (status != 0) {
+          self->End(StreamEnd::kBroken);
+          return;
+        }
+        if (self->queued_bytes() == 0 && self->delegate_ != nullptr)
+          self->delegate_->OnSent();
+      });
+  if (result != 0)
+    delete request;
+}
+
+void TcpStream::FinishAndClose(std::unique_ptr<TcpStream> stream) {
+  assert(stream != nullptr);
+  stream->delegate_ = nullptr;
+  if (stream->ended_)
+    return;
+  auto* handle = stream->handle_;
+  auto* request = new uv_shutdown_t;
+  // Runs after the queued writes.
+  const int result = uv_shutdown(
+      request, reinterpret_cast<uv_stream_t*>(handle),
+      [](uv_shutdown_t* shutdown, int) {
+        auto* closing = reinterpret_cast<uv_handle_t*>(shutdown->handle);
+        delete shutdown;
+        if (!uv_is_closing(closing))
+          uv_close(closing, DeleteHandle);
+      });
+  if (result != 0) {
+    delete request;
+    return;
+  }
+  uv_read_stop(reinterpret_cast<uv_stream_t*>(handle));
+  // The handle goes on alone.
+  handle->data = nullptr;
+  stream->handle_ = nullptr;
+}
+
+std::size_t TcpStream::queued_bytes() const {
+  return uv_stream_get_write_queue_size(
+      reinterpret_cast<const uv_stream_t*>(handle_));
+}
+
+void TcpStream::End(StreamEnd end) {
+  if (ended_)
+    return;
+  ended_ = true;
+  uv_read_stop(reinterpret_cast<uv_stream_t*>(handle_));
+  if (delegate_ != nullptr)
+    delegate_->OnStreamEnd(end);
+}
+
+TcpListener::~TcpListener() {
+  if (handle_ != nullptr)
+    uv_close(reinterpret_cast<uv_handle_t*>(handle_), DeleteHandle);
+}
+
+std::string TcpListener::Listen(EventLoop* loop,
+                                const SocketAddress& address,
+                                OnAccept on_accept) {
+  assert(handle_ == nullptr);
+  loop_ = loop;
+  on_accept_ = std::move(on_accept);
+  handle_ = new uv_tcp_t;
+  uv_tcp_init(loop->raw(), handle_);
+  handle_->data = this;
+  sockaddr_in own{};
+  uv_ip4_addr(address.ip.c_str(), address.port, &own);
+  int result = uv_tcp_bind(handle_, reinterpret_cast<const sockaddr*>(&own), 0);
+  if (result == 0) {
+    result = uv_listen(reinterpret_cast<uv_stream_t*>(handle_), kBacklog,
+                       [](uv_stream_t* listener, int status) {
+                         auto* self = static_cast<TcpListener*>(listener->data);
+                         if (status != 0)
+                           return;
+                         auto stream = TcpStream::Accept(self->loop_, listener);
+                         if (stream != nullptr)
+                           self->on_accept_(std::move(stream));
+                       });
+  }
+  return result == 0 ? std::string()
+                     : address.ToString() + ": " + uv_strerror(result);
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_http/event_splitter.cc
@@ -0,0 +1,60 @@
+#include "bbv_http/event_splitter.h"
+
+#include <charconv>
+
+namespace bbv {
+namespace {
+
+constexpr std::string_view kEventEnd = "\n\n";
+constexpr std::string_view kIdField = "id:";
+
+std::optional<int64_t> FindId(std::string_view event) {
+  std::size_t at = 0;
+  while (at < event.size()) {
+    std::string_view line = event.substr(at, event.find('\n', at) - at);
+    at += line.size() + 1;
+    if (!line.starts_with(kIdField))
+      continue;
+    line.remove_prefix(kIdField.size());
+    if (line.starts_with(' '))
+      line.remove_prefix(1);
+    int64_t id = 0;
+    const auto result =
+        std::from_chars(line.data(), line.data() + line.size(), id);
+    if (result.ec == std::errc() && id >= 0)
+      return id;
+    return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+const std::vector<StreamEvent>& EventSplitter::Take(std::string_view data) {
+  events_.clear();
+  std::string_view rest = data;
+  if (!partial_.empty()) {
+    joined_ = std::move(partial_);
+    joined_.append(data);
+    partial_.clear();
+    rest = joined_;
+  }
+  while (true) {
+    const std::size_t end = rest.find(kEventEnd);
+    if (end == std::string_view::npos)
+      break;
+    const std::string_view text = rest.substr(0, end + kEventEnd.size());
+    events_.push_back({text, FindId(text)});
+    rest.remove_prefix(text.size());
+  }
+  partial_.assign(rest);
+  return events_;
+}
+
+void EventSplitter::Reset() {
+  partial_.clear();
+  joined_.clear();
+  events_.clear();
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_http/event_splitter.h
@@ -0,0 +1,43 @@
+#ifndef MODULES_BBV_HTTP_EVENT_SPLITTER_H_
+#define MODULES_BBV_HTTP_EVENT_SPLITTER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bbv {
+
+// One whole event of a text/event-stream body, with its blank line.
+struct StreamEvent {
+  std::string_view text;
+  // Its id line as a number, if it has one.
+  std::optional<int64_t> id;
+};
+
+// Cuts an event stream into whole events and keeps what is not whole yet.
+//
+// Thread safety: none, one stream's owner.
+class EventSplitter {
+ public:
+  // Takes received bytes and returns the events that are whole now. Their
+  // texts point into the splitter or `data` and stay valid until the next call
+  // and while `data` does.
+  const std::vector<StreamEvent>& Take(std::string_view data);
+
+  // Whether part of an event is being kept.
+  bool has_partial() const { return !partial_.empty(); }
+
+  // Forgets everything, before another source's stream.
+  void Reset();
+
+ private:
+  std::string partial_;
+  std::string joined_;
+  std::vector<StreamEvent> events_;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_HTTP_EVENT_SPLITTER_H_
--- /dev/null
+++ b/modules/bbv_http/http_parser_test.cc
@@ -0,0 +1,137 @@
+#include "bbv_http/http_parser.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+#include "bbv_http/event_splitter.h"
+
+using bbv::HttpParser;
+using bbv::ParseStatus;
+
+namespace {
+
+class Collector final : public bbv::HttpSink {
+ public:
+  void OnHead(bbv::HttpHead it) override { head = std::move(it); }
+  void OnBody(std::string_view data) override { body.append(data); }
+  void OnMessageComplete() override { ++messages; }
+
+  bbv::HttpHead head;
+  std::string body;
+  int messages = 0;
+};
+
+ParseStatus ParseRequest(const std::string& text) {
+  Collector sink;
+  HttpParser parser(HttpParser::Kind::kRequests, {4096, 4096}, &sink);
+  return parser.Parse(text);
+}
+
+}  // namespace
+
+TEST_GROUP(HttpParser){};
+
+TEST(HttpParser, TakesMessagesOneByOneInAnyPieces) {
+  const std::string text =
+      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+      "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nde\r\n1\r\nf\r\n0\r\n\r\n";
+  for (std::size_t piece = 1; piece <= text.size(); ++piece) {
+    Collector sink;
+    HttpParser parser(HttpParser::Kind::kRequests, {4096, 4096}, &sink);
+    int complete = 0;
+    for (std::size_t at = 0; at < text.size(); at += piece) {
+      ParseStatus status = parser.Parse(text.substr(at, piece));
+      while (status == ParseStatus::kComplete) {
+        ++complete;
+        parser.Next();
+        status = parser.Parse({});
+      }
+      CHECK(status == ParseStatus::kNeedMore);
+    }
+    CHECK_EQUAL(2, complete);
+    STRCMP_EQUAL("abcdef", sink.body.c_str());
+    STRCMP_EQUAL("/b", sink.head.target.c_str());
+  }
+}
+
+TEST(HttpParser, RefusesWhatTwoReadersCouldReadDifferently) {
+  const char* bad[] = {
+      "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+      "POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+      "Content-Length: 3\r\n\r\n0\r\n\r\n",
+      "GET / HTTP/1.1\nHost: h\n\n",
+      "GET / HTTP/1.1\r\nHost : h\r\n\r\n",
+      "POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+      "GET / HTTP/1.1\r\nA: b\r\n folded\r\n\r\n",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\nabc",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked, gzip\r\n\r\nabc",
+  };
+  for (const char* text : bad) {
+    if (ParseRequest(text) != ParseStatus::kBad)
+      { const std::string shown = "parsed: " + std::to_string(static_cast<int>(ParseRequest(text))) + " " + std::string(text).substr(16); FAIL(shown.c_str()); }
+  }
+}
+
+TEST(HttpParser, BoundsHeadsAndBodies) {
+  CHECK(ParseRequest("GET /" + std::string(5000, 'a')) ==
+        ParseStatus::kHeadTooLarge);
+  CHECK(ParseRequest("GET / HTTP/1.1\r\nA: " + std::string(5000, 'a') +
+                     "\r\n\r\n") == ParseStatus::kHeadTooLarge);
+  CHECK(ParseRequest("POST / HTTP/1.1\r\nContent-Length: 9999\r\n\r\n") ==
+        ParseStatus::kBodyTooLarge);
+  CHECK(ParseRequest("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                     "2000\r\n") == ParseStatus::kBodyTooLarge);
+}
+
+TEST(HttpParser, AnAnswerWithoutALengthEndsWithItsConnection) {
+  Collector sink;
+  HttpParser parser(HttpParser::Kind::kAnswers, {4096, 4096}, &sink);
+  CHECK(parser.Parse("HTTP/1.1 200 OK\r\n\r\nab") == ParseStatus::kNeedMore);
+  CHECK(!parser.has_framing());
+  CHECK(parser.ParseEnd() == ParseStatus::kComplete);
+  STRCMP_EQUAL("ab", sink.body.c_str());
+}
+
+TEST(HttpParser, AnAnswerThatBreaksOffIsNotComplete) {
+  Collector sink;
+  HttpParser parser(HttpParser::Kind::kAnswers, {4096, 4096}, &sink);
+  CHECK(parser.Parse("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab") ==
+        ParseStatus::kNeedMore);
+  CHECK(parser.ParseEnd() == ParseStatus::kBad);
+}
+
+TEST(HttpParser, InterimAnswersArePassedOver) {
+  Collector sink;
+  HttpParser parser(HttpParser::Kind::kAnswers, {4096, 4096}, &sink);
+  CHECK(parser.Parse("HTTP/1.1 100 Continue\r\n\r\n"
+                     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab") ==
+        ParseStatus::kComplete);
+  CHECK_EQUAL(200, sink.head.status);
+  CHECK_EQUAL(1, sink.messages);
+}
+
+TEST_GROUP(EventSplitter){};
+
+TEST(EventSplitter, GivesWholeEventsOnly) {
+  const std::string text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
+  for (std::size_t piece = 1; piece <= text.size(); ++piece) {
+    bbv::EventSplitter splitter;
+    std::string whole;
+    int64_t last = 0;
+    for (std::size_t at = 0; at < text.size(); at += piece) {
+      const std::string data = text.substr(at, piece);
+      for (const bbv::StreamEvent& it : splitter.Take(data)) {
+        whole.append(it.text);
+        last = it.id.value_or(-1);
+      }
+    }
+    STRCMP_EQUAL("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", whole.c_str());
+    CHECK_EQUAL(2, static_cast<int>(last));
+    CHECK(splitter.has_partial());
+  }
+}
--- /dev/null
+++ b/modules/bbv_observe/decision_log.cc
@@ -0,0 +1,88 @@
+#include "bbv_observe/decision_log.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace bbv {
+namespace {
+
+constexpr std::size_t kMaxBufferBytes = 512U << 10U;
+// Writes of this size do not block once a pipe is ready.
+constexpr std::size_t kWriteBytes = 4096;
+constexpr int kWritesPerFlush = 16;
+constexpr int kLinesPerSecond = 40;
+
+std::string_view EventName(Event event) {
+  for (const EventDescription& it : AllEvents()) {
+    if (it.event == event)
+      return it.name;
+  }
+  return "?";
+}
+
+}  // namespace
+
+DecisionLog::DecisionLog(std::string node) : node_(std::move(node)) {}
+
+void DecisionLog::Write(Event event,
+                        Instant now,
+                        std::initializer_list<LogField> fields) {
+  if (!Admit(event, now) || buffer_.size() > kMaxBufferBytes) {
+    ++dropped_;
+    return;
+  }
+  Append(event, fields);
+}
+
+bool DecisionLog::Admit(Event event, Instant now) {
+  Rate& rate = rates_[event];
+  if (now - rate.second >= std::chrono::seconds(1)) {
+    rate.second = now;
+    rate.lines = 0;
+  }
+  return ++rate.lines <= kLinesPerSecond;
+}
+
+void DecisionLog::Append(Event event, std::initializer_list<LogField> fields) {
+  nlohmann::ordered_json line;
+  line["time_ms"] = std::chrono::duration_cast<Milliseconds>(
+                        std::chrono::system_clock::now().time_since_epoch())
+                        .count();
+  line["node"] = node_;
+  line["event"] = static_cast<int>(event);
+  line["name"] = EventName(event);
+  for (const LogField& it : fields) {
+    std::visit([&](const auto& value) { line[std::string(it.name)] = value; },
+               it.value);
+  }
+  buffer_ += line.dump(-1, ' ', false,
+                       nlohmann::ordered_json::error_handler_t::replace);
+  buffer_ += '\n';
+}
+
+void DecisionLog::Flush(Instant now) {
+  if (dropped_ != reported_ && buffer_.size() < kMaxBufferBytes / 2 &&
+      Admit(Event::kLogLinesDropped, now)) {
+    reported_ = dropped_;
+    Append(Event::kLogLinesDropped,
+           {{"total", static_cast<int64_t>(dropped_)}});
+  }
+  std::size_t at = 0;
+  for (int it = 0; it < kWritesPerFlush && at < buffer_.size(); ++it) {
+    pollfd out{STDOUT_FILENO, POLLOUT, 0};
+    if (poll(&out, 1, 0) <= 0 || (out.revents & POLLOUT) == 0)
+      break;
+    const ssize_t n = write(STDOUT_FILENO, buffer_.data() + at,
+                            std::min(kWriteBytes, buffer_.size() - at));
+    if (n <= 0)
+      break;
+    at += static_cast<std::size_t>(n);
+  }
+  buffer_.erase(0, at);
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_observe/fleet_metrics.h
@@ -0,0 +1,51 @@
+#ifndef MODULES_BBV_OBSERVE_FLEET_METRICS_H_
+#define MODULES_BBV_OBSERVE_FLEET_METRICS_H_
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <map>
+#include <string>
+#include <utility>
+
+#include "bbv_fleet/fleet_call.h"
+
+namespace bbv {
+
+// Metrics of an entry before targets that forward among themselves;
+// docs/METRICS.md is the list.
+//
+// Thread safety: none, the loop's thread.
+class FleetMetrics {
+ public:
+  FleetMetrics();
+
+  void CountServed(const std::string& service);
+  void CountFailure(const std::string& service, CallEnd end);
+  void CountBadRequest(int status);
+  void ObserveFirstEvent(double seconds);
+  void ObserveAnswer(double seconds);
+  void SetGauge(const std::string& name, double value);
+
+  // Returns the text exposition format.
+  std::string Serialize() const;
+
+ private:
+  prometheus::Registry registry_;
+  prometheus::Family<prometheus::Counter>& served_;
+  prometheus::Family<prometheus::Counter>& failures_;
+  prometheus::Family<prometheus::Counter>& bad_requests_;
+  prometheus::Family<prometheus::Gauge>& gauges_;
+  prometheus::Histogram& first_event_;
+  prometheus::Histogram& answers_;
+  // Counters by service, so that the registry is not searched for each call.
+  std::map<std::string, prometheus::Counter*> served_by_service_;
+  std::map<std::pair<std::string, CallEnd>, prometheus::Counter*>
+      failures_by_end_;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_OBSERVE_FLEET_METRICS_H_
--- /dev/null
+++ b/modules/bbv_settings/fleet_settings.cc
@@ -0,0 +1,92 @@
+#include "bbv_settings/fleet_settings.h"
+
+#include <cassert>
+
+#include "bbv_settings/toml_reader.h"
+
+namespace bbv {
+namespace {
+
+constexpr IntegerRange kTimeRangeMs{1, 600'000};
+constexpr double kMaximumSeconds = 600;
+constexpr IntegerRange kDescriptorRange{64, 1'000'000};
+constexpr IntegerRange kMegabyteRange{32, 1'000'000};
+constexpr double kMaximumRetryShare = 1.0;
+constexpr double kMaximumRetryExtra = 1'000'000;
+constexpr int kMillisecondsPerSecond = 1000;
+
+SocketAddress RequiredAddress(TomlReader* reader, const char* key) {
+  return reader->Address(key, true).value_or(SocketAddress{});
+}
+
+void ReadNode(TomlReader* reader, FleetSettings* settings) {
+  reader->Choice("role", "", {"fleet-entry"});
+  settings->name = reader->RequiredString("name");
+  settings->zone = reader->RequiredString("zone");
+  settings->stop_timeout_ms =
+      static_cast<int>(kMillisecondsPerSecond *
+                       reader->Number("stop_timeout_s", 8, kMaximumSeconds));
+}
+
+void ReadFront(TomlReader* reader, FleetSettings* settings) {
+  settings->callers_address = RequiredAddress(reader, "callers");
+  settings->readiness_address = RequiredAddress(reader, "readiness");
+  settings->peers_address = RequiredAddress(reader, "peers");
+  settings->metrics_address = RequiredAddress(reader, "metrics");
+  for (const std::string& text : reader->StringList("peer_seeds")) {
+    if (const auto address = ParseSocketAddress(text))
+      settings->peer_seeds.push_back(*address);
+    else
+      reader->AddFault("peer_seeds", "must hold addresses");
+  }
+  settings->maximum_connections = static_cast<int>(
+      reader->Integer("maximum_connections", 4096, kDescriptorRange));
+  settings->maximum_memory_mb = static_cast<int>(
+      reader->Integer("maximum_memory_mb", 256, kMegabyteRange));
+}
+
+void ReadStore(TomlReader* reader, FleetSettings* settings) {
+  settings->store_address = RequiredAddress(reader, "address");
+  settings->group_minimum_ms =
+      static_cast<int>(reader->Integer("group_minimum_ms", 1000, kTimeRangeMs));
+}
+
+void ReadRetries(TomlReader* reader, FleetSettings* settings) {
+  settings->retry_share = reader->Number("share", 0.1, kMaximumRetryShare);
+  settings->retry_extra = reader->Number("extra", 10, kMaximumRetryExtra);
+  settings->retry_window_ms = static_cast<int>(
+      kMillisecondsPerSecond * reader->Number("window_s", 10, kMaximumSeconds));
+  if (settings->retry_window_ms == 0)
+    reader->AddFault("window_s", "must be above 0");
+}
+
+void ReadTargets(TomlReader* reader, FleetSettings* settings) {
+  settings->heartbeat_ms =
+      static_cast<int>(reader->Integer("heartbeat_ms", 1000, kTimeRangeMs));
+  settings->leave_within_ms =
+      static_cast<int>(reader->Integer("leave_within_ms", 2000, kTimeRangeMs));
+}
+
+}  // namespace
+
+FleetSettings LoadFleetSettings(const std::string& path, Faults* faults) {
+  assert(faults != nullptr);
+  FleetSettings settings;
+  const auto table = ParseTomlFile(path, faults);
+  if (!table)
+    return settings;
+  TomlReader root(*table, path, "", faults);
+  const auto read = [&](const char* key, auto function) {
+    ReadSection(&root, path, key, faults,
+                [&](TomlReader* reader) { function(reader, &settings); });
+  };
+  read("node", ReadNode);
+  read("front", ReadFront);
+  read("store", ReadStore);
+  read("retries", ReadRetries);
+  read("targets", ReadTargets);
+  root.RejectUnknownKeys();
+  return settings;
+}
+
+}  // namespace bbv
--- a/modules/bbv_settings/node_settings.cc
+++ b/modules/bbv_settings/node_settings.cc
@@ -17,22 +17,6 @@
 constexpr int64_t kEngineQueue = 8;
 constexpr int64_t kServiceQueue = 64;
 
-// Hands the table `key` of `root` to `read`; a missing one reads as empty, so
-// that its required keys are reported.
-template <typename Read>
-void ReadSection(TomlReader* root,
-                 const std::string& file,
-                 const std::string& key,
-                 Faults* faults,
-                 Read read) {
-  static const toml::table kEmpty;
-  const toml::table* table = root->Table(key);
-  TomlReader reader(table != nullptr ? *table : kEmpty, file, key + ".",
-                    faults);
-  read(&reader);
-  reader.RejectUnknownKeys();
-}
-
 void ReadNode(TomlReader* reader, NodeSettings* settings) {
   const std::string role = reader->Choice("role", "", {"entry", "side"});
   settings->role = kNodeRoleNames.Find(role).value_or(NodeRole::kEntry);
--- a/modules/bbv_settings/toml_reader.cc
+++ b/modules/bbv_settings/toml_reader.cc
@@ -74,6 +74,20 @@
   return fallback;
 }
 
+double TomlReader::Number(std::string_view key,
+                          double fallback,
+                          double maximum) {
+  const toml::node* node = Find(key);
+  if (node == nullptr)
+    return fallback;
+  // Whole numbers count as numbers too.
+  const auto value = node->value<double>();
+  if (value && *value >= 0 && *value <= maximum)
+    return *value;
+  AddFault(key, "must be a number from 0 to " + std::to_string(maximum));
+  return fallback;
+}
+
 bool TomlReader::Boolean(std::string_view key, bool fallback) {
   const toml::node* node = Find(key);
   if (node == nullptr)
--- a/modules/bbv_settings/toml_reader.h
+++ b/modules/bbv_settings/toml_reader.h
@@ -46,6 +46,9 @@
   // Returns the number at `key` within `range`, or `fallback`.
   int64_t Integer(std::string_view key, int64_t fallback, IntegerRange range);
 
+  // Returns the number at `key` from 0 to `maximum`, or `fallback`.
+  double Number(std::string_view key, double fallback, double maximum);
+
   bool Boolean(std::string_view key, bool fallback);
 
   // Returns the list of texts at `key`; empty when it is missing.
@@ -79,6 +82,22 @@
 std::optional<toml::table> ParseTomlFile(const std::string& path,
                                          Faults* faults);
 
+// Hands the table `key` of `root` to `read`; a missing one reads as empty, so
+// that its required keys are reported. Thread safe.
+template <typename Read>
+void ReadSection(TomlReader* root,
+                 const std::string& file,
+                 const std::string& key,
+                 Faults* faults,
+                 Read read) {
+  static const toml::table kEmpty;
+  const toml::table* table = root->Table(key);
+  TomlReader reader(table != nullptr ? *table : kEmpty, file, key + ".",
+                    faults);
+  read(&reader);
+  reader.RejectUnknownKeys();
+}
+
 }  // namespace bbv
 
 #endif  // MODULES_BBV_SETTINGS_TOML_READER_H_
