--- a/modules/bbv_wire/wire_generated.h
+++ b/modules/bbv_wire/wire_generated.h
@@ -94,6 +94,30 @@
 struct ServiceAnswerBuilder;
 struct ServiceAnswerT;
 
+struct EntryHello;
+struct EntryHelloBuilder;
+struct EntryHelloT;
+
+struct EngineLoad;
+struct EngineLoadBuilder;
+struct EngineLoadT;
+
+struct OwnLoad;
+struct OwnLoadBuilder;
+struct OwnLoadT;
+
+struct TargetFault;
+struct TargetFaultBuilder;
+struct TargetFaultT;
+
+struct EntryState;
+struct EntryStateBuilder;
+struct EntryStateT;
+
+struct EntryConfiguration;
+struct EntryConfigurationBuilder;
+struct EntryConfigurationT;
+
 struct Frame;
 struct FrameBuilder;
 struct FrameT;
@@ -150,6 +174,18 @@
 bool operator!=(const ServiceCallT &lhs, const ServiceCallT &rhs);
 bool operator==(const ServiceAnswerT &lhs, const ServiceAnswerT &rhs);
 bool operator!=(const ServiceAnswerT &lhs, const ServiceAnswerT &rhs);
+bool operator==(const EntryHelloT &lhs, const EntryHelloT &rhs);
+bool operator!=(const EntryHelloT &lhs, const EntryHelloT &rhs);
+bool operator==(const EngineLoadT &lhs, const EngineLoadT &rhs);
+bool operator!=(const EngineLoadT &lhs, const EngineLoadT &rhs);
+bool operator==(const OwnLoadT &lhs, const OwnLoadT &rhs);
+bool operator!=(const OwnLoadT &lhs, const OwnLoadT &rhs);
+bool operator==(const TargetFaultT &lhs, const TargetFaultT &rhs);
+bool operator!=(const TargetFaultT &lhs, const TargetFaultT &rhs);
+bool operator==(const EntryStateT &lhs, const EntryStateT &rhs);
+bool operator!=(const EntryStateT &lhs, const EntryStateT &rhs);
+bool operator==(const EntryConfigurationT &lhs, const EntryConfigurationT &rhs);
+bool operator!=(const EntryConfigurationT &lhs, const EntryConfigurationT &rhs);
 bool operator==(const FrameT &lhs, const FrameT &rhs);
 bool operator!=(const FrameT &lhs, const FrameT &rhs);
 bool operator==(const EngineBatchT &lhs, const EngineBatchT &rhs);
@@ -276,11 +312,14 @@
   Resumed = 11,
   ServiceCall = 12,
   ServiceAnswer = 13,
+  EntryHello = 14,
+  EntryState = 15,
+  EntryConfiguration = 16,
   MIN = NONE,
-  MAX = ServiceAnswer
+  MAX = EntryConfiguration
 };
 
-inline const Body (&EnumValuesBody())[14] {
+inline const Body (&EnumValuesBody())[17] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -295,13 +334,16 @@
     Body::Resume,
     Body::Resumed,
     Body::ServiceCall,
-    Body::ServiceAnswer
+    Body::ServiceAnswer,
+    Body::EntryHello,
+    Body::EntryState,
+    Body::EntryConfiguration
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[15] = {
+  static const char * const names[18] = {
     "NONE",
     "Hello",
     "HelloProof",
@@ -316,13 +358,16 @@
     "Resumed",
     "ServiceCall",
     "ServiceAnswer",
+    "EntryHello",
+    "EntryState",
+    "EntryConfiguration",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ServiceAnswer)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::EntryConfiguration)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -383,6 +428,18 @@
   static const Body enum_value = Body::ServiceAnswer;
 };
 
+template<> struct BodyTraits<bbv::wire::EntryHello> {
+  static const Body enum_value = Body::EntryHello;
+};
+
+template<> struct BodyTraits<bbv::wire::EntryState> {
+  static const Body enum_value = Body::EntryState;
+};
+
+template<> struct BodyTraits<bbv::wire::EntryConfiguration> {
+  static const Body enum_value = Body::EntryConfiguration;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -439,6 +496,18 @@
   static const Body enum_value = Body::ServiceAnswer;
 };
 
+template<> struct BodyUnionTraits<bbv::wire::EntryHelloT> {
+  static const Body enum_value = Body::EntryHello;
+};
+
+template<> struct BodyUnionTraits<bbv::wire::EntryStateT> {
+  static const Body enum_value = Body::EntryState;
+};
+
+template<> struct BodyUnionTraits<bbv::wire::EntryConfigurationT> {
+  static const Body enum_value = Body::EntryConfiguration;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -573,6 +642,30 @@
     return type == Body::ServiceAnswer ?
       reinterpret_cast<const bbv::wire::ServiceAnswerT *>(value) : nullptr;
   }
+  bbv::wire::EntryHelloT *AsEntryHello() {
+    return type == Body::EntryHello ?
+      reinterpret_cast<bbv::wire::EntryHelloT *>(value) : nullptr;
+  }
+  const bbv::wire::EntryHelloT *AsEntryHello() const {
+    return type == Body::EntryHello ?
+      reinterpret_cast<const bbv::wire::EntryHelloT *>(value) : nullptr;
+  }
+  bbv::wire::EntryStateT *AsEntryState() {
+    return type == Body::EntryState ?
+      reinterpret_cast<bbv::wire::EntryStateT *>(value) : nullptr;
+  }
+  const bbv::wire::EntryStateT *AsEntryState() const {
+    return type == Body::EntryState ?
+      reinterpret_cast<const bbv::wire::EntryStateT *>(value) : nullptr;
+  }
+  bbv::wire::EntryConfigurationT *AsEntryConfiguration() {
+    return type == Body::EntryConfiguration ?
+      reinterpret_cast<bbv::wire::EntryConfigurationT *>(value) : nullptr;
+  }
+  const bbv::wire::EntryConfigurationT *AsEntryConfiguration() const {
+    return type == Body::EntryConfiguration ?
+      reinterpret_cast<const bbv::wire::EntryConfigurationT *>(value) : nullptr;
+  }
 };
 
 
@@ -634,6 +727,18 @@
       return *(reinterpret_cast<const bbv::wire::ServiceAnswerT *>(lhs.value)) ==
              *(reinterpret_cast<const bbv::wire::ServiceAnswerT *>(rhs.value));
     }
+    case Body::EntryHello: {
+      return *(reinterpret_cast<const bbv::wire::EntryHelloT *>(lhs.value)) ==
+             *(reinterpret_cast<const bbv::wire::EntryHelloT *>(rhs.value));
+    }
+    case Body::EntryState: {
+      return *(reinterpret_cast<const bbv::wire::EntryStateT *>(lhs.value)) ==
+             *(reinterpret_cast<const bbv::wire::EntryStateT *>(rhs.value));
+    }
+    case Body::EntryConfiguration: {
+      return *(reinterpret_cast<const bbv::wire::EntryConfigurationT *>(lhs.value)) ==
+             *(reinterpret_cast<const bbv::wire::EntryConfigurationT *>(rhs.value));
+    }
     default: {
       return false;
     }
@@ -2866,243 +2971,936 @@
 
 flatbuffers::Offset<ServiceAnswer> CreateServiceAnswer(flatbuffers::FlatBufferBuilder &_fbb, const ServiceAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct FrameT : public flatbuffers::NativeTable {
-  typedef Frame TableType;
-  bbv::wire::BodyUnion body{};
+struct EntryHelloT : public flatbuffers::NativeTable {
+  typedef EntryHello TableType;
+  std::string node{};
+  std::string address{};
 };
 
-struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef FrameT NativeTableType;
-  typedef FrameBuilder Builder;
+/// Opens a connection between entries that forward nothing for each other. `address` is where the sender listens.
+struct EntryHello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EntryHelloT NativeTableType;
+  typedef EntryHelloBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_BODY_TYPE = 4,
-    VT_BODY = 6
+    VT_NODE = 4,
+    VT_ADDRESS = 6
   };
-  bbv::wire::Body body_type() const {
-    return static_cast<bbv::wire::Body>(GetField<uint8_t>(VT_BODY_TYPE, 0));
-  }
-  const void *body() const {
-    return GetPointer<const void *>(VT_BODY);
-  }
-  template<typename T> const T *body_as() const;
-  const bbv::wire::Hello *body_as_Hello() const {
-    return body_type() == bbv::wire::Body::Hello ? static_cast<const bbv::wire::Hello *>(body()) : nullptr;
-  }
-  const bbv::wire::HelloProof *body_as_HelloProof() const {
-    return body_type() == bbv::wire::Body::HelloProof ? static_cast<const bbv::wire::HelloProof *>(body()) : nullptr;
-  }
-  const bbv::wire::Heartbeat *body_as_Heartbeat() const {
-    return body_type() == bbv::wire::Body::Heartbeat ? static_cast<const bbv::wire::Heartbeat *>(body()) : nullptr;
-  }
-  const bbv::wire::ConfigurationPull *body_as_ConfigurationPull() const {
-    return body_type() == bbv::wire::Body::ConfigurationPull ? static_cast<const bbv::wire::ConfigurationPull *>(body()) : nullptr;
-  }
-  const bbv::wire::ConfigurationShare *body_as_ConfigurationShare() const {
-    return body_type() == bbv::wire::Body::ConfigurationShare ? static_cast<const bbv::wire::ConfigurationShare *>(body()) : nullptr;
-  }
-  const bbv::wire::StepBatch *body_as_StepBatch() const {
-    return body_type() == bbv::wire::Body::StepBatch ? static_cast<const bbv::wire::StepBatch *>(body()) : nullptr;
-  }
-  const bbv::wire::TokenBatch *body_as_TokenBatch() const {
-    return body_type() == bbv::wire::Body::TokenBatch ? static_cast<const bbv::wire::TokenBatch *>(body()) : nullptr;
-  }
-  const bbv::wire::AttemptFailure *body_as_AttemptFailure() const {
-    return body_type() == bbv::wire::Body::AttemptFailure ? static_cast<const bbv::wire::AttemptFailure *>(body()) : nullptr;
-  }
-  const bbv::wire::ReleaseBatch *body_as_ReleaseBatch() const {
-    return body_type() == bbv::wire::Body::ReleaseBatch ? static_cast<const bbv::wire::ReleaseBatch *>(body()) : nullptr;
-  }
-  const bbv::wire::Resume *body_as_Resume() const {
-    return body_type() == bbv::wire::Body::Resume ? static_cast<const bbv::wire::Resume *>(body()) : nullptr;
-  }
-  const bbv::wire::Resumed *body_as_Resumed() const {
-    return body_type() == bbv::wire::Body::Resumed ? static_cast<const bbv::wire::Resumed *>(body()) : nullptr;
-  }
-  const bbv::wire::ServiceCall *body_as_ServiceCall() const {
-    return body_type() == bbv::wire::Body::ServiceCall ? static_cast<const bbv::wire::ServiceCall *>(body()) : nullptr;
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
   }
-  const bbv::wire::ServiceAnswer *body_as_ServiceAnswer() const {
-    return body_type() == bbv::wire::Body::ServiceAnswer ? static_cast<const bbv::wire::ServiceAnswer *>(body()) : nullptr;
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
-           VerifyOffset(verifier, VT_BODY) &&
-           VerifyBody(verifier, body(), body_type()) &&
+           VerifyOffset(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
            verifier.EndTable();
   }
-  FrameT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(FrameT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<Frame> Pack(flatbuffers::FlatBufferBuilder &_fbb, const FrameT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  EntryHelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EntryHelloT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EntryHello> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-template<> inline const bbv::wire::Hello *Frame::body_as<bbv::wire::Hello>() const {
-  return body_as_Hello();
-}
-
-template<> inline const bbv::wire::HelloProof *Frame::body_as<bbv::wire::HelloProof>() const {
-  return body_as_HelloProof();
-}
-
-template<> inline const bbv::wire::Heartbeat *Frame::body_as<bbv::wire::Heartbeat>() const {
-  return body_as_Heartbeat();
-}
-
-template<> inline const bbv::wire::ConfigurationPull *Frame::body_as<bbv::wire::ConfigurationPull>() const {
-  return body_as_ConfigurationPull();
-}
-
-template<> inline const bbv::wire::ConfigurationShare *Frame::body_as<bbv::wire::ConfigurationShare>() const {
-  return body_as_ConfigurationShare();
-}
-
-template<> inline const bbv::wire::StepBatch *Frame::body_as<bbv::wire::StepBatch>() const {
-  return body_as_StepBatch();
-}
-
-template<> inline const bbv::wire::TokenBatch *Frame::body_as<bbv::wire::TokenBatch>() const {
-  return body_as_TokenBatch();
-}
-
-template<> inline const bbv::wire::AttemptFailure *Frame::body_as<bbv::wire::AttemptFailure>() const {
-  return body_as_AttemptFailure();
-}
-
-template<> inline const bbv::wire::ReleaseBatch *Frame::body_as<bbv::wire::ReleaseBatch>() const {
-  return body_as_ReleaseBatch();
-}
-
-template<> inline const bbv::wire::Resume *Frame::body_as<bbv::wire::Resume>() const {
-  return body_as_Resume();
-}
-
-template<> inline const bbv::wire::Resumed *Frame::body_as<bbv::wire::Resumed>() const {
-  return body_as_Resumed();
-}
-
-template<> inline const bbv::wire::ServiceCall *Frame::body_as<bbv::wire::ServiceCall>() const {
-  return body_as_ServiceCall();
-}
-
-template<> inline const bbv::wire::ServiceAnswer *Frame::body_as<bbv::wire::ServiceAnswer>() const {
-  return body_as_ServiceAnswer();
-}
-
-struct FrameBuilder {
-  typedef Frame Table;
+struct EntryHelloBuilder {
+  typedef EntryHello Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_body_type(bbv::wire::Body body_type) {
-    fbb_.AddElement<uint8_t>(Frame::VT_BODY_TYPE, static_cast<uint8_t>(body_type), 0);
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(EntryHello::VT_NODE, node);
   }
-  void add_body(flatbuffers::Offset<void> body) {
-    fbb_.AddOffset(Frame::VT_BODY, body);
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(EntryHello::VT_ADDRESS, address);
   }
-  explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit EntryHelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<Frame> Finish() {
+  flatbuffers::Offset<EntryHello> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<Frame>(end);
+    auto o = flatbuffers::Offset<EntryHello>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<Frame> CreateFrame(
+inline flatbuffers::Offset<EntryHello> CreateEntryHello(
     flatbuffers::FlatBufferBuilder &_fbb,
-    bbv::wire::Body body_type = bbv::wire::Body::NONE,
-    flatbuffers::Offset<void> body = 0) {
-  FrameBuilder builder_(_fbb);
-  builder_.add_body(body);
-  builder_.add_body_type(body_type);
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0) {
+  EntryHelloBuilder builder_(_fbb);
+  builder_.add_address(address);
+  builder_.add_node(node);
   return builder_.Finish();
 }
 
-struct Frame::Traits {
-  using type = Frame;
-  static auto constexpr Create = CreateFrame;
+struct EntryHello::Traits {
+  using type = EntryHello;
+  static auto constexpr Create = CreateEntryHello;
 };
 
-flatbuffers::Offset<Frame> CreateFrame(flatbuffers::FlatBufferBuilder &_fbb, const FrameT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+inline flatbuffers::Offset<EntryHello> CreateEntryHelloDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *node = nullptr,
+    const char *address = nullptr) {
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  return bbv::wire::CreateEntryHello(
+      _fbb,
+      node__,
+      address__);
+}
 
-struct EngineBatchT : public flatbuffers::NativeTable {
-  typedef EngineBatch TableType;
-  std::vector<bbv::wire::StepT> steps{};
-  std::string version{};
-  std::vector<bbv::wire::ReleaseT> releases{};
+flatbuffers::Offset<EntryHello> CreateEntryHello(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct EngineLoadT : public flatbuffers::NativeTable {
+  typedef EngineLoad TableType;
+  std::string target{};
+  int64_t started_unix_ms = 0;
+  double pace = 0.0;
+  uint32_t active = 0;
+  uint32_t queued = 0;
+  double used_token_layers = 0.0;
+  uint32_t from_layer = 0;
+  uint32_t to_layer = 0;
+  uint32_t age_ms = 0;
 };
 
-/// The engines' own interface (HTTP body of POST /v1/step), kept here so that one generator run covers both.
-/// `releases` names sequences whose KV cache the engine may free.
-struct EngineBatch FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef EngineBatchT NativeTableType;
-  typedef EngineBatchBuilder Builder;
+/// What a report said of an engine, `age_ms` ago when it was sent.
+struct EngineLoad FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EngineLoadT NativeTableType;
+  typedef EngineLoadBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_STEPS = 4,
-    VT_VERSION = 6,
-    VT_RELEASES = 8
+    VT_TARGET = 4,
+    VT_STARTED_UNIX_MS = 6,
+    VT_PACE = 8,
+    VT_ACTIVE = 10,
+    VT_QUEUED = 12,
+    VT_USED_TOKEN_LAYERS = 14,
+    VT_FROM_LAYER = 16,
+    VT_TO_LAYER = 18,
+    VT_AGE_MS = 20
   };
-  const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::Step>> *steps() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::Step>> *>(VT_STEPS);
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
   }
-  const flatbuffers::String *version() const {
-    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  int64_t started_unix_ms() const {
+    return GetField<int64_t>(VT_STARTED_UNIX_MS, 0);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::Release>> *releases() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::Release>> *>(VT_RELEASES);
+  double pace() const {
+    return GetField<double>(VT_PACE, 0.0);
+  }
+  uint32_t active() const {
+    return GetField<uint32_t>(VT_ACTIVE, 0);
+  }
+  uint32_t queued() const {
+    return GetField<uint32_t>(VT_QUEUED, 0);
+  }
+  double used_token_layers() const {
+    return GetField<double>(VT_USED_TOKEN_LAYERS, 0.0);
+  }
+  uint32_t from_layer() const {
+    return GetField<uint32_t>(VT_FROM_LAYER, 0);
+  }
+  uint32_t to_layer() const {
+    return GetField<uint32_t>(VT_TO_LAYER, 0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_STEPS) &&
-           verifier.VerifyVector(steps()) &&
-           verifier.VerifyVectorOfTables(steps()) &&
-           VerifyOffset(verifier, VT_VERSION) &&
-           verifier.VerifyString(version()) &&
-           VerifyOffset(verifier, VT_RELEASES) &&
-           verifier.VerifyVector(releases()) &&
-           verifier.VerifyVectorOfTables(releases()) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_UNIX_MS, 8) &&
+           VerifyField<double>(verifier, VT_PACE, 8) &&
+           VerifyField<uint32_t>(verifier, VT_ACTIVE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_QUEUED, 4) &&
+           VerifyField<double>(verifier, VT_USED_TOKEN_LAYERS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_FROM_LAYER, 4) &&
+           VerifyField<uint32_t>(verifier, VT_TO_LAYER, 4) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            verifier.EndTable();
   }
-  EngineBatchT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(EngineBatchT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<EngineBatch> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineBatchT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  EngineLoadT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EngineLoadT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EngineLoad> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineLoadT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct EngineBatchBuilder {
-  typedef EngineBatch Table;
+struct EngineLoadBuilder {
+  typedef EngineLoad Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_steps(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::Step>>> steps) {
-    fbb_.AddOffset(EngineBatch::VT_STEPS, steps);
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(EngineLoad::VT_TARGET, target);
   }
-  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
-    fbb_.AddOffset(EngineBatch::VT_VERSION, version);
+  void add_started_unix_ms(int64_t started_unix_ms) {
+    fbb_.AddElement<int64_t>(EngineLoad::VT_STARTED_UNIX_MS, started_unix_ms, 0);
   }
-  void add_releases(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::Release>>> releases) {
-    fbb_.AddOffset(EngineBatch::VT_RELEASES, releases);
+  void add_pace(double pace) {
+    fbb_.AddElement<double>(EngineLoad::VT_PACE, pace, 0.0);
   }
-  explicit EngineBatchBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_active(uint32_t active) {
+    fbb_.AddElement<uint32_t>(EngineLoad::VT_ACTIVE, active, 0);
+  }
+  void add_queued(uint32_t queued) {
+    fbb_.AddElement<uint32_t>(EngineLoad::VT_QUEUED, queued, 0);
+  }
+  void add_used_token_layers(double used_token_layers) {
+    fbb_.AddElement<double>(EngineLoad::VT_USED_TOKEN_LAYERS, used_token_layers, 0.0);
+  }
+  void add_from_layer(uint32_t from_layer) {
+    fbb_.AddElement<uint32_t>(EngineLoad::VT_FROM_LAYER, from_layer, 0);
+  }
+  void add_to_layer(uint32_t to_layer) {
+    fbb_.AddElement<uint32_t>(EngineLoad::VT_TO_LAYER, to_layer, 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(EngineLoad::VT_AGE_MS, age_ms, 0);
+  }
+  explicit EngineLoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<EngineBatch> Finish() {
+  flatbuffers::Offset<EngineLoad> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<EngineBatch>(end);
+    auto o = flatbuffers::Offset<EngineLoad>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<EngineBatch> CreateEngineBatch(
+inline flatbuffers::Offset<EngineLoad> CreateEngineLoad(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::Step>>> steps = 0,
-    flatbuffers::Offset<flatbuffers::String> version = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::Release>>> releases = 0) {
-  EngineBatchBuilder builder_(_fbb);
-  builder_.add_releases(releases);
-  builder_.add_version(version);
+    flatbuffers::Offset<flatbuffers::String> target = 0,
+    int64_t started_unix_ms = 0,
+    double pace = 0.0,
+    uint32_t active = 0,
+    uint32_t queued = 0,
+    double used_token_layers = 0.0,
+    uint32_t from_layer = 0,
+    uint32_t to_layer = 0,
+    uint32_t age_ms = 0) {
+  EngineLoadBuilder builder_(_fbb);
+  builder_.add_used_token_layers(used_token_layers);
+  builder_.add_pace(pace);
+  builder_.add_started_unix_ms(started_unix_ms);
+  builder_.add_age_ms(age_ms);
+  builder_.add_to_layer(to_layer);
+  builder_.add_from_layer(from_layer);
+  builder_.add_queued(queued);
+  builder_.add_active(active);
+  builder_.add_target(target);
+  return builder_.Finish();
+}
+
+struct EngineLoad::Traits {
+  using type = EngineLoad;
+  static auto constexpr Create = CreateEngineLoad;
+};
+
+inline flatbuffers::Offset<EngineLoad> CreateEngineLoadDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *target = nullptr,
+    int64_t started_unix_ms = 0,
+    double pace = 0.0,
+    uint32_t active = 0,
+    uint32_t queued = 0,
+    double used_token_layers = 0.0,
+    uint32_t from_layer = 0,
+    uint32_t to_layer = 0,
+    uint32_t age_ms = 0) {
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  return bbv::wire::CreateEngineLoad(
+      _fbb,
+      target__,
+      started_unix_ms,
+      pace,
+      active,
+      queued,
+      used_token_layers,
+      from_layer,
+      to_layer,
+      age_ms);
+}
+
+flatbuffers::Offset<EngineLoad> CreateEngineLoad(flatbuffers::FlatBufferBuilder &_fbb, const EngineLoadT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct OwnLoadT : public flatbuffers::NativeTable {
+  typedef OwnLoad TableType;
+  std::string target{};
+  uint32_t calls = 0;
+  double token_layers = 0.0;
+};
+
+/// Calls that the sender has under way at a target.
+struct OwnLoad FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OwnLoadT NativeTableType;
+  typedef OwnLoadBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TARGET = 4,
+    VT_CALLS = 6,
+    VT_TOKEN_LAYERS = 8
+  };
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
+  uint32_t calls() const {
+    return GetField<uint32_t>(VT_CALLS, 0);
+  }
+  double token_layers() const {
+    return GetField<double>(VT_TOKEN_LAYERS, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           VerifyField<uint32_t>(verifier, VT_CALLS, 4) &&
+           VerifyField<double>(verifier, VT_TOKEN_LAYERS, 8) &&
+           verifier.EndTable();
+  }
+  OwnLoadT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(OwnLoadT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<OwnLoad> Pack(flatbuffers::FlatBufferBuilder &_fbb, const OwnLoadT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct OwnLoadBuilder {
+  typedef OwnLoad Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(OwnLoad::VT_TARGET, target);
+  }
+  void add_calls(uint32_t calls) {
+    fbb_.AddElement<uint32_t>(OwnLoad::VT_CALLS, calls, 0);
+  }
+  void add_token_layers(double token_layers) {
+    fbb_.AddElement<double>(OwnLoad::VT_TOKEN_LAYERS, token_layers, 0.0);
+  }
+  explicit OwnLoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OwnLoad> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OwnLoad>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OwnLoad> CreateOwnLoad(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> target = 0,
+    uint32_t calls = 0,
+    double token_layers = 0.0) {
+  OwnLoadBuilder builder_(_fbb);
+  builder_.add_token_layers(token_layers);
+  builder_.add_calls(calls);
+  builder_.add_target(target);
+  return builder_.Finish();
+}
+
+struct OwnLoad::Traits {
+  using type = OwnLoad;
+  static auto constexpr Create = CreateOwnLoad;
+};
+
+inline flatbuffers::Offset<OwnLoad> CreateOwnLoadDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *target = nullptr,
+    uint32_t calls = 0,
+    double token_layers = 0.0) {
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  return bbv::wire::CreateOwnLoad(
+      _fbb,
+      target__,
+      calls,
+      token_layers);
+}
+
+flatbuffers::Offset<OwnLoad> CreateOwnLoad(flatbuffers::FlatBufferBuilder &_fbb, const OwnLoadT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct TargetFaultT : public flatbuffers::NativeTable {
+  typedef TargetFault TableType;
+  std::string target{};
+  int64_t started_unix_ms = 0;
+  int64_t heartbeat = 0;
+  std::string evidence{};
+};
+
+/// A target that did not do its part, as the sender saw. `heartbeat` is the target's last one known to the sender.
+struct TargetFault FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TargetFaultT NativeTableType;
+  typedef TargetFaultBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TARGET = 4,
+    VT_STARTED_UNIX_MS = 6,
+    VT_HEARTBEAT = 8,
+    VT_EVIDENCE = 10
+  };
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
+  int64_t started_unix_ms() const {
+    return GetField<int64_t>(VT_STARTED_UNIX_MS, 0);
+  }
+  int64_t heartbeat() const {
+    return GetField<int64_t>(VT_HEARTBEAT, 0);
+  }
+  const flatbuffers::String *evidence() const {
+    return GetPointer<const flatbuffers::String *>(VT_EVIDENCE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_UNIX_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_HEARTBEAT, 8) &&
+           VerifyOffset(verifier, VT_EVIDENCE) &&
+           verifier.VerifyString(evidence()) &&
+           verifier.EndTable();
+  }
+  TargetFaultT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TargetFaultT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TargetFault> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TargetFaultT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct TargetFaultBuilder {
+  typedef TargetFault Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(TargetFault::VT_TARGET, target);
+  }
+  void add_started_unix_ms(int64_t started_unix_ms) {
+    fbb_.AddElement<int64_t>(TargetFault::VT_STARTED_UNIX_MS, started_unix_ms, 0);
+  }
+  void add_heartbeat(int64_t heartbeat) {
+    fbb_.AddElement<int64_t>(TargetFault::VT_HEARTBEAT, heartbeat, 0);
+  }
+  void add_evidence(flatbuffers::Offset<flatbuffers::String> evidence) {
+    fbb_.AddOffset(TargetFault::VT_EVIDENCE, evidence);
+  }
+  explicit TargetFaultBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TargetFault> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TargetFault>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TargetFault> CreateTargetFault(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> target = 0,
+    int64_t started_unix_ms = 0,
+    int64_t heartbeat = 0,
+    flatbuffers::Offset<flatbuffers::String> evidence = 0) {
+  TargetFaultBuilder builder_(_fbb);
+  builder_.add_heartbeat(heartbeat);
+  builder_.add_started_unix_ms(started_unix_ms);
+  builder_.add_evidence(evidence);
+  builder_.add_target(target);
+  return builder_.Finish();
+}
+
+struct TargetFault::Traits {
+  using type = TargetFault;
+  static auto constexpr Create = CreateTargetFault;
+};
+
+inline flatbuffers::Offset<TargetFault> CreateTargetFaultDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *target = nullptr,
+    int64_t started_unix_ms = 0,
+    int64_t heartbeat = 0,
+    const char *evidence = nullptr) {
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  auto evidence__ = evidence ? _fbb.CreateString(evidence) : 0;
+  return bbv::wire::CreateTargetFault(
+      _fbb,
+      target__,
+      started_unix_ms,
+      heartbeat,
+      evidence__);
+}
+
+flatbuffers::Offset<TargetFault> CreateTargetFault(flatbuffers::FlatBufferBuilder &_fbb, const TargetFaultT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct EntryStateT : public flatbuffers::NativeTable {
+  typedef EntryState TableType;
+  uint64_t configuration_version = 0;
+  int64_t planner_generation = 0;
+  std::vector<bbv::wire::OwnLoadT> own{};
+  std::vector<bbv::wire::EngineLoadT> engines{};
+  std::vector<bbv::wire::TargetFaultT> faults{};
+};
+
+/// What an entry tells the others a few times a second; `faults` since the last time.
+struct EntryState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EntryStateT NativeTableType;
+  typedef EntryStateBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CONFIGURATION_VERSION = 4,
+    VT_PLANNER_GENERATION = 6,
+    VT_OWN = 8,
+    VT_ENGINES = 10,
+    VT_FAULTS = 12
+  };
+  uint64_t configuration_version() const {
+    return GetField<uint64_t>(VT_CONFIGURATION_VERSION, 0);
+  }
+  int64_t planner_generation() const {
+    return GetField<int64_t>(VT_PLANNER_GENERATION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::OwnLoad>> *own() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::OwnLoad>> *>(VT_OWN);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::EngineLoad>> *engines() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::EngineLoad>> *>(VT_ENGINES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::TargetFault>> *faults() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::TargetFault>> *>(VT_FAULTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
+           VerifyField<int64_t>(verifier, VT_PLANNER_GENERATION, 8) &&
+           VerifyOffset(verifier, VT_OWN) &&
+           verifier.VerifyVector(own()) &&
+           verifier.VerifyVectorOfTables(own()) &&
+           VerifyOffset(verifier, VT_ENGINES) &&
+           verifier.VerifyVector(engines()) &&
+           verifier.VerifyVectorOfTables(engines()) &&
+           VerifyOffset(verifier, VT_FAULTS) &&
+           verifier.VerifyVector(faults()) &&
+           verifier.VerifyVectorOfTables(faults()) &&
+           verifier.EndTable();
+  }
+  EntryStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EntryStateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EntryState> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryStateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EntryStateBuilder {
+  typedef EntryState Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_configuration_version(uint64_t configuration_version) {
+    fbb_.AddElement<uint64_t>(EntryState::VT_CONFIGURATION_VERSION, configuration_version, 0);
+  }
+  void add_planner_generation(int64_t planner_generation) {
+    fbb_.AddElement<int64_t>(EntryState::VT_PLANNER_GENERATION, planner_generation, 0);
+  }
+  void add_own(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::OwnLoad>>> own) {
+    fbb_.AddOffset(EntryState::VT_OWN, own);
+  }
+  void add_engines(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::EngineLoad>>> engines) {
+    fbb_.AddOffset(EntryState::VT_ENGINES, engines);
+  }
+  void add_faults(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::TargetFault>>> faults) {
+    fbb_.AddOffset(EntryState::VT_FAULTS, faults);
+  }
+  explicit EntryStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EntryState> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EntryState>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EntryState> CreateEntryState(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t configuration_version = 0,
+    int64_t planner_generation = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::OwnLoad>>> own = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::EngineLoad>>> engines = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::TargetFault>>> faults = 0) {
+  EntryStateBuilder builder_(_fbb);
+  builder_.add_planner_generation(planner_generation);
+  builder_.add_configuration_version(configuration_version);
+  builder_.add_faults(faults);
+  builder_.add_engines(engines);
+  builder_.add_own(own);
+  return builder_.Finish();
+}
+
+struct EntryState::Traits {
+  using type = EntryState;
+  static auto constexpr Create = CreateEntryState;
+};
+
+inline flatbuffers::Offset<EntryState> CreateEntryStateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t configuration_version = 0,
+    int64_t planner_generation = 0,
+    const std::vector<flatbuffers::Offset<bbv::wire::OwnLoad>> *own = nullptr,
+    const std::vector<flatbuffers::Offset<bbv::wire::EngineLoad>> *engines = nullptr,
+    const std::vector<flatbuffers::Offset<bbv::wire::TargetFault>> *faults = nullptr) {
+  auto own__ = own ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::OwnLoad>>(*own) : 0;
+  auto engines__ = engines ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::EngineLoad>>(*engines) : 0;
+  auto faults__ = faults ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::TargetFault>>(*faults) : 0;
+  return bbv::wire::CreateEntryState(
+      _fbb,
+      configuration_version,
+      planner_generation,
+      own__,
+      engines__,
+      faults__);
+}
+
+flatbuffers::Offset<EntryState> CreateEntryState(flatbuffers::FlatBufferBuilder &_fbb, const EntryStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct EntryConfigurationT : public flatbuffers::NativeTable {
+  typedef EntryConfiguration TableType;
+  uint64_t version = 0;
+  std::string text{};
+};
+
+/// The newest configuration as the operator wrote it, for entries behind.
+struct EntryConfiguration FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EntryConfigurationT NativeTableType;
+  typedef EntryConfigurationBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VERSION = 4,
+    VT_TEXT = 6
+  };
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  const flatbuffers::String *text() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEXT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyOffset(verifier, VT_TEXT) &&
+           verifier.VerifyString(text()) &&
+           verifier.EndTable();
+  }
+  EntryConfigurationT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EntryConfigurationT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EntryConfiguration> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryConfigurationT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EntryConfigurationBuilder {
+  typedef EntryConfiguration Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(EntryConfiguration::VT_VERSION, version, 0);
+  }
+  void add_text(flatbuffers::Offset<flatbuffers::String> text) {
+    fbb_.AddOffset(EntryConfiguration::VT_TEXT, text);
+  }
+  explicit EntryConfigurationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EntryConfiguration> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EntryConfiguration>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EntryConfiguration> CreateEntryConfiguration(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    flatbuffers::Offset<flatbuffers::String> text = 0) {
+  EntryConfigurationBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_text(text);
+  return builder_.Finish();
+}
+
+struct EntryConfiguration::Traits {
+  using type = EntryConfiguration;
+  static auto constexpr Create = CreateEntryConfiguration;
+};
+
+inline flatbuffers::Offset<EntryConfiguration> CreateEntryConfigurationDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    const char *text = nullptr) {
+  auto text__ = text ? _fbb.CreateString(text) : 0;
+  return bbv::wire::CreateEntryConfiguration(
+      _fbb,
+      version,
+      text__);
+}
+
+flatbuffers::Offset<EntryConfiguration> CreateEntryConfiguration(flatbuffers::FlatBufferBuilder &_fbb, const EntryConfigurationT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct FrameT : public flatbuffers::NativeTable {
+  typedef Frame TableType;
+  bbv::wire::BodyUnion body{};
+};
+
+struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FrameT NativeTableType;
+  typedef FrameBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BODY_TYPE = 4,
+    VT_BODY = 6
+  };
+  bbv::wire::Body body_type() const {
+    return static_cast<bbv::wire::Body>(GetField<uint8_t>(VT_BODY_TYPE, 0));
+  }
+  const void *body() const {
+    return GetPointer<const void *>(VT_BODY);
+  }
+  template<typename T> const T *body_as() const;
+  const bbv::wire::Hello *body_as_Hello() const {
+    return body_type() == bbv::wire::Body::Hello ? static_cast<const bbv::wire::Hello *>(body()) : nullptr;
+  }
+  const bbv::wire::HelloProof *body_as_HelloProof() const {
+    return body_type() == bbv::wire::Body::HelloProof ? static_cast<const bbv::wire::HelloProof *>(body()) : nullptr;
+  }
+  const bbv::wire::Heartbeat *body_as_Heartbeat() const {
+    return body_type() == bbv::wire::Body::Heartbeat ? static_cast<const bbv::wire::Heartbeat *>(body()) : nullptr;
+  }
+  const bbv::wire::ConfigurationPull *body_as_ConfigurationPull() const {
+    return body_type() == bbv::wire::Body::ConfigurationPull ? static_cast<const bbv::wire::ConfigurationPull *>(body()) : nullptr;
+  }
+  const bbv::wire::ConfigurationShare *body_as_ConfigurationShare() const {
+    return body_type() == bbv::wire::Body::ConfigurationShare ? static_cast<const bbv::wire::ConfigurationShare *>(body()) : nullptr;
+  }
+  const bbv::wire::StepBatch *body_as_StepBatch() const {
+    return body_type() == bbv::wire::Body::StepBatch ? static_cast<const bbv::wire::StepBatch *>(body()) : nullptr;
+  }
+  const bbv::wire::TokenBatch *body_as_TokenBatch() const {
+    return body_type() == bbv::wire::Body::TokenBatch ? static_cast<const bbv::wire::TokenBatch *>(body()) : nullptr;
+  }
+  const bbv::wire::AttemptFailure *body_as_AttemptFailure() const {
+    return body_type() == bbv::wire::Body::AttemptFailure ? static_cast<const bbv::wire::AttemptFailure *>(body()) : nullptr;
+  }
+  const bbv::wire::ReleaseBatch *body_as_ReleaseBatch() const {
+    return body_type() == bbv::wire::Body::ReleaseBatch ? static_cast<const bbv::wire::ReleaseBatch *>(body()) : nullptr;
+  }
+  const bbv::wire::Resume *body_as_Resume() const {
+    return body_type() == bbv::wire::Body::Resume ? static_cast<const bbv::wire::Resume *>(body()) : nullptr;
+  }
+  const bbv::wire::Resumed *body_as_Resumed() const {
+    return body_type() == bbv::wire::Body::Resumed ? static_cast<const bbv::wire::Resumed *>(body()) : nullptr;
+  }
+  const bbv::wire::ServiceCall *body_as_ServiceCall() const {
+    return body_type() == bbv::wire::Body::ServiceCall ? static_cast<const bbv::wire::ServiceCall *>(body()) : nullptr;
+  }
+  const bbv::wire::ServiceAnswer *body_as_ServiceAnswer() const {
+    return body_type() == bbv::wire::Body::ServiceAnswer ? static_cast<const bbv::wire::ServiceAnswer *>(body()) : nullptr;
+  }
+  const bbv::wire::EntryHello *body_as_EntryHello() const {
+    return body_type() == bbv::wire::Body::EntryHello ? static_cast<const bbv::wire::EntryHello *>(body()) : nullptr;
+  }
+  const bbv::wire::EntryState *body_as_EntryState() const {
+    return body_type() == bbv::wire::Body::EntryState ? static_cast<const bbv::wire::EntryState *>(body()) : nullptr;
+  }
+  const bbv::wire::EntryConfiguration *body_as_EntryConfiguration() const {
+    return body_type() == bbv::wire::Body::EntryConfiguration ? static_cast<const bbv::wire::EntryConfiguration *>(body()) : nullptr;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           VerifyBody(verifier, body(), body_type()) &&
+           verifier.EndTable();
+  }
+  FrameT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(FrameT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Frame> Pack(flatbuffers::FlatBufferBuilder &_fbb, const FrameT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+template<> inline const bbv::wire::Hello *Frame::body_as<bbv::wire::Hello>() const {
+  return body_as_Hello();
+}
+
+template<> inline const bbv::wire::HelloProof *Frame::body_as<bbv::wire::HelloProof>() const {
+  return body_as_HelloProof();
+}
+
+template<> inline const bbv::wire::Heartbeat *Frame::body_as<bbv::wire::Heartbeat>() const {
+  return body_as_Heartbeat();
+}
+
+template<> inline const bbv::wire::ConfigurationPull *Frame::body_as<bbv::wire::ConfigurationPull>() const {
+  return body_as_ConfigurationPull();
+}
+
+template<> inline const bbv::wire::ConfigurationShare *Frame::body_as<bbv::wire::ConfigurationShare>() const {
+  return body_as_ConfigurationShare();
+}
+
+template<> inline const bbv::wire::StepBatch *Frame::body_as<bbv::wire::StepBatch>() const {
+  return body_as_StepBatch();
+}
+
+template<> inline const bbv::wire::TokenBatch *Frame::body_as<bbv::wire::TokenBatch>() const {
+  return body_as_TokenBatch();
+}
+
+template<> inline const bbv::wire::AttemptFailure *Frame::body_as<bbv::wire::AttemptFailure>() const {
+  return body_as_AttemptFailure();
+}
+
+template<> inline const bbv::wire::ReleaseBatch *Frame::body_as<bbv::wire::ReleaseBatch>() const {
+  return body_as_ReleaseBatch();
+}
+
+template<> inline const bbv::wire::Resume *Frame::body_as<bbv::wire::Resume>() const {
+  return body_as_Resume();
+}
+
+template<> inline const bbv::wire::Resumed *Frame::body_as<bbv::wire::Resumed>() const {
+  return body_as_Resumed();
+}
+
+template<> inline const bbv::wire::ServiceCall *Frame::body_as<bbv::wire::ServiceCall>() const {
+  return body_as_ServiceCall();
+}
+
+template<> inline const bbv::wire::ServiceAnswer *Frame::body_as<bbv::wire::ServiceAnswer>() const {
+  return body_as_ServiceAnswer();
+}
+
+template<> inline const bbv::wire::EntryHello *Frame::body_as<bbv::wire::EntryHello>() const {
+  return body_as_EntryHello();
+}
+
+template<> inline const bbv::wire::EntryState *Frame::body_as<bbv::wire::EntryState>() const {
+  return body_as_EntryState();
+}
+
+template<> inline const bbv::wire::EntryConfiguration *Frame::body_as<bbv::wire::EntryConfiguration>() const {
+  return body_as_EntryConfiguration();
+}
+
+struct FrameBuilder {
+  typedef Frame Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_body_type(bbv::wire::Body body_type) {
+    fbb_.AddElement<uint8_t>(Frame::VT_BODY_TYPE, static_cast<uint8_t>(body_type), 0);
+  }
+  void add_body(flatbuffers::Offset<void> body) {
+    fbb_.AddOffset(Frame::VT_BODY, body);
+  }
+  explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Frame> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Frame>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Frame> CreateFrame(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bbv::wire::Body body_type = bbv::wire::Body::NONE,
+    flatbuffers::Offset<void> body = 0) {
+  FrameBuilder builder_(_fbb);
+  builder_.add_body(body);
+  builder_.add_body_type(body_type);
+  return builder_.Finish();
+}
+
+struct Frame::Traits {
+  using type = Frame;
+  static auto constexpr Create = CreateFrame;
+};
+
+flatbuffers::Offset<Frame> CreateFrame(flatbuffers::FlatBufferBuilder &_fbb, const FrameT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct EngineBatchT : public flatbuffers::NativeTable {
+  typedef EngineBatch TableType;
+  std::vector<bbv::wire::StepT> steps{};
+  std::string version{};
+  std::vector<bbv::wire::ReleaseT> releases{};
+};
+
+/// The engines' own interface (HTTP body of POST /v1/step), kept here so that one generator run covers both.
+/// `releases` names sequences whose KV cache the engine may free.
+struct EngineBatch FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EngineBatchT NativeTableType;
+  typedef EngineBatchBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_STEPS = 4,
+    VT_VERSION = 6,
+    VT_RELEASES = 8
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::Step>> *steps() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::Step>> *>(VT_STEPS);
+  }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::Release>> *releases() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::Release>> *>(VT_RELEASES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_STEPS) &&
+           verifier.VerifyVector(steps()) &&
+           verifier.VerifyVectorOfTables(steps()) &&
+           VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
+           VerifyOffset(verifier, VT_RELEASES) &&
+           verifier.VerifyVector(releases()) &&
+           verifier.VerifyVectorOfTables(releases()) &&
+           verifier.EndTable();
+  }
+  EngineBatchT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EngineBatchT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EngineBatch> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineBatchT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EngineBatchBuilder {
+  typedef EngineBatch Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_steps(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::Step>>> steps) {
+    fbb_.AddOffset(EngineBatch::VT_STEPS, steps);
+  }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(EngineBatch::VT_VERSION, version);
+  }
+  void add_releases(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::Release>>> releases) {
+    fbb_.AddOffset(EngineBatch::VT_RELEASES, releases);
+  }
+  explicit EngineBatchBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EngineBatch> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EngineBatch>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EngineBatch> CreateEngineBatch(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::Step>>> steps = 0,
+    flatbuffers::Offset<flatbuffers::String> version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::Release>>> releases = 0) {
+  EngineBatchBuilder builder_(_fbb);
+  builder_.add_releases(releases);
+  builder_.add_version(version);
   builder_.add_steps(steps);
   return builder_.Finish();
 }
@@ -4336,6 +5134,304 @@
 }
 
 
+inline bool operator==(const EntryHelloT &lhs, const EntryHelloT &rhs) {
+  return
+      (lhs.node == rhs.node) &&
+      (lhs.address == rhs.address);
+}
+
+inline bool operator!=(const EntryHelloT &lhs, const EntryHelloT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline EntryHelloT *EntryHello::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EntryHelloT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EntryHello::UnPackTo(EntryHelloT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+}
+
+inline flatbuffers::Offset<EntryHello> EntryHello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEntryHello(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EntryHello> CreateEntryHello(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EntryHelloT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _node = _o->node.empty() ? 0 : _fbb.CreateString(_o->node);
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  return bbv::wire::CreateEntryHello(
+      _fbb,
+      _node,
+      _address);
+}
+
+
+inline bool operator==(const EngineLoadT &lhs, const EngineLoadT &rhs) {
+  return
+      (lhs.target == rhs.target) &&
+      (lhs.started_unix_ms == rhs.started_unix_ms) &&
+      (lhs.pace == rhs.pace) &&
+      (lhs.active == rhs.active) &&
+      (lhs.queued == rhs.queued) &&
+      (lhs.used_token_layers == rhs.used_token_layers) &&
+      (lhs.from_layer == rhs.from_layer) &&
+      (lhs.to_layer == rhs.to_layer) &&
+      (lhs.age_ms == rhs.age_ms);
+}
+
+inline bool operator!=(const EngineLoadT &lhs, const EngineLoadT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline EngineLoadT *EngineLoad::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EngineLoadT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EngineLoad::UnPackTo(EngineLoadT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = target(); if (_e) _o->target = _e->str(); }
+  { auto _e = started_unix_ms(); _o->started_unix_ms = _e; }
+  { auto _e = pace(); _o->pace = _e; }
+  { auto _e = active(); _o->active = _e; }
+  { auto _e = queued(); _o->queued = _e; }
+  { auto _e = used_token_layers(); _o->used_token_layers = _e; }
+  { auto _e = from_layer(); _o->from_layer = _e; }
+  { auto _e = to_layer(); _o->to_layer = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+}
+
+inline flatbuffers::Offset<EngineLoad> EngineLoad::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineLoadT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEngineLoad(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EngineLoad> CreateEngineLoad(flatbuffers::FlatBufferBuilder &_fbb, const EngineLoadT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EngineLoadT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
+  auto _started_unix_ms = _o->started_unix_ms;
+  auto _pace = _o->pace;
+  auto _active = _o->active;
+  auto _queued = _o->queued;
+  auto _used_token_layers = _o->used_token_layers;
+  auto _from_layer = _o->from_layer;
+  auto _to_layer = _o->to_layer;
+  auto _age_ms = _o->age_ms;
+  return bbv::wire::CreateEngineLoad(
+      _fbb,
+      _target,
+      _started_unix_ms,
+      _pace,
+      _active,
+      _queued,
+      _used_token_layers,
+      _from_layer,
+      _to_layer,
+      _age_ms);
+}
+
+
+inline bool operator==(const OwnLoadT &lhs, const OwnLoadT &rhs) {
+  return
+      (lhs.target == rhs.target) &&
+      (lhs.calls == rhs.calls) &&
+      (lhs.token_layers == rhs.token_layers);
+}
+
+inline bool operator!=(const OwnLoadT &lhs, const OwnLoadT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline OwnLoadT *OwnLoad::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<OwnLoadT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void OwnLoad::UnPackTo(OwnLoadT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = target(); if (_e) _o->target = _e->str(); }
+  { auto _e = calls(); _o->calls = _e; }
+  { auto _e = token_layers(); _o->token_layers = _e; }
+}
+
+inline flatbuffers::Offset<OwnLoad> OwnLoad::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OwnLoadT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateOwnLoad(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<OwnLoad> CreateOwnLoad(flatbuffers::FlatBufferBuilder &_fbb, const OwnLoadT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OwnLoadT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
+  auto _calls = _o->calls;
+  auto _token_layers = _o->token_layers;
+  return bbv::wire::CreateOwnLoad(
+      _fbb,
+      _target,
+      _calls,
+      _token_layers);
+}
+
+
+inline bool operator==(const TargetFaultT &lhs, const TargetFaultT &rhs) {
+  return
+      (lhs.target == rhs.target) &&
+      (lhs.started_unix_ms == rhs.started_unix_ms) &&
+      (lhs.heartbeat == rhs.heartbeat) &&
+      (lhs.evidence == rhs.evidence);
+}
+
+inline bool operator!=(const TargetFaultT &lhs, const TargetFaultT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline TargetFaultT *TargetFault::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TargetFaultT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TargetFault::UnPackTo(TargetFaultT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = target(); if (_e) _o->target = _e->str(); }
+  { auto _e = started_unix_ms(); _o->started_unix_ms = _e; }
+  { auto _e = heartbeat(); _o->heartbeat = _e; }
+  { auto _e = evidence(); if (_e) _o->evidence = _e->str(); }
+}
+
+inline flatbuffers::Offset<TargetFault> TargetFault::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TargetFaultT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTargetFault(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TargetFault> CreateTargetFault(flatbuffers::FlatBufferBuilder &_fbb, const TargetFaultT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TargetFaultT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
+  auto _started_unix_ms = _o->started_unix_ms;
+  auto _heartbeat = _o->heartbeat;
+  auto _evidence = _o->evidence.empty() ? 0 : _fbb.CreateString(_o->evidence);
+  return bbv::wire::CreateTargetFault(
+      _fbb,
+      _target,
+      _started_unix_ms,
+      _heartbeat,
+      _evidence);
+}
+
+
+inline bool operator==(const EntryStateT &lhs, const EntryStateT &rhs) {
+  return
+      (lhs.configuration_version == rhs.configuration_version) &&
+      (lhs.planner_generation == rhs.planner_generation) &&
+      (lhs.own == rhs.own) &&
+      (lhs.engines == rhs.engines) &&
+      (lhs.faults == rhs.faults);
+}
+
+inline bool operator!=(const EntryStateT &lhs, const EntryStateT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline EntryStateT *EntryState::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EntryStateT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EntryState::UnPackTo(EntryStateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = configuration_version(); _o->configuration_version = _e; }
+  { auto _e = planner_generation(); _o->planner_generation = _e; }
+  { auto _e = own(); if (_e) { _o->own.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->own[_i] = *std::unique_ptr<bbv::wire::OwnLoadT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = engines(); if (_e) { _o->engines.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->engines[_i] = *std::unique_ptr<bbv::wire::EngineLoadT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = faults(); if (_e) { _o->faults.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->faults[_i] = *std::unique_ptr<bbv::wire::TargetFaultT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<EntryState> EntryState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEntryState(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EntryState> CreateEntryState(flatbuffers::FlatBufferBuilder &_fbb, const EntryStateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EntryStateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _configuration_version = _o->configuration_version;
+  auto _planner_generation = _o->planner_generation;
+  auto _own = _o->own.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::OwnLoad>> (_o->own.size(), [](size_t i, _VectorArgs *__va) { return CreateOwnLoad(*__va->__fbb, &(__va->__o->own[i]), __va->__rehasher); }, &_va ) : 0;
+  auto _engines = _o->engines.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::EngineLoad>> (_o->engines.size(), [](size_t i, _VectorArgs *__va) { return CreateEngineLoad(*__va->__fbb, &(__va->__o->engines[i]), __va->__rehasher); }, &_va ) : 0;
+  auto _faults = _o->faults.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::TargetFault>> (_o->faults.size(), [](size_t i, _VectorArgs *__va) { return CreateTargetFault(*__va->__fbb, &(__va->__o->faults[i]), __va->__rehasher); }, &_va ) : 0;
+  return bbv::wire::CreateEntryState(
+      _fbb,
+      _configuration_version,
+      _planner_generation,
+      _own,
+      _engines,
+      _faults);
+}
+
+
+inline bool operator==(const EntryConfigurationT &lhs, const EntryConfigurationT &rhs) {
+  return
+      (lhs.version == rhs.version) &&
+      (lhs.text == rhs.text);
+}
+
+inline bool operator!=(const EntryConfigurationT &lhs, const EntryConfigurationT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline EntryConfigurationT *EntryConfiguration::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EntryConfigurationT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EntryConfiguration::UnPackTo(EntryConfigurationT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = text(); if (_e) _o->text = _e->str(); }
+}
+
+inline flatbuffers::Offset<EntryConfiguration> EntryConfiguration::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryConfigurationT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEntryConfiguration(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EntryConfiguration> CreateEntryConfiguration(flatbuffers::FlatBufferBuilder &_fbb, const EntryConfigurationT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EntryConfigurationT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _version = _o->version;
+  auto _text = _o->text.empty() ? 0 : _fbb.CreateString(_o->text);
+  return bbv::wire::CreateEntryConfiguration(
+      _fbb,
+      _version,
+      _text);
+}
+
+
 inline bool operator==(const FrameT &lhs, const FrameT &rhs) {
   return
       (lhs.body == rhs.body);
@@ -4571,6 +5667,18 @@
       auto ptr = reinterpret_cast<const bbv::wire::ServiceAnswer *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::EntryHello: {
+      auto ptr = reinterpret_cast<const bbv::wire::EntryHello *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::EntryState: {
+      auto ptr = reinterpret_cast<const bbv::wire::EntryState *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::EntryConfiguration: {
+      auto ptr = reinterpret_cast<const bbv::wire::EntryConfiguration *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -4642,6 +5750,18 @@
       auto ptr = reinterpret_cast<const bbv::wire::ServiceAnswer *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::EntryHello: {
+      auto ptr = reinterpret_cast<const bbv::wire::EntryHello *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::EntryState: {
+      auto ptr = reinterpret_cast<const bbv::wire::EntryState *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::EntryConfiguration: {
+      auto ptr = reinterpret_cast<const bbv::wire::EntryConfiguration *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -4701,6 +5821,18 @@
       auto ptr = reinterpret_cast<const bbv::wire::ServiceAnswerT *>(value);
       return CreateServiceAnswer(_fbb, ptr, _rehasher).Union();
     }
+    case Body::EntryHello: {
+      auto ptr = reinterpret_cast<const bbv::wire::EntryHelloT *>(value);
+      return CreateEntryHello(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::EntryState: {
+      auto ptr = reinterpret_cast<const bbv::wire::EntryStateT *>(value);
+      return CreateEntryState(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::EntryConfiguration: {
+      auto ptr = reinterpret_cast<const bbv::wire::EntryConfigurationT *>(value);
+      return CreateEntryConfiguration(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -4759,6 +5891,18 @@
       value = new bbv::wire::ServiceAnswerT(*reinterpret_cast<bbv::wire::ServiceAnswerT *>(u.value));
       break;
     }
+    case Body::EntryHello: {
+      value = new bbv::wire::EntryHelloT(*reinterpret_cast<bbv::wire::EntryHelloT *>(u.value));
+      break;
+    }
+    case Body::EntryState: {
+      value = new bbv::wire::EntryStateT(*reinterpret_cast<bbv::wire::EntryStateT *>(u.value));
+      break;
+    }
+    case Body::EntryConfiguration: {
+      value = new bbv::wire::EntryConfigurationT(*reinterpret_cast<bbv::wire::EntryConfigurationT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -4831,6 +5975,21 @@
       delete ptr;
       break;
     }
+    case Body::EntryHello: {
+      auto ptr = reinterpret_cast<bbv::wire::EntryHelloT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::EntryState: {
+      auto ptr = reinterpret_cast<bbv::wire::EntryStateT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::EntryConfiguration: {
+      auto ptr = reinterpret_cast<bbv::wire::EntryConfigurationT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- /dev/null
+++ b/tests/fleet_fixtures.h
@@ -0,0 +1,86 @@
+#ifndef TESTS_FLEET_FIXTURES_H_
+#define TESTS_FLEET_FIXTURES_H_
+
+#include <string>
+#include <vector>
+
+#include "bbv_fleet/bbv_fleet.h"
+
+namespace bbv_test {
+
+// A model of 80 layers on three kinds of accelerators.
+inline bbv::EngineModel MakeModel() {
+  bbv::EngineModel model;
+  model.model = "m";
+  model.layers = 80;
+  model.layer_mb = 1750;
+  model.kv_bytes_per_token = 426000;
+  model.step_ms = 0.85;
+  model.load_ms = 14000;
+  model.concurrent_loads = 6;
+  model.usual_prompt_tokens = 772;
+  model.usual_answer_tokens = 145;
+  model.kinds = {{"large", 36000, 3.1, 3.2},
+                 {"middle", 21600, 16, 8.2},
+                 {"small", 14400, 15, 15}};
+  return model;
+}
+
+// Three zones of unlike sizes, each of which can hold a copy.
+inline std::vector<bbv::PlannerTarget> MakeThreeZones() {
+  struct Group {
+    const char* zone;
+    const char* kind;
+    int count;
+  };
+  constexpr Group kGroups[] = {
+      {"a", "large", 2},  {"b", "large", 1},  {"c", "large", 2},
+      {"a", "middle", 5}, {"b", "middle", 7}, {"c", "middle", 3},
+      {"a", "small", 8},  {"b", "small", 5},  {"c", "small", 5}};
+  std::vector<bbv::PlannerTarget> targets;
+  for (const Group& group : kGroups) {
+    for (int it = 0; it < group.count; ++it) {
+      targets.push_back(
+          {std::string("i-") + group.zone + group.kind + std::to_string(it),
+           group.zone, group.kind, std::nullopt});
+    }
+  }
+  return targets;
+}
+
+// A listed target; engines get an accelerator and layers.
+inline bbv::TargetRecord MakeRecord(const std::string& id,
+                                    const std::string& service,
+                                    const std::string& zone) {
+  static int port = 7000;
+  bbv::TargetRecord record;
+  record.id = id;
+  record.service = service;
+  record.address = "127.0.0.1:" + std::to_string(++port);
+  record.zone = zone;
+  record.slots = 6;
+  record.started_unix_ms = 1;
+  record.heartbeat = 1;
+  return record;
+}
+
+// Lists the placed targets of three zones on `board` as service "engine".
+inline void ListThreeZones(bbv::TargetBoard* board, bbv::Instant now) {
+  std::vector<bbv::PlannerTarget> targets = MakeThreeZones();
+  const bbv::EngineModel model = MakeModel();
+  for (const auto& it : bbv::LayerPlanner::Plan(model, targets)) {
+    for (const bbv::PlannerTarget& target : targets) {
+      if (target.id != it.id)
+        continue;
+      bbv::TargetRecord record = MakeRecord(it.id, "engine", target.zone);
+      record.accelerator = target.accelerator;
+      record.layers = it.layers;
+      record.slots = 192;
+      board->Apply(record, now);
+    }
+  }
+}
+
+}  // namespace bbv_test
+
+#endif  // TESTS_FLEET_FIXTURES_H_
