Return no path while no target is listed

Ruled out: the store and the peers (no frame of theirs in the stack). Change: an empty table has no path. Test: PathChooser.FindsNothingBeforeAnyTargetIsListed.

--- a/modules/bbv_fleet/path_chooser.cc
+++ b/modules/bbv_fleet/path_chooser.cc
@@ -128,6 +128,8 @@
 EnginePath PathChooser::Search(const EngineModel& model,
                                const std::vector<Candidate>& candidates,
                                const SearchLimits& limits) {
+  if (candidates.empty())
+    return {};
   const bool across_zones = limits.across_zones;
   // Shortest path over (layer reached, candidate used last), layers ascending.
   struct Arrival {
--- a/modules/bbv_fleet/path_chooser_test.cc
+++ b/modules/bbv_fleet/path_chooser_test.cc
@@ -134,3 +134,14 @@
   CHECK_EQUAL(3, static_cast<int>(zones.size()));
   CHECK(placed > 500);
 }
+
+TEST(PathChooser, FindsNothingBeforeAnyTargetIsListed) {
+  bbv::TargetBoard empty;
+  const bbv::PathChooser of_empty(&empty);
+  PathQuery query;
+  query.service = "engine";
+  query.zone = "a";
+  query.tokens = 900;
+  CHECK(of_empty.Choose(model, query, now, &failure).empty());
+  CHECK(failure == PathFailure::kLayersMissing);
+}
