Repair layers around a gap, share retry spending, hold callers while an entry starts

Change: gaps are closed by spare targets, neighbours, then the fewest targets around the gap; entries tell their spending and divide what is left; callers' connections are not read for up to 0.7 s of a start.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -16,12 +16,16 @@
 constexpr Milliseconds kGaugePause{500};
 // After the stop signal, callers are still sent here until the balancer has
 // noticed.
-constexpr Milliseconds kStopNotice{2600};
+constexpr Milliseconds kStopNotice{2400};
 // The end by force is not waited for.
 constexpr Milliseconds kStopMargin{300};
 constexpr Milliseconds kDefaultWait{30'000};
-// A stream that stays silent for this long is taken off its path whatever its
-// targets say.
+// For how long callers of a starting entry wait for it to know where to send.
+constexpr Milliseconds kStartHold{700};
+// Time that a call needs at most, as a rule; a stopping entry takes none that
+// its end would cut.
+constexpr Milliseconds kStreamTime{4800};
+constexpr Milliseconds kPlainCallTime{1500};
 constexpr int kDescriptorsKept = 400;
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
@@ -43,6 +47,7 @@
       settings_path_(std::move(settings_path)),
       log_(settings_.name),
       random_(std::random_device{}()),
+      budgets_(RetryLimits()),
       client_(&loop_),
       store_(&client_, settings_.store_address, &log_),
       selector_(&board_, settings_.zone),
@@ -69,6 +74,7 @@
              &board_,
              &configuration_,
              &planner_,
+             &budgets_,
              [this](const std::string& id, std::string_view evidence) {
                TakeTargetFault(id, evidence, false);
              }) {
@@ -79,7 +85,7 @@
   context_.metrics = &metrics_;
   context_.random = &random_;
   context_.budget = [this](const std::string& service) {
-    return BudgetOf(service);
+    return budgets_.Of(service);
   };
   context_.on_target_fault = [this](const std::string& id,
                                     std::string_view evidence, bool witnessed) {
@@ -113,6 +119,7 @@
     fault = peers_.Start(settings_.peer_seeds);
   if (!fault.empty())
     return fault;
+  hold_until_ = EventLoop::Now() + kStartHold;
   loop_.SetTick(kTick, [this] { OnTick(); });
   loop_.OnSignal(SIGTERM, [this] { BeginStop(); });
   loop_.OnSignal(SIGINT, [this] { BeginStop(); });
@@ -149,20 +156,17 @@
       std::make_unique<CallerConnection>(id, std::move(stream), limits, this);
   if (stopping_)
     connection->StopKeeping();
+  else if (!IsReady(EventLoop::Now()) && EventLoop::Now() < hold_until_)
+    connection->Hold();
   callers_.emplace(id, std::move(connection));
 }
 
-SharedRetryBudget* FleetEntry::BudgetOf(const std::string& service) {
-  const auto it = budgets_.find(service);
-  if (it != budgets_.end())
-    return &it->second;
+SharedRetryBudget::Limits FleetEntry::RetryLimits() const {
   SharedRetryBudget::Limits limits;
   limits.ratio = settings_.retry_share;
   limits.extra = settings_.retry_extra;
   limits.window = Milliseconds(settings_.retry_window_ms);
-  SharedRetryBudget budget(limits);
-  budget.SetEntries(std::max(1, entries_));
-  return &budgets_.emplace(service, std::move(budget)).first->second;
+  return limits;
 }
 
 void FleetEntry::Refuse(CallerConnection* connection,
@@ -202,6 +206,10 @@
     Refuse(connection, fields.attempt_id, kNotFound, "no route", false);
     return;
   }
+  if (!MayStillTake(*route, now)) {
+    Refuse(connection, fields.attempt_id, kUnavailable, "stopping", true);
+    return;
+  }
   CallRequest request;
   const bool keyed = !index->configuration().accounts.empty();
   if (keyed && !route->open_to_all) {
@@ -242,6 +250,16 @@
   started->Start(now);
 }
 
+bool FleetEntry::MayStillTake(const ServiceRoute& route, Instant now) const {
+  if (!stopping_)
+    return true;
+  const Milliseconds needed =
+      route.kind == CallKind::kStream
+          ? kStreamTime
+          : std::min(kPlainCallTime, Milliseconds(route.timeout_ms));
+  return now + needed <= stop_deadline_;
+}
+
 void FleetEntry::OnCallerGone(CallerConnection* connection) {
   const auto it = calls_.find(connection->id());
   if (it == calls_.end())
@@ -313,8 +331,7 @@
   if (entries == entries_)
     return;
   entries_ = entries;
-  for (auto& [service, budget] : budgets_)
-    budget.SetEntries(entries_);
+  budgets_.SetEntries(entries_);
 }
 
 void FleetEntry::TickCalls(Instant now) {
@@ -339,6 +356,14 @@
 }
 
 void FleetEntry::TickCallers(Instant now) {
+  if (holding_ && (IsReady(now) || now >= hold_until_)) {
+    holding_ = false;
+    std::vector<CallerConnection*> held;
+    for (const auto& [id, connection] : callers_)
+      held.push_back(connection.get());
+    for (CallerConnection* it : held)
+      it->Resume();
+  }
   std::erase_if(callers_, [now](auto& it) { return !it.second->OnTick(now); });
 }
 
@@ -389,6 +414,11 @@
 
 void FleetEntry::TickStop(Instant now) {
   const bool finished = now >= stop_began_ + kStopNotice && calls_.empty();
+  // Idle connections are closed once the balancer sends callers elsewhere.
+  if (now >= stop_began_ + kStopNotice) {
+    for (const auto& [id, connection] : callers_)
+      connection->CloseIfIdle();
+  }
   if (!finished && now < stop_deadline_)
     return;
   loop_.Stop();
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -73,7 +73,9 @@
               int status,
               std::string_view cause,
               bool may_return);
-  SharedRetryBudget* BudgetOf(const std::string& service);
+  // Whether a call taken now can end before this entry's own end.
+  bool MayStillTake(const ServiceRoute& route, Instant now) const;
+  SharedRetryBudget::Limits RetryLimits() const;
 
   FleetSettings settings_;
   std::string settings_path_;
@@ -81,6 +83,7 @@
   DecisionLog log_;
   FleetMetrics metrics_;
   std::mt19937_64 random_;
+  RetryBudgets budgets_;
   HttpClient client_;
   StoreClient store_;
   TargetBoard board_;
@@ -93,7 +96,6 @@
   PeerLinks links_;
   PeerExchange peers_;
   CallContext context_;
-  std::map<std::string, SharedRetryBudget> budgets_;
   TcpListener callers_listener_;
   SmallHttpServer readiness_server_;
   SmallHttpServer metrics_server_;
@@ -110,6 +112,9 @@
   Instant next_gauges_{};
   // Entries that share the retry budget, as of the last look.
   int entries_ = 0;
+  // Whether callers' connections may be on hold, and until when.
+  bool holding_ = true;
+  Instant hold_until_{};
 };
 
 }  // namespace bbv
--- a/modules/bbv_entry/peer_exchange.cc
+++ b/modules/bbv_entry/peer_exchange.cc
@@ -17,11 +17,13 @@
                            TargetBoard* board,
                            ConfigurationFollower* configuration,
                            PlannerAgent* planner,
+                           RetryBudgets* budgets,
                            OnFault on_fault)
     : links_(links),
       board_(board),
       configuration_(configuration),
       planner_(planner),
+      budgets_(budgets),
       on_fault_(std::move(on_fault)) {
   assert(links != nullptr && board != nullptr);
   assert(configuration != nullptr && planner != nullptr);
@@ -92,6 +94,13 @@
     engine.age_ms = RemainingMilliseconds(now, row->reported_at);
     state.engines.push_back(std::move(engine));
   }
+  for (const auto& [service, spent] : budgets_->Spent(now)) {
+    wire::RetrySpendingT retries;
+    retries.service = service;
+    retries.calls = static_cast<uint32_t>(spent.calls);
+    retries.repeats = static_cast<uint32_t>(spent.repeats);
+    state.retries.push_back(std::move(retries));
+  }
   return state;
 }
 
@@ -124,6 +133,12 @@
     loads.push_back({it.target, static_cast<int>(it.calls), it.token_layers});
   }
   board_->SetPeerLoad(peer, std::move(loads));
+  RetryBudgets::Spendings spendings;
+  for (const wire::RetrySpendingT& it : state.retries) {
+    spendings[it.service] = {static_cast<double>(it.calls),
+                             static_cast<double>(it.repeats)};
+  }
+  budgets_->SetPeer(peer, std::move(spendings), now);
   for (const wire::EngineLoadT& it : state.engines) {
     EngineLoadReport report;
     report.pace = it.pace;
--- a/modules/bbv_entry/peer_exchange.h
+++ b/modules/bbv_entry/peer_exchange.h
@@ -27,6 +27,7 @@
                TargetBoard* board,
                ConfigurationFollower* configuration,
                PlannerAgent* planner,
+               RetryBudgets* budgets,
                OnFault on_fault);
 
   // Returns an empty text, or why it cannot listen.
@@ -52,6 +53,7 @@
   TargetBoard* board_;
   ConfigurationFollower* configuration_;
   PlannerAgent* planner_;
+  RetryBudgets* budgets_;
   OnFault on_fault_;
   Instant next_state_{};
 };
--- a/modules/bbv_entry/planner_agent.cc
+++ b/modules/bbv_entry/planner_agent.cc
@@ -27,6 +27,25 @@
 constexpr int kAccepted = 202;
 constexpr int kConflict = 409;
 
+// Whether some zone's targets hold every layer.
+bool HoldsSomeCopy(const EngineModel& model,
+                   const std::vector<PlannerTarget>& targets) {
+  std::map<std::string, std::vector<bool>> held;
+  for (const PlannerTarget& it : targets) {
+    if (!it.layers)
+      continue;
+    auto& zone = held[it.zone];
+    zone.resize(model.layers);
+    for (int n = it.layers->from; n < std::min(it.layers->to, model.layers);
+         ++n)
+      zone[n] = true;
+  }
+  return std::any_of(held.begin(), held.end(), [](const auto& zone) {
+    return std::all_of(zone.second.begin(), zone.second.end(),
+                       [](bool it) { return it; });
+  });
+}
+
 }  // namespace
 
 PlannerAgent::PlannerAgent(StoreClient* store,
@@ -114,10 +133,7 @@
 std::vector<PlannerTarget> PlannerAgent::CollectTargets(
     const ServiceDescription& service,
     Instant now) {
-  const EngineModel& model = *service.engine;
   std::vector<PlannerTarget> targets;
-  std::vector<PlannerTarget> slow;
-  std::map<std::string, int> capacity;
   for (const auto& [id, row] : board_->rows()) {
     if (row->record.service != service.name)
       continue;
@@ -132,28 +148,40 @@
                          row->record.layers};
     if (const auto it = pending_.find(id); it != pending_.end())
       target.layers = it->second.layers;
-    if (TargetBoard::IsSlow(*row, now)) {
-      slow.push_back(std::move(target));
-      continue;
-    }
-    capacity[target.zone] += LayerPlanner::MaxLayers(model, target.accelerator);
     targets.push_back(std::move(target));
   }
   std::erase_if(missing_since_, [this](const auto& it) {
     return board_->Find(it.first) == nullptr;
   });
-  // Slow targets are done without where the others can hold a copy.
-  for (PlannerTarget& it : slow) {
-    if (capacity[it.zone] < model.layers)
-      targets.push_back(std::move(it));
-  }
   return targets;
 }
 
+void PlannerAgent::AppendReliefOfSlowTargets(
+    const EngineModel& model,
+    const std::vector<PlannerTarget>& targets,
+    Instant now,
+    std::vector<Placement>* changes) const {
+  std::vector<PlannerTarget> quick;
+  for (const PlannerTarget& it : targets) {
+    const FleetTarget* target = board_->Find(it.id);
+    if (target != nullptr && !TargetBoard::IsSlow(*target, now))
+      quick.push_back(it);
+  }
+  if (quick.size() == targets.size() || !changes->empty())
+    return;
+  // Others take the layers too, but nothing moves: a slow target still serves.
+  *changes = LayerPlanner::Plan(model, quick, false);
+}
+
 void PlannerAgent::PlanService(const ServiceDescription& service, Instant now) {
   const EngineModel& model = *service.engine;
   const std::vector<PlannerTarget> targets = CollectTargets(service, now);
-  for (const Placement& it : LayerPlanner::Plan(model, targets)) {
+  // While orders are under way a second move could take away what the first
+  // counts on.
+  const bool may_move = pending_.empty() || !HoldsSomeCopy(model, targets);
+  std::vector<Placement> changes = LayerPlanner::Plan(model, targets, may_move);
+  AppendReliefOfSlowTargets(model, targets, now, &changes);
+  for (const Placement& it : changes) {
     const FleetTarget* target = board_->Find(it.id);
     const double share =
         static_cast<double>(it.layers.size()) / std::max(1, model.layers);
--- a/modules/bbv_entry/planner_agent.h
+++ b/modules/bbv_entry/planner_agent.h
@@ -62,6 +62,11 @@
   // Targets that planning counts on, with what they hold or will hold.
   std::vector<PlannerTarget> CollectTargets(const ServiceDescription& service,
                                             Instant now);
+  // Adds orders by which quick targets take over layers of slow ones.
+  void AppendReliefOfSlowTargets(const EngineModel& model,
+                                 const std::vector<PlannerTarget>& targets,
+                                 Instant now,
+                                 std::vector<Placement>* changes) const;
   void PlanService(const ServiceDescription& service, Instant now);
   void SettleOrders(Instant now);
   void AskReport(const std::string& id);
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -80,7 +80,7 @@
   streaming_ = false;
   answer_body_.clear();
   splitter_.Reset();
-  context_->selector->Begin(sent_);
+  context_->selector->Begin(sent_, now);
   platform::ForwardFields fields;
   if (request.account != nullptr)
     fields.account = request.account->name;
--- a/modules/bbv_fleet/bbv_fleet.h
+++ b/modules/bbv_fleet/bbv_fleet.h
@@ -13,6 +13,7 @@
 #include "bbv_fleet/fleet_index.h"
 #include "bbv_fleet/layer_planner.h"
 #include "bbv_fleet/path_chooser.h"
+#include "bbv_fleet/retry_budgets.h"
 #include "bbv_fleet/shared_retry_budget.h"
 #include "bbv_fleet/target_board.h"
 #include "bbv_fleet/target_selector.h"
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -64,6 +64,8 @@
   std::vector<LayerRange> layers;
   std::vector<std::string> hop_ids;
   std::vector<std::string> hop_addresses;
+  // Expected milliseconds of reading the prompt at each hop.
+  std::vector<double> read_ms;
   double tokens = 0;
   // Expected milliseconds between two events of a stream.
   double event_ms = 0;
--- a/modules/bbv_fleet/fleet_configuration.h
+++ b/modules/bbv_fleet/fleet_configuration.h
@@ -63,6 +63,8 @@
   // KV cache of one token over all layers.
   double kv_bytes_per_token = 0;
   double step_ms = 0;
+  // Prompt tokens that are read in a millisecond.
+  double read_tokens_per_ms = 0;
   // Loading all layers.
   double load_ms = 0;
   int concurrent_loads = 1;
--- a/modules/bbv_fleet/layer_planner.cc
+++ b/modules/bbv_fleet/layer_planner.cc
@@ -50,22 +50,15 @@
       wanted_.push_back(it.layers);
   }
 
-  void Compute() {
+  void Compute(bool may_move) {
     const bool fresh =
         std::none_of(wanted_.begin(),
                      wanted_.begin() + static_cast<std::ptrdiff_t>(members_),
                      [](const auto& it) { return it.has_value(); });
-    if (fresh) {
+    if (fresh)
       PlaceAfresh(ShuffledOrder());
-    } else {
-      for (std::size_t it = 0; it < members_; ++it) {
-        if (!wanted_[it])
-          FillWithEmptyTarget(it);
-      }
-      ExtendNeighbours();
-      if (FirstGap())
-        PlaceAfresh(OrderByLayers());
-    }
+    else
+      Repair(may_move);
     for (std::size_t it = 0; it < targets_.size(); ++it) {
       if (!wanted_[it])
         FillWithEmptyTarget(it);
@@ -100,17 +93,99 @@
   }
 
   int Middle(std::size_t index) const {
-    const auto& range = targets_[index].layers;
-    return range ? range->from + range->to : model_.layers;
+    const auto& range = wanted_[index];
+    return range ? range->from + range->to : 2 * model_.layers;
   }
 
-  // Divides all layers over the targets in `order`, one range each, so that
-  // memory left for requests is alike. Does nothing when they don't fit.
-  void PlaceAfresh(const std::vector<std::size_t>& order) {
-    const std::vector<int> counts = Divide(order);
-    if (std::accumulate(counts.begin(), counts.end(), 0) < model_.layers)
+  // Closes gaps, by what moves least first.
+  void Repair(bool may_move) {
+    for (std::size_t it = 0; it < members_; ++it) {
+      if (!wanted_[it] && FirstGap())
+        FillWithEmptyTarget(it);
+    }
+    ExtendNeighbours();
+    while (FirstGap() && MoveSpare()) {
+    }
+    ExtendNeighbours();
+    if (!may_move || !FirstGap())
+      return;
+    MoveAroundGap();
+    if (FirstGap())
+      PlaceAfresh(OrderByLayers());
+  }
+
+  // Gives a gap to a target whose layers others hold too. Returns whether
+  // there was one.
+  bool MoveSpare() {
+    const auto gap = FirstGap();
+    const std::vector<int> coverage = Coverage();
+    int best = -1;
+    for (std::size_t it = 0; it < members_; ++it) {
+      const auto& range = wanted_[it];
+      // What was just given a gap's layers holds them alone and is no spare.
+      if (!range || Capacity(it) == 0 || !IsSpare(*range, coverage))
+        continue;
+      if (best < 0 || Capacity(it) > Capacity(best))
+        best = static_cast<int>(it);
+    }
+    if (best < 0)
+      return false;
+    wanted_[best] =
+        LayerRange{gap->from, std::min(gap->to, gap->from + Capacity(best))};
+    return true;
+  }
+
+  bool IsSpare(const LayerRange& range,
+               const std::vector<int>& coverage) const {
+    for (int it = range.from; it < std::min(range.to, model_.layers); ++it) {
+      if (coverage[it] < 2)
+        return false;
+    }
+    return true;
+  }
+
+  // Divides the layers around the first gap anew over as few targets as can
+  // hold them; all others stay as they are.
+  void MoveAroundGap() {
+    const auto gap = FirstGap();
+    const std::vector<std::size_t> order = OrderByLayers();
+    std::size_t after = 0;
+    while (after < order.size() && Begin(order[after]) < gap->from)
+      ++after;
+    std::size_t first = after;
+    std::size_t last = after;
+    while (first > 0 || last < order.size()) {
+      if (first > 0)
+        --first;
+      if (last < order.size())
+        ++last;
+      LayerRange span = *gap;
+      int capacity = 0;
+      for (std::size_t it = first; it < last; ++it) {
+        const auto& range = wanted_[order[it]];
+        if (range) {
+          span.from = std::min(span.from, range->from);
+          span.to = std::max(span.to, range->to);
+        }
+        capacity += Capacity(order[it]);
+      }
+      if (capacity < span.size())
+        continue;
+      DivideSpan({order.begin() + static_cast<std::ptrdiff_t>(first),
+                  order.begin() + static_cast<std::ptrdiff_t>(last)},
+                 span);
       return;
-    int at = 0;
+    }
+  }
+
+  int Begin(std::size_t index) const {
+    return wanted_[index] ? wanted_[index]->from : model_.layers;
+  }
+
+  void DivideSpan(const std::vector<std::size_t>& order,
+                  const LayerRange& span) {
+    const std::vector<int> counts = Divide(order, span.size());
+    int at = span.from;
     for (std::size_t it = 0; it < order.size(); ++it) {
       if (counts[it] == 0)
         continue;
@@ -119,7 +194,18 @@
     }
   }
 
-  std::vector<int> Divide(const std::vector<std::size_t>& order) const {
+  // Divides all layers over the targets in `order`, one range each, so that
+  // memory left for requests is alike. Does nothing when they don't fit.
+  void PlaceAfresh(const std::vector<std::size_t>& order) {
+    const std::vector<int> counts = Divide(order, model_.layers);
+    if (std::accumulate(counts.begin(), counts.end(), 0) < model_.layers)
+      return;
+    DivideSpan(order, {0, model_.layers});
+  }
+
+  // Returns how many of `layers` each target in `order` should hold.
+  std::vector<int> Divide(const std::vector<std::size_t>& order,
+                          int layers) const {
     std::vector<int> counts(order.size(), 0);
     double memory = 0;
     for (const std::size_t it : order)
@@ -129,14 +215,13 @@
     int placed = 0;
     std::vector<double> remainders(order.size(), 0);
     for (std::size_t it = 0; it < order.size(); ++it) {
-      const double share = model_.layers *
-                           MemoryMb(model_, targets_[order[it]].accelerator) /
-                           memory;
+      const double share =
+          layers * MemoryMb(model_, targets_[order[it]].accelerator) / memory;
       counts[it] = std::min(static_cast<int>(share), Capacity(order[it]));
       remainders[it] = share - counts[it];
       placed += counts[it];
     }
-    while (placed < model_.layers) {
+    while (placed < layers) {
       int best = -1;
       for (std::size_t it = 0; it < order.size(); ++it) {
         if (counts[it] >= Capacity(order[it]))
@@ -287,7 +372,8 @@
 
 std::vector<Placement> LayerPlanner::Plan(
     const EngineModel& model,
-    const std::vector<PlannerTarget>& targets) {
+    const std::vector<PlannerTarget>& targets,
+    bool may_move) {
   std::vector<Placement> changes;
   if (model.layers <= 0)
     return changes;
@@ -313,7 +399,7 @@
     if (&members == &groups.front())
       members.insert(members.end(), rest.begin(), rest.end());
     CopyPlan plan(model, std::move(members), n);
-    plan.Compute();
+    plan.Compute(may_move);
     plan.AppendChanges(&changes);
   }
   return changes;
--- a/modules/bbv_fleet/layer_planner.h
+++ b/modules/bbv_fleet/layer_planner.h
@@ -31,19 +31,21 @@
 // Every availability zone gets a whole copy of the model when its memory
 // allows one; zones that cannot hold one share a copy. Within a copy the
 // layers are divided so that all targets have room for the same number of
-// requests. When targets go, those that are left take their layers over; what
-// holds a needed range keeps it, since loads take time and nothing is served
-// by what moves. A target without layers fills a gap or doubles the range with
-// the least memory for requests.
+// requests. When targets go, those that are left take their layers over, as few
+// of them as can, since loads take time and nothing is served by what moves. A
+// target without layers fills a gap or doubles the range with the least memory
+// for requests.
 //
 // A pure function of its arguments. Thread safe.
 class LayerPlanner {
  public:
   // Returns the placements that differ from what `targets` hold, for the
   // engines of one service. Empty when nothing should change. Never places
-  // more layers on a target than its memory holds.
+  // more layers on a target than its memory holds. Without `may_move` gaps are
+  // closed only by what takes no layer from where it alone is held.
   static std::vector<Placement> Plan(const EngineModel& model,
-                                     const std::vector<PlannerTarget>& targets);
+                                     const std::vector<PlannerTarget>& targets,
+                                     bool may_move = true);
 
   // Most layers that an accelerator holds beside room for a few requests;
   // 0 for an unknown kind. Thread safe.
--- a/modules/bbv_fleet/path_chooser.cc
+++ b/modules/bbv_fleet/path_chooser.cc
@@ -22,6 +22,9 @@
 constexpr double kFullTargetFactor = 3.0;
 // Share by which equal targets are spread.
 constexpr double kSpread = 0.1;
+// Milliseconds a token for each millisecond of prompts that wait to be read:
+// calls that come at once, as after a crash, are spread over all copies.
+constexpr double kBacklogWeight = 1.0 / 30;
 constexpr double kBytesInMegabyte = 1e6;
 constexpr double kUnreached = std::numeric_limits<double>::infinity();
 
@@ -75,6 +78,9 @@
                          model.layers *
                          (1 + (kFullTargetFactor - 1) * load * load) *
                          (1 + 4 * target->failure_share) * spread;
+    candidate.hop_ms =
+        kHopMs +
+        kBacklogWeight * RemainingMilliseconds(target->reading_until, now);
     candidate.room_token_layers = capacity - used;
     const auto zone = zones.try_emplace(target->record.zone).first;
     candidate.zone = static_cast<int>(std::distance(zones.begin(), zone));
@@ -178,7 +184,7 @@
           break;
         if (limits.whole_hops && end < std::min(held.to, layers))
           continue;
-        const double total = cost + kHopMs + it.layer_ms * (end - at);
+        const double total = cost + it.hop_ms + it.layer_ms * (end - at);
         Arrival& arrival = best[end][zone];
         if (total >= arrival.cost)
           continue;
--- a/modules/bbv_fleet/path_chooser.h
+++ b/modules/bbv_fleet/path_chooser.h
@@ -78,6 +78,8 @@
     FleetTarget* target = nullptr;
     int zone = 0;
     double layer_ms = 0;
+    // Milliseconds a token for the hop itself.
+    double hop_ms = 0;
     double room_token_layers = 0;
   };
 
--- /dev/null
+++ b/modules/bbv_fleet/retry_budgets.h
@@ -0,0 +1,42 @@
+#ifndef MODULES_BBV_FLEET_RETRY_BUDGETS_H_
+#define MODULES_BBV_FLEET_RETRY_BUDGETS_H_
+
+#include <map>
+#include <string>
+
+#include "bbv_fleet/shared_retry_budget.h"
+
+namespace bbv {
+
+// The retry budgets of all services, and what the other entries spent.
+//
+// Thread safety: none, owned by one thread.
+class RetryBudgets {
+ public:
+  // Spending by service.
+  using Spendings = std::map<std::string, SharedRetryBudget::Spending>;
+
+  explicit RetryBudgets(SharedRetryBudget::Limits limits);
+
+  // Returns the budget of `service`; valid as long as this.
+  SharedRetryBudget* Of(const std::string& service);
+
+  // Sets how many entries share each budget.
+  void SetEntries(int entries);
+
+  // Takes what `peer` has spent in its window.
+  void SetPeer(const std::string& peer, Spendings spendings, Instant now);
+
+  // What this entry has spent in its window.
+  Spendings Spent(Instant now);
+
+ private:
+  SharedRetryBudget::Limits limits_;
+  int entries_ = 1;
+  std::map<std::string, SharedRetryBudget> budgets_;
+  std::map<std::string, Spendings> peers_;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_FLEET_RETRY_BUDGETS_H_
--- a/modules/bbv_fleet/shared_retry_budget.cc
+++ b/modules/bbv_fleet/shared_retry_budget.cc
@@ -9,6 +9,8 @@
 // Part of the bound that is spent; the rest covers clocks and arrivals that
 // cross the edges of a window.
 constexpr double kSpentShare = 0.8;
+// For how long what others told is believed.
+constexpr Milliseconds kBelieved{1200};
 
 }  // namespace
 
@@ -29,19 +31,35 @@
   if (Available(now) < 1)
     return false;
   ++CurrentSlice(now).repeats;
+  shared_allowance_ -= 1;
   return true;
 }
 
-double SharedRetryBudget::Available(Instant now) {
+SharedRetryBudget::Spending SharedRetryBudget::Spent(Instant now) {
   CurrentSlice(now);
-  double calls = 0;
-  double repeats = 0;
+  Spending spent;
   for (const Slice& it : slices_) {
-    calls += it.calls;
-    repeats += it.repeats;
+    spent.calls += it.calls;
+    spent.repeats += it.repeats;
   }
-  return kSpentShare * (limits_.ratio * calls + limits_.extra / entries_) -
-         repeats;
+  return spent;
+}
+
+void SharedRetryBudget::SetOthers(const Spending& others, Instant now) {
+  const Spending own = Spent(now);
+  const double bound =
+      kSpentShare *
+      (limits_.ratio * (own.calls + others.calls) + limits_.extra);
+  shared_allowance_ = (bound - own.repeats - others.repeats) / entries_;
+  shared_until_ = now + kBelieved;
+}
+
+double SharedRetryBudget::Available(Instant now) {
+  if (now < shared_until_)
+    return shared_allowance_;
+  const Spending own = Spent(now);
+  return kSpentShare * (limits_.ratio * own.calls + limits_.extra / entries_) -
+         own.repeats;
 }
 
 SharedRetryBudget::Slice& SharedRetryBudget::CurrentSlice(Instant now) {
--- a/modules/bbv_fleet/shared_retry_budget.h
+++ b/modules/bbv_fleet/shared_retry_budget.h
@@ -11,8 +11,9 @@
 // One entry's part of the bound on repeated sends to a service: in any window,
 // at most `ratio` of the calls of that window and a fixed number beside.
 //
-// The fixed number is divided by the entries that share it, so that the sum
-// over all entries keeps the bound also while they cannot talk.
+// While the entries tell each other what they spent, each may take its part of
+// what is left, anew with each telling. While they cannot talk, the fixed
+// number is divided evenly, so that the sum over all entries keeps the bound.
 // Thread safety: none, owned by one thread.
 class SharedRetryBudget {
  public:
@@ -24,9 +25,21 @@
 
   explicit SharedRetryBudget(Limits limits);
 
+  // What one entry has done in its window.
+  struct Spending {
+    double calls = 0;
+    double repeats = 0;
+  };
+
   // Sets how many entries share the fixed number. Precondition: above 0.
   void SetEntries(int entries);
 
+  // Takes what all other entries have done together; believed for a short time.
+  void SetOthers(const Spending& others, Instant now);
+
+  // What this entry has done in its window.
+  Spending Spent(Instant now);
+
   // Counts a call's first send.
   void RecordCall(Instant now);
 
@@ -48,6 +61,10 @@
 
   Limits limits_;
   int entries_ = 1;
+  // This entry's part of what was left when the others told last, less what it
+  // took since, and until when that counts.
+  double shared_allowance_ = 0;
+  Instant shared_until_{};
   std::deque<Slice> slices_;
 };
 
--- a/modules/bbv_fleet/target_board.h
+++ b/modules/bbv_fleet/target_board.h
@@ -99,6 +99,9 @@
   // The same two, summed over the other entries.
   int peer_calls = 0;
   double peer_token_layers = 0;
+  // When the prompts that this process sent there will have been read, as
+  // expected.
+  Instant reading_until{};
   // The last report and when it was true.
   EngineLoadReport report;
   Instant reported_at{};
--- a/modules/bbv_fleet/target_selector.cc
+++ b/modules/bbv_fleet/target_selector.cc
@@ -23,6 +23,18 @@
   return std::find(list.begin(), list.end(), id) != list.end();
 }
 
+// Expected milliseconds of reading a prompt at one hop.
+double ReadMs(const EngineModel& model,
+              double tokens,
+              const Hop& hop,
+              Instant now) {
+  const AcceleratorKind* kind = model.FindKind(hop.target->record.accelerator);
+  if (kind == nullptr || model.read_tokens_per_ms <= 0)
+    return 0;
+  return tokens / model.read_tokens_per_ms * kind->read_factor *
+         hop.target->Pace(now) * hop.layers.size() / model.layers;
+}
+
 }  // namespace
 
 TargetSelector::TargetSelector(TargetBoard* board, std::string zone)
@@ -71,6 +83,7 @@
     dispatch.layers.push_back(it.layers);
     dispatch.hop_ids.push_back(it.target->record.id);
     dispatch.hop_addresses.push_back(it.target->record.address);
+    dispatch.read_ms.push_back(ReadMs(model, request.prompt_tokens, it, now));
   }
   dispatch.tokens = query.tokens;
   dispatch.event_ms = kTokensPerEvent * path.token_ms;
@@ -121,7 +134,7 @@
   return dispatch;
 }
 
-void TargetSelector::Begin(const CallDispatch& dispatch) {
+void TargetSelector::Begin(const CallDispatch& dispatch, Instant now) {
   for (std::size_t it = 0; it < dispatch.hop_ids.size(); ++it) {
     FleetTarget* target = board_->Find(dispatch.hop_ids[it]);
     if (target == nullptr)
@@ -129,6 +142,11 @@
     ++target->own_calls;
     if (it < dispatch.layers.size())
       target->own_token_layers += dispatch.tokens * dispatch.layers[it].size();
+    if (it < dispatch.read_ms.size()) {
+      const auto reading = std::chrono::duration_cast<Instant::duration>(
+          std::chrono::duration<double, std::milli>(dispatch.read_ms[it]));
+      target->reading_until = std::max(target->reading_until, now) + reading;
+    }
   }
 }
 
--- a/modules/bbv_fleet/target_selector.h
+++ b/modules/bbv_fleet/target_selector.h
@@ -34,7 +34,7 @@
                                      CallEnd* end) const;
 
   // Counts a send as under way, or no longer.
-  void Begin(const CallDispatch& dispatch);
+  void Begin(const CallDispatch& dispatch, Instant now);
   void Finish(const CallDispatch& dispatch);
 
  private:
--- a/modules/bbv_front/caller_connection.cc
+++ b/modules/bbv_front/caller_connection.cc
@@ -198,6 +198,21 @@
   stream_.reset();
 }
 
+void CallerConnection::Hold() {
+  if (!over())
+    stream_->StopReading();
+}
+
+void CallerConnection::Resume() {
+  if (!over() && !request_open_)
+    stream_->StartReading();
+}
+
+void CallerConnection::CloseIfIdle() {
+  if (!over() && !request_open_ && !parser_.in_message())
+    Close();
+}
+
 void CallerConnection::Close() {
   if (stream_ != nullptr)
     TcpStream::FinishAndClose(std::move(stream_));
--- a/modules/bbv_front/caller_connection.h
+++ b/modules/bbv_front/caller_connection.h
@@ -60,6 +60,13 @@
   // Ends the connection so that an answer begun does not look complete.
   void Break();
 
+  // Reads nothing until Resume(); the caller's requests wait.
+  void Hold();
+  void Resume();
+
+  // Closes the connection when no request is open and none has begun.
+  void CloseIfIdle();
+
   // Answers from now on ask the caller to open another connection.
   void StopKeeping() { stopping_ = true; }
 
--- a/modules/bbv_wire/wire_generated.h
+++ b/modules/bbv_wire/wire_generated.h
@@ -110,6 +110,10 @@
 struct TargetFaultBuilder;
 struct TargetFaultT;
 
+struct RetrySpending;
+struct RetrySpendingBuilder;
+struct RetrySpendingT;
+
 struct EntryState;
 struct EntryStateBuilder;
 struct EntryStateT;
@@ -182,6 +186,8 @@
 bool operator!=(const OwnLoadT &lhs, const OwnLoadT &rhs);
 bool operator==(const TargetFaultT &lhs, const TargetFaultT &rhs);
 bool operator!=(const TargetFaultT &lhs, const TargetFaultT &rhs);
+bool operator==(const RetrySpendingT &lhs, const RetrySpendingT &rhs);
+bool operator!=(const RetrySpendingT &lhs, const RetrySpendingT &rhs);
 bool operator==(const EntryStateT &lhs, const EntryStateT &rhs);
 bool operator!=(const EntryStateT &lhs, const EntryStateT &rhs);
 bool operator==(const EntryConfigurationT &lhs, const EntryConfigurationT &rhs);
@@ -3433,6 +3439,101 @@
 
 flatbuffers::Offset<TargetFault> CreateTargetFault(flatbuffers::FlatBufferBuilder &_fbb, const TargetFaultT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RetrySpendingT : public flatbuffers::NativeTable {
+  typedef RetrySpending TableType;
+  std::string service{};
+  uint32_t calls = 0;
+  uint32_t repeats = 0;
+};
+
+/// First sends and repeats of the sender to a service in its window.
+struct RetrySpending FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RetrySpendingT NativeTableType;
+  typedef RetrySpendingBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_CALLS = 6,
+    VT_REPEATS = 8
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  uint32_t calls() const {
+    return GetField<uint32_t>(VT_CALLS, 0);
+  }
+  uint32_t repeats() const {
+    return GetField<uint32_t>(VT_REPEATS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<uint32_t>(verifier, VT_CALLS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_REPEATS, 4) &&
+           verifier.EndTable();
+  }
+  RetrySpendingT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RetrySpendingT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RetrySpending> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RetrySpendingT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RetrySpendingBuilder {
+  typedef RetrySpending Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(RetrySpending::VT_SERVICE, service);
+  }
+  void add_calls(uint32_t calls) {
+    fbb_.AddElement<uint32_t>(RetrySpending::VT_CALLS, calls, 0);
+  }
+  void add_repeats(uint32_t repeats) {
+    fbb_.AddElement<uint32_t>(RetrySpending::VT_REPEATS, repeats, 0);
+  }
+  explicit RetrySpendingBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RetrySpending> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RetrySpending>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RetrySpending> CreateRetrySpending(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    uint32_t calls = 0,
+    uint32_t repeats = 0) {
+  RetrySpendingBuilder builder_(_fbb);
+  builder_.add_repeats(repeats);
+  builder_.add_calls(calls);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+struct RetrySpending::Traits {
+  using type = RetrySpending;
+  static auto constexpr Create = CreateRetrySpending;
+};
+
+inline flatbuffers::Offset<RetrySpending> CreateRetrySpendingDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    uint32_t calls = 0,
+    uint32_t repeats = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  return bbv::wire::CreateRetrySpending(
+      _fbb,
+      service__,
+      calls,
+      repeats);
+}
+
+flatbuffers::Offset<RetrySpending> CreateRetrySpending(flatbuffers::FlatBufferBuilder &_fbb, const RetrySpendingT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EntryStateT : public flatbuffers::NativeTable {
   typedef EntryState TableType;
   uint64_t configuration_version = 0;
@@ -3440,6 +3541,7 @@
   std::vector<bbv::wire::OwnLoadT> own{};
   std::vector<bbv::wire::EngineLoadT> engines{};
   std::vector<bbv::wire::TargetFaultT> faults{};
+  std::vector<bbv::wire::RetrySpendingT> retries{};
 };
 
 /// What an entry tells the others a few times a second; `faults` since the last time.
@@ -3452,7 +3554,8 @@
     VT_PLANNER_GENERATION = 6,
     VT_OWN = 8,
     VT_ENGINES = 10,
-    VT_FAULTS = 12
+    VT_FAULTS = 12,
+    VT_RETRIES = 14
   };
   uint64_t configuration_version() const {
     return GetField<uint64_t>(VT_CONFIGURATION_VERSION, 0);
@@ -3469,6 +3572,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::TargetFault>> *faults() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::TargetFault>> *>(VT_FAULTS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::RetrySpending>> *retries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::RetrySpending>> *>(VT_RETRIES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
@@ -3482,6 +3588,9 @@
            VerifyOffset(verifier, VT_FAULTS) &&
            verifier.VerifyVector(faults()) &&
            verifier.VerifyVectorOfTables(faults()) &&
+           VerifyOffset(verifier, VT_RETRIES) &&
+           verifier.VerifyVector(retries()) &&
+           verifier.VerifyVectorOfTables(retries()) &&
            verifier.EndTable();
   }
   EntryStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3508,6 +3617,9 @@
   void add_faults(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::TargetFault>>> faults) {
     fbb_.AddOffset(EntryState::VT_FAULTS, faults);
   }
+  void add_retries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::RetrySpending>>> retries) {
+    fbb_.AddOffset(EntryState::VT_RETRIES, retries);
+  }
   explicit EntryStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3525,10 +3637,12 @@
     int64_t planner_generation = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::OwnLoad>>> own = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::EngineLoad>>> engines = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::TargetFault>>> faults = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::TargetFault>>> faults = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::RetrySpending>>> retries = 0) {
   EntryStateBuilder builder_(_fbb);
   builder_.add_planner_generation(planner_generation);
   builder_.add_configuration_version(configuration_version);
+  builder_.add_retries(retries);
   builder_.add_faults(faults);
   builder_.add_engines(engines);
   builder_.add_own(own);
@@ -3546,17 +3660,20 @@
     int64_t planner_generation = 0,
     const std::vector<flatbuffers::Offset<bbv::wire::OwnLoad>> *own = nullptr,
     const std::vector<flatbuffers::Offset<bbv::wire::EngineLoad>> *engines = nullptr,
-    const std::vector<flatbuffers::Offset<bbv::wire::TargetFault>> *faults = nullptr) {
+    const std::vector<flatbuffers::Offset<bbv::wire::TargetFault>> *faults = nullptr,
+    const std::vector<flatbuffers::Offset<bbv::wire::RetrySpending>> *retries = nullptr) {
   auto own__ = own ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::OwnLoad>>(*own) : 0;
   auto engines__ = engines ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::EngineLoad>>(*engines) : 0;
   auto faults__ = faults ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::TargetFault>>(*faults) : 0;
+  auto retries__ = retries ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::RetrySpending>>(*retries) : 0;
   return bbv::wire::CreateEntryState(
       _fbb,
       configuration_version,
       planner_generation,
       own__,
       engines__,
-      faults__);
+      faults__,
+      retries__);
 }
 
 flatbuffers::Offset<EntryState> CreateEntryState(flatbuffers::FlatBufferBuilder &_fbb, const EntryStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5338,13 +5455,59 @@
 }
 
 
+inline bool operator==(const RetrySpendingT &lhs, const RetrySpendingT &rhs) {
+  return
+      (lhs.service == rhs.service) &&
+      (lhs.calls == rhs.calls) &&
+      (lhs.repeats == rhs.repeats);
+}
+
+inline bool operator!=(const RetrySpendingT &lhs, const RetrySpendingT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline RetrySpendingT *RetrySpending::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RetrySpendingT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RetrySpending::UnPackTo(RetrySpendingT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = calls(); _o->calls = _e; }
+  { auto _e = repeats(); _o->repeats = _e; }
+}
+
+inline flatbuffers::Offset<RetrySpending> RetrySpending::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RetrySpendingT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRetrySpending(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RetrySpending> CreateRetrySpending(flatbuffers::FlatBufferBuilder &_fbb, const RetrySpendingT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RetrySpendingT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _calls = _o->calls;
+  auto _repeats = _o->repeats;
+  return bbv::wire::CreateRetrySpending(
+      _fbb,
+      _service,
+      _calls,
+      _repeats);
+}
+
+
 inline bool operator==(const EntryStateT &lhs, const EntryStateT &rhs) {
   return
       (lhs.configuration_version == rhs.configuration_version) &&
       (lhs.planner_generation == rhs.planner_generation) &&
       (lhs.own == rhs.own) &&
       (lhs.engines == rhs.engines) &&
-      (lhs.faults == rhs.faults);
+      (lhs.faults == rhs.faults) &&
+      (lhs.retries == rhs.retries);
 }
 
 inline bool operator!=(const EntryStateT &lhs, const EntryStateT &rhs) {
@@ -5366,6 +5529,7 @@
   { auto _e = own(); if (_e) { _o->own.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->own[_i] = *std::unique_ptr<bbv::wire::OwnLoadT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = engines(); if (_e) { _o->engines.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->engines[_i] = *std::unique_ptr<bbv::wire::EngineLoadT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = faults(); if (_e) { _o->faults.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->faults[_i] = *std::unique_ptr<bbv::wire::TargetFaultT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = retries(); if (_e) { _o->retries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->retries[_i] = *std::unique_ptr<bbv::wire::RetrySpendingT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<EntryState> EntryState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5381,13 +5545,15 @@
   auto _own = _o->own.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::OwnLoad>> (_o->own.size(), [](size_t i, _VectorArgs *__va) { return CreateOwnLoad(*__va->__fbb, &(__va->__o->own[i]), __va->__rehasher); }, &_va ) : 0;
   auto _engines = _o->engines.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::EngineLoad>> (_o->engines.size(), [](size_t i, _VectorArgs *__va) { return CreateEngineLoad(*__va->__fbb, &(__va->__o->engines[i]), __va->__rehasher); }, &_va ) : 0;
   auto _faults = _o->faults.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::TargetFault>> (_o->faults.size(), [](size_t i, _VectorArgs *__va) { return CreateTargetFault(*__va->__fbb, &(__va->__o->faults[i]), __va->__rehasher); }, &_va ) : 0;
+  auto _retries = _o->retries.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::RetrySpending>> (_o->retries.size(), [](size_t i, _VectorArgs *__va) { return CreateRetrySpending(*__va->__fbb, &(__va->__o->retries[i]), __va->__rehasher); }, &_va ) : 0;
   return bbv::wire::CreateEntryState(
       _fbb,
       _configuration_version,
       _planner_generation,
       _own,
       _engines,
-      _faults);
+      _faults,
+      _retries);
 }
 
 
--- a/tests/fleet_fixtures.h
+++ b/tests/fleet_fixtures.h
@@ -16,6 +16,7 @@
   model.layer_mb = 1750;
   model.kv_bytes_per_token = 426000;
   model.step_ms = 0.85;
+  model.read_tokens_per_ms = 272;
   model.load_ms = 14000;
   model.concurrent_loads = 6;
   model.usual_prompt_tokens = 772;
