Ask a target that turned a call away before counting it as dead

Cause: a path answers 503 both for a dead hop and for one that is short of memory. Ruled out: crashed servers (none then). Change: such a target takes no new calls for 250 ms and is asked for its report on a new connection; only without an answer in 150 ms it counts as dead.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -91,6 +91,9 @@
                                     std::string_view evidence, bool witnessed) {
     TakeTargetFault(id, evidence, witnessed);
   };
+  context_.on_target_doubt = [this](const std::string& id) {
+    stalls_.Doubt(id, EventLoop::Now());
+  };
 }
 
 FleetEntry::~FleetEntry() = default;
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -333,7 +333,7 @@
     return;
   if (const FleetTarget* it =
           context_->board->FindAddress(failure.fault_address))
-    context_->on_target_fault(std::string(it->record.id), evidence, true);
+    context_->on_target_doubt(it->record.id);
 }
 
 }  // namespace bbv
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -35,6 +35,8 @@
                      std::string_view evidence,
                      bool witnessed)>
       on_target_fault;
+  // A target was named as the cause for which a call was turned away.
+  std::function<void(const std::string& target_id)> on_target_doubt;
 };
 
 // One call on its way: carries out what FleetCall decides, between the
--- a/modules/bbv_entry/stall_watch.cc
+++ b/modules/bbv_entry/stall_watch.cc
@@ -10,6 +10,8 @@
 
 constexpr Milliseconds kQuestionPause{150};
 constexpr Milliseconds kQuestionTimeout{300};
+constexpr Milliseconds kDoubtPause{200};
+constexpr Milliseconds kDoubtTimeout{150};
 constexpr int kOk = 200;
 
 }  // namespace
@@ -34,6 +36,37 @@
                      });
 }
 
+void StallWatch::Doubt(const std::string& target_id, Instant now) {
+  FleetTarget* target = board_->Find(target_id);
+  if (target == nullptr || !board_->IsUsable(*target, now))
+    return;
+  board_->MarkFull(target, now);
+  Instant& next = next_doubt_[target_id];
+  if (now < next)
+    return;
+  next = now + kDoubtPause;
+  ExchangeRequest request =
+      MakeTargetRequest(target->record.address, "GET", platform::kReportPath,
+                        {}, now + kDoubtTimeout);
+  // A kept connection to a machine that is gone would stay silent.
+  request.may_reuse = false;
+  WholeAnswer::Fetch(client_, std::move(request),
+                     [this, target_id](const HttpAnswer* answer) {
+                       OnDoubtedReport(target_id, answer);
+                     });
+}
+
+void StallWatch::OnDoubtedReport(const std::string& target_id,
+                                 const HttpAnswer* answer) {
+  if (answer == nullptr) {
+    on_fault_(target_id, "turned a call away and gives no report");
+    return;
+  }
+  const auto report = platform::DecodeTargetReport(answer->body);
+  if (answer->head.status == kOk && report)
+    board_->ApplyReport(target_id, report->load, EventLoop::Now());
+}
+
 void StallWatch::OnReport(const std::string& target_id,
                           const HttpAnswer* answer) {
   next_question_[target_id] = EventLoop::Now() + kQuestionPause;
--- a/modules/bbv_entry/stall_watch.h
+++ b/modules/bbv_entry/stall_watch.h
@@ -12,8 +12,9 @@
 
 namespace bbv {
 
-// Finds the hop at which silent streams wait: asks the first target of their
-// path, at most a few times a second each.
+// Finds out by questions which target is at fault: at which hop silent streams
+// wait, and whether a target that turned a call away is alive. Each target is
+// asked a few times a second at most.
 //
 // Thread safety: none, the loop's thread.
 class StallWatch {
@@ -27,14 +28,21 @@
   // A stream that was sent to `target_id` first has fallen silent.
   void Suspect(const std::string& target_id, Instant now);
 
+  // A path turned a call away and named `target_id` as the cause: it may be
+  // dead, or only short of memory. It is asked itself, and takes no new calls
+  // meanwhile.
+  void Doubt(const std::string& target_id, Instant now);
+
  private:
   void OnReport(const std::string& target_id, const HttpAnswer* answer);
+  void OnDoubtedReport(const std::string& target_id, const HttpAnswer* answer);
 
   HttpClient* client_;
   TargetBoard* board_;
   OnFault on_fault_;
-  // When a target may be asked again.
+  // When a target may be asked again, for each kind of question.
   std::map<std::string, Instant> next_question_;
+  std::map<std::string, Instant> next_doubt_;
 };
 
 }  // namespace bbv
--- a/modules/bbv_fleet/path_chooser.cc
+++ b/modules/bbv_fleet/path_chooser.cc
@@ -58,7 +58,7 @@
   for (const auto& [id, row] : board_->rows()) {
     FleetTarget* target = row.get();
     if (target->record.service != query.service || !target->record.layers ||
-        !board_->IsUsable(*target, now))
+        !board_->MayTake(*target, now))
       continue;
     if (query.excluded != nullptr &&
         std::find(query.excluded->begin(), query.excluded->end(), id) !=
--- a/modules/bbv_fleet/target_board.cc
+++ b/modules/bbv_fleet/target_board.cc
@@ -10,6 +10,7 @@
 // First and longest time for which a suspected target takes no calls.
 constexpr Milliseconds kFirstSuspicion{600};
 constexpr Milliseconds kLongestSuspicion{5000};
+constexpr Milliseconds kFullPause{250};
 constexpr int kLongestStreak = 4;
 // Weight of the newest call in the moving averages.
 constexpr double kAverageWeight = 0.1;
@@ -140,6 +141,15 @@
   target->answer_ms += kAverageWeight * (answer_ms - target->answer_ms);
 }
 
+void TargetBoard::MarkFull(FleetTarget* target, Instant now) {
+  assert(target != nullptr);
+  target->full_until = now + kFullPause;
+}
+
+bool TargetBoard::MayTake(const FleetTarget& target, Instant now) const {
+  return now >= target.full_until && IsUsable(target, now);
+}
+
 bool TargetBoard::IsUsable(const FleetTarget& target, Instant now) const {
   if (target.health == TargetHealth::kGood)
     return true;
--- a/modules/bbv_fleet/target_board.h
+++ b/modules/bbv_fleet/target_board.h
@@ -83,6 +83,8 @@
   TargetRecord record;
   TargetHealth health = TargetHealth::kGood;
   Instant suspected_until{};
+  // Until when it takes no new calls after it turned one away.
+  Instant full_until{};
   // Heartbeat and start seen when it was suspected; a later one speaks for it.
   int64_t suspected_heartbeat = -1;
   Instant listed_at{};
@@ -138,6 +140,10 @@
   // It takes no calls until the time given back.
   Instant Suspect(FleetTarget* target, Instant now);
 
+  // A target turned a call away, alive: it takes no new ones for a short time,
+  // but keeps those that it has.
+  void MarkFull(FleetTarget* target, Instant now);
+
   // Takes what a target said `at` of its load; older reports and those of
   // another start are left out. Returns whether its layers changed.
   bool ApplyReport(std::string_view id,
@@ -150,7 +156,10 @@
   // A call at `target` ended; `answer_ms` is ignored when it failed.
   void RecordOutcome(FleetTarget* target, bool failed, double answer_ms);
 
-  // Whether `target` may take calls at `now`.
+  // Whether `target` may take new calls at `now`.
+  bool MayTake(const FleetTarget& target, Instant now) const;
+
+  // Whether `target` does its part at `now`, though it may be full.
   bool IsUsable(const FleetTarget& target, Instant now) const;
 
   // Whether `target` runs so slowly that its layers are better held elsewhere.
--- a/modules/bbv_fleet/target_board_test.cc
+++ b/modules/bbv_fleet/target_board_test.cc
@@ -90,3 +90,11 @@
     second += bbv::FleetIndex::PickService(route, draw) == "t" ? 1 : 0;
   CHECK_EQUAL(10, second);
 }
+
+TEST(TargetBoard, AFullTargetKeepsItsLayersButTakesNoNewCalls) {
+  // Memory that is short after a herd of callers must not count as a crash.
+  board.MarkFull(board.Find("t"), now);
+  CHECK(!board.MayTake(*board.Find("t"), now));
+  CHECK(Usable(Milliseconds(0)));
+  CHECK(board.MayTake(*board.Find("t"), now + Milliseconds(300)));
+}
--- a/modules/bbv_fleet/target_selector.cc
+++ b/modules/bbv_fleet/target_selector.cc
@@ -102,7 +102,7 @@
   for (const auto& [id, row] : board_->rows()) {
     const FleetTarget& target = *row;
     if (target.record.service != request.service ||
-        !board_->IsUsable(target, now) || Contains(excluded, id))
+        !board_->MayTake(target, now) || Contains(excluded, id))
       continue;
     any = true;
     const int calls = target.own_calls + target.peer_calls;
