Tell a reset behind data from a connection's end

Ruled out: chunked and sized answers, which end by their own framing. Change: a reported end is confirmed by a peek at the socket. Test: TcpStream.AResetBehindDataIsNoCleanEnd, on loopback, failed before.

--- a/modules/bbv_front/tcp_stream.cc
+++ b/modules/bbv_front/tcp_stream.cc
@@ -30,6 +30,16 @@
   }
 }
 
+// Whether the peer sent its end. libuv reports an end without reading it when
+// data and a reset arrive together.
+bool IsCleanEnd(uv_tcp_t* handle) {
+  uv_os_fd_t fd = -1;
+  if (uv_fileno(reinterpret_cast<uv_handle_t*>(handle), &fd) != 0)
+    return false;
+  char byte = 0;
+  return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 // All reads of a process share one buffer: data is parsed before the next one.
 void ShareReadBuffer(uv_handle_t*, std::size_t, uv_buf_t* buf) {
   static std::array<char, kReadBytes> buffer;
@@ -113,7 +123,8 @@
         if (self == nullptr || n == 0)
           return;
         if (n < 0) {
-          self->End(n == UV_EOF ? StreamEnd::kClosed : StreamEnd::kBroken);
+          const bool clean = n == UV_EOF && IsCleanEnd(self->handle_);
+          self->End(clean ? StreamEnd::kClosed : StreamEnd::kBroken);
           return;
         }
         if (self->delegate_ != nullptr)
