Send configurations only to peers that stay behind, check a peer's word, count all attempts

Change: two peers on average help one that is behind 0.5 s after a version; a target named by a peer is asked; many targets unreached at once are this entry's own trouble; every run counts.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -24,6 +24,11 @@
 constexpr Milliseconds kStartHold{700};
 // Entries that are assumed to share the retry budget before any list of them.
 constexpr int kUnknownEntries = 24;
+// When this entry reaches none of more targets than this within a short time,
+// it is its own connections that fail.
+constexpr std::size_t kFewTargets = 4;
+constexpr std::size_t kTrustedShare = 5;
+constexpr Milliseconds kUnreachedMemory{1500};
 // A round of telling, in pauses between two tellings of one entry.
 constexpr int kTellingRounds = 2;
 // Pause between two reads of the target list, for each entry: all entries
@@ -65,11 +70,7 @@
       client_(&loop_),
       store_(&client_, settings_.store_address, &log_),
       selector_(&board_, settings_.zone),
-      configuration_(&store_,
-                     &log_,
-                     [this](const std::shared_ptr<FleetIndex>&) {
-                       peers_.TellConfiguration();
-                     }),
+      configuration_(&store_, &log_),
       targets_(&store_, &log_, &board_),
       planner_(&store_,
                &client_,
@@ -77,11 +78,12 @@
                &board_,
                settings_.peers_address.ToString(),
                settings_.group_minimum_ms),
-      stalls_(&client_,
-              &board_,
-              [this](const std::string& id, std::string_view evidence) {
-                TakeTargetFault(id, evidence, true);
-              }),
+      stalls_(
+          &client_,
+          &board_,
+          [this](const std::string& id,
+                 std::string_view evidence,
+                 bool witnessed) { TakeTargetFault(id, evidence, witnessed); }),
       loads_(&client_, &board_),
       links_(&loop_, &store_, &log_, settings_.name, settings_.peers_address),
       peers_(&links_,
@@ -89,8 +91,9 @@
              &configuration_,
              &planner_,
              &budgets_,
-             [this](const std::string& id, std::string_view evidence) {
-               TakeTargetFault(id, evidence, false);
+             &random_,
+             [this](const std::string& id, std::string_view) {
+               stalls_.Doubt(id, EventLoop::Now());
              }) {
   context_.client = &client_;
   context_.board = &board_;
@@ -293,6 +296,16 @@
               {"cause", "malformed request"}});
 }
 
+bool FleetEntry::IsOwnTrouble(const std::string& target_id, Instant now) {
+  std::erase_if(unreached_, [now](const auto& it) {
+    return now > it.second + kUnreachedMemory;
+  });
+  unreached_[target_id] = now;
+  const std::size_t bound =
+      std::max(kFewTargets, board_.rows().size() / kTrustedShare);
+  return unreached_.size() > bound;
+}
+
 void FleetEntry::TakeTargetFault(const std::string& target_id,
                                  std::string_view evidence,
                                  bool witnessed) {
@@ -300,6 +313,8 @@
   FleetTarget* target = board_.Find(target_id);
   if (target == nullptr)
     return;
+  if (!witnessed && IsOwnTrouble(target_id, now))
+    return;
   if (board_.IsUsable(*target, now)) {
     const Instant until = board_.Suspect(target, now);
     log_.Write(
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -67,6 +67,9 @@
   void TakeTargetFault(const std::string& target_id,
                        std::string_view evidence,
                        bool witnessed);
+  // Counts that this entry did not reach `target_id`; whether so many were not
+  // that the cause must be here.
+  bool IsOwnTrouble(const std::string& target_id, Instant now);
   bool IsReady(Instant now) const;
   void Refuse(CallerConnection* connection,
               const std::string& attempt_id,
@@ -110,6 +113,8 @@
   Instant stop_began_{};
   Instant stop_deadline_{};
   Instant next_gauges_{};
+  // Targets that this entry did not reach lately, and when.
+  std::map<std::string, Instant> unreached_;
   // Entries that share the retry budget, as of the last look.
   int entries_ = 0;
   // Whether callers' connections may be on hold, and until when.
--- a/modules/bbv_entry/fleet_follower.cc
+++ b/modules/bbv_entry/fleet_follower.cc
@@ -25,9 +25,8 @@
 }  // namespace
 
 ConfigurationFollower::ConfigurationFollower(StoreClient* store,
-                                             DecisionLog* log,
-                                             OnChange on_change)
-    : store_(store), log_(log), on_change_(std::move(on_change)) {
+                                             DecisionLog* log)
+    : store_(store), log_(log) {
   assert(store != nullptr && log != nullptr);
 }
 
@@ -119,12 +118,12 @@
   const auto version = static_cast<int64_t>(decoded->version);
   current_ = std::make_shared<FleetIndex>(std::move(*decoded));
   text_ = text;
+  applied_at_ = now;
   log_->Write(Event::kFleetConfigurationApplied, now,
               {{"version", version},
                {"from", std::string(source)},
                {"routes", static_cast<int64_t>(
                               current_->configuration().routes.size())}});
-  on_change_(current_);
   return true;
 }
 
--- a/modules/bbv_entry/fleet_follower.h
+++ b/modules/bbv_entry/fleet_follower.h
@@ -2,7 +2,6 @@
 #define MODULES_BBV_ENTRY_FLEET_FOLLOWER_H_
 
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -19,12 +18,7 @@
 // Thread safety: none, the loop's thread.
 class ConfigurationFollower {
  public:
-  // Called after each change.
-  using OnChange = std::function<void(const std::shared_ptr<FleetIndex>&)>;
-
-  ConfigurationFollower(StoreClient* store,
-                        DecisionLog* log,
-                        OnChange on_change);
+  ConfigurationFollower(StoreClient* store, DecisionLog* log);
 
   // Begins or goes on with whatever is due.
   void OnTick(Instant now);
@@ -33,6 +27,8 @@
   bool Take(std::string_view text, std::string_view source, Instant now);
 
   const std::shared_ptr<FleetIndex>& current() const { return current_; }
+  // When it was applied.
+  Instant applied_at() const { return applied_at_; }
   // The newest configuration as it was written; empty before the first.
   const std::string& text() const { return text_; }
 
@@ -43,9 +39,9 @@
 
   StoreClient* store_;
   DecisionLog* log_;
-  OnChange on_change_;
   std::shared_ptr<FleetIndex> current_;
   std::string text_;
+  Instant applied_at_{};
   bool calling_ = false;
   bool positioned_ = false;
   int64_t next_offset_ = 0;
--- a/modules/bbv_entry/peer_exchange.cc
+++ b/modules/bbv_entry/peer_exchange.cc
@@ -8,6 +8,10 @@
 
 // Reports older than this are not handed on.
 constexpr Milliseconds kReportHandOn{2000};
+// Time that the store is given to tell all entries of a configuration.
+constexpr Milliseconds kLetStoreTell{500};
+// How many of the peers ahead help one that is behind, on average.
+constexpr int kHelpers = 2;
 // A heartbeat that may have been on its way while a peer saw the fault.
 constexpr int64_t kHeartbeatsOnTheWay = 1;
 
@@ -18,12 +22,14 @@
                            ConfigurationFollower* configuration,
                            PlannerAgent* planner,
                            RetryBudgets* budgets,
+                           std::mt19937_64* random,
                            OnFault on_fault)
     : links_(links),
       board_(board),
       configuration_(configuration),
       planner_(planner),
       budgets_(budgets),
+      random_(random),
       on_fault_(std::move(on_fault)) {
   assert(links != nullptr && board != nullptr);
   assert(configuration != nullptr && planner != nullptr);
@@ -35,23 +41,25 @@
       [this](const std::string& peer, const wire::FrameT& frame) {
         OnMessage(peer, frame);
       },
-      [this](const std::string& peer) {
-        if (configuration_->current() != nullptr)
-          links_->Send(peer, MakeConfiguration());
-      },
       [this](const std::string& peer) { board_->SetPeerLoad(peer, {}); });
 }
 
-wire::FrameT PeerExchange::MakeConfiguration() const {
+void PeerExchange::HelpPeerBehind(const std::string& peer,
+                                  uint64_t version,
+                                  Instant now) {
+  const auto& current = configuration_->current();
+  // The store tells most of them; a whole configuration for every peer would
+  // fill thin links.
+  if (current == nullptr || version >= current->configuration().version ||
+      now < configuration_->applied_at() + kLetStoreTell)
+    return;
+  const int entries = links_->live_entries();
+  if (static_cast<int>((*random_)() % entries) >= kHelpers)
+    return;
   wire::EntryConfigurationT message;
-  message.version = configuration_->current()->configuration().version;
+  message.version = current->configuration().version;
   message.text = configuration_->text();
-  return MakeFrame(std::move(message));
-}
-
-void PeerExchange::TellConfiguration() {
-  if (configuration_->current() != nullptr)
-    links_->SendAll(MakeConfiguration());
+  links_->Send(peer, MakeFrame(std::move(message)));
 }
 
 void PeerExchange::OnTick(Instant now) {
@@ -154,11 +162,7 @@
   }
   for (const wire::TargetFaultT& it : state.faults)
     TakeFault(it);
-  const bool behind = configuration_->current() != nullptr &&
-                      state.configuration_version <
-                          configuration_->current()->configuration().version;
-  if (behind)
-    links_->Send(peer, MakeConfiguration());
+  HelpPeerBehind(peer, state.configuration_version, now);
 }
 
 void PeerExchange::TakeFault(const wire::TargetFaultT& fault) {
--- a/modules/bbv_entry/peer_exchange.h
+++ b/modules/bbv_entry/peer_exchange.h
@@ -2,6 +2,7 @@
 #define MODULES_BBV_ENTRY_PEER_EXCHANGE_H_
 
 #include <functional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,11 +24,13 @@
   using OnFault =
       std::function<void(const std::string& target_id, std::string_view)>;
 
+  // `random` decides which of the peers ahead helps one that is behind.
   PeerExchange(PeerLinks* links,
                TargetBoard* board,
                ConfigurationFollower* configuration,
                PlannerAgent* planner,
                RetryBudgets* budgets,
+               std::mt19937_64* random,
                OnFault on_fault);
 
   // Returns an empty text, or why it cannot listen.
@@ -39,14 +42,11 @@
   // Tells all peers at once of a target at fault.
   void TellFault(const FleetTarget& target, std::string_view evidence);
 
-  // Hands the newest configuration to all peers.
-  void TellConfiguration();
-
  private:
   void OnMessage(const std::string& peer, const wire::FrameT& frame);
   void TakeState(const std::string& peer, const wire::EntryStateT& state);
   void TakeFault(const wire::TargetFaultT& fault);
-  wire::FrameT MakeConfiguration() const;
+  void HelpPeerBehind(const std::string& peer, uint64_t version, Instant now);
   wire::EntryStateT MakeState(Instant now) const;
 
   PeerLinks* links_;
@@ -54,6 +54,7 @@
   ConfigurationFollower* configuration_;
   PlannerAgent* planner_;
   RetryBudgets* budgets_;
+  std::mt19937_64* random_;
   OnFault on_fault_;
   Instant next_state_{};
 };
--- a/modules/bbv_entry/peer_links.cc
+++ b/modules/bbv_entry/peer_links.cc
@@ -64,7 +64,6 @@
     hello.node = links_->name_;
     hello.address = links_->own_.ToString();
     stream_->Write(EncodeFrame(MakeFrame(std::move(hello))));
-    links_->on_connected_(address_);
   }
   void OnData(std::string_view) override {}
   void OnStreamEnd(StreamEnd) override { stream_.reset(); }
@@ -142,10 +141,8 @@
 
 std::string PeerLinks::Start(const std::vector<SocketAddress>& seeds,
                              OnMessage on_message,
-                             OnConnected on_connected,
                              OnSilent on_silent) {
   on_message_ = std::move(on_message);
-  on_connected_ = std::move(on_connected);
   on_silent_ = std::move(on_silent);
   for (const SocketAddress& it : seeds)
     Learn(it.ToString());
--- a/modules/bbv_entry/peer_links.h
+++ b/modules/bbv_entry/peer_links.h
@@ -30,8 +30,6 @@
       std::function<void(const std::string& peer, const wire::FrameT&)>;
   // Called when nothing has been heard of a peer for some time.
   using OnSilent = std::function<void(const std::string& peer)>;
-  // Called when a connection to a peer stands.
-  using OnConnected = std::function<void(const std::string& peer)>;
 
   PeerLinks(EventLoop* loop,
             StoreClient* store,
@@ -43,7 +41,6 @@
   // Returns an empty text, or why it cannot listen.
   std::string Start(const std::vector<SocketAddress>& seeds,
                     OnMessage on_message,
-                    OnConnected on_connected,
                     OnSilent on_silent);
 
   // Opens, registers and drops what is due.
@@ -78,7 +75,6 @@
   std::string name_;
   SocketAddress own_;
   OnMessage on_message_;
-  OnConnected on_connected_;
   OnSilent on_silent_;
   TcpListener listener_;
   std::map<std::string, std::unique_ptr<Outgoing>> outgoing_;
--- a/modules/bbv_entry/stall_watch.cc
+++ b/modules/bbv_entry/stall_watch.cc
@@ -59,7 +59,7 @@
 void StallWatch::OnDoubtedReport(const std::string& target_id,
                                  const HttpAnswer* answer) {
   if (answer == nullptr) {
-    on_fault_(target_id, "turned a call away and gives no report");
+    on_fault_(target_id, "turned a call away and gives no report", true);
     return;
   }
   const auto report = platform::DecodeTargetReport(answer->body);
@@ -71,7 +71,7 @@
                           const HttpAnswer* answer) {
   next_question_[target_id] = EventLoop::Now() + kQuestionPause;
   if (answer == nullptr) {
-    on_fault_(target_id, "no report");
+    on_fault_(target_id, "no report", false);
     return;
   }
   if (answer->head.status != kOk)
@@ -82,7 +82,7 @@
   board_->ApplyReport(target_id, report->load, EventLoop::Now());
   for (const auto& it : report->stalled) {
     if (const FleetTarget* hop = board_->FindAddress(it.hop_address))
-      on_fault_(std::string(hop->record.id), "streams wait for it");
+      on_fault_(std::string(hop->record.id), "streams wait for it", true);
   }
 }
 
--- a/modules/bbv_entry/stall_watch.h
+++ b/modules/bbv_entry/stall_watch.h
@@ -19,9 +19,11 @@
 // Thread safety: none, the loop's thread.
 class StallWatch {
  public:
-  // Called with the target found at fault.
-  using OnFault =
-      std::function<void(const std::string& target_id, std::string_view)>;
+  // Called with the target found at fault; `witnessed` when another target
+  // named it, so that the cause is not this entry's own connection.
+  using OnFault = std::function<void(const std::string& target_id,
+                                     std::string_view evidence,
+                                     bool witnessed)>;
 
   StallWatch(HttpClient* client, TargetBoard* board, OnFault on_fault);
 
--- a/modules/bbv_fleet/fleet_call.cc
+++ b/modules/bbv_fleet/fleet_call.cc
@@ -168,14 +168,9 @@
     return;
   SendFailure failure;
   failure.fault_address = dispatch_.hop_addresses[hop - ids.begin()];
-  // A first target that died does not count among the route's attempts.
-  const int died = target_id == dispatch_.target_id ? 1 : 0;
-  runs_ -= died;
   // Left alone while it cannot go on elsewhere: the target may come back.
-  if (!MayRepeat(failure)) {
-    runs_ += died;
+  if (!MayRepeat(failure))
     return;
-  }
   ports_->CancelSend();
   OnSendFailed(failure, now);
 }
--- a/modules/bbv_fleet/fleet_call_test.cc
+++ b/modules/bbv_fleet/fleet_call_test.cc
@@ -195,6 +195,19 @@
   CHECK(!ports.failure);
 }
 
+TEST(FleetCall, FaultsOfFirstTargetsCountAmongTheRoutesAttempts) {
+  // A target that seemed dead may have run the call: a third run would exceed
+  // the route's two.
+  auto call = Make(CallKind::kStream, 2);
+  call.Start(now);
+  call.OnAnswerBegun(now);
+  call.OnEventRelayed(3, now);
+  call.OnPathFault("a", now);
+  call.OnEventRelayed(4, now);
+  call.OnPathFault("b", now);
+  CHECK_EQUAL(2, static_cast<int>(ports.sent.size()));
+}
+
 TEST(FleetCall, NothingIsSentOnceTheCallerHasLeft) {
   auto call = Make(CallKind::kStream, 2);
   call.Start(now);
