Spread streams that are sent again at once by what all entries have unread

Ruled out: a second fault (that copy's targets answered their reports). Change: unread prompt tokens are counted until a stream's first event, told to peers, and counted once for each entry while a call is repeated; streams also wait for the retry budget.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -364,6 +364,7 @@
   entries_ = entries;
   budgets_.SetEntries(entries_, kTellingRounds * links_.state_pause());
   targets_.SetPause(ListPause(entries_));
+  selector_.SetEntries(entries_);
 }
 
 void FleetEntry::TickCalls(Instant now) {
--- a/modules/bbv_entry/peer_exchange.cc
+++ b/modules/bbv_entry/peer_exchange.cc
@@ -84,6 +84,7 @@
       load.target = id;
       load.calls = static_cast<uint32_t>(row->own_calls);
       load.token_layers = row->own_token_layers;
+      load.unread_tokens = row->own_unread_tokens;
       state.own.push_back(std::move(load));
     }
     if (!planner_->holds_lease() || now > row->reported_at + kReportHandOn)
@@ -138,7 +139,8 @@
   std::vector<PeerLoad> loads;
   loads.reserve(state.own.size());
   for (const wire::OwnLoadT& it : state.own) {
-    loads.push_back({it.target, static_cast<int>(it.calls), it.token_layers});
+    loads.push_back({it.target, static_cast<int>(it.calls), it.token_layers,
+                     it.unread_tokens});
   }
   board_->SetPeerLoad(peer, std::move(loads));
   RetryBudgets::Spendings spendings;
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -80,7 +80,7 @@
   streaming_ = false;
   answer_body_.clear();
   splitter_.Reset();
-  context_->selector->Begin(sent_, now);
+  context_->selector->Begin(sent_);
   platform::ForwardFields fields;
   if (request.account != nullptr)
     fields.account = request.account->name;
@@ -123,7 +123,7 @@
 
 void RelayedCall::FinishSend(bool failed, Instant now) {
   under_way_ = false;
-  context_->selector->Finish(sent_);
+  context_->selector->Finish(&sent_);
   FleetTarget* target = context_->board->Find(sent_.target_id);
   if (target != nullptr && now > sent_at_) {
     context_->board->RecordOutcome(target, failed,
@@ -247,6 +247,7 @@
   if (chunk_.empty() || caller_ == nullptr)
     return;
   const Instant now = EventLoop::Now();
+  context_->selector->MarkRead(&sent_);
   if (!call_.relaying())
     call_.OnAnswerBegun(now);
   if (!head_relayed_) {
--- a/modules/bbv_fleet/fleet_call.cc
+++ b/modules/bbv_fleet/fleet_call.cc
@@ -21,6 +21,7 @@
 // How long a stream under way waits for a path; callers leave silent ones soon
 // after.
 constexpr Milliseconds kPathWait{1700};
+constexpr Milliseconds kLookPause{60};
 
 }  // namespace
 
@@ -49,6 +50,11 @@
     return;
   }
   if (sends_ > 0 && !ports_->TakeRetry(now)) {
+    if (WaitsForPath(now)) {
+      waiting_ = true;
+      last_failure_ = failure;
+      return;
+    }
     GiveUp(CallEnd::kRetryBudgetSpent, failure.answer_at_hand, now);
     return;
   }
@@ -143,6 +149,9 @@
   if (done_)
     return;
   if (waiting_) {
+    if (now < next_look_)
+      return;
+    next_look_ = now + kLookPause;
     // Targets that failed this call may have been mended since.
     excluded_.clear();
     SendAgain(last_failure_, now);
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -64,9 +64,10 @@
   std::vector<LayerRange> layers;
   std::vector<std::string> hop_ids;
   std::vector<std::string> hop_addresses;
-  // Expected milliseconds of reading the prompt at each hop.
-  std::vector<double> read_ms;
   double tokens = 0;
+  // Prompt tokens that every hop has to read, counted as many times as other
+  // entries are expected to send the like at the same moment.
+  double unread_tokens = 0;
   // Expected milliseconds between two events of a stream.
   double event_ms = 0;
   // Last event that the caller has when it is sent; the target goes on after
@@ -134,7 +135,7 @@
 // Each within the deadline, the route's attempts and the retry budget. Ends
 // are final and said at once. A stream that is under way and finds no path
 // waits for one for a short time, since lost layers are loaded elsewhere
-// meanwhile.
+// meanwhile; so does one for which the budget is spent.
 // Thread safety: none, owned by the thread of its connection.
 class FleetCall {
  public:
@@ -202,6 +203,7 @@
   int64_t last_event_ = kNoEvent;
   Instant last_progress_{};
   Instant sent_at_{};
+  Instant next_look_{};
 };
 
 }  // namespace bbv
--- a/modules/bbv_fleet/path_chooser.cc
+++ b/modules/bbv_fleet/path_chooser.cc
@@ -28,6 +28,18 @@
 constexpr double kBytesInMegabyte = 1e6;
 constexpr double kUnreached = std::numeric_limits<double>::infinity();
 
+// Expected milliseconds until `target` has read the prompts sent there.
+double BacklogMs(const EngineModel& model,
+                 const AcceleratorKind& kind,
+                 const FleetTarget& target,
+                 Instant now) {
+  if (model.read_tokens_per_ms <= 0)
+    return 0;
+  const double tokens = target.own_unread_tokens + target.peer_unread_tokens;
+  return tokens / model.read_tokens_per_ms * kind.read_factor *
+         target.Pace(now) * target.record.layers->size() / model.layers;
+}
+
 }  // namespace
 
 PathChooser::PathChooser(TargetBoard* board) : board_(board) {
@@ -79,8 +91,7 @@
                          (1 + (kFullTargetFactor - 1) * load * load) *
                          (1 + 4 * target->failure_share) * spread;
     candidate.hop_ms =
-        kHopMs +
-        kBacklogWeight * RemainingMilliseconds(target->reading_until, now);
+        kHopMs + kBacklogWeight * BacklogMs(model, *kind, *target, now);
     candidate.room_token_layers = capacity - used;
     const auto zone = zones.try_emplace(target->record.zone).first;
     candidate.zone = static_cast<int>(std::distance(zones.begin(), zone));
--- a/modules/bbv_fleet/target_board.cc
+++ b/modules/bbv_fleet/target_board.cc
@@ -191,6 +191,7 @@
   for (const auto& [id, row] : rows_) {
     row->peer_calls = 0;
     row->peer_token_layers = 0;
+    row->peer_unread_tokens = 0;
   }
   for (const auto& [name, list] : peers_) {
     for (const PeerLoad& it : list) {
@@ -199,6 +200,7 @@
         continue;
       target->peer_calls += it.calls;
       target->peer_token_layers += it.token_layers;
+      target->peer_unread_tokens += it.unread_tokens;
     }
   }
 }
--- a/modules/bbv_fleet/target_board.h
+++ b/modules/bbv_fleet/target_board.h
@@ -63,6 +63,7 @@
   std::string target_id;
   int calls = 0;
   double token_layers = 0;
+  double unread_tokens = 0;
 };
 
 // What direct evidence says about a target, beside the list.
@@ -101,9 +102,10 @@
   // The same two, summed over the other entries.
   int peer_calls = 0;
   double peer_token_layers = 0;
-  // When the prompts that this process sent there will have been read, as
-  // expected.
-  Instant reading_until{};
+  // Prompt tokens that this process sent there and that are not read yet, and
+  // those of the other entries.
+  double own_unread_tokens = 0;
+  double peer_unread_tokens = 0;
   // The last report and when it was true.
   EngineLoadReport report;
   Instant reported_at{};
--- a/modules/bbv_fleet/target_selector.cc
+++ b/modules/bbv_fleet/target_selector.cc
@@ -23,18 +23,6 @@
   return std::find(list.begin(), list.end(), id) != list.end();
 }
 
-// Expected milliseconds of reading a prompt at one hop.
-double ReadMs(const EngineModel& model,
-              double tokens,
-              const Hop& hop,
-              Instant now) {
-  const AcceleratorKind* kind = model.FindKind(hop.target->record.accelerator);
-  if (kind == nullptr || model.read_tokens_per_ms <= 0)
-    return 0;
-  return tokens / model.read_tokens_per_ms * kind->read_factor *
-         hop.target->Pace(now) * hop.layers.size() / model.layers;
-}
-
 }  // namespace
 
 TargetSelector::TargetSelector(TargetBoard* board, std::string zone)
@@ -83,9 +71,12 @@
     dispatch.layers.push_back(it.layers);
     dispatch.hop_ids.push_back(it.target->record.id);
     dispatch.hop_addresses.push_back(it.target->record.address);
-    dispatch.read_ms.push_back(ReadMs(model, request.prompt_tokens, it, now));
   }
   dispatch.tokens = query.tokens;
+  // After a fault every entry sends its streams again at the same moment, and
+  // hears of the others' only later.
+  dispatch.unread_tokens =
+      request.prompt_tokens * (excluded.empty() ? 1 : entries_);
   dispatch.event_ms = kTokensPerEvent * path.token_ms;
   return dispatch;
 }
@@ -134,33 +125,43 @@
   return dispatch;
 }
 
-void TargetSelector::Begin(const CallDispatch& dispatch, Instant now) {
+void TargetSelector::Begin(const CallDispatch& dispatch) {
   for (std::size_t it = 0; it < dispatch.hop_ids.size(); ++it) {
     FleetTarget* target = board_->Find(dispatch.hop_ids[it]);
     if (target == nullptr)
       continue;
     ++target->own_calls;
+    target->own_unread_tokens += dispatch.unread_tokens;
     if (it < dispatch.layers.size())
       target->own_token_layers += dispatch.tokens * dispatch.layers[it].size();
-    if (it < dispatch.read_ms.size()) {
-      const auto reading = std::chrono::duration_cast<Instant::duration>(
-          std::chrono::duration<double, std::milli>(dispatch.read_ms[it]));
-      target->reading_until = std::max(target->reading_until, now) + reading;
+  }
+}
+
+void TargetSelector::MarkRead(CallDispatch* dispatch) {
+  const double tokens = std::exchange(dispatch->unread_tokens, 0);
+  if (tokens == 0)
+    return;
+  for (const std::string& id : dispatch->hop_ids) {
+    FleetTarget* target = board_->Find(id);
+    if (target != nullptr) {
+      target->own_unread_tokens =
+          std::max(0.0, target->own_unread_tokens - tokens);
     }
   }
 }
 
-void TargetSelector::Finish(const CallDispatch& dispatch) {
-  for (std::size_t it = 0; it < dispatch.hop_ids.size(); ++it) {
-    FleetTarget* target = board_->Find(dispatch.hop_ids[it]);
+void TargetSelector::Finish(CallDispatch* dispatch) {
+  MarkRead(dispatch);
+  for (std::size_t it = 0; it < dispatch->hop_ids.size(); ++it) {
+    FleetTarget* target = board_->Find(dispatch->hop_ids[it]);
     if (target == nullptr)
       continue;
     // A row that was listed anew in between counts from zero.
     target->own_calls = std::max(0, target->own_calls - 1);
-    if (it < dispatch.layers.size()) {
+    if (it < dispatch->layers.size()) {
       target->own_token_layers =
           std::max(0.0, target->own_token_layers -
-                            dispatch.tokens * dispatch.layers[it].size());
+                            dispatch->tokens * dispatch->layers[it].size());
     }
   }
 }
--- a/modules/bbv_fleet/target_selector.h
+++ b/modules/bbv_fleet/target_selector.h
@@ -34,8 +34,14 @@
                                      CallEnd* end) const;
 
   // Counts a send as under way, or no longer.
-  void Begin(const CallDispatch& dispatch, Instant now);
-  void Finish(const CallDispatch& dispatch);
+  void Begin(const CallDispatch& dispatch);
+  void Finish(CallDispatch* dispatch);
+
+  // Counts the prompt of a send as read, once.
+  void MarkRead(CallDispatch* dispatch);
+
+  // Sets how many entries choose from the same targets.
+  void SetEntries(int entries) { entries_ = entries; }
 
  private:
   std::optional<CallDispatch> SelectPath(
@@ -54,6 +60,7 @@
 
   TargetBoard* board_;
   std::string zone_;
+  int entries_ = 1;
   PathChooser paths_;
 };
 
--- a/modules/bbv_wire/wire_generated.h
+++ b/modules/bbv_wire/wire_generated.h
@@ -3239,6 +3239,7 @@
   std::string target{};
   uint32_t calls = 0;
   double token_layers = 0.0;
+  double unread_tokens = 0.0;
 };
 
 /// Calls that the sender has under way at a target.
@@ -3249,7 +3250,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TARGET = 4,
     VT_CALLS = 6,
-    VT_TOKEN_LAYERS = 8
+    VT_TOKEN_LAYERS = 8,
+    VT_UNREAD_TOKENS = 10
   };
   const flatbuffers::String *target() const {
     return GetPointer<const flatbuffers::String *>(VT_TARGET);
@@ -3260,12 +3262,16 @@
   double token_layers() const {
     return GetField<double>(VT_TOKEN_LAYERS, 0.0);
   }
+  double unread_tokens() const {
+    return GetField<double>(VT_UNREAD_TOKENS, 0.0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TARGET) &&
            verifier.VerifyString(target()) &&
            VerifyField<uint32_t>(verifier, VT_CALLS, 4) &&
            VerifyField<double>(verifier, VT_TOKEN_LAYERS, 8) &&
+           VerifyField<double>(verifier, VT_UNREAD_TOKENS, 8) &&
            verifier.EndTable();
   }
   OwnLoadT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3286,6 +3292,9 @@
   void add_token_layers(double token_layers) {
     fbb_.AddElement<double>(OwnLoad::VT_TOKEN_LAYERS, token_layers, 0.0);
   }
+  void add_unread_tokens(double unread_tokens) {
+    fbb_.AddElement<double>(OwnLoad::VT_UNREAD_TOKENS, unread_tokens, 0.0);
+  }
   explicit OwnLoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3301,8 +3310,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> target = 0,
     uint32_t calls = 0,
-    double token_layers = 0.0) {
+    double token_layers = 0.0,
+    double unread_tokens = 0.0) {
   OwnLoadBuilder builder_(_fbb);
+  builder_.add_unread_tokens(unread_tokens);
   builder_.add_token_layers(token_layers);
   builder_.add_calls(calls);
   builder_.add_target(target);
@@ -3318,13 +3329,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *target = nullptr,
     uint32_t calls = 0,
-    double token_layers = 0.0) {
+    double token_layers = 0.0,
+    double unread_tokens = 0.0) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
   return bbv::wire::CreateOwnLoad(
       _fbb,
       target__,
       calls,
-      token_layers);
+      token_layers,
+      unread_tokens);
 }
 
 flatbuffers::Offset<OwnLoad> CreateOwnLoad(flatbuffers::FlatBufferBuilder &_fbb, const OwnLoadT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5365,7 +5378,8 @@
   return
       (lhs.target == rhs.target) &&
       (lhs.calls == rhs.calls) &&
-      (lhs.token_layers == rhs.token_layers);
+      (lhs.token_layers == rhs.token_layers) &&
+      (lhs.unread_tokens == rhs.unread_tokens);
 }
 
 inline bool operator!=(const OwnLoadT &lhs, const OwnLoadT &rhs) {
@@ -5385,6 +5399,7 @@
   { auto _e = target(); if (_e) _o->target = _e->str(); }
   { auto _e = calls(); _o->calls = _e; }
   { auto _e = token_layers(); _o->token_layers = _e; }
+  { auto _e = unread_tokens(); _o->unread_tokens = _e; }
 }
 
 inline flatbuffers::Offset<OwnLoad> OwnLoad::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OwnLoadT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5398,11 +5413,13 @@
   auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
   auto _calls = _o->calls;
   auto _token_layers = _o->token_layers;
+  auto _unread_tokens = _o->unread_tokens;
   return bbv::wire::CreateOwnLoad(
       _fbb,
       _target,
       _calls,
-      _token_layers);
+      _token_layers,
+      _unread_tokens);
 }
 
 
