Read the target list and the configuration more seldom

Ruled out as a danger: a leaving target is seen within 0.7 s of 2 s; a silent connection to the store hides a configuration for 3.1 s, but peers help an entry that is behind after 0.5 s.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -34,8 +34,8 @@
 // Pause between two reads of the target list, for each entry: all entries
 // together read it at much the same rate however many they are.
 constexpr Milliseconds kListPauseEach{45};
-constexpr Milliseconds kShortestListPause{350};
-constexpr Milliseconds kLongestListPause{1000};
+constexpr Milliseconds kShortestListPause{700};
+constexpr Milliseconds kLongestListPause{1100};
 // Time that a call needs at most, as a rule; a stopping entry takes none that
 // its end would cut.
 constexpr Milliseconds kStreamTime{4800};
--- a/modules/bbv_entry/fleet_follower.cc
+++ b/modules/bbv_entry/fleet_follower.cc
@@ -12,7 +12,7 @@
 constexpr Milliseconds kCallTimeout{1500};
 // Longest wait of one read for the next configuration. Bounds how long a
 // connection that has gone silent hides a change.
-constexpr int kConfigurationWaitMs = 1200;
+constexpr int kConfigurationWaitMs = 2500;
 // Time beyond that within which the answer must come.
 constexpr Milliseconds kWaitSlack{600};
 constexpr Milliseconds kRetryPause{250};
