--- a/apps/bluebellvalve/main.cc
+++ b/apps/bluebellvalve/main.cc
@@ -9,6 +9,7 @@
 #include <array>
 #include <cstdio>
 #include <fstream>
+#include <iostream>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
@@ -16,6 +17,7 @@
 #include "bbv_config/bbv_config.h"
 #include "bbv_core/event.h"
 #include "bbv_node/caller_authentication.h"
+#include "bbv_observe/log_explainer.h"
 #include "bbv_platform/http_connection.h"
 #include "bbv_settings/bbv_settings.h"
 
@@ -28,6 +30,8 @@
           "",
           "File whose first line is the operator key");
 
+ABSL_FLAG(bool, json, false, "explain: print JSON");
+
 namespace {
 
 using nlohmann::json;
@@ -67,7 +71,9 @@
   const std::string& path = arguments[0];
   bbv::Faults faults;
   const auto table = bbv::ParseTomlFile(path, &faults);
-  if (table && table->contains("node"))
+  if (table && (*table)["node"]["role"] == "fleet-entry")
+    bbv::LoadFleetSettings(path, &faults);
+  else if (table && table->contains("node"))
     bbv::LoadNodeSettings(path, &faults);
   else if (table)
     bbv::LoadConfigurationFile(path, &faults);
@@ -174,6 +180,23 @@
   return kExitOk;
 }
 
+int RunExplain(const Arguments& arguments) {
+  bbv::LogExplainer explainer(arguments[0]);
+  for (std::size_t it = 1; it < arguments.size(); ++it) {
+    std::ifstream file(arguments[it]);
+    if (!file)
+      return Fail(kExitUsage, "cannot read " + arguments[it]);
+    explainer.Read(&file);
+  }
+  if (arguments.size() == 1)
+    explainer.Read(&std::cin);
+  if (!explainer.found())
+    return Fail(kExitRefused, "no line speaks of " + arguments[0]);
+  std::printf("%s", absl::GetFlag(FLAGS_json) ? explainer.ToJson().c_str()
+                                              : explainer.ToText().c_str());
+  return kExitOk;
+}
+
 int RunHashKey(const Arguments& arguments) {
   const std::string key = FirstLine(arguments[0]);
   if (key.empty())
@@ -194,12 +217,13 @@
   int (*run)(const Arguments&);
 };
 
-constexpr std::array<Command, 7> kCommands = {{
+constexpr std::array<Command, 8> kCommands = {{
     {"check", 1, "check FILE", RunCheck},
     {"plan", 1, "plan import FILE | plan INTENT ARGUMENT...", RunPlan},
     {"confirm", 1, "confirm PLAN", RunConfirm},
     {"status", 0, "status", RunStatus},
     {"events", 0, "events", RunEvents},
+    {"explain", 1, "explain ID [FILE...]", RunExplain},
     {"hash-key", 1, "hash-key FILE", RunHashKey},
     {"version", 0, "version", RunVersion},
 }};
--- a/apps/bluebellvalved/main.cc
+++ b/apps/bluebellvalved/main.cc
@@ -84,7 +84,7 @@
 
 // Returns the settings file that was named, empty when none was.
 std::string SettingsPath() {
-  const std::string path = absl::GetFlag(FLAGS_settings);
+  std::string path = absl::GetFlag(FLAGS_settings);
   const char* named = std::getenv("BLUEBELLVALVE_CONFIG");
   if (path.empty() && absl::GetFlag(FLAGS_fleet) && named != nullptr)
     return named;
--- a/modules/bbv_entry/stall_watch.cc
+++ b/modules/bbv_entry/stall_watch.cc
@@ -11,7 +11,7 @@
 constexpr Milliseconds kQuestionPause{150};
 constexpr Milliseconds kQuestionTimeout{300};
 constexpr Milliseconds kDoubtPause{200};
-constexpr Milliseconds kDoubtTimeout{150};
+constexpr Milliseconds kDoubtTimeout{70};
 constexpr int kOk = 200;
 
 }  // namespace
--- a/modules/bbv_fleet/layer_planner.cc
+++ b/modules/bbv_fleet/layer_planner.cc
@@ -392,8 +392,10 @@
     else
       rest.insert(rest.end(), members.begin(), members.end());
   }
-  if (TotalCapacity(model, rest) >= model.layers || groups.empty())
-    groups.push_back(std::move(rest));
+  if (TotalCapacity(model, rest) >= model.layers || groups.empty()) {
+    groups.push_back(rest);
+    rest.clear();
+  }
   for (std::vector<PlannerTarget>& members : groups) {
     const std::size_t n = members.size();
     if (&members == &groups.front())
--- a/modules/bbv_front/tcp_stream.cc
+++ b/modules/bbv_front/tcp_stream.cc
@@ -15,7 +15,7 @@
 // Unacknowledged data ends a connection after this time, so that links that
 // have gone silent do not keep what is queued on them.
 constexpr unsigned kUserTimeoutMs = 4000;
-constexpr std::size_t kReadBytes = 64 * 1024;
+constexpr std::size_t kReadBytes = 64U << 10U;
 
 void DeleteHandle(uv_handle_t* handle) {
   delete reinterpret_cast<uv_tcp_t*>(handle);
--- a/modules/bbv_front/tcp_stream_test.cc
+++ b/modules/bbv_front/tcp_stream_test.cc
@@ -24,8 +24,9 @@
     sockaddr_in own{};
     own.sin_family = AF_INET;
     own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(listener_, reinterpret_cast<sockaddr*>(&own), sizeof(own));
-    listen(listener_, 4);
+    CHECK_EQUAL(
+        0, bind(listener_, reinterpret_cast<sockaddr*>(&own), sizeof(own)));
+    CHECK_EQUAL(0, listen(listener_, 4));
     socklen_t length = sizeof(own);
     getsockname(listener_, reinterpret_cast<sockaddr*>(&own), &length);
     port_ = ntohs(own.sin_port);
--- a/modules/bbv_http/http_parser_test.cc
+++ b/modules/bbv_http/http_parser_test.cc
@@ -59,10 +59,10 @@
 TEST(HttpParser, RefusesWhatTwoReadersCouldReadDifferently) {
   const char* bad[] = {
       "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
-      "POST / HTTP/1.1\r\nContent-Length: 3\r\n"
-      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
-      "Content-Length: 3\r\n\r\n0\r\n\r\n",
+      ("POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+      ("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+       "Content-Length: 3\r\n\r\n0\r\n\r\n"),
       "GET / HTTP/1.1\nHost: h\n\n",
       "GET / HTTP/1.1\r\nHost : h\r\n\r\n",
       "POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc",
@@ -72,8 +72,12 @@
       "POST / HTTP/1.1\r\nTransfer-Encoding: chunked, gzip\r\n\r\nabc",
   };
   for (const char* text : bad) {
-    if (ParseRequest(text) != ParseStatus::kBad)
-      { const std::string shown = "parsed: " + std::to_string(static_cast<int>(ParseRequest(text))) + " " + std::string(text).substr(16); FAIL(shown.c_str()); }
+    if (ParseRequest(text) != ParseStatus::kBad) {
+      const std::string shown =
+          "parsed: " + std::to_string(static_cast<int>(ParseRequest(text))) +
+          " " + std::string(text).substr(16);
+      FAIL(shown.c_str());
+    }
   }
 }
 
--- a/tests/fleet_floor.cc
+++ b/tests/fleet_floor.cc
@@ -27,7 +27,8 @@
   sockaddr_in own{};
   own.sin_family = AF_INET;
   own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  bind(fd, reinterpret_cast<sockaddr*>(&own), sizeof(own));
+  if (bind(fd, reinterpret_cast<sockaddr*>(&own), sizeof(own)) != 0)
+    return 0;
   socklen_t length = sizeof(own);
   getsockname(fd, reinterpret_cast<sockaddr*>(&own), &length);
   close(fd);
--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -84,8 +84,11 @@
     thread_.join();
 }
 
-bool FleetStore::Start() {
-  port_ = server_.bind_to_any_port("127.0.0.1");
+bool FleetStore::Start(int port) {
+  if (port == 0)
+    port_ = server_.bind_to_any_port("127.0.0.1");
+  else if (server_.bind_to_port("127.0.0.1", port))
+    port_ = port;
   if (port_ <= 0)
     return false;
   thread_ = std::thread([this] { server_.listen_after_bind(); });
@@ -323,7 +326,7 @@
 std::string FleetTargets::FaultOnPath(const std::string& path) {
   std::istringstream parts(path);
   for (std::string part; std::getline(parts, part, ',');) {
-    const std::string address = part.substr(0, part.find('='));
+    std::string address = part.substr(0, part.find('='));
     const std::string range = part.substr(part.find('=') + 1);
     const int from = std::stoi(range);
     const int to = std::stoi(range.substr(range.find('-') + 1));
--- a/tests/standins/fleet_standin.h
+++ b/tests/standins/fleet_standin.h
@@ -24,8 +24,9 @@
   FleetStore();
   ~FleetStore();
 
-  // Listens on a port of its own on loopback; false when it cannot.
-  bool Start();
+  // Listens on loopback, on a free port unless one is given; false when it
+  // cannot.
+  bool Start(int port = 0);
   int port() const { return port_; }
 
   // Adds a record; an empty value says that the key is gone.
--- a/tests/standins/main.cc
+++ b/tests/standins/main.cc
@@ -8,9 +8,13 @@
 #include <memory>
 #include <string>
 
+#include "standins/fleet_standin.h"
 #include "standins/http_standins.h"
 
-ABSL_FLAG(std::string, role, "", "log, instances, weights, engine or service");
+ABSL_FLAG(std::string,
+          role,
+          "",
+          "log, instances, weights, engine, service or fleet");
 ABSL_FLAG(int, port, 0, "HTTP port on 127.0.0.1");
 ABSL_FLAG(std::string, trace, "", "File for what an engine or service ran");
 ABSL_FLAG(int, interval_ms, 0, "weights: time between two loads");
@@ -55,6 +59,20 @@
   return nullptr;
 }
 
+// A store and targets that forward among themselves, until a signal.
+int RunFleet(const sigset_t& signals) {
+  FleetStore store;
+  FleetTargets targets(&store, FleetTargets::Shape{});
+  if (!store.Start(absl::GetFlag(FLAGS_port)) || !targets.Start()) {
+    std::fprintf(stderr, "cannot listen\n");
+    return 4;
+  }
+  store.Put("keyed.op", "config", targets.MakeConfiguration(1));
+  int signal = 0;
+  sigwait(&signals, &signal);
+  std::_Exit(0);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -65,6 +83,8 @@
   sigaddset(&signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+  if (absl::GetFlag(FLAGS_role) == "fleet")
+    return RunFleet(signals);
   const auto standin = MakeStandin(absl::GetFlag(FLAGS_role));
   if (!standin) {
     std::fprintf(stderr, "unknown --role\n");
