Let calls without room wait a part of their objective, in fair order

Cause: calls that found no room were refused and came back 0.4 to 0.6 s later, past their objective, while room came free every few milliseconds (burst windows, and the seconds after crashes). Ruled out: more room (paths were full at a hop).

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -101,6 +101,7 @@
   context_.log = &log_;
   context_.metrics = &metrics_;
   context_.random = &random_;
+  context_.waiting_room = &waiting_room_;
   context_.budget = [this](const std::string& service) {
     return budgets_.Of(service);
   };
@@ -262,6 +263,8 @@
   auto call = std::make_unique<RelayedCall>(&context_, index, connection,
                                             std::move(request), std::move(head),
                                             std::move(body));
+  // What waited on this connection has had its answer.
+  waiting_room_.Remove(connection->id());
   RelayedCall* started = call.get();
   std::unique_ptr<RelayedCall>& slot = calls_[connection->id()];
   if (slot != nullptr)
@@ -284,6 +287,7 @@
   const auto it = calls_.find(connection->id());
   if (it == calls_.end())
     return;
+  waiting_room_.Remove(connection->id());
   it->second->OnCallerGone(EventLoop::Now());
   ended_calls_.push_back(std::move(it->second));
   calls_.erase(it);
@@ -368,6 +372,17 @@
 }
 
 void FleetEntry::TickCalls(Instant now) {
+  waiting_room_.OnTick(
+      now,
+      [this, now](uint64_t id) {
+        const auto it = calls_.find(id);
+        return it == calls_.end() || it->second->TrySendWaiting(now);
+      },
+      [this, now](uint64_t id) {
+        const auto it = calls_.find(id);
+        if (it != calls_.end())
+          it->second->OnWaitedInVain(now);
+      });
   for (auto it = calls_.begin(); it != calls_.end();) {
     if (it->second->done()) {
       ended_calls_.push_back(std::move(it->second));
@@ -406,6 +421,7 @@
   next_gauges_ = now + kGaugePause;
   metrics_.SetGauge("caller_connections", static_cast<double>(callers_.size()));
   metrics_.SetGauge("calls_under_way", static_cast<double>(calls_.size()));
+  metrics_.SetGauge("calls_waiting", static_cast<double>(waiting_room_.size()));
   metrics_.SetGauge("targets", static_cast<double>(board_.rows().size()));
   metrics_.SetGauge("holds_planner_lease", planner_.holds_lease() ? 1 : 0);
   metrics_.SetGauge("live_entries", links_.live_entries());
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -98,6 +98,7 @@
   LoadWatch loads_;
   PeerLinks links_;
   PeerExchange peers_;
+  WaitingRoom waiting_room_;
   CallContext context_;
   TcpListener callers_listener_;
   SmallHttpServer readiness_server_;
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -135,6 +135,20 @@
   return context_->budget(call_.request().service)->TryTake(now);
 }
 
+bool RelayedCall::WaitForRoom(const CallRequest& request, Instant deadline) {
+  WaitingRoom::Ticket ticket;
+  ticket.service = request.service;
+  if (request.account != nullptr)
+    ticket.account = request.account->name;
+  ticket.priority = request.route->priority;
+  if (request.account != nullptr && request.account->priority)
+    ticket.priority = *request.account->priority;
+  ticket.cost = request.prompt_tokens + request.answer_tokens;
+  ticket.deadline = deadline;
+  return caller_ != nullptr &&
+         context_->waiting_room->Add(caller_->id(), ticket);
+}
+
 Milliseconds RelayedCall::RetryAfter(const CallRequest&, CallEnd end) {
   const Milliseconds base =
       end == CallEnd::kNoRoom ? kRetryWithoutRoom : kRetryWithoutTarget;
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -37,6 +37,8 @@
       on_target_fault;
   // A target was named as the cause for which a call was turned away.
   std::function<void(const std::string& target_id)> on_target_doubt;
+  // Calls that wait for room, by their callers' connections.
+  WaitingRoom* waiting_room = nullptr;
 };
 
 // One call on its way: carries out what FleetCall decides, between the
@@ -60,6 +62,10 @@
   // Takes the call off a path on which `target_id` was found dead.
   void OnPathFault(const std::string& target_id, Instant now);
 
+  // Sends a call that waits for room; false when there is none yet.
+  bool TrySendWaiting(Instant now) { return call_.TrySendWaiting(now); }
+  void OnWaitedInVain(Instant now) { call_.OnWaitedInVain(now); }
+
   bool done() const { return call_.done(); }
   const FleetCall& call() const { return call_; }
 
@@ -74,6 +80,7 @@
   void Fail(const CallFailure& failure) override;
   void RelayAnswerAtHand() override;
   void BreakOff(CallEnd end) override;
+  bool WaitForRoom(const CallRequest& request, Instant deadline) override;
   Milliseconds RetryAfter(const CallRequest& request, CallEnd end) override;
 
   // ExchangeSink:
--- a/modules/bbv_fleet/bbv_fleet.h
+++ b/modules/bbv_fleet/bbv_fleet.h
@@ -4,7 +4,8 @@
 // Routes and accounts of a configuration, the table of targets and the
 // evidence about them, where layers are placed, the path of a call, the course
 // of a call to its final word, and the budget of repeated sends. Needs bbv_core
-// only. Opens no socket, reads no clock, starts no thread.
+// and the fair queue of bbv_routing. Opens no socket, reads no clock, starts no
+// thread.
 #ifndef MODULES_BBV_FLEET_BBV_FLEET_H_
 #define MODULES_BBV_FLEET_BBV_FLEET_H_
 
@@ -17,5 +18,6 @@
 #include "bbv_fleet/shared_retry_budget.h"
 #include "bbv_fleet/target_board.h"
 #include "bbv_fleet/target_selector.h"
+#include "bbv_fleet/waiting_room.h"
 
 #endif  // MODULES_BBV_FLEET_BBV_FLEET_H_
--- a/modules/bbv_fleet/fleet_call.cc
+++ b/modules/bbv_fleet/fleet_call.cc
@@ -22,6 +22,9 @@
 // after.
 constexpr Milliseconds kPathWait{1700};
 constexpr Milliseconds kLookPause{60};
+// Part of the objective, and the longest time, that a call waits for room.
+constexpr int kRoomWaitPercent = 60;
+constexpr Milliseconds kLongestRoomWait{400};
 
 }  // namespace
 
@@ -45,6 +48,9 @@
     return;
   }
   waiting_ = false;
+  if (!dispatch && sends_ == 0 && end == CallEnd::kNoRoom &&
+      now < RoomDeadline() && ports_->WaitForRoom(request_, RoomDeadline()))
+    return;
   if (!dispatch) {
     GiveUp(sends_ == 0 ? end : failure.end, failure.answer_at_hand, now);
     return;
@@ -58,7 +64,11 @@
     GiveUp(CallEnd::kRetryBudgetSpent, failure.answer_at_hand, now);
     return;
   }
-  dispatch_ = std::move(*dispatch);
+  SendTo(std::move(*dispatch), now);
+}
+
+void FleetCall::SendTo(CallDispatch dispatch, Instant now) {
+  dispatch_ = std::move(dispatch);
   dispatch_.last_event = last_event_;
   ++sends_;
   ++runs_;
@@ -69,6 +79,32 @@
   ports_->Send(dispatch_, now);
 }
 
+Instant FleetCall::RoomDeadline() const {
+  const auto wait = std::min<Milliseconds>(
+      kLongestRoomWait,
+      Milliseconds(request_.route->objective_ms * kRoomWaitPercent / 100));
+  return std::min(request_.arrived + wait, request_.deadline);
+}
+
+bool FleetCall::TrySendWaiting(Instant now) {
+  if (done_ || sends_ > 0)
+    return true;
+  CallEnd end = CallEnd::kNoRoom;
+  auto dispatch = ports_->Choose(request_, excluded_, now, &end);
+  if (dispatch)
+    SendTo(std::move(*dispatch), now);
+  else if (end == CallEnd::kNoRoom)
+    return false;
+  else
+    GiveUp(end, false, now);
+  return true;
+}
+
+void FleetCall::OnWaitedInVain(Instant now) {
+  if (!done_ && sends_ == 0)
+    GiveUp(CallEnd::kNoRoom, false, now);
+}
+
 bool FleetCall::WaitsForPath(Instant now) const {
   return relaying_ && now < last_progress_ + kPathWait &&
          now + kLeastRemaining < request_.deadline;
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -118,6 +118,8 @@
   virtual void RelayAnswerAtHand() = 0;
   // Ends the caller's connection, since part of an answer was relayed.
   virtual void BreakOff(CallEnd end) = 0;
+  // Lets a call that found no room wait until `deadline`; false when it cannot.
+  virtual bool WaitForRoom(const CallRequest& request, Instant deadline) = 0;
   // When a call refused now may come back.
   virtual Milliseconds RetryAfter(const CallRequest& request, CallEnd end) = 0;
 };
@@ -135,7 +137,8 @@
 // Each within the deadline, the route's attempts and the retry budget. Ends
 // are final and said at once. A stream that is under way and finds no path
 // waits for one for a short time, since lost layers are loaded elsewhere
-// meanwhile; so does one for which the budget is spent.
+// meanwhile; so does one for which the budget is spent. A call that finds no
+// room waits for a part of its objective before it is refused.
 // Thread safety: none, owned by the thread of its connection.
 class FleetCall {
  public:
@@ -163,6 +166,12 @@
   // Ends what is overdue and looks for a path again; call often.
   void OnTime(Instant now);
 
+  // Sends a call that waits for room. Returns false when there is none yet.
+  bool TrySendWaiting(Instant now);
+
+  // A call has waited for room in vain.
+  void OnWaitedInVain(Instant now);
+
   // A hop of the path was found dead: leaves the path at once.
   void OnPathFault(const std::string& target_id, Instant now);
 
@@ -180,8 +189,10 @@
   const std::vector<std::string>& excluded() const { return excluded_; }
 
  private:
+  Instant RoomDeadline() const;
   bool WaitsForPath(Instant now) const;
   bool MayRepeat(const SendFailure& failure) const;
+  void SendTo(CallDispatch dispatch, Instant now);
   void SendAgain(const SendFailure& failure, Instant now);
   void GiveUp(CallEnd end, bool answer_at_hand, Instant now);
   void Exclude(const SendFailure& failure);
--- a/modules/bbv_fleet/fleet_call_test.cc
+++ b/modules/bbv_fleet/fleet_call_test.cc
@@ -22,6 +22,7 @@
       const std::vector<std::string>& excluded,
       Instant,
       CallEnd* end) override {
+    ++choices;
     for (const std::string& id : targets) {
       bool out = false;
       for (const std::string& it : excluded)
@@ -35,7 +36,7 @@
       dispatch.event_ms = 40;
       return dispatch;
     }
-    *end = CallEnd::kNoTarget;
+    *end = choice_end;
     return std::nullopt;
   }
   void Send(const bbv::CallDispatch& dispatch, Instant) override {
@@ -46,12 +47,20 @@
   void Fail(const CallFailure& it) override { failure = it; }
   void RelayAnswerAtHand() override { ++relayed; }
   void BreakOff(CallEnd) override { ++broken_off; }
+  bool WaitForRoom(const bbv::CallRequest&, Instant deadline) override {
+    room_deadline = deadline;
+    return may_wait;
+  }
   Milliseconds RetryAfter(const bbv::CallRequest&, CallEnd) override {
     return Milliseconds(700);
   }
 
   std::vector<std::string> targets = {"a", "b", "c", "d", "e", "f", "g"};
   int retries_left = 100;
+  bool may_wait = false;
+  int choices = 0;
+  CallEnd choice_end = CallEnd::kNoTarget;
+  std::optional<Instant> room_deadline;
   std::vector<bbv::CallDispatch> sent;
   int cancelled = 0;
   int relayed = 0;
@@ -218,6 +227,47 @@
   CHECK_EQUAL(1, static_cast<int>(ports.sent.size()));
 }
 
+TEST(FleetCall, ACallWithoutRoomWaitsForPartOfItsObjective) {
+  route.objective_ms = 500;
+  ports.may_wait = true;
+  ports.choice_end = CallEnd::kNoRoom;
+  ports.targets.clear();
+  auto call = Make(CallKind::kSafe, 2);
+  call.Start(now);
+  CHECK(!ports.failure);
+  CHECK(*ports.room_deadline == now + Milliseconds(300));
+  CHECK(!call.TrySendWaiting(now + Milliseconds(20)));
+  ports.targets = {"a"};
+  CHECK(call.TrySendWaiting(now + Milliseconds(40)));
+  CHECK_EQUAL(1, static_cast<int>(ports.sent.size()));
+}
+
+TEST(FleetCall, AWaitingCallIsSentWhereItsRoomWasFound) {
+  // A second choice could find no room again and let the call wait twice.
+  route.objective_ms = 500;
+  ports.may_wait = true;
+  ports.choice_end = CallEnd::kNoRoom;
+  ports.targets.clear();
+  auto call = Make(CallKind::kSafe, 2);
+  call.Start(now);
+  ports.targets = {"a"};
+  ports.choices = 0;
+  CHECK(call.TrySendWaiting(now + Milliseconds(20)));
+  CHECK_EQUAL(1, ports.choices);
+}
+
+TEST(FleetCall, ACallThatWaitedInVainIsRefusedAsNotRun) {
+  route.objective_ms = 500;
+  ports.may_wait = true;
+  ports.choice_end = CallEnd::kNoRoom;
+  ports.targets.clear();
+  auto call = Make(CallKind::kUnsafe, 1);
+  call.Start(now);
+  call.OnWaitedInVain(now + Milliseconds(300));
+  CHECK_EQUAL(503, ports.failure->status);
+  CHECK(ports.failure->retry_after.has_value());
+}
+
 TEST(FleetCall, SilenceIsNoticedAgainstThePathsPace) {
   auto call = Make(CallKind::kStream, 2);
   call.Start(now);
