Keep one row an address, tell leaving targets by their refusals, let a planner stand in

Ruled out: want of memory (reports showed half of it free). Change: two refusals in a row with 30 % of the memory free tell a leaving target; the first entry alive that is not stopping stands in after 1.2 s without store and planner; a record replaces older ones of its address. Tests in target_board_test, each failing before.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -83,7 +83,8 @@
           &board_,
           [this](const std::string& id,
                  std::string_view evidence,
-                 bool witnessed) { TakeTargetFault(id, evidence, witnessed); }),
+                 bool witnessed) { TakeTargetFault(id, evidence, witnessed); },
+          [this](const std::string& id) { TakeLeavingTarget(id); }),
       loads_(&client_, &board_),
       links_(&loop_, &store_, &log_, settings_.name, settings_.peers_address),
       peers_(&links_,
@@ -93,7 +94,7 @@
              &budgets_,
              &random_,
              [this](const std::string& id, std::string_view) {
-               stalls_.Doubt(id, EventLoop::Now());
+               DoubtTarget(id);
              }) {
   context_.client = &client_;
   context_.board = &board_;
@@ -109,9 +110,7 @@
                                     std::string_view evidence, bool witnessed) {
     TakeTargetFault(id, evidence, witnessed);
   };
-  context_.on_target_doubt = [this](const std::string& id) {
-    stalls_.Doubt(id, EventLoop::Now());
-  };
+  context_.on_target_doubt = [this](const std::string& id) { DoubtTarget(id); };
 }
 
 FleetEntry::~FleetEntry() = default;
@@ -300,6 +299,35 @@
               {"cause", "malformed request"}});
 }
 
+void FleetEntry::DoubtTarget(const std::string& target_id) {
+  const FleetTarget* target = board_.Find(target_id);
+  if (target == nullptr || configuration_.current() == nullptr)
+    return;
+  const ServiceDescription* service =
+      configuration_.current()->FindService(target->record.service);
+  const double capacity =
+      service != nullptr && service->engine
+          ? PathChooser::CapacityTokenLayers(*service->engine, *target)
+          : 0;
+  stalls_.Doubt(target_id, capacity, EventLoop::Now());
+}
+
+void FleetEntry::TakeLeavingTarget(const std::string& target_id) {
+  const Instant now = EventLoop::Now();
+  FleetTarget* target = board_.Find(target_id);
+  if (target == nullptr || !board_.IsUsable(*target, now))
+    return;
+  // Streams that it serves go on there; only new calls and the planner do
+  // without it.
+  const Instant until = board_.Suspect(target, now);
+  log_.Write(
+      Event::kTargetSuspected, now,
+      {{"target", target_id},
+       {"evidence", "turns calls away with memory to spare"},
+       {"for_ms", static_cast<int64_t>(RemainingMilliseconds(until, now))}});
+  peers_.TellFault(*target, "turns calls away with memory to spare");
+}
+
 bool FleetEntry::IsOwnTrouble(const std::string& target_id, Instant now) {
   std::erase_if(unreached_, [now](const auto& it) {
     return now > it.second + kUnreachedMemory;
@@ -345,7 +373,7 @@
   targets_.OnTick(now);
   planner_.OnTick(configuration_.current(), targets_.complete(),
                   targets_.last_new_target(), now);
-  if (planner_.holds_lease() && configuration_.current() != nullptr)
+  if (planner_.plans() && configuration_.current() != nullptr)
     loads_.OnTick(*configuration_.current(), now);
   peers_.OnTick(now);
   ShareBudgets();
@@ -423,7 +451,7 @@
   metrics_.SetGauge("calls_under_way", static_cast<double>(calls_.size()));
   metrics_.SetGauge("calls_waiting", static_cast<double>(waiting_room_.size()));
   metrics_.SetGauge("targets", static_cast<double>(board_.rows().size()));
-  metrics_.SetGauge("holds_planner_lease", planner_.holds_lease() ? 1 : 0);
+  metrics_.SetGauge("plans", planner_.plans() ? 1 : 0);
   metrics_.SetGauge("live_entries", links_.live_entries());
   metrics_.SetGauge("store_reachable", store_.reachable() ? 1 : 0);
   metrics_.SetGauge("store_calls", static_cast<double>(store_.calls()));
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -67,6 +67,10 @@
   void TakeTargetFault(const std::string& target_id,
                        std::string_view evidence,
                        bool witnessed);
+  // A target was named as the cause for which a call was turned away.
+  void DoubtTarget(const std::string& target_id);
+  // A target takes no new calls, though the list does not say that it leaves.
+  void TakeLeavingTarget(const std::string& target_id);
   // Counts that this entry did not reach `target_id`; whether so many were not
   // that the cause must be here.
   bool IsOwnTrouble(const std::string& target_id, Instant now);
--- a/modules/bbv_entry/peer_exchange.cc
+++ b/modules/bbv_entry/peer_exchange.cc
@@ -1,5 +1,6 @@
 #include "bbv_entry/peer_exchange.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -15,6 +16,15 @@
 // A heartbeat that may have been on its way while a peer saw the fault.
 constexpr int64_t kHeartbeatsOnTheWay = 1;
 
+void SetMember(const std::string& peer,
+               bool is_member,
+               std::set<std::string>* members) {
+  if (is_member)
+    members->insert(peer);
+  else
+    members->erase(peer);
+}
+
 }  // namespace
 
 PeerExchange::PeerExchange(PeerLinks* links,
@@ -41,7 +51,11 @@
       [this](const std::string& peer, const wire::FrameT& frame) {
         OnMessage(peer, frame);
       },
-      [this](const std::string& peer) { board_->SetPeerLoad(peer, {}); });
+      [this](const std::string& peer) {
+        board_->SetPeerLoad(peer, {});
+        planning_peers_.erase(peer);
+        leaving_peers_.erase(peer);
+      });
 }
 
 void PeerExchange::HelpPeerBehind(const std::string& peer,
@@ -64,6 +78,8 @@
 
 void PeerExchange::OnTick(Instant now) {
   links_->OnTick(now);
+  planner_->SetPeers(!planning_peers_.empty(),
+                     links_->IsFirstAlive(leaving_peers_), now);
   if (now < next_state_)
     return;
   next_state_ = now + links_->state_pause();
@@ -76,8 +92,9 @@
     state.configuration_version =
         configuration_->current()->configuration().version;
   }
-  if (planner_->holds_lease())
-    state.planner_generation = planner_->generation();
+  state.leaving = planner_->leaving();
+  if (planner_->plans())
+    state.planner_generation = std::max<int64_t>(1, planner_->generation());
   for (const auto& [id, row] : board_->rows()) {
     if (row->own_calls > 0) {
       wire::OwnLoadT load;
@@ -87,7 +104,7 @@
       load.unread_tokens = row->own_unread_tokens;
       state.own.push_back(std::move(load));
     }
-    if (!planner_->holds_lease() || now > row->reported_at + kReportHandOn)
+    if (!planner_->plans() || now > row->reported_at + kReportHandOn)
       continue;
     wire::EngineLoadT engine;
     engine.target = id;
@@ -143,6 +160,8 @@
                      it.unread_tokens});
   }
   board_->SetPeerLoad(peer, std::move(loads));
+  SetMember(peer, state.planner_generation > 0, &planning_peers_);
+  SetMember(peer, state.leaving, &leaving_peers_);
   RetryBudgets::Spendings spendings;
   for (const wire::RetrySpendingT& it : state.retries) {
     spendings[it.service] = {static_cast<double>(it.calls),
--- a/modules/bbv_entry/peer_exchange.h
+++ b/modules/bbv_entry/peer_exchange.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -57,6 +58,9 @@
   std::mt19937_64* random_;
   OnFault on_fault_;
   Instant next_state_{};
+  // Peers that said last that they plan, and that they are stopping.
+  std::set<std::string> planning_peers_;
+  std::set<std::string> leaving_peers_;
 };
 
 }  // namespace bbv
--- a/modules/bbv_entry/peer_links.cc
+++ b/modules/bbv_entry/peer_links.cc
@@ -244,6 +244,13 @@
   return 1 + static_cast<int>(heard_.size());
 }
 
+bool PeerLinks::IsFirstAlive(const std::set<std::string>& excluded) const {
+  const std::string own = own_.ToString();
+  return std::none_of(heard_.begin(), heard_.end(), [&](const auto& it) {
+    return it.first < own && !excluded.contains(it.first);
+  });
+}
+
 std::optional<int> PeerLinks::known_entries() const {
   if (!list_read_)
     return std::nullopt;
--- a/modules/bbv_entry/peer_links.h
+++ b/modules/bbv_entry/peer_links.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,10 @@
   // Entries heard lately, this one included.
   int live_entries() const;
 
+  // Whether this entry's address comes first among those heard lately but for
+  // `excluded`.
+  bool IsFirstAlive(const std::set<std::string>& excluded) const;
+
   // Entries known of, alive or not, this one included; nothing before the
   // store's list of them was read.
   std::optional<int> known_entries() const;
--- a/modules/bbv_entry/planner_agent.cc
+++ b/modules/bbv_entry/planner_agent.cc
@@ -23,6 +23,8 @@
 constexpr Milliseconds kOrderTimeout{500};
 constexpr Milliseconds kOrderGivenUp{4000};
 constexpr Milliseconds kLoadQuestionPause{200};
+// Time without the store and without a planner after which an entry stands in.
+constexpr Milliseconds kUnplannedPatience{1200};
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
 constexpr int kConflict = 409;
@@ -68,7 +70,7 @@
                           Instant last_new_target,
                           Instant now) {
   RenewLease(now);
-  if (!holds_lease_ || configuration == nullptr || !list_complete ||
+  if (!plans() || configuration == nullptr || !list_complete ||
       now < next_plan_)
     return;
   next_plan_ = now + kPlanPause;
@@ -122,10 +124,29 @@
               {{"generation", generation_}});
 }
 
+void PlannerAgent::SetPeers(bool peer_plans, bool is_first, Instant now) {
+  const bool unplanned =
+      !store_->reachable() && !holds_lease_ && !peer_plans && !leaving_;
+  if (!unplanned) {
+    unplanned_since_.reset();
+  } else if (!unplanned_since_) {
+    unplanned_since_ = now;
+  }
+  const bool stands_in =
+      is_first && unplanned && now >= *unplanned_since_ + kUnplannedPatience;
+  if (stands_in == standing_in_)
+    return;
+  standing_in_ = stands_in;
+  pending_.clear();
+  log_->Write(stands_in ? Event::kPlannerGained : Event::kPlannerLost, now,
+              {{"generation", int64_t{0}}, {"standing_in", true}});
+}
+
 void PlannerAgent::Leave() {
   if (std::exchange(leaving_, true))
     return;
   SetLease(false, EventLoop::Now());
+  standing_in_ = false;
   store_->Call(platform::EncodeLeave(kGroup, member_), kStoreTimeout,
                [](const Result<StoreAnswer>&) {});
 }
--- a/modules/bbv_entry/planner_agent.h
+++ b/modules/bbv_entry/planner_agent.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,7 +42,17 @@
   // Gives the lease back.
   void Leave();
 
-  bool holds_lease() const { return holds_lease_; }
+  // Whether this entry plans: it holds the lease, or stands in while the store
+  // is away and no entry plans.
+  bool plans() const { return holds_lease_ || standing_in_; }
+
+  // Whether it has given its duty up for good.
+  bool leaving() const { return leaving_; }
+
+  // Takes what peers say: whether one of them plans, and whether this entry
+  // comes first among those alive.
+  void SetPeers(bool peer_plans, bool is_first, Instant now);
+
   // Rises with each change of the group at the store.
   int64_t generation() const { return generation_; }
   uint64_t orders() const { return orders_; }
@@ -79,6 +90,9 @@
   std::string member_;
   Milliseconds lease_;
   bool holds_lease_ = false;
+  bool standing_in_ = false;
+  // Since when the store has been away and nobody has planned.
+  std::optional<Instant> unplanned_since_;
   bool joining_ = false;
   bool leaving_ = false;
   int64_t generation_ = 0;
--- a/modules/bbv_entry/stall_watch.cc
+++ b/modules/bbv_entry/stall_watch.cc
@@ -12,12 +12,20 @@
 constexpr Milliseconds kQuestionTimeout{300};
 constexpr Milliseconds kDoubtPause{200};
 constexpr Milliseconds kDoubtTimeout{70};
+// Share of its memory in use below which a target has room for any call.
+constexpr double kRoomShare = 0.7;
 constexpr int kOk = 200;
 
 }  // namespace
 
-StallWatch::StallWatch(HttpClient* client, TargetBoard* board, OnFault on_fault)
-    : client_(client), board_(board), on_fault_(std::move(on_fault)) {
+StallWatch::StallWatch(HttpClient* client,
+                       TargetBoard* board,
+                       OnFault on_fault,
+                       OnLeaving on_leaving)
+    : client_(client),
+      board_(board),
+      on_fault_(std::move(on_fault)),
+      on_leaving_(std::move(on_leaving)) {
   assert(client != nullptr && board != nullptr);
 }
 
@@ -36,7 +44,9 @@
                      });
 }
 
-void StallWatch::Doubt(const std::string& target_id, Instant now) {
+void StallWatch::Doubt(const std::string& target_id,
+                       double capacity,
+                       Instant now) {
   FleetTarget* target = board_->Find(target_id);
   if (target == nullptr || !board_->IsUsable(*target, now))
     return;
@@ -51,20 +61,31 @@
   // A kept connection to a machine that is gone would stay silent.
   request.may_reuse = false;
   WholeAnswer::Fetch(client_, std::move(request),
-                     [this, target_id](const HttpAnswer* answer) {
-                       OnDoubtedReport(target_id, answer);
+                     [this, target_id, capacity](const HttpAnswer* answer) {
+                       OnDoubtedReport(target_id, capacity, answer);
                      });
 }
 
 void StallWatch::OnDoubtedReport(const std::string& target_id,
+                                 double capacity,
                                  const HttpAnswer* answer) {
   if (answer == nullptr) {
     on_fault_(target_id, "turned a call away and gives no report", true);
     return;
   }
   const auto report = platform::DecodeTargetReport(answer->body);
-  if (answer->head.status == kOk && report)
-    board_->ApplyReport(target_id, report->load, EventLoop::Now());
+  FleetTarget* target = board_->Find(target_id);
+  if (answer->head.status != kOk || !report || target == nullptr)
+    return;
+  const Instant now = EventLoop::Now();
+  const bool same_layers = target->record.layers == report->load.layers;
+  board_->ApplyReport(target_id, report->load, now);
+  // Layers that it gives up, or loads, explain a refusal as well.
+  const bool has_room = same_layers && !report->order_under_way &&
+                        capacity > 0 &&
+                        report->load.used_token_layers < kRoomShare * capacity;
+  if (board_->RecordRefusal(target, has_room, now))
+    on_leaving_(target_id);
 }
 
 void StallWatch::OnReport(const std::string& target_id,
--- a/modules/bbv_entry/stall_watch.h
+++ b/modules/bbv_entry/stall_watch.h
@@ -25,23 +25,32 @@
                                      std::string_view evidence,
                                      bool witnessed)>;
 
-  StallWatch(HttpClient* client, TargetBoard* board, OnFault on_fault);
+  // Called with a target that turns calls away without need: it is leaving.
+  using OnLeaving = std::function<void(const std::string& target_id)>;
+
+  StallWatch(HttpClient* client,
+             TargetBoard* board,
+             OnFault on_fault,
+             OnLeaving on_leaving);
 
   // A stream that was sent to `target_id` first has fallen silent.
   void Suspect(const std::string& target_id, Instant now);
 
   // A path turned a call away and named `target_id` as the cause: it may be
   // dead, or only short of memory. It is asked itself, and takes no new calls
-  // meanwhile.
-  void Doubt(const std::string& target_id, Instant now);
+  // meanwhile. `capacity` is the number of tokens times layers that it holds.
+  void Doubt(const std::string& target_id, double capacity, Instant now);
 
  private:
   void OnReport(const std::string& target_id, const HttpAnswer* answer);
-  void OnDoubtedReport(const std::string& target_id, const HttpAnswer* answer);
+  void OnDoubtedReport(const std::string& target_id,
+                       double capacity,
+                       const HttpAnswer* answer);
 
   HttpClient* client_;
   TargetBoard* board_;
   OnFault on_fault_;
+  OnLeaving on_leaving_;
   // When a target may be asked again, for each kind of question.
   std::map<std::string, Instant> next_question_;
   std::map<std::string, Instant> next_doubt_;
--- a/modules/bbv_fleet/target_board.cc
+++ b/modules/bbv_fleet/target_board.cc
@@ -11,6 +11,10 @@
 constexpr Milliseconds kFirstSuspicion{600};
 constexpr Milliseconds kLongestSuspicion{5000};
 constexpr Milliseconds kFullPause{250};
+// Unexplained refusals in a row, and the longest time between two of them, that
+// tell a leaving target.
+constexpr int kRefusalsOfLeaving = 2;
+constexpr Milliseconds kRefusalMemory{1500};
 constexpr int kLongestStreak = 4;
 // Weight of the newest call in the moving averages.
 constexpr double kAverageWeight = 0.1;
@@ -31,6 +35,13 @@
 }  // namespace
 
 bool TargetBoard::Apply(const TargetRecord& record, Instant now) {
+  // One process listens at an address: the one that started last.
+  const FleetTarget* holder = FindAddress(record.address);
+  if (holder != nullptr && holder->record.id != record.id) {
+    if (record.started_unix_ms < holder->record.started_unix_ms)
+      return false;
+    Remove(std::string(holder->record.id));
+  }
   std::unique_ptr<FleetTarget>& row = rows_[record.id];
   const bool added = row == nullptr;
   if (added)
@@ -146,6 +157,18 @@
   target->full_until = now + kFullPause;
 }
 
+bool TargetBoard::RecordRefusal(FleetTarget* target,
+                                bool has_room,
+                                Instant now) {
+  assert(target != nullptr);
+  if (!has_room || now > target->refused_at + kRefusalMemory)
+    target->unexplained_refusals = 0;
+  target->refused_at = now;
+  if (!has_room)
+    return false;
+  return ++target->unexplained_refusals >= kRefusalsOfLeaving;
+}
+
 bool TargetBoard::MayTake(const FleetTarget& target, Instant now) const {
   return now >= target.full_until && IsUsable(target, now);
 }
--- a/modules/bbv_fleet/target_board.h
+++ b/modules/bbv_fleet/target_board.h
@@ -86,6 +86,9 @@
   Instant suspected_until{};
   // Until when it takes no new calls after it turned one away.
   Instant full_until{};
+  // Calls turned away in a row without a reason in its report.
+  int unexplained_refusals = 0;
+  Instant refused_at{};
   // Heartbeat and start seen when it was suspected; a later one speaks for it.
   int64_t suspected_heartbeat = -1;
   Instant listed_at{};
@@ -146,6 +149,11 @@
   // but keeps those that it has.
   void MarkFull(FleetTarget* target, Instant now);
 
+  // A target that turned a call away has reported. Returns whether it has done
+  // so several times with memory to spare: it is leaving, though the list does
+  // not say so yet.
+  bool RecordRefusal(FleetTarget* target, bool has_room, Instant now);
+
   // Takes what a target said `at` of its load; older reports and those of
   // another start are left out. Returns whether its layers changed.
   bool ApplyReport(std::string_view id,
--- a/modules/bbv_fleet/target_board_test.cc
+++ b/modules/bbv_fleet/target_board_test.cc
@@ -98,3 +98,32 @@
   CHECK(Usable(Milliseconds(0)));
   CHECK(board.MayTake(*board.Find("t"), now + Milliseconds(300)));
 }
+
+TEST(TargetBoard, RefusalsWithMemoryToSpareTellALeavingTarget) {
+  // The list is away and cannot say that the target drains.
+  bbv::FleetTarget* target = board.Find("t");
+  CHECK(!board.RecordRefusal(target, true, now));
+  CHECK(board.RecordRefusal(target, true, now + Milliseconds(400)));
+}
+
+TEST(TargetBoard, RefusalsForWantOfMemoryDoNot) {
+  bbv::FleetTarget* target = board.Find("t");
+  for (int it = 0; it < 5; ++it)
+    CHECK(!board.RecordRefusal(target, false, now + Milliseconds(300 * it)));
+  CHECK(!board.RecordRefusal(target, true, now + Milliseconds(1500)));
+  CHECK(!board.RecordRefusal(target, true, now + Milliseconds(9000)));
+}
+
+TEST(TargetBoard, ANewStartAtAnAddressReplacesTheOldOne) {
+  // Its old record stays listed for some heartbeats, and for as long as the
+  // store is away.
+  bbv::TargetRecord next = bbv_test::MakeRecord("next", "s", "a");
+  next.address = record.address;
+  next.started_unix_ms = record.started_unix_ms + 5000;
+  board.Apply(next, now);
+  CHECK(board.Find("t") == nullptr);
+  CHECK(board.FindAddress(record.address) == board.Find("next"));
+  board.Apply(record, now);
+  CHECK(board.Find("t") == nullptr);
+  CHECK(board.FindAddress(record.address) == board.Find("next"));
+}
--- a/modules/bbv_wire/wire_generated.h
+++ b/modules/bbv_wire/wire_generated.h
@@ -3551,6 +3551,7 @@
   typedef EntryState TableType;
   uint64_t configuration_version = 0;
   int64_t planner_generation = 0;
+  bool leaving = false;
   std::vector<bbv::wire::OwnLoadT> own{};
   std::vector<bbv::wire::EngineLoadT> engines{};
   std::vector<bbv::wire::TargetFaultT> faults{};
@@ -3565,10 +3566,11 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_CONFIGURATION_VERSION = 4,
     VT_PLANNER_GENERATION = 6,
-    VT_OWN = 8,
-    VT_ENGINES = 10,
-    VT_FAULTS = 12,
-    VT_RETRIES = 14
+    VT_LEAVING = 8,
+    VT_OWN = 10,
+    VT_ENGINES = 12,
+    VT_FAULTS = 14,
+    VT_RETRIES = 16
   };
   uint64_t configuration_version() const {
     return GetField<uint64_t>(VT_CONFIGURATION_VERSION, 0);
@@ -3576,6 +3578,10 @@
   int64_t planner_generation() const {
     return GetField<int64_t>(VT_PLANNER_GENERATION, 0);
   }
+  /// The sender is stopping and takes no duty any more.
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
   const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::OwnLoad>> *own() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::OwnLoad>> *>(VT_OWN);
   }
@@ -3592,6 +3598,7 @@
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
            VerifyField<int64_t>(verifier, VT_PLANNER_GENERATION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            VerifyOffset(verifier, VT_OWN) &&
            verifier.VerifyVector(own()) &&
            verifier.VerifyVectorOfTables(own()) &&
@@ -3621,6 +3628,9 @@
   void add_planner_generation(int64_t planner_generation) {
     fbb_.AddElement<int64_t>(EntryState::VT_PLANNER_GENERATION, planner_generation, 0);
   }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(EntryState::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
   void add_own(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::OwnLoad>>> own) {
     fbb_.AddOffset(EntryState::VT_OWN, own);
   }
@@ -3648,6 +3658,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t configuration_version = 0,
     int64_t planner_generation = 0,
+    bool leaving = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::OwnLoad>>> own = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::EngineLoad>>> engines = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::TargetFault>>> faults = 0,
@@ -3659,6 +3670,7 @@
   builder_.add_faults(faults);
   builder_.add_engines(engines);
   builder_.add_own(own);
+  builder_.add_leaving(leaving);
   return builder_.Finish();
 }
 
@@ -3671,6 +3683,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t configuration_version = 0,
     int64_t planner_generation = 0,
+    bool leaving = false,
     const std::vector<flatbuffers::Offset<bbv::wire::OwnLoad>> *own = nullptr,
     const std::vector<flatbuffers::Offset<bbv::wire::EngineLoad>> *engines = nullptr,
     const std::vector<flatbuffers::Offset<bbv::wire::TargetFault>> *faults = nullptr,
@@ -3683,6 +3696,7 @@
       _fbb,
       configuration_version,
       planner_generation,
+      leaving,
       own__,
       engines__,
       faults__,
@@ -5521,6 +5535,7 @@
   return
       (lhs.configuration_version == rhs.configuration_version) &&
       (lhs.planner_generation == rhs.planner_generation) &&
+      (lhs.leaving == rhs.leaving) &&
       (lhs.own == rhs.own) &&
       (lhs.engines == rhs.engines) &&
       (lhs.faults == rhs.faults) &&
@@ -5543,6 +5558,7 @@
   (void)_resolver;
   { auto _e = configuration_version(); _o->configuration_version = _e; }
   { auto _e = planner_generation(); _o->planner_generation = _e; }
+  { auto _e = leaving(); _o->leaving = _e; }
   { auto _e = own(); if (_e) { _o->own.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->own[_i] = *std::unique_ptr<bbv::wire::OwnLoadT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = engines(); if (_e) { _o->engines.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->engines[_i] = *std::unique_ptr<bbv::wire::EngineLoadT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = faults(); if (_e) { _o->faults.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->faults[_i] = *std::unique_ptr<bbv::wire::TargetFaultT>(_e->Get(_i)->UnPack(_resolver)); } } }
@@ -5559,6 +5575,7 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EntryStateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _configuration_version = _o->configuration_version;
   auto _planner_generation = _o->planner_generation;
+  auto _leaving = _o->leaving;
   auto _own = _o->own.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::OwnLoad>> (_o->own.size(), [](size_t i, _VectorArgs *__va) { return CreateOwnLoad(*__va->__fbb, &(__va->__o->own[i]), __va->__rehasher); }, &_va ) : 0;
   auto _engines = _o->engines.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::EngineLoad>> (_o->engines.size(), [](size_t i, _VectorArgs *__va) { return CreateEngineLoad(*__va->__fbb, &(__va->__o->engines[i]), __va->__rehasher); }, &_va ) : 0;
   auto _faults = _o->faults.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::TargetFault>> (_o->faults.size(), [](size_t i, _VectorArgs *__va) { return CreateTargetFault(*__va->__fbb, &(__va->__o->faults[i]), __va->__rehasher); }, &_va ) : 0;
@@ -5567,6 +5584,7 @@
       _fbb,
       _configuration_version,
       _planner_generation,
+      _leaving,
       _own,
       _engines,
       _faults,
