--- a/modules/bbv_node/peer_network_test.cc
+++ b/modules/bbv_node/peer_network_test.cc
@@ -1,4 +1,5 @@
 #include "bbv_node/peer_network.h"
+#include "tests/free_port.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -38,12 +39,6 @@
   return fd;
 }
 
-int FreePort() {
-  int port = 0;
-  close(Listen(&port));
-  return port;
-}
-
 int Dial(int port) {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
@@ -183,8 +178,8 @@
 TEST_GROUP(PeerNetwork) {
   Recorder left_events;
   Recorder right_events;
-  int left_port = FreePort();
-  int right_port = FreePort();
+  int left_port = bbv::FreePort();
+  int right_port = bbv::FreePort();
 };
 
 TEST(PeerNetwork, PeersWithOneKeyExchangeFrames) {
--- a/modules/bbv_observe/fleet_metrics_test.cc
+++ b/modules/bbv_observe/fleet_metrics_test.cc
@@ -2,10 +2,10 @@
 
 #include <CppUTest/TestHarness.h>
 
-#include <fstream>
-#include <sstream>
 #include <string>
 
+#include "tests/metrics_docs.h"
+
 TEST_GROUP(FleetMetrics){};
 
 TEST(FleetMetrics, EachFamilyIsInTheDocs) {
@@ -16,18 +16,8 @@
   metrics.ObserveFirstEvent(0.1);
   metrics.ObserveAnswer(0.1);
   metrics.SetGauge("targets", 1);
-  std::ostringstream docs;
-  docs << std::ifstream(std::string(BBV_SOURCE_DIR) + "/docs/METRICS.md")
-              .rdbuf();
-  std::istringstream text(metrics.Serialize());
-  int families = 0;
-  for (std::string line; std::getline(text, line);) {
-    if (!line.starts_with("# TYPE "))
-      continue;
-    ++families;
-    const std::string name = line.substr(7, line.find(' ', 7) - 7);
-    if (docs.str().find("`" + name + "`") == std::string::npos)
-      FAIL(("docs/METRICS.md lacks " + name).c_str());
-  }
-  CHECK_EQUAL(6, families);
+  const auto families = bbv_test::CompareWithDocs(metrics.Serialize());
+  for (const std::string& name : families.missing)
+    FAIL(("docs/METRICS.md lacks " + name).c_str());
+  CHECK_EQUAL(6, families.count);
 }
--- a/modules/bbv_observe/metrics_test.cc
+++ b/modules/bbv_observe/metrics_test.cc
@@ -2,11 +2,10 @@
 
 #include <CppUTest/TestHarness.h>
 
-#include <fstream>
-#include <set>
-#include <sstream>
 #include <string>
 
+#include "tests/metrics_docs.h"
+
 TEST_GROUP(Metrics){};
 
 TEST(Metrics, EachFamilyIsInTheDocs) {
@@ -21,20 +20,10 @@
   metrics.SetGauge("requests_in_flight", 1);
   metrics.SetCounter("attempts", 2);
   metrics.UpdateProcess();
-  std::ostringstream docs;
-  docs << std::ifstream(std::string(BBV_SOURCE_DIR) + "/docs/METRICS.md")
-              .rdbuf();
-  std::istringstream text(metrics.Serialize());
-  int families = 0;
-  for (std::string line; std::getline(text, line);) {
-    if (!line.starts_with("# TYPE "))
-      continue;
-    ++families;
-    const std::string name = line.substr(7, line.find(' ', 7) - 7);
-    if (docs.str().find("`" + name + "`") == std::string::npos)
-      FAIL(("docs/METRICS.md lacks " + name).c_str());
-  }
-  CHECK_EQUAL(9, families);
+  const auto families = bbv_test::CompareWithDocs(metrics.Serialize());
+  for (const std::string& name : families.missing)
+    FAIL(("docs/METRICS.md lacks " + name).c_str());
+  CHECK_EQUAL(9, families.count);
 }
 
 TEST(Metrics, CountersNeverGoBack) {
--- a/tests/fleet_floor.cc
+++ b/tests/fleet_floor.cc
@@ -14,6 +14,8 @@
 #include <sstream>
 #include <thread>
 
+#include "free_port.h"
+
 namespace bbv {
 namespace {
 
@@ -22,19 +24,6 @@
 constexpr int kStartLimitMs = 15'000;
 constexpr int kPollMs = 20;
 
-int FreePort() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in own{};
-  own.sin_family = AF_INET;
-  own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  if (bind(fd, reinterpret_cast<sockaddr*>(&own), sizeof(own)) != 0)
-    return 0;
-  socklen_t length = sizeof(own);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&own), &length);
-  close(fd);
-  return ntohs(own.sin_port);
-}
-
 template <typename Condition>
 bool WaitFor(int limit_ms, Condition condition) {
   for (int waited = 0; waited < limit_ms; waited += kPollMs) {
--- a/tests/fleet_floor_test.cc
+++ b/tests/fleet_floor_test.cc
@@ -132,3 +132,24 @@
   CHECK(floor->WaitReady(0, 2000));
   CHECK(IsWholeStream(floor->Stream(0, "s"), shape.events));
 }
+
+TEST(FleetFloor, AnotherEntryPlansWhileTheStoreIsAwayAndThePlannerIsGone) {
+  StartFloor(2);
+  const int planner =
+      floor->Metrics(0).find("plans\"} 1") != std::string::npos ? 0 : 1;
+  const int other = 1 - planner;
+  // The entries have told each other that they live.
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  floor->store().SetOutage(true);
+  floor->Signal(planner, SIGKILL);
+  floor->WaitForExit(planner);
+  floor->targets().Crash(floor->targets().HolderOf(0));
+  for (int waited = 0; waited < 60 && !floor->targets().HoldsAllLayers();
+       ++waited) {
+    // New streams meet the lost target and tell of it.
+    floor->Stream(other, "w" + std::to_string(waited));
+    std::this_thread::sleep_for(std::chrono::milliseconds(150));
+  }
+  CHECK(floor->targets().HoldsAllLayers());
+  CHECK(floor->Output(other).find("standing_in") != std::string::npos);
+}
--- a/tests/real_floor.cc
+++ b/tests/real_floor.cc
@@ -16,6 +16,7 @@
 #include "bbv_config/bbv_config.h"
 #include "bbv_node/caller_authentication.h"
 #include "bbv_node/tokenizer.h"
+#include "free_port.h"
 #include "standins/reference_model.h"
 
 namespace bbv {
@@ -43,19 +44,6 @@
 }
 
 // Asks the kernel for a port that is free now.
-int FreePort() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t n = sizeof(address);
-  if (bind(fd, reinterpret_cast<sockaddr*>(&address), n) != 0)
-    std::perror("bind");
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &n);
-  close(fd);
-  return ntohs(address.sin_port);
-}
-
 template <typename Done>
 bool Poll(Done done) {
   for (int it = 0; it < kWaitMs / kPollMs; ++it) {
