Use the time in which leaving targets must be left alone, drop settings that nothing read

The pause between reads of the target list stays below half of it. Two keys of the new settings had no use; bounding memory by one of them is listed as open.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -54,9 +54,11 @@
   return kExpectedAnswerShare * fields.max_answer_tokens;
 }
 
-Milliseconds ListPause(int entries) {
-  return std::clamp(kListPauseEach * entries, kShortestListPause,
-                    kLongestListPause);
+// `leave_within` is the time in which a leaving target must be left alone.
+Milliseconds ListPause(int entries, Milliseconds leave_within) {
+  const Milliseconds longest = std::min(kLongestListPause, leave_within / 2);
+  return std::min(longest,
+                  std::max(kShortestListPause, kListPauseEach * entries));
 }
 
 }  // namespace
@@ -395,7 +397,8 @@
     return;
   entries_ = entries;
   budgets_.SetEntries(entries_, kTellingRounds * links_.state_pause());
-  targets_.SetPause(ListPause(entries_));
+  targets_.SetPause(
+      ListPause(entries_, Milliseconds(settings_.leave_within_ms)));
   selector_.SetEntries(entries_);
 }
 
--- a/modules/bbv_settings/fleet_settings.cc
+++ b/modules/bbv_settings/fleet_settings.cc
@@ -10,7 +10,6 @@
 constexpr IntegerRange kTimeRangeMs{1, 600'000};
 constexpr double kMaximumSeconds = 600;
 constexpr IntegerRange kDescriptorRange{64, 1'000'000};
-constexpr IntegerRange kMegabyteRange{32, 1'000'000};
 constexpr double kMaximumRetryShare = 1.0;
 constexpr double kMaximumRetryExtra = 1'000'000;
 constexpr int kMillisecondsPerSecond = 1000;
@@ -41,8 +40,6 @@
   }
   settings->maximum_connections = static_cast<int>(
       reader->Integer("maximum_connections", 4096, kDescriptorRange));
-  settings->maximum_memory_mb = static_cast<int>(
-      reader->Integer("maximum_memory_mb", 256, kMegabyteRange));
 }
 
 void ReadStore(TomlReader* reader, FleetSettings* settings) {
@@ -61,8 +58,6 @@
 }
 
 void ReadTargets(TomlReader* reader, FleetSettings* settings) {
-  settings->heartbeat_ms =
-      static_cast<int>(reader->Integer("heartbeat_ms", 1000, kTimeRangeMs));
   settings->leave_within_ms =
       static_cast<int>(reader->Integer("leave_within_ms", 2000, kTimeRangeMs));
 }
--- a/modules/bbv_settings/fleet_settings.h
+++ b/modules/bbv_settings/fleet_settings.h
@@ -26,7 +26,6 @@
   std::vector<SocketAddress> peer_seeds;
   // File descriptors that the process may use.
   int maximum_connections = 0;
-  int maximum_memory_mb = 0;
 
   SocketAddress store_address;
   // Shortest lease that the store grants.
@@ -37,8 +36,6 @@
   double retry_extra = 0;
   int retry_window_ms = 0;
 
-  // How often targets list themselves.
-  int heartbeat_ms = 0;
   // Within which time a leaving target must be left alone.
   int leave_within_ms = 0;
 };
--- a/tests/fleet_floor.cc
+++ b/tests/fleet_floor.cc
@@ -91,7 +91,7 @@
          << "metrics = " << Quoted(entry.metrics)
          << "[store]\naddress = " << Quoted(store_.port())
          << "[retries]\nshare = 0.2\nextra = 100\nwindow_s = 10\n"
-            "[targets]\nheartbeat_ms = 100\n";
+            "[targets]\nleave_within_ms = 2000\n";
     file.close();
     StartEntry(static_cast<int>(it));
   }
