Stop reading for callers that read slowly, log late and repeated calls

Cause: an entry kept all that a target sent while its caller did not read; the pause of an exchange had no user. The event call-finished was listed and never written, so that a late answer left no line. Ruled out: an end of its own for the slow caller, who may still want its answer. Change: beyond 256 KB not taken, the target's answer is not read until the caller has taken most; late and repeated calls write a line. Test: ACallerThatReadsSlowlyGetsItsWholeStream (real processes).

--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -10,6 +10,10 @@
 constexpr Milliseconds kConnectTimeout{250};
 // Answers of plain services are relayed whole, up to this size.
 constexpr std::size_t kMaxAnswerBytes = 16U << 20U;
+// Bytes that a caller has not taken at which its answer is read no further, and
+// from which on it is read again.
+constexpr std::size_t kStopReadingBytes = 256U << 10U;
+constexpr std::size_t kResumeReadingBytes = 64U << 10U;
 constexpr Milliseconds kRetryWithoutTarget{1000};
 constexpr Milliseconds kRetryWithoutRoom{400};
 // Share of that by which callers' returns are spread.
@@ -56,6 +60,14 @@
 }
 
 void RelayedCall::OnTick(Instant now) {
+  if (paused_ && caller_ != nullptr) {
+    // The silence is the caller's, not the path's.
+    call_.OnEventRelayed(call_.last_event(), now);
+    if (caller_->queued_bytes() < kResumeReadingBytes) {
+      paused_ = false;
+      context_->client->Pause(exchange_, false);
+    }
+  }
   call_.OnTime(now);
 }
 
@@ -80,6 +92,7 @@
   streaming_ = false;
   answer_body_.clear();
   splitter_.Reset();
+  paused_ = false;
   context_->selector->Begin(sent_);
   platform::ForwardFields fields;
   if (request.account != nullptr)
@@ -266,6 +279,7 @@
     call_.OnAnswerBegun(now);
   if (!head_relayed_) {
     head_relayed_ = true;
+    first_relayed_ = now;
     context_->metrics->ObserveFirstEvent(
         MillisecondsBetween(call_.request().arrived, now) / 1000);
     caller_->BeginStream(answer_head_.status, answer_head_.reason,
@@ -274,6 +288,29 @@
     caller_->StreamChunk(chunk_);
   }
   call_.OnEventRelayed(last, now);
+  if (!paused_ && caller_->queued_bytes() > kStopReadingBytes) {
+    paused_ = true;
+    context_->client->Pause(exchange_, true);
+  }
+}
+
+void RelayedCall::LogFinished(Instant now) {
+  const CallRequest& request = call_.request();
+  const Instant answered = head_relayed_ ? first_relayed_ : now;
+  const double answer_ms = MillisecondsBetween(request.arrived, answered);
+  const bool late =
+      request.route->objective_ms > 0 &&
+      answer_ms > static_cast<double>(request.route->objective_ms);
+  if (!late && call_.sends() < 2)
+    return;
+  context_->log->Write(Event::kCallFinished, now,
+                       {{"id", request.attempt_id},
+                        {"service", request.service},
+                        {"answer_ms", answer_ms},
+                        {"whole_ms", MillisecondsBetween(request.arrived, now)},
+                        {"late", late},
+                        {"sends", static_cast<int64_t>(call_.sends())},
+                        {"target", sent_.target_id}});
 }
 
 void RelayedCall::OnAnswerEnd() {
@@ -286,6 +323,7 @@
     FinishSend(false, now);
     call_.OnAnswerComplete();
     context_->metrics->CountServed(call_.request().service);
+    LogFinished(now);
     if (caller_ != nullptr)
       std::exchange(caller_, nullptr)->EndStream();
     return;
@@ -308,6 +346,7 @@
   FinishSend(false, now);
   call_.OnAnswerComplete();
   context_->metrics->CountServed(call_.request().service);
+  LogFinished(now);
   context_->metrics->ObserveAnswer(
       MillisecondsBetween(call_.request().arrived, now) / 1000);
   RelayAnswerAtHand();
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -93,6 +93,8 @@
   void RelayEvents(std::string_view data);
   void FailSend(const SendFailure& failure, std::string_view evidence);
   void FinishSend(bool failed, Instant now);
+  // Logs a call that ended well when it was late or sent more than once.
+  void LogFinished(Instant now);
   std::string RelayedFields() const;
   bool IsGoodStreamHead() const;
 
@@ -113,6 +115,9 @@
   std::string answer_body_;
   bool streaming_ = false;
   bool head_relayed_ = false;
+  // Whether the answer is not read because the caller takes it too slowly.
+  bool paused_ = false;
+  Instant first_relayed_{};
   EventSplitter splitter_;
   std::string chunk_;
 };
--- a/tests/fleet_floor_test.cc
+++ b/tests/fleet_floor_test.cc
@@ -124,6 +124,32 @@
   CHECK_EQUAL(0, floor->WaitForExit(0));
 }
 
+TEST(FleetFloor, ACallerThatReadsSlowlyGetsItsWholeStream) {
+  // More than the entry keeps for a caller: it stops reading the target.
+  shape.events = 3000;
+  shape.event_ms = 0;
+  shape.padding = 4000;
+  StartFloor(1);
+  std::size_t bytes = 0;
+  httplib::Client client("127.0.0.1", floor->callers_port(0));
+  client.set_read_timeout(6);
+  const httplib::Headers headers = {{"Host", "fleet.example"},
+                                    {"X-Attempt-Id", "slow"},
+                                    {"X-Key", "key"},
+                                    {"X-Deadline-Ms", "5000"},
+                                    {"X-Token-Counts", "100,50"}};
+  const auto result =
+      client.Get("/stream/x", headers, [&](const char*, std::size_t n) {
+        if (bytes == 0)
+          std::this_thread::sleep_for(std::chrono::milliseconds(900));
+        bytes += n;
+        return true;
+      });
+  CHECK(result && result->status == 200);
+  CHECK(bytes > static_cast<std::size_t>(shape.events) * shape.padding);
+  CHECK_EQUAL(1, floor->targets().Runs()["slow"]);
+}
+
 TEST(FleetFloor, AKilledEntryServesAgainAtOnceAfterItsStart) {
   StartFloor(1);
   floor->Signal(0, SIGKILL);
--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -423,7 +423,8 @@
             return true;
         }
         const std::string event = "id: " + std::to_string(*next) + "\ndata: t" +
-                                  std::to_string(*next) + "\n\n";
+                                  std::to_string(*next) +
+                                  std::string(shape_.padding, '.') + "\n\n";
         sink.write(event.data(), event.size());
         if (++*next > shape_.events)
           sink.done();
--- a/tests/standins/fleet_standin.h
+++ b/tests/standins/fleet_standin.h
@@ -83,6 +83,8 @@
     int event_ms = 5;
     int events = 40;
     int load_ms = 200;
+    // Bytes added to each event.
+    std::size_t padding = 0;
   };
 
   FleetTargets(FleetStore* store, Shape shape);
