Ask for reports, read newest records and suspect targets in one place each

Found on reading the change as a whole: four callers built the question for a report and read its answer alike, three read the newest records alike, two suspected a target alike, two answers began with the same lines; counters of revisions and of orders had no reader, and readiness took a clock that it did not use.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -126,8 +126,7 @@
   if (fault.empty()) {
     fault = readiness_server_.Listen(
         &loop_, settings_.readiness_address, [this](const HttpHead&) {
-          return SmallAnswer{
-              IsReady(EventLoop::Now()) ? 200 : kUnavailable, {}, {}};
+          return SmallAnswer{IsReady() ? 200 : kUnavailable, {}, {}};
         });
   }
   if (fault.empty()) {
@@ -159,7 +158,7 @@
   log_.Flush(EventLoop::Now());
 }
 
-bool FleetEntry::IsReady(Instant) const {
+bool FleetEntry::IsReady() const {
   return !stopping_ && configuration_.current() != nullptr &&
          targets_.complete();
 }
@@ -178,7 +177,7 @@
       std::make_unique<CallerConnection>(id, std::move(stream), limits, this);
   if (stopping_)
     connection->StopKeeping();
-  else if (!IsReady(EventLoop::Now()) && EventLoop::Now() < hold_until_)
+  else if (!IsReady() && EventLoop::Now() < hold_until_)
     connection->Hold();
   callers_.emplace(id, std::move(connection));
 }
@@ -321,13 +320,21 @@
     return;
   // Streams that it serves go on there; only new calls and the planner do
   // without it.
+  SuspectTarget(target, "turns calls away with memory to spare", true, now);
+}
+
+void FleetEntry::SuspectTarget(FleetTarget* target,
+                               std::string_view evidence,
+                               bool witnessed,
+                               Instant now) {
   const Instant until = board_.Suspect(target, now);
   log_.Write(
       Event::kTargetSuspected, now,
-      {{"target", target_id},
-       {"evidence", "turns calls away with memory to spare"},
+      {{"target", target->record.id},
+       {"evidence", std::string(evidence)},
        {"for_ms", static_cast<int64_t>(RemainingMilliseconds(until, now))}});
-  peers_.TellFault(*target, "turns calls away with memory to spare");
+  if (witnessed)
+    peers_.TellFault(*target, evidence);
 }
 
 bool FleetEntry::IsOwnTrouble(const std::string& target_id, Instant now) {
@@ -349,16 +356,8 @@
     return;
   if (!witnessed && IsOwnTrouble(target_id, now))
     return;
-  if (board_.IsUsable(*target, now)) {
-    const Instant until = board_.Suspect(target, now);
-    log_.Write(
-        Event::kTargetSuspected, now,
-        {{"target", target_id},
-         {"evidence", std::string(evidence)},
-         {"for_ms", static_cast<int64_t>(RemainingMilliseconds(until, now))}});
-    if (witnessed)
-      peers_.TellFault(*target, evidence);
-  }
+  if (board_.IsUsable(*target, now))
+    SuspectTarget(target, evidence, witnessed, now);
   if (const auto address = ParseSocketAddress(target->record.address))
     client_.Forget(*address);
   std::vector<RelayedCall*> affected;
@@ -435,7 +434,7 @@
 }
 
 void FleetEntry::TickCallers(Instant now) {
-  if (holding_ && (IsReady(now) || now >= hold_until_)) {
+  if (holding_ && (IsReady() || now >= hold_until_)) {
     holding_ = false;
     std::vector<CallerConnection*> held;
     for (const auto& [id, connection] : callers_)
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -71,10 +71,15 @@
   void DoubtTarget(const std::string& target_id);
   // A target takes no new calls, though the list does not say that it leaves.
   void TakeLeavingTarget(const std::string& target_id);
+  // Takes a usable target out for a time; tells the peers when others saw it.
+  void SuspectTarget(FleetTarget* target,
+                     std::string_view evidence,
+                     bool witnessed,
+                     Instant now);
   // Counts that this entry did not reach `target_id`; whether so many were not
   // that the cause must be here.
   bool IsOwnTrouble(const std::string& target_id, Instant now);
-  bool IsReady(Instant now) const;
+  bool IsReady() const;
   void Refuse(CallerConnection* connection,
               const std::string& attempt_id,
               int status,
--- a/modules/bbv_entry/fleet_follower.cc
+++ b/modules/bbv_entry/fleet_follower.cc
@@ -48,31 +48,26 @@
 }
 
 void ConfigurationFollower::ReadNewest() {
-  store_->Call(platform::EncodeNewest(platform::kOperatorTopic, {}),
-               kCallTimeout, [this](const Result<StoreAnswer>& answer) {
-                 if (!answer || answer->status != kOk) {
-                   Failed();
-                   return;
-                 }
-                 const auto page = platform::DecodeNewest(answer->body);
-                 if (!page) {
-                   Failed();
-                   return;
-                 }
-                 calling_ = false;
-                 const Instant now = EventLoop::Now();
-                 bool found = false;
-                 for (const platform::KeyedRecord& it : page->records) {
-                   if (it.key != platform::kConfigurationKey)
-                     continue;
-                   Take(it.value, "store", now);
-                   found = true;
-                 }
-                 positioned_ = true;
-                 next_offset_ = page->end_offset;
-                 if (!found && current_ == nullptr)
-                   not_before_ = now + kRetryPause / 5;
-               });
+  store_->ReadNewest(platform::kOperatorTopic, {}, kCallTimeout,
+                     [this](const Result<platform::NewestPage>& page) {
+                       if (!page) {
+                         Failed();
+                         return;
+                       }
+                       calling_ = false;
+                       const Instant now = EventLoop::Now();
+                       bool found = false;
+                       for (const platform::KeyedRecord& it : page->records) {
+                         if (it.key != platform::kConfigurationKey)
+                           continue;
+                         Take(it.value, "store", now);
+                         found = true;
+                       }
+                       positioned_ = true;
+                       next_offset_ = page->end_offset;
+                       if (!found && current_ == nullptr)
+                         not_before_ = now + kRetryPause / 5;
+                     });
 }
 
 void ConfigurationFollower::WaitForNext() {
@@ -156,34 +151,29 @@
 }
 
 void TargetFollower::ReadNewest(const std::string& after_key) {
-  store_->Call(
-      platform::EncodeNewest(platform::kTargetTopic, after_key), kCallTimeout,
-      [this, first = after_key.empty()](const Result<StoreAnswer>& answer) {
-        if (!answer || answer->status != kOk) {
-          Failed();
-          return;
-        }
-        const auto page = platform::DecodeNewest(answer->body);
-        if (!page) {
-          Failed();
-          return;
-        }
-        const Instant now = EventLoop::Now();
-        // Pages are no snapshot: reading on from the first one's end repeats
-        // what changed between them.
-        if (first)
-          next_offset_ = page->end_offset;
-        for (const platform::KeyedRecord& it : page->records)
-          TakeRecord(it, now);
-        if (page->more && !page->records.empty()) {
-          ReadNewest(page->records.back().key);
-          return;
-        }
-        calling_ = false;
-        positioned_ = true;
-        complete_ = true;
-        not_before_ = now + pause_;
-      });
+  store_->ReadNewest(platform::kTargetTopic, after_key, kCallTimeout,
+                     [this, first = after_key.empty()](
+                         const Result<platform::NewestPage>& page) {
+                       if (!page) {
+                         Failed();
+                         return;
+                       }
+                       const Instant now = EventLoop::Now();
+                       // Pages are no snapshot: reading on from the first one's
+                       // end repeats what changed between them.
+                       if (first)
+                         next_offset_ = page->end_offset;
+                       for (const platform::KeyedRecord& it : page->records)
+                         TakeRecord(it, now);
+                       if (page->more && !page->records.empty()) {
+                         ReadNewest(page->records.back().key);
+                         return;
+                       }
+                       calling_ = false;
+                       positioned_ = true;
+                       complete_ = true;
+                       not_before_ = now + pause_;
+                     });
 }
 
 void TargetFollower::ReadOn() {
--- a/modules/bbv_entry/load_watch.cc
+++ b/modules/bbv_entry/load_watch.cc
@@ -4,7 +4,6 @@
 
 #include "bbv_core/hashing.h"
 #include "bbv_entry/target_question.h"
-#include "platform/target_codec.h"
 
 namespace bbv {
 namespace {
@@ -13,7 +12,6 @@
 constexpr Milliseconds kTimeout{400};
 // How old a report's values are when it is given.
 constexpr Milliseconds kReportLag{200};
-constexpr int kOk = 200;
 
 }  // namespace
 
@@ -44,17 +42,13 @@
 void LoadWatch::Ask(const std::string& id,
                     const FleetTarget& target,
                     Instant now) {
-  WholeAnswer::Fetch(
-      client_,
-      MakeTargetRequest(target.record.address, "GET", platform::kReportPath, {},
-                        now + kTimeout),
-      [this, id](const HttpAnswer* answer) {
-        if (answer == nullptr || answer->head.status != kOk)
-          return;
-        const auto report = platform::DecodeTargetReport(answer->body);
-        if (report)
-          board_->ApplyReport(id, report->load, EventLoop::Now() - kReportLag);
-      });
+  AskForReport(client_, {target.record.address, now + kTimeout},
+               [this, id](const ReportAnswer& answer) {
+                 if (answer.report) {
+                   board_->ApplyReport(id, answer.report->load,
+                                       EventLoop::Now() - kReportLag);
+                 }
+               });
 }
 
 }  // namespace bbv
--- a/modules/bbv_entry/peer_links.cc
+++ b/modules/bbv_entry/peer_links.cc
@@ -210,20 +210,17 @@
 
 void PeerLinks::ReadList() {
   calling_ = true;
-  store_->Call(platform::EncodeNewest(platform::kEntryTopic, {}), kStoreTimeout,
-               [this](const Result<StoreAnswer>& answer) {
-                 calling_ = false;
-                 next_list_ = EventLoop::Now() + kStorePause;
-                 if (!answer || answer->status != kOk)
-                   return;
-                 const auto page = platform::DecodeNewest(answer->body);
-                 if (!page)
-                   return;
-                 for (const platform::KeyedRecord& it : page->records)
-                   Learn(it.key);
-                 list_read_ = true;
-                 next_list_ = EventLoop::Now() + kListPause;
-               });
+  store_->ReadNewest(platform::kEntryTopic, {}, kStoreTimeout,
+                     [this](const Result<platform::NewestPage>& page) {
+                       calling_ = false;
+                       next_list_ = EventLoop::Now() + kStorePause;
+                       if (!page)
+                         return;
+                       for (const platform::KeyedRecord& it : page->records)
+                         Learn(it.key);
+                       list_read_ = true;
+                       next_list_ = EventLoop::Now() + kListPause;
+                     });
 }
 
 void PeerLinks::Send(const std::string& peer, const wire::FrameT& frame) {
--- a/modules/bbv_entry/planner_agent.cc
+++ b/modules/bbv_entry/planner_agent.cc
@@ -246,27 +246,22 @@
   const FleetTarget* target = board_->Find(id);
   if (target == nullptr)
     return;
-  WholeAnswer::Fetch(
-      client_,
-      MakeTargetRequest(target->record.address, "GET", platform::kReportPath,
-                        {}, EventLoop::Now() + kOrderTimeout),
-      [this, id](const HttpAnswer* answer) {
-        const auto order = pending_.find(id);
-        if (answer == nullptr || answer->head.status != kOk ||
-            order == pending_.end())
-          return;
-        const auto report = platform::DecodeTargetReport(answer->body);
-        if (!report)
-          return;
-        board_->ApplyReport(id, report->load, EventLoop::Now());
-        if (report->order_under_way || order->second.answered)
-          return;
-        if (report->load.layers == order->second.layers) {
-          order->second.answered = true;
-          return;
-        }
-        SendOrder(id, report->orders_begun);
-      });
+  AskForReport(client_,
+               {target->record.address, EventLoop::Now() + kOrderTimeout},
+               [this, id](const ReportAnswer& answer) {
+                 const auto order = pending_.find(id);
+                 const auto& report = answer.report;
+                 if (!report || order == pending_.end())
+                   return;
+                 board_->ApplyReport(id, report->load, EventLoop::Now());
+                 if (report->order_under_way || order->second.answered)
+                   return;
+                 if (report->load.layers == order->second.layers) {
+                   order->second.answered = true;
+                   return;
+                 }
+                 SendOrder(id, report->orders_begun);
+               });
 }
 
 void PlannerAgent::SendOrder(const std::string& id, int64_t orders_begun) {
@@ -275,7 +270,6 @@
   if (target == nullptr || order == pending_.end())
     return;
   const LayerRange layers = order->second.layers;
-  ++orders_;
   log_->Write(Event::kLayerOrderSent, EventLoop::Now(),
               {{"target", id},
                {"from_layer", static_cast<int64_t>(layers.from)},
--- a/modules/bbv_entry/planner_agent.h
+++ b/modules/bbv_entry/planner_agent.h
@@ -55,7 +55,6 @@
 
   // Rises with each change of the group at the store.
   int64_t generation() const { return generation_; }
-  uint64_t orders() const { return orders_; }
 
  private:
   // An order that was decided and is not known to be carried out.
@@ -102,7 +101,6 @@
   std::map<std::string, Order> pending_;
   // Since when a target has not counted for planning.
   std::map<std::string, Instant> missing_since_;
-  uint64_t orders_ = 0;
 };
 
 }  // namespace bbv
--- a/modules/bbv_entry/stall_watch.cc
+++ b/modules/bbv_entry/stall_watch.cc
@@ -3,8 +3,6 @@
 #include <cassert>
 #include <utility>
 
-#include "bbv_entry/target_question.h"
-
 namespace bbv {
 namespace {
 
@@ -14,7 +12,6 @@
 constexpr Milliseconds kDoubtTimeout{70};
 // Share of its memory in use below which a target has room for any call.
 constexpr double kRoomShare = 0.7;
-constexpr int kOk = 200;
 
 }  // namespace
 
@@ -35,13 +32,10 @@
   if (now < next || target == nullptr)
     return;
   next = now + kQuestionPause + kQuestionTimeout;
-  ExchangeRequest request =
-      MakeTargetRequest(target->record.address, "GET", platform::kReportPath,
-                        {}, now + kQuestionTimeout);
-  WholeAnswer::Fetch(client_, std::move(request),
-                     [this, target_id](const HttpAnswer* answer) {
-                       OnReport(target_id, answer);
-                     });
+  AskForReport(client_, {target->record.address, now + kQuestionTimeout},
+               [this, target_id](const ReportAnswer& answer) {
+                 OnReport(target_id, answer);
+               });
 }
 
 void StallWatch::Doubt(const std::string& target_id,
@@ -55,27 +49,24 @@
   if (now < next)
     return;
   next = now + kDoubtPause;
-  ExchangeRequest request =
-      MakeTargetRequest(target->record.address, "GET", platform::kReportPath,
-                        {}, now + kDoubtTimeout);
-  // A kept connection to a machine that is gone would stay silent.
-  request.may_reuse = false;
-  WholeAnswer::Fetch(client_, std::move(request),
-                     [this, target_id, capacity](const HttpAnswer* answer) {
-                       OnDoubtedReport(target_id, capacity, answer);
-                     });
+  AskForReport(
+      client_,
+      {target->record.address, now + kDoubtTimeout, /*may_reuse=*/false},
+      [this, target_id, capacity](const ReportAnswer& answer) {
+        OnDoubtedReport(target_id, capacity, answer);
+      });
 }
 
 void StallWatch::OnDoubtedReport(const std::string& target_id,
                                  double capacity,
-                                 const HttpAnswer* answer) {
-  if (answer == nullptr) {
+                                 const ReportAnswer& answer) {
+  if (!answer.answered) {
     on_fault_(target_id, "turned a call away and gives no report", true);
     return;
   }
-  const auto report = platform::DecodeTargetReport(answer->body);
+  const auto& report = answer.report;
   FleetTarget* target = board_->Find(target_id);
-  if (answer->head.status != kOk || !report || target == nullptr)
+  if (!report || target == nullptr)
     return;
   const Instant now = EventLoop::Now();
   const bool same_layers = target->record.layers == report->load.layers;
@@ -89,15 +80,13 @@
 }
 
 void StallWatch::OnReport(const std::string& target_id,
-                          const HttpAnswer* answer) {
+                          const ReportAnswer& answer) {
   next_question_[target_id] = EventLoop::Now() + kQuestionPause;
-  if (answer == nullptr) {
+  if (!answer.answered) {
     on_fault_(target_id, "no report", false);
     return;
   }
-  if (answer->head.status != kOk)
-    return;
-  const auto report = platform::DecodeTargetReport(answer->body);
+  const auto& report = answer.report;
   if (!report)
     return;
   board_->ApplyReport(target_id, report->load, EventLoop::Now());
--- a/modules/bbv_entry/stall_watch.h
+++ b/modules/bbv_entry/stall_watch.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <string_view>
 
+#include "bbv_entry/target_question.h"
 #include "bbv_fleet/target_board.h"
 #include "bbv_front/http_client.h"
-#include "platform/target_codec.h"
 
 namespace bbv {
 
@@ -42,10 +42,10 @@
   void Doubt(const std::string& target_id, double capacity, Instant now);
 
  private:
-  void OnReport(const std::string& target_id, const HttpAnswer* answer);
+  void OnReport(const std::string& target_id, const ReportAnswer& answer);
   void OnDoubtedReport(const std::string& target_id,
                        double capacity,
-                       const HttpAnswer* answer);
+                       const ReportAnswer& answer);
 
   HttpClient* client_;
   TargetBoard* board_;
--- a/modules/bbv_entry/store_client.cc
+++ b/modules/bbv_entry/store_client.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Milliseconds kConnectTimeout{700};
+constexpr int kOk = 200;
 constexpr int kServerErrors = 500;
 constexpr int kTooManyRequests = 429;
 
@@ -62,6 +63,26 @@
       });
 }
 
+void StoreClient::ReadNewest(
+    std::string_view topic,
+    std::string_view after_key,
+    Milliseconds timeout,
+    std::function<void(const Result<platform::NewestPage>&)> done) {
+  Call(platform::EncodeNewest(topic, after_key), timeout,
+       [this, done = std::move(done)](const Result<StoreAnswer>& answer) {
+         if (!answer) {
+           done(tl::make_unexpected(answer.error()));
+           return;
+         }
+         if (answer->status != kOk) {
+           done(Fail(Step::kLogRead, address_.ToString(),
+                     "status " + std::to_string(answer->status)));
+           return;
+         }
+         done(platform::DecodeNewest(answer->body));
+       });
+}
+
 void StoreClient::SetReachable(bool reachable, const std::string& cause) {
   if (reachable == reachable_)
     return;
--- a/modules/bbv_entry/store_client.h
+++ b/modules/bbv_entry/store_client.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <string>
+#include <string_view>
 
 #include "bbv_core/error.h"
 #include "bbv_front/http_client.h"
@@ -32,6 +33,14 @@
   // Sends `call`; `done` is called once, never from within this call.
   void Call(const platform::StoreCall& call, Milliseconds timeout, Done done);
 
+  // Reads a page of the newest records of `topic` after `after_key`; an error
+  // when there is none.
+  void ReadNewest(
+      std::string_view topic,
+      std::string_view after_key,
+      Milliseconds timeout,
+      std::function<void(const Result<platform::NewestPage>&)> done);
+
   // Whether the last call was answered usefully.
   bool reachable() const { return reachable_; }
   // Since when it is so; the past's start before the first call.
--- a/modules/bbv_entry/target_question.cc
+++ b/modules/bbv_entry/target_question.cc
@@ -1,6 +1,13 @@
 #include "bbv_entry/target_question.h"
 
+#include <utility>
+
 namespace bbv {
+namespace {
+
+constexpr int kOk = 200;
+
+}  // namespace
 
 ExchangeRequest MakeTargetRequest(const std::string& address,
                                   std::string_view method,
@@ -22,4 +29,21 @@
   return request;
 }
 
+void AskForReport(HttpClient* client,
+                  const ReportQuestion& question,
+                  std::function<void(const ReportAnswer&)> done) {
+  ExchangeRequest request = MakeTargetRequest(
+      question.address, "GET", platform::kReportPath, {}, question.deadline);
+  request.may_reuse = question.may_reuse;
+  WholeAnswer::Fetch(client, std::move(request),
+                     [done = std::move(done)](const HttpAnswer* answer) {
+                       ReportAnswer result;
+                       result.answered = answer != nullptr;
+                       if (result.answered && answer->head.status == kOk)
+                         result.report =
+                             platform::DecodeTargetReport(answer->body);
+                       done(result);
+                     });
+}
+
 }  // namespace bbv
--- a/modules/bbv_entry/target_question.h
+++ b/modules/bbv_entry/target_question.h
@@ -1,11 +1,14 @@
 #ifndef MODULES_BBV_ENTRY_TARGET_QUESTION_H_
 #define MODULES_BBV_ENTRY_TARGET_QUESTION_H_
 
+#include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "bbv_core/instant.h"
 #include "bbv_front/http_client.h"
+#include "platform/target_codec.h"
 
 namespace bbv {
 
@@ -18,6 +21,30 @@
                                   const std::string& json_body,
                                   Instant deadline);
 
+// How a question for a target's report ended.
+struct ReportAnswer {
+  // Whether any whole answer came in time.
+  bool answered = false;
+  // Set when the answer was a report that can be read.
+  std::optional<platform::TargetReport> report;
+};
+
+// A question for a target's report.
+struct ReportQuestion {
+  // Of the form ip:port.
+  std::string address;
+  Instant deadline;
+  // Whether a kept connection may be used; one to an instance that is gone
+  // stays silent.
+  bool may_reuse = true;
+};
+
+// Asks a target for its report; `done` is called once, never from within this
+// call. Thread safety: none, the loop's thread.
+void AskForReport(HttpClient* client,
+                  const ReportQuestion& question,
+                  std::function<void(const ReportAnswer&)> done);
+
 }  // namespace bbv
 
 #endif  // MODULES_BBV_ENTRY_TARGET_QUESTION_H_
--- a/modules/bbv_fleet/target_board.cc
+++ b/modules/bbv_fleet/target_board.cc
@@ -68,18 +68,14 @@
     row->health = TargetHealth::kGood;
     row->suspected_until = {};
   }
-  if (record.leaving) {
+  const bool still_suspected =
+      row->health == TargetHealth::kSuspected &&
+      (now < row->suspected_until ||
+       record.heartbeat == row->suspected_heartbeat);
+  if (record.leaving)
     row->health = TargetHealth::kLeaving;
-  } else if (row->health == TargetHealth::kSuspected &&
-             now >= row->suspected_until &&
-             record.heartbeat != row->suspected_heartbeat) {
+  else if (!still_suspected)
     row->health = TargetHealth::kGood;
-    ++revision_;
-  } else if (row->health == TargetHealth::kLeaving) {
-    row->health = TargetHealth::kGood;
-  }
-  if (changed)
-    ++revision_;
   return changed;
 }
 
@@ -91,7 +87,6 @@
   if (address != by_address_.end() && address->second == it->second.get())
     by_address_.erase(address);
   rows_.erase(it);
-  ++revision_;
   return true;
 }
 
@@ -134,7 +129,6 @@
   target->suspected_heartbeat = target->record.heartbeat;
   if (target->health != TargetHealth::kLeaving)
     target->health = TargetHealth::kSuspected;
-  ++revision_;
   return target->suspected_until;
 }
 
@@ -201,7 +195,6 @@
   if (target->record.layers == report.layers)
     return false;
   target->record.layers = report.layers;
-  ++revision_;
   return true;
 }
 
--- a/modules/bbv_fleet/target_board.h
+++ b/modules/bbv_fleet/target_board.h
@@ -181,14 +181,10 @@
     return rows_;
   }
 
-  // Counts changes of list or health, so that others know when to look again.
-  uint64_t revision() const { return revision_; }
-
  private:
   std::map<std::string, std::unique_ptr<FleetTarget>, std::less<>> rows_;
   std::unordered_map<std::string, FleetTarget*> by_address_;
   std::map<std::string, std::vector<PeerLoad>> peers_;
-  uint64_t revision_ = 0;
 };
 
 }  // namespace bbv
--- a/modules/bbv_front/caller_connection.cc
+++ b/modules/bbv_front/caller_connection.cc
@@ -128,16 +128,22 @@
   return KeepsConnection() ? "" : "Connection: close\r\n";
 }
 
+void CallerConnection::StartHead(int status,
+                                 std::string_view reason,
+                                 std::string_view fields) {
+  out_.clear();
+  AppendStatusLine(status, reason, &out_);
+  out_.append(fields);
+  out_.append(ConnectionLine());
+}
+
 void CallerConnection::Answer(int status,
                               std::string_view reason,
                               std::string_view fields,
                               std::string_view body) {
   if (over() || !request_open_)
     return;
-  out_.clear();
-  AppendStatusLine(status, reason, &out_);
-  out_.append(fields);
-  out_.append(ConnectionLine());
+  StartHead(status, reason, fields);
   AppendField("Content-Length", std::to_string(body.size()), &out_);
   out_.append("\r\n");
   out_.append(body);
@@ -151,10 +157,7 @@
                                    std::string_view first_chunk) {
   if (over() || !request_open_)
     return;
-  out_.clear();
-  AppendStatusLine(status, reason, &out_);
-  out_.append(fields);
-  out_.append(ConnectionLine());
+  StartHead(status, reason, fields);
   out_.append("Transfer-Encoding: chunked\r\n\r\n");
   AppendChunk(first_chunk, &out_);
   stream_->Write(out_);
--- a/modules/bbv_front/caller_connection.h
+++ b/modules/bbv_front/caller_connection.h
@@ -91,6 +91,8 @@
  private:
   void ParseMore(std::string_view data);
   void Reject(int status);
+  // Writes what every answer's head begins with into `out_`.
+  void StartHead(int status, std::string_view reason, std::string_view fields);
   void FinishAnswer();
   std::string_view ConnectionLine() const;
   bool KeepsConnection() const;
