--- a/modules/bbv_fleet/target_board.cc
+++ b/modules/bbv_fleet/target_board.cc
@@ -68,10 +68,9 @@
     row->health = TargetHealth::kGood;
     row->suspected_until = {};
   }
-  const bool still_suspected =
-      row->health == TargetHealth::kSuspected &&
-      (now < row->suspected_until ||
-       record.heartbeat == row->suspected_heartbeat);
+  const bool still_suspected = row->health == TargetHealth::kSuspected &&
+                               (now < row->suspected_until ||
+                                record.heartbeat == row->suspected_heartbeat);
   if (record.leaving)
     row->health = TargetHealth::kLeaving;
   else if (!still_suspected)
