--- a/modules/bbv_core/event.cc
+++ b/modules/bbv_core/event.cc
@@ -64,6 +64,8 @@
     EventDescription{Event::kCallFinished, "call-finished"},
     EventDescription{Event::kCallerLeft, "caller-left"},
     EventDescription{Event::kSettingsReloaded, "settings-reloaded"},
+    EventDescription{Event::kCallPathLost, "call-path-lost"},
+    EventDescription{Event::kCallPathChanged, "call-path-changed"},
 };
 
 // Events of the ordinary course of each request: written at verbosity 1 only.
--- a/modules/bbv_core/event.h
+++ b/modules/bbv_core/event.h
@@ -61,6 +61,8 @@
   kCallFinished = 88,
   kCallerLeft = 89,
   kSettingsReloaded = 90,
+  kCallPathLost = 91,
+  kCallPathChanged = 92,
 };
 
 // One row of the catalogue.
--- a/modules/bbv_entry/planner_agent.cc
+++ b/modules/bbv_entry/planner_agent.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -25,6 +26,11 @@
 constexpr Milliseconds kLoadQuestionPause{200};
 // Time without the store and without a planner after which an entry stands in.
 constexpr Milliseconds kUnplannedPatience{1200};
+// Time without other changes of layers after which more of them are doubled,
+// and the part of the loads that run at once without delay used for it.
+constexpr Milliseconds kDoublingPatience{400};
+constexpr int kDoublingPart = 2;
+constexpr int kAllTargets = std::numeric_limits<int>::max();
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
 constexpr int kConflict = 409;
@@ -160,13 +166,14 @@
       continue;
     if (!board_->IsUsable(*row, now)) {
       const Instant since = missing_since_.try_emplace(id, now).first->second;
+      last_change_ = now;
       if (row->record.leaving || now >= since + kLossPatience)
         continue;
     } else {
       missing_since_.erase(id);
     }
     PlannerTarget target{id, row->record.zone, row->record.accelerator,
-                         row->record.layers};
+                         row->record.layers, row->UsedTokenLayers(now)};
     if (const auto it = pending_.find(id); it != pending_.end())
       target.layers = it->second.layers;
     targets.push_back(std::move(target));
@@ -194,6 +201,24 @@
   *changes = LayerPlanner::Plan(model, quick, false);
 }
 
+std::vector<Placement> PlannerAgent::PlanDoubles(
+    const EngineModel& model,
+    const std::vector<PlannerTarget>& targets,
+    Instant now) const {
+  if (!pending_.empty())
+    return {};
+  const bool in_use =
+      std::any_of(targets.begin(), targets.end(),
+                  [](const auto& it) { return it.used_token_layers > 0; });
+  // Before the first call loads cost little; later repairs go first.
+  if (!in_use)
+    return LayerDoubler::Plan(model, targets, kAllTargets);
+  if (now < last_change_ + kDoublingPatience)
+    return {};
+  return LayerDoubler::Plan(
+      model, targets, std::max(1, model.concurrent_loads / kDoublingPart));
+}
+
 void PlannerAgent::PlanService(const ServiceDescription& service, Instant now) {
   const EngineModel& model = *service.engine;
   const std::vector<PlannerTarget> targets = CollectTargets(service, now);
@@ -202,6 +227,8 @@
   const bool may_move = pending_.empty() || !HoldsSomeCopy(model, targets);
   std::vector<Placement> changes = LayerPlanner::Plan(model, targets, may_move);
   AppendReliefOfSlowTargets(model, targets, now, &changes);
+  if (changes.empty())
+    changes = PlanDoubles(model, targets, now);
   for (const Placement& it : changes) {
     const FleetTarget* target = board_->Find(it.id);
     const double share =
@@ -229,6 +256,7 @@
         target->record.started_unix_ms != it->second.started_unix_ms ||
         target->record.layers == it->second.layers || target->record.leaving;
     if (settled || now >= it->second.deadline) {
+      last_change_ = now;
       it = pending_.erase(it);
       continue;
     }
--- a/modules/bbv_entry/planner_agent.h
+++ b/modules/bbv_entry/planner_agent.h
@@ -77,6 +77,11 @@
                                  const std::vector<PlannerTarget>& targets,
                                  Instant now,
                                  std::vector<Placement>* changes) const;
+  // Returns the placements by which layers are held twice, while nothing more
+  // urgent is under way.
+  std::vector<Placement> PlanDoubles(const EngineModel& model,
+                                     const std::vector<PlannerTarget>& targets,
+                                     Instant now) const;
   void PlanService(const ServiceDescription& service, Instant now);
   void SettleOrders(Instant now);
   void AskReport(const std::string& id);
@@ -98,6 +103,8 @@
   Instant lease_until_{};
   Instant next_join_{};
   Instant next_plan_{};
+  // When the last order was settled or the last target lost.
+  Instant last_change_{};
   std::map<std::string, Order> pending_;
   // Since when a target has not counted for planning.
   std::map<std::string, Instant> missing_since_;
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -4,6 +4,8 @@
 #include <cassert>
 #include <utility>
 
+#include "bbv_entry/target_question.h"
+
 namespace bbv {
 namespace {
 
@@ -19,6 +21,9 @@
 // Share of that by which callers' returns are spread.
 constexpr int kRetrySpreadPercent = 50;
 constexpr int kFirstFailureStatus = 500;
+constexpr Milliseconds kOrderTimeout{300};
+constexpr int kOk = 200;
+constexpr int kAccepted = 202;
 
 double MillisecondsBetween(Instant from, Instant to) {
   return std::chrono::duration<double, std::milli>(to - from).count();
@@ -72,7 +77,25 @@
 }
 
 void RelayedCall::OnPathFault(const std::string& target_id, Instant now) {
+  const auto& ids = sent_.hop_ids;
+  const bool affected =
+      under_way_ && !call_.has_lost_path() &&
+      std::find(ids.begin(), ids.end(), target_id) != ids.end();
+  const int sends = call_.sends();
   call_.OnPathFault(target_id, now);
+  if (!affected)
+    return;
+  const std::string_view way_on = call_.is_changing_path() ? "path"
+                                  : call_.sends() > sends  ? "elsewhere"
+                                  : call_.done()           ? "none"
+                                                           : "waits";
+  context_->log->Write(Event::kCallPathLost, now,
+                       {{"id", call_.request().attempt_id},
+                        {"hop", target_id},
+                        {"way_on", std::string(way_on)},
+                        {"target", sent_.target_id},
+                        {"hops", static_cast<int64_t>(sent_.hop_ids.size())},
+                        {"last_event", call_.last_event()}});
 }
 
 std::optional<CallDispatch> RelayedCall::Choose(
@@ -84,6 +107,56 @@
                                     (*context_->random)(), now, end);
 }
 
+std::optional<CallDispatch> RelayedCall::ChooseMend(
+    const CallRequest& request,
+    const CallDispatch& current,
+    const std::vector<std::string>& excluded,
+    Instant now) {
+  return context_->selector->SelectMend(*index_, request, current, excluded,
+                                        (*context_->random)(), now);
+}
+
+void RelayedCall::ChangePath(const CallDispatch& path, Instant now) {
+  WholeAnswer::Fetch(
+      context_->client,
+      MakeTargetRequest(
+          path.target_address, "POST", platform::kOrderPath,
+          platform::EncodeChangePathOrder(call_.request().attempt_id,
+                                          path.hop_addresses, path.layers),
+          now + kOrderTimeout),
+      [self = std::weak_ptr<RelayedCall*>(self_), exchange = exchange_,
+       path](const HttpAnswer* answer) {
+        const auto call = self.lock();
+        // An answer about a send that has ended says nothing of the next one.
+        if (call != nullptr && (*call)->under_way_ &&
+            (*call)->exchange_ == exchange)
+          (*call)->OnChangeAnswered(answer, path);
+      });
+}
+
+void RelayedCall::OnChangeAnswered(const HttpAnswer* answer,
+                                   const CallDispatch& path) {
+  const Instant now = EventLoop::Now();
+  const int status = answer == nullptr ? 0 : answer->head.status;
+  const bool accepted = status == kOk || status == kAccepted;
+  std::string fault_address;
+  if (answer != nullptr && !accepted) {
+    fault_address = platform::DecodeOrderRefusal(answer->body).fault_address;
+  }
+  context_->log->Write(Event::kCallPathChanged, now,
+                       {{"id", call_.request().attempt_id},
+                        {"target", sent_.target_id},
+                        {"status", static_cast<int64_t>(status)},
+                        {"at_fault", fault_address},
+                        {"last_event", call_.last_event()}});
+  if (accepted) {
+    context_->selector->Finish(&sent_);
+    sent_ = path;
+    context_->selector->Begin(sent_);
+  }
+  call_.OnPathChanged(accepted, fault_address, now);
+}
+
 void RelayedCall::Send(const CallDispatch& dispatch, Instant now) {
   const CallRequest& request = call_.request();
   sent_ = dispatch;
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -74,6 +74,12 @@
                                      const std::vector<std::string>& excluded,
                                      Instant now,
                                      CallEnd* end) override;
+  std::optional<CallDispatch> ChooseMend(
+      const CallRequest& request,
+      const CallDispatch& current,
+      const std::vector<std::string>& excluded,
+      Instant now) override;
+  void ChangePath(const CallDispatch& path, Instant now) override;
   void Send(const CallDispatch& dispatch, Instant now) override;
   void CancelSend() override;
   bool TakeRetry(Instant now) override;
@@ -90,6 +96,7 @@
   void OnExchangeFailed(ExchangeFailure failure) override;
 
  private:
+  void OnChangeAnswered(const HttpAnswer* answer, const CallDispatch& path);
   void RelayEvents(std::string_view data);
   void FailSend(const SendFailure& failure, std::string_view evidence);
   void FinishSend(bool failed, Instant now);
@@ -120,6 +127,8 @@
   Instant first_relayed_{};
   EventSplitter splitter_;
   std::string chunk_;
+  // Lets answers to orders find out whether the call is still there.
+  std::shared_ptr<RelayedCall*> self_ = std::make_shared<RelayedCall*>(this);
 };
 
 }  // namespace bbv
--- a/modules/bbv_entry/stall_watch.cc
+++ b/modules/bbv_entry/stall_watch.cc
@@ -1,6 +1,7 @@
 #include "bbv_entry/stall_watch.h"
 
 #include <cassert>
+#include <set>
 #include <utility>
 
 namespace bbv {
@@ -90,8 +91,12 @@
   if (!report)
     return;
   board_->ApplyReport(target_id, report->load, EventLoop::Now());
-  for (const auto& it : report->stalled) {
-    if (const FleetTarget* hop = board_->FindAddress(it.hop_address))
+  // Every waiting stream names its hop; each hop counts once.
+  std::set<std::string> hops;
+  for (const auto& it : report->stalled)
+    hops.insert(it.hop_address);
+  for (const std::string& it : hops) {
+    if (const FleetTarget* hop = board_->FindAddress(it))
       on_fault_(std::string(hop->record.id), "streams wait for it", true);
   }
 }
--- a/modules/bbv_fleet/fleet_call.cc
+++ b/modules/bbv_fleet/fleet_call.cc
@@ -22,6 +22,11 @@
 // after.
 constexpr Milliseconds kPathWait{1700};
 constexpr Milliseconds kLookPause{60};
+// Changes of path that one call asks for, and the time that each may take.
+constexpr int kMaxPathChanges = 6;
+constexpr Milliseconds kChangeTimeout{150};
+// How long after the loss of a hop an event proves that the path goes on.
+constexpr Milliseconds kEventsOnTheWay{100};
 // Part of the objective, and the longest time, that a call waits for room.
 constexpr int kRoomWaitPercent = 60;
 constexpr Milliseconds kLongestRoomWait{400};
@@ -73,9 +78,11 @@
   ++sends_;
   ++runs_;
   sending_ = true;
+  path_lost_at_.reset();
+  next_path_.reset();
   if (!relaying_)
     last_progress_ = now;
-  sent_at_ = now;
+  quiet_since_ = now;
   ports_->Send(dispatch_, now);
 }
 
@@ -127,17 +134,26 @@
   const auto& addresses = dispatch_.hop_addresses;
   const auto it =
       std::find(addresses.begin(), addresses.end(), failure.fault_address);
-  const std::string& id = it != addresses.end()
-                              ? dispatch_.hop_ids[it - addresses.begin()]
-                              : dispatch_.target_id;
-  if (std::find(excluded_.begin(), excluded_.end(), id) == excluded_.end())
+  ExcludeTarget(it != addresses.end()
+                    ? dispatch_.hop_ids[it - addresses.begin()]
+                    : dispatch_.target_id);
+}
+
+void FleetCall::ExcludeTarget(const std::string& id) {
+  if (!IsExcluded(id))
     excluded_.push_back(id);
 }
 
+bool FleetCall::IsExcluded(const std::string& id) const {
+  return std::find(excluded_.begin(), excluded_.end(), id) != excluded_.end();
+}
+
 void FleetCall::OnSendFailed(const SendFailure& failure, Instant now) {
   if (done_ || !sending_)
     return;
   sending_ = false;
+  path_lost_at_.reset();
+  next_path_.reset();
   if (failure.not_run)
     --runs_;
   else if (failure.answer_at_hand)
@@ -160,11 +176,13 @@
   relaying_ = true;
   knowledge_ = RunKnowledge::kRan;
   last_progress_ = now;
+  quiet_since_ = now;
 }
 
 void FleetCall::OnEventRelayed(int64_t event_id, Instant now) {
   last_event_ = event_id;
   last_progress_ = now;
+  quiet_since_ = now;
 }
 
 void FleetCall::OnAnswerComplete() {
@@ -193,17 +211,46 @@
     SendAgain(last_failure_, now);
     return;
   }
-  if (now < request_.deadline)
+  if (now < request_.deadline) {
+    if (path_lost_at_)
+      OnTimeOfLostPath(now);
     return;
-  if (sending_) {
-    ports_->CancelSend();
-    sending_ = false;
-    if (knowledge_ == RunKnowledge::kNotRun)
-      knowledge_ = RunKnowledge::kUnknown;
   }
+  AbandonSend();
   GiveUp(CallEnd::kDeadline, false, now);
 }
 
+void FleetCall::AbandonSend() {
+  if (!sending_)
+    return;
+  ports_->CancelSend();
+  sending_ = false;
+  if (knowledge_ == RunKnowledge::kNotRun)
+    knowledge_ = RunKnowledge::kUnknown;
+}
+
+void FleetCall::OnTimeOfLostPath(Instant now) {
+  if (relaying_ && last_progress_ >= *path_lost_at_ + kEventsOnTheWay) {
+    path_lost_at_.reset();
+    return;
+  }
+  if (next_path_) {
+    if (now >= change_deadline_)
+      OnPathChanged(false, {}, now);
+    return;
+  }
+  if (now >= *path_lost_at_ + kPathWait) {
+    AbandonSend();
+    GiveUp(CallEnd::kNoTarget, false, now);
+    return;
+  }
+  if (now < next_look_)
+    return;
+  // Targets that failed this call may have been mended since.
+  excluded_.clear();
+  LookForWayOn(now);
+}
+
 void FleetCall::OnPathFault(const std::string& target_id, Instant now) {
   if (done_ || !sending_)
     return;
@@ -211,24 +258,95 @@
   const auto hop = std::find(ids.begin(), ids.end(), target_id);
   if (hop == ids.end())
     return;
-  SendFailure failure;
-  failure.fault_address = dispatch_.hop_addresses[hop - ids.begin()];
-  // Left alone while it cannot go on elsewhere: the target may come back.
-  if (!MayRepeat(failure))
+  if (hop == ids.begin()) {
+    SendFailure failure;
+    failure.fault_address = dispatch_.hop_addresses.front();
+    // Left alone while it cannot go on elsewhere: the target may come back.
+    if (!MayRepeat(failure))
+      return;
+    ports_->CancelSend();
+    OnSendFailed(failure, now);
     return;
-  ports_->CancelSend();
-  OnSendFailed(failure, now);
+  }
+  if (path_lost_at_ && IsExcluded(target_id))
+    return;
+  ExcludeTarget(target_id);
+  if (!path_lost_at_)
+    path_lost_at_ = now;
+  LookForWayOn(now);
+}
+
+void FleetCall::LookForWayOn(Instant now) {
+  if (next_path_)
+    return;
+  next_look_ = now + kLookPause;
+  if (path_changes_ < kMaxPathChanges) {
+    next_path_ = ports_->ChooseMend(request_, dispatch_, excluded_, now);
+    if (next_path_) {
+      ++path_changes_;
+      change_deadline_ = now + kChangeTimeout;
+      ports_->ChangePath(*next_path_, now);
+      return;
+    }
+  }
+  LeaveLostPath(now);
+}
+
+void FleetCall::LeaveLostPath(Instant now) {
+  if (!MayRepeat({}))
+    return;
+  CallEnd end = CallEnd::kNoTarget;
+  auto dispatch = ports_->Choose(request_, excluded_, now, &end);
+  if (!dispatch || !ports_->TakeRetry(now))
+    return;
+  AbandonSend();
+  SendTo(std::move(*dispatch), now);
+}
+
+void FleetCall::OnPathChanged(bool accepted,
+                              const std::string& fault_address,
+                              Instant now) {
+  if (done_ || !sending_ || !next_path_)
+    return;
+  const CallDispatch path = *std::exchange(next_path_, std::nullopt);
+  if (accepted) {
+    dispatch_ = path;
+    dispatch_.last_event = last_event_;
+    quiet_since_ = now;
+    // Another hop may have been lost meanwhile.
+    if (IsOnExcludedHop())
+      LookForWayOn(now);
+    else
+      path_lost_at_.reset();
+    return;
+  }
+  const auto hop = std::find(path.hop_addresses.begin(),
+                             path.hop_addresses.end(), fault_address);
+  if (hop == path.hop_addresses.end() || hop == path.hop_addresses.begin()) {
+    // The run is no longer there, or the first target is silent.
+    path_changes_ = kMaxPathChanges;
+    LeaveLostPath(now);
+    return;
+  }
+  ExcludeTarget(path.hop_ids[hop - path.hop_addresses.begin()]);
+  LookForWayOn(now);
+}
+
+bool FleetCall::IsOnExcludedHop() const {
+  return std::any_of(dispatch_.hop_ids.begin(), dispatch_.hop_ids.end(),
+                     [this](const std::string& it) { return IsExcluded(it); });
 }
 
 bool FleetCall::IsStalled(Instant now) const {
-  if (done_ || !sending_ || request_.route->kind != CallKind::kStream)
+  if (done_ || !sending_ || path_lost_at_ ||
+      request_.route->kind != CallKind::kStream)
     return false;
   if (!relaying_ || last_event_ == dispatch_.last_event)
-    return now - sent_at_ >= kFirstEventStall;
+    return now - quiet_since_ >= kFirstEventStall;
   const auto usual =
       Milliseconds(static_cast<int64_t>(kStallFactor * dispatch_.event_ms) + 1);
   const auto bound = std::clamp(usual, kShortestStall, kLongestStall);
-  return now - last_progress_ >= bound;
+  return now - quiet_since_ >= bound;
 }
 
 void FleetCall::GiveUp(CallEnd end, bool answer_at_hand, Instant now) {
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -106,6 +106,16 @@
       const std::vector<std::string>& excluded,
       Instant now,
       CallEnd* end) = 0;
+  // Chooses how the send under way can go on from its first target without
+  // hops that were lost; nothing when it cannot.
+  virtual std::optional<CallDispatch> ChooseMend(
+      const CallRequest& request,
+      const CallDispatch& current,
+      const std::vector<std::string>& excluded,
+      Instant now) = 0;
+  // Orders the first target to go on along `path`; what it answers comes by
+  // OnPathChanged.
+  virtual void ChangePath(const CallDispatch& path, Instant now) = 0;
   // Sends the call.
   virtual void Send(const CallDispatch& dispatch, Instant now) = 0;
   // Closes the connection of the send that is under way.
@@ -135,7 +145,14 @@
 //   ran         again    relayed  again, after the last event relayed
 //
 // Each within the deadline, the route's attempts and the retry budget. Ends
-// are final and said at once. A stream that is under way and finds no path
+// are final and said at once.
+//
+// When a hop behind the first one is lost, the first target is ordered to go on
+// along a mended path: the same run continues, whatever the kind of call, and
+// no repeat is spent. Only where that cannot be done the call goes elsewhere;
+// where nothing can, it stays until layers return or its send ends.
+//
+// A stream that is under way and finds no path
 // waits for one for a short time, since lost layers are loaded elsewhere
 // meanwhile; so does one for which the budget is spent. A call that finds no
 // room waits for a part of its objective before it is refused.
@@ -172,15 +189,26 @@
   // A call has waited for room in vain.
   void OnWaitedInVain(Instant now);
 
-  // A hop of the path was found dead: leaves the path at once.
+  // A hop of the path was found dead: goes on without it at once.
   void OnPathFault(const std::string& target_id, Instant now);
 
+  // The first target took the changed path, or did not; `fault_address` is the
+  // hop that it names as the cause.
+  void OnPathChanged(bool accepted,
+                     const std::string& fault_address,
+                     Instant now);
+
   // Whether the stream has been silent for much longer than its path's usual
   // pace.
   bool IsStalled(Instant now) const;
 
   bool done() const { return done_; }
   bool relaying() const { return relaying_; }
+  // Whether the path under way lacks a hop.
+  bool has_lost_path() const { return path_lost_at_.has_value(); }
+  // Whether the first target was ordered to change the path and has not
+  // answered.
+  bool is_changing_path() const { return next_path_.has_value(); }
   const CallRequest& request() const { return request_; }
   const CallDispatch& dispatch() const { return dispatch_; }
   int sends() const { return sends_; }
@@ -196,6 +224,15 @@
   void SendAgain(const SendFailure& failure, Instant now);
   void GiveUp(CallEnd end, bool answer_at_hand, Instant now);
   void Exclude(const SendFailure& failure);
+  void ExcludeTarget(const std::string& id);
+  bool IsExcluded(const std::string& id) const;
+  // Looks for a way on for a call whose path lost a hop.
+  void LookForWayOn(Instant now);
+  void LeaveLostPath(Instant now);
+  void OnTimeOfLostPath(Instant now);
+  bool IsOnExcludedHop() const;
+  // Ends the send under way, which may have run.
+  void AbandonSend();
 
   CallRequest request_;
   CallPorts* ports_;
@@ -209,11 +246,19 @@
   // Whether a stream under way waits for a path.
   bool waiting_ = false;
   SendFailure last_failure_;
+  // Set while the path lacks a hop.
+  std::optional<Instant> path_lost_at_;
+  // A changed path that the first target has not answered yet, and until when
+  // it may.
+  std::optional<CallDispatch> next_path_;
+  Instant change_deadline_{};
+  int path_changes_ = 0;
   bool relaying_ = false;
   bool done_ = false;
   int64_t last_event_ = kNoEvent;
   Instant last_progress_{};
-  Instant sent_at_{};
+  // Since when the path under way has been expected to bring the next event.
+  Instant quiet_since_{};
   Instant next_look_{};
 };
 
--- /dev/null
+++ b/modules/bbv_fleet/layer_doubler.cc
@@ -0,0 +1,358 @@
+#include "bbv_fleet/layer_doubler.h"
+
+#include <algorithm>
+#include <map>
+#include <numeric>
+#include <string>
+#include <utility>
+
+#include "bbv_core/hashing.h"
+
+namespace bbv {
+namespace {
+
+// Share of the memory beside one whole copy that stays with requests.
+constexpr double kRequestShare = 0.5;
+// Memory that requests use now is left to them this many times.
+constexpr double kUsedMemoryFactor = 1.3;
+constexpr double kBytesInMegabyte = 1e6;
+
+double MemoryMb(const EngineModel& model, const PlannerTarget& target) {
+  const AcceleratorKind* kind = model.FindKind(target.accelerator);
+  return kind == nullptr ? 0 : kind->memory_mb;
+}
+
+// Share of the targets' memory that one copy takes.
+double HeldShare(const EngineModel& model,
+                 const std::vector<PlannerTarget>& targets) {
+  double memory = 0;
+  for (const PlannerTarget& it : targets)
+    memory += MemoryMb(model, it);
+  return memory <= 0 ? 1
+                     : std::min(1.0, model.layers * model.layer_mb / memory);
+}
+
+// Layers that leave a target's part of the memory to requests.
+int ComfortableLayers(const EngineModel& model,
+                      const PlannerTarget& target,
+                      double held_share) {
+  const double for_layers =
+      MemoryMb(model, target) * (1 - kRequestShare * (1 - held_share));
+  const int most =
+      std::max(1, LayerPlanner::MaxLayers(model, target.accelerator));
+  return std::clamp(static_cast<int>(for_layers / model.layer_mb), 1, most);
+}
+
+// Targets of a zone that hold nothing yet, while layers are divided over them:
+// the largest hold the upper layers alone, the others the lower ones in two
+// chains. The fewer the targets that hold layers alone, the fewer losses leave
+// a gap.
+class TwofoldDivision {
+ public:
+  TwofoldDivision(const EngineModel& model,
+                  const std::vector<PlannerTarget>& members)
+      : model_(model), ranges_(members.size()) {
+    const double held_share = HeldShare(model, members);
+    for (const PlannerTarget& it : members)
+      capacities_.push_back(ComfortableLayers(model, it, held_share));
+    order_.resize(members.size());
+    std::iota(order_.begin(), order_.end(), 0);
+    // Equals in an order that is the same on every process.
+    std::sort(order_.begin(), order_.end(), [&](auto left, auto right) {
+      if (capacities_[left] != capacities_[right])
+        return capacities_[left] > capacities_[right];
+      return HashBytes(members[left].id) < HashBytes(members[right].id);
+    });
+  }
+
+  bool Divide() {
+    int alone = 0;
+    for (std::size_t n = 0; n < order_.size(); ++n) {
+      const int doubled = model_.layers - alone;
+      if (doubled <= 0)
+        return false;
+      if (FillChains(n, doubled)) {
+        FillRange(Chain(order_.begin(),
+                        order_.begin() + static_cast<std::ptrdiff_t>(n)),
+                  {doubled, model_.layers});
+        return true;
+      }
+      alone += capacities_[order_[n]];
+    }
+    return false;
+  }
+
+  std::vector<LayerRange> TakeRanges() { return std::move(ranges_); }
+
+ private:
+  using Chain = std::vector<std::size_t>;
+
+  // Divides the first `layers` layers twice over all targets but the first `n`.
+  bool FillChains(std::size_t n, int layers) {
+    Chain chains[2];
+    int capacities[2] = {0, 0};
+    for (std::size_t it = n; it < order_.size(); ++it) {
+      const int chain = capacities[1] < capacities[0] ? 1 : 0;
+      chains[chain].push_back(order_[it]);
+      capacities[chain] += capacities_[order_[it]];
+    }
+    if (std::min(capacities[0], capacities[1]) < layers)
+      return false;
+    FillRange(chains[0], {0, layers});
+    FillRange(chains[1], {0, layers});
+    return true;
+  }
+
+  // Divides `range` over `chain` in the ratio of the targets' capacities.
+  void FillRange(const Chain& chain, const LayerRange& range) {
+    int left = 0;
+    for (const std::size_t it : chain)
+      left += capacities_[it];
+    int at = range.from;
+    for (const std::size_t it : chain) {
+      const int remaining = range.to - at;
+      // Rounded up, so that what is left always fits the others.
+      const int n =
+          left <= 0 ? 0 : (remaining * capacities_[it] + left - 1) / left;
+      left -= capacities_[it];
+      ranges_[it] = LayerRange{at, at + std::min(n, remaining)};
+      at = ranges_[it].to;
+    }
+  }
+
+  const EngineModel& model_;
+  std::vector<int> capacities_;
+  // Targets from the largest to the smallest.
+  Chain order_;
+  std::vector<LayerRange> ranges_;
+};
+
+// The targets of one zone, while their layers are being doubled.
+class ZoneDoubler {
+ public:
+  ZoneDoubler(const EngineModel& model, std::vector<PlannerTarget> targets)
+      : model_(model), targets_(std::move(targets)) {
+    held_share_ = HeldShare(model_, targets_);
+    for (const PlannerTarget& it : targets_)
+      wanted_.push_back(*it.layers);
+  }
+
+  bool HoldsWholeCopy() const {
+    const std::vector<int> coverage = Coverage();
+    return std::all_of(coverage.begin(), coverage.end(),
+                       [](int it) { return it > 0; });
+  }
+
+  std::vector<Placement> Plan(int most_changes) {
+    for (const std::size_t it : InOrderOfNeed()) {
+      if (ChangedCount() >= most_changes)
+        break;
+      if (GiveUpDoubled(it))
+        continue;
+      // Two neighbours may share what one cannot take alone.
+      Double(it, most_changes - ChangedCount());
+    }
+    std::vector<Placement> changes;
+    for (std::size_t it = 0; it < targets_.size(); ++it) {
+      if (IsChanged(it))
+        changes.push_back({targets_[it].id, wanted_[it]});
+    }
+    return changes;
+  }
+
+ private:
+  int Comfortable(std::size_t index) const {
+    return ComfortableLayers(model_, targets_[index], held_share_);
+  }
+
+  // Layers that the target can take over now.
+  int Headroom(std::size_t index) const {
+    const double used = kUsedMemoryFactor * targets_[index].used_token_layers *
+                        model_.kv_bytes_per_token / model_.layers /
+                        kBytesInMegabyte;
+    const int free_of_requests = static_cast<int>(
+        (MemoryMb(model_, targets_[index]) - used) / model_.layer_mb);
+    return std::min(Comfortable(index), free_of_requests) -
+           wanted_[index].size();
+  }
+
+  bool IsCrowded(std::size_t index) const {
+    return wanted_[index].size() > Comfortable(index);
+  }
+
+  bool IsChanged(std::size_t index) const {
+    return wanted_[index] != *targets_[index].layers;
+  }
+
+  int ChangedCount() const {
+    int n = 0;
+    for (std::size_t it = 0; it < targets_.size(); ++it)
+      n += IsChanged(it) ? 1 : 0;
+    return n;
+  }
+
+  std::vector<int> Coverage() const {
+    std::vector<int> coverage(model_.layers, 0);
+    for (const LayerRange& range : wanted_) {
+      for (int it = range.from; it < std::min(range.to, model_.layers); ++it)
+        ++coverage[it];
+    }
+    return coverage;
+  }
+
+  // The layers that `index` alone holds, from the first to the last of them;
+  // empty when there are none.
+  LayerRange HeldAlone(std::size_t index) const {
+    const std::vector<int> coverage = Coverage();
+    const LayerRange& range = wanted_[index];
+    LayerRange alone{range.to, range.from};
+    for (int it = range.from; it < std::min(range.to, model_.layers); ++it) {
+      if (coverage[it] > 1)
+        continue;
+      alone.from = std::min(alone.from, it);
+      alone.to = it + 1;
+    }
+    return alone.from < alone.to ? alone : LayerRange{range.from, range.from};
+  }
+
+  // Crowded targets first, then those that are doubled with the fewest layers.
+  std::vector<std::size_t> InOrderOfNeed() const {
+    std::vector<std::size_t> order(targets_.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::stable_sort(order.begin(), order.end(), [this](auto left, auto right) {
+      if (IsCrowded(left) != IsCrowded(right))
+        return IsCrowded(left);
+      return HeldAlone(left).size() < HeldAlone(right).size();
+    });
+    return order;
+  }
+
+  // Takes from a crowded target what targets with more room hold as well.
+  bool GiveUpDoubled(std::size_t index) {
+    if (!IsCrowded(index) || IsChanged(index))
+      return false;
+    std::vector<int> elsewhere(model_.layers, 0);
+    for (std::size_t other = 0; other < targets_.size(); ++other) {
+      // What a target has just been asked to load it does not hold yet.
+      if (other == index || IsCrowded(other) || IsChanged(other))
+        continue;
+      const LayerRange& range = *targets_[other].layers;
+      for (int it = range.from; it < std::min(range.to, model_.layers); ++it)
+        ++elsewhere[it];
+    }
+    LayerRange& range = wanted_[index];
+    const int least = Comfortable(index);
+    while (range.size() > least && elsewhere[range.from] > 0)
+      ++range.from;
+    while (range.size() > least && elsewhere[range.to - 1] > 0)
+      --range.to;
+    return IsChanged(index);
+  }
+
+  // Lets neighbours hold what `index` alone holds: all of it, or for a crowded
+  // target as much as they can.
+  void Double(std::size_t index, int changes_left) {
+    const LayerRange alone = HeldAlone(index);
+    if (alone.size() == 0)
+      return;
+    const int lower = Neighbour(index, alone, /*is_lower=*/true);
+    const int upper = Neighbour(index, alone, /*is_lower=*/false);
+    const int from_lower = lower < 0 ? 0 : Reach(lower, alone, true);
+    const int from_upper = upper < 0 ? 0 : Reach(upper, alone, false);
+    const bool crowded = IsCrowded(index);
+    if (from_lower >= alone.size() && from_lower >= from_upper) {
+      wanted_[lower].to = alone.to;
+      return;
+    }
+    if (from_upper >= alone.size()) {
+      wanted_[upper].from = alone.from;
+      return;
+    }
+    if ((from_lower + from_upper < alone.size() && !crowded) ||
+        (changes_left < 2 && !crowded))
+      return;
+    if (from_lower > 0)
+      wanted_[lower].to = std::max(wanted_[lower].to, alone.from + from_lower);
+    if (from_upper > 0 && changes_left >= 2) {
+      const int start =
+          std::max(alone.from + from_lower, alone.to - from_upper);
+      wanted_[upper].from = std::min(wanted_[upper].from, start);
+    }
+  }
+
+  // Layers of `alone` that `neighbour` can reach from its side.
+  int Reach(int neighbour, const LayerRange& alone, bool is_lower) const {
+    const LayerRange& range = wanted_[neighbour];
+    const int between =
+        is_lower ? alone.from - range.to : range.from - alone.to;
+    return std::clamp(Headroom(neighbour) - between, 0, alone.size());
+  }
+
+  // The target beside `alone` that can take most of it, or -1.
+  int Neighbour(std::size_t index,
+                const LayerRange& alone,
+                bool is_lower) const {
+    int best = -1;
+    int most = 0;
+    for (std::size_t it = 0; it < targets_.size(); ++it) {
+      if (it == index || IsCrowded(it))
+        continue;
+      const LayerRange& range = wanted_[it];
+      const bool beside =
+          is_lower ? range.from < alone.from && range.to <= alone.from
+                   : range.to > alone.to && range.from >= alone.to;
+      if (!beside)
+        continue;
+      const int reach = Reach(static_cast<int>(it), alone, is_lower);
+      if (reach <= most)
+        continue;
+      best = static_cast<int>(it);
+      most = reach;
+    }
+    return best;
+  }
+
+  const EngineModel& model_;
+  std::vector<PlannerTarget> targets_;
+  std::vector<LayerRange> wanted_;
+  // Share of the zone's memory that one copy takes.
+  double held_share_ = 1;
+};
+
+}  // namespace
+
+std::optional<std::vector<LayerRange>> LayerDoubler::PlaceAfresh(
+    const EngineModel& model,
+    const std::vector<PlannerTarget>& members) {
+  if (model.layers <= 0 || model.layer_mb <= 0)
+    return std::nullopt;
+  TwofoldDivision division(model, members);
+  if (!division.Divide())
+    return std::nullopt;
+  return division.TakeRanges();
+}
+
+std::vector<Placement> LayerDoubler::Plan(
+    const EngineModel& model,
+    const std::vector<PlannerTarget>& targets,
+    int most_changes) {
+  std::vector<Placement> changes;
+  if (model.layers <= 0 || model.layer_mb <= 0)
+    return changes;
+  std::map<std::string, std::vector<PlannerTarget>> zones;
+  for (const PlannerTarget& it : targets) {
+    if (it.layers && it.layers->to <= model.layers)
+      zones[it.zone].push_back(it);
+  }
+  for (auto& [zone, members] : zones) {
+    ZoneDoubler doubler(model, std::move(members));
+    if (!doubler.HoldsWholeCopy())
+      continue;
+    const int left = most_changes - static_cast<int>(changes.size());
+    for (Placement& it : doubler.Plan(left))
+      changes.push_back(std::move(it));
+  }
+  return changes;
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_fleet/layer_doubler_test.cc
@@ -0,0 +1,208 @@
+#include "bbv_fleet/layer_doubler.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "tests/fleet_fixtures.h"
+
+using bbv::EngineModel;
+using bbv::LayerDoubler;
+using bbv::LayerPlanner;
+using bbv::LayerRange;
+using bbv::Placement;
+using bbv::PlannerTarget;
+
+namespace {
+
+using Targets = std::vector<PlannerTarget>;
+
+constexpr int kNoLimit = 1000;
+
+void Apply(const std::vector<Placement>& changes, Targets* targets) {
+  for (const Placement& change : changes) {
+    for (PlannerTarget& it : *targets) {
+      if (it.id == change.id)
+        it.layers = change.layers;
+    }
+  }
+}
+
+Targets PlacedZones(const EngineModel& model) {
+  Targets targets = bbv_test::MakeThreeZones();
+  Apply(LayerPlanner::Plan(model, targets), &targets);
+  return targets;
+}
+
+bool HoldsCopy(const EngineModel& model,
+               const Targets& targets,
+               const std::string& zone,
+               const std::string& without) {
+  std::vector<bool> held(model.layers, false);
+  for (const PlannerTarget& it : targets) {
+    if (!it.layers || it.zone != zone || it.id == without)
+      continue;
+    for (int layer = it.layers->from; layer < it.layers->to; ++layer)
+      held[layer] = true;
+  }
+  return std::all_of(held.begin(), held.end(), [](bool it) { return it; });
+}
+
+// Targets whose loss leaves their zone without a layer.
+int CountLoneHolders(const EngineModel& model, const Targets& targets) {
+  int n = 0;
+  for (const PlannerTarget& it : targets)
+    n += HoldsCopy(model, targets, it.zone, it.id) ? 0 : 1;
+  return n;
+}
+
+bool FitsMemory(const EngineModel& model, const Targets& targets) {
+  return std::all_of(targets.begin(), targets.end(), [&](const auto& it) {
+    return !it.layers ||
+           (it.layers->from >= 0 && it.layers->from < it.layers->to &&
+            it.layers->to <= model.layers &&
+            it.layers->size() <=
+                LayerPlanner::MaxLayers(model, it.accelerator));
+  });
+}
+
+}  // namespace
+
+TEST_GROUP(LayerDoubler) {
+  EngineModel model = bbv_test::MakeModel();
+};
+
+TEST(LayerDoubler, MostTargetsOfTheDeploymentMayBeLostWithoutALayer) {
+  // In a single chain each of the 38 targets alone holds its layers.
+  Targets targets = PlacedZones(model);
+  Apply(LayerDoubler::Plan(model, targets, kNoLimit), &targets);
+  CHECK(FitsMemory(model, targets));
+  CHECK(CountLoneHolders(model, targets) <= 19);
+}
+
+TEST(LayerDoubler, LeavesRequestsHalfOfTheMemoryBesideOneCopy) {
+  Targets targets = PlacedZones(model);
+  Apply(LayerDoubler::Plan(model, targets, kNoLimit), &targets);
+  for (const char* zone : {"a", "b", "c"}) {
+    double memory = 0;
+    double layers = 0;
+    for (const PlannerTarget& it : targets) {
+      if (it.zone != zone)
+        continue;
+      memory += model.FindKind(it.accelerator)->memory_mb;
+      layers += it.layers->size() * model.layer_mb;
+    }
+    const double beside_one = memory - model.layers * model.layer_mb;
+    CHECK(memory - layers >= 0.45 * beside_one);
+  }
+}
+
+TEST(LayerDoubler, ChangesNothingWithoutACause) {
+  Targets targets = PlacedZones(model);
+  for (int step = 0; step < 20; ++step) {
+    const auto changes = LayerDoubler::Plan(model, targets, kNoLimit);
+    if (changes.empty())
+      break;
+    CHECK(step < 10);
+    Apply(changes, &targets);
+  }
+  CHECK(LayerPlanner::Plan(model, targets).empty());
+}
+
+TEST(LayerDoubler, KeepsToTheNumberOfChanges) {
+  model.layers = 24;
+  Targets targets;
+  for (int it = 0; it < 8; ++it) {
+    targets.push_back({"i-" + std::to_string(it), "z", "middle",
+                       LayerRange{3 * it, 3 * it + 3}});
+  }
+  for (int step = 0; step < 60; ++step) {
+    const auto changes = LayerDoubler::Plan(model, targets, 2);
+    CHECK(changes.size() <= 2);
+    Apply(changes, &targets);
+  }
+  CHECK_EQUAL(0, CountLoneHolders(model, targets));
+}
+
+TEST(LayerDoubler, TakesNoMemoryThatRequestsUse) {
+  Targets targets = PlacedZones(model);
+  for (PlannerTarget& it : targets) {
+    const double free_mb = model.FindKind(it.accelerator)->memory_mb -
+                           it.layers->size() * model.layer_mb;
+    it.used_token_layers =
+        free_mb * 1e6 / (model.kv_bytes_per_token / model.layers) * 0.8;
+  }
+  CHECK(LayerDoubler::Plan(model, targets, kNoLimit).empty());
+}
+
+TEST(LayerDoubler, ACrowdedTargetIsRelievedInTwoSteps) {
+  // A repair has left one target with as many layers as it can hold; beside it
+  // stand targets with room.
+  model.layers = 24;
+  Targets targets = {{"a", "z", "middle", LayerRange{0, 6}},
+                     {"b", "z", "middle", LayerRange{6, 17}},
+                     {"c", "z", "middle", LayerRange{17, 22}},
+                     {"d", "z", "small", LayerRange{22, 24}}};
+  const Targets before = targets;
+  Apply(LayerDoubler::Plan(model, targets, kNoLimit), &targets);
+  CHECK(targets[1].layers->Holds(*before[1].layers));
+  Apply(LayerDoubler::Plan(model, targets, kNoLimit), &targets);
+  CHECK(targets[1].layers->size() < before[1].layers->size());
+  CHECK(HoldsCopy(model, targets, "z", ""));
+}
+
+TEST(LayerDoubler, LeavesZonesThatLackLayersToThePlanner) {
+  Targets targets = PlacedZones(model);
+  Targets broken;
+  for (const PlannerTarget& it : targets) {
+    if (it.zone == "b" && it.layers->from != 0)
+      broken.push_back(it);
+  }
+  CHECK(LayerDoubler::Plan(model, broken, kNoLimit).empty());
+}
+
+TEST(LayerDoubler, DrawnDeploymentsKeepEveryLayerThroughLossesAndRepairs) {
+  std::mt19937 random(11);
+  for (int run = 0; run < 200; ++run) {
+    model.layers = 20 + static_cast<int>(random() % 100);
+    Targets targets;
+    const int n = 6 + static_cast<int>(random() % 30);
+    const std::vector<std::string> kinds = {"large", "middle", "small"};
+    int capacity = 0;
+    for (int it = 0; it < n; ++it) {
+      targets.push_back({"i-" + std::to_string(random()), "z",
+                         kinds[random() % kinds.size()], std::nullopt});
+      capacity += LayerPlanner::MaxLayers(model, targets.back().accelerator);
+    }
+    if (capacity < model.layers)
+      continue;
+    Apply(LayerPlanner::Plan(model, targets), &targets);
+    for (int step = 0; step < 12 && targets.size() > 2; ++step) {
+      const auto changes = LayerDoubler::Plan(
+          model, targets, 1 + static_cast<int>(random() % 6));
+      // While orders are carried out, layers that are kept stay in use.
+      Targets during = targets;
+      for (const Placement& change : changes) {
+        for (PlannerTarget& it : during) {
+          if (it.id != change.id)
+            continue;
+          it.layers = LayerRange{std::max(it.layers->from, change.layers.from),
+                                 std::min(it.layers->to, change.layers.to)};
+        }
+      }
+      CHECK(HoldsCopy(model, during, "z", ""));
+      Apply(changes, &targets);
+      CHECK(FitsMemory(model, targets));
+      if (step % 4 != 3)
+        continue;
+      targets.erase(targets.begin() +
+                    static_cast<int>(random() % targets.size()));
+      Apply(LayerPlanner::Plan(model, targets), &targets);
+      if (!HoldsCopy(model, targets, "z", ""))
+        break;
+    }
+  }
+}
--- a/modules/bbv_fleet/layer_planner.cc
+++ b/modules/bbv_fleet/layer_planner.cc
@@ -7,6 +7,7 @@
 #include <numeric>
 
 #include "bbv_core/hashing.h"
+#include "bbv_fleet/layer_doubler.h"
 
 namespace bbv {
 namespace {
@@ -55,9 +56,9 @@
         std::none_of(wanted_.begin(),
                      wanted_.begin() + static_cast<std::ptrdiff_t>(members_),
                      [](const auto& it) { return it.has_value(); });
-    if (fresh)
+    if (fresh && !PlaceTwofold())
       PlaceAfresh(ShuffledOrder());
-    else
+    else if (!fresh)
       Repair(may_move);
     for (std::size_t it = 0; it < targets_.size(); ++it) {
       if (!wanted_[it])
@@ -73,6 +74,22 @@
   }
 
  private:
+  // Places layers on targets that hold none, most of them twice; false when
+  // memory does not allow that.
+  bool PlaceTwofold() {
+    const std::vector<PlannerTarget> members(
+        targets_.begin(),
+        targets_.begin() + static_cast<std::ptrdiff_t>(members_));
+    const auto ranges = LayerDoubler::PlaceAfresh(model_, members);
+    if (!ranges)
+      return false;
+    for (std::size_t it = 0; it < members_; ++it) {
+      if ((*ranges)[it].size() > 0)
+        wanted_[it] = (*ranges)[it];
+    }
+    return true;
+  }
+
   // An order that mixes accelerator kinds, the same on every process.
   std::vector<std::size_t> ShuffledOrder() const {
     std::vector<std::size_t> order(members_);
--- a/modules/bbv_fleet/layer_planner.h
+++ b/modules/bbv_fleet/layer_planner.h
@@ -17,6 +17,8 @@
   std::string accelerator;
   // What it holds or has been ordered to hold; empty for none.
   std::optional<LayerRange> layers;
+  // Tokens times layers that requests hold in its memory.
+  double used_token_layers = 0;
 };
 
 // A target and the layers that it should hold from now on.
--- a/modules/bbv_fleet/path_chooser.cc
+++ b/modules/bbv_fleet/path_chooser.cc
@@ -5,6 +5,7 @@
 #include <limits>
 #include <map>
 #include <set>
+#include <utility>
 
 #include "bbv_core/hashing.h"
 
@@ -26,6 +27,9 @@
 // calls that come at once, as after a crash, are spread over all copies.
 constexpr double kBacklogWeight = 1.0 / 30;
 constexpr double kBytesInMegabyte = 1e6;
+// Share of its time at which a hop that a call already has counts when another
+// hop is replaced: it alone need not read the call's tokens again.
+constexpr double kKeptHopFactor = 0.1;
 constexpr double kUnreached = std::numeric_limits<double>::infinity();
 
 // Expected milliseconds until `target` has read the prompts sent there.
@@ -59,22 +63,16 @@
   return std::max(0.0, free_mb * kBytesInMegabyte / bytes_per_token_layer);
 }
 
-EnginePath PathChooser::Choose(const EngineModel& model,
-                               const PathQuery& query,
-                               Instant now,
-                               PathFailure* failure) const {
-  assert(failure != nullptr);
-  std::map<std::string_view, std::vector<Candidate>> zones;
-  std::vector<Candidate> all;
+std::vector<PathChooser::Candidate> PathChooser::Collect(
+    const EngineModel& model,
+    const PathQuery& query,
+    Instant now) const {
+  std::vector<Candidate> candidates;
   uint64_t draw = query.draw;
   for (const auto& [id, row] : board_->rows()) {
     FleetTarget* target = row.get();
     if (target->record.service != query.service || !target->record.layers ||
-        !board_->MayTake(*target, now))
-      continue;
-    if (query.excluded != nullptr &&
-        std::find(query.excluded->begin(), query.excluded->end(), id) !=
-            query.excluded->end())
+        !board_->MayTake(*target, now) || IsExcluded(query, id))
       continue;
     const AcceleratorKind* kind = model.FindKind(target->record.accelerator);
     if (kind == nullptr)
@@ -82,10 +80,11 @@
     const double capacity = CapacityTokenLayers(model, *target);
     const double used = target->UsedTokenLayers(now);
     const double load = capacity > 0 ? std::min(1.0, used / capacity) : 1.0;
-    draw = HashPair(draw, all.size());
+    draw = HashPair(draw, candidates.size());
     const double spread = 1 + kSpread * static_cast<double>(draw % 1024) / 1024;
     Candidate candidate;
     candidate.target = target;
+    candidate.layers = *target->record.layers;
     candidate.layer_ms = model.step_ms * kind->step_factor * target->Pace(now) /
                          model.layers *
                          (1 + (kFullTargetFactor - 1) * load * load) *
@@ -93,15 +92,24 @@
     candidate.hop_ms =
         kHopMs + kBacklogWeight * BacklogMs(model, *kind, *target, now);
     candidate.room_token_layers = capacity - used;
-    const auto zone = zones.try_emplace(target->record.zone).first;
-    candidate.zone = static_cast<int>(std::distance(zones.begin(), zone));
-    zone->second.push_back(candidate);
-    all.push_back(candidate);
+    candidates.push_back(candidate);
   }
+  return candidates;
+}
+
+EnginePath PathChooser::Choose(const EngineModel& model,
+                               const PathQuery& query,
+                               Instant now,
+                               PathFailure* failure) const {
+  assert(failure != nullptr);
+  std::vector<Candidate> all = Collect(model, query, now);
+  std::map<std::string_view, std::vector<Candidate>> zones;
+  for (const Candidate& it : all)
+    zones[it.target->record.zone].push_back(it);
   EnginePath best;
   double best_ms = kUnreached;
   for (const auto& [zone, candidates] : zones) {
-    EnginePath path = SearchOnce(model, candidates, query.tokens, false);
+    EnginePath path = SearchOnce(model, candidates, {query.tokens});
     const double away = zone == query.zone ? 0 : kOtherZoneMs;
     if (path.empty() || path.token_ms + away >= best_ms)
       continue;
@@ -111,35 +119,95 @@
   *failure = PathFailure::kNone;
   if (!best.empty())
     return best;
-  // Zone numbers of `all` were taken while zones were still being added.
   for (Candidate& it : all) {
     it.zone = static_cast<int>(
         std::distance(zones.begin(), zones.find(it.target->record.zone)));
   }
-  best = SearchOnce(model, all, query.tokens, true);
+  best = SearchOnce(model, all, {query.tokens, /*across_zones=*/true});
   if (!best.empty())
     return best;
-  const bool held = !SearchOnce(model, all, 0, true).empty();
+  const bool held =
+      !SearchOnce(model, all, {/*tokens=*/0, /*across_zones=*/true}).empty();
   *failure = held ? PathFailure::kNoRoom : PathFailure::kLayersMissing;
   return best;
 }
 
+EnginePath PathChooser::Mend(const EngineModel& model,
+                             const PathQuery& query,
+                             const std::vector<KeptHop>& current,
+                             Instant now) const {
+  assert(!current.empty());
+  FleetTarget* first = board_->Find(current.front().target_id);
+  if (first == nullptr || IsExcluded(query, current.front().target_id))
+    return {};
+  std::vector<Candidate> candidates = Collect(model, query, now);
+  std::erase_if(candidates, [first](const Candidate& it) {
+    return it.target == first || it.target->record.zone != first->record.zone;
+  });
+  for (auto it = current.begin() + 1; it != current.end(); ++it) {
+    FleetTarget* target = board_->Find(it->target_id);
+    if (target == nullptr || IsExcluded(query, it->target_id) ||
+        !board_->IsUsable(*target, now) || !target->record.layers ||
+        !target->record.layers->Holds(it->layers))
+      continue;
+    const AcceleratorKind* kind = model.FindKind(target->record.accelerator);
+    if (kind == nullptr)
+      continue;
+    Candidate candidate;
+    candidate.target = target;
+    candidate.layers = it->layers;
+    candidate.is_kept = true;
+    candidate.layer_ms =
+        kKeptHopFactor * model.step_ms * kind->step_factor / model.layers;
+    candidate.room_token_layers = kUnreached;
+    candidates.push_back(candidate);
+  }
+  SearchLimits limits{query.tokens};
+  limits.from = current.front().layers.to;
+  if (limits.from >= model.layers)
+    return {};
+  EnginePath path = SearchOnce(model, candidates, limits);
+  if (!path.empty())
+    path.hops.insert(path.hops.begin(), Hop{first, current.front().layers});
+  return path;
+}
+
+bool PathChooser::IsExcluded(const PathQuery& query, std::string_view id) {
+  return query.excluded != nullptr &&
+         std::find(query.excluded->begin(), query.excluded->end(), id) !=
+             query.excluded->end();
+}
+
+bool PathChooser::HasTargetTwice(const EnginePath& path) {
+  std::set<const FleetTarget*> seen;
+  for (const Hop& it : path.hops) {
+    if (!seen.insert(it.target).second)
+      return true;
+  }
+  return false;
+}
+
 EnginePath PathChooser::SearchOnce(const EngineModel& model,
                                    const std::vector<Candidate>& candidates,
-                                   double tokens,
-                                   bool across_zones) {
-  EnginePath path =
-      Search(model, candidates, {tokens, across_zones, /*whole_hops=*/false});
-  std::set<const FleetTarget*> seen;
+                                   SearchLimits limits) {
+  EnginePath path = Search(model, candidates, limits);
+  if (!HasTargetTwice(path))
+    return path;
+  // Two hops that follow one another on one target are one hop.
+  std::vector<Hop> joined;
   for (const Hop& it : path.hops) {
-    if (!seen.insert(it.target).second) {
-      // A target stands in a path once. Hops that end where their targets'
-      // layers end cannot come back to one.
-      return Search(model, candidates,
-                    {tokens, across_zones, /*whole_hops=*/true});
-    }
+    if (!joined.empty() && joined.back().target == it.target)
+      joined.back().layers.to = it.layers.to;
+    else
+      joined.push_back(it);
   }
-  return path;
+  path.hops = std::move(joined);
+  if (!HasTargetTwice(path))
+    return path;
+  // Hops that end where their targets' layers end cannot come back to one.
+  limits.whole_hops = true;
+  path = Search(model, candidates, limits);
+  return HasTargetTwice(path) ? EnginePath() : path;
 }
 
 EnginePath PathChooser::Search(const EngineModel& model,
@@ -157,8 +225,8 @@
   const int layers = model.layers;
   std::vector<char> is_cut(layers + 1, 0);
   for (const Candidate& it : candidates) {
-    is_cut[std::clamp(it.target->record.layers->from, 0, layers)] = 1;
-    is_cut[std::clamp(it.target->record.layers->to, 0, layers)] = 1;
+    is_cut[std::clamp(it.layers.from, 0, layers)] = 1;
+    is_cut[std::clamp(it.layers.to, 0, layers)] = 1;
   }
   const int zone_count = [&] {
     int n = 0;
@@ -169,9 +237,9 @@
   // best[layer][zone of the hop that reached it]
   std::vector<std::vector<Arrival>> best(layers + 1,
                                          std::vector<Arrival>(zone_count));
-  for (Arrival& it : best[0])
+  for (Arrival& it : best[limits.from])
     it.cost = 0;
-  for (int at = 0; at < layers; ++at) {
+  for (int at = limits.from; at < layers; ++at) {
     double cheapest = kUnreached;
     for (const Arrival& it : best[at])
       cheapest = std::min(cheapest, it.cost);
@@ -179,12 +247,12 @@
       continue;
     for (int index = 0; index < static_cast<int>(candidates.size()); ++index) {
       const Candidate& it = candidates[index];
-      const LayerRange& held = *it.target->record.layers;
-      if (at < held.from || at >= held.to)
+      const LayerRange& held = it.layers;
+      if (at < held.from || at >= held.to || (it.is_kept && at > held.from))
         continue;
       const int zone = across_zones ? it.zone : 0;
       double cost = best[at][zone].cost;
-      if (at > 0)
+      if (at > limits.from)
         cost = std::min(cost, cheapest + kCrossingMs);
       if (cost == kUnreached)
         continue;
@@ -193,7 +261,8 @@
           continue;
         if (limits.tokens * (end - at) > it.room_token_layers)
           break;
-        if (limits.whole_hops && end < std::min(held.to, layers))
+        if ((limits.whole_hops || it.is_kept) &&
+            end < std::min(held.to, layers))
           continue;
         const double total = cost + it.hop_ms + it.layer_ms * (end - at);
         Arrival& arrival = best[end][zone];
@@ -213,13 +282,13 @@
     return path;
   path.token_ms = best[layers][zone].cost;
   int at = layers;
-  while (at > 0) {
+  while (at > limits.from) {
     // The arrival's hop began either in the same zone or after a crossing.
     const Arrival& arrival = best[at][zone];
     const Candidate& it = candidates[arrival.candidate];
     path.hops.push_back({it.target, {arrival.from, at}});
     at = arrival.from;
-    if (at == 0)
+    if (at == limits.from)
       break;
     int previous = zone;
     for (int other = 0; other < zone_count; ++other) {
--- a/modules/bbv_fleet/path_chooser.h
+++ b/modules/bbv_fleet/path_chooser.h
@@ -40,6 +40,12 @@
   uint64_t draw = 0;
 };
 
+// A hop of a path that a call is on.
+struct KeptHop {
+  std::string target_id;
+  LayerRange layers;
+};
+
 // Why no path was found.
 enum class PathFailure : uint8_t {
   kNone,
@@ -69,6 +75,14 @@
                     Instant now,
                     PathFailure* failure) const;
 
+  // Returns the path `current` with as few hops replaced as the targets that
+  // may be used allow: its first hop stays, and so does its zone. Empty when
+  // there is none. Precondition: `current` is not empty.
+  EnginePath Mend(const EngineModel& model,
+                  const PathQuery& query,
+                  const std::vector<KeptHop>& current,
+                  Instant now) const;
+
   // Tokens times layers that `target` can hold beside its layers.
   static double CapacityTokenLayers(const EngineModel& model,
                                     const FleetTarget& target);
@@ -76,6 +90,9 @@
  private:
   struct Candidate {
     FleetTarget* target = nullptr;
+    LayerRange layers;
+    // Whether the call is on it already: it runs just these layers.
+    bool is_kept = false;
     int zone = 0;
     double layer_ms = 0;
     // Milliseconds a token for the hop itself.
@@ -89,13 +106,21 @@
     bool across_zones = false;
     // Whether each hop runs to the end of its target's layers.
     bool whole_hops = false;
+    // First layer that the path has to run.
+    int from = 0;
   };
 
+  // Returns the targets that may take hops of new paths.
+  std::vector<Candidate> Collect(const EngineModel& model,
+                                 const PathQuery& query,
+                                 Instant now) const;
+  static bool IsExcluded(const PathQuery& query, std::string_view id);
+  static bool HasTargetTwice(const EnginePath& path);
+
   // Returns the shortest path on which each target stands once.
   static EnginePath SearchOnce(const EngineModel& model,
                                const std::vector<Candidate>& candidates,
-                               double tokens,
-                               bool across_zones);
+                               SearchLimits limits);
   static EnginePath Search(const EngineModel& model,
                            const std::vector<Candidate>& candidates,
                            const SearchLimits& limits);
--- a/modules/bbv_fleet/path_chooser_test.cc
+++ b/modules/bbv_fleet/path_chooser_test.cc
@@ -135,6 +135,57 @@
   CHECK(placed > 500);
 }
 
+TEST(PathChooser, MendsAPathByReplacingOnlyTheLostHop) {
+  // Every target of the zone has a twin that holds the same layers.
+  std::vector<bbv::TargetRecord> twins;
+  for (const auto& [id, row] : board.rows()) {
+    if (row->record.zone != "b")
+      continue;
+    bbv::TargetRecord twin = row->record;
+    twin.id += "-twin";
+    twin.address = "127.0.0.2:" + std::to_string(9000 + twins.size());
+    twins.push_back(twin);
+  }
+  for (const bbv::TargetRecord& it : twins)
+    board.Apply(it, now);
+  const EnginePath path = Choose("b", 3);
+  std::vector<bbv::KeptHop> current;
+  for (const bbv::Hop& it : path.hops)
+    current.push_back({it.target->record.id, it.layers});
+  for (std::size_t lost = 1; lost < current.size(); ++lost) {
+    const std::vector<std::string> excluded = {current[lost].target_id};
+    PathQuery query;
+    query.service = "engine";
+    query.zone = "b";
+    query.tokens = 900;
+    query.excluded = &excluded;
+    const EnginePath mended = chooser.Mend(model, query, current, now);
+    CheckWhole(mended);
+    CHECK_EQUAL(current.size(), mended.hops.size());
+    for (std::size_t it = 0; it < current.size(); ++it) {
+      if (it == lost)
+        CHECK(mended.hops[it].target->record.id != current[it].target_id);
+      else
+        STRCMP_EQUAL(current[it].target_id.c_str(),
+                     mended.hops[it].target->record.id.c_str());
+    }
+  }
+}
+
+TEST(PathChooser, MendsNothingWhenNoOtherTargetHoldsTheLayers) {
+  const EnginePath path = Choose("b", 3);
+  std::vector<bbv::KeptHop> current;
+  for (const bbv::Hop& it : path.hops)
+    current.push_back({it.target->record.id, it.layers});
+  const std::vector<std::string> excluded = {current[1].target_id};
+  PathQuery query;
+  query.service = "engine";
+  query.zone = "b";
+  query.tokens = 900;
+  query.excluded = &excluded;
+  CHECK(chooser.Mend(model, query, current, now).empty());
+}
+
 TEST(PathChooser, FindsNothingBeforeAnyTargetIsListed) {
   bbv::TargetBoard empty;
   const bbv::PathChooser of_empty(&empty);
--- a/modules/bbv_fleet/target_selector.cc
+++ b/modules/bbv_fleet/target_selector.cc
@@ -19,6 +19,10 @@
 // Calls that may wait at a plain target beyond its slots.
 constexpr int kWaitingAtTarget = 3;
 
+double TokensOf(const CallRequest& request) {
+  return request.prompt_tokens + request.answer_tokens;
+}
+
 bool Contains(const std::vector<std::string>& list, const std::string& id) {
   return std::find(list.begin(), list.end(), id) != list.end();
 }
@@ -54,7 +58,7 @@
   PathQuery query;
   query.service = request.service;
   query.zone = zone_;
-  query.tokens = request.prompt_tokens + request.answer_tokens;
+  query.tokens = TokensOf(request);
   query.excluded = &excluded;
   query.draw = draw;
   PathFailure failure = PathFailure::kNone;
@@ -64,6 +68,44 @@
         failure == PathFailure::kNoRoom ? CallEnd::kNoRoom : CallEnd::kNoTarget;
     return std::nullopt;
   }
+  CallDispatch dispatch = MakeDispatch(path, request);
+  // After a fault every entry sends its streams again at the same moment, and
+  // hears of the others' only later.
+  dispatch.unread_tokens =
+      request.prompt_tokens * (excluded.empty() ? 1 : entries_);
+  return dispatch;
+}
+
+std::optional<CallDispatch> TargetSelector::SelectMend(
+    const FleetIndex& index,
+    const CallRequest& request,
+    const CallDispatch& current,
+    const std::vector<std::string>& excluded,
+    uint64_t draw,
+    Instant now) const {
+  const ServiceDescription* service = index.FindService(request.service);
+  if (service == nullptr || !service->engine || current.layers.empty())
+    return std::nullopt;
+  PathQuery query;
+  query.service = request.service;
+  query.zone = zone_;
+  query.tokens = TokensOf(request);
+  query.excluded = &excluded;
+  query.draw = draw;
+  std::vector<KeptHop> hops;
+  for (std::size_t it = 0; it < current.layers.size(); ++it)
+    hops.push_back({current.hop_ids[it], current.layers[it]});
+  const EnginePath path = paths_.Mend(*service->engine, query, hops, now);
+  if (path.empty())
+    return std::nullopt;
+  CallDispatch dispatch = MakeDispatch(path, request);
+  // Hops that stay read nothing again; what the others read is little.
+  dispatch.event_ms = std::max(dispatch.event_ms, current.event_ms);
+  return dispatch;
+}
+
+CallDispatch TargetSelector::MakeDispatch(const EnginePath& path,
+                                          const CallRequest& request) {
   CallDispatch dispatch;
   dispatch.target_id = path.hops.front().target->record.id;
   dispatch.target_address = path.hops.front().target->record.address;
@@ -72,11 +114,7 @@
     dispatch.hop_ids.push_back(it.target->record.id);
     dispatch.hop_addresses.push_back(it.target->record.address);
   }
-  dispatch.tokens = query.tokens;
-  // After a fault every entry sends its streams again at the same moment, and
-  // hears of the others' only later.
-  dispatch.unread_tokens =
-      request.prompt_tokens * (excluded.empty() ? 1 : entries_);
+  dispatch.tokens = TokensOf(request);
   dispatch.event_ms = kTokensPerEvent * path.token_ms;
   return dispatch;
 }
--- a/modules/bbv_fleet/target_selector.h
+++ b/modules/bbv_fleet/target_selector.h
@@ -33,6 +33,16 @@
                                      Instant now,
                                      CallEnd* end) const;
 
+  // Returns `current` with hops replaced that are excluded or cannot be used,
+  // or nothing when that cannot be done.
+  std::optional<CallDispatch> SelectMend(
+      const FleetIndex& index,
+      const CallRequest& request,
+      const CallDispatch& current,
+      const std::vector<std::string>& excluded,
+      uint64_t draw,
+      Instant now) const;
+
   // Counts a send as under way, or no longer.
   void Begin(const CallDispatch& dispatch);
   void Finish(CallDispatch* dispatch);
@@ -58,6 +68,9 @@
       Instant now,
       CallEnd* end) const;
 
+  static CallDispatch MakeDispatch(const EnginePath& path,
+                                   const CallRequest& request);
+
   TargetBoard* board_;
   std::string zone_;
   int entries_ = 1;
