Keep calls off queues in which they would only be late

Load reports showed calls piled up on paths that cross zones: when no zone held all layers, every call crossed, and each prompt takes 48 ms of a link that all share (117 calls a second). Eight engines that ran 12 times more slowly were used on, since pace was forgotten 2.5 s after the planner had gone. Ruled out: slow entries (callers that left were logged at 2.400 s sharp), dead hops (no stalled calls in reports), memory (used to two thirds). Change: paths cross zones only within each entry's part of half of the link time; no new call takes a hop whose unread prompts need longer than 1.5 times the call's objective; pace is believed for 6 s; the planner's lease is asked for every 250 ms while nobody holds it. Logs of lost and left calls name the path. Tests: new ones play both loads; they had nothing to build against before.

--- a/modules/bbv_entry/planner_agent.cc
+++ b/modules/bbv_entry/planner_agent.cc
@@ -15,6 +15,8 @@
 constexpr std::string_view kGroupTopic = "bluebellvalve-planner";
 constexpr Milliseconds kLease{3000};
 constexpr Milliseconds kRenewPause{900};
+// The same while no entry is known to hold the lease.
+constexpr Milliseconds kVacantPause{250};
 constexpr Milliseconds kStoreTimeout{1000};
 constexpr Milliseconds kPlanPause{100};
 // A list that is still growing is not planned on.
@@ -100,7 +102,7 @@
   if (joining_ || leaving_ || now < next_join_)
     return;
   joining_ = true;
-  next_join_ = now + kRenewPause;
+  next_join_ = now + (plans() || peer_plans_ ? kRenewPause : kVacantPause);
   store_->Call(
       platform::EncodeJoin(kGroup, member_, kGroupTopic,
                            static_cast<int>(lease_.count()), generation_),
@@ -131,6 +133,9 @@
 }
 
 void PlannerAgent::SetPeers(bool peer_plans, bool is_first, Instant now) {
+  if (peer_plans_ && !peer_plans)
+    next_join_ = std::min(next_join_, now + kVacantPause);
+  peer_plans_ = peer_plans;
   const bool unplanned =
       !store_->reachable() && !holds_lease_ && !peer_plans && !leaving_;
   if (!unplanned) {
--- a/modules/bbv_entry/planner_agent.h
+++ b/modules/bbv_entry/planner_agent.h
@@ -97,6 +97,8 @@
   bool standing_in_ = false;
   // Since when the store has been away and nobody has planned.
   std::optional<Instant> unplanned_since_;
+  // Whether some peer is known to plan.
+  bool peer_plans_ = false;
   bool joining_ = false;
   bool leaving_ = false;
   int64_t generation_ = 0;
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -29,6 +29,19 @@
   return std::chrono::duration<double, std::milli>(to - from).count();
 }
 
+// Returns "target=from-to ..." of the hops of a path.
+std::string PathText(const CallDispatch& dispatch) {
+  std::string text;
+  for (std::size_t it = 0; it < dispatch.layers.size(); ++it) {
+    if (it > 0)
+      text += ' ';
+    text += dispatch.hop_ids[it] + '=' +
+            std::to_string(dispatch.layers[it].from) + '-' +
+            std::to_string(dispatch.layers[it].to);
+  }
+  return text;
+}
+
 }  // namespace
 
 RelayedCall::RelayedCall(CallContext* context,
@@ -57,10 +70,13 @@
 
 void RelayedCall::OnCallerGone(Instant now) {
   caller_ = nullptr;
-  context_->log->Write(Event::kCallerLeft, now,
-                       {{"id", call_.request().attempt_id},
-                        {"target", sent_.target_id},
-                        {"last_event", call_.last_event()}});
+  context_->log->Write(
+      Event::kCallerLeft, now,
+      {{"id", call_.request().attempt_id},
+       {"target", sent_.target_id},
+       {"after_ms", MillisecondsBetween(call_.request().arrived, now)},
+       {"last_event", call_.last_event()},
+       {"path", PathText(sent_)}});
   call_.OnCallerLeft();
 }
 
@@ -301,7 +317,8 @@
                         {"cause", std::string(kCallEndNames.Name(end))},
                         {"outcome", "broken off"},
                         {"last_event", call_.last_event()},
-                        {"last_target", sent_.target_id}});
+                        {"last_target", sent_.target_id},
+                        {"path", PathText(sent_)}});
   if (caller_ != nullptr)
     std::exchange(caller_, nullptr)->Break();
 }
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -68,6 +68,8 @@
   // Prompt tokens that every hop has to read, counted as many times as other
   // entries are expected to send the like at the same moment.
   double unread_tokens = 0;
+  // Milliseconds for which its prompt occupies links between zones.
+  double link_ms = 0;
   // Expected milliseconds between two events of a stream.
   double event_ms = 0;
   // Last event that the caller has when it is sent; the target goes on after
--- a/modules/bbv_fleet/fleet_configuration.h
+++ b/modules/bbv_fleet/fleet_configuration.h
@@ -62,6 +62,10 @@
   double layer_mb = 0;
   // KV cache of one token over all layers.
   double kv_bytes_per_token = 0;
+  // Sent on for each token from hop to hop, and the rate of the link between
+  // zones that all calls share; 0 where that is not known.
+  double activation_bytes = 0;
+  double zone_link_mbps = 0;
   double step_ms = 0;
   // Prompt tokens that are read in a millisecond.
   double read_tokens_per_ms = 0;
--- a/modules/bbv_fleet/path_chooser.cc
+++ b/modules/bbv_fleet/path_chooser.cc
@@ -27,6 +27,8 @@
 // calls that come at once, as after a crash, are spread over all copies.
 constexpr double kBacklogWeight = 1.0 / 30;
 constexpr double kBytesInMegabyte = 1e6;
+// Bits that a link of one megabit a second carries in a millisecond.
+constexpr double kBitsInMegabitMs = 1e3;
 // Share of its time at which a hop that a call already has counts when another
 // hop is replaced: it alone need not read the call's tokens again.
 constexpr double kKeptHopFactor = 0.1;
@@ -89,9 +91,11 @@
                          model.layers *
                          (1 + (kFullTargetFactor - 1) * load * load) *
                          (1 + 4 * target->failure_share) * spread;
-    candidate.hop_ms =
-        kHopMs + kBacklogWeight * BacklogMs(model, *kind, *target, now);
-    candidate.room_token_layers = capacity - used;
+    const double backlog_ms = BacklogMs(model, *kind, *target, now);
+    candidate.hop_ms = kHopMs + kBacklogWeight * backlog_ms;
+    const bool overdue =
+        query.most_backlog_ms > 0 && backlog_ms > query.most_backlog_ms;
+    candidate.room_token_layers = overdue ? 0 : capacity - used;
     candidates.push_back(candidate);
   }
   return candidates;
@@ -123,7 +127,8 @@
     it.zone = static_cast<int>(
         std::distance(zones.begin(), zones.find(it.target->record.zone)));
   }
-  best = SearchOnce(model, all, {query.tokens, /*across_zones=*/true});
+  if (query.may_cross)
+    best = SearchOnce(model, all, {query.tokens, /*across_zones=*/true});
   if (!best.empty())
     return best;
   const bool held =
@@ -172,6 +177,22 @@
   return path;
 }
 
+double PathChooser::LinkMs(const EngineModel& model,
+                           const EnginePath& path,
+                           double tokens) {
+  if (model.zone_link_mbps <= 0)
+    return 0;
+  int crossings = 0;
+  for (std::size_t it = 1; it < path.hops.size(); ++it) {
+    crossings += path.hops[it].target->record.zone !=
+                         path.hops[it - 1].target->record.zone
+                     ? 1
+                     : 0;
+  }
+  const double bits = crossings * tokens * model.activation_bytes * 8;
+  return bits / model.zone_link_mbps / kBitsInMegabitMs;
+}
+
 bool PathChooser::IsExcluded(const PathQuery& query, std::string_view id) {
   return query.excluded != nullptr &&
          std::find(query.excluded->begin(), query.excluded->end(), id) !=
--- a/modules/bbv_fleet/path_chooser.h
+++ b/modules/bbv_fleet/path_chooser.h
@@ -34,6 +34,11 @@
   std::string_view zone;
   // Tokens that every hop must have room for.
   double tokens = 0;
+  // Longest time that a hop may need for the prompts sent there before; 0 for
+  // any.
+  double most_backlog_ms = 0;
+  // Whether a path may lead from one zone to another.
+  bool may_cross = true;
   // Targets to keep out, after failures of this call.
   const std::vector<std::string>* excluded = nullptr;
   // Any number spread evenly; breaks ties so that entries do not herd.
@@ -51,7 +56,7 @@
   kNone,
   // Some layer is held by no usable target.
   kLayersMissing,
-  // Every path lacks room at some hop.
+  // Every path lacks room at some hop, or would wait too long there.
   kNoRoom,
 };
 
@@ -75,6 +80,12 @@
                     Instant now,
                     PathFailure* failure) const;
 
+  // Returns the milliseconds for which `tokens` of a prompt occupy the links
+  // between the zones of `path`.
+  static double LinkMs(const EngineModel& model,
+                       const EnginePath& path,
+                       double tokens);
+
   // Returns the path `current` with as few hops replaced as the targets that
   // may be used allow: its first hop stays, and so does its zone. Empty when
   // there is none. Precondition: `current` is not empty.
--- a/modules/bbv_fleet/path_chooser_test.cc
+++ b/modules/bbv_fleet/path_chooser_test.cc
@@ -92,6 +92,23 @@
   const EnginePath path = Choose("a", 1);
   CheckWhole(path);
   CHECK(ZonesOf(path).size() > 1);
+  // Links that are taken are not crossed; the layers are there all the same.
+  PathQuery query;
+  query.service = "engine";
+  query.zone = "a";
+  query.tokens = 900;
+  query.may_cross = false;
+  CHECK(chooser.Choose(model, query, now, &failure).empty());
+  CHECK(failure == PathFailure::kNoRoom);
+}
+
+TEST(PathChooser, KnowsHowLongAPromptOccupiesLinksBetweenZones) {
+  model.activation_bytes = 16'400;
+  model.zone_link_mbps = 2'080;
+  EnginePath path = Choose("a", 1);
+  DOUBLES_EQUAL(0, bbv::PathChooser::LinkMs(model, path, 760), 1e-9);
+  path.hops[1].target = Choose("b", 1).hops[1].target;
+  DOUBLES_EQUAL(2 * 47.9, bbv::PathChooser::LinkMs(model, path, 760), 0.1);
 }
 
 TEST(PathChooser, SaysWhetherRoomOrLayersLack) {
@@ -135,6 +152,32 @@
   CHECK(placed > 500);
 }
 
+TEST(PathChooser, LeavesOutTargetsWithMoreUnreadPromptsThanACallCanAwait) {
+  // Plays an engine that reads twelve times more slowly than usual while every
+  // zone's calls keep coming: the calls that no zone can read in time find no
+  // room at once instead of waiting behind the others.
+  PathQuery query;
+  query.service = "engine";
+  query.zone = "b";
+  query.tokens = 900;
+  query.most_backlog_ms = 600;
+  int placed = 0;
+  for (; placed < 10'000; ++placed) {
+    query.draw = static_cast<uint64_t>(placed);
+    const EnginePath path = chooser.Choose(model, query, now, &failure);
+    if (path.empty())
+      break;
+    for (const bbv::Hop& it : path.hops)
+      it.target->own_unread_tokens += 760;
+  }
+  CHECK(failure == PathFailure::kNoRoom);
+  // The slowest hop of each zone reads a prompt in 1.8 to 3 ms a call.
+  CHECK(placed > 3 * 150);
+  CHECK(placed < 3 * 600);
+  query.most_backlog_ms = 0;
+  CHECK(!chooser.Choose(model, query, now, &failure).empty());
+}
+
 TEST(PathChooser, MendsAPathByReplacingOnlyTheLostHop) {
   // Every target of the zone has a twin that holds the same layers.
   std::vector<bbv::TargetRecord> twins;
--- a/modules/bbv_fleet/target_board.cc
+++ b/modules/bbv_fleet/target_board.cc
@@ -20,6 +20,8 @@
 constexpr double kAverageWeight = 0.1;
 // For how long a report is believed.
 constexpr Milliseconds kReportLifetime{2500};
+// Targets stay slow for longer than an entry may be without reports.
+constexpr Milliseconds kPaceLifetime{6000};
 // For how long a report's layers go before those of the list, which lags.
 constexpr Milliseconds kReportedLayersLead{2000};
 constexpr double kSlowPace = 2.5;
@@ -221,7 +223,7 @@
 }
 
 double FleetTarget::Pace(Instant now) const {
-  return now < reported_at + kReportLifetime ? std::max(1.0, report.pace) : 1.0;
+  return now < reported_at + kPaceLifetime ? std::max(1.0, report.pace) : 1.0;
 }
 
 double FleetTarget::UsedTokenLayers(Instant now) const {
--- a/modules/bbv_fleet/target_selector.cc
+++ b/modules/bbv_fleet/target_selector.cc
@@ -16,6 +16,9 @@
 constexpr double kOtherZoneMs = 2;
 // How much a failing target counts as slower.
 constexpr double kFailureFactor = 6;
+// Longest wait for prompts sent before, as a share of the call's objective:
+// callers leave at a small multiple of that, and what is read for them is lost.
+constexpr double kMostBacklogShare = 1.5;
 // Calls that may wait at a plain target beyond its slots.
 constexpr int kWaitingAtTarget = 3;
 
@@ -40,7 +43,7 @@
     const std::vector<std::string>& excluded,
     uint64_t draw,
     Instant now,
-    CallEnd* end) const {
+    CallEnd* end) {
   assert(end != nullptr);
   const ServiceDescription* service = index.FindService(request.service);
   if (service != nullptr && service->engine)
@@ -54,13 +57,17 @@
     const std::vector<std::string>& excluded,
     uint64_t draw,
     Instant now,
-    CallEnd* end) const {
+    CallEnd* end) {
   PathQuery query;
   query.service = request.service;
   query.zone = zone_;
   query.tokens = TokensOf(request);
   query.excluded = &excluded;
   query.draw = draw;
+  // Streams under way lose more by waiting elsewhere than by queueing.
+  if (request.last_event == kNoEvent && excluded.empty())
+    query.most_backlog_ms = kMostBacklogShare * request.route->objective_ms;
+  query.may_cross = crossings_.HasRoom(now);
   PathFailure failure = PathFailure::kNone;
   const EnginePath path = paths_.Choose(model, query, now, &failure);
   if (path.empty()) {
@@ -69,6 +76,7 @@
     return std::nullopt;
   }
   CallDispatch dispatch = MakeDispatch(path, request);
+  dispatch.link_ms = PathChooser::LinkMs(model, path, request.prompt_tokens);
   // After a fault every entry sends its streams again at the same moment, and
   // hears of the others' only later.
   dispatch.unread_tokens =
@@ -163,7 +171,13 @@
   return dispatch;
 }
 
+void TargetSelector::SetEntries(int entries) {
+  entries_ = entries;
+  crossings_.SetEntries(entries);
+}
+
 void TargetSelector::Begin(const CallDispatch& dispatch) {
+  crossings_.Spend(dispatch.link_ms);
   for (std::size_t it = 0; it < dispatch.hop_ids.size(); ++it) {
     FleetTarget* target = board_->Find(dispatch.hop_ids[it]);
     if (target == nullptr)
--- a/modules/bbv_fleet/target_selector.h
+++ b/modules/bbv_fleet/target_selector.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "bbv_core/instant.h"
+#include "bbv_fleet/crossing_limit.h"
 #include "bbv_fleet/fleet_call.h"
 #include "bbv_fleet/fleet_index.h"
 #include "bbv_fleet/path_chooser.h"
@@ -31,7 +32,7 @@
                                      const std::vector<std::string>& excluded,
                                      uint64_t draw,
                                      Instant now,
-                                     CallEnd* end) const;
+                                     CallEnd* end);
 
   // Returns `current` with hops replaced that are excluded or cannot be used,
   // or nothing when that cannot be done.
@@ -51,7 +52,7 @@
   void MarkRead(CallDispatch* dispatch);
 
   // Sets how many entries choose from the same targets.
-  void SetEntries(int entries) { entries_ = entries; }
+  void SetEntries(int entries);
 
  private:
   std::optional<CallDispatch> SelectPath(
@@ -60,7 +61,7 @@
       const std::vector<std::string>& excluded,
       uint64_t draw,
       Instant now,
-      CallEnd* end) const;
+      CallEnd* end);
   std::optional<CallDispatch> SelectTarget(
       const CallRequest& request,
       const std::vector<std::string>& excluded,
@@ -74,6 +75,7 @@
   TargetBoard* board_;
   std::string zone_;
   int entries_ = 1;
+  CrossingLimit crossings_;
   PathChooser paths_;
 };
 
