Repair copies without waiting for calls, hand the planner's duty over earlier

A spare target that gives its layers up loads others only when the calls on them have ended, which takes many seconds behind slow engines; the planner sent such targets after new gaps again while they loaded; an order that was accepted and then lost by a restart was never given again; and nobody planned for 1 to 2 s whenever the planner's entry stopped. Ruled out: refused orders (the preconditions work), crashed targets (none). Change: spares with the fewest calls move first, in parts of 8 layers; entries take their calls off layers that a target has given up; targets that load or answer no order are left as they are; orders are given again when a report shows them lost; a planner that stops or loses the lease plans on until another is known to, 1 s at most.

--- a/modules/bbv_core/event.cc
+++ b/modules/bbv_core/event.cc
@@ -66,6 +66,8 @@
     EventDescription{Event::kSettingsReloaded, "settings-reloaded"},
     EventDescription{Event::kCallPathLost, "call-path-lost"},
     EventDescription{Event::kCallPathChanged, "call-path-changed"},
+    EventDescription{Event::kZoneCopyBroken, "zone-copy-broken"},
+    EventDescription{Event::kZoneCopyWhole, "zone-copy-whole"},
 };
 
 // Events of the ordinary course of each request: written at verbosity 1 only.
--- a/modules/bbv_core/event.h
+++ b/modules/bbv_core/event.h
@@ -63,6 +63,8 @@
   kSettingsReloaded = 90,
   kCallPathLost = 91,
   kCallPathChanged = 92,
+  kZoneCopyBroken = 93,
+  kZoneCopyWhole = 94,
 };
 
 // One row of the catalogue.
--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -14,6 +14,7 @@
 
 constexpr Milliseconds kTick{20};
 constexpr Milliseconds kGaugePause{500};
+constexpr Milliseconds kLayerCheckPause{100};
 // After the stop signal, callers are still sent here until the balancer has
 // noticed.
 constexpr Milliseconds kStopNotice{2400};
@@ -431,6 +432,25 @@
       stalls_.Suspect(it->call().dispatch().target_id, now);
   }
   ended_calls_.clear();
+  if (now < next_layer_check_)
+    return;
+  next_layer_check_ = now + kLayerCheckPause;
+  LeaveGivenUpLayers(now);
+}
+
+void FleetEntry::LeaveGivenUpLayers(Instant now) {
+  for (const auto& [id, call] : calls_) {
+    const CallDispatch& path = call->call().dispatch();
+    // Copied, since the call changes its path meanwhile.
+    const std::vector<std::string> ids = path.hop_ids;
+    const std::vector<LayerRange> layers = path.layers;
+    for (std::size_t it = 1; it < layers.size(); ++it) {
+      const FleetTarget* target = board_.Find(ids[it]);
+      if (target != nullptr && target->record.layers &&
+          !target->record.layers->Holds(layers[it]))
+        call->OnPathFault(ids[it], now);
+    }
+  }
 }
 
 void FleetEntry::TickCallers(Instant now) {
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -57,6 +57,8 @@
   void OnTick();
   void TickCallers(Instant now);
   void TickCalls(Instant now);
+  // Takes calls off targets that give up layers which the calls run there.
+  void LeaveGivenUpLayers(Instant now);
   void TickStop(Instant now);
   void ShareBudgets();
   void BeginStop();
@@ -123,6 +125,7 @@
   Instant stop_began_{};
   Instant stop_deadline_{};
   Instant next_gauges_{};
+  Instant next_layer_check_{};
   // Targets that this entry did not reach lately, and when.
   std::map<std::string, Instant> unreached_;
   // Entries that share the retry budget, as of the last look.
--- a/modules/bbv_entry/peer_exchange.cc
+++ b/modules/bbv_entry/peer_exchange.cc
@@ -93,7 +93,7 @@
         configuration_->current()->configuration().version;
   }
   state.leaving = planner_->leaving();
-  if (planner_->plans())
+  if (planner_->tells_that_it_plans())
     state.planner_generation = std::max<int64_t>(1, planner_->generation());
   for (const auto& [id, row] : board_->rows()) {
     if (row->own_calls > 0) {
--- a/modules/bbv_entry/planner_agent.cc
+++ b/modules/bbv_entry/planner_agent.cc
@@ -24,7 +24,16 @@
 // Time for which a target must be unusable before its layers are taken over.
 constexpr Milliseconds kLossPatience{200};
 constexpr Milliseconds kOrderTimeout{500};
-constexpr Milliseconds kOrderGivenUp{4000};
+constexpr Milliseconds kOrderGivenUp{3000};
+// Time for which an order may go unanswered, and for which its target is then
+// given no other.
+constexpr Milliseconds kMutePatience{1100};
+constexpr Milliseconds kMuteTime{3000};
+// Age of reports at most.
+constexpr Milliseconds kReportAge{500};
+// Time for which an entry that has lost the lease goes on planning until
+// another one is known to plan.
+constexpr Milliseconds kHandOver{1000};
 constexpr Milliseconds kLoadQuestionPause{200};
 // Time without the store and without a planner after which an entry stands in.
 constexpr Milliseconds kUnplannedPatience{1200};
@@ -119,6 +128,8 @@
             [](const platform::GroupPart& it) { return it.part == 0; });
         // Counted from the sending, which the store cannot have seen later.
         lease_until_ = sent + lease_;
+        if (holds_lease_ && !first_part)
+          acting_until_ = EventLoop::Now() + kHandOver;
         SetLease(first_part, EventLoop::Now());
       });
 }
@@ -127,7 +138,10 @@
   if (held == holds_lease_)
     return;
   holds_lease_ = held;
-  pending_.clear();
+  if (held || !acting_until_) {
+    pending_.clear();
+    broken_since_.clear();
+  }
   log_->Write(held ? Event::kPlannerGained : Event::kPlannerLost, now,
               {{"generation", generation_}});
 }
@@ -136,6 +150,11 @@
   if (peer_plans_ && !peer_plans)
     next_join_ = std::min(next_join_, now + kVacantPause);
   peer_plans_ = peer_plans;
+  if (acting_until_ && (holds_lease_ || peer_plans || now >= *acting_until_)) {
+    acting_until_.reset();
+    if (!holds_lease_)
+      pending_.clear();
+  }
   const bool unplanned =
       !store_->reachable() && !holds_lease_ && !peer_plans && !leaving_;
   if (!unplanned) {
@@ -156,6 +175,8 @@
 void PlannerAgent::Leave() {
   if (std::exchange(leaving_, true))
     return;
+  if (holds_lease_)
+    acting_until_ = EventLoop::Now() + kHandOver;
   SetLease(false, EventLoop::Now());
   standing_in_ = false;
   store_->Call(platform::EncodeLeave(kGroup, member_), kStoreTimeout,
@@ -179,8 +200,12 @@
     }
     PlannerTarget target{id, row->record.zone, row->record.accelerator,
                          row->record.layers, row->UsedTokenLayers(now)};
-    if (const auto it = pending_.find(id); it != pending_.end())
+    if (const auto it = pending_.find(id); it != pending_.end()) {
       target.layers = it->second.layers;
+      target.is_fixed = true;
+    }
+    if (const auto it = mute_until_.find(id); it != mute_until_.end())
+      target.is_fixed = target.is_fixed || now < it->second;
     targets.push_back(std::move(target));
   }
   std::erase_if(missing_since_, [this](const auto& it) {
@@ -224,8 +249,46 @@
       model, targets, std::max(1, model.concurrent_loads / kDoublingPart));
 }
 
+void PlannerAgent::WatchCopies(const EngineModel& model,
+                               const std::string& service,
+                               Instant now) {
+  std::map<std::string, std::vector<bool>> held;
+  for (const auto& [id, row] : board_->rows()) {
+    if (row->record.service != service)
+      continue;
+    auto& zone = held[row->record.zone];
+    zone.resize(model.layers);
+    if (!row->record.layers || !board_->IsUsable(*row, now))
+      continue;
+    const LayerRange& range = *row->record.layers;
+    for (int n = range.from; n < std::min(range.to, model.layers); ++n)
+      zone[n] = true;
+  }
+  for (const auto& [zone, layers] : held) {
+    const auto missing = std::count(layers.begin(), layers.end(), false);
+    const auto since = broken_since_.find(zone);
+    if (missing == 0 && since != broken_since_.end()) {
+      log_->Write(Event::kZoneCopyWhole, now,
+                  {{"zone", zone},
+                   {"after_ms", static_cast<int64_t>(RemainingMilliseconds(
+                                    now, since->second))}});
+      broken_since_.erase(since);
+    }
+    if (missing == 0 || since != broken_since_.end())
+      continue;
+    broken_since_[zone] = now;
+    const auto first = std::find(layers.begin(), layers.end(), false);
+    log_->Write(Event::kZoneCopyBroken, now,
+                {{"zone", zone},
+                 {"from_layer", static_cast<int64_t>(first - layers.begin())},
+                 {"missing", static_cast<int64_t>(missing)},
+                 {"orders", static_cast<int64_t>(pending_.size())}});
+  }
+}
+
 void PlannerAgent::PlanService(const ServiceDescription& service, Instant now) {
   const EngineModel& model = *service.engine;
+  WatchCopies(model, service.name, now);
   const std::vector<PlannerTarget> targets = CollectTargets(service, now);
   // While orders are under way a second move could take away what the first
   // counts on.
@@ -244,6 +307,7 @@
     order.deadline = now + kOrderGivenUp +
                      Milliseconds(static_cast<int>(2 * share * model.load_ms));
     order.send_again = now + kOrderTimeout;
+    order.mute_deadline = now + kMutePatience;
     pending_[it.id] = order;
     // A target that has just started and holds nothing has begun no order.
     if (target->record.layers)
@@ -260,7 +324,12 @@
         target == nullptr ||
         target->record.started_unix_ms != it->second.started_unix_ms ||
         target->record.layers == it->second.layers || target->record.leaving;
-    if (settled || now >= it->second.deadline) {
+    const bool mute = !it->second.answered && now >= it->second.mute_deadline;
+    if (mute && !settled) {
+      // Others take its part; what it was told may still be carried out.
+      mute_until_[it->first] = now + kMuteTime;
+    }
+    if (settled || mute || now >= it->second.deadline) {
       last_change_ = now;
       it = pending_.erase(it);
       continue;
@@ -287,12 +356,17 @@
                  if (!report || order == pending_.end())
                    return;
                  board_->ApplyReport(id, report->load, EventLoop::Now());
-                 if (report->order_under_way || order->second.answered)
-                   return;
                  if (report->load.layers == order->second.layers) {
                    order->second.answered = true;
                    return;
                  }
+                 if (report->order_under_way)
+                   return;
+                 // Reports are a little old; after that an order that is not
+                 // under way has been lost, as by a restart.
+                 if (order->second.answered &&
+                     EventLoop::Now() < order->second.answered_at + kReportAge)
+                   return;
                  SendOrder(id, report->orders_begun);
                });
 }
@@ -326,6 +400,7 @@
     return;
   if (status == kOk || status == kAccepted) {
     order->second.answered = true;
+    order->second.answered_at = EventLoop::Now();
     order->second.send_again = EventLoop::Now() + kLoadQuestionPause;
   }
   if (status == kConflict)
--- a/modules/bbv_entry/planner_agent.h
+++ b/modules/bbv_entry/planner_agent.h
@@ -43,8 +43,14 @@
   void Leave();
 
   // Whether this entry plans: it holds the lease, or stands in while the store
-  // is away and no entry plans.
-  bool plans() const { return holds_lease_ || standing_in_; }
+  // is away and no entry plans, or has lost the lease and no other entry has
+  // said yet that it plans.
+  bool plans() const {
+    return holds_lease_ || standing_in_ || acting_until_.has_value();
+  }
+
+  // Whether others may leave the planning to this entry.
+  bool tells_that_it_plans() const { return holds_lease_ || standing_in_; }
 
   // Whether it has given its duty up for good.
   bool leaving() const { return leaving_; }
@@ -65,6 +71,9 @@
     Instant deadline{};
     Instant send_again{};
     bool answered = false;
+    Instant answered_at{};
+    // Until when it may go unanswered.
+    Instant mute_deadline{};
   };
 
   void RenewLease(Instant now);
@@ -82,6 +91,10 @@
   std::vector<Placement> PlanDoubles(const EngineModel& model,
                                      const std::vector<PlannerTarget>& targets,
                                      Instant now) const;
+  // Logs which zones have lost their whole copy, or have it again.
+  void WatchCopies(const EngineModel& model,
+                   const std::string& service,
+                   Instant now);
   void PlanService(const ServiceDescription& service, Instant now);
   void SettleOrders(Instant now);
   void AskReport(const std::string& id);
@@ -95,6 +108,8 @@
   Milliseconds lease_;
   bool holds_lease_ = false;
   bool standing_in_ = false;
+  // Set while this entry plans on without the lease.
+  std::optional<Instant> acting_until_;
   // Since when the store has been away and nobody has planned.
   std::optional<Instant> unplanned_since_;
   // Whether some peer is known to plan.
@@ -108,6 +123,10 @@
   // When the last order was settled or the last target lost.
   Instant last_change_{};
   std::map<std::string, Order> pending_;
+  // Targets that left an order unanswered, and until when they get no other.
+  std::map<std::string, Instant> mute_until_;
+  // Since when the targets of a zone have not held every layer.
+  std::map<std::string, Instant> broken_since_;
   // Since when a target has not counted for planning.
   std::map<std::string, Instant> missing_since_;
 };
--- a/modules/bbv_fleet/layer_doubler.cc
+++ b/modules/bbv_fleet/layer_doubler.cc
@@ -167,6 +167,8 @@
 
   // Layers that the target can take over now.
   int Headroom(std::size_t index) const {
+    if (targets_[index].is_fixed)
+      return 0;
     const double used = kUsedMemoryFactor * targets_[index].used_token_layers *
                         model_.kv_bytes_per_token / model_.layers /
                         kBytesInMegabyte;
@@ -229,7 +231,7 @@
 
   // Takes from a crowded target what targets with more room hold as well.
   bool GiveUpDoubled(std::size_t index) {
-    if (!IsCrowded(index) || IsChanged(index))
+    if (!IsCrowded(index) || IsChanged(index) || targets_[index].is_fixed)
       return false;
     std::vector<int> elsewhere(model_.layers, 0);
     for (std::size_t other = 0; other < targets_.size(); ++other) {
--- a/modules/bbv_fleet/layer_planner.cc
+++ b/modules/bbv_fleet/layer_planner.cc
@@ -14,6 +14,11 @@
 
 // Mean requests for which a target keeps memory beside its layers.
 constexpr double kLeastRequests = 20;
+// Layers of a gap that one spare target loads, so that a large gap is closed by
+// several loads at once.
+constexpr int kMostLayersOfOneLoad = 8;
+// Difference in tokens below which two spare targets are used alike.
+constexpr double kLikeTokens = 2000;
 constexpr double kBytesInMegabyte = 1e6;
 constexpr double kDefaultRequestTokens = 1000;
 
@@ -140,18 +145,41 @@
     for (std::size_t it = 0; it < members_; ++it) {
       const auto& range = wanted_[it];
       // What was just given a gap's layers holds them alone and is no spare.
-      if (!range || Capacity(it) == 0 || !IsSpare(*range, coverage))
+      if (!range || targets_[it].is_fixed || Capacity(it) == 0 ||
+          !IsSpare(*range, coverage))
         continue;
-      if (best < 0 || Capacity(it) > Capacity(best))
+      if (best < 0 || FitsBetter(it, best, gap->size()))
         best = static_cast<int>(it);
     }
     if (best < 0)
       return false;
-    wanted_[best] =
-        LayerRange{gap->from, std::min(gap->to, gap->from + Capacity(best))};
+    const int part = std::min(Capacity(best), kMostLayersOfOneLoad);
+    wanted_[best] = LayerRange{gap->from, std::min(gap->to, gap->from + part)};
     return true;
   }
 
+  // What the target gives up it still runs for the calls on it, and loads only
+  // then: the one with the fewest calls goes first. Among equals it is the
+  // smallest that holds `layers`, or else the largest.
+  bool FitsBetter(std::size_t index, std::size_t other, int layers) const {
+    const double tokens = TokensOn(index);
+    const double tokens_there = TokensOn(other);
+    if (std::abs(tokens - tokens_there) > kLikeTokens)
+      return tokens < tokens_there;
+    const int wanted = std::min(layers, kMostLayersOfOneLoad);
+    const bool fits = Capacity(index) >= wanted;
+    if (fits != (Capacity(other) >= wanted))
+      return fits;
+    return fits ? Capacity(index) < Capacity(other)
+                : Capacity(index) > Capacity(other);
+  }
+
+  // Tokens of the calls on the target.
+  double TokensOn(std::size_t index) const {
+    const int layers = wanted_[index] ? wanted_[index]->size() : 1;
+    return targets_[index].used_token_layers / layers;
+  }
+
   bool IsSpare(const LayerRange& range,
                const std::vector<int>& coverage) const {
     for (int it = range.from; it < std::min(range.to, model_.layers); ++it) {
@@ -284,7 +312,7 @@
 
   void FillWithEmptyTarget(std::size_t index) {
     const int capacity = Capacity(index);
-    if (capacity == 0)
+    if (capacity == 0 || targets_[index].is_fixed)
       return;
     if (const auto gap = FirstGap()) {
       wanted_[index] =
@@ -351,6 +379,8 @@
       const auto& range = wanted_[it];
       if (!range || (range->to != gap.from && range->from != gap.to))
         continue;
+      if (targets_[it].is_fixed)
+        continue;
       if (range->size() >= Capacity(it))
         continue;
       const double room =
--- a/modules/bbv_fleet/layer_planner.h
+++ b/modules/bbv_fleet/layer_planner.h
@@ -19,6 +19,8 @@
   std::optional<LayerRange> layers;
   // Tokens times layers that requests hold in its memory.
   double used_token_layers = 0;
+  // Whether it is left as it is: it carries out an order, or answers none.
+  bool is_fixed = false;
 };
 
 // A target and the layers that it should hold from now on.
--- a/modules/bbv_fleet/layer_planner_test.cc
+++ b/modules/bbv_fleet/layer_planner_test.cc
@@ -187,6 +187,35 @@
   CHECK_EQUAL(1, static_cast<int>(changes.size()));
 }
 
+TEST(LayerPlanner, TargetsThatCarryOutAnOrderAreLeftAsTheyAre) {
+  // A spare that loads layers already is not sent after another gap.
+  EngineModel model = bbv_test::MakeModel();
+  model.layers = 24;
+  Targets targets = {{"a", "z", "middle", LayerRange{0, 8}},
+                     {"b", "z", "middle", LayerRange{0, 8}},
+                     {"c", "z", "middle", LayerRange{0, 8}},
+                     {"d", "z", "small", LayerRange{16, 24}}};
+  targets[0].is_fixed = true;
+  targets[1].is_fixed = true;
+  const auto changes = LayerPlanner::Plan(model, targets);
+  CHECK_EQUAL(1, static_cast<int>(changes.size()));
+  STRCMP_EQUAL("c", changes[0].id.c_str());
+}
+
+TEST(LayerPlanner, ALargeGapIsClosedBySeveralLoadsAtOnce) {
+  EngineModel model = bbv_test::MakeModel();
+  model.layers = 40;
+  Targets targets = {{"a", "z", "large", LayerRange{0, 12}},
+                     {"b", "z", "large", LayerRange{0, 12}},
+                     {"c", "z", "large", LayerRange{0, 12}},
+                     {"d", "z", "large", LayerRange{26, 40}}};
+  const auto changes = LayerPlanner::Plan(model, targets, false);
+  Apply(changes, &targets);
+  CHECK(HoldsCopy(model, targets, "z"));
+  for (const Placement& it : changes)
+    CHECK(it.layers.size() <= 8);
+}
+
 TEST(LayerPlanner, ATargetThatReturnsEmptyIsGivenLayers) {
   const EngineModel model = bbv_test::MakeModel();
   Targets targets = bbv_test::MakeThreeZones();
