Ask silent targets at once, keep memory by the number of requests; fault soak

Change: SilenceFinder names the hops that only silent streams have; they are asked for a report at once. A fault is told once, reports when they are new. Memory is kept for 240 usual requests a zone, a third to a half of what one copy leaves. The fault soak plays drawn faults on real entries behind loopback proxies and checks what callers got against what targets ran.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -321,12 +321,11 @@
     return;
   // Streams that it serves go on there; only new calls and the planner do
   // without it.
-  SuspectTarget(target, "turns calls away with memory to spare", true, now);
+  SuspectTarget(target, "turns calls away with memory to spare", now);
 }
 
 void FleetEntry::SuspectTarget(FleetTarget* target,
                                std::string_view evidence,
-                               bool witnessed,
                                Instant now) {
   const Instant until = board_.Suspect(target, now);
   log_.Write(
@@ -334,8 +333,8 @@
       {{"target", target->record.id},
        {"evidence", std::string(evidence)},
        {"for_ms", static_cast<int64_t>(RemainingMilliseconds(until, now))}});
-  if (witnessed)
-    peers_.TellFault(*target, evidence);
+  // Peers ask for themselves before they believe it.
+  peers_.TellFault(*target, evidence);
 }
 
 bool FleetEntry::IsOwnTrouble(const std::string& target_id, Instant now) {
@@ -358,7 +357,7 @@
   if (!witnessed && IsOwnTrouble(target_id, now))
     return;
   if (board_.IsUsable(*target, now))
-    SuspectTarget(target, evidence, witnessed, now);
+    SuspectTarget(target, evidence, now);
   if (const auto address = ParseSocketAddress(target->record.address))
     client_.Forget(*address);
   std::vector<RelayedCall*> affected;
@@ -431,6 +430,7 @@
     if (it->call().IsStalled(now))
       stalls_.Suspect(it->call().dispatch().target_id, now);
   }
+  ProbeSilentTargets(open, now);
   ended_calls_.clear();
   if (now < next_layer_check_)
     return;
@@ -438,6 +438,19 @@
   LeaveGivenUpLayers(now);
 }
 
+void FleetEntry::ProbeSilentTargets(const std::vector<RelayedCall*>& calls,
+                                    Instant now) {
+  std::vector<StreamPulse> streams;
+  streams.reserve(calls.size());
+  for (const RelayedCall* it : calls) {
+    const CallDispatch& path = it->call().dispatch();
+    if (const auto pulse = it->call().last_pulse(); pulse && !it->is_paused())
+      streams.push_back({&path.hop_ids, *pulse, path.event_ms});
+  }
+  for (const std::string& it : SilenceFinder::FindSuspects(streams, now))
+    stalls_.Probe(it, now);
+}
+
 void FleetEntry::LeaveGivenUpLayers(Instant now) {
   for (const auto& [id, call] : calls_) {
     const CallDispatch& path = call->call().dispatch();
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -57,6 +57,8 @@
   void OnTick();
   void TickCallers(Instant now);
   void TickCalls(Instant now);
+  // Asks targets through which several streams have fallen silent.
+  void ProbeSilentTargets(const std::vector<RelayedCall*>& calls, Instant now);
   // Takes calls off targets that give up layers which the calls run there.
   void LeaveGivenUpLayers(Instant now);
   void TickStop(Instant now);
@@ -76,7 +78,6 @@
   // Takes a usable target out for a time; tells the peers when others saw it.
   void SuspectTarget(FleetTarget* target,
                      std::string_view evidence,
-                     bool witnessed,
                      Instant now);
   // Counts that this entry did not reach `target_id`; whether so many were not
   // that the cause must be here.
--- a/modules/bbv_entry/peer_exchange.cc
+++ b/modules/bbv_entry/peer_exchange.cc
@@ -9,6 +9,10 @@
 
 // Reports older than this are not handed on.
 constexpr Milliseconds kReportHandOn{2000};
+// How old a report is when it is taken.
+constexpr Milliseconds kReportsOnTheWay{250};
+// For how long a fault that one entry has told is not told again.
+constexpr Milliseconds kFaultIsKnown{1000};
 // Time that the store is given to tell all entries of a configuration.
 constexpr Milliseconds kLetStoreTell{500};
 // How many of the peers ahead help one that is behind, on average.
@@ -83,7 +87,12 @@
   if (now < next_state_)
     return;
   next_state_ = now + links_->state_pause();
-  links_->SendAll(MakeFrame(MakeState(now)));
+  std::erase_if(heard_faults_, [now](const auto& it) {
+    return now >= it.second + kFaultIsKnown;
+  });
+  wire::EntryStateT state = MakeState(now);
+  AppendReports(now, &state);
+  links_->SendAll(MakeFrame(std::move(state)));
 }
 
 wire::EntryStateT PeerExchange::MakeState(Instant now) const {
@@ -104,7 +113,25 @@
       load.unread_tokens = row->own_unread_tokens;
       state.own.push_back(std::move(load));
     }
-    if (!planner_->plans() || now > row->reported_at + kReportHandOn)
+  }
+  for (const auto& [service, spent] : budgets_->Spent(now)) {
+    wire::RetrySpendingT retries;
+    retries.service = service;
+    retries.calls = static_cast<uint32_t>(spent.calls);
+    retries.repeats = static_cast<uint32_t>(spent.repeats);
+    state.retries.push_back(std::move(retries));
+  }
+  return state;
+}
+
+void PeerExchange::AppendReports(Instant now, wire::EntryStateT* state) {
+  if (!planner_->plans())
+    return;
+  const Instant told = std::exchange(reports_told_at_, now);
+  for (const auto& [id, row] : board_->rows()) {
+    // Each report is handed on once, soon after it was taken.
+    if (now > row->reported_at + kReportHandOn ||
+        row->reported_at + kReportsOnTheWay <= told)
       continue;
     wire::EngineLoadT engine;
     engine.target = id;
@@ -118,21 +145,19 @@
       engine.to_layer = static_cast<uint32_t>(row->report.layers->to);
     }
     engine.age_ms = RemainingMilliseconds(now, row->reported_at);
-    state.engines.push_back(std::move(engine));
-  }
-  for (const auto& [service, spent] : budgets_->Spent(now)) {
-    wire::RetrySpendingT retries;
-    retries.service = service;
-    retries.calls = static_cast<uint32_t>(spent.calls);
-    retries.repeats = static_cast<uint32_t>(spent.repeats);
-    state.retries.push_back(std::move(retries));
+    state->engines.push_back(std::move(engine));
   }
-  return state;
 }
 
 void PeerExchange::TellFault(const FleetTarget& target,
                              std::string_view evidence) {
-  wire::EntryStateT state = MakeState(EventLoop::Now());
+  const Instant now = EventLoop::Now();
+  const auto heard = heard_faults_.find(target.record.id);
+  // All entries have heard of it from the one that found it first.
+  if (heard != heard_faults_.end() && now < heard->second + kFaultIsKnown)
+    return;
+  heard_faults_[target.record.id] = now;
+  wire::EntryStateT state = MakeState(now);
   wire::TargetFaultT fault;
   fault.target = target.record.id;
   fault.started_unix_ms = target.record.started_unix_ms;
@@ -192,6 +217,7 @@
       target->record.started_unix_ms != fault.started_unix_ms ||
       target->record.heartbeat > fault.heartbeat + kHeartbeatsOnTheWay)
     return;
+  heard_faults_[fault.target] = EventLoop::Now();
   on_fault_(fault.target, "peer: " + fault.evidence);
 }
 
--- a/modules/bbv_entry/peer_exchange.h
+++ b/modules/bbv_entry/peer_exchange.h
@@ -2,6 +2,7 @@
 #define MODULES_BBV_ENTRY_PEER_EXCHANGE_H_
 
 #include <functional>
+#include <map>
 #include <random>
 #include <set>
 #include <string>
@@ -49,6 +50,9 @@
   void TakeFault(const wire::TargetFaultT& fault);
   void HelpPeerBehind(const std::string& peer, uint64_t version, Instant now);
   wire::EntryStateT MakeState(Instant now) const;
+  // Adds the engines' reports that were not handed on yet, when this entry
+  // plans.
+  void AppendReports(Instant now, wire::EntryStateT* state);
 
   PeerLinks* links_;
   TargetBoard* board_;
@@ -58,6 +62,10 @@
   std::mt19937_64* random_;
   OnFault on_fault_;
   Instant next_state_{};
+  // When engines' reports were last handed on.
+  Instant reports_told_at_{};
+  // When a fault of a target was last told, by this entry or a peer.
+  std::map<std::string, Instant> heard_faults_;
   // Peers that said last that they plan, and that they are stopping.
   std::set<std::string> planning_peers_;
   std::set<std::string> leaving_peers_;
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -67,6 +67,8 @@
   void OnWaitedInVain(Instant now) { call_.OnWaitedInVain(now); }
 
   bool done() const { return call_.done(); }
+  // Whether the answer is not read because its caller takes it too slowly.
+  bool is_paused() const { return paused_; }
   const FleetCall& call() const { return call_; }
 
   // CallPorts:
--- a/modules/bbv_entry/stall_watch.cc
+++ b/modules/bbv_entry/stall_watch.cc
@@ -11,6 +11,7 @@
 constexpr Milliseconds kQuestionTimeout{300};
 constexpr Milliseconds kDoubtPause{200};
 constexpr Milliseconds kDoubtTimeout{70};
+constexpr Milliseconds kProbePause{1000};
 // Share of its memory in use below which a target has room for any call.
 constexpr double kRoomShare = 0.7;
 
@@ -39,6 +40,22 @@
                });
 }
 
+void StallWatch::Probe(const std::string& target_id, Instant now) {
+  Instant& next = next_probe_[target_id];
+  const FleetTarget* target = board_->Find(target_id);
+  if (now < next || target == nullptr || !board_->IsUsable(*target, now))
+    return;
+  next = now + kProbePause;
+  AskForReport(
+      client_,
+      {target->record.address, now + kDoubtTimeout, /*may_reuse=*/false},
+      [this, target_id](const ReportAnswer& answer) {
+        if (!answer.answered)
+          on_fault_(target_id, "its streams fell silent and it gives no report",
+                    false);
+      });
+}
+
 void StallWatch::Doubt(const std::string& target_id,
                        double capacity,
                        Instant now) {
--- a/modules/bbv_entry/stall_watch.h
+++ b/modules/bbv_entry/stall_watch.h
@@ -36,6 +36,10 @@
   // A stream that was sent to `target_id` first has fallen silent.
   void Suspect(const std::string& target_id, Instant now);
 
+  // Several streams through `target_id` have fallen silent together: it is
+  // asked whether it lives, and found at fault when it does not answer at once.
+  void Probe(const std::string& target_id, Instant now);
+
   // A path turned a call away and named `target_id` as the cause: it may be
   // dead, or only short of memory. It is asked itself, and takes no new calls
   // meanwhile. `capacity` is the number of tokens times layers that it holds.
@@ -54,6 +58,7 @@
   // When a target may be asked again, for each kind of question.
   std::map<std::string, Instant> next_question_;
   std::map<std::string, Instant> next_doubt_;
+  std::map<std::string, Instant> next_probe_;
 };
 
 }  // namespace bbv
--- a/modules/bbv_fleet/bbv_fleet.h
+++ b/modules/bbv_fleet/bbv_fleet.h
@@ -18,6 +18,7 @@
 #include "bbv_fleet/path_chooser.h"
 #include "bbv_fleet/retry_budgets.h"
 #include "bbv_fleet/shared_retry_budget.h"
+#include "bbv_fleet/silence_finder.h"
 #include "bbv_fleet/target_board.h"
 #include "bbv_fleet/target_selector.h"
 #include "bbv_fleet/waiting_room.h"
--- a/modules/bbv_fleet/fleet_call.cc
+++ b/modules/bbv_fleet/fleet_call.cc
@@ -337,6 +337,12 @@
                      [this](const std::string& it) { return IsExcluded(it); });
 }
 
+std::optional<Instant> FleetCall::last_pulse() const {
+  const bool running = !done_ && sending_ && relaying_ && !path_lost_at_ &&
+                       last_event_ != dispatch_.last_event;
+  return running ? std::optional(quiet_since_) : std::nullopt;
+}
+
 bool FleetCall::IsStalled(Instant now) const {
   if (done_ || !sending_ || path_lost_at_ ||
       request_.route->kind != CallKind::kStream)
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -206,6 +206,9 @@
 
   bool done() const { return done_; }
   bool relaying() const { return relaying_; }
+  // When the path under way last brought an event; nothing before its first
+  // one, and while a way on is looked for.
+  std::optional<Instant> last_pulse() const;
   // Whether the path under way lacks a hop.
   bool has_lost_path() const { return path_lost_at_.has_value(); }
   // Whether the first target was ordered to change the path and has not
--- a/modules/bbv_fleet/layer_doubler.cc
+++ b/modules/bbv_fleet/layer_doubler.cc
@@ -11,8 +11,11 @@
 namespace bbv {
 namespace {
 
-// Share of the memory beside one whole copy that stays with requests.
-constexpr double kRequestShare = 0.5;
+// Requests of the usual size for which a zone keeps memory, and the least and
+// most share of what one copy leaves that is kept for them.
+constexpr double kRequestsOfZone = 240;
+constexpr double kLeastRequestShare = 0.35;
+constexpr double kMostRequestShare = 0.5;
 // Memory that requests use now is left to them this many times.
 constexpr double kUsedMemoryFactor = 1.3;
 constexpr double kBytesInMegabyte = 1e6;
@@ -22,22 +25,27 @@
   return kind == nullptr ? 0 : kind->memory_mb;
 }
 
-// Share of the targets' memory that one copy takes.
-double HeldShare(const EngineModel& model,
-                 const std::vector<PlannerTarget>& targets) {
+// Share of the targets' memory that layers may take.
+double LayerShare(const EngineModel& model,
+                  const std::vector<PlannerTarget>& targets) {
   double memory = 0;
   for (const PlannerTarget& it : targets)
     memory += MemoryMb(model, it);
-  return memory <= 0 ? 1
-                     : std::min(1.0, model.layers * model.layer_mb / memory);
+  const double spare = memory - model.layers * model.layer_mb;
+  if (spare <= 0)
+    return 1;
+  const double wanted =
+      kRequestsOfZone * LayerPlanner::RequestMb(model) * model.layers;
+  const double kept =
+      std::clamp(wanted / spare, kLeastRequestShare, kMostRequestShare);
+  return 1 - kept * spare / memory;
 }
 
 // Layers that leave a target's part of the memory to requests.
 int ComfortableLayers(const EngineModel& model,
                       const PlannerTarget& target,
-                      double held_share) {
-  const double for_layers =
-      MemoryMb(model, target) * (1 - kRequestShare * (1 - held_share));
+                      double layer_share) {
+  const double for_layers = MemoryMb(model, target) * layer_share;
   const int most =
       std::max(1, LayerPlanner::MaxLayers(model, target.accelerator));
   return std::clamp(static_cast<int>(for_layers / model.layer_mb), 1, most);
@@ -52,9 +60,9 @@
   TwofoldDivision(const EngineModel& model,
                   const std::vector<PlannerTarget>& members)
       : model_(model), ranges_(members.size()) {
-    const double held_share = HeldShare(model, members);
+    const double layer_share = LayerShare(model, members);
     for (const PlannerTarget& it : members)
-      capacities_.push_back(ComfortableLayers(model, it, held_share));
+      capacities_.push_back(ComfortableLayers(model, it, layer_share));
     order_.resize(members.size());
     std::iota(order_.begin(), order_.end(), 0);
     // Equals in an order that is the same on every process.
@@ -132,7 +140,7 @@
  public:
   ZoneDoubler(const EngineModel& model, std::vector<PlannerTarget> targets)
       : model_(model), targets_(std::move(targets)) {
-    held_share_ = HeldShare(model_, targets_);
+    layer_share_ = LayerShare(model_, targets_);
     for (const PlannerTarget& it : targets_)
       wanted_.push_back(*it.layers);
   }
@@ -162,7 +170,7 @@
 
  private:
   int Comfortable(std::size_t index) const {
-    return ComfortableLayers(model_, targets_[index], held_share_);
+    return ComfortableLayers(model_, targets_[index], layer_share_);
   }
 
   // Layers that the target can take over now.
@@ -317,8 +325,8 @@
   const EngineModel& model_;
   std::vector<PlannerTarget> targets_;
   std::vector<LayerRange> wanted_;
-  // Share of the zone's memory that one copy takes.
-  double held_share_ = 1;
+  // Share of the zone's memory that layers may take.
+  double layer_share_ = 1;
 };
 
 }  // namespace
--- a/modules/bbv_fleet/layer_doubler.h
+++ b/modules/bbv_fleet/layer_doubler.h
@@ -12,8 +12,9 @@
 // Decides which targets hold layers of their neighbours too.
 //
 // Answers the loss of single targets: where every layer is held twice, a call
-// goes on in its zone at once, and nothing is loaded first. Half of the memory
-// that whole copies leave stays with requests. After repairs some targets hold
+// goes on in its zone at once, and nothing is loaded first. Memory for a
+// zone's usual number of requests is kept, a third to a half of what one copy
+// leaves. After repairs some targets hold
 // more than that; their neighbours take over part of their layers first, and
 // what is then held twice they give up.
 //
--- a/modules/bbv_fleet/layer_planner.cc
+++ b/modules/bbv_fleet/layer_planner.cc
@@ -22,13 +22,6 @@
 constexpr double kBytesInMegabyte = 1e6;
 constexpr double kDefaultRequestTokens = 1000;
 
-double RequestMbPerLayer(const EngineModel& model) {
-  double tokens = model.usual_prompt_tokens + model.usual_answer_tokens;
-  if (tokens <= 0)
-    tokens = kDefaultRequestTokens;
-  return tokens * model.kv_bytes_per_token / model.layers / kBytesInMegabyte;
-}
-
 double MemoryMb(const EngineModel& model, const std::string& accelerator) {
   const AcceleratorKind* kind = model.FindKind(accelerator);
   return kind == nullptr ? 0 : kind->memory_mb;
@@ -407,13 +400,19 @@
 
 }  // namespace
 
+double LayerPlanner::RequestMb(const EngineModel& model) {
+  double tokens = model.usual_prompt_tokens + model.usual_answer_tokens;
+  if (tokens <= 0)
+    tokens = kDefaultRequestTokens;
+  return tokens * model.kv_bytes_per_token / model.layers / kBytesInMegabyte;
+}
+
 int LayerPlanner::MaxLayers(const EngineModel& model,
                             const std::string& accelerator) {
   if (model.layers <= 0 || model.layer_mb <= 0)
     return 0;
   const double memory = MemoryMb(model, accelerator);
-  const double per_layer =
-      model.layer_mb + kLeastRequests * RequestMbPerLayer(model);
+  const double per_layer = model.layer_mb + kLeastRequests * RequestMb(model);
   return std::min(model.layers, static_cast<int>(memory / per_layer));
 }
 
--- a/modules/bbv_fleet/layer_planner.h
+++ b/modules/bbv_fleet/layer_planner.h
@@ -51,6 +51,9 @@
                                      const std::vector<PlannerTarget>& targets,
                                      bool may_move = true);
 
+  // Megabytes that a usual request takes for each layer. Thread safe.
+  static double RequestMb(const EngineModel& model);
+
   // Most layers that an accelerator holds beside room for a few requests;
   // 0 for an unknown kind. Thread safe.
   static int MaxLayers(const EngineModel& model,
--- a/tests/fleet_floor.cc
+++ b/tests/fleet_floor.cc
@@ -49,10 +49,11 @@
   int readiness = 0;
   int peers = 0;
   int metrics = 0;
+  standins::FaultProxy store;
 };
 
 FleetFloor::FleetFloor(int entries, standins::FleetTargets::Shape shape)
-    : targets_(&store_, std::move(shape)) {
+    : targets_(&store_, shape), proxied_(shape.proxied) {
   std::string folder =
       (std::filesystem::temp_directory_path() / "bbv-fleet-XXXXXX").string();
   folder_ = mkdtemp(folder.data());
@@ -76,6 +77,8 @@
   store_.Put("keyed.op", "config", targets_.MakeConfiguration(1));
   for (std::size_t it = 0; it < entries_.size(); ++it) {
     Entry& entry = *entries_[it];
+    if (proxied_ && !entry.store.Start(store_.port()))
+      return false;
     entry.callers = FreePort();
     entry.readiness = FreePort();
     entry.peers = FreePort();
@@ -88,8 +91,8 @@
          << "\"\nzone = \"zone-a\"\nstop_timeout_s = 8\n[front]\ncallers = "
          << Quoted(entry.callers) << "readiness = " << Quoted(entry.readiness)
          << "peers = " << Quoted(entry.peers)
-         << "metrics = " << Quoted(entry.metrics)
-         << "[store]\naddress = " << Quoted(store_.port())
+         << "metrics = " << Quoted(entry.metrics) << "[store]\naddress = "
+         << Quoted(proxied_ ? entry.store.port() : store_.port())
          << "[retries]\nshare = 0.2\nextra = 100\nwindow_s = 10\n"
             "[targets]\nleave_within_ms = 2000\n";
     file.close();
@@ -122,6 +125,23 @@
   kill(entries_[entry]->pid, signal);
 }
 
+standins::FaultProxy& FleetFloor::store_proxy(int entry) {
+  return entries_[entry]->store;
+}
+
+bool FleetFloor::IsRunning(int entry) const {
+  return entries_[entry]->pid > 0;
+}
+
+bool FleetFloor::HasExited(int entry, int* code) {
+  int status = 0;
+  if (waitpid(entries_[entry]->pid, &status, WNOHANG) <= 0)
+    return false;
+  entries_[entry]->pid = -1;
+  *code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  return true;
+}
+
 int FleetFloor::WaitForExit(int entry) {
   int status = 0;
   waitpid(entries_[entry]->pid, &status, 0);
--- a/tests/fleet_floor.h
+++ b/tests/fleet_floor.h
@@ -38,8 +38,15 @@
   standins::FleetStore& store() { return store_; }
   standins::FleetTargets& targets() { return targets_; }
 
+  // The proxy between an entry and the store; only when targets are proxied.
+  standins::FaultProxy& store_proxy(int entry);
+
   void StartEntry(int entry);
   void Signal(int entry, int signal);
+  // Whether the process runs, paused or not.
+  bool IsRunning(int entry) const;
+  // Whether it has ended; then `code` is as below.
+  bool HasExited(int entry, int* code);
   // Waits for the end; the exit code, or -1 when a signal ended it.
   int WaitForExit(int entry);
   bool IsReady(int entry);
@@ -62,6 +69,7 @@
 
   standins::FleetStore store_;
   standins::FleetTargets targets_;
+  const bool proxied_;
   std::string folder_;
   std::vector<std::unique_ptr<Entry>> entries_;
 };
--- /dev/null
+++ b/tests/fleet_soak.cc
@@ -0,0 +1,367 @@
+#include "fleet_soak.h"
+
+#include <algorithm>
+#include <csignal>
+#include <sstream>
+#include <thread>
+#include <utility>
+
+namespace bbv {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kEntries = 3;
+constexpr int kEngines = 8;
+constexpr int kServices = 2;
+constexpr int kCallers = 8;
+constexpr int kFaults = 14;
+constexpr int kPlayMs = 6000;
+// As the entries' settings have it, and what their start and end may add.
+constexpr int kStopLimitMs = 8000;
+constexpr int kStopSlackMs = 700;
+// Time within which everything is served again after the last fault.
+constexpr int kRecoveryMs = 12'000;
+// As the entries' settings have it: share of calls, number beside, attempts.
+constexpr double kRetryShare = 0.2;
+constexpr int kRetryExtra = 100;
+constexpr int kRetryWindowMs = 10'000;
+constexpr int kAttempts = 2;
+// Calls of one caller on one entry before it goes to the next.
+constexpr int kCallsInTurn = 15;
+
+httplib::Headers MakeHeaders(const std::string& id) {
+  return {{"Host", "fleet.example"},
+          {"X-Attempt-Id", id},
+          {"X-Key", "key"},
+          {"X-Deadline-Ms", "4000"},
+          {"X-Token-Counts", "100,50"}};
+}
+
+std::vector<int> ReadEventIds(const std::string& text) {
+  std::vector<int> ids;
+  std::istringstream lines(text);
+  for (std::string line; std::getline(lines, line);) {
+    if (line.starts_with("id: "))
+      ids.push_back(std::stoi(line.substr(4)));
+  }
+  return ids;
+}
+
+}  // namespace
+
+FleetSoak::FleetSoak(uint64_t seed)
+    : random_(seed),
+      shape_([] {
+        standins::FleetTargets::Shape shape;
+        shape.engines = kEngines;
+        shape.services = kServices;
+        shape.events = 60;
+        shape.event_ms = 8;
+        shape.work_ms = 15;
+        shape.proxied = true;
+        return shape;
+      }()),
+      floor_(kEntries, shape_) {}
+
+std::vector<std::string> FleetSoak::Run() {
+  if (!floor_.Start()) {
+    Report("no start: " + floor_.Output(0));
+    return faults_;
+  }
+  began_ = Clock::now();
+  DrawFaults();
+  std::vector<std::thread> callers;
+  for (int it = 0; it < kCallers; ++it)
+    callers.emplace_back([this, it] { CallInTurn(it); });
+  PlayFaults();
+  CheckRecovery();
+  calling_ = false;
+  for (std::thread& it : callers)
+    it.join();
+  CheckOutcomes();
+  return faults_;
+}
+
+void FleetSoak::Report(const std::string& fault) {
+  const std::lock_guard lock(mutex_);
+  faults_.push_back(fault);
+}
+
+void FleetSoak::AddStep(int at_ms, std::function<void()> act) {
+  steps_.push_back({began_ + milliseconds(at_ms), std::move(act)});
+}
+
+void FleetSoak::DrawFaults() {
+  for (int it = 0; it < kFaults; ++it)
+    DrawFault(static_cast<int>(random_() % kPlayMs));
+  std::stable_sort(
+      steps_.begin(), steps_.end(),
+      [](const Step& left, const Step& right) { return left.at < right.at; });
+}
+
+void FleetSoak::DrawFault(int at_ms) {
+  const int end_ms = at_ms + 150 + static_cast<int>(random_() % 1800);
+  const int entry = static_cast<int>(random_() % kEntries);
+  const int target = static_cast<int>(random_() % (kEngines + kServices));
+  const auto fault = static_cast<standins::LinkFault>(1 + random_() % 3);
+  switch (random_() % 11) {
+    case 0:
+      AddStep(at_ms, [this, entry] { StopEntry(entry, SIGKILL); });
+      break;
+    case 1:
+      AddStep(at_ms, [this, entry] { StopEntry(entry, SIGTERM); });
+      break;
+    case 2:
+      AddStep(at_ms, [this, entry] {
+        stop_disturbed_[entry] = true;
+        if (floor_.IsRunning(entry))
+          floor_.Signal(entry, SIGSTOP);
+      });
+      AddStep(end_ms, [this, entry] {
+        if (floor_.IsRunning(entry))
+          floor_.Signal(entry, SIGCONT);
+      });
+      break;
+    case 3:
+      AddStep(at_ms, [this, entry] {
+        if (floor_.IsRunning(entry))
+          floor_.Signal(entry, SIGHUP);
+      });
+      break;
+    case 4:
+      AddStep(at_ms, [this] { floor_.store().SetOutage(true); });
+      AddStep(end_ms, [this] { floor_.store().SetOutage(false); });
+      break;
+    case 5:
+      AddStep(at_ms, [this] {
+        floor_.store().Compact("keyed.op");
+        floor_.store().Compact("keyed.servers");
+      });
+      break;
+    case 6:
+      AddStep(at_ms, [this, entry, fault] {
+        floor_.store_proxy(entry).SetFault(fault);
+      });
+      AddStep(end_ms, [this, entry] {
+        floor_.store_proxy(entry).SetFault(standins::LinkFault::kNone);
+      });
+      break;
+    case 7:
+      AddStep(at_ms, [this, target, fault] {
+        floor_.targets().proxy(target).SetFault(fault);
+      });
+      AddStep(end_ms, [this, target] {
+        floor_.targets().proxy(target).SetFault(standins::LinkFault::kNone);
+      });
+      break;
+    case 8:
+      AddStep(at_ms, [this, target] {
+        floor_.targets().proxy(target).ResetConnections();
+      });
+      break;
+    case 9:
+      AddStep(at_ms, [this, target] {
+        // Half of the memory of the others suffices for one loss, not for two.
+        if (target < kEngines && !std::exchange(crashed_, true))
+          floor_.targets().Crash(target);
+      });
+      break;
+    default:
+      AddStep(at_ms, [this] {
+        floor_.store().Put("keyed.op", "config",
+                           floor_.targets().MakeConfiguration(++version_));
+      });
+  }
+}
+
+void FleetSoak::StopEntry(int entry, int signal) {
+  if (!floor_.IsRunning(entry))
+    return;
+  if (signal == SIGKILL)
+    stop_disturbed_[entry] = true;
+  stopped_at_.try_emplace(entry, Clock::now());
+  floor_.Signal(entry, signal);
+}
+
+void FleetSoak::ReviveEntries() {
+  const auto now = Clock::now();
+  for (int it = 0; it < kEntries; ++it) {
+    int code = 0;
+    if (floor_.IsRunning(it) && floor_.HasExited(it, &code)) {
+      const bool asked = stopped_at_.contains(it);
+      const bool disturbed = stop_disturbed_[it];
+      if (!asked || (!disturbed && code != 0)) {
+        Report("entry " + std::to_string(it) + " ended with " +
+               std::to_string(code) + ": " + floor_.Output(it));
+      }
+      const auto limit = milliseconds(kStopLimitMs + kStopSlackMs);
+      if (asked && !disturbed && now > stopped_at_[it] + limit)
+        Report("entry " + std::to_string(it) + " took too long to stop");
+      starts_at_[it] = now + milliseconds(random_() % 800);
+      stopped_at_.erase(it);
+      stop_disturbed_[it] = false;
+    }
+    const auto start = starts_at_.find(it);
+    if (start != starts_at_.end() && now >= start->second) {
+      floor_.StartEntry(it);
+      starts_at_.erase(start);
+    }
+  }
+}
+
+void FleetSoak::PlayFaults() {
+  for (const Step& it : steps_) {
+    while (Clock::now() < it.at) {
+      ReviveEntries();
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    it.act();
+  }
+}
+
+void FleetSoak::CallInTurn(int caller) {
+  int entry = caller % kEntries;
+  int number = 0;
+  while (calling_) {
+    // One connection, used until it ends.
+    httplib::Client client("127.0.0.1", floor_.callers_port(entry));
+    client.set_keep_alive(true);
+    client.set_connection_timeout(1);
+    client.set_read_timeout(5);
+    for (int it = 0; it < kCallsInTurn && calling_; ++it) {
+      Outcome outcome = CallOnce(&client, caller, ++number);
+      const bool gone = outcome.status == 0;
+      const std::lock_guard lock(mutex_);
+      outcomes_.push_back(std::move(outcome));
+      if (gone)
+        break;
+    }
+    entry = (entry + 1) % kEntries;
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+}
+
+FleetSoak::Outcome FleetSoak::CallOnce(httplib::Client* client,
+                                       int caller,
+                                       int number) {
+  Outcome outcome;
+  outcome.id = "c" + std::to_string(caller) + "-" + std::to_string(number);
+  outcome.kind = number % 2 == 0   ? CallKind::kStream
+                 : number % 4 == 1 ? CallKind::kSafe
+                                   : CallKind::kUnsafe;
+  const httplib::Headers headers = MakeHeaders(outcome.id);
+  std::string text;
+  const auto keep = [&text](const char* data, std::size_t n) {
+    text.append(data, n);
+    return true;
+  };
+  const char* path = outcome.kind == CallKind::kSafe ? "/safe/x" : "/unsafe/x";
+  const httplib::Result result =
+      outcome.kind == CallKind::kStream
+          ? client->Get("/stream/x", headers, keep)
+          : client->Post(path, headers, "body", "text/plain");
+  if (outcome.kind == CallKind::kStream)
+    outcome.stream.events = ReadEventIds(text);
+  if (!result)
+    return outcome;
+  outcome.status = result->status;
+  outcome.body = result->body;
+  outcome.stream.whole = result->status == 200;
+  outcome.stream.signature = result->get_header_value("X-Response-Signature");
+  const std::string echoed = result->get_header_value("X-Attempt-Id");
+  if (result->status == 200 && echoed != outcome.id)
+    Report(outcome.id + " got the answer of " + echoed);
+  return outcome;
+}
+
+void FleetSoak::CheckRecovery() {
+  const auto deadline = Clock::now() + milliseconds(kRecoveryMs);
+  const std::string own = "/version-" + std::to_string(version_) + "/x";
+  int number = 0;
+  for (int entry = 0; entry < kEntries;) {
+    ReviveEntries();
+    const std::string id = "r" + std::to_string(++number);
+    const bool served =
+        floor_.IsRunning(entry) && !stopped_at_.contains(entry) &&
+        floor_.IsReady(entry) && floor_.Stream(entry, id).whole && [&] {
+          const auto answer = floor_.Call(entry, own, id + "-own");
+          return answer && answer->status == 200;
+        }();
+    if (served) {
+      ++entry;
+      continue;
+    }
+    if (Clock::now() >= deadline) {
+      Report("entry " + std::to_string(entry) +
+             " does not serve again: " + floor_.Output(entry));
+      return;
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  if (!floor_.targets().HoldsAllLayers())
+    Report("layers are missing after the recovery");
+}
+
+void FleetSoak::CheckStream(const Outcome& outcome) {
+  const std::vector<int>& events = outcome.stream.events;
+  for (std::size_t it = 0; it < events.size(); ++it) {
+    if (events[it] != static_cast<int>(it) + 1) {
+      Report(outcome.id + " got event " + std::to_string(events[it]) +
+             " at place " + std::to_string(it + 1));
+      return;
+    }
+  }
+  const bool all = static_cast<int>(events.size()) == shape_.events;
+  if (outcome.stream.whole && !all)
+    Report(outcome.id + " ended as complete without all events");
+}
+
+void FleetSoak::CheckOutcomes() {
+  const std::map<std::string, int> runs = floor_.targets().Runs();
+  double repeats = 0;
+  int served = 0;
+  std::map<int, int> statuses;
+  for (const Outcome& it : outcomes_) {
+    const auto row = runs.find(it.id);
+    const int ran = row == runs.end() ? 0 : row->second;
+    repeats += std::max(0, ran - 1);
+    served += it.status == 200 ? 1 : 0;
+    ++statuses[it.status];
+    const std::string what =
+        it.id + ", status " + std::to_string(it.status) + ": ";
+    if (it.kind == CallKind::kUnsafe && ran > 1)
+      Report(what + "an unsafe call ran " + std::to_string(ran) + " times");
+    if (it.kind != CallKind::kUnsafe && ran > kAttempts)
+      Report(what + "ran " + std::to_string(ran) + " times");
+    const bool promised_not_run =
+        it.status == 503 || it.status == 429 || it.status == 421;
+    if (it.kind == CallKind::kUnsafe && promised_not_run && ran > 0)
+      Report(what + "ran though its caller was told that it had not");
+    if (it.status >= 400 && it.status < 500 && it.status != 429)
+      Report(what + "a proper call was turned away");
+    if (it.status == 200 && it.stream.signature.empty())
+      Report(what + "no signature");
+    if (it.kind == CallKind::kStream)
+      CheckStream(it);
+    else if (it.status == 200 && it.body != "done for account")
+      Report(what + "body " + it.body);
+  }
+  const auto passed =
+      std::chrono::duration_cast<milliseconds>(Clock::now() - began_);
+  const auto windows = passed.count() / kRetryWindowMs + 1;
+  const auto calls = static_cast<double>(outcomes_.size());
+  if (repeats > kRetryShare * calls + kRetryExtra * windows)
+    Report("too many repeats: " + std::to_string(repeats));
+  summary_ = std::to_string(outcomes_.size()) + " calls;";
+  for (const auto& [status, n] : statuses) {
+    summary_ += ' ' + (status == 0 ? "cut" : std::to_string(status)) + ' ' +
+                std::to_string(n);
+  }
+  summary_ += "; " + std::to_string(static_cast<int>(repeats)) + " repeats, " +
+              std::to_string(floor_.targets().PathChanges()) + " changed paths";
+  if (served == 0)
+    Report("no call was served");
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/tests/fleet_soak_main.cc
@@ -0,0 +1,31 @@
+// Plays the fault soak by hand: fleet_soak FIRST [LAST]. Prints what went
+// against a promise, by seed.
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+
+#include "fleet_soak.h"
+
+int main(int argc, char** argv) {
+  if (argc < 2 || argc > 3) {
+    std::fputs("usage: fleet_soak FIRST [LAST]\n", stderr);
+    return 2;
+  }
+  const uint64_t first = std::strtoull(argv[1], nullptr, 10);
+  const uint64_t last = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : first;
+  int failed = 0;
+  for (uint64_t seed = first; seed <= last; ++seed) {
+    bbv::FleetSoak soak(seed);
+    const auto faults = soak.Run();
+    failed += faults.empty() ? 0 : 1;
+    std::printf("seed %llu: %s; %s\n", static_cast<unsigned long long>(seed),
+                faults.empty() ? "passed" : "failed", soak.summary().c_str());
+    for (const std::string& it : faults)
+      std::printf("  %s\n", it.c_str());
+    std::fflush(stdout);
+  }
+  std::printf("%llu seeds, %d failed\n",
+              static_cast<unsigned long long>(last - first + 1), failed);
+  return failed == 0 ? 0 : 1;
+}
--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -15,6 +15,7 @@
 using std::chrono::milliseconds;
 
 constexpr int kThreads = 64;
+constexpr int kGroupLifetimeMs = 3000;
 constexpr int kHeartbeatMs = 100;
 constexpr int kLayerMb = 1000;
 constexpr int kAcceleratorMb = 4000;
@@ -71,9 +72,11 @@
   server_.Get("/v1/log-read", bind(&FleetStore::HandleRead));
   server_.Post("/v1/log-append", bind(&FleetStore::HandleAppend));
   server_.Post("/v1/log-join", bind(&FleetStore::HandleJoin));
-  server_.Post("/v1/log-leave", [this](const auto&, auto&) {
+  server_.Post("/v1/log-leave", [this](const auto& request, auto&) {
+    const Json body = Json::parse(request.body);
     const std::lock_guard lock(mutex_);
-    group_holder_.clear();
+    if (group_holder_ == body["member"].template get<std::string>())
+      group_holder_.clear();
   });
 }
 
@@ -182,10 +185,13 @@
                             httplib::Response& response) {
   const Json body = Json::parse(request.body);
   const std::lock_guard lock(mutex_);
-  if (group_holder_.empty()) {
+  const auto now = std::chrono::steady_clock::now();
+  if (group_holder_.empty() || now >= group_until_) {
     group_holder_ = body["member"].get<std::string>();
     ++generation_;
   }
+  if (group_holder_ == body["member"].get<std::string>())
+    group_until_ = now + milliseconds(body.value("ttl_ms", kGroupLifetimeMs));
   Json parts = Json::array();
   if (group_holder_ == body["member"].get<std::string>())
     parts.push_back(Json::array({body["topics"][0], 0, 0}));
@@ -200,6 +206,9 @@
   httplib::Server server;
   std::thread thread;
   int port = 0;
+  // Stands before the port when connections may be harmed.
+  FaultProxy proxy;
+  int listed_port = 0;
   bool engine = false;
   int64_t born = 0;
   std::atomic<bool> crashed{false};
@@ -247,8 +256,9 @@
 bool FleetTargets::Start() {
   for (const auto& it : targets_) {
     it->port = it->server.bind_to_any_port("127.0.0.1");
-    if (it->port <= 0)
+    if (it->port <= 0 || (shape_.proxied && !it->proxy.Start(it->port)))
       return false;
+    it->listed_port = shape_.proxied ? it->proxy.port() : it->port;
     it->thread =
         std::thread([&server = it->server] { server.listen_after_bind(); });
   }
@@ -268,14 +278,15 @@
 
 void FleetTargets::List(Target* target) {
   const std::lock_guard lock(mutex_);
-  Json record = {{"service", target->service},
-                 {"address", "127.0.0.1:" + std::to_string(target->port)},
-                 {"zone", shape_.zone},
-                 {"version", "v1"},
-                 {"slots", 64},
-                 {"state", "ready"},
-                 {"sequence", ++target->heartbeat},
-                 {"born", target->born}};
+  Json record = {
+      {"service", target->service},
+      {"address", "127.0.0.1:" + std::to_string(target->listed_port)},
+      {"zone", shape_.zone},
+      {"version", "v1"},
+      {"slots", 64},
+      {"state", "ready"},
+      {"sequence", ++target->heartbeat},
+      {"born", target->born}};
   if (target->engine)
     record["type"] = shape_.accelerator;
   if (target->layers) {
@@ -311,11 +322,14 @@
                               {"size_mb", kAcceleratorMb},
                               {"pace", 1.0},
                               {"read_factor", 1.0}}})}};
+  // Each version has a route of its own beside those that stay.
+  const std::string own = "version-" + std::to_string(version);
   const Json configuration = {
       {"version", version},
       {"routes", Json::array({route("stream", "streaming", "engine"),
                               route("safe", "safe", "plain"),
-                              route("unsafe", "unsafe", "plain")})},
+                              route("unsafe", "unsafe", "plain"),
+                              route(own.c_str(), "safe", "plain")})},
       {"services", Json::array({{{"name", "engine"}, {"engine", engine}},
                                 {{"name", "plain"}}})},
       {"limits", {{"max_body_bytes", 100000}}},
@@ -331,7 +345,7 @@
     const int from = std::stoi(range);
     const int to = std::stoi(range.substr(range.find('-') + 1));
     for (const auto& it : targets_) {
-      if (address != "127.0.0.1:" + std::to_string(it->port))
+      if (address != "127.0.0.1:" + std::to_string(it->listed_port))
         continue;
       if (it->crashed || !it->layers || from < it->layers->first ||
           to > it->layers->second)
@@ -474,11 +488,16 @@
     const std::lock_guard lock(mutex_);
     ++runs_[id];
   }
+  std::this_thread::sleep_for(milliseconds(shape_.work_ms));
   response.set_header("X-Response-Signature", "signature-of-" + target->id);
   response.set_content("done for " + request.get_header_value("X-Tenant"),
                        "text/plain");
 }
 
+FaultProxy& FleetTargets::proxy(int target) {
+  return targets_[target]->proxy;
+}
+
 void FleetTargets::Crash(int engine) {
   targets_[engine]->crashed = true;
   targets_[engine]->server.stop();
--- a/tests/standins/fleet_standin.h
+++ b/tests/standins/fleet_standin.h
@@ -4,6 +4,7 @@
 #include <httplib.h>
 
 #include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <map>
@@ -14,6 +15,8 @@
 #include <thread>
 #include <vector>
 
+#include "standins/fault_proxy.h"
+
 namespace bbv::standins {
 
 // The platform's store, in memory: keyed topics, groups, faults.
@@ -65,6 +68,7 @@
   std::condition_variable appended_;
   std::map<std::string, Topic> topics_;
   std::string group_holder_;
+  std::chrono::steady_clock::time_point group_until_;
   int64_t generation_ = 0;
 };
 
@@ -85,6 +89,10 @@
     int load_ms = 200;
     // Bytes added to each event.
     std::size_t padding = 0;
+    // Time that a plain call takes.
+    int work_ms = 0;
+    // Whether a proxy stands before each target.
+    bool proxied = false;
   };
 
   FleetTargets(FleetStore* store, Shape shape);
@@ -95,6 +103,8 @@
   // The configuration that fits these targets.
   std::string MakeConfiguration(int version) const;
 
+  // The proxy before a target, engines first; only when proxied.
+  FaultProxy& proxy(int target);
   // Ends an engine without notice: its port refuses, its streams break.
   void Crash(int engine);
   // Number of an engine that holds `layer`, -1 when none does.
