--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -360,13 +360,18 @@
     SuspectTarget(target, evidence, now);
   if (const auto address = ParseSocketAddress(target->record.address))
     client_.Forget(*address);
-  std::vector<RelayedCall*> affected;
-  for (const auto& [id, call] : calls_)
-    affected.push_back(call.get());
-  for (RelayedCall* it : affected)
+  for (RelayedCall* it : OpenCalls())
     it->OnPathFault(target_id, now);
 }
 
+std::vector<RelayedCall*> FleetEntry::OpenCalls() const {
+  std::vector<RelayedCall*> open;
+  open.reserve(calls_.size());
+  for (const auto& [id, call] : calls_)
+    open.push_back(call.get());
+  return open;
+}
+
 void FleetEntry::OnTick() {
   const Instant now = EventLoop::Now();
   client_.OnTick(now);
@@ -421,21 +426,15 @@
     }
     ++it;
   }
-  std::vector<RelayedCall*> open;
-  open.reserve(calls_.size());
-  for (const auto& [id, call] : calls_)
-    open.push_back(call.get());
+  const std::vector<RelayedCall*> open = OpenCalls();
   for (RelayedCall* it : open) {
     it->OnTick(now);
     if (it->call().IsStalled(now))
       stalls_.Suspect(it->call().dispatch().target_id, now);
   }
   ProbeSilentTargets(open, now);
+  LeaveGivenUpLayers(open, now);
   ended_calls_.clear();
-  if (now < next_layer_check_)
-    return;
-  next_layer_check_ = now + kLayerCheckPause;
-  LeaveGivenUpLayers(now);
 }
 
 void FleetEntry::ProbeSilentTargets(const std::vector<RelayedCall*>& calls,
@@ -451,8 +450,12 @@
     stalls_.Probe(it, now);
 }
 
-void FleetEntry::LeaveGivenUpLayers(Instant now) {
-  for (const auto& [id, call] : calls_) {
+void FleetEntry::LeaveGivenUpLayers(const std::vector<RelayedCall*>& calls,
+                                    Instant now) {
+  if (now < next_layer_check_)
+    return;
+  next_layer_check_ = now + kLayerCheckPause;
+  for (RelayedCall* call : calls) {
     const CallDispatch& path = call->call().dispatch();
     // Copied, since the call changes its path meanwhile.
     const std::vector<std::string> ids = path.hop_ids;
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -60,7 +60,10 @@
   // Asks targets through which several streams have fallen silent.
   void ProbeSilentTargets(const std::vector<RelayedCall*>& calls, Instant now);
   // Takes calls off targets that give up layers which the calls run there.
-  void LeaveGivenUpLayers(Instant now);
+  void LeaveGivenUpLayers(const std::vector<RelayedCall*>& calls, Instant now);
+  // Calls that are open now. They stay valid until the end of the tick, also
+  // when they end meanwhile.
+  std::vector<RelayedCall*> OpenCalls() const;
   void TickStop(Instant now);
   void ShareBudgets();
   void BeginStop();
