--- a/tests/fleet_floor.cc
+++ b/tests/fleet_floor.cc
@@ -52,7 +52,7 @@
   standins::FaultProxy store;
 };
 
-FleetFloor::FleetFloor(int entries, standins::FleetTargets::Shape shape)
+FleetFloor::FleetFloor(int entries, const standins::FleetTargets::Shape& shape)
     : targets_(&store_, shape), proxied_(shape.proxied) {
   std::string folder =
       (std::filesystem::temp_directory_path() / "bbv-fleet-XXXXXX").string();
--- a/tests/fleet_floor.h
+++ b/tests/fleet_floor.h
@@ -28,7 +28,7 @@
 // Thread safety: callers' methods from any thread, the others from the owner.
 class FleetFloor {
  public:
-  FleetFloor(int entries, standins::FleetTargets::Shape shape);
+  FleetFloor(int entries, const standins::FleetTargets::Shape& shape);
   ~FleetFloor();
 
   // Starts everything and waits until the layers are placed and entries are
--- a/tests/fleet_soak.cc
+++ b/tests/fleet_soak.cc
@@ -72,6 +72,7 @@
   began_ = Clock::now();
   DrawFaults();
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int it = 0; it < kCallers; ++it)
     callers.emplace_back([this, it] { CallInTurn(it); });
   PlayFaults();
--- a/tests/fleet_soak_main.cc
+++ b/tests/fleet_soak_main.cc
@@ -19,13 +19,13 @@
     bbv::FleetSoak soak(seed);
     const auto faults = soak.Run();
     failed += faults.empty() ? 0 : 1;
-    std::printf("seed %llu: %s; %s\n", static_cast<unsigned long long>(seed),
+    std::printf("seed %s: %s; %s\n", std::to_string(seed).c_str(),
                 faults.empty() ? "passed" : "failed", soak.summary().c_str());
     for (const std::string& it : faults)
       std::printf("  %s\n", it.c_str());
     std::fflush(stdout);
   }
-  std::printf("%llu seeds, %d failed\n",
-              static_cast<unsigned long long>(last - first + 1), failed);
+  std::printf("%s seeds, %d failed\n", std::to_string(last - first + 1).c_str(),
+              failed);
   return failed == 0 ? 0 : 1;
 }
