Take given-up layers off the table as soon as a target accepts the order

Cause: between the acceptance of an order and the next report (0.2 to 1 s) entries went on choosing layers that the target had given up (status 421) and left their calls on them, for which the target waited before it loaded. Ruled out: more memory for layers (refusals in small zones), contrary orders (one planner at the time). Change: the planner applies what is kept at once and hands it on with the next state; older reports do not undo it; calls leave such hops also when the target keeps none of its layers.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -462,8 +462,8 @@
     const std::vector<LayerRange> layers = path.layers;
     for (std::size_t it = 1; it < layers.size(); ++it) {
       const FleetTarget* target = board_.Find(ids[it]);
-      if (target != nullptr && target->record.layers &&
-          !target->record.layers->Holds(layers[it]))
+      if (target != nullptr &&
+          (!target->record.layers || !target->record.layers->Holds(layers[it])))
         call->OnPathFault(ids[it], now);
     }
   }
--- a/modules/bbv_entry/planner_agent.cc
+++ b/modules/bbv_entry/planner_agent.cc
@@ -29,7 +29,8 @@
 // given no other.
 constexpr Milliseconds kMutePatience{1100};
 constexpr Milliseconds kMuteTime{3000};
-// Age of reports at most.
+// Age of reports, usually and at most.
+constexpr Milliseconds kReportLag{200};
 constexpr Milliseconds kReportAge{500};
 // Time for which an entry that has lost the lease goes on planning until
 // another one is known to plan.
@@ -348,27 +349,27 @@
   const FleetTarget* target = board_->Find(id);
   if (target == nullptr)
     return;
-  AskForReport(client_,
-               {target->record.address, EventLoop::Now() + kOrderTimeout},
-               [this, id](const ReportAnswer& answer) {
-                 const auto order = pending_.find(id);
-                 const auto& report = answer.report;
-                 if (!report || order == pending_.end())
-                   return;
-                 board_->ApplyReport(id, report->load, EventLoop::Now());
-                 if (report->load.layers == order->second.layers) {
-                   order->second.answered = true;
-                   return;
-                 }
-                 if (report->order_under_way)
-                   return;
-                 // Reports are a little old; after that an order that is not
-                 // under way has been lost, as by a restart.
-                 if (order->second.answered &&
-                     EventLoop::Now() < order->second.answered_at + kReportAge)
-                   return;
-                 SendOrder(id, report->orders_begun);
-               });
+  AskForReport(
+      client_, {target->record.address, EventLoop::Now() + kOrderTimeout},
+      [this, id](const ReportAnswer& answer) {
+        const auto order = pending_.find(id);
+        const auto& report = answer.report;
+        if (!report || order == pending_.end())
+          return;
+        board_->ApplyReport(id, report->load, EventLoop::Now() - kReportLag);
+        if (report->load.layers == order->second.layers) {
+          order->second.answered = true;
+          return;
+        }
+        if (report->order_under_way)
+          return;
+        // Reports are a little old; after that an order that is not
+        // under way has been lost, as by a restart.
+        if (order->second.answered &&
+            EventLoop::Now() < order->second.answered_at + kReportAge)
+          return;
+        SendOrder(id, report->orders_begun);
+      });
 }
 
 void PlannerAgent::SendOrder(const std::string& id, int64_t orders_begun) {
@@ -392,6 +393,22 @@
       });
 }
 
+void PlannerAgent::NoteGivenUpLayers(const std::string& id,
+                                     const LayerRange& wanted) {
+  const FleetTarget* target = board_->Find(id);
+  if (target == nullptr || !target->record.layers)
+    return;
+  const LayerRange& held = *target->record.layers;
+  const LayerRange kept{std::max(held.from, wanted.from),
+                        std::min(held.to, wanted.to)};
+  EngineLoadReport report = target->report;
+  report.started_unix_ms = target->record.started_unix_ms;
+  report.layers.reset();
+  if (kept.from < kept.to)
+    report.layers = kept;
+  board_->ApplyReport(id, report, EventLoop::Now());
+}
+
 void PlannerAgent::OnOrderAnswered(const std::string& id, int status) {
   log_->Write(Event::kLayerOrderAnswered, EventLoop::Now(),
               {{"target", id}, {"status", static_cast<int64_t>(status)}});
@@ -402,6 +419,8 @@
     order->second.answered = true;
     order->second.answered_at = EventLoop::Now();
     order->second.send_again = EventLoop::Now() + kLoadQuestionPause;
+    if (status == kAccepted)
+      NoteGivenUpLayers(id, order->second.layers);
   }
   if (status == kConflict)
     order->second.send_again = EventLoop::Now();
--- a/modules/bbv_entry/planner_agent.h
+++ b/modules/bbv_entry/planner_agent.h
@@ -99,6 +99,9 @@
   void SettleOrders(Instant now);
   void AskReport(const std::string& id);
   void SendOrder(const std::string& id, int64_t orders_begun);
+  // Takes off the table what a target gives up by an order that it has just
+  // accepted; its reports tell of that later.
+  void NoteGivenUpLayers(const std::string& id, const LayerRange& wanted);
   void OnOrderAnswered(const std::string& id, int status);
   StoreClient* store_;
   HttpClient* client_;
