--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -457,15 +457,16 @@
   next_layer_check_ = now + kLayerCheckPause;
   for (RelayedCall* call : calls) {
     const CallDispatch& path = call->call().dispatch();
-    // Copied, since the call changes its path meanwhile.
-    const std::vector<std::string> ids = path.hop_ids;
-    const std::vector<LayerRange> layers = path.layers;
-    for (std::size_t it = 1; it < layers.size(); ++it) {
-      const FleetTarget* target = board_.Find(ids[it]);
-      if (target != nullptr &&
-          (!target->record.layers || !target->record.layers->Holds(layers[it])))
-        call->OnPathFault(ids[it], now);
+    // Collected first, since the call changes its path meanwhile.
+    std::vector<std::string> given_up;
+    for (std::size_t it = 1; it < path.layers.size(); ++it) {
+      const FleetTarget* target = board_.Find(path.hop_ids[it]);
+      if (target != nullptr && (!target->record.layers ||
+                                !target->record.layers->Holds(path.layers[it])))
+        given_up.push_back(path.hop_ids[it]);
     }
+    for (const std::string& it : given_up)
+      call->OnPathFault(it, now);
   }
 }
 
--- a/modules/bbv_entry/load_watch.cc
+++ b/modules/bbv_entry/load_watch.cc
@@ -10,8 +10,6 @@
 
 constexpr Milliseconds kPause{1000};
 constexpr Milliseconds kTimeout{400};
-// How old a report's values are when it is given.
-constexpr Milliseconds kReportLag{200};
 
 }  // namespace
 
--- a/modules/bbv_entry/planner_agent.cc
+++ b/modules/bbv_entry/planner_agent.cc
@@ -6,8 +6,6 @@
 #include <utility>
 #include <vector>
 
-#include "bbv_entry/target_question.h"
-
 namespace bbv {
 namespace {
 
@@ -29,8 +27,7 @@
 // given no other.
 constexpr Milliseconds kMutePatience{1100};
 constexpr Milliseconds kMuteTime{3000};
-// Age of reports, usually and at most.
-constexpr Milliseconds kReportLag{200};
+// Age of reports at most.
 constexpr Milliseconds kReportAge{500};
 // Time for which an entry that has lost the lease goes on planning until
 // another one is known to plan.
@@ -44,26 +41,17 @@
 constexpr int kDoublingPart = 2;
 constexpr int kAllTargets = std::numeric_limits<int>::max();
 constexpr int kOk = 200;
-constexpr int kAccepted = 202;
-constexpr int kConflict = 409;
 
 // Whether some zone's targets hold every layer.
 bool HoldsSomeCopy(const EngineModel& model,
                    const std::vector<PlannerTarget>& targets) {
-  std::map<std::string, std::vector<bool>> held;
+  std::map<std::string, LayerCoverage> held;
   for (const PlannerTarget& it : targets) {
-    if (!it.layers)
-      continue;
-    auto& zone = held[it.zone];
-    zone.resize(model.layers);
-    for (int n = it.layers->from; n < std::min(it.layers->to, model.layers);
-         ++n)
-      zone[n] = true;
+    if (it.layers)
+      held.try_emplace(it.zone, model.layers).first->second.Add(*it.layers);
   }
-  return std::any_of(held.begin(), held.end(), [](const auto& zone) {
-    return std::all_of(zone.second.begin(), zone.second.end(),
-                       [](bool it) { return it; });
-  });
+  return std::any_of(held.begin(), held.end(),
+                     [](const auto& zone) { return !zone.second.FirstGap(); });
 }
 
 }  // namespace
@@ -205,8 +193,7 @@
       target.layers = it->second.layers;
       target.is_fixed = true;
     }
-    if (const auto it = mute_until_.find(id); it != mute_until_.end())
-      target.is_fixed = target.is_fixed || now < it->second;
+    target.is_fixed = target.is_fixed || mute_until_.contains(id);
     targets.push_back(std::move(target));
   }
   std::erase_if(missing_since_, [this](const auto& it) {
@@ -215,21 +202,20 @@
   return targets;
 }
 
-void PlannerAgent::AppendReliefOfSlowTargets(
+std::vector<Placement> PlannerAgent::PlanRelief(
     const EngineModel& model,
     const std::vector<PlannerTarget>& targets,
-    Instant now,
-    std::vector<Placement>* changes) const {
+    Instant now) const {
   std::vector<PlannerTarget> quick;
   for (const PlannerTarget& it : targets) {
     const FleetTarget* target = board_->Find(it.id);
     if (target != nullptr && !TargetBoard::IsSlow(*target, now))
       quick.push_back(it);
   }
-  if (quick.size() == targets.size() || !changes->empty())
-    return;
+  if (quick.size() == targets.size())
+    return {};
   // Others take the layers too, but nothing moves: a slow target still serves.
-  *changes = LayerPlanner::Plan(model, quick, false);
+  return LayerPlanner::Plan(model, quick, false);
 }
 
 std::vector<Placement> PlannerAgent::PlanDoubles(
@@ -253,36 +239,31 @@
 void PlannerAgent::WatchCopies(const EngineModel& model,
                                const std::string& service,
                                Instant now) {
-  std::map<std::string, std::vector<bool>> held;
+  std::map<std::string, LayerCoverage> held;
   for (const auto& [id, row] : board_->rows()) {
     if (row->record.service != service)
       continue;
-    auto& zone = held[row->record.zone];
-    zone.resize(model.layers);
-    if (!row->record.layers || !board_->IsUsable(*row, now))
-      continue;
-    const LayerRange& range = *row->record.layers;
-    for (int n = range.from; n < std::min(range.to, model.layers); ++n)
-      zone[n] = true;
+    auto& zone = held.try_emplace(row->record.zone, model.layers).first->second;
+    if (row->record.layers && board_->IsUsable(*row, now))
+      zone.Add(*row->record.layers);
   }
   for (const auto& [zone, layers] : held) {
-    const auto missing = std::count(layers.begin(), layers.end(), false);
+    const auto gap = layers.FirstGap();
     const auto since = broken_since_.find(zone);
-    if (missing == 0 && since != broken_since_.end()) {
+    if (!gap && since != broken_since_.end()) {
       log_->Write(Event::kZoneCopyWhole, now,
                   {{"zone", zone},
                    {"after_ms", static_cast<int64_t>(RemainingMilliseconds(
                                     now, since->second))}});
       broken_since_.erase(since);
     }
-    if (missing == 0 || since != broken_since_.end())
+    if (!gap || since != broken_since_.end())
       continue;
     broken_since_[zone] = now;
-    const auto first = std::find(layers.begin(), layers.end(), false);
     log_->Write(Event::kZoneCopyBroken, now,
                 {{"zone", zone},
-                 {"from_layer", static_cast<int64_t>(first - layers.begin())},
-                 {"missing", static_cast<int64_t>(missing)},
+                 {"from_layer", static_cast<int64_t>(gap->from)},
+                 {"missing", static_cast<int64_t>(layers.CountMissing())},
                  {"orders", static_cast<int64_t>(pending_.size())}});
   }
 }
@@ -295,7 +276,8 @@
   // counts on.
   const bool may_move = pending_.empty() || !HoldsSomeCopy(model, targets);
   std::vector<Placement> changes = LayerPlanner::Plan(model, targets, may_move);
-  AppendReliefOfSlowTargets(model, targets, now, &changes);
+  if (changes.empty())
+    changes = PlanRelief(model, targets, now);
   if (changes.empty())
     changes = PlanDoubles(model, targets, now);
   for (const Placement& it : changes) {
@@ -319,6 +301,8 @@
 }
 
 void PlannerAgent::SettleOrders(Instant now) {
+  std::erase_if(mute_until_,
+                [now](const auto& it) { return now >= it.second; });
   for (auto it = pending_.begin(); it != pending_.end();) {
     const FleetTarget* target = board_->Find(it->first);
     const bool settled =
@@ -383,14 +367,11 @@
                {"from_layer", static_cast<int64_t>(layers.from)},
                {"to_layer", static_cast<int64_t>(layers.to)},
                {"orders_begun", orders_begun}});
-  WholeAnswer::Fetch(
-      client_,
-      MakeTargetRequest(target->record.address, "POST", platform::kOrderPath,
-                        platform::EncodePlaceOrder(layers, orders_begun),
-                        EventLoop::Now() + kOrderTimeout),
-      [this, id](const HttpAnswer* answer) {
-        OnOrderAnswered(id, answer == nullptr ? 0 : answer->head.status);
-      });
+  GiveOrder(
+      client_, target->record.address,
+      platform::EncodePlaceOrder(layers, orders_begun),
+      EventLoop::Now() + kOrderTimeout,
+      [this, id](const OrderAnswer& answer) { OnOrderAnswered(id, answer); });
 }
 
 void PlannerAgent::NoteGivenUpLayers(const std::string& id,
@@ -398,31 +379,28 @@
   const FleetTarget* target = board_->Find(id);
   if (target == nullptr || !target->record.layers)
     return;
-  const LayerRange& held = *target->record.layers;
-  const LayerRange kept{std::max(held.from, wanted.from),
-                        std::min(held.to, wanted.to)};
   EngineLoadReport report = target->report;
   report.started_unix_ms = target->record.started_unix_ms;
-  report.layers.reset();
-  if (kept.from < kept.to)
-    report.layers = kept;
+  report.layers = target->record.layers->SharedWith(wanted);
   board_->ApplyReport(id, report, EventLoop::Now());
 }
 
-void PlannerAgent::OnOrderAnswered(const std::string& id, int status) {
-  log_->Write(Event::kLayerOrderAnswered, EventLoop::Now(),
-              {{"target", id}, {"status", static_cast<int64_t>(status)}});
+void PlannerAgent::OnOrderAnswered(const std::string& id,
+                                   const OrderAnswer& answer) {
+  log_->Write(
+      Event::kLayerOrderAnswered, EventLoop::Now(),
+      {{"target", id}, {"status", static_cast<int64_t>(answer.status)}});
   const auto order = pending_.find(id);
   if (order == pending_.end())
     return;
-  if (status == kOk || status == kAccepted) {
+  if (answer.is_taken()) {
     order->second.answered = true;
     order->second.answered_at = EventLoop::Now();
     order->second.send_again = EventLoop::Now() + kLoadQuestionPause;
-    if (status == kAccepted)
+    if (answer.has_begun())
       NoteGivenUpLayers(id, order->second.layers);
   }
-  if (status == kConflict)
+  if (answer.is_conflict())
     order->second.send_again = EventLoop::Now();
 }
 
--- a/modules/bbv_entry/planner_agent.h
+++ b/modules/bbv_entry/planner_agent.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "bbv_entry/store_client.h"
+#include "bbv_entry/target_question.h"
 #include "bbv_fleet/bbv_fleet.h"
 #include "bbv_front/http_client.h"
 #include "bbv_observe/decision_log.h"
@@ -81,11 +82,11 @@
   // Targets that planning counts on, with what they hold or will hold.
   std::vector<PlannerTarget> CollectTargets(const ServiceDescription& service,
                                             Instant now);
-  // Adds orders by which quick targets take over layers of slow ones.
-  void AppendReliefOfSlowTargets(const EngineModel& model,
-                                 const std::vector<PlannerTarget>& targets,
-                                 Instant now,
-                                 std::vector<Placement>* changes) const;
+  // Returns the placements by which quick targets take over layers of slow
+  // ones.
+  std::vector<Placement> PlanRelief(const EngineModel& model,
+                                    const std::vector<PlannerTarget>& targets,
+                                    Instant now) const;
   // Returns the placements by which layers are held twice, while nothing more
   // urgent is under way.
   std::vector<Placement> PlanDoubles(const EngineModel& model,
@@ -102,7 +103,7 @@
   // Takes off the table what a target gives up by an order that it has just
   // accepted; its reports tell of that later.
   void NoteGivenUpLayers(const std::string& id, const LayerRange& wanted);
-  void OnOrderAnswered(const std::string& id, int status);
+  void OnOrderAnswered(const std::string& id, const OrderAnswer& answer);
   StoreClient* store_;
   HttpClient* client_;
   DecisionLog* log_;
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -4,8 +4,6 @@
 #include <cassert>
 #include <utility>
 
-#include "bbv_entry/target_question.h"
-
 namespace bbv {
 namespace {
 
@@ -22,8 +20,6 @@
 constexpr int kRetrySpreadPercent = 50;
 constexpr int kFirstFailureStatus = 500;
 constexpr Milliseconds kOrderTimeout{300};
-constexpr int kOk = 200;
-constexpr int kAccepted = 202;
 
 double MillisecondsBetween(Instant from, Instant to) {
   return std::chrono::duration<double, std::milli>(to - from).count();
@@ -42,6 +38,15 @@
   return text;
 }
 
+// Returns how a call goes on that lost a hop after `sends_before` sends.
+std::string_view WayOnText(const FleetCall& call, int sends_before) {
+  if (call.is_changing_path())
+    return "path";
+  if (call.sends() > sends_before)
+    return "elsewhere";
+  return call.done() ? "none" : "waits";
+}
+
 }  // namespace
 
 RelayedCall::RelayedCall(CallContext* context,
@@ -101,14 +106,10 @@
   call_.OnPathFault(target_id, now);
   if (!affected)
     return;
-  const std::string_view way_on = call_.is_changing_path() ? "path"
-                                  : call_.sends() > sends  ? "elsewhere"
-                                  : call_.done()           ? "none"
-                                                           : "waits";
   context_->log->Write(Event::kCallPathLost, now,
                        {{"id", call_.request().attempt_id},
                         {"hop", target_id},
-                        {"way_on", std::string(way_on)},
+                        {"way_on", std::string(WayOnText(call_, sends))},
                         {"target", sent_.target_id},
                         {"hops", static_cast<int64_t>(sent_.hop_ids.size())},
                         {"last_event", call_.last_event()}});
@@ -133,44 +134,36 @@
 }
 
 void RelayedCall::ChangePath(const CallDispatch& path, Instant now) {
-  WholeAnswer::Fetch(
-      context_->client,
-      MakeTargetRequest(
-          path.target_address, "POST", platform::kOrderPath,
-          platform::EncodeChangePathOrder(call_.request().attempt_id,
-                                          path.hop_addresses, path.layers),
-          now + kOrderTimeout),
-      [self = std::weak_ptr<RelayedCall*>(self_), exchange = exchange_,
-       path](const HttpAnswer* answer) {
-        const auto call = self.lock();
-        // An answer about a send that has ended says nothing of the next one.
-        if (call != nullptr && (*call)->under_way_ &&
-            (*call)->exchange_ == exchange)
-          (*call)->OnChangeAnswered(answer, path);
-      });
+  GiveOrder(context_->client, path.target_address,
+            platform::EncodeChangePathOrder(call_.request().attempt_id,
+                                            path.hop_addresses, path.layers),
+            now + kOrderTimeout,
+            [self = std::weak_ptr<RelayedCall*>(self_), exchange = exchange_,
+             path](const OrderAnswer& answer) {
+              const auto call = self.lock();
+              // An answer about a send that has ended says nothing of the next
+              // one.
+              if (call != nullptr && (*call)->under_way_ &&
+                  (*call)->exchange_ == exchange)
+                (*call)->OnChangeAnswered(answer, path);
+            });
 }
 
-void RelayedCall::OnChangeAnswered(const HttpAnswer* answer,
+void RelayedCall::OnChangeAnswered(const OrderAnswer& answer,
                                    const CallDispatch& path) {
   const Instant now = EventLoop::Now();
-  const int status = answer == nullptr ? 0 : answer->head.status;
-  const bool accepted = status == kOk || status == kAccepted;
-  std::string fault_address;
-  if (answer != nullptr && !accepted) {
-    fault_address = platform::DecodeOrderRefusal(answer->body).fault_address;
-  }
   context_->log->Write(Event::kCallPathChanged, now,
                        {{"id", call_.request().attempt_id},
                         {"target", sent_.target_id},
-                        {"status", static_cast<int64_t>(status)},
-                        {"at_fault", fault_address},
+                        {"status", static_cast<int64_t>(answer.status)},
+                        {"at_fault", answer.fault_address},
                         {"last_event", call_.last_event()}});
-  if (accepted) {
+  if (answer.is_taken()) {
     context_->selector->Finish(&sent_);
     sent_ = path;
     context_->selector->Begin(sent_);
   }
-  call_.OnPathChanged(accepted, fault_address, now);
+  call_.OnPathChanged(answer.is_taken(), answer.fault_address, now);
 }
 
 void RelayedCall::Send(const CallDispatch& dispatch, Instant now) {
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "bbv_entry/target_question.h"
 #include "bbv_fleet/bbv_fleet.h"
 #include "bbv_front/caller_connection.h"
 #include "bbv_front/http_client.h"
@@ -98,7 +99,7 @@
   void OnExchangeFailed(ExchangeFailure failure) override;
 
  private:
-  void OnChangeAnswered(const HttpAnswer* answer, const CallDispatch& path);
+  void OnChangeAnswered(const OrderAnswer& answer, const CallDispatch& path);
   void RelayEvents(std::string_view data);
   void FailSend(const SendFailure& failure, std::string_view evidence);
   void FinishSend(bool failed, Instant now);
--- a/modules/bbv_entry/target_question.cc
+++ b/modules/bbv_entry/target_question.cc
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kAccepted = 202;
+constexpr int kConflict = 409;
 
 }  // namespace
 
@@ -29,6 +31,39 @@
   return request;
 }
 
+bool OrderAnswer::has_begun() const {
+  return status == kAccepted;
+}
+
+bool OrderAnswer::is_taken() const {
+  return status == kOk || status == kAccepted;
+}
+
+bool OrderAnswer::is_conflict() const {
+  return status == kConflict;
+}
+
+void GiveOrder(HttpClient* client,
+               const std::string& address,
+               const std::string& json_body,
+               Instant deadline,
+               std::function<void(const OrderAnswer&)> done) {
+  WholeAnswer::Fetch(
+      client,
+      MakeTargetRequest(address, "POST", platform::kOrderPath, json_body,
+                        deadline),
+      [done = std::move(done)](const HttpAnswer* answer) {
+        OrderAnswer result;
+        if (answer != nullptr)
+          result.status = answer->head.status;
+        if (answer != nullptr && !result.is_taken()) {
+          result.fault_address =
+              platform::DecodeOrderRefusal(answer->body).fault_address;
+        }
+        done(result);
+      });
+}
+
 void AskForReport(HttpClient* client,
                   const ReportQuestion& question,
                   std::function<void(const ReportAnswer&)> done) {
--- a/modules/bbv_entry/target_question.h
+++ b/modules/bbv_entry/target_question.h
@@ -21,6 +21,9 @@
                                   const std::string& json_body,
                                   Instant deadline);
 
+// Usual age of a report's values when it comes.
+inline constexpr Milliseconds kReportLag{200};
+
 // How a question for a target's report ended.
 struct ReportAnswer {
   // Whether any whole answer came in time.
@@ -45,6 +48,29 @@
                   const ReportQuestion& question,
                   std::function<void(const ReportAnswer&)> done);
 
+// How an order to a target ended.
+struct OrderAnswer {
+  // 0 when no answer came in time.
+  int status = 0;
+  // Address of the hop that a refusal names as the cause; may be empty.
+  std::string fault_address;
+
+  // Whether it was begun, and whether it was begun or held already.
+  bool has_begun() const;
+  bool is_taken() const;
+  // Whether it did not fit the target's state.
+  bool is_conflict() const;
+};
+
+// Gives the order in `json_body` to the target at `address`; `done` is called
+// once, never from within this call. Precondition: `address` is of the form
+// ip:port. Thread safety: none, the loop's thread.
+void GiveOrder(HttpClient* client,
+               const std::string& address,
+               const std::string& json_body,
+               Instant deadline,
+               std::function<void(const OrderAnswer&)> done);
+
 }  // namespace bbv
 
 #endif  // MODULES_BBV_ENTRY_TARGET_QUESTION_H_
--- a/modules/bbv_fleet/bbv_fleet.h
+++ b/modules/bbv_fleet/bbv_fleet.h
@@ -13,6 +13,7 @@
 #include "bbv_fleet/fleet_call.h"
 #include "bbv_fleet/fleet_configuration.h"
 #include "bbv_fleet/fleet_index.h"
+#include "bbv_fleet/layer_coverage.h"
 #include "bbv_fleet/layer_doubler.h"
 #include "bbv_fleet/layer_planner.h"
 #include "bbv_fleet/path_chooser.h"
--- a/modules/bbv_fleet/fleet_call_test.cc
+++ b/modules/bbv_fleet/fleet_call_test.cc
@@ -110,6 +110,23 @@
     request.deadline = now + request_time;
     return bbv::FleetCall(request, &ports);
   }
+
+  // A stream of two attempts that has been sent and has brought `event`.
+  bbv::FleetCall MakeStreamAt(int64_t event) {
+    auto call = Make(CallKind::kStream, 2);
+    call.Start(now);
+    call.OnAnswerBegun(now);
+    call.OnEventRelayed(event, now);
+    return call;
+  }
+
+  // From now on no target has room, and calls may wait for it.
+  void TakeRoom() {
+    route.objective_ms = 500;
+    ports.may_wait = true;
+    ports.choice_end = CallEnd::kNoRoom;
+    ports.targets.clear();
+  }
 };
 
 TEST(FleetCall, UnsafeIsSentOnceWhenItsOutcomeIsUnknown) {
@@ -166,10 +183,7 @@
 }
 
 TEST(FleetCall, AStreamGoesOnElsewhereAfterItsLastEvent) {
-  auto call = Make(CallKind::kStream, 2);
-  call.Start(now);
-  call.OnAnswerBegun(now);
-  call.OnEventRelayed(7, now);
+  auto call = MakeStreamAt(7);
   call.OnSendFailed({CallEnd::kConnectionBroken, false, false, {}}, now);
   CHECK_EQUAL(2, static_cast<int>(ports.sent.size()));
   CHECK_EQUAL(7, static_cast<int>(ports.sent[1].last_event));
@@ -177,10 +191,7 @@
 }
 
 TEST(FleetCall, AStreamLeavesAPathWhoseHopDied) {
-  auto call = Make(CallKind::kStream, 2);
-  call.Start(now);
-  call.OnAnswerBegun(now);
-  call.OnEventRelayed(3, now);
+  auto call = MakeStreamAt(3);
   call.OnPathFault("a-hop", now);
   CHECK_EQUAL(1, ports.cancelled);
   CHECK_EQUAL(2, static_cast<int>(ports.sent.size()));
@@ -191,10 +202,7 @@
   // Plays a spent budget: every stream of a zone loses the same hop at once.
   ports.mends = {"m"};
   ports.retries_left = 0;
-  auto call = Make(CallKind::kStream, 2);
-  call.Start(now);
-  call.OnAnswerBegun(now);
-  call.OnEventRelayed(3, now);
+  auto call = MakeStreamAt(3);
   call.OnPathFault("a-hop", now);
   CHECK_EQUAL(1, static_cast<int>(ports.changed.size()));
   CHECK_EQUAL(1, static_cast<int>(ports.excluded_at_mend.size()));
@@ -235,10 +243,7 @@
 
 TEST(FleetCall, AChangeOfPathThatTheFirstTargetRefusesLeadsElsewhere) {
   ports.mends = {"m"};
-  auto call = Make(CallKind::kStream, 2);
-  call.Start(now);
-  call.OnAnswerBegun(now);
-  call.OnEventRelayed(3, now);
+  auto call = MakeStreamAt(3);
   call.OnPathFault("a-hop", now);
   call.OnPathChanged(false, "", now);
   CHECK_EQUAL(1, ports.cancelled);
@@ -262,10 +267,7 @@
   // The budget is spent and no target holds the lost layers yet; the run at the
   // first target is still there.
   ports.retries_left = 0;
-  auto call = Make(CallKind::kStream, 2);
-  call.Start(now);
-  call.OnAnswerBegun(now);
-  call.OnEventRelayed(3, now);
+  auto call = MakeStreamAt(3);
   call.OnPathFault("a-hop", now);
   CHECK_EQUAL(0, ports.cancelled + ports.broken_off);
   ports.mends = {"m"};
@@ -290,10 +292,7 @@
 
 TEST(FleetCall, AStreamUnderWayWaitsForLayersToReturn) {
   ports.targets = {"a"};
-  auto call = Make(CallKind::kStream, 2);
-  call.Start(now);
-  call.OnAnswerBegun(now);
-  call.OnEventRelayed(5, now);
+  auto call = MakeStreamAt(5);
   call.OnPathFault("a", now);
   CHECK_EQUAL(1, static_cast<int>(ports.sent.size()) + ports.broken_off);
   ports.targets = {"b"};
@@ -304,10 +303,7 @@
 
 TEST(FleetCall, AStreamThatWaitedInVainIsBrokenOff) {
   ports.targets = {"a"};
-  auto call = Make(CallKind::kStream, 2);
-  call.Start(now);
-  call.OnAnswerBegun(now);
-  call.OnEventRelayed(5, now);
+  auto call = MakeStreamAt(5);
   call.OnPathFault("a", now);
   ports.targets.clear();
   call.OnTime(now + Milliseconds(500));
@@ -330,10 +326,7 @@
 TEST(FleetCall, FaultsOfFirstTargetsCountAmongTheRoutesAttempts) {
   // A target that seemed dead may have run the call: a third run would exceed
   // the route's two.
-  auto call = Make(CallKind::kStream, 2);
-  call.Start(now);
-  call.OnAnswerBegun(now);
-  call.OnEventRelayed(3, now);
+  auto call = MakeStreamAt(3);
   call.OnPathFault("a", now);
   call.OnEventRelayed(4, now);
   call.OnPathFault("b", now);
@@ -351,10 +344,7 @@
 }
 
 TEST(FleetCall, ACallWithoutRoomWaitsForPartOfItsObjective) {
-  route.objective_ms = 500;
-  ports.may_wait = true;
-  ports.choice_end = CallEnd::kNoRoom;
-  ports.targets.clear();
+  TakeRoom();
   auto call = Make(CallKind::kSafe, 2);
   call.Start(now);
   CHECK(!ports.failure);
@@ -367,10 +357,7 @@
 
 TEST(FleetCall, AWaitingCallIsSentWhereItsRoomWasFound) {
   // A second choice could find no room again and let the call wait twice.
-  route.objective_ms = 500;
-  ports.may_wait = true;
-  ports.choice_end = CallEnd::kNoRoom;
-  ports.targets.clear();
+  TakeRoom();
   auto call = Make(CallKind::kSafe, 2);
   call.Start(now);
   ports.targets = {"a"};
@@ -380,10 +367,7 @@
 }
 
 TEST(FleetCall, ACallThatWaitedInVainIsRefusedAsNotRun) {
-  route.objective_ms = 500;
-  ports.may_wait = true;
-  ports.choice_end = CallEnd::kNoRoom;
-  ports.targets.clear();
+  TakeRoom();
   auto call = Make(CallKind::kUnsafe, 1);
   call.Start(now);
   call.OnWaitedInVain(now + Milliseconds(300));
@@ -392,10 +376,7 @@
 }
 
 TEST(FleetCall, SilenceIsNoticedAgainstThePathsPace) {
-  auto call = Make(CallKind::kStream, 2);
-  call.Start(now);
-  call.OnAnswerBegun(now);
-  call.OnEventRelayed(3, now);
+  auto call = MakeStreamAt(3);
   CHECK(!call.IsStalled(now + Milliseconds(200)));
   CHECK(call.IsStalled(now + Milliseconds(260)));
 }
--- a/modules/bbv_fleet/fleet_configuration.h
+++ b/modules/bbv_fleet/fleet_configuration.h
@@ -76,6 +76,19 @@
   double usual_answer_tokens = 0;
   std::vector<AcceleratorKind> kinds;
 
+  // Megabytes that requests take for `token_layers` tokens times layers. Thread
+  // safe.
+  double RequestMb(double token_layers) const {
+    constexpr double kBytesInMegabyte = 1e6;
+    return token_layers * kv_bytes_per_token / layers / kBytesInMegabyte;
+  }
+
+  // Megabytes of an accelerator; 0 for an unknown kind. Thread safe.
+  double MemoryMb(const std::string& accelerator) const {
+    const AcceleratorKind* kind = FindKind(accelerator);
+    return kind == nullptr ? 0 : kind->memory_mb;
+  }
+
   // Returns the kind named `name`, or nullptr. Thread safe.
   const AcceleratorKind* FindKind(const std::string& name) const {
     for (const AcceleratorKind& it : kinds) {
--- a/modules/bbv_fleet/layer_doubler.cc
+++ b/modules/bbv_fleet/layer_doubler.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "bbv_core/hashing.h"
+#include "bbv_fleet/layer_coverage.h"
 
 namespace bbv {
 namespace {
@@ -18,19 +19,13 @@
 constexpr double kMostRequestShare = 0.5;
 // Memory that requests use now is left to them this many times.
 constexpr double kUsedMemoryFactor = 1.3;
-constexpr double kBytesInMegabyte = 1e6;
-
-double MemoryMb(const EngineModel& model, const PlannerTarget& target) {
-  const AcceleratorKind* kind = model.FindKind(target.accelerator);
-  return kind == nullptr ? 0 : kind->memory_mb;
-}
 
 // Share of the targets' memory that layers may take.
 double LayerShare(const EngineModel& model,
                   const std::vector<PlannerTarget>& targets) {
   double memory = 0;
   for (const PlannerTarget& it : targets)
-    memory += MemoryMb(model, it);
+    memory += model.MemoryMb(it.accelerator);
   const double spare = memory - model.layers * model.layer_mb;
   if (spare <= 0)
     return 1;
@@ -45,7 +40,7 @@
 int ComfortableLayers(const EngineModel& model,
                       const PlannerTarget& target,
                       double layer_share) {
-  const double for_layers = MemoryMb(model, target) * layer_share;
+  const double for_layers = model.MemoryMb(target.accelerator) * layer_share;
   const int most =
       std::max(1, LayerPlanner::MaxLayers(model, target.accelerator));
   return std::clamp(static_cast<int>(for_layers / model.layer_mb), 1, most);
@@ -145,11 +140,7 @@
       wanted_.push_back(*it.layers);
   }
 
-  bool HoldsWholeCopy() const {
-    const std::vector<int> coverage = Coverage();
-    return std::all_of(coverage.begin(), coverage.end(),
-                       [](int it) { return it > 0; });
-  }
+  bool HoldsWholeCopy() const { return !Coverage().FirstGap(); }
 
   std::vector<Placement> Plan(int most_changes) {
     for (const std::size_t it : InOrderOfNeed()) {
@@ -177,11 +168,11 @@
   int Headroom(std::size_t index) const {
     if (targets_[index].is_fixed)
       return 0;
-    const double used = kUsedMemoryFactor * targets_[index].used_token_layers *
-                        model_.kv_bytes_per_token / model_.layers /
-                        kBytesInMegabyte;
+    const PlannerTarget& target = targets_[index];
+    const double used =
+        model_.RequestMb(kUsedMemoryFactor * target.used_token_layers);
     const int free_of_requests = static_cast<int>(
-        (MemoryMb(model_, targets_[index]) - used) / model_.layer_mb);
+        (model_.MemoryMb(target.accelerator) - used) / model_.layer_mb);
     return std::min(Comfortable(index), free_of_requests) -
            wanted_[index].size();
   }
@@ -201,23 +192,20 @@
     return n;
   }
 
-  std::vector<int> Coverage() const {
-    std::vector<int> coverage(model_.layers, 0);
-    for (const LayerRange& range : wanted_) {
-      for (int it = range.from; it < std::min(range.to, model_.layers); ++it)
-        ++coverage[it];
-    }
+  LayerCoverage Coverage() const {
+    LayerCoverage coverage(model_.layers);
+    for (const LayerRange& it : wanted_)
+      coverage.Add(it);
     return coverage;
   }
 
   // The layers that `index` alone holds, from the first to the last of them;
   // empty when there are none.
-  LayerRange HeldAlone(std::size_t index) const {
-    const std::vector<int> coverage = Coverage();
+  LayerRange HeldAlone(std::size_t index, const LayerCoverage& coverage) const {
     const LayerRange& range = wanted_[index];
     LayerRange alone{range.to, range.from};
     for (int it = range.from; it < std::min(range.to, model_.layers); ++it) {
-      if (coverage[it] > 1)
+      if (coverage.holders(it) > 1)
         continue;
       alone.from = std::min(alone.from, it);
       alone.to = it + 1;
@@ -227,13 +215,17 @@
 
   // Crowded targets first, then those that are doubled with the fewest layers.
   std::vector<std::size_t> InOrderOfNeed() const {
+    const LayerCoverage coverage = Coverage();
+    // Kept beside the order, as each is compared many times.
+    std::vector<std::pair<bool, int>> needs;
+    needs.reserve(targets_.size());
+    for (std::size_t it = 0; it < targets_.size(); ++it)
+      needs.emplace_back(!IsCrowded(it), HeldAlone(it, coverage).size());
     std::vector<std::size_t> order(targets_.size());
     std::iota(order.begin(), order.end(), 0);
-    std::stable_sort(order.begin(), order.end(), [this](auto left, auto right) {
-      if (IsCrowded(left) != IsCrowded(right))
-        return IsCrowded(left);
-      return HeldAlone(left).size() < HeldAlone(right).size();
-    });
+    std::stable_sort(
+        order.begin(), order.end(),
+        [&needs](auto left, auto right) { return needs[left] < needs[right]; });
     return order;
   }
 
@@ -241,20 +233,18 @@
   bool GiveUpDoubled(std::size_t index) {
     if (!IsCrowded(index) || IsChanged(index) || targets_[index].is_fixed)
       return false;
-    std::vector<int> elsewhere(model_.layers, 0);
+    LayerCoverage elsewhere(model_.layers);
     for (std::size_t other = 0; other < targets_.size(); ++other) {
       // What a target has just been asked to load it does not hold yet.
       if (other == index || IsCrowded(other) || IsChanged(other))
         continue;
-      const LayerRange& range = *targets_[other].layers;
-      for (int it = range.from; it < std::min(range.to, model_.layers); ++it)
-        ++elsewhere[it];
+      elsewhere.Add(*targets_[other].layers);
     }
     LayerRange& range = wanted_[index];
     const int least = Comfortable(index);
-    while (range.size() > least && elsewhere[range.from] > 0)
+    while (range.size() > least && elsewhere.holders(range.from) > 0)
       ++range.from;
-    while (range.size() > least && elsewhere[range.to - 1] > 0)
+    while (range.size() > least && elsewhere.holders(range.to - 1) > 0)
       --range.to;
     return IsChanged(index);
   }
@@ -262,7 +252,7 @@
   // Lets neighbours hold what `index` alone holds: all of it, or for a crowded
   // target as much as they can.
   void Double(std::size_t index, int changes_left) {
-    const LayerRange alone = HeldAlone(index);
+    const LayerRange alone = HeldAlone(index, Coverage());
     if (alone.size() == 0)
       return;
     const int lower = Neighbour(index, alone, /*is_lower=*/true);
--- a/modules/bbv_fleet/layer_doubler_test.cc
+++ b/modules/bbv_fleet/layer_doubler_test.cc
@@ -15,6 +15,9 @@
 using bbv::LayerRange;
 using bbv::Placement;
 using bbv::PlannerTarget;
+using bbv_test::Apply;
+using bbv_test::During;
+using bbv_test::HoldsCopy;
 
 namespace {
 
@@ -22,35 +25,6 @@
 
 constexpr int kNoLimit = 1000;
 
-void Apply(const std::vector<Placement>& changes, Targets* targets) {
-  for (const Placement& change : changes) {
-    for (PlannerTarget& it : *targets) {
-      if (it.id == change.id)
-        it.layers = change.layers;
-    }
-  }
-}
-
-Targets PlacedZones(const EngineModel& model) {
-  Targets targets = bbv_test::MakeThreeZones();
-  Apply(LayerPlanner::Plan(model, targets), &targets);
-  return targets;
-}
-
-bool HoldsCopy(const EngineModel& model,
-               const Targets& targets,
-               const std::string& zone,
-               const std::string& without) {
-  std::vector<bool> held(model.layers, false);
-  for (const PlannerTarget& it : targets) {
-    if (!it.layers || it.zone != zone || it.id == without)
-      continue;
-    for (int layer = it.layers->from; layer < it.layers->to; ++layer)
-      held[layer] = true;
-  }
-  return std::all_of(held.begin(), held.end(), [](bool it) { return it; });
-}
-
 // Targets whose loss leaves their zone without a layer.
 int CountLoneHolders(const EngineModel& model, const Targets& targets) {
   int n = 0;
@@ -77,14 +51,14 @@
 
 TEST(LayerDoubler, MostTargetsOfTheDeploymentMayBeLostWithoutALayer) {
   // In a single chain each of the 38 targets alone holds its layers.
-  Targets targets = PlacedZones(model);
+  Targets targets = bbv_test::MakePlacedZones();
   Apply(LayerDoubler::Plan(model, targets, kNoLimit), &targets);
   CHECK(FitsMemory(model, targets));
   CHECK(CountLoneHolders(model, targets) <= 19);
 }
 
 TEST(LayerDoubler, LeavesRequestsHalfOfTheMemoryBesideOneCopy) {
-  Targets targets = PlacedZones(model);
+  Targets targets = bbv_test::MakePlacedZones();
   Apply(LayerDoubler::Plan(model, targets, kNoLimit), &targets);
   for (const char* zone : {"a", "b", "c"}) {
     double memory = 0;
@@ -101,7 +75,7 @@
 }
 
 TEST(LayerDoubler, ChangesNothingWithoutACause) {
-  Targets targets = PlacedZones(model);
+  Targets targets = bbv_test::MakePlacedZones();
   for (int step = 0; step < 20; ++step) {
     const auto changes = LayerDoubler::Plan(model, targets, kNoLimit);
     if (changes.empty())
@@ -128,7 +102,7 @@
 }
 
 TEST(LayerDoubler, TakesNoMemoryThatRequestsUse) {
-  Targets targets = PlacedZones(model);
+  Targets targets = bbv_test::MakePlacedZones();
   for (PlannerTarget& it : targets) {
     const double free_mb = model.FindKind(it.accelerator)->memory_mb -
                            it.layers->size() * model.layer_mb;
@@ -151,11 +125,11 @@
   CHECK(targets[1].layers->Holds(*before[1].layers));
   Apply(LayerDoubler::Plan(model, targets, kNoLimit), &targets);
   CHECK(targets[1].layers->size() < before[1].layers->size());
-  CHECK(HoldsCopy(model, targets, "z", ""));
+  CHECK(HoldsCopy(model, targets, "z"));
 }
 
 TEST(LayerDoubler, LeavesZonesThatLackLayersToThePlanner) {
-  Targets targets = PlacedZones(model);
+  Targets targets = bbv_test::MakePlacedZones();
   Targets broken;
   for (const PlannerTarget& it : targets) {
     if (it.zone == "b" && it.layers->from != 0)
@@ -184,16 +158,8 @@
       const auto changes = LayerDoubler::Plan(
           model, targets, 1 + static_cast<int>(random() % 6));
       // While orders are carried out, layers that are kept stay in use.
-      Targets during = targets;
-      for (const Placement& change : changes) {
-        for (PlannerTarget& it : during) {
-          if (it.id != change.id)
-            continue;
-          it.layers = LayerRange{std::max(it.layers->from, change.layers.from),
-                                 std::min(it.layers->to, change.layers.to)};
-        }
-      }
-      CHECK(HoldsCopy(model, during, "z", ""));
+      const Targets during = During(changes, targets);
+      CHECK(HoldsCopy(model, during, "z"));
       Apply(changes, &targets);
       CHECK(FitsMemory(model, targets));
       if (step % 4 != 3)
@@ -201,7 +167,7 @@
       targets.erase(targets.begin() +
                     static_cast<int>(random() % targets.size()));
       Apply(LayerPlanner::Plan(model, targets), &targets);
-      if (!HoldsCopy(model, targets, "z", ""))
+      if (!HoldsCopy(model, targets, "z"))
         break;
     }
   }
--- a/modules/bbv_fleet/layer_planner.cc
+++ b/modules/bbv_fleet/layer_planner.cc
@@ -7,6 +7,7 @@
 #include <numeric>
 
 #include "bbv_core/hashing.h"
+#include "bbv_fleet/layer_coverage.h"
 #include "bbv_fleet/layer_doubler.h"
 
 namespace bbv {
@@ -19,14 +20,8 @@
 constexpr int kMostLayersOfOneLoad = 8;
 // Difference in tokens below which two spare targets are used alike.
 constexpr double kLikeTokens = 2000;
-constexpr double kBytesInMegabyte = 1e6;
 constexpr double kDefaultRequestTokens = 1000;
 
-double MemoryMb(const EngineModel& model, const std::string& accelerator) {
-  const AcceleratorKind* kind = model.FindKind(accelerator);
-  return kind == nullptr ? 0 : kind->memory_mb;
-}
-
 int TotalCapacity(const EngineModel& model,
                   const std::vector<PlannerTarget>& targets) {
   int n = 0;
@@ -132,14 +127,14 @@
   // Gives a gap to a target whose layers others hold too. Returns whether
   // there was one.
   bool MoveSpare() {
-    const auto gap = FirstGap();
-    const std::vector<int> coverage = Coverage();
+    const LayerCoverage coverage = Coverage();
+    const auto gap = coverage.FirstGap();
     int best = -1;
     for (std::size_t it = 0; it < members_; ++it) {
       const auto& range = wanted_[it];
       // What was just given a gap's layers holds them alone and is no spare.
       if (!range || targets_[it].is_fixed || Capacity(it) == 0 ||
-          !IsSpare(*range, coverage))
+          !coverage.IsHeldBy(2, *range))
         continue;
       if (best < 0 || FitsBetter(it, best, gap->size()))
         best = static_cast<int>(it);
@@ -173,15 +168,6 @@
     return targets_[index].used_token_layers / layers;
   }
 
-  bool IsSpare(const LayerRange& range,
-               const std::vector<int>& coverage) const {
-    for (int it = range.from; it < std::min(range.to, model_.layers); ++it) {
-      if (coverage[it] < 2)
-        return false;
-    }
-    return true;
-  }
-
   // Divides the layers around the first gap anew over as few targets as can
   // hold them; all others stay as they are.
   void MoveAroundGap() {
@@ -247,14 +233,14 @@
     std::vector<int> counts(order.size(), 0);
     double memory = 0;
     for (const std::size_t it : order)
-      memory += MemoryMb(model_, targets_[it].accelerator);
+      memory += model_.MemoryMb(targets_[it].accelerator);
     if (memory <= 0)
       return counts;
     int placed = 0;
     std::vector<double> remainders(order.size(), 0);
     for (std::size_t it = 0; it < order.size(); ++it) {
       const double share =
-          layers * MemoryMb(model_, targets_[order[it]].accelerator) / memory;
+          layers * model_.MemoryMb(targets_[order[it]].accelerator) / memory;
       counts[it] = std::min(static_cast<int>(share), Capacity(order[it]));
       remainders[it] = share - counts[it];
       placed += counts[it];
@@ -280,28 +266,16 @@
     return LayerPlanner::MaxLayers(model_, targets_[index].accelerator);
   }
 
-  std::vector<int> Coverage() const {
-    std::vector<int> coverage(model_.layers, 0);
-    for (std::size_t index = 0; index < members_; ++index) {
-      const auto& range = wanted_[index];
-      if (!range)
-        continue;
-      for (int it = range->from; it < std::min(range->to, model_.layers); ++it)
-        ++coverage[it];
+  LayerCoverage Coverage() const {
+    LayerCoverage coverage(model_.layers);
+    for (std::size_t it = 0; it < members_; ++it) {
+      if (wanted_[it])
+        coverage.Add(*wanted_[it]);
     }
     return coverage;
   }
 
-  std::optional<LayerRange> FirstGap() const {
-    const std::vector<int> coverage = Coverage();
-    const auto start = std::find(coverage.begin(), coverage.end(), 0);
-    if (start == coverage.end())
-      return std::nullopt;
-    const auto end =
-        std::find_if(start, coverage.end(), [](int n) { return n > 0; });
-    return LayerRange{static_cast<int>(start - coverage.begin()),
-                      static_cast<int>(end - coverage.begin())};
-  }
+  std::optional<LayerRange> FirstGap() const { return Coverage().FirstGap(); }
 
   void FillWithEmptyTarget(std::size_t index) {
     const int capacity = Capacity(index);
@@ -323,7 +297,7 @@
 
   // Layers that leave half of the target's memory to requests.
   int ComfortableLayers(std::size_t index) const {
-    const double memory = MemoryMb(model_, targets_[index].accelerator);
+    const double memory = model_.MemoryMb(targets_[index].accelerator);
     return std::clamp(static_cast<int>(memory / 2 / model_.layer_mb) + 1, 1,
                       Capacity(index));
   }
@@ -342,7 +316,7 @@
         if (!range || range->from > wanted_[it]->from ||
             range->to <= wanted_[it]->from)
           continue;
-        const double memory = MemoryMb(model_, targets_[other].accelerator);
+        const double memory = model_.MemoryMb(targets_[other].accelerator);
         room += memory / range->size() - model_.layer_mb;
       }
       if (weakest == targets_.size() || room < least) {
@@ -377,7 +351,7 @@
       if (range->size() >= Capacity(it))
         continue;
       const double room =
-          MemoryMb(model_, targets_[it].accelerator) / (range->size() + 1);
+          model_.MemoryMb(targets_[it].accelerator) / (range->size() + 1);
       if (best < 0 || room > most) {
         best = static_cast<int>(it);
         most = room;
@@ -404,14 +378,14 @@
   double tokens = model.usual_prompt_tokens + model.usual_answer_tokens;
   if (tokens <= 0)
     tokens = kDefaultRequestTokens;
-  return tokens * model.kv_bytes_per_token / model.layers / kBytesInMegabyte;
+  return model.RequestMb(tokens);
 }
 
 int LayerPlanner::MaxLayers(const EngineModel& model,
                             const std::string& accelerator) {
   if (model.layers <= 0 || model.layer_mb <= 0)
     return 0;
-  const double memory = MemoryMb(model, accelerator);
+  const double memory = model.MemoryMb(accelerator);
   const double per_layer = model.layer_mb + kLeastRequests * RequestMb(model);
   return std::min(model.layers, static_cast<int>(memory / per_layer));
 }
--- a/modules/bbv_fleet/layer_planner_test.cc
+++ b/modules/bbv_fleet/layer_planner_test.cc
@@ -17,38 +17,15 @@
 using bbv::LayerRange;
 using bbv::Placement;
 using bbv::PlannerTarget;
+using bbv_test::Apply;
+using bbv_test::During;
+using bbv_test::HoldsCopy;
+using bbv_test::Without;
 
 namespace {
 
 using Targets = std::vector<PlannerTarget>;
 
-void Apply(const std::vector<Placement>& changes, Targets* targets) {
-  for (const Placement& change : changes) {
-    for (PlannerTarget& it : *targets) {
-      if (it.id == change.id)
-        it.layers = change.layers;
-    }
-  }
-}
-
-// Whether the targets of `zone` (all when empty) hold every layer.
-bool HoldsCopy(const EngineModel& model,
-               const Targets& targets,
-               const std::string& zone) {
-  std::vector<bool> held(model.layers, false);
-  for (const PlannerTarget& it : targets) {
-    if (!it.layers || (!zone.empty() && it.zone != zone))
-      continue;
-    for (int layer = it.layers->from; layer < it.layers->to; ++layer)
-      held[layer] = true;
-  }
-  for (const bool it : held) {
-    if (!it)
-      return false;
-  }
-  return true;
-}
-
 // Every zone and layer that some target holds.
 std::set<std::pair<std::string, int>> HeldLayers(const EngineModel& model,
                                                  const Targets& targets) {
@@ -94,8 +71,7 @@
 
 TEST(LayerPlanner, GivesEveryZoneOfTheDeploymentACopy) {
   const EngineModel model = bbv_test::MakeModel();
-  Targets targets = bbv_test::MakeThreeZones();
-  Apply(LayerPlanner::Plan(model, targets), &targets);
+  Targets targets = bbv_test::MakePlacedZones();
   for (const char* zone : {"a", "b", "c"})
     CHECK(HoldsCopy(model, targets, zone));
   CHECK(FitsMemory(model, targets));
@@ -103,19 +79,16 @@
 
 TEST(LayerPlanner, ChangesNothingWithoutACause) {
   const EngineModel model = bbv_test::MakeModel();
-  Targets targets = bbv_test::MakeThreeZones();
-  Apply(LayerPlanner::Plan(model, targets), &targets);
+  Targets targets = bbv_test::MakePlacedZones();
   CHECK(LayerPlanner::Plan(model, targets).empty());
 }
 
 TEST(LayerPlanner, NeighboursTakeOverWhatAnyLostTargetHeld) {
   const EngineModel model = bbv_test::MakeModel();
-  Targets placed = bbv_test::MakeThreeZones();
-  Apply(LayerPlanner::Plan(model, placed), &placed);
+  const Targets placed = bbv_test::MakePlacedZones();
   for (std::size_t lost = 0; lost < placed.size(); ++lost) {
-    Targets targets = placed;
-    const std::string zone = targets[lost].zone;
-    targets.erase(targets.begin() + static_cast<int>(lost));
+    const std::string zone = placed[lost].zone;
+    Targets targets = Without(placed, lost);
     Apply(LayerPlanner::Plan(model, targets), &targets);
     CHECK(HoldsCopy(model, targets, zone));
     CHECK(FitsMemory(model, targets));
@@ -126,12 +99,10 @@
 TEST(LayerPlanner, FewTargetsMoveWhenOneIsLost) {
   // A crash moves layers on the targets around the gap, not on a whole zone.
   const EngineModel model = bbv_test::MakeModel();
-  Targets placed = bbv_test::MakeThreeZones();
-  Apply(LayerPlanner::Plan(model, placed), &placed);
+  const Targets placed = bbv_test::MakePlacedZones();
   for (std::size_t lost = 0; lost < placed.size(); ++lost) {
-    Targets targets = placed;
-    const std::string zone = targets[lost].zone;
-    targets.erase(targets.begin() + static_cast<int>(lost));
+    const std::string zone = placed[lost].zone;
+    Targets targets = Without(placed, lost);
     const auto changes = LayerPlanner::Plan(model, targets);
     // Twice as many as their mean spare memory asks for, or all that are left.
     int members = 0;
@@ -152,25 +123,11 @@
 
 TEST(LayerPlanner, WithoutMovingNothingThatAloneHoldsLayersGivesThemUp) {
   const EngineModel model = bbv_test::MakeModel();
-  Targets placed = bbv_test::MakeThreeZones();
-  Apply(LayerPlanner::Plan(model, placed), &placed);
+  const Targets placed = bbv_test::MakePlacedZones();
   for (std::size_t lost = 0; lost < placed.size(); ++lost) {
-    Targets targets = placed;
-    targets.erase(targets.begin() + static_cast<int>(lost));
+    const Targets targets = Without(placed, lost);
     const auto changes = LayerPlanner::Plan(model, targets, false);
-    // Layers that each target keeps while the orders are carried out.
-    Targets during = targets;
-    for (const Placement& it : changes) {
-      for (PlannerTarget& target : during) {
-        if (target.id != it.id)
-          continue;
-        const LayerRange kept{std::max(it.layers.from, target.layers->from),
-                              std::min(it.layers.to, target.layers->to)};
-        target.layers.reset();
-        if (kept.from < kept.to)
-          target.layers = kept;
-      }
-    }
+    const Targets during = During(changes, targets);
     CHECK(HeldLayers(model, during) == HeldLayers(model, targets));
   }
 }
@@ -218,8 +175,7 @@
 
 TEST(LayerPlanner, ATargetThatReturnsEmptyIsGivenLayers) {
   const EngineModel model = bbv_test::MakeModel();
-  Targets targets = bbv_test::MakeThreeZones();
-  Apply(LayerPlanner::Plan(model, targets), &targets);
+  Targets targets = bbv_test::MakePlacedZones();
   targets[3].layers.reset();
   const auto changes = LayerPlanner::Plan(model, targets);
   CHECK_EQUAL(1, static_cast<int>(changes.size()));
--- a/modules/bbv_fleet/path_chooser_test.cc
+++ b/modules/bbv_fleet/path_chooser_test.cc
@@ -25,11 +25,16 @@
     bbv_test::ListThreeZones(&board, now);
   }
 
-  EnginePath Choose(const char* zone, uint64_t draw) {
+  PathQuery MakeQuery(const char* zone) {
     PathQuery query;
     query.service = "engine";
     query.zone = zone;
     query.tokens = 900;
+    return query;
+  }
+
+  EnginePath Choose(const char* zone, uint64_t draw) {
+    PathQuery query = MakeQuery(zone);
     query.draw = draw;
     return chooser.Choose(model, query, now, &failure);
   }
@@ -47,6 +52,13 @@
     CHECK_EQUAL(model.layers, at);
   }
 
+  std::vector<bbv::KeptHop> HopsOf(const EnginePath& path) {
+    std::vector<bbv::KeptHop> hops;
+    for (const bbv::Hop& it : path.hops)
+      hops.push_back({it.target->record.id, it.layers});
+    return hops;
+  }
+
   std::set<std::string> ZonesOf(const EnginePath& path) {
     std::set<std::string> zones;
     for (const bbv::Hop& it : path.hops)
@@ -93,10 +105,7 @@
   CheckWhole(path);
   CHECK(ZonesOf(path).size() > 1);
   // Links that are taken are not crossed; the layers are there all the same.
-  PathQuery query;
-  query.service = "engine";
-  query.zone = "a";
-  query.tokens = 900;
+  PathQuery query = MakeQuery("a");
   query.may_cross = false;
   CHECK(chooser.Choose(model, query, now, &failure).empty());
   CHECK(failure == PathFailure::kNoRoom);
@@ -156,10 +165,7 @@
   // Plays an engine that reads twelve times more slowly than usual while every
   // zone's calls keep coming: the calls that no zone can read in time find no
   // room at once instead of waiting behind the others.
-  PathQuery query;
-  query.service = "engine";
-  query.zone = "b";
-  query.tokens = 900;
+  PathQuery query = MakeQuery("b");
   query.most_backlog_ms = 600;
   int placed = 0;
   for (; placed < 10'000; ++placed) {
@@ -192,15 +198,10 @@
   for (const bbv::TargetRecord& it : twins)
     board.Apply(it, now);
   const EnginePath path = Choose("b", 3);
-  std::vector<bbv::KeptHop> current;
-  for (const bbv::Hop& it : path.hops)
-    current.push_back({it.target->record.id, it.layers});
+  const std::vector<bbv::KeptHop> current = HopsOf(path);
   for (std::size_t lost = 1; lost < current.size(); ++lost) {
     const std::vector<std::string> excluded = {current[lost].target_id};
-    PathQuery query;
-    query.service = "engine";
-    query.zone = "b";
-    query.tokens = 900;
+    PathQuery query = MakeQuery("b");
     query.excluded = &excluded;
     const EnginePath mended = chooser.Mend(model, query, current, now);
     CheckWhole(mended);
@@ -217,14 +218,9 @@
 
 TEST(PathChooser, MendsNothingWhenNoOtherTargetHoldsTheLayers) {
   const EnginePath path = Choose("b", 3);
-  std::vector<bbv::KeptHop> current;
-  for (const bbv::Hop& it : path.hops)
-    current.push_back({it.target->record.id, it.layers});
+  const std::vector<bbv::KeptHop> current = HopsOf(path);
   const std::vector<std::string> excluded = {current[1].target_id};
-  PathQuery query;
-  query.service = "engine";
-  query.zone = "b";
-  query.tokens = 900;
+  PathQuery query = MakeQuery("b");
   query.excluded = &excluded;
   CHECK(chooser.Mend(model, query, current, now).empty());
 }
@@ -232,10 +228,7 @@
 TEST(PathChooser, FindsNothingBeforeAnyTargetIsListed) {
   bbv::TargetBoard empty;
   const bbv::PathChooser of_empty(&empty);
-  PathQuery query;
-  query.service = "engine";
-  query.zone = "a";
-  query.tokens = 900;
+  PathQuery query = MakeQuery("a");
   CHECK(of_empty.Choose(model, query, now, &failure).empty());
   CHECK(failure == PathFailure::kLayersMissing);
 }
--- a/modules/bbv_fleet/target_board.h
+++ b/modules/bbv_fleet/target_board.h
@@ -1,6 +1,7 @@
 #ifndef MODULES_BBV_FLEET_TARGET_BOARD_H_
 #define MODULES_BBV_FLEET_TARGET_BOARD_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -24,6 +25,11 @@
   bool Holds(const LayerRange& other) const {
     return from <= other.from && other.to <= to;
   }
+  // The layers in both ranges; nothing when there are none.
+  std::optional<LayerRange> SharedWith(const LayerRange& other) const {
+    const LayerRange shared{std::max(from, other.from), std::min(to, other.to)};
+    return shared.from < shared.to ? std::optional(shared) : std::nullopt;
+  }
   bool operator==(const LayerRange&) const = default;
 };
 
--- a/modules/bbv_fleet/target_selector.cc
+++ b/modules/bbv_fleet/target_selector.cc
@@ -58,12 +58,7 @@
     uint64_t draw,
     Instant now,
     CallEnd* end) {
-  PathQuery query;
-  query.service = request.service;
-  query.zone = zone_;
-  query.tokens = TokensOf(request);
-  query.excluded = &excluded;
-  query.draw = draw;
+  PathQuery query = MakeQuery(request, excluded, draw);
   // Streams under way lose more by waiting elsewhere than by queueing.
   if (request.last_event == kNoEvent && excluded.empty())
     query.most_backlog_ms = kMostBacklogShare * request.route->objective_ms;
@@ -94,12 +89,7 @@
   const ServiceDescription* service = index.FindService(request.service);
   if (service == nullptr || !service->engine || current.layers.empty())
     return std::nullopt;
-  PathQuery query;
-  query.service = request.service;
-  query.zone = zone_;
-  query.tokens = TokensOf(request);
-  query.excluded = &excluded;
-  query.draw = draw;
+  const PathQuery query = MakeQuery(request, excluded, draw);
   std::vector<KeptHop> hops;
   for (std::size_t it = 0; it < current.layers.size(); ++it)
     hops.push_back({current.hop_ids[it], current.layers[it]});
@@ -112,6 +102,18 @@
   return dispatch;
 }
 
+PathQuery TargetSelector::MakeQuery(const CallRequest& request,
+                                    const std::vector<std::string>& excluded,
+                                    uint64_t draw) const {
+  PathQuery query;
+  query.service = request.service;
+  query.zone = zone_;
+  query.tokens = TokensOf(request);
+  query.excluded = &excluded;
+  query.draw = draw;
+  return query;
+}
+
 CallDispatch TargetSelector::MakeDispatch(const EnginePath& path,
                                           const CallRequest& request) {
   CallDispatch dispatch;
--- a/modules/bbv_fleet/target_selector.h
+++ b/modules/bbv_fleet/target_selector.h
@@ -69,6 +69,10 @@
       Instant now,
       CallEnd* end) const;
 
+  // `request` and `excluded` must outlive the query.
+  PathQuery MakeQuery(const CallRequest& request,
+                      const std::vector<std::string>& excluded,
+                      uint64_t draw) const;
   static CallDispatch MakeDispatch(const EnginePath& path,
                                    const CallRequest& request);
 
--- a/tests/fleet_fixtures.h
+++ b/tests/fleet_fixtures.h
@@ -1,6 +1,8 @@
 #ifndef TESTS_FLEET_FIXTURES_H_
 #define TESTS_FLEET_FIXTURES_H_
 
+#include <algorithm>
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -49,6 +51,62 @@
   return targets;
 }
 
+// Lets targets hold what they were ordered to.
+inline void Apply(const std::vector<bbv::Placement>& changes,
+                  std::vector<bbv::PlannerTarget>* targets) {
+  for (const bbv::Placement& change : changes) {
+    for (bbv::PlannerTarget& it : *targets) {
+      if (it.id == change.id)
+        it.layers = change.layers;
+    }
+  }
+}
+
+// The targets of MakeThreeZones with the planner's first division.
+inline std::vector<bbv::PlannerTarget> MakePlacedZones() {
+  std::vector<bbv::PlannerTarget> targets = MakeThreeZones();
+  Apply(bbv::LayerPlanner::Plan(MakeModel(), targets), &targets);
+  return targets;
+}
+
+// All targets but the one at `lost`.
+inline std::vector<bbv::PlannerTarget> Without(
+    std::vector<bbv::PlannerTarget> targets,
+    std::size_t lost) {
+  targets.erase(targets.begin() + static_cast<std::ptrdiff_t>(lost));
+  return targets;
+}
+
+// What targets hold while they carry out `changes`: layers that they give up
+// are gone, those that they load are not there yet.
+inline std::vector<bbv::PlannerTarget> During(
+    const std::vector<bbv::Placement>& changes,
+    std::vector<bbv::PlannerTarget> targets) {
+  for (const bbv::Placement& change : changes) {
+    for (bbv::PlannerTarget& it : targets) {
+      if (it.id == change.id && it.layers)
+        it.layers = it.layers->SharedWith(change.layers);
+    }
+  }
+  return targets;
+}
+
+// Whether the targets of `zone` (all when empty) hold every layer, leaving out
+// the target `lost`.
+inline bool HoldsCopy(const bbv::EngineModel& model,
+                      const std::vector<bbv::PlannerTarget>& targets,
+                      const std::string& zone,
+                      const std::string& lost = {}) {
+  std::vector<bool> held(model.layers, false);
+  for (const bbv::PlannerTarget& it : targets) {
+    if (!it.layers || (!zone.empty() && it.zone != zone) || it.id == lost)
+      continue;
+    for (int layer = it.layers->from; layer < it.layers->to; ++layer)
+      held[layer] = true;
+  }
+  return std::all_of(held.begin(), held.end(), [](bool it) { return it; });
+}
+
 // A listed target; engines get an accelerator and layers.
 inline bbv::TargetRecord MakeRecord(const std::string& id,
                                     const std::string& service,
--- a/tests/fleet_floor.cc
+++ b/tests/fleet_floor.cc
@@ -40,6 +40,24 @@
 
 }  // namespace
 
+httplib::Headers MakeCallHeaders(const std::string& id, int wait_ms) {
+  return {{"Host", "fleet.example"},
+          {"X-Attempt-Id", id},
+          {"X-Key", "key"},
+          {"X-Deadline-Ms", std::to_string(wait_ms)},
+          {"X-Token-Counts", "100,50"}};
+}
+
+std::vector<int> ReadEventIds(const std::string& text) {
+  std::vector<int> ids;
+  std::istringstream lines(text);
+  for (std::string line; std::getline(lines, line);) {
+    if (line.starts_with("id: "))
+      ids.push_back(std::stoi(line.substr(4)));
+  }
+  return ids;
+}
+
 // One entry process and its ports.
 struct FleetFloor::Entry {
   pid_t pid = -1;
@@ -166,26 +184,17 @@
   httplib::Client client("127.0.0.1", entries_[entry]->callers);
   client.set_read_timeout(6);
   std::string text;
-  const httplib::Headers headers = {{"Host", "fleet.example"},
-                                    {"X-Attempt-Id", id},
-                                    {"X-Key", "key"},
-                                    {"X-Deadline-Ms", "5000"},
-                                    {"X-Token-Counts", "100,50"}};
-  const auto result =
-      client.Get("/stream/x", headers, [&](const char* data, std::size_t n) {
-        text.append(data, n);
-        return true;
-      });
+  const auto result = client.Get("/stream/x", MakeCallHeaders(id, 5000),
+                                 [&](const char* data, std::size_t n) {
+                                   text.append(data, n);
+                                   return true;
+                                 });
   answer.whole = static_cast<bool>(result);
   if (result) {
     answer.status = result->status;
     answer.signature = result->get_header_value("X-Response-Signature");
   }
-  std::istringstream lines(text);
-  for (std::string line; std::getline(lines, line);) {
-    if (line.starts_with("id: "))
-      answer.events.push_back(std::stoi(line.substr(4)));
-  }
+  answer.events = ReadEventIds(text);
   answer.whole = answer.whole && answer.status == 200;
   return answer;
 }
--- a/tests/fleet_floor.h
+++ b/tests/fleet_floor.h
@@ -22,6 +22,12 @@
   bool whole = false;
 };
 
+// The fields of a call whose caller waits for `wait_ms`.
+httplib::Headers MakeCallHeaders(const std::string& id, int wait_ms);
+
+// The ids of a stream's events in the order of its text.
+std::vector<int> ReadEventIds(const std::string& text);
+
 // Entries as real processes before stand-ins of the store and of targets, on
 // loopback. All processes end with the object.
 //
--- a/tests/fleet_floor_test.cc
+++ b/tests/fleet_floor_test.cc
@@ -163,13 +163,9 @@
   std::size_t bytes = 0;
   httplib::Client client("127.0.0.1", floor->callers_port(0));
   client.set_read_timeout(6);
-  const httplib::Headers headers = {{"Host", "fleet.example"},
-                                    {"X-Attempt-Id", "slow"},
-                                    {"X-Key", "key"},
-                                    {"X-Deadline-Ms", "5000"},
-                                    {"X-Token-Counts", "100,50"}};
-  const auto result =
-      client.Get("/stream/x", headers, [&](const char*, std::size_t n) {
+  const auto result = client.Get(
+      "/stream/x", bbv::MakeCallHeaders("slow", 5000),
+      [&](const char*, std::size_t n) {
         if (bytes == 0)
           std::this_thread::sleep_for(std::chrono::milliseconds(900));
         bytes += n;
--- a/tests/fleet_soak.cc
+++ b/tests/fleet_soak.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <sstream>
 #include <thread>
 #include <utility>
 
@@ -29,24 +28,7 @@
 constexpr int kAttempts = 2;
 // Calls of one caller on one entry before it goes to the next.
 constexpr int kCallsInTurn = 15;
-
-httplib::Headers MakeHeaders(const std::string& id) {
-  return {{"Host", "fleet.example"},
-          {"X-Attempt-Id", id},
-          {"X-Key", "key"},
-          {"X-Deadline-Ms", "4000"},
-          {"X-Token-Counts", "100,50"}};
-}
-
-std::vector<int> ReadEventIds(const std::string& text) {
-  std::vector<int> ids;
-  std::istringstream lines(text);
-  for (std::string line; std::getline(lines, line);) {
-    if (line.starts_with("id: "))
-      ids.push_back(std::stoi(line.substr(4)));
-  }
-  return ids;
-}
+constexpr int kCallerWaitMs = 4000;
 
 }  // namespace
 
@@ -251,7 +233,7 @@
   outcome.kind = number % 2 == 0   ? CallKind::kStream
                  : number % 4 == 1 ? CallKind::kSafe
                                    : CallKind::kUnsafe;
-  const httplib::Headers headers = MakeHeaders(outcome.id);
+  const httplib::Headers headers = MakeCallHeaders(outcome.id, kCallerWaitMs);
   std::string text;
   const auto keep = [&text](const char* data, std::size_t n) {
     text.append(data, n);
--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -539,11 +539,7 @@
 }
 
 bool FleetTargets::HoldsAllLayers() {
-  for (int layer = 0; layer < shape_.layers; ++layer) {
-    if (HolderOf(layer) < 0)
-      return false;
-  }
-  return true;
+  return HoldsAllLayersWithout(-1);
 }
 
 std::map<std::string, int> FleetTargets::Runs() {
