Let calls begin where there are slots, read engines' times as they are

Cause: on the grown Zarcero deployment half of the streams were answered late. A target takes 192 calls at once as the first of their path; a zone had two such targets and some 450 streams. Change: EngineTiming (steps and reading of a target that writes), tokens an event from the configuration, no path begins where all slots are taken, taken slots count against a target, and zones whose memory admits more calls than two chains have slots for get more targets that hold the first layers, as long as no more layers are held once. call-finished tells longest_pause_ms, pause_before_event and pause_path.

--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -370,6 +370,7 @@
   } else {
     caller_->StreamChunk(chunk_);
   }
+  NotePause(last, now);
   call_.OnEventRelayed(last, now);
   if (!paused_ && caller_->queued_bytes() > kStopReadingBytes) {
     paused_ = true;
@@ -377,6 +378,24 @@
   }
 }
 
+void RelayedCall::NotePause(int64_t event_id, Instant now) {
+  const Instant last = std::exchange(last_relayed_, now);
+  if (last == Instant{})
+    return;
+  const auto pause = std::chrono::duration_cast<Milliseconds>(now - last);
+  if (pause <= longest_pause_)
+    return;
+  longest_pause_ = pause;
+  pause_before_event_ = event_id;
+  if (IsLatePause(pause))
+    pause_path_ = PathText(sent_);
+}
+
+bool RelayedCall::IsLatePause(Milliseconds pause) const {
+  const int64_t objective = call_.request().route->pause_objective_ms;
+  return objective > 0 && pause.count() > objective;
+}
+
 void RelayedCall::LogFinished(Instant now) {
   const CallRequest& request = call_.request();
   const Instant answered = head_relayed_ ? first_relayed_ : now;
@@ -384,16 +403,21 @@
   const bool late =
       request.route->objective_ms > 0 &&
       answer_ms > static_cast<double>(request.route->objective_ms);
-  if (!late && call_.sends() < 2)
+  const bool paused = IsLatePause(longest_pause_);
+  if (!late && !paused && call_.sends() < 2)
     return;
-  context_->log->Write(Event::kCallFinished, now,
-                       {{"id", request.attempt_id},
-                        {"service", request.service},
-                        {"answer_ms", answer_ms},
-                        {"whole_ms", MillisecondsBetween(request.arrived, now)},
-                        {"late", late},
-                        {"sends", static_cast<int64_t>(call_.sends())},
-                        {"target", sent_.target_id}});
+  context_->log->Write(
+      Event::kCallFinished, now,
+      {{"id", request.attempt_id},
+       {"service", request.service},
+       {"answer_ms", answer_ms},
+       {"whole_ms", MillisecondsBetween(request.arrived, now)},
+       {"late", late},
+       {"longest_pause_ms", static_cast<int64_t>(longest_pause_.count())},
+       {"pause_before_event", pause_before_event_},
+       {"pause_path", pause_path_},
+       {"sends", static_cast<int64_t>(call_.sends())},
+       {"target", sent_.target_id}});
 }
 
 void RelayedCall::OnAnswerEnd() {
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -103,6 +103,9 @@
   void RelayEvents(std::string_view data);
   void FailSend(const SendFailure& failure, std::string_view evidence);
   void FinishSend(bool failed, Instant now);
+  void NotePause(int64_t event_id, Instant now);
+  // Whether events may not be so far apart on the call's route.
+  bool IsLatePause(Milliseconds pause) const;
   // Logs a call that ended well when it was late or sent more than once.
   void LogFinished(Instant now);
   std::string RelayedFields() const;
@@ -128,6 +131,12 @@
   // Whether the answer is not read because the caller takes it too slowly.
   bool paused_ = false;
   Instant first_relayed_{};
+  Instant last_relayed_{};
+  // Longest time between two events relayed, the event that ended it, and the
+  // path that it took to come.
+  Milliseconds longest_pause_{};
+  int64_t pause_before_event_ = kNoEvent;
+  std::string pause_path_;
   EventSplitter splitter_;
   std::string chunk_;
   // Lets answers to orders find out whether the call is still there.
--- a/modules/bbv_fleet/bbv_fleet.h
+++ b/modules/bbv_fleet/bbv_fleet.h
@@ -10,6 +10,7 @@
 #define MODULES_BBV_FLEET_BBV_FLEET_H_
 
 #include "bbv_fleet/crossing_limit.h"
+#include "bbv_fleet/engine_timing.h"
 #include "bbv_fleet/fleet_call.h"
 #include "bbv_fleet/fleet_configuration.h"
 #include "bbv_fleet/fleet_index.h"
--- /dev/null
+++ b/modules/bbv_fleet/engine_timing_test.cc
@@ -0,0 +1,54 @@
+#include "bbv_fleet/engine_timing.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "fleet_fixtures.h"
+
+using bbv::EngineModel;
+using bbv::EngineShare;
+using bbv::EngineTiming;
+
+TEST_GROUP(EngineTiming) {
+  EngineModel model = bbv_test::MakeModel();
+  EngineShare share;
+
+  void setup() override {
+    model.tokens_per_event = 4;
+    model.read_chunk_tokens = 512;
+    model.call_step_ms = 0.003;
+    model.context_step_ms = 0.004;
+    share.step_factor = 16;
+    share.read_factor = 8;
+    share.layer_share = 0.1;
+  }
+};
+
+TEST(EngineTiming, AnIdleTargetReadsAtItsOwnRate) {
+  const double rate = EngineTiming::ReadTokensPerMs(model, share);
+  DOUBLES_EQUAL(model.read_tokens_per_ms / 0.8, rate, 0.01);
+}
+
+// Load: a hundred streams through each target. What is read beside them is
+// bounded by the passes that write.
+TEST(EngineTiming, ATargetThatWritesReadsOneChunkAPass) {
+  share.calls = 100;
+  const double step_ms = EngineTiming::StepMs(model, share);
+  const double rate = EngineTiming::ReadTokensPerMs(model, share);
+  CHECK_TRUE(rate < 512 / (4 * step_ms));
+  CHECK_TRUE(rate < 0.35 * model.read_tokens_per_ms / 0.8);
+}
+
+TEST(EngineTiming, StepsGrowWithCallsLayersAndPace) {
+  const double alone = EngineTiming::StepMs(model, share);
+  DOUBLES_EQUAL(model.step_ms * 1.6, alone, 0.001);
+  share.calls = 300;
+  CHECK_TRUE(EngineTiming::StepMs(model, share) > alone);
+  share.calls = 0;
+  share.pace = 4;
+  DOUBLES_EQUAL(4 * alone, EngineTiming::StepMs(model, share), 0.001);
+}
+
+TEST(EngineTiming, AModelWithoutTimesReadsNothing) {
+  model.read_tokens_per_ms = 0;
+  DOUBLES_EQUAL(0, EngineTiming::ReadTokensPerMs(model, share), 0);
+}
--- a/modules/bbv_fleet/fleet_configuration.h
+++ b/modules/bbv_fleet/fleet_configuration.h
@@ -42,6 +42,9 @@
   int64_t timeout_ms = 0;
   // Time to the answer, or to the first event, that callers aim for.
   int64_t objective_ms = 0;
+  // Longest pause between two events of a stream that callers aim for; 0 for
+  // none.
+  int64_t pause_objective_ms = 0;
   int priority = 0;
   int max_attempts = 1;
   std::vector<WeightedService> services;
@@ -67,11 +70,21 @@
   double activation_bytes = 0;
   double zone_link_mbps = 0;
   double step_ms = 0;
+  // Added to a step for each call in it, and for each call and thousand tokens
+  // that it has behind it.
+  double call_step_ms = 0;
+  double context_step_ms = 0;
+  // Tokens that one event of a stream holds.
+  double tokens_per_event = 1;
+  // Prompt tokens that one pass reads at most.
+  double read_chunk_tokens = 0;
   // Prompt tokens that are read in a millisecond.
   double read_tokens_per_ms = 0;
   // Loading all layers.
   double load_ms = 0;
   int concurrent_loads = 1;
+  // Calls that a target takes at once as the first of their path; 0 for any.
+  int first_hop_slots = 0;
   double usual_prompt_tokens = 0;
   double usual_answer_tokens = 0;
   std::vector<AcceleratorKind> kinds;
--- a/modules/bbv_fleet/layer_doubler.cc
+++ b/modules/bbv_fleet/layer_doubler.cc
@@ -1,6 +1,7 @@
 #include "bbv_fleet/layer_doubler.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <numeric>
 #include <string>
@@ -19,6 +20,9 @@
 constexpr double kMostRequestShare = 0.5;
 // Memory that requests use now is left to them this many times.
 constexpr double kUsedMemoryFactor = 1.3;
+// Share of the memory for requests that calls can use before targets that hold
+// more than their part are full.
+constexpr double kMemoryInUse = 0.75;
 
 // Share of the targets' memory that layers may take.
 double LayerShare(const EngineModel& model,
@@ -49,13 +53,16 @@
 // Targets of a zone that hold nothing yet, while layers are divided over them:
 // the largest hold the upper layers alone, the others the lower ones in two
 // chains. The fewer the targets that hold layers alone, the fewer losses leave
-// a gap.
+// a gap. Where memory admits more calls than the chains' first targets have
+// slots for, the smallest targets hold the first layers besides, so that calls
+// can begin there.
 class TwofoldDivision {
  public:
   TwofoldDivision(const EngineModel& model,
                   const std::vector<PlannerTarget>& members)
       : model_(model), ranges_(members.size()) {
     const double layer_share = LayerShare(model, members);
+    beginners_ = CountBeginners(members);
     for (const PlannerTarget& it : members)
       capacities_.push_back(ComfortableLayers(model, it, layer_share));
     order_.resize(members.size());
@@ -69,41 +76,88 @@
   }
 
   bool Divide() {
+    const auto alone = CountAlone(0);
+    if (!alone)
+      return false;
+    std::size_t beginners = beginners_;
+    // More targets to begin at must not leave more layers held once.
+    while (beginners > 0 && CountAlone(beginners) != alone)
+      --beginners;
+    DivideAll(*alone, beginners);
+    return true;
+  }
+
+  std::vector<LayerRange> TakeRanges() { return std::move(ranges_); }
+
+ private:
+  using Chain = std::vector<std::size_t>;
+  static constexpr std::size_t kChains = 2;
+
+  // Targets beside the chains' first ones that calls should begin at.
+  std::size_t CountBeginners(const std::vector<PlannerTarget>& members) const {
+    const double request_mb = LayerPlanner::RequestMb(model_) * model_.layers;
+    if (model_.first_hop_slots <= 0 || request_mb <= 0)
+      return 0;
+    double memory = 0;
+    for (const PlannerTarget& it : members)
+      memory += model_.MemoryMb(it.accelerator);
+    const double for_requests =
+        memory - kChains * model_.layers * model_.layer_mb;
+    const double calls = kMemoryInUse * for_requests / request_mb;
+    const double first_targets = std::ceil(calls / model_.first_hop_slots);
+    return first_targets <= kChains
+               ? 0
+               : static_cast<std::size_t>(first_targets) - kChains;
+  }
+
+  // Returns how many of the largest targets hold layers alone when the smallest
+  // `beginners` are kept out of the chains; nothing when layers do not fit.
+  std::optional<std::size_t> CountAlone(std::size_t beginners) const {
     int alone = 0;
-    for (std::size_t n = 0; n < order_.size(); ++n) {
+    for (std::size_t n = 0; n + beginners < order_.size(); ++n) {
       const int doubled = model_.layers - alone;
       if (doubled <= 0)
-        return false;
-      if (FillChains(n, doubled)) {
-        FillRange(Chain(order_.begin(),
-                        order_.begin() + static_cast<std::ptrdiff_t>(n)),
-                  {doubled, model_.layers});
-        return true;
-      }
+        return std::nullopt;
+      if (MakeChains(n, beginners).least_capacity >= doubled)
+        return n;
       alone += capacities_[order_[n]];
     }
-    return false;
+    return std::nullopt;
   }
 
-  std::vector<LayerRange> TakeRanges() { return std::move(ranges_); }
-
- private:
-  using Chain = std::vector<std::size_t>;
+  void DivideAll(std::size_t n, std::size_t beginners) {
+    const Chain largest(order_.begin(),
+                        order_.begin() + static_cast<std::ptrdiff_t>(n));
+    int doubled = model_.layers;
+    for (const std::size_t it : largest)
+      doubled -= capacities_[it];
+    const Chains chains = MakeChains(n, beginners);
+    for (const Chain& it : chains.members)
+      FillRange(it, {0, doubled});
+    FillRange(largest, {doubled, model_.layers});
+    for (std::size_t it = order_.size() - beginners; it < order_.size(); ++it) {
+      const std::size_t target = order_[it];
+      ranges_[target] = {0, std::min(capacities_[target], doubled)};
+    }
+  }
 
-  // Divides the first `layers` layers twice over all targets but the first `n`.
-  bool FillChains(std::size_t n, int layers) {
-    Chain chains[2];
-    int capacities[2] = {0, 0};
-    for (std::size_t it = n; it < order_.size(); ++it) {
+  // Two chains of alike capacity.
+  struct Chains {
+    Chain members[kChains];
+    int least_capacity = 0;
+  };
+
+  // Divides all targets but the first `n` and the last `beginners`.
+  Chains MakeChains(std::size_t n, std::size_t beginners) const {
+    Chains chains;
+    int capacities[kChains] = {0, 0};
+    for (std::size_t it = n; it + beginners < order_.size(); ++it) {
       const int chain = capacities[1] < capacities[0] ? 1 : 0;
-      chains[chain].push_back(order_[it]);
+      chains.members[chain].push_back(order_[it]);
       capacities[chain] += capacities_[order_[it]];
     }
-    if (std::min(capacities[0], capacities[1]) < layers)
-      return false;
-    FillRange(chains[0], {0, layers});
-    FillRange(chains[1], {0, layers});
-    return true;
+    chains.least_capacity = std::min(capacities[0], capacities[1]);
+    return chains;
   }
 
   // Divides `range` over `chain` in the ratio of the targets' capacities.
@@ -125,6 +179,7 @@
 
   const EngineModel& model_;
   std::vector<int> capacities_;
+  std::size_t beginners_ = 0;
   // Targets from the largest to the smallest.
   Chain order_;
   std::vector<LayerRange> ranges_;
--- a/modules/bbv_fleet/layer_doubler_test.cc
+++ b/modules/bbv_fleet/layer_doubler_test.cc
@@ -172,3 +172,31 @@
     }
   }
 }
+
+// Load: a zone whose memory holds 900 calls, while each target takes 192 calls
+// that begin there.
+TEST(LayerDoubler, AZoneWithMemoryForManyCallsHasTargetsForThemToBeginAt) {
+  model.first_hop_slots = 192;
+  model.kinds = {{"large", 72000, 2.4, 3.2},
+                 {"middle", 43200, 5.6, 2.7},
+                 {"small", 21600, 16, 8.2}};
+  model.kv_bytes_per_token = 393000;
+  Targets targets;
+  const auto add = [&](const char* kind, int count) {
+    for (int it = 0; it < count; ++it) {
+      std::string id(kind);
+      id += std::to_string(it);
+      targets.push_back({id, "a", kind, std::nullopt});
+    }
+  };
+  add("large", 2);
+  add("middle", 5);
+  add("small", 13);
+  Apply(LayerPlanner::Plan(model, targets), &targets);
+  CHECK(FitsMemory(model, targets));
+  CHECK_EQUAL(0, CountLoneHolders(model, targets));
+  const auto beginners = std::count_if(
+      targets.begin(), targets.end(),
+      [](const auto& it) { return it.layers && it.layers->from == 0; });
+  CHECK(beginners >= 4);
+}
--- a/modules/bbv_fleet/path_chooser.cc
+++ b/modules/bbv_fleet/path_chooser.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "bbv_core/hashing.h"
+#include "bbv_fleet/engine_timing.h"
 
 namespace bbv {
 namespace {
@@ -23,9 +24,12 @@
 constexpr double kFullTargetFactor = 3.0;
 // Share by which equal targets are spread.
 constexpr double kSpread = 0.1;
+// Milliseconds a token by which a target counts as slower to begin at whose
+// slots are all taken, so that calls spread over all that can be first.
+constexpr double kTakenSlotsMs = 4;
 // Milliseconds a token for each millisecond of prompts that wait to be read:
 // calls that come at once, as after a crash, are spread over all copies.
-constexpr double kBacklogWeight = 1.0 / 30;
+constexpr double kBacklogWeight = 1.0 / 100;
 constexpr double kBytesInMegabyte = 1e6;
 // Bits that a link of one megabit a second carries in a millisecond.
 constexpr double kBitsInMegabitMs = 1e3;
@@ -34,16 +38,27 @@
 constexpr double kKeptHopFactor = 0.1;
 constexpr double kUnreached = std::numeric_limits<double>::infinity();
 
+EngineShare ShareOf(const EngineModel& model,
+                    const AcceleratorKind& kind,
+                    const FleetTarget& target,
+                    Instant now) {
+  EngineShare share;
+  share.step_factor = kind.step_factor;
+  share.read_factor = kind.read_factor;
+  share.pace = target.Pace(now);
+  share.layer_share =
+      static_cast<double>(target.record.layers->size()) / model.layers;
+  share.calls = target.own_calls + target.peer_calls;
+  return share;
+}
+
 // Expected milliseconds until `target` has read the prompts sent there.
 double BacklogMs(const EngineModel& model,
-                 const AcceleratorKind& kind,
-                 const FleetTarget& target,
-                 Instant now) {
-  if (model.read_tokens_per_ms <= 0)
-    return 0;
+                 const EngineShare& share,
+                 const FleetTarget& target) {
+  const double rate = EngineTiming::ReadTokensPerMs(model, share);
   const double tokens = target.own_unread_tokens + target.peer_unread_tokens;
-  return tokens / model.read_tokens_per_ms * kind.read_factor *
-         target.Pace(now) * target.record.layers->size() / model.layers;
+  return rate > 0 ? tokens / rate : 0;
 }
 
 }  // namespace
@@ -87,15 +102,21 @@
     Candidate candidate;
     candidate.target = target;
     candidate.layers = *target->record.layers;
-    candidate.layer_ms = model.step_ms * kind->step_factor * target->Pace(now) /
-                         model.layers *
+    const EngineShare share = ShareOf(model, *kind, *target, now);
+    candidate.layer_ms = EngineTiming::StepMs(model, share) /
+                         std::max(1, target->record.layers->size()) *
                          (1 + (kFullTargetFactor - 1) * load * load) *
                          (1 + 4 * target->failure_share) * spread;
-    const double backlog_ms = BacklogMs(model, *kind, *target, now);
+    const double backlog_ms = BacklogMs(model, share, *target);
     candidate.hop_ms = kHopMs + kBacklogWeight * backlog_ms;
     const bool overdue =
         query.most_backlog_ms > 0 && backlog_ms > query.most_backlog_ms;
     candidate.room_token_layers = overdue ? 0 : capacity - used;
+    if (model.first_hop_slots > 0 && candidate.layers.from == 0) {
+      const double taken = share.calls / model.first_hop_slots;
+      candidate.may_begin = taken < 1;
+      candidate.begin_ms = kTakenSlotsMs * taken * taken;
+    }
     candidates.push_back(candidate);
   }
   return candidates;
@@ -131,8 +152,10 @@
     best = SearchOnce(model, all, {query.tokens, /*across_zones=*/true});
   if (!best.empty())
     return best;
-  const bool held =
-      !SearchOnce(model, all, {/*tokens=*/0, /*across_zones=*/true}).empty();
+  SearchLimits any_room;
+  any_room.across_zones = true;
+  any_room.ignores_slots = true;
+  const bool held = !SearchOnce(model, all, any_room).empty();
   *failure = held ? PathFailure::kNoRoom : PathFailure::kLayersMissing;
   return best;
 }
@@ -271,6 +294,8 @@
       const LayerRange& held = it.layers;
       if (at < held.from || at >= held.to || (it.is_kept && at > held.from))
         continue;
+      if (at == 0 && !it.may_begin && !limits.ignores_slots)
+        continue;
       const int zone = across_zones ? it.zone : 0;
       double cost = best[at][zone].cost;
       if (at > limits.from)
@@ -285,7 +310,8 @@
         if ((limits.whole_hops || it.is_kept) &&
             end < std::min(held.to, layers))
           continue;
-        const double total = cost + it.hop_ms + it.layer_ms * (end - at);
+        const double total = cost + it.hop_ms + it.layer_ms * (end - at) +
+                             (at == 0 ? it.begin_ms : 0);
         Arrival& arrival = best[end][zone];
         if (total >= arrival.cost)
           continue;
--- a/modules/bbv_fleet/path_chooser.h
+++ b/modules/bbv_fleet/path_chooser.h
@@ -102,6 +102,11 @@
   struct Candidate {
     FleetTarget* target = nullptr;
     LayerRange layers;
+    // Whether a call may begin there: the first target of a path has a slot for
+    // each of its calls.
+    bool may_begin = true;
+    // Milliseconds a token for beginning there.
+    double begin_ms = 0;
     // Whether the call is on it already: it runs just these layers.
     bool is_kept = false;
     int zone = 0;
@@ -119,6 +124,8 @@
     bool whole_hops = false;
     // First layer that the path has to run.
     int from = 0;
+    // Whether a path may begin where all slots are taken.
+    bool ignores_slots = false;
   };
 
   // Returns the targets that may take hops of new paths.
--- a/modules/bbv_fleet/path_chooser_test.cc
+++ b/modules/bbv_fleet/path_chooser_test.cc
@@ -232,3 +232,25 @@
   CHECK(of_empty.Choose(model, query, now, &failure).empty());
   CHECK(failure == PathFailure::kLayersMissing);
 }
+
+// Load: more streams than the slots of the targets at which they can begin.
+// They must not queue there while others have slots.
+TEST(PathChooser, BeginsWhereThereAreSlots) {
+  model.first_hop_slots = 192;
+  std::vector<FleetTarget*> first;
+  for (const auto& [id, row] : board.rows()) {
+    if (row->record.layers->from == 0)
+      first.push_back(board.Find(id));
+  }
+  for (FleetTarget* it : first) {
+    if (it->record.zone == "b")
+      it->peer_calls = 192;
+  }
+  const EnginePath path = Choose("b", 1);
+  CheckWhole(path);
+  CHECK(!ZonesOf(path).contains("b"));
+  for (FleetTarget* it : first)
+    it->own_calls = 192;
+  CHECK(Choose("b", 1).empty());
+  CHECK(failure == PathFailure::kNoRoom);
+}
--- a/modules/bbv_fleet/target_selector.cc
+++ b/modules/bbv_fleet/target_selector.cc
@@ -8,8 +8,6 @@
 namespace bbv {
 namespace {
 
-// Tokens that an event of a stream holds.
-constexpr double kTokensPerEvent = 2;
 // Expected work of a plain call before any was seen.
 constexpr double kUnknownAnswerMs = 50;
 // Added for targets in another zone.
@@ -18,7 +16,7 @@
 constexpr double kFailureFactor = 6;
 // Longest wait for prompts sent before, as a share of the call's objective:
 // callers leave at a small multiple of that, and what is read for them is lost.
-constexpr double kMostBacklogShare = 1.5;
+constexpr double kMostBacklogShare = 1.0;
 // Calls that may wait at a plain target beyond its slots.
 constexpr int kWaitingAtTarget = 3;
 
@@ -70,7 +68,7 @@
         failure == PathFailure::kNoRoom ? CallEnd::kNoRoom : CallEnd::kNoTarget;
     return std::nullopt;
   }
-  CallDispatch dispatch = MakeDispatch(path, request);
+  CallDispatch dispatch = MakeDispatch(model, path, request);
   dispatch.link_ms = PathChooser::LinkMs(model, path, request.prompt_tokens);
   // After a fault every entry sends its streams again at the same moment, and
   // hears of the others' only later.
@@ -96,7 +94,7 @@
   const EnginePath path = paths_.Mend(*service->engine, query, hops, now);
   if (path.empty())
     return std::nullopt;
-  CallDispatch dispatch = MakeDispatch(path, request);
+  CallDispatch dispatch = MakeDispatch(*service->engine, path, request);
   // Hops that stay read nothing again; what the others read is little.
   dispatch.event_ms = std::max(dispatch.event_ms, current.event_ms);
   return dispatch;
@@ -114,7 +112,8 @@
   return query;
 }
 
-CallDispatch TargetSelector::MakeDispatch(const EnginePath& path,
+CallDispatch TargetSelector::MakeDispatch(const EngineModel& model,
+                                          const EnginePath& path,
                                           const CallRequest& request) {
   CallDispatch dispatch;
   dispatch.target_id = path.hops.front().target->record.id;
@@ -125,7 +124,7 @@
     dispatch.hop_addresses.push_back(it.target->record.address);
   }
   dispatch.tokens = TokensOf(request);
-  dispatch.event_ms = kTokensPerEvent * path.token_ms;
+  dispatch.event_ms = model.tokens_per_event * path.token_ms;
   return dispatch;
 }
 
--- a/modules/bbv_fleet/target_selector.h
+++ b/modules/bbv_fleet/target_selector.h
@@ -73,7 +73,8 @@
   PathQuery MakeQuery(const CallRequest& request,
                       const std::vector<std::string>& excluded,
                       uint64_t draw) const;
-  static CallDispatch MakeDispatch(const EnginePath& path,
+  static CallDispatch MakeDispatch(const EngineModel& model,
+                                   const EnginePath& path,
                                    const CallRequest& request);
 
   TargetBoard* board_;
--- a/tests/fleet_fixtures.h
+++ b/tests/fleet_fixtures.h
@@ -13,7 +13,7 @@
 // A model of 80 layers on three kinds of accelerators.
 inline bbv::EngineModel MakeModel() {
   bbv::EngineModel model;
-  model.model = "m";
+  model.model = std::string("m");
   model.layers = 80;
   model.layer_mb = 1750;
   model.kv_bytes_per_token = 426000;
@@ -43,9 +43,9 @@
   std::vector<bbv::PlannerTarget> targets;
   for (const Group& group : kGroups) {
     for (int it = 0; it < group.count; ++it) {
-      targets.push_back(
-          {std::string("i-") + group.zone + group.kind + std::to_string(it),
-           group.zone, group.kind, std::nullopt});
+      std::string id = "i-";
+      id.append(group.zone).append(group.kind).append(std::to_string(it));
+      targets.push_back({id, group.zone, group.kind, std::nullopt});
     }
   }
   return targets;
@@ -115,7 +115,8 @@
   bbv::TargetRecord record;
   record.id = id;
   record.service = service;
-  record.address = "127.0.0.1:" + std::to_string(++port);
+  record.address = "127.0.0.1:";
+  record.address += std::to_string(++port);
   record.zone = zone;
   record.slots = 6;
   record.started_unix_ms = 1;
