--- a/modules/bbv_core/hashing.cc
+++ b/modules/bbv_core/hashing.cc
@@ -8,6 +8,10 @@
   return XXH3_64bits_withSeed(data.data(), data.size(), seed);
 }
 
+uint32_t ShortHash(std::string_view data) {
+  return static_cast<uint32_t>(HashBytes(data));
+}
+
 Hash128 HashBytes128(std::string_view data) {
   const XXH128_hash_t hash = XXH3_128bits(data.data(), data.size());
   return {hash.high64, hash.low64};
--- a/modules/bbv_core/hashing.h
+++ b/modules/bbv_core/hashing.h
@@ -15,6 +15,10 @@
 // Returns the XXH3 hash of `data`; not for secrets. Thread safe.
 uint64_t HashBytes(std::string_view data, uint64_t seed = 0);
 
+// Returns the low half of HashBytes, as messages between entries name targets
+// and members. Thread safe.
+uint32_t ShortHash(std::string_view data);
+
 // As HashBytes with 128 bits, for identities that must not collide.
 Hash128 HashBytes128(std::string_view data);
 
--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -30,13 +30,11 @@
 constexpr std::size_t kFewTargets = 4;
 constexpr std::size_t kTrustedShare = 5;
 constexpr Milliseconds kUnreachedMemory{1500};
-// A round of telling, in pauses between two tellings of one entry.
-constexpr int kTellingRounds = 2;
-// Pause between two reads of the target list, for each entry: all entries
-// together read it at much the same rate however many they are.
-constexpr Milliseconds kListPauseEach{45};
-constexpr Milliseconds kShortestListPause{700};
-constexpr Milliseconds kLongestListPause{1100};
+// Readers of a zone that wait at the store for the next configuration.
+constexpr std::size_t kConfigurationReaders = 2;
+// Megabits a second that one share of a processor core can fill; an instance
+// with less counts by its link.
+constexpr double kMegabitsPerCore = 200;
 // Time that a call needs at most, as a rule; a stopping entry takes none that
 // its end would cut.
 constexpr Milliseconds kStreamTime{4800};
@@ -55,13 +53,6 @@
   return kExpectedAnswerShare * fields.max_answer_tokens;
 }
 
-// `leave_within` is the time in which a leaving target must be left alone.
-Milliseconds ListPause(int entries, Milliseconds leave_within) {
-  const Milliseconds longest = std::min(kLongestListPause, leave_within / 2);
-  return std::min(longest,
-                  std::max(kShortestListPause, kListPauseEach * entries));
-}
-
 }  // namespace
 
 FleetEntry::FleetEntry(FleetSettings settings, std::string settings_path)
@@ -73,8 +64,14 @@
       client_(&loop_),
       store_(&client_, settings_.store_address, &log_),
       selector_(&board_, settings_.zone),
-      configuration_(&store_, &log_),
-      targets_(&store_, &log_, &board_),
+      configuration_(&store_, &log_, [this] { peers_.TellConfiguration(); }),
+      targets_(&store_,
+               &log_,
+               &board_,
+               Milliseconds(settings_.leave_within_ms),
+               [this](wire::TargetListDeltaT delta) {
+                 peers_.TellTargetList(std::move(delta));
+               }),
       planner_(&store_,
                &client_,
                &log_,
@@ -89,16 +86,15 @@
                  bool witnessed) { TakeTargetFault(id, evidence, witnessed); },
           [this](const std::string& id) { TakeLeavingTarget(id); }),
       loads_(&client_, &board_),
-      links_(&loop_, &store_, &log_, settings_.name, settings_.peers_address),
-      peers_(&links_,
-             &board_,
-             &configuration_,
-             &planner_,
-             &budgets_,
-             &random_,
+      peers_(&loop_,
+             {&store_, &log_, &board_, &configuration_, &targets_, &planner_,
+              &budgets_},
+             OwnRecord(),
+             Milliseconds(settings_.retry_window_ms),
              [this](const std::string& id, std::string_view) {
                DoubtTarget(id);
              }) {
+  draw_ = random_();
   context_.client = &client_;
   context_.board = &board_;
   context_.selector = &selector_;
@@ -183,6 +179,16 @@
   callers_.emplace(id, std::move(connection));
 }
 
+MemberRecord FleetEntry::OwnRecord() const {
+  MemberRecord record;
+  record.address = settings_.peers_address.ToString();
+  record.name = settings_.name;
+  record.zone = settings_.zone;
+  record.capacity = std::min(settings_.core_share * settings_.core_speed,
+                             settings_.link_mbps / kMegabitsPerCore);
+  return record;
+}
+
 SharedRetryBudget::Limits FleetEntry::RetryLimits() const {
   SharedRetryBudget::Limits limits;
   limits.ratio = settings_.retry_share;
@@ -375,8 +381,11 @@
 void FleetEntry::OnTick() {
   const Instant now = EventLoop::Now();
   client_.OnTick(now);
-  configuration_.OnTick(now);
-  targets_.OnTick(now);
+  const std::size_t reader_rank = peers_.reader_rank();
+  configuration_.OnTick(reader_rank < kConfigurationReaders, draw_, now);
+  targets_.OnTick(reader_rank, draw_, now);
+  planner_.SetCandidate(peers_.known_entries().has_value() &&
+                        peers_.members().own_rank() == 0);
   planner_.OnTick(configuration_.current(), targets_.complete(),
                   targets_.last_new_target(), now);
   if (planner_.plans() && configuration_.current() != nullptr)
@@ -396,13 +405,13 @@
 void FleetEntry::ShareBudgets() {
   // Many are assumed until the list of entries was read; one that falls silent
   // may still spend its part.
-  const int entries = links_.known_entries().value_or(kUnknownEntries);
-  if (entries == entries_)
+  const int entries = peers_.known_entries().value_or(kUnknownEntries);
+  const Milliseconds spread_time = peers_.spread_time();
+  if (entries == entries_ && spread_time == spread_time_)
     return;
   entries_ = entries;
-  budgets_.SetEntries(entries_, kTellingRounds * links_.state_pause());
-  targets_.SetPause(
-      ListPause(entries_, Milliseconds(settings_.leave_within_ms)));
+  spread_time_ = spread_time;
+  budgets_.SetEntries(entries_, spread_time_);
   selector_.SetEntries(entries_);
 }
 
@@ -491,7 +500,9 @@
   metrics_.SetGauge("calls_waiting", static_cast<double>(waiting_room_.size()));
   metrics_.SetGauge("targets", static_cast<double>(board_.rows().size()));
   metrics_.SetGauge("plans", planner_.plans() ? 1 : 0);
-  metrics_.SetGauge("live_entries", links_.live_entries());
+  metrics_.SetGauge("live_entries", peers_.members().live(now));
+  metrics_.SetGauge("zone_rank",
+                    static_cast<double>(peers_.members().own_rank()));
   metrics_.SetGauge("store_reachable", store_.reachable() ? 1 : 0);
   metrics_.SetGauge("store_calls", static_cast<double>(store_.calls()));
   metrics_.SetGauge("log_lines_dropped", static_cast<double>(log_.dropped()));
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -10,14 +10,14 @@
 #include <unordered_map>
 #include <vector>
 
-#include "bbv_entry/fleet_follower.h"
+#include "bbv_entry/configuration_follower.h"
 #include "bbv_entry/load_watch.h"
 #include "bbv_entry/peer_exchange.h"
-#include "bbv_entry/peer_links.h"
 #include "bbv_entry/planner_agent.h"
 #include "bbv_entry/relayed_call.h"
 #include "bbv_entry/stall_watch.h"
 #include "bbv_entry/store_client.h"
+#include "bbv_entry/target_follower.h"
 #include "bbv_fleet/bbv_fleet.h"
 #include "bbv_front/caller_connection.h"
 #include "bbv_front/event_loop.h"
@@ -94,6 +94,7 @@
   // Whether a call taken now can end before this entry's own end.
   bool MayStillTake(const ServiceRoute& route, Instant now) const;
   SharedRetryBudget::Limits RetryLimits() const;
+  MemberRecord OwnRecord() const;
 
   FleetSettings settings_;
   std::string settings_path_;
@@ -111,7 +112,6 @@
   PlannerAgent planner_;
   StallWatch stalls_;
   LoadWatch loads_;
-  PeerLinks links_;
   PeerExchange peers_;
   WaitingRoom waiting_room_;
   CallContext context_;
@@ -130,10 +130,14 @@
   Instant stop_deadline_{};
   Instant next_gauges_{};
   Instant next_layer_check_{};
+  // Spreads entries that would do the same at the same moment.
+  uint64_t draw_ = 0;
   // Targets that this entry did not reach lately, and when.
   std::map<std::string, Instant> unreached_;
   // Entries that share the retry budget, as of the last look.
   int entries_ = 0;
+  // Time in which entries tell each other what they spent.
+  Milliseconds spread_time_{};
   // Whether callers' connections may be on hold, and until when.
   bool holding_ = true;
   Instant hold_until_{};
--- a/modules/bbv_entry/peer_exchange.cc
+++ b/modules/bbv_entry/peer_exchange.cc
@@ -2,223 +2,248 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <utility>
 
+#include "bbv_core/hashing.h"
+#include "bbv_entry/list_messages.h"
+
 namespace bbv {
 namespace {
 
 // Reports older than this are not handed on.
 constexpr Milliseconds kReportHandOn{2000};
-// How old a report is when it is taken.
-constexpr Milliseconds kReportsOnTheWay{250};
-// For how long a fault that one entry has told is not told again.
-constexpr Milliseconds kFaultIsKnown{1000};
-// Time that the store is given to tell all entries of a configuration.
-constexpr Milliseconds kLetStoreTell{500};
-// How many of the peers ahead help one that is behind, on average.
-constexpr int kHelpers = 2;
+// Time that the zone's reader is given to hand on a configuration, and the
+// pause between two helps for one entry.
+constexpr Milliseconds kLetReaderTell{500};
+constexpr Milliseconds kHelpPause{1000};
 // A heartbeat that may have been on its way while a peer saw the fault.
 constexpr int64_t kHeartbeatsOnTheWay = 1;
+constexpr Milliseconds kRankingPause{100};
 
-void SetMember(const std::string& peer,
-               bool is_member,
-               std::set<std::string>* members) {
-  if (is_member)
-    members->insert(peer);
-  else
-    members->erase(peer);
+uint32_t Rounded(double value) {
+  return static_cast<uint32_t>(std::lround(std::max(0.0, value)));
 }
 
 }  // namespace
 
-PeerExchange::PeerExchange(PeerLinks* links,
-                           TargetBoard* board,
-                           ConfigurationFollower* configuration,
-                           PlannerAgent* planner,
-                           RetryBudgets* budgets,
-                           std::mt19937_64* random,
+PeerExchange::PeerExchange(EventLoop* loop,
+                           const Parts& parts,
+                           const MemberRecord& own,
+                           Milliseconds retry_window,
                            OnFault on_fault)
-    : links_(links),
-      board_(board),
-      configuration_(configuration),
-      planner_(planner),
-      budgets_(budgets),
-      random_(random),
+    : parts_(parts),
+      members_(own),
+      links_(loop, parts.log, own),
+      directory_(
+          parts.store,
+          parts.log,
+          own,
+          [this](const MemberRecord& record) {
+            members_.Learn(record, EventLoop::Now());
+          },
+          [this] { gossip_.ClearUnknownMembers(); }),
+      gossip_(&members_, this, retry_window),
       on_fault_(std::move(on_fault)) {
-  assert(links != nullptr && board != nullptr);
-  assert(configuration != nullptr && planner != nullptr);
+  assert(parts.board != nullptr && parts.configuration != nullptr);
+  assert(parts.planner != nullptr && parts.targets != nullptr);
 }
 
 std::string PeerExchange::Start(const std::vector<SocketAddress>& seeds) {
-  return links_->Start(
-      seeds,
-      [this](const std::string& peer, const wire::FrameT& frame) {
+  std::set<std::string> addresses;
+  for (const SocketAddress& it : seeds)
+    addresses.insert(it.ToString());
+  std::string fault =
+      links_.Start([this](const std::string& peer, const wire::FrameT& frame) {
         OnMessage(peer, frame);
-      },
-      [this](const std::string& peer) {
-        board_->SetPeerLoad(peer, {});
-        planning_peers_.erase(peer);
-        leaving_peers_.erase(peer);
       });
+  if (fault.empty())
+    links_.SetWanted(addresses, EventLoop::Now());
+  return fault;
+}
+
+void PeerExchange::OnTick(Instant now) {
+  members_.SetOwnSignals({parts_.planner->tells_that_it_plans(),
+                          parts_.planner->leaving(),
+                          parts_.store->reachable()});
+  if (now >= next_ranking_) {
+    next_ranking_ = now + kRankingPause;
+    for (const std::string& it : members_.OnTick(now))
+      parts_.log->Write(Event::kPeerSilent, now, {{"peer", it}});
+    links_.SetWanted(gossip_.WantedLinks(now), now);
+    std::erase_if(next_help_,
+                  [now](const auto& it) { return now >= it.second; });
+  }
+  links_.OnTick(now);
+  directory_.OnTick(members_.is_relay(), gossip_.has_unknown_members(), now);
+  parts_.planner->SetPeers(members_.AnotherPlans(now),
+                           members_.IsFirstOfFleet(now), now);
+  gossip_.OnTick(now);
+}
+
+std::size_t PeerExchange::reader_rank() const {
+  // An entry that does not reach the store looks for it in its place among
+  // all.
+  return parts_.store->reachable() ? members_.own_reader_rank()
+                                   : members_.own_rank();
 }
 
-void PeerExchange::HelpPeerBehind(const std::string& peer,
-                                  uint64_t version,
-                                  Instant now) {
-  const auto& current = configuration_->current();
-  // The store tells most of them; a whole configuration for every peer would
-  // fill thin links.
-  if (current == nullptr || version >= current->configuration().version ||
-      now < configuration_->applied_at() + kLetStoreTell)
+std::optional<int> PeerExchange::known_entries() const {
+  if (!directory_.was_read())
+    return std::nullopt;
+  return members_.known();
+}
+
+void PeerExchange::Send(const MemberTable::Ranking& to,
+                        const wire::FrameT& frame) {
+  if (to.empty())
     return;
-  const int entries = links_->live_entries();
-  if (static_cast<int>((*random_)() % entries) >= kHelpers)
+  const std::string bytes = EncodeFrame(frame);
+  for (const Member* it : to)
+    links_.Send(it->record.address, bytes);
+}
+
+void PeerExchange::TellTargetList(wire::TargetListDeltaT delta) {
+  gossip_.TellZone(MakeFrame(std::move(delta)));
+}
+
+void PeerExchange::TellConfiguration() {
+  if (reader_rank() > 0)
     return;
   wire::EntryConfigurationT message;
-  message.version = current->configuration().version;
-  message.text = configuration_->text();
-  links_->Send(peer, MakeFrame(std::move(message)));
+  message.version = parts_.configuration->version();
+  message.text = parts_.configuration->text();
+  gossip_.TellZone(MakeFrame(std::move(message)));
 }
 
-void PeerExchange::OnTick(Instant now) {
-  links_->OnTick(now);
-  planner_->SetPeers(!planning_peers_.empty(),
-                     links_->IsFirstAlive(leaving_peers_), now);
-  if (now < next_state_)
+void PeerExchange::HelpBehind(const std::string& address,
+                              uint64_t version,
+                              Instant now) {
+  const ConfigurationFollower& configuration = *parts_.configuration;
+  parts_.configuration->HearOfVersion(version, now);
+  if (version >= configuration.version() ||
+      now < configuration.applied_at() + kLetReaderTell ||
+      next_help_.contains(address))
     return;
-  next_state_ = now + links_->state_pause();
-  std::erase_if(heard_faults_, [now](const auto& it) {
-    return now >= it.second + kFaultIsKnown;
-  });
-  wire::EntryStateT state = MakeState(now);
-  AppendReports(now, &state);
-  links_->SendAll(MakeFrame(std::move(state)));
+  const Member* member = members_.Find(address);
+  if (member == nullptr)
+    return;
+  next_help_[address] = now + kHelpPause;
+  wire::EntryConfigurationT message;
+  message.version = configuration.version();
+  message.text = configuration.text();
+  Send({member}, MakeFrame(std::move(message)));
 }
 
-wire::EntryStateT PeerExchange::MakeState(Instant now) const {
+wire::EntryStateT PeerExchange::MakeState(Instant now) {
   wire::EntryStateT state;
-  if (configuration_->current() != nullptr) {
-    state.configuration_version =
-        configuration_->current()->configuration().version;
-  }
-  state.leaving = planner_->leaving();
-  if (planner_->tells_that_it_plans())
-    state.planner_generation = std::max<int64_t>(1, planner_->generation());
-  for (const auto& [id, row] : board_->rows()) {
+  state.configuration_version = parts_.configuration->version();
+  for (const auto& [id, row] : parts_.board->rows()) {
     if (row->own_calls > 0) {
-      wire::OwnLoadT load;
-      load.target = id;
-      load.calls = static_cast<uint32_t>(row->own_calls);
-      load.token_layers = row->own_token_layers;
-      load.unread_tokens = row->own_unread_tokens;
-      state.own.push_back(std::move(load));
+      state.own.emplace_back(
+          ShortHash(id), static_cast<uint32_t>(row->own_calls),
+          Rounded(row->own_token_layers), Rounded(row->own_unread_tokens));
     }
   }
-  for (const auto& [service, spent] : budgets_->Spent(now)) {
+  for (const auto& [service, spent] : parts_.budgets->Committed(now)) {
     wire::RetrySpendingT retries;
     retries.service = service;
-    retries.calls = static_cast<uint32_t>(spent.calls);
-    retries.repeats = static_cast<uint32_t>(spent.repeats);
+    retries.calls = Rounded(spent.calls);
+    retries.repeats = Rounded(std::ceil(spent.repeats));
     state.retries.push_back(std::move(retries));
   }
+  AppendReports(now, &state);
   return state;
 }
 
 void PeerExchange::AppendReports(Instant now, wire::EntryStateT* state) {
-  if (!planner_->plans())
-    return;
   const Instant told = std::exchange(reports_told_at_, now);
-  for (const auto& [id, row] : board_->rows()) {
+  if (!parts_.planner->plans())
+    return;
+  for (const auto& [id, row] : parts_.board->rows()) {
     // Each report is handed on once, soon after it was taken.
     if (now > row->reported_at + kReportHandOn ||
-        row->reported_at + kReportsOnTheWay <= told)
+        row->reported_at + kReportLag <= told)
       continue;
-    wire::EngineLoadT engine;
-    engine.target = id;
-    engine.started_unix_ms = row->report.started_unix_ms;
-    engine.pace = row->report.pace;
-    engine.active = static_cast<uint32_t>(row->report.active);
-    engine.queued = static_cast<uint32_t>(row->report.queued);
-    engine.used_token_layers = row->report.used_token_layers;
-    if (row->report.layers) {
-      engine.from_layer = static_cast<uint32_t>(row->report.layers->from);
-      engine.to_layer = static_cast<uint32_t>(row->report.layers->to);
-    }
-    engine.age_ms = RemainingMilliseconds(now, row->reported_at);
-    state->engines.push_back(std::move(engine));
+    state->engines.push_back(ToMessage(
+        *row, Milliseconds(RemainingMilliseconds(now, row->reported_at))));
   }
 }
 
-void PeerExchange::TellFault(const FleetTarget& target,
-                             std::string_view evidence) {
-  const Instant now = EventLoop::Now();
-  const auto heard = heard_faults_.find(target.record.id);
-  // All entries have heard of it from the one that found it first.
-  if (heard != heard_faults_.end() && now < heard->second + kFaultIsKnown)
-    return;
-  heard_faults_[target.record.id] = now;
-  wire::EntryStateT state = MakeState(now);
-  wire::TargetFaultT fault;
-  fault.target = target.record.id;
-  fault.started_unix_ms = target.record.started_unix_ms;
-  fault.heartbeat = target.record.heartbeat;
-  fault.evidence = evidence;
-  state.faults.push_back(std::move(fault));
-  links_->SendAll(MakeFrame(std::move(state)));
-}
-
-void PeerExchange::OnMessage(const std::string& peer,
-                             const wire::FrameT& frame) {
-  if (const auto* state = frame.body.AsEntryState())
-    TakeState(peer, *state);
-  else if (const auto* message = frame.body.AsEntryConfiguration())
-    configuration_->Take(message->text, peer, EventLoop::Now());
+void PeerExchange::TakeReports(const std::vector<wire::EngineRow>& rows,
+                               Instant now) {
+  for (const wire::EngineRow& it : rows) {
+    const FleetTarget* target = parts_.board->FindByHash(it.target());
+    if (target == nullptr ||
+        static_cast<uint32_t>(target->record.started_unix_ms) != it.started())
+      continue;
+    parts_.board->ApplyReport(target->record.id,
+                              FromMessage(it, target->record.started_unix_ms),
+                              now - Milliseconds(it.age_ms()));
+  }
 }
 
-void PeerExchange::TakeState(const std::string& peer,
-                             const wire::EntryStateT& state) {
-  const Instant now = EventLoop::Now();
+void PeerExchange::TakeZone(const std::string& zone,
+                            const wire::ZoneDigestT& others,
+                            Instant now) {
   std::vector<PeerLoad> loads;
-  loads.reserve(state.own.size());
-  for (const wire::OwnLoadT& it : state.own) {
-    loads.push_back({it.target, static_cast<int>(it.calls), it.token_layers,
-                     it.unread_tokens});
+  loads.reserve(others.loads.size());
+  for (const wire::LoadRow& it : others.loads) {
+    const FleetTarget* target = parts_.board->FindByHash(it.target());
+    if (target == nullptr)
+      continue;
+    loads.push_back({target->record.id, static_cast<int>(it.calls()),
+                     static_cast<double>(it.token_layers()),
+                     static_cast<double>(it.unread_tokens())});
   }
-  board_->SetPeerLoad(peer, std::move(loads));
-  SetMember(peer, state.planner_generation > 0, &planning_peers_);
-  SetMember(peer, state.leaving, &leaving_peers_);
+  parts_.board->SetPeerLoad(zone, std::move(loads));
   RetryBudgets::Spendings spendings;
-  for (const wire::RetrySpendingT& it : state.retries) {
+  for (const wire::RetrySpendingT& it : others.retries) {
     spendings[it.service] = {static_cast<double>(it.calls),
                              static_cast<double>(it.repeats)};
   }
-  budgets_->SetPeer(peer, std::move(spendings), now);
-  for (const wire::EngineLoadT& it : state.engines) {
-    EngineLoadReport report;
-    report.pace = it.pace;
-    report.active = static_cast<int>(it.active);
-    report.queued = static_cast<int>(it.queued);
-    report.used_token_layers = it.used_token_layers;
-    report.started_unix_ms = it.started_unix_ms;
-    if (it.to_layer > it.from_layer) {
-      report.layers = LayerRange{static_cast<int>(it.from_layer),
-                                 static_cast<int>(it.to_layer)};
-    }
-    board_->ApplyReport(it.target, report, now - Milliseconds(it.age_ms));
-  }
-  for (const wire::TargetFaultT& it : state.faults)
-    TakeFault(it);
-  HelpPeerBehind(peer, state.configuration_version, now);
+  parts_.budgets->SetPeer(zone, std::move(spendings), now);
+  TakeReports(others.engines, now);
+  parts_.configuration->HearOfVersion(others.configuration_version, now);
 }
 
-void PeerExchange::TakeFault(const wire::TargetFaultT& fault) {
-  const FleetTarget* target = board_->Find(fault.target);
+void PeerExchange::LoseZone(const std::string& zone) {
+  parts_.board->SetPeerLoad(zone, {});
+}
+
+void PeerExchange::TellFault(const FleetTarget& target,
+                             std::string_view evidence) {
+  wire::TargetFaultT fault;
+  fault.target = target.record.id;
+  fault.started_unix_ms = target.record.started_unix_ms;
+  fault.heartbeat = target.record.heartbeat;
+  fault.evidence = evidence;
+  gossip_.TellFault(std::move(fault), EventLoop::Now());
+}
+
+void PeerExchange::TakeFault(const wire::TargetFaultT& fault, Instant) {
+  const FleetTarget* target = parts_.board->Find(fault.target);
   if (target == nullptr ||
       target->record.started_unix_ms != fault.started_unix_ms ||
       target->record.heartbeat > fault.heartbeat + kHeartbeatsOnTheWay)
     return;
-  heard_faults_[fault.target] = EventLoop::Now();
   on_fault_(fault.target, "peer: " + fault.evidence);
 }
 
+void PeerExchange::OnMessage(const std::string& peer,
+                             const wire::FrameT& frame) {
+  const Instant now = EventLoop::Now();
+  if (const auto* hello = frame.body.AsEntryHello()) {
+    members_.Learn(FromMessage(*hello), now);
+    members_.Hear(ShortHash(peer), {}, now);
+    parts_.log->Write(Event::kPeerConnected, now, {{"peer", peer}});
+  } else if (const auto* message = frame.body.AsEntryConfiguration()) {
+    parts_.configuration->Take(message->text, peer, now);
+  } else if (const auto* delta = frame.body.AsTargetListDelta()) {
+    parts_.targets->Take(*delta, now);
+  } else {
+    gossip_.OnMessage(peer, frame, now);
+  }
+}
+
 }  // namespace bbv
--- a/modules/bbv_entry/planner_agent.cc
+++ b/modules/bbv_entry/planner_agent.cc
@@ -32,6 +32,8 @@
 // Time for which an entry that has lost the lease goes on planning until
 // another one is known to plan.
 constexpr Milliseconds kHandOver{1000};
+// For how long an entry that others rank before keeps the lease.
+constexpr Milliseconds kUnfitPatience{3000};
 constexpr Milliseconds kLoadQuestionPause{200};
 // Time without the store and without a planner after which an entry stands in.
 constexpr Milliseconds kUnplannedPatience{1200};
@@ -97,7 +99,7 @@
   // entry alone is cut off and the orders' preconditions keep the two apart.
   if (holds_lease_ && now >= lease_until_ && store_->reachable())
     SetLease(false, now);
-  if (joining_ || leaving_ || now < next_join_)
+  if (joining_ || leaving_ || now < next_join_ || !SeeksLease(now))
     return;
   joining_ = true;
   next_join_ = now + (plans() || peer_plans_ ? kRenewPause : kVacantPause);
@@ -161,13 +163,30 @@
               {{"generation", int64_t{0}}, {"standing_in", true}});
 }
 
+bool PlannerAgent::SeeksLease(Instant now) {
+  if (candidate_ || !holds_lease_) {
+    unfit_deadline_.reset();
+    return candidate_;
+  }
+  if (!unfit_deadline_)
+    unfit_deadline_ = now + kUnfitPatience;
+  if (now < *unfit_deadline_)
+    return true;
+  GiveLeaseBack();
+  return false;
+}
+
 void PlannerAgent::Leave() {
   if (std::exchange(leaving_, true))
     return;
+  standing_in_ = false;
+  GiveLeaseBack();
+}
+
+void PlannerAgent::GiveLeaseBack() {
   if (holds_lease_)
     acting_until_ = EventLoop::Now() + kHandOver;
   SetLease(false, EventLoop::Now());
-  standing_in_ = false;
   store_->Call(platform::EncodeLeave(kGroup, member_), kStoreTimeout,
                [](const Result<StoreAnswer>&) {});
 }
--- a/modules/bbv_entry/planner_agent.h
+++ b/modules/bbv_entry/planner_agent.h
@@ -56,6 +56,10 @@
   // Whether it has given its duty up for good.
   bool leaving() const { return leaving_; }
 
+  // Sets whether this entry is among those that hold or seek the lease. One
+  // that holds it and is no candidate for some time gives it back.
+  void SetCandidate(bool candidate) { candidate_ = candidate; }
+
   // Takes what peers say: whether one of them plans, and whether this entry
   // comes first among those alive.
   void SetPeers(bool peer_plans, bool is_first, Instant now);
@@ -78,6 +82,9 @@
   };
 
   void RenewLease(Instant now);
+  // Whether this entry takes part in the group at the store.
+  bool SeeksLease(Instant now);
+  void GiveLeaseBack();
   void SetLease(bool held, Instant now);
   // Targets that planning counts on, with what they hold or will hold.
   std::vector<PlannerTarget> CollectTargets(const ServiceDescription& service,
@@ -118,6 +125,9 @@
   std::optional<Instant> unplanned_since_;
   // Whether some peer is known to plan.
   bool peer_plans_ = false;
+  bool candidate_ = false;
+  // Until when a holder that is no candidate keeps the lease.
+  std::optional<Instant> unfit_deadline_;
   bool joining_ = false;
   bool leaving_ = false;
   int64_t generation_ = 0;
--- /dev/null
+++ b/modules/bbv_entry/target_follower.h
@@ -0,0 +1,94 @@
+#ifndef MODULES_BBV_ENTRY_TARGET_FOLLOWER_H_
+#define MODULES_BBV_ENTRY_TARGET_FOLLOWER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "bbv_entry/store_client.h"
+#include "bbv_fleet/bbv_fleet.h"
+#include "bbv_membership/bbv_membership.h"
+#include "bbv_observe/decision_log.h"
+
+namespace bbv {
+
+// Keeps the target board as the store lists it.
+//
+// The first of a zone's readers waits at the store for changes and hands on
+// what each read brought; ReadSchedule says when another entry reads. Offsets
+// of the store's records tell which of two reads knows more.
+// Thread safety: none, the loop's thread.
+class TargetFollower {
+ public:
+  // Called with what a read of this entry brought.
+  using OnRead = std::function<void(wire::TargetListDeltaT delta)>;
+
+  // `leave_within` is the time in which a leaving target must be left alone.
+  TargetFollower(StoreClient* store,
+                 DecisionLog* log,
+                 TargetBoard* board,
+                 Milliseconds leave_within,
+                 OnRead on_read);
+
+  // `rank` is this entry's place among its zone's readers; `draw` spreads
+  // entries that read at the same moment.
+  void OnTick(std::size_t rank, uint64_t draw, Instant now);
+
+  // Takes what a read of another entry of the zone brought.
+  void Take(const wire::TargetListDeltaT& delta, Instant now);
+
+  // Whether a whole list has been read once.
+  bool complete() const { return complete_; }
+
+  // When a target was last seen for the first time.
+  Instant last_new_target() const { return last_new_target_; }
+
+  // When the list was true.
+  Instant picture_at() const { return schedule_.picture_at(); }
+
+ private:
+  void ReadNewest(const std::string& after_key);
+  // Reads what follows; the store waits `wait` for it when there is nothing.
+  void ReadOn(Milliseconds wait);
+  // Takes a record that this entry has read, and notes it for the others.
+  void TakeRecord(const platform::KeyedRecord& record, Instant now);
+  void ApplyRecord(const TargetRecord& record, Instant now);
+  void RemoveTarget(const std::string& id, Instant now);
+  void FinishRead(int64_t to, Instant now);
+  void BeginWholeList(Instant read_at);
+  void Failed();
+  void RemoveMissing(Instant now);
+
+  StoreClient* store_;
+  DecisionLog* log_;
+  TargetBoard* board_;
+  OnRead on_read_;
+  ReadSchedule schedule_;
+  std::size_t rank_ = 0;
+  bool calling_ = false;
+  bool positioned_ = false;
+  bool complete_ = false;
+  int64_t next_offset_ = 0;
+  Instant not_before_{};
+  // Set when this entry missed what another one read.
+  std::optional<Instant> catch_up_at_;
+  Instant last_new_target_{};
+  // The read under way: when it began, its first offset and what it brought.
+  Instant read_began_{};
+  int64_t read_from_ = 0;
+  bool read_whole_ = false;
+  std::map<std::string, TargetRecord> read_changes_;
+  std::map<std::string, bool> read_removals_;
+  std::map<uint32_t, int64_t> read_heartbeats_;
+  // Since when the list has been read without a gap; entries that were not
+  // renewed since then are gone once the grace has passed.
+  Instant list_began_{};
+  bool must_remove_missing_ = false;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_ENTRY_TARGET_FOLLOWER_H_
--- a/modules/bbv_fleet/retry_budgets.cc
+++ b/modules/bbv_fleet/retry_budgets.cc
@@ -27,11 +27,15 @@
 void RetryBudgets::SetPeer(const std::string& peer,
                            Spendings spendings,
                            Instant now) {
-  // A peer that fell silent keeps what it told last: it may still spend.
-  peers_[peer] = std::move(spendings);
+  peers_[peer] = {std::move(spendings), now};
+  std::erase_if(peers_, [&](const auto& it) {
+    return now > it.second.told_at + limits_.window;
+  });
   Spendings others;
-  for (const auto& [name, list] : peers_) {
-    for (const auto& [service, spent] : list) {
+  for (const auto& [name, it] : peers_) {
+    if (now > it.told_at + limits_.round)
+      return;
+    for (const auto& [service, spent] : it.spendings) {
       others[service].calls += spent.calls;
       others[service].repeats += spent.repeats;
     }
@@ -40,10 +44,10 @@
     Of(service)->SetOthers(spent, now);
 }
 
-RetryBudgets::Spendings RetryBudgets::Spent(Instant now) {
+RetryBudgets::Spendings RetryBudgets::Committed(Instant now) {
   Spendings spendings;
   for (auto& [service, budget] : budgets_)
-    spendings[service] = budget.Spent(now);
+    spendings[service] = budget.Committed(now);
   return spendings;
 }
 
--- a/modules/bbv_fleet/retry_budgets.h
+++ b/modules/bbv_fleet/retry_budgets.h
@@ -25,17 +25,24 @@
   // takes.
   void SetEntries(int entries, Milliseconds round);
 
-  // Takes what `peer` has spent in its window.
+  // Takes what `peer`, an entry or the sum of several, has spent in its window.
+  // Nothing new is granted while some peer has not told for a round: what it
+  // spent meanwhile is not known. One that was silent for a window has spent
+  // nothing in it.
   void SetPeer(const std::string& peer, Spendings spendings, Instant now);
 
-  // What this entry has spent in its window.
-  Spendings Spent(Instant now);
+  // What this entry has spent in its window and may still take.
+  Spendings Committed(Instant now);
 
  private:
   SharedRetryBudget::Limits limits_;
   int entries_ = 1;
   std::map<std::string, SharedRetryBudget> budgets_;
-  std::map<std::string, Spendings> peers_;
+  struct Peer {
+    Spendings spendings;
+    Instant told_at{};
+  };
+  std::map<std::string, Peer> peers_;
 };
 
 }  // namespace bbv
--- a/modules/bbv_fleet/shared_retry_budget.cc
+++ b/modules/bbv_fleet/shared_retry_budget.cc
@@ -1,5 +1,6 @@
 #include "bbv_fleet/shared_retry_budget.h"
 
+#include <algorithm>
 #include <cassert>
 
 namespace bbv {
@@ -46,15 +47,29 @@
   return spent;
 }
 
+SharedRetryBudget::Spending SharedRetryBudget::Committed(Instant now) {
+  Spending committed = Spent(now);
+  committed.repeats += std::max(0.0, Available(now));
+  return committed;
+}
+
 void SharedRetryBudget::SetOthers(const Spending& others, Instant now) {
-  if (now < next_grant_)
+  if (now >= told_until_)
+    told_since_ = now;
+  told_until_ = now + kBelievedRounds * limits_.round;
+  if (now < next_grant_ || now < told_since_ + limits_.round)
     return;
   next_grant_ = now + limits_.round;
   const Spending own = Spent(now);
   const double bound =
       kSpentShare *
       (limits_.ratio * (own.calls + others.calls) + limits_.extra);
-  shared_allowance_ = (bound - own.repeats - others.repeats) / entries_;
+  const double part = (bound - own.repeats - others.repeats) / entries_;
+  // Halfway, so that entries which are granted at the same moment do not all
+  // take and give back the same.
+  const double held =
+      now < shared_until_ ? std::max(0.0, shared_allowance_) : 0;
+  shared_allowance_ = (held + part) / 2;
   shared_until_ = now + kBelievedRounds * limits_.round;
 }
 
--- a/modules/bbv_fleet/shared_retry_budget.h
+++ b/modules/bbv_fleet/shared_retry_budget.h
@@ -11,10 +11,12 @@
 // One entry's part of the bound on repeated sends to a service: in any window,
 // at most `ratio` of the calls of that window and a fixed number beside.
 //
-// While the entries tell each other what they spent, each may take its part of
-// what is left, anew with each telling. While they cannot talk, the fixed
-// number is divided evenly, so that the sum over all entries keeps the bound.
-// Thread safety: none, owned by one thread.
+// While the entries tell each other what they spent and what they were granted,
+// each may take its part of what is left, anew with each telling. A grant
+// counts as spent for the others until it is given back, since they hear of its
+// spending only later. While they cannot talk, the fixed number is divided
+// evenly, so that the sum over all entries keeps the bound. Thread safety:
+// none, owned by one thread.
 class SharedRetryBudget {
  public:
   struct Limits {
@@ -37,7 +39,9 @@
   // telling takes. Precondition: both above 0.
   void SetEntries(int entries, Milliseconds round);
 
-  // Takes what all other entries have done together. A new part of what is
+  // Takes what all other entries have done together. Nothing is granted in the
+  // first round of being told, when the others may still take from their even
+  // parts. A new part of what is
   // left is granted once a round, since a part granted on what others told
   // before would be granted to several of them.
   void SetOthers(const Spending& others, Instant now);
@@ -45,6 +49,9 @@
   // What this entry has done in its window.
   Spending Spent(Instant now);
 
+  // The same with what it was granted and may still take; told to the others.
+  Spending Committed(Instant now);
+
   // Counts a call's first send.
   void RecordCall(Instant now);
 
@@ -71,6 +78,9 @@
   double shared_allowance_ = 0;
   Instant shared_until_{};
   Instant next_grant_{};
+  // Since when and until when the others have told without a gap.
+  Instant told_since_{};
+  Instant told_until_{};
   std::deque<Slice> slices_;
 };
 
--- a/modules/bbv_fleet/target_board.cc
+++ b/modules/bbv_fleet/target_board.cc
@@ -4,6 +4,8 @@
 #include <cassert>
 #include <utility>
 
+#include "bbv_core/hashing.h"
+
 namespace bbv {
 namespace {
 
@@ -48,6 +50,7 @@
   const bool added = row == nullptr;
   if (added)
     row = std::make_unique<FleetTarget>();
+  by_hash_[ShortHash(record.id)] = row.get();
   const bool restarted =
       !added && row->record.started_unix_ms != record.started_unix_ms;
   const bool changed = added || !SameButHeartbeat(row->record, record);
@@ -60,6 +63,7 @@
   const bool reported_lately =
       !added && !restarted && now < row->reported_at + kReportedLayersLead;
   row->record = record;
+  row->listed_layers = record.layers;
   if (reported_lately)
     row->record.layers = reported;
   row->listed_at = now;
@@ -80,6 +84,28 @@
   return changed;
 }
 
+bool TargetBoard::ApplyHeartbeat(uint32_t hash,
+                                 int64_t heartbeat,
+                                 Instant now) {
+  const FleetTarget* row = FindByHash(hash);
+  if (row == nullptr)
+    return false;
+  TargetRecord record = row->record;
+  record.layers = row->listed_layers;
+  record.heartbeat = heartbeat;
+  Apply(record, now);
+  return true;
+}
+
+bool TargetBoard::IsListedAs(const TargetRecord& record) const {
+  const FleetTarget* row = Find(record.id);
+  if (row == nullptr)
+    return false;
+  TargetRecord listed = row->record;
+  listed.layers = row->listed_layers;
+  return SameButHeartbeat(listed, record);
+}
+
 bool TargetBoard::Remove(std::string_view id) {
   const auto it = rows_.find(id);
   if (it == rows_.end())
@@ -87,6 +113,9 @@
   const auto address = by_address_.find(it->second->record.address);
   if (address != by_address_.end() && address->second == it->second.get())
     by_address_.erase(address);
+  const auto hash = by_hash_.find(ShortHash(id));
+  if (hash != by_hash_.end() && hash->second == it->second.get())
+    by_hash_.erase(hash);
   rows_.erase(it);
   return true;
 }
@@ -112,6 +141,11 @@
   return it == rows_.end() ? nullptr : it->second.get();
 }
 
+FleetTarget* TargetBoard::FindByHash(uint32_t hash) {
+  const auto it = by_hash_.find(hash);
+  return it == by_hash_.end() ? nullptr : it->second;
+}
+
 FleetTarget* TargetBoard::FindAddress(std::string_view address) {
   const auto it = by_address_.find(std::string(address));
   return it == by_address_.end() ? nullptr : it->second;
--- a/modules/bbv_fleet/target_board.h
+++ b/modules/bbv_fleet/target_board.h
@@ -98,6 +98,8 @@
   // Heartbeat and start seen when it was suspected; a later one speaks for it.
   int64_t suspected_heartbeat = -1;
   Instant listed_at{};
+  // Layers as the list says; the record's may come from a later report.
+  std::optional<LayerRange> listed_layers;
   int fault_streak = 0;
   // Share of recent calls that failed, as a moving average.
   double failure_share = 0;
@@ -134,6 +136,13 @@
   // changed.
   bool Apply(const TargetRecord& record, Instant now);
 
+  // Takes a heartbeat of the target whose id has the short hash `hash` and that
+  // is listed as before. Returns false when there is no such target.
+  bool ApplyHeartbeat(uint32_t hash, int64_t heartbeat, Instant now);
+
+  // Whether the target is listed as `record` says, but for its heartbeat.
+  bool IsListedAs(const TargetRecord& record) const;
+
   // Takes a target off the list. Returns false when it was not on it.
   bool Remove(std::string_view id);
 
@@ -144,6 +153,9 @@
   FleetTarget* Find(std::string_view id);
   const FleetTarget* Find(std::string_view id) const;
 
+  // Returns the row whose id has the short hash `hash`, or nullptr.
+  FleetTarget* FindByHash(uint32_t hash);
+
   // Returns the row whose address is `address`, or nullptr.
   FleetTarget* FindAddress(std::string_view address);
 
@@ -190,6 +202,7 @@
  private:
   std::map<std::string, std::unique_ptr<FleetTarget>, std::less<>> rows_;
   std::unordered_map<std::string, FleetTarget*> by_address_;
+  std::unordered_map<uint32_t, FleetTarget*> by_hash_;
   std::map<std::string, std::vector<PeerLoad>> peers_;
 };
 
--- /dev/null
+++ b/modules/bbv_membership/fleet_gossip.h
@@ -0,0 +1,134 @@
+#ifndef MODULES_BBV_MEMBERSHIP_FLEET_GOSSIP_H_
+#define MODULES_BBV_MEMBERSHIP_FLEET_GOSSIP_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "bbv_core/instant.h"
+#include "bbv_membership/member_table.h"
+#include "bbv_membership/zone_ledger.h"
+#include "bbv_wire/bbv_wire.h"
+
+namespace bbv {
+
+// What gossip needs from and hands to its owner. The methods must not call back
+// into it.
+class GossipPorts {
+ public:
+  virtual ~GossipPorts() = default;
+  // Sends to each of `to`; lost where there is no connection.
+  virtual void Send(const MemberTable::Ranking& to,
+                    const wire::FrameT& frame) = 0;
+  // What this entry has under way; sequence and flags are filled in later.
+  virtual wire::EntryStateT MakeState(Instant now) = 0;
+  // What the entries of a zone but this one have under way and spent.
+  virtual void TakeZone(const std::string& zone,
+                        const wire::ZoneDigestT& others,
+                        Instant now) = 0;
+  // Nothing has been heard of a zone for some time.
+  virtual void LoseZone(const std::string& zone) = 0;
+  // An entry has an older configuration than the others.
+  virtual void HelpBehind(const std::string& address,
+                          uint64_t version,
+                          Instant now) = 0;
+  // A target was found at fault by another entry.
+  virtual void TakeFault(const wire::TargetFaultT& fault, Instant now) = 0;
+};
+
+// Tells the fleet what this entry has under way, and learns the same of others.
+//
+// Each entry tells the first two in rank of its zone; the first sums up what
+// it was told, tells the first two of every other zone, and hands all zones'
+// sums down to its own. So an entry's connections grow with its zone at most,
+// and what it is told grows with targets, not with entries times targets.
+// Faults of targets take the same ways at once.
+// Deterministic; reads no clock. Thread safety: none, owned by one thread.
+class FleetGossip {
+ public:
+  // `members` and `ports` must outlive this. `spending_lifetime` is the retry
+  // budget's window.
+  FleetGossip(MemberTable* members,
+              GossipPorts* ports,
+              Milliseconds spending_lifetime);
+
+  // Tells what is due.
+  void OnTick(Instant now);
+
+  // Takes a message of the entry at `peer`.
+  void OnMessage(const std::string& peer,
+                 const wire::FrameT& frame,
+                 Instant now);
+
+  // Tells the fleet at once of a target that this entry found at fault.
+  void TellFault(wire::TargetFaultT fault, Instant now);
+
+  // Sends `frame` to all entries of this zone.
+  void TellZone(const wire::FrameT& frame);
+
+  // Entries to which this one needs connections now.
+  std::set<std::string> WantedLinks(Instant now) const;
+
+  // Pause between two tellings of one entry.
+  Milliseconds round() const;
+
+  // Time in which what one entry tells has reached all others.
+  Milliseconds spread_time() const;
+
+  // Whether some digest named an entry that is not known here.
+  bool has_unknown_members() const { return has_unknown_members_; }
+  void ClearUnknownMembers() { has_unknown_members_ = false; }
+
+ private:
+  // A digest of a zone and whether it was handed down.
+  struct ZonePicture {
+    wire::ZoneDigestT digest;
+    Instant taken_at{};
+    bool handed_down = false;
+    Instant next_hand_down{};
+  };
+
+  // This zone's first two, without this entry.
+  MemberTable::Ranking OwnRelays() const;
+  void TellState(Instant now);
+  void Relay(Instant now);
+  void SendToRelays(const std::string& zone,
+                    const wire::FrameT& frame,
+                    Instant now);
+  void TakeState(const std::string& peer,
+                 const wire::EntryStateT& state,
+                 Instant now);
+  void TakeDigest(const std::string& peer,
+                  const wire::ZoneDigestT& digest,
+                  Instant now);
+  void TakeNotice(const std::string& peer,
+                  const wire::FaultNoticeT& notice,
+                  Instant now);
+  void HearMembers(const wire::ZoneDigestT& digest, Instant now);
+  void ForwardFaults(const std::vector<wire::TargetFaultT>& faults,
+                     bool to_other_zones,
+                     Instant now);
+  // Returns the faults that were not told lately, and counts them as told.
+  std::vector<wire::TargetFaultT> TakeNewFaults(
+      const std::vector<wire::TargetFaultT>& faults,
+      Instant now);
+
+  MemberTable* members_;
+  GossipPorts* ports_;
+  ZoneLedger ledger_;
+  Instant next_round_{};
+  uint32_t sequence_ = 0;
+  // What this entry told last, newest at the back.
+  std::deque<wire::EntryStateT> told_;
+  std::map<std::string, ZonePicture> zones_;
+  // When a fault of a target was last told, by this entry or another.
+  std::map<std::string, Instant> known_faults_;
+  bool has_unknown_members_ = false;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_MEMBERSHIP_FLEET_GOSSIP_H_
--- /dev/null
+++ b/modules/bbv_membership/member_table_test.cc
@@ -0,0 +1,140 @@
+#include "bbv_membership/member_table.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "bbv_core/hashing.h"
+
+namespace bbv {
+namespace {
+
+MemberRecord MakeRecord(int number, const std::string& zone, double capacity) {
+  const std::string address = "127.0.0.1:" + std::to_string(7000 + number);
+  return {address, "entry-" + std::to_string(number), zone, capacity};
+}
+
+// The entries of one zone as entry 0 sees them; entry 3 is the largest.
+class ZoneOfFour {
+ public:
+  ZoneOfFour() : table_(MakeRecord(0, "a", 0.1)) {
+    for (int it = 1; it < 4; ++it)
+      table_.Learn(MakeRecord(it, "a", it == 3 ? 0.5 : 0.1), now_);
+    table_.OnTick(now_);
+  }
+
+  MemberTable& table() { return table_; }
+  Instant now() const { return now_; }
+
+  // Lets time pass in which the entries numbered are heard, and 3 relays when
+  // it is among them.
+  void Pass(Milliseconds time, const std::vector<int>& heard) {
+    const Instant end = now_ + time;
+    while (now_ < end) {
+      now_ += Milliseconds(100);
+      for (const int it : heard) {
+        const std::string address = MakeRecord(it, "a", 0).address;
+        table_.Hear(ShortHash(address), {}, now_);
+        if (it == 3)
+          table_.HearDigest(address, now_);
+      }
+      table_.OnTick(now_);
+    }
+  }
+
+  std::string First() { return table_.zone_ranking().front()->record.name; }
+
+ private:
+  Instant now_ = Instant{} + std::chrono::hours(1);
+  MemberTable table_;
+};
+
+}  // namespace
+
+TEST_GROUP(MemberTable){};
+
+TEST(MemberTable, TheLargestInstanceDoesTheDutyOfItsZone) {
+  ZoneOfFour zone;
+  zone.Pass(Milliseconds(3000), {1, 2, 3});
+  CHECK_EQUAL(std::string("entry-3"), zone.First());
+  CHECK_FALSE(zone.table().is_relay());
+  CHECK_EQUAL(4, static_cast<int>(zone.table().zone_ranking().size()));
+}
+
+TEST(MemberTable, ARelayThatSendsNoDigestsIsPassedOverBeforeItCountsAsDead) {
+  ZoneOfFour zone;
+  zone.Pass(Milliseconds(3000), {1, 2, 3});
+  zone.Pass(Milliseconds(1000), {1, 2});
+  CHECK_TRUE(zone.First() != "entry-3");
+  CHECK_EQUAL(4, zone.table().live(zone.now()));
+  zone.Pass(Milliseconds(2000), {1, 2});
+  CHECK_EQUAL(3, zone.table().live(zone.now()));
+}
+
+TEST(MemberTable, ARelayThatReturnsDoesItsDutyAgain) {
+  ZoneOfFour zone;
+  zone.Pass(Milliseconds(3000), {1, 2, 3});
+  zone.Pass(Milliseconds(5000), {1, 2});
+  zone.Pass(Milliseconds(200), {1, 2, 3});
+  CHECK_EQUAL(std::string("entry-3"), zone.First());
+}
+
+TEST(MemberTable, ALeavingEntryTakesNoDuty) {
+  ZoneOfFour zone;
+  zone.Pass(Milliseconds(3000), {1, 2, 3});
+  MemberSignals leaving;
+  leaving.leaving = true;
+  zone.table().Hear(ShortHash(MakeRecord(3, "a", 0).address), leaving,
+                    zone.now());
+  zone.table().OnTick(zone.now());
+  CHECK_TRUE(zone.First() != "entry-3");
+  // It still lives.
+  CHECK_EQUAL(4, zone.table().live(zone.now()));
+}
+
+TEST(MemberTable, EntriesThatDoNotReachTheStoreAreNoReaders) {
+  ZoneOfFour zone;
+  zone.Pass(Milliseconds(3000), {1, 2, 3});
+  const std::size_t rank = zone.table().own_reader_rank();
+  MemberSignals cut_off;
+  cut_off.reads_store = false;
+  zone.table().Hear(ShortHash(MakeRecord(3, "a", 0).address), cut_off,
+                    zone.now());
+  CHECK_EQUAL(rank - 1, zone.table().own_reader_rank());
+}
+
+TEST(MemberTable, AnEntryThatHearsOfNoneDoesAllDuties) {
+  ZoneOfFour zone;
+  zone.Pass(Milliseconds(6000), {});
+  CHECK_TRUE(zone.table().is_relay());
+  CHECK_EQUAL(1, zone.table().live(zone.now()));
+  zone.Pass(Milliseconds(30'000), {});
+  CHECK_EQUAL(1, zone.table().known());
+}
+
+TEST(MemberTable, EntriesOfAZoneRankThemselvesAlike) {
+  std::vector<std::string> firsts;
+  for (int self = 0; self < 20; ++self) {
+    const Instant now = Instant{} + std::chrono::hours(1);
+    MemberTable table(MakeRecord(self, "a", 0.2));
+    for (int it = 0; it < 20; ++it)
+      table.Learn(MakeRecord(it, "a", 0.2), now);
+    table.OnTick(now);
+    firsts.push_back(table.zone_ranking().front()->record.name);
+  }
+  CHECK_EQUAL(20, std::count(firsts.begin(), firsts.end(), firsts.front()));
+}
+
+TEST(MemberTable, OtherZonesAreToldThroughTheirLargestEntries) {
+  const Instant now = Instant{} + std::chrono::hours(1);
+  MemberTable table(MakeRecord(0, "a", 0.2));
+  for (int it = 1; it < 9; ++it)
+    table.Learn(MakeRecord(it, "b", it == 5 ? 0.5 : 0.1), now);
+  const auto first = table.FirstOfZone("b", 2, now);
+  CHECK_EQUAL(2, static_cast<int>(first.size()));
+  CHECK_EQUAL(std::string("entry-5"), first.front()->record.name);
+}
+
+}  // namespace bbv
--- /dev/null
+++ b/modules/bbv_membership/read_schedule_test.cc
@@ -0,0 +1,52 @@
+#include "bbv_membership/read_schedule.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace bbv {
+namespace {
+
+constexpr Milliseconds kOldest{2000};
+constexpr Milliseconds kWait{1000};
+const Instant kStart = Instant{} + std::chrono::hours(1);
+
+ReadSchedule MakeSchedule() {
+  ReadSchedule schedule(kOldest);
+  schedule.TakePicture(kStart);
+  return schedule;
+}
+
+}  // namespace
+
+TEST_GROUP(ReadSchedule){};
+
+TEST(ReadSchedule, TheFirstReadsRegularlyAndTheOthersLater) {
+  const ReadSchedule schedule = MakeSchedule();
+  CHECK_TRUE(schedule.NextRead(0, 0) == kStart + kWait);
+  CHECK_TRUE(schedule.NextRead(1, 0) > schedule.NextRead(0, 0));
+  CHECK_TRUE(schedule.NextRead(2, 0) > schedule.NextRead(1, 0));
+}
+
+TEST(ReadSchedule, NoRankLetsThePictureGrowTooOld) {
+  const ReadSchedule schedule = MakeSchedule();
+  for (std::size_t rank = 0; rank < 300; ++rank) {
+    for (uint64_t draw = 0; draw < 1000; draw += 7)
+      CHECK_TRUE(schedule.NextRead(rank, draw) <= kStart + kOldest);
+  }
+}
+
+TEST(ReadSchedule, AReadOfAnotherEntryPutsTheOwnOff) {
+  ReadSchedule schedule = MakeSchedule();
+  schedule.TakePicture(kStart + Milliseconds(500));
+  CHECK_TRUE(schedule.NextRead(0, 0) == kStart + Milliseconds(500) + kWait);
+  // What was read earlier tells nothing new.
+  schedule.TakePicture(kStart + Milliseconds(100));
+  CHECK_TRUE(schedule.picture_at() == kStart + Milliseconds(500));
+}
+
+TEST(ReadSchedule, AfterALongGapTheWholeListIsRead) {
+  const ReadSchedule schedule = MakeSchedule();
+  CHECK_FALSE(schedule.IsTorn(kStart + kOldest));
+  CHECK_TRUE(schedule.IsTorn(kStart + Milliseconds(3100)));
+}
+
+}  // namespace bbv
--- a/modules/bbv_settings/fleet_settings.cc
+++ b/modules/bbv_settings/fleet_settings.cc
@@ -12,6 +12,8 @@
 constexpr IntegerRange kDescriptorRange{64, 1'000'000};
 constexpr double kMaximumRetryShare = 1.0;
 constexpr double kMaximumRetryExtra = 1'000'000;
+constexpr double kMaximumCores = 1024;
+constexpr double kMaximumLinkMbps = 1'000'000;
 constexpr int kMillisecondsPerSecond = 1000;
 
 SocketAddress RequiredAddress(TomlReader* reader, const char* key) {
@@ -42,6 +44,12 @@
       reader->Integer("maximum_connections", 4096, kDescriptorRange));
 }
 
+void ReadInstance(TomlReader* reader, FleetSettings* settings) {
+  settings->core_share = reader->Number("core_share", 1, kMaximumCores);
+  settings->core_speed = reader->Number("core_speed", 1, kMaximumCores);
+  settings->link_mbps = reader->Number("link_mbps", 1000, kMaximumLinkMbps);
+}
+
 void ReadStore(TomlReader* reader, FleetSettings* settings) {
   settings->store_address = RequiredAddress(reader, "address");
   settings->group_minimum_ms =
@@ -77,6 +85,7 @@
   };
   read("node", ReadNode);
   read("front", ReadFront);
+  read("instance", ReadInstance);
   read("store", ReadStore);
   read("retries", ReadRetries);
   read("targets", ReadTargets);
--- a/modules/bbv_settings/fleet_settings.h
+++ b/modules/bbv_settings/fleet_settings.h
@@ -27,6 +27,12 @@
   // File descriptors that the process may use.
   int maximum_connections = 0;
 
+  // Share of a processor core, that core's speed against the usual one, and the
+  // instance's link: larger instances do duties for their zone first.
+  double core_share = 1;
+  double core_speed = 1;
+  double link_mbps = 1000;
+
   SocketAddress store_address;
   // Shortest lease that the store grants.
   int group_minimum_ms = 0;
--- a/modules/bbv_wire/wire_generated.h
+++ b/modules/bbv_wire/wire_generated.h
@@ -98,13 +98,9 @@
 struct EntryHelloBuilder;
 struct EntryHelloT;
 
-struct EngineLoad;
-struct EngineLoadBuilder;
-struct EngineLoadT;
+struct EngineRow;
 
-struct OwnLoad;
-struct OwnLoadBuilder;
-struct OwnLoadT;
+struct LoadRow;
 
 struct TargetFault;
 struct TargetFaultBuilder;
@@ -118,6 +114,30 @@
 struct EntryStateBuilder;
 struct EntryStateT;
 
+struct MemberRow;
+
+struct ZoneDigest;
+struct ZoneDigestBuilder;
+struct ZoneDigestT;
+
+struct ZoneDigests;
+struct ZoneDigestsBuilder;
+struct ZoneDigestsT;
+
+struct FaultNotice;
+struct FaultNoticeBuilder;
+struct FaultNoticeT;
+
+struct ListedTarget;
+struct ListedTargetBuilder;
+struct ListedTargetT;
+
+struct HeartbeatRow;
+
+struct TargetListDelta;
+struct TargetListDeltaBuilder;
+struct TargetListDeltaT;
+
 struct EntryConfiguration;
 struct EntryConfigurationBuilder;
 struct EntryConfigurationT;
@@ -180,16 +200,30 @@
 bool operator!=(const ServiceAnswerT &lhs, const ServiceAnswerT &rhs);
 bool operator==(const EntryHelloT &lhs, const EntryHelloT &rhs);
 bool operator!=(const EntryHelloT &lhs, const EntryHelloT &rhs);
-bool operator==(const EngineLoadT &lhs, const EngineLoadT &rhs);
-bool operator!=(const EngineLoadT &lhs, const EngineLoadT &rhs);
-bool operator==(const OwnLoadT &lhs, const OwnLoadT &rhs);
-bool operator!=(const OwnLoadT &lhs, const OwnLoadT &rhs);
+bool operator==(const EngineRow &lhs, const EngineRow &rhs);
+bool operator!=(const EngineRow &lhs, const EngineRow &rhs);
+bool operator==(const LoadRow &lhs, const LoadRow &rhs);
+bool operator!=(const LoadRow &lhs, const LoadRow &rhs);
 bool operator==(const TargetFaultT &lhs, const TargetFaultT &rhs);
 bool operator!=(const TargetFaultT &lhs, const TargetFaultT &rhs);
 bool operator==(const RetrySpendingT &lhs, const RetrySpendingT &rhs);
 bool operator!=(const RetrySpendingT &lhs, const RetrySpendingT &rhs);
 bool operator==(const EntryStateT &lhs, const EntryStateT &rhs);
 bool operator!=(const EntryStateT &lhs, const EntryStateT &rhs);
+bool operator==(const MemberRow &lhs, const MemberRow &rhs);
+bool operator!=(const MemberRow &lhs, const MemberRow &rhs);
+bool operator==(const ZoneDigestT &lhs, const ZoneDigestT &rhs);
+bool operator!=(const ZoneDigestT &lhs, const ZoneDigestT &rhs);
+bool operator==(const ZoneDigestsT &lhs, const ZoneDigestsT &rhs);
+bool operator!=(const ZoneDigestsT &lhs, const ZoneDigestsT &rhs);
+bool operator==(const FaultNoticeT &lhs, const FaultNoticeT &rhs);
+bool operator!=(const FaultNoticeT &lhs, const FaultNoticeT &rhs);
+bool operator==(const ListedTargetT &lhs, const ListedTargetT &rhs);
+bool operator!=(const ListedTargetT &lhs, const ListedTargetT &rhs);
+bool operator==(const HeartbeatRow &lhs, const HeartbeatRow &rhs);
+bool operator!=(const HeartbeatRow &lhs, const HeartbeatRow &rhs);
+bool operator==(const TargetListDeltaT &lhs, const TargetListDeltaT &rhs);
+bool operator!=(const TargetListDeltaT &lhs, const TargetListDeltaT &rhs);
 bool operator==(const EntryConfigurationT &lhs, const EntryConfigurationT &rhs);
 bool operator!=(const EntryConfigurationT &lhs, const EntryConfigurationT &rhs);
 bool operator==(const FrameT &lhs, const FrameT &rhs);
@@ -321,11 +355,14 @@
   EntryHello = 14,
   EntryState = 15,
   EntryConfiguration = 16,
+  ZoneDigests = 17,
+  FaultNotice = 18,
+  TargetListDelta = 19,
   MIN = NONE,
-  MAX = EntryConfiguration
+  MAX = TargetListDelta
 };
 
-inline const Body (&EnumValuesBody())[17] {
+inline const Body (&EnumValuesBody())[20] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -343,13 +380,16 @@
     Body::ServiceAnswer,
     Body::EntryHello,
     Body::EntryState,
-    Body::EntryConfiguration
+    Body::EntryConfiguration,
+    Body::ZoneDigests,
+    Body::FaultNotice,
+    Body::TargetListDelta
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[18] = {
+  static const char * const names[21] = {
     "NONE",
     "Hello",
     "HelloProof",
@@ -367,13 +407,16 @@
     "EntryHello",
     "EntryState",
     "EntryConfiguration",
+    "ZoneDigests",
+    "FaultNotice",
+    "TargetListDelta",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::EntryConfiguration)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::TargetListDelta)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -446,6 +489,18 @@
   static const Body enum_value = Body::EntryConfiguration;
 };
 
+template<> struct BodyTraits<bbv::wire::ZoneDigests> {
+  static const Body enum_value = Body::ZoneDigests;
+};
+
+template<> struct BodyTraits<bbv::wire::FaultNotice> {
+  static const Body enum_value = Body::FaultNotice;
+};
+
+template<> struct BodyTraits<bbv::wire::TargetListDelta> {
+  static const Body enum_value = Body::TargetListDelta;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -514,6 +569,18 @@
   static const Body enum_value = Body::EntryConfiguration;
 };
 
+template<> struct BodyUnionTraits<bbv::wire::ZoneDigestsT> {
+  static const Body enum_value = Body::ZoneDigests;
+};
+
+template<> struct BodyUnionTraits<bbv::wire::FaultNoticeT> {
+  static const Body enum_value = Body::FaultNotice;
+};
+
+template<> struct BodyUnionTraits<bbv::wire::TargetListDeltaT> {
+  static const Body enum_value = Body::TargetListDelta;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -672,6 +739,30 @@
     return type == Body::EntryConfiguration ?
       reinterpret_cast<const bbv::wire::EntryConfigurationT *>(value) : nullptr;
   }
+  bbv::wire::ZoneDigestsT *AsZoneDigests() {
+    return type == Body::ZoneDigests ?
+      reinterpret_cast<bbv::wire::ZoneDigestsT *>(value) : nullptr;
+  }
+  const bbv::wire::ZoneDigestsT *AsZoneDigests() const {
+    return type == Body::ZoneDigests ?
+      reinterpret_cast<const bbv::wire::ZoneDigestsT *>(value) : nullptr;
+  }
+  bbv::wire::FaultNoticeT *AsFaultNotice() {
+    return type == Body::FaultNotice ?
+      reinterpret_cast<bbv::wire::FaultNoticeT *>(value) : nullptr;
+  }
+  const bbv::wire::FaultNoticeT *AsFaultNotice() const {
+    return type == Body::FaultNotice ?
+      reinterpret_cast<const bbv::wire::FaultNoticeT *>(value) : nullptr;
+  }
+  bbv::wire::TargetListDeltaT *AsTargetListDelta() {
+    return type == Body::TargetListDelta ?
+      reinterpret_cast<bbv::wire::TargetListDeltaT *>(value) : nullptr;
+  }
+  const bbv::wire::TargetListDeltaT *AsTargetListDelta() const {
+    return type == Body::TargetListDelta ?
+      reinterpret_cast<const bbv::wire::TargetListDeltaT *>(value) : nullptr;
+  }
 };
 
 
@@ -745,6 +836,18 @@
       return *(reinterpret_cast<const bbv::wire::EntryConfigurationT *>(lhs.value)) ==
              *(reinterpret_cast<const bbv::wire::EntryConfigurationT *>(rhs.value));
     }
+    case Body::ZoneDigests: {
+      return *(reinterpret_cast<const bbv::wire::ZoneDigestsT *>(lhs.value)) ==
+             *(reinterpret_cast<const bbv::wire::ZoneDigestsT *>(rhs.value));
+    }
+    case Body::FaultNotice: {
+      return *(reinterpret_cast<const bbv::wire::FaultNoticeT *>(lhs.value)) ==
+             *(reinterpret_cast<const bbv::wire::FaultNoticeT *>(rhs.value));
+    }
+    case Body::TargetListDelta: {
+      return *(reinterpret_cast<const bbv::wire::TargetListDeltaT *>(lhs.value)) ==
+             *(reinterpret_cast<const bbv::wire::TargetListDeltaT *>(rhs.value));
+    }
     default: {
       return false;
     }
@@ -798,6 +901,238 @@
   using type = RequestId;
 };
 
+/// What a report said of an engine, `age_ms` ago when it was sent. `target` is the low half of the id's hash,
+/// `started` the low half of its start in Unix milliseconds.
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) EngineRow FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t target_;
+  uint32_t started_;
+  uint32_t used_token_layers_;
+  uint16_t from_layer_;
+  uint16_t to_layer_;
+  uint16_t pace_percent_;
+  uint16_t active_;
+  uint16_t queued_;
+  uint16_t age_ms_;
+
+ public:
+  struct Traits;
+  EngineRow()
+      : target_(0),
+        started_(0),
+        used_token_layers_(0),
+        from_layer_(0),
+        to_layer_(0),
+        pace_percent_(0),
+        active_(0),
+        queued_(0),
+        age_ms_(0) {
+  }
+  EngineRow(uint32_t _target, uint32_t _started, uint32_t _used_token_layers, uint16_t _from_layer, uint16_t _to_layer, uint16_t _pace_percent, uint16_t _active, uint16_t _queued, uint16_t _age_ms)
+      : target_(flatbuffers::EndianScalar(_target)),
+        started_(flatbuffers::EndianScalar(_started)),
+        used_token_layers_(flatbuffers::EndianScalar(_used_token_layers)),
+        from_layer_(flatbuffers::EndianScalar(_from_layer)),
+        to_layer_(flatbuffers::EndianScalar(_to_layer)),
+        pace_percent_(flatbuffers::EndianScalar(_pace_percent)),
+        active_(flatbuffers::EndianScalar(_active)),
+        queued_(flatbuffers::EndianScalar(_queued)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)) {
+  }
+  uint32_t target() const {
+    return flatbuffers::EndianScalar(target_);
+  }
+  uint32_t started() const {
+    return flatbuffers::EndianScalar(started_);
+  }
+  uint32_t used_token_layers() const {
+    return flatbuffers::EndianScalar(used_token_layers_);
+  }
+  uint16_t from_layer() const {
+    return flatbuffers::EndianScalar(from_layer_);
+  }
+  uint16_t to_layer() const {
+    return flatbuffers::EndianScalar(to_layer_);
+  }
+  uint16_t pace_percent() const {
+    return flatbuffers::EndianScalar(pace_percent_);
+  }
+  uint16_t active() const {
+    return flatbuffers::EndianScalar(active_);
+  }
+  uint16_t queued() const {
+    return flatbuffers::EndianScalar(queued_);
+  }
+  uint16_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(EngineRow, 24);
+
+inline bool operator==(const EngineRow &lhs, const EngineRow &rhs) {
+  return
+      (lhs.target() == rhs.target()) &&
+      (lhs.started() == rhs.started()) &&
+      (lhs.used_token_layers() == rhs.used_token_layers()) &&
+      (lhs.from_layer() == rhs.from_layer()) &&
+      (lhs.to_layer() == rhs.to_layer()) &&
+      (lhs.pace_percent() == rhs.pace_percent()) &&
+      (lhs.active() == rhs.active()) &&
+      (lhs.queued() == rhs.queued()) &&
+      (lhs.age_ms() == rhs.age_ms());
+}
+
+inline bool operator!=(const EngineRow &lhs, const EngineRow &rhs) {
+    return !(lhs == rhs);
+}
+
+
+struct EngineRow::Traits {
+  using type = EngineRow;
+};
+
+/// Calls under way at a target; `target` is the low half of the id's hash.
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) LoadRow FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t target_;
+  uint32_t calls_;
+  uint32_t token_layers_;
+  uint32_t unread_tokens_;
+
+ public:
+  struct Traits;
+  LoadRow()
+      : target_(0),
+        calls_(0),
+        token_layers_(0),
+        unread_tokens_(0) {
+  }
+  LoadRow(uint32_t _target, uint32_t _calls, uint32_t _token_layers, uint32_t _unread_tokens)
+      : target_(flatbuffers::EndianScalar(_target)),
+        calls_(flatbuffers::EndianScalar(_calls)),
+        token_layers_(flatbuffers::EndianScalar(_token_layers)),
+        unread_tokens_(flatbuffers::EndianScalar(_unread_tokens)) {
+  }
+  uint32_t target() const {
+    return flatbuffers::EndianScalar(target_);
+  }
+  uint32_t calls() const {
+    return flatbuffers::EndianScalar(calls_);
+  }
+  uint32_t token_layers() const {
+    return flatbuffers::EndianScalar(token_layers_);
+  }
+  uint32_t unread_tokens() const {
+    return flatbuffers::EndianScalar(unread_tokens_);
+  }
+};
+FLATBUFFERS_STRUCT_END(LoadRow, 16);
+
+inline bool operator==(const LoadRow &lhs, const LoadRow &rhs) {
+  return
+      (lhs.target() == rhs.target()) &&
+      (lhs.calls() == rhs.calls()) &&
+      (lhs.token_layers() == rhs.token_layers()) &&
+      (lhs.unread_tokens() == rhs.unread_tokens());
+}
+
+inline bool operator!=(const LoadRow &lhs, const LoadRow &rhs) {
+    return !(lhs == rhs);
+}
+
+
+struct LoadRow::Traits {
+  using type = LoadRow;
+};
+
+/// One entry that a digest covers: the low half of its address's hash, its last state counted, and the bits of
+/// MemberFlag in bbv_membership.
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) MemberRow FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t member_;
+  uint32_t sequence_;
+  uint32_t flags_;
+
+ public:
+  struct Traits;
+  MemberRow()
+      : member_(0),
+        sequence_(0),
+        flags_(0) {
+  }
+  MemberRow(uint32_t _member, uint32_t _sequence, uint32_t _flags)
+      : member_(flatbuffers::EndianScalar(_member)),
+        sequence_(flatbuffers::EndianScalar(_sequence)),
+        flags_(flatbuffers::EndianScalar(_flags)) {
+  }
+  uint32_t member() const {
+    return flatbuffers::EndianScalar(member_);
+  }
+  uint32_t sequence() const {
+    return flatbuffers::EndianScalar(sequence_);
+  }
+  uint32_t flags() const {
+    return flatbuffers::EndianScalar(flags_);
+  }
+};
+FLATBUFFERS_STRUCT_END(MemberRow, 12);
+
+inline bool operator==(const MemberRow &lhs, const MemberRow &rhs) {
+  return
+      (lhs.member() == rhs.member()) &&
+      (lhs.sequence() == rhs.sequence()) &&
+      (lhs.flags() == rhs.flags());
+}
+
+inline bool operator!=(const MemberRow &lhs, const MemberRow &rhs) {
+    return !(lhs == rhs);
+}
+
+
+struct MemberRow::Traits {
+  using type = MemberRow;
+};
+
+/// A heartbeat of a target that changed in nothing else; `target` is the low half of the id's hash.
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) HeartbeatRow FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t target_;
+  uint32_t heartbeat_;
+
+ public:
+  struct Traits;
+  HeartbeatRow()
+      : target_(0),
+        heartbeat_(0) {
+  }
+  HeartbeatRow(uint32_t _target, uint32_t _heartbeat)
+      : target_(flatbuffers::EndianScalar(_target)),
+        heartbeat_(flatbuffers::EndianScalar(_heartbeat)) {
+  }
+  uint32_t target() const {
+    return flatbuffers::EndianScalar(target_);
+  }
+  uint32_t heartbeat() const {
+    return flatbuffers::EndianScalar(heartbeat_);
+  }
+};
+FLATBUFFERS_STRUCT_END(HeartbeatRow, 8);
+
+inline bool operator==(const HeartbeatRow &lhs, const HeartbeatRow &rhs) {
+  return
+      (lhs.target() == rhs.target()) &&
+      (lhs.heartbeat() == rhs.heartbeat());
+}
+
+inline bool operator!=(const HeartbeatRow &lhs, const HeartbeatRow &rhs) {
+    return !(lhs == rhs);
+}
+
+
+struct HeartbeatRow::Traits {
+  using type = HeartbeatRow;
+};
+
 struct HelloT : public flatbuffers::NativeTable {
   typedef Hello TableType;
   std::string node{};
@@ -2981,16 +3316,21 @@
   typedef EntryHello TableType;
   std::string node{};
   std::string address{};
+  std::string zone{};
+  double capacity = 0.0;
 };
 
-/// Opens a connection between entries that forward nothing for each other. `address` is where the sender listens.
+/// Opens a connection between entries; also what an entry's record at the store holds. `address` is where the
+/// sender listens, `capacity` its share of a processor core.
 struct EntryHello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EntryHelloT NativeTableType;
   typedef EntryHelloBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NODE = 4,
-    VT_ADDRESS = 6
+    VT_ADDRESS = 6,
+    VT_ZONE = 8,
+    VT_CAPACITY = 10
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -2998,12 +3338,21 @@
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
   }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  double capacity() const {
+    return GetField<double>(VT_CAPACITY, 0.0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
            verifier.VerifyString(node()) &&
            VerifyOffset(verifier, VT_ADDRESS) &&
            verifier.VerifyString(address()) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<double>(verifier, VT_CAPACITY, 8) &&
            verifier.EndTable();
   }
   EntryHelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3021,6 +3370,12 @@
   void add_address(flatbuffers::Offset<flatbuffers::String> address) {
     fbb_.AddOffset(EntryHello::VT_ADDRESS, address);
   }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(EntryHello::VT_ZONE, zone);
+  }
+  void add_capacity(double capacity) {
+    fbb_.AddElement<double>(EntryHello::VT_CAPACITY, capacity, 0.0);
+  }
   explicit EntryHelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3035,8 +3390,12 @@
 inline flatbuffers::Offset<EntryHello> CreateEntryHello(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> node = 0,
-    flatbuffers::Offset<flatbuffers::String> address = 0) {
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    double capacity = 0.0) {
   EntryHelloBuilder builder_(_fbb);
+  builder_.add_capacity(capacity);
+  builder_.add_zone(zone);
   builder_.add_address(address);
   builder_.add_node(node);
   return builder_.Finish();
@@ -3050,45 +3409,40 @@
 inline flatbuffers::Offset<EntryHello> CreateEntryHelloDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *node = nullptr,
-    const char *address = nullptr) {
+    const char *address = nullptr,
+    const char *zone = nullptr,
+    double capacity = 0.0) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   return bbv::wire::CreateEntryHello(
       _fbb,
       node__,
-      address__);
+      address__,
+      zone__,
+      capacity);
 }
 
 flatbuffers::Offset<EntryHello> CreateEntryHello(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct EngineLoadT : public flatbuffers::NativeTable {
-  typedef EngineLoad TableType;
+struct TargetFaultT : public flatbuffers::NativeTable {
+  typedef TargetFault TableType;
   std::string target{};
   int64_t started_unix_ms = 0;
-  double pace = 0.0;
-  uint32_t active = 0;
-  uint32_t queued = 0;
-  double used_token_layers = 0.0;
-  uint32_t from_layer = 0;
-  uint32_t to_layer = 0;
-  uint32_t age_ms = 0;
+  int64_t heartbeat = 0;
+  std::string evidence{};
 };
 
-/// What a report said of an engine, `age_ms` ago when it was sent.
-struct EngineLoad FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef EngineLoadT NativeTableType;
-  typedef EngineLoadBuilder Builder;
+/// A target that did not do its part, as the sender saw. `heartbeat` is the target's last one known to the sender.
+struct TargetFault FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TargetFaultT NativeTableType;
+  typedef TargetFaultBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TARGET = 4,
     VT_STARTED_UNIX_MS = 6,
-    VT_PACE = 8,
-    VT_ACTIVE = 10,
-    VT_QUEUED = 12,
-    VT_USED_TOKEN_LAYERS = 14,
-    VT_FROM_LAYER = 16,
-    VT_TO_LAYER = 18,
-    VT_AGE_MS = 20
+    VT_HEARTBEAT = 8,
+    VT_EVIDENCE = 10
   };
   const flatbuffers::String *target() const {
     return GetPointer<const flatbuffers::String *>(VT_TARGET);
@@ -3096,614 +3450,1063 @@
   int64_t started_unix_ms() const {
     return GetField<int64_t>(VT_STARTED_UNIX_MS, 0);
   }
-  double pace() const {
-    return GetField<double>(VT_PACE, 0.0);
-  }
-  uint32_t active() const {
-    return GetField<uint32_t>(VT_ACTIVE, 0);
-  }
-  uint32_t queued() const {
-    return GetField<uint32_t>(VT_QUEUED, 0);
-  }
-  double used_token_layers() const {
-    return GetField<double>(VT_USED_TOKEN_LAYERS, 0.0);
-  }
-  uint32_t from_layer() const {
-    return GetField<uint32_t>(VT_FROM_LAYER, 0);
-  }
-  uint32_t to_layer() const {
-    return GetField<uint32_t>(VT_TO_LAYER, 0);
+  int64_t heartbeat() const {
+    return GetField<int64_t>(VT_HEARTBEAT, 0);
   }
-  uint32_t age_ms() const {
-    return GetField<uint32_t>(VT_AGE_MS, 0);
+  const flatbuffers::String *evidence() const {
+    return GetPointer<const flatbuffers::String *>(VT_EVIDENCE);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TARGET) &&
            verifier.VerifyString(target()) &&
            VerifyField<int64_t>(verifier, VT_STARTED_UNIX_MS, 8) &&
-           VerifyField<double>(verifier, VT_PACE, 8) &&
-           VerifyField<uint32_t>(verifier, VT_ACTIVE, 4) &&
-           VerifyField<uint32_t>(verifier, VT_QUEUED, 4) &&
-           VerifyField<double>(verifier, VT_USED_TOKEN_LAYERS, 8) &&
-           VerifyField<uint32_t>(verifier, VT_FROM_LAYER, 4) &&
-           VerifyField<uint32_t>(verifier, VT_TO_LAYER, 4) &&
-           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<int64_t>(verifier, VT_HEARTBEAT, 8) &&
+           VerifyOffset(verifier, VT_EVIDENCE) &&
+           verifier.VerifyString(evidence()) &&
            verifier.EndTable();
   }
-  EngineLoadT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(EngineLoadT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<EngineLoad> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineLoadT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  TargetFaultT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TargetFaultT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TargetFault> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TargetFaultT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct EngineLoadBuilder {
-  typedef EngineLoad Table;
+struct TargetFaultBuilder {
+  typedef TargetFault Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
   void add_target(flatbuffers::Offset<flatbuffers::String> target) {
-    fbb_.AddOffset(EngineLoad::VT_TARGET, target);
+    fbb_.AddOffset(TargetFault::VT_TARGET, target);
   }
   void add_started_unix_ms(int64_t started_unix_ms) {
-    fbb_.AddElement<int64_t>(EngineLoad::VT_STARTED_UNIX_MS, started_unix_ms, 0);
-  }
-  void add_pace(double pace) {
-    fbb_.AddElement<double>(EngineLoad::VT_PACE, pace, 0.0);
-  }
-  void add_active(uint32_t active) {
-    fbb_.AddElement<uint32_t>(EngineLoad::VT_ACTIVE, active, 0);
-  }
-  void add_queued(uint32_t queued) {
-    fbb_.AddElement<uint32_t>(EngineLoad::VT_QUEUED, queued, 0);
-  }
-  void add_used_token_layers(double used_token_layers) {
-    fbb_.AddElement<double>(EngineLoad::VT_USED_TOKEN_LAYERS, used_token_layers, 0.0);
-  }
-  void add_from_layer(uint32_t from_layer) {
-    fbb_.AddElement<uint32_t>(EngineLoad::VT_FROM_LAYER, from_layer, 0);
+    fbb_.AddElement<int64_t>(TargetFault::VT_STARTED_UNIX_MS, started_unix_ms, 0);
   }
-  void add_to_layer(uint32_t to_layer) {
-    fbb_.AddElement<uint32_t>(EngineLoad::VT_TO_LAYER, to_layer, 0);
+  void add_heartbeat(int64_t heartbeat) {
+    fbb_.AddElement<int64_t>(TargetFault::VT_HEARTBEAT, heartbeat, 0);
   }
-  void add_age_ms(uint32_t age_ms) {
-    fbb_.AddElement<uint32_t>(EngineLoad::VT_AGE_MS, age_ms, 0);
+  void add_evidence(flatbuffers::Offset<flatbuffers::String> evidence) {
+    fbb_.AddOffset(TargetFault::VT_EVIDENCE, evidence);
   }
-  explicit EngineLoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit TargetFaultBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<EngineLoad> Finish() {
+  flatbuffers::Offset<TargetFault> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<EngineLoad>(end);
+    auto o = flatbuffers::Offset<TargetFault>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<EngineLoad> CreateEngineLoad(
+inline flatbuffers::Offset<TargetFault> CreateTargetFault(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> target = 0,
     int64_t started_unix_ms = 0,
-    double pace = 0.0,
-    uint32_t active = 0,
-    uint32_t queued = 0,
-    double used_token_layers = 0.0,
-    uint32_t from_layer = 0,
-    uint32_t to_layer = 0,
-    uint32_t age_ms = 0) {
-  EngineLoadBuilder builder_(_fbb);
-  builder_.add_used_token_layers(used_token_layers);
-  builder_.add_pace(pace);
+    int64_t heartbeat = 0,
+    flatbuffers::Offset<flatbuffers::String> evidence = 0) {
+  TargetFaultBuilder builder_(_fbb);
+  builder_.add_heartbeat(heartbeat);
   builder_.add_started_unix_ms(started_unix_ms);
-  builder_.add_age_ms(age_ms);
-  builder_.add_to_layer(to_layer);
-  builder_.add_from_layer(from_layer);
-  builder_.add_queued(queued);
-  builder_.add_active(active);
+  builder_.add_evidence(evidence);
   builder_.add_target(target);
   return builder_.Finish();
 }
 
-struct EngineLoad::Traits {
-  using type = EngineLoad;
-  static auto constexpr Create = CreateEngineLoad;
+struct TargetFault::Traits {
+  using type = TargetFault;
+  static auto constexpr Create = CreateTargetFault;
 };
 
-inline flatbuffers::Offset<EngineLoad> CreateEngineLoadDirect(
+inline flatbuffers::Offset<TargetFault> CreateTargetFaultDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *target = nullptr,
     int64_t started_unix_ms = 0,
-    double pace = 0.0,
-    uint32_t active = 0,
-    uint32_t queued = 0,
-    double used_token_layers = 0.0,
-    uint32_t from_layer = 0,
-    uint32_t to_layer = 0,
-    uint32_t age_ms = 0) {
+    int64_t heartbeat = 0,
+    const char *evidence = nullptr) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
-  return bbv::wire::CreateEngineLoad(
+  auto evidence__ = evidence ? _fbb.CreateString(evidence) : 0;
+  return bbv::wire::CreateTargetFault(
       _fbb,
       target__,
       started_unix_ms,
-      pace,
-      active,
-      queued,
-      used_token_layers,
-      from_layer,
-      to_layer,
-      age_ms);
+      heartbeat,
+      evidence__);
 }
 
-flatbuffers::Offset<EngineLoad> CreateEngineLoad(flatbuffers::FlatBufferBuilder &_fbb, const EngineLoadT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<TargetFault> CreateTargetFault(flatbuffers::FlatBufferBuilder &_fbb, const TargetFaultT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct OwnLoadT : public flatbuffers::NativeTable {
-  typedef OwnLoad TableType;
-  std::string target{};
+struct RetrySpendingT : public flatbuffers::NativeTable {
+  typedef RetrySpending TableType;
+  std::string service{};
   uint32_t calls = 0;
-  double token_layers = 0.0;
-  double unread_tokens = 0.0;
+  uint32_t repeats = 0;
 };
 
-/// Calls that the sender has under way at a target.
-struct OwnLoad FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef OwnLoadT NativeTableType;
-  typedef OwnLoadBuilder Builder;
+/// First sends and repeats to a service in the window, of one entry or of several.
+struct RetrySpending FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RetrySpendingT NativeTableType;
+  typedef RetrySpendingBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_TARGET = 4,
+    VT_SERVICE = 4,
     VT_CALLS = 6,
-    VT_TOKEN_LAYERS = 8,
-    VT_UNREAD_TOKENS = 10
+    VT_REPEATS = 8
   };
-  const flatbuffers::String *target() const {
-    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
   }
   uint32_t calls() const {
     return GetField<uint32_t>(VT_CALLS, 0);
   }
-  double token_layers() const {
-    return GetField<double>(VT_TOKEN_LAYERS, 0.0);
-  }
-  double unread_tokens() const {
-    return GetField<double>(VT_UNREAD_TOKENS, 0.0);
+  uint32_t repeats() const {
+    return GetField<uint32_t>(VT_REPEATS, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_TARGET) &&
-           verifier.VerifyString(target()) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
            VerifyField<uint32_t>(verifier, VT_CALLS, 4) &&
-           VerifyField<double>(verifier, VT_TOKEN_LAYERS, 8) &&
-           VerifyField<double>(verifier, VT_UNREAD_TOKENS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_REPEATS, 4) &&
            verifier.EndTable();
   }
-  OwnLoadT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(OwnLoadT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<OwnLoad> Pack(flatbuffers::FlatBufferBuilder &_fbb, const OwnLoadT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  RetrySpendingT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RetrySpendingT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RetrySpending> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RetrySpendingT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct OwnLoadBuilder {
-  typedef OwnLoad Table;
+struct RetrySpendingBuilder {
+  typedef RetrySpending Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
-    fbb_.AddOffset(OwnLoad::VT_TARGET, target);
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(RetrySpending::VT_SERVICE, service);
   }
   void add_calls(uint32_t calls) {
-    fbb_.AddElement<uint32_t>(OwnLoad::VT_CALLS, calls, 0);
-  }
-  void add_token_layers(double token_layers) {
-    fbb_.AddElement<double>(OwnLoad::VT_TOKEN_LAYERS, token_layers, 0.0);
+    fbb_.AddElement<uint32_t>(RetrySpending::VT_CALLS, calls, 0);
   }
-  void add_unread_tokens(double unread_tokens) {
-    fbb_.AddElement<double>(OwnLoad::VT_UNREAD_TOKENS, unread_tokens, 0.0);
+  void add_repeats(uint32_t repeats) {
+    fbb_.AddElement<uint32_t>(RetrySpending::VT_REPEATS, repeats, 0);
   }
-  explicit OwnLoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit RetrySpendingBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<OwnLoad> Finish() {
+  flatbuffers::Offset<RetrySpending> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<OwnLoad>(end);
+    auto o = flatbuffers::Offset<RetrySpending>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<OwnLoad> CreateOwnLoad(
+inline flatbuffers::Offset<RetrySpending> CreateRetrySpending(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> target = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
     uint32_t calls = 0,
-    double token_layers = 0.0,
-    double unread_tokens = 0.0) {
-  OwnLoadBuilder builder_(_fbb);
-  builder_.add_unread_tokens(unread_tokens);
-  builder_.add_token_layers(token_layers);
+    uint32_t repeats = 0) {
+  RetrySpendingBuilder builder_(_fbb);
+  builder_.add_repeats(repeats);
   builder_.add_calls(calls);
-  builder_.add_target(target);
+  builder_.add_service(service);
   return builder_.Finish();
 }
 
-struct OwnLoad::Traits {
-  using type = OwnLoad;
-  static auto constexpr Create = CreateOwnLoad;
+struct RetrySpending::Traits {
+  using type = RetrySpending;
+  static auto constexpr Create = CreateRetrySpending;
 };
 
-inline flatbuffers::Offset<OwnLoad> CreateOwnLoadDirect(
+inline flatbuffers::Offset<RetrySpending> CreateRetrySpendingDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *target = nullptr,
+    const char *service = nullptr,
     uint32_t calls = 0,
-    double token_layers = 0.0,
-    double unread_tokens = 0.0) {
-  auto target__ = target ? _fbb.CreateString(target) : 0;
-  return bbv::wire::CreateOwnLoad(
+    uint32_t repeats = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  return bbv::wire::CreateRetrySpending(
       _fbb,
-      target__,
+      service__,
       calls,
-      token_layers,
-      unread_tokens);
+      repeats);
 }
 
-flatbuffers::Offset<OwnLoad> CreateOwnLoad(flatbuffers::FlatBufferBuilder &_fbb, const OwnLoadT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<RetrySpending> CreateRetrySpending(flatbuffers::FlatBufferBuilder &_fbb, const RetrySpendingT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct TargetFaultT : public flatbuffers::NativeTable {
-  typedef TargetFault TableType;
-  std::string target{};
-  int64_t started_unix_ms = 0;
-  int64_t heartbeat = 0;
-  std::string evidence{};
+struct EntryStateT : public flatbuffers::NativeTable {
+  typedef EntryState TableType;
+  uint32_t sequence = 0;
+  uint64_t configuration_version = 0;
+  bool plans = false;
+  bool leaving = false;
+  bool reads_store = false;
+  std::vector<bbv::wire::LoadRow> own{};
+  std::vector<bbv::wire::EngineRow> engines{};
+  std::vector<bbv::wire::RetrySpendingT> retries{};
 };
 
-/// A target that did not do its part, as the sender saw. `heartbeat` is the target's last one known to the sender.
-struct TargetFault FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef TargetFaultT NativeTableType;
-  typedef TargetFaultBuilder Builder;
+/// What an entry tells the relays of its zone a few times a second.
+struct EntryState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EntryStateT NativeTableType;
+  typedef EntryStateBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_TARGET = 4,
-    VT_STARTED_UNIX_MS = 6,
-    VT_HEARTBEAT = 8,
-    VT_EVIDENCE = 10
+    VT_SEQUENCE = 4,
+    VT_CONFIGURATION_VERSION = 6,
+    VT_PLANS = 8,
+    VT_LEAVING = 10,
+    VT_READS_STORE = 12,
+    VT_OWN = 14,
+    VT_ENGINES = 16,
+    VT_RETRIES = 18
   };
-  const flatbuffers::String *target() const {
-    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  uint32_t sequence() const {
+    return GetField<uint32_t>(VT_SEQUENCE, 0);
   }
-  int64_t started_unix_ms() const {
-    return GetField<int64_t>(VT_STARTED_UNIX_MS, 0);
+  uint64_t configuration_version() const {
+    return GetField<uint64_t>(VT_CONFIGURATION_VERSION, 0);
   }
-  int64_t heartbeat() const {
-    return GetField<int64_t>(VT_HEARTBEAT, 0);
+  bool plans() const {
+    return GetField<uint8_t>(VT_PLANS, 0) != 0;
   }
-  const flatbuffers::String *evidence() const {
-    return GetPointer<const flatbuffers::String *>(VT_EVIDENCE);
+  /// The sender is stopping and takes no duty any more.
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
+  bool reads_store() const {
+    return GetField<uint8_t>(VT_READS_STORE, 0) != 0;
+  }
+  const flatbuffers::Vector<const bbv::wire::LoadRow *> *own() const {
+    return GetPointer<const flatbuffers::Vector<const bbv::wire::LoadRow *> *>(VT_OWN);
+  }
+  const flatbuffers::Vector<const bbv::wire::EngineRow *> *engines() const {
+    return GetPointer<const flatbuffers::Vector<const bbv::wire::EngineRow *> *>(VT_ENGINES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::RetrySpending>> *retries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::RetrySpending>> *>(VT_RETRIES);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_TARGET) &&
-           verifier.VerifyString(target()) &&
-           VerifyField<int64_t>(verifier, VT_STARTED_UNIX_MS, 8) &&
-           VerifyField<int64_t>(verifier, VT_HEARTBEAT, 8) &&
-           VerifyOffset(verifier, VT_EVIDENCE) &&
-           verifier.VerifyString(evidence()) &&
+           VerifyField<uint32_t>(verifier, VT_SEQUENCE, 4) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_PLANS, 1) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_READS_STORE, 1) &&
+           VerifyOffset(verifier, VT_OWN) &&
+           verifier.VerifyVector(own()) &&
+           VerifyOffset(verifier, VT_ENGINES) &&
+           verifier.VerifyVector(engines()) &&
+           VerifyOffset(verifier, VT_RETRIES) &&
+           verifier.VerifyVector(retries()) &&
+           verifier.VerifyVectorOfTables(retries()) &&
            verifier.EndTable();
   }
-  TargetFaultT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(TargetFaultT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<TargetFault> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TargetFaultT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  EntryStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EntryStateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EntryState> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryStateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct TargetFaultBuilder {
-  typedef TargetFault Table;
+struct EntryStateBuilder {
+  typedef EntryState Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
-    fbb_.AddOffset(TargetFault::VT_TARGET, target);
+  void add_sequence(uint32_t sequence) {
+    fbb_.AddElement<uint32_t>(EntryState::VT_SEQUENCE, sequence, 0);
   }
-  void add_started_unix_ms(int64_t started_unix_ms) {
-    fbb_.AddElement<int64_t>(TargetFault::VT_STARTED_UNIX_MS, started_unix_ms, 0);
+  void add_configuration_version(uint64_t configuration_version) {
+    fbb_.AddElement<uint64_t>(EntryState::VT_CONFIGURATION_VERSION, configuration_version, 0);
   }
-  void add_heartbeat(int64_t heartbeat) {
-    fbb_.AddElement<int64_t>(TargetFault::VT_HEARTBEAT, heartbeat, 0);
+  void add_plans(bool plans) {
+    fbb_.AddElement<uint8_t>(EntryState::VT_PLANS, static_cast<uint8_t>(plans), 0);
   }
-  void add_evidence(flatbuffers::Offset<flatbuffers::String> evidence) {
-    fbb_.AddOffset(TargetFault::VT_EVIDENCE, evidence);
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(EntryState::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
   }
-  explicit TargetFaultBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_reads_store(bool reads_store) {
+    fbb_.AddElement<uint8_t>(EntryState::VT_READS_STORE, static_cast<uint8_t>(reads_store), 0);
+  }
+  void add_own(flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::LoadRow *>> own) {
+    fbb_.AddOffset(EntryState::VT_OWN, own);
+  }
+  void add_engines(flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::EngineRow *>> engines) {
+    fbb_.AddOffset(EntryState::VT_ENGINES, engines);
+  }
+  void add_retries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::RetrySpending>>> retries) {
+    fbb_.AddOffset(EntryState::VT_RETRIES, retries);
+  }
+  explicit EntryStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<TargetFault> Finish() {
+  flatbuffers::Offset<EntryState> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<TargetFault>(end);
+    auto o = flatbuffers::Offset<EntryState>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<TargetFault> CreateTargetFault(
+inline flatbuffers::Offset<EntryState> CreateEntryState(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> target = 0,
-    int64_t started_unix_ms = 0,
-    int64_t heartbeat = 0,
-    flatbuffers::Offset<flatbuffers::String> evidence = 0) {
-  TargetFaultBuilder builder_(_fbb);
-  builder_.add_heartbeat(heartbeat);
-  builder_.add_started_unix_ms(started_unix_ms);
-  builder_.add_evidence(evidence);
-  builder_.add_target(target);
+    uint32_t sequence = 0,
+    uint64_t configuration_version = 0,
+    bool plans = false,
+    bool leaving = false,
+    bool reads_store = false,
+    flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::LoadRow *>> own = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::EngineRow *>> engines = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::RetrySpending>>> retries = 0) {
+  EntryStateBuilder builder_(_fbb);
+  builder_.add_configuration_version(configuration_version);
+  builder_.add_retries(retries);
+  builder_.add_engines(engines);
+  builder_.add_own(own);
+  builder_.add_sequence(sequence);
+  builder_.add_reads_store(reads_store);
+  builder_.add_leaving(leaving);
+  builder_.add_plans(plans);
   return builder_.Finish();
 }
 
-struct TargetFault::Traits {
-  using type = TargetFault;
-  static auto constexpr Create = CreateTargetFault;
+struct EntryState::Traits {
+  using type = EntryState;
+  static auto constexpr Create = CreateEntryState;
 };
 
-inline flatbuffers::Offset<TargetFault> CreateTargetFaultDirect(
+inline flatbuffers::Offset<EntryState> CreateEntryStateDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *target = nullptr,
-    int64_t started_unix_ms = 0,
-    int64_t heartbeat = 0,
-    const char *evidence = nullptr) {
-  auto target__ = target ? _fbb.CreateString(target) : 0;
-  auto evidence__ = evidence ? _fbb.CreateString(evidence) : 0;
-  return bbv::wire::CreateTargetFault(
+    uint32_t sequence = 0,
+    uint64_t configuration_version = 0,
+    bool plans = false,
+    bool leaving = false,
+    bool reads_store = false,
+    const std::vector<bbv::wire::LoadRow> *own = nullptr,
+    const std::vector<bbv::wire::EngineRow> *engines = nullptr,
+    const std::vector<flatbuffers::Offset<bbv::wire::RetrySpending>> *retries = nullptr) {
+  auto own__ = own ? _fbb.CreateVectorOfStructs<bbv::wire::LoadRow>(*own) : 0;
+  auto engines__ = engines ? _fbb.CreateVectorOfStructs<bbv::wire::EngineRow>(*engines) : 0;
+  auto retries__ = retries ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::RetrySpending>>(*retries) : 0;
+  return bbv::wire::CreateEntryState(
       _fbb,
-      target__,
-      started_unix_ms,
-      heartbeat,
-      evidence__);
+      sequence,
+      configuration_version,
+      plans,
+      leaving,
+      reads_store,
+      own__,
+      engines__,
+      retries__);
 }
 
-flatbuffers::Offset<TargetFault> CreateTargetFault(flatbuffers::FlatBufferBuilder &_fbb, const TargetFaultT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<EntryState> CreateEntryState(flatbuffers::FlatBufferBuilder &_fbb, const EntryStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct RetrySpendingT : public flatbuffers::NativeTable {
-  typedef RetrySpending TableType;
+struct ZoneDigestT : public flatbuffers::NativeTable {
+  typedef ZoneDigest TableType;
+  std::string zone{};
+  uint32_t sequence = 0;
+  uint64_t configuration_version = 0;
+  uint32_t known = 0;
+  uint32_t live = 0;
+  bool plans = false;
+  std::vector<bbv::wire::MemberRow> members{};
+  std::vector<bbv::wire::LoadRow> loads{};
+  std::vector<bbv::wire::EngineRow> engines{};
+  std::vector<bbv::wire::RetrySpendingT> retries{};
+};
+
+/// The sums over the entries of one zone that `members` lists.
+struct ZoneDigest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ZoneDigestT NativeTableType;
+  typedef ZoneDigestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ZONE = 4,
+    VT_SEQUENCE = 6,
+    VT_CONFIGURATION_VERSION = 8,
+    VT_KNOWN = 10,
+    VT_LIVE = 12,
+    VT_PLANS = 14,
+    VT_MEMBERS = 16,
+    VT_LOADS = 18,
+    VT_ENGINES = 20,
+    VT_RETRIES = 22
+  };
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  uint32_t sequence() const {
+    return GetField<uint32_t>(VT_SEQUENCE, 0);
+  }
+  uint64_t configuration_version() const {
+    return GetField<uint64_t>(VT_CONFIGURATION_VERSION, 0);
+  }
+  /// Entries that the relay knows and those of them that live.
+  uint32_t known() const {
+    return GetField<uint32_t>(VT_KNOWN, 0);
+  }
+  uint32_t live() const {
+    return GetField<uint32_t>(VT_LIVE, 0);
+  }
+  /// Whether one of them plans.
+  bool plans() const {
+    return GetField<uint8_t>(VT_PLANS, 0) != 0;
+  }
+  /// Left out where a digest is handed to entries of other zones that relay nothing.
+  const flatbuffers::Vector<const bbv::wire::MemberRow *> *members() const {
+    return GetPointer<const flatbuffers::Vector<const bbv::wire::MemberRow *> *>(VT_MEMBERS);
+  }
+  const flatbuffers::Vector<const bbv::wire::LoadRow *> *loads() const {
+    return GetPointer<const flatbuffers::Vector<const bbv::wire::LoadRow *> *>(VT_LOADS);
+  }
+  const flatbuffers::Vector<const bbv::wire::EngineRow *> *engines() const {
+    return GetPointer<const flatbuffers::Vector<const bbv::wire::EngineRow *> *>(VT_ENGINES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::RetrySpending>> *retries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::RetrySpending>> *>(VT_RETRIES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint32_t>(verifier, VT_SEQUENCE, 4) &&
+           VerifyField<uint64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_KNOWN, 4) &&
+           VerifyField<uint32_t>(verifier, VT_LIVE, 4) &&
+           VerifyField<uint8_t>(verifier, VT_PLANS, 1) &&
+           VerifyOffset(verifier, VT_MEMBERS) &&
+           verifier.VerifyVector(members()) &&
+           VerifyOffset(verifier, VT_LOADS) &&
+           verifier.VerifyVector(loads()) &&
+           VerifyOffset(verifier, VT_ENGINES) &&
+           verifier.VerifyVector(engines()) &&
+           VerifyOffset(verifier, VT_RETRIES) &&
+           verifier.VerifyVector(retries()) &&
+           verifier.VerifyVectorOfTables(retries()) &&
+           verifier.EndTable();
+  }
+  ZoneDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ZoneDigestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ZoneDigest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ZoneDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ZoneDigestBuilder {
+  typedef ZoneDigest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(ZoneDigest::VT_ZONE, zone);
+  }
+  void add_sequence(uint32_t sequence) {
+    fbb_.AddElement<uint32_t>(ZoneDigest::VT_SEQUENCE, sequence, 0);
+  }
+  void add_configuration_version(uint64_t configuration_version) {
+    fbb_.AddElement<uint64_t>(ZoneDigest::VT_CONFIGURATION_VERSION, configuration_version, 0);
+  }
+  void add_known(uint32_t known) {
+    fbb_.AddElement<uint32_t>(ZoneDigest::VT_KNOWN, known, 0);
+  }
+  void add_live(uint32_t live) {
+    fbb_.AddElement<uint32_t>(ZoneDigest::VT_LIVE, live, 0);
+  }
+  void add_plans(bool plans) {
+    fbb_.AddElement<uint8_t>(ZoneDigest::VT_PLANS, static_cast<uint8_t>(plans), 0);
+  }
+  void add_members(flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::MemberRow *>> members) {
+    fbb_.AddOffset(ZoneDigest::VT_MEMBERS, members);
+  }
+  void add_loads(flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::LoadRow *>> loads) {
+    fbb_.AddOffset(ZoneDigest::VT_LOADS, loads);
+  }
+  void add_engines(flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::EngineRow *>> engines) {
+    fbb_.AddOffset(ZoneDigest::VT_ENGINES, engines);
+  }
+  void add_retries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::RetrySpending>>> retries) {
+    fbb_.AddOffset(ZoneDigest::VT_RETRIES, retries);
+  }
+  explicit ZoneDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ZoneDigest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ZoneDigest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ZoneDigest> CreateZoneDigest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    uint32_t sequence = 0,
+    uint64_t configuration_version = 0,
+    uint32_t known = 0,
+    uint32_t live = 0,
+    bool plans = false,
+    flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::MemberRow *>> members = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::LoadRow *>> loads = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::EngineRow *>> engines = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::RetrySpending>>> retries = 0) {
+  ZoneDigestBuilder builder_(_fbb);
+  builder_.add_configuration_version(configuration_version);
+  builder_.add_retries(retries);
+  builder_.add_engines(engines);
+  builder_.add_loads(loads);
+  builder_.add_members(members);
+  builder_.add_live(live);
+  builder_.add_known(known);
+  builder_.add_sequence(sequence);
+  builder_.add_zone(zone);
+  builder_.add_plans(plans);
+  return builder_.Finish();
+}
+
+struct ZoneDigest::Traits {
+  using type = ZoneDigest;
+  static auto constexpr Create = CreateZoneDigest;
+};
+
+inline flatbuffers::Offset<ZoneDigest> CreateZoneDigestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *zone = nullptr,
+    uint32_t sequence = 0,
+    uint64_t configuration_version = 0,
+    uint32_t known = 0,
+    uint32_t live = 0,
+    bool plans = false,
+    const std::vector<bbv::wire::MemberRow> *members = nullptr,
+    const std::vector<bbv::wire::LoadRow> *loads = nullptr,
+    const std::vector<bbv::wire::EngineRow> *engines = nullptr,
+    const std::vector<flatbuffers::Offset<bbv::wire::RetrySpending>> *retries = nullptr) {
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto members__ = members ? _fbb.CreateVectorOfStructs<bbv::wire::MemberRow>(*members) : 0;
+  auto loads__ = loads ? _fbb.CreateVectorOfStructs<bbv::wire::LoadRow>(*loads) : 0;
+  auto engines__ = engines ? _fbb.CreateVectorOfStructs<bbv::wire::EngineRow>(*engines) : 0;
+  auto retries__ = retries ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::RetrySpending>>(*retries) : 0;
+  return bbv::wire::CreateZoneDigest(
+      _fbb,
+      zone__,
+      sequence,
+      configuration_version,
+      known,
+      live,
+      plans,
+      members__,
+      loads__,
+      engines__,
+      retries__);
+}
+
+flatbuffers::Offset<ZoneDigest> CreateZoneDigest(flatbuffers::FlatBufferBuilder &_fbb, const ZoneDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ZoneDigestsT : public flatbuffers::NativeTable {
+  typedef ZoneDigests TableType;
+  std::vector<bbv::wire::ZoneDigestT> zones{};
+};
+
+/// From a relay: to other zones' relays its own zone's digest, to its own zone all that it knows.
+struct ZoneDigests FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ZoneDigestsT NativeTableType;
+  typedef ZoneDigestsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ZONES = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::ZoneDigest>> *zones() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::ZoneDigest>> *>(VT_ZONES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ZONES) &&
+           verifier.VerifyVector(zones()) &&
+           verifier.VerifyVectorOfTables(zones()) &&
+           verifier.EndTable();
+  }
+  ZoneDigestsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ZoneDigestsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ZoneDigests> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ZoneDigestsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ZoneDigestsBuilder {
+  typedef ZoneDigests Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_zones(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::ZoneDigest>>> zones) {
+    fbb_.AddOffset(ZoneDigests::VT_ZONES, zones);
+  }
+  explicit ZoneDigestsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ZoneDigests> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ZoneDigests>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ZoneDigests> CreateZoneDigests(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::ZoneDigest>>> zones = 0) {
+  ZoneDigestsBuilder builder_(_fbb);
+  builder_.add_zones(zones);
+  return builder_.Finish();
+}
+
+struct ZoneDigests::Traits {
+  using type = ZoneDigests;
+  static auto constexpr Create = CreateZoneDigests;
+};
+
+inline flatbuffers::Offset<ZoneDigests> CreateZoneDigestsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<bbv::wire::ZoneDigest>> *zones = nullptr) {
+  auto zones__ = zones ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::ZoneDigest>>(*zones) : 0;
+  return bbv::wire::CreateZoneDigests(
+      _fbb,
+      zones__);
+}
+
+flatbuffers::Offset<ZoneDigests> CreateZoneDigests(flatbuffers::FlatBufferBuilder &_fbb, const ZoneDigestsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct FaultNoticeT : public flatbuffers::NativeTable {
+  typedef FaultNotice TableType;
+  std::vector<bbv::wire::TargetFaultT> faults{};
+  bool forwarded = false;
+};
+
+/// Faults of targets, told at once. `forwarded` by a relay of another zone, which is passed on inside the zone only.
+struct FaultNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FaultNoticeT NativeTableType;
+  typedef FaultNoticeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FAULTS = 4,
+    VT_FORWARDED = 6
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::TargetFault>> *faults() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::TargetFault>> *>(VT_FAULTS);
+  }
+  bool forwarded() const {
+    return GetField<uint8_t>(VT_FORWARDED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_FAULTS) &&
+           verifier.VerifyVector(faults()) &&
+           verifier.VerifyVectorOfTables(faults()) &&
+           VerifyField<uint8_t>(verifier, VT_FORWARDED, 1) &&
+           verifier.EndTable();
+  }
+  FaultNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(FaultNoticeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<FaultNotice> Pack(flatbuffers::FlatBufferBuilder &_fbb, const FaultNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct FaultNoticeBuilder {
+  typedef FaultNotice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_faults(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::TargetFault>>> faults) {
+    fbb_.AddOffset(FaultNotice::VT_FAULTS, faults);
+  }
+  void add_forwarded(bool forwarded) {
+    fbb_.AddElement<uint8_t>(FaultNotice::VT_FORWARDED, static_cast<uint8_t>(forwarded), 0);
+  }
+  explicit FaultNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FaultNotice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FaultNotice>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FaultNotice> CreateFaultNotice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::TargetFault>>> faults = 0,
+    bool forwarded = false) {
+  FaultNoticeBuilder builder_(_fbb);
+  builder_.add_faults(faults);
+  builder_.add_forwarded(forwarded);
+  return builder_.Finish();
+}
+
+struct FaultNotice::Traits {
+  using type = FaultNotice;
+  static auto constexpr Create = CreateFaultNotice;
+};
+
+inline flatbuffers::Offset<FaultNotice> CreateFaultNoticeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<bbv::wire::TargetFault>> *faults = nullptr,
+    bool forwarded = false) {
+  auto faults__ = faults ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::TargetFault>>(*faults) : 0;
+  return bbv::wire::CreateFaultNotice(
+      _fbb,
+      faults__,
+      forwarded);
+}
+
+flatbuffers::Offset<FaultNotice> CreateFaultNotice(flatbuffers::FlatBufferBuilder &_fbb, const FaultNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ListedTargetT : public flatbuffers::NativeTable {
+  typedef ListedTarget TableType;
+  std::string id{};
   std::string service{};
-  uint32_t calls = 0;
-  uint32_t repeats = 0;
+  std::string address{};
+  std::string zone{};
+  std::string accelerator{};
+  uint32_t slots = 0;
+  bool leaving = false;
+  uint32_t from_layer = 0;
+  uint32_t to_layer = 0;
+  int64_t started_unix_ms = 0;
+  int64_t heartbeat = 0;
 };
 
-/// First sends and repeats of the sender to a service in its window.
-struct RetrySpending FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef RetrySpendingT NativeTableType;
-  typedef RetrySpendingBuilder Builder;
+/// A target as the store lists it.
+struct ListedTarget FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ListedTargetT NativeTableType;
+  typedef ListedTargetBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_SERVICE = 4,
-    VT_CALLS = 6,
-    VT_REPEATS = 8
+    VT_ID = 4,
+    VT_SERVICE = 6,
+    VT_ADDRESS = 8,
+    VT_ZONE = 10,
+    VT_ACCELERATOR = 12,
+    VT_SLOTS = 14,
+    VT_LEAVING = 16,
+    VT_FROM_LAYER = 18,
+    VT_TO_LAYER = 20,
+    VT_STARTED_UNIX_MS = 22,
+    VT_HEARTBEAT = 24
   };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
   }
-  uint32_t calls() const {
-    return GetField<uint32_t>(VT_CALLS, 0);
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
   }
-  uint32_t repeats() const {
-    return GetField<uint32_t>(VT_REPEATS, 0);
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  const flatbuffers::String *accelerator() const {
+    return GetPointer<const flatbuffers::String *>(VT_ACCELERATOR);
+  }
+  uint32_t slots() const {
+    return GetField<uint32_t>(VT_SLOTS, 0);
+  }
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
+  uint32_t from_layer() const {
+    return GetField<uint32_t>(VT_FROM_LAYER, 0);
+  }
+  uint32_t to_layer() const {
+    return GetField<uint32_t>(VT_TO_LAYER, 0);
+  }
+  int64_t started_unix_ms() const {
+    return GetField<int64_t>(VT_STARTED_UNIX_MS, 0);
+  }
+  int64_t heartbeat() const {
+    return GetField<int64_t>(VT_HEARTBEAT, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
            VerifyOffset(verifier, VT_SERVICE) &&
            verifier.VerifyString(service()) &&
-           VerifyField<uint32_t>(verifier, VT_CALLS, 4) &&
-           VerifyField<uint32_t>(verifier, VT_REPEATS, 4) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyOffset(verifier, VT_ACCELERATOR) &&
+           verifier.VerifyString(accelerator()) &&
+           VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyField<uint32_t>(verifier, VT_FROM_LAYER, 4) &&
+           VerifyField<uint32_t>(verifier, VT_TO_LAYER, 4) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_UNIX_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_HEARTBEAT, 8) &&
            verifier.EndTable();
   }
-  RetrySpendingT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(RetrySpendingT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<RetrySpending> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RetrySpendingT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  ListedTargetT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ListedTargetT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ListedTarget> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ListedTargetT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct RetrySpendingBuilder {
-  typedef RetrySpending Table;
+struct ListedTargetBuilder {
+  typedef ListedTarget Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(ListedTarget::VT_ID, id);
+  }
   void add_service(flatbuffers::Offset<flatbuffers::String> service) {
-    fbb_.AddOffset(RetrySpending::VT_SERVICE, service);
+    fbb_.AddOffset(ListedTarget::VT_SERVICE, service);
   }
-  void add_calls(uint32_t calls) {
-    fbb_.AddElement<uint32_t>(RetrySpending::VT_CALLS, calls, 0);
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(ListedTarget::VT_ADDRESS, address);
   }
-  void add_repeats(uint32_t repeats) {
-    fbb_.AddElement<uint32_t>(RetrySpending::VT_REPEATS, repeats, 0);
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(ListedTarget::VT_ZONE, zone);
   }
-  explicit RetrySpendingBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_accelerator(flatbuffers::Offset<flatbuffers::String> accelerator) {
+    fbb_.AddOffset(ListedTarget::VT_ACCELERATOR, accelerator);
+  }
+  void add_slots(uint32_t slots) {
+    fbb_.AddElement<uint32_t>(ListedTarget::VT_SLOTS, slots, 0);
+  }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(ListedTarget::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
+  void add_from_layer(uint32_t from_layer) {
+    fbb_.AddElement<uint32_t>(ListedTarget::VT_FROM_LAYER, from_layer, 0);
+  }
+  void add_to_layer(uint32_t to_layer) {
+    fbb_.AddElement<uint32_t>(ListedTarget::VT_TO_LAYER, to_layer, 0);
+  }
+  void add_started_unix_ms(int64_t started_unix_ms) {
+    fbb_.AddElement<int64_t>(ListedTarget::VT_STARTED_UNIX_MS, started_unix_ms, 0);
+  }
+  void add_heartbeat(int64_t heartbeat) {
+    fbb_.AddElement<int64_t>(ListedTarget::VT_HEARTBEAT, heartbeat, 0);
+  }
+  explicit ListedTargetBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<RetrySpending> Finish() {
+  flatbuffers::Offset<ListedTarget> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<RetrySpending>(end);
+    auto o = flatbuffers::Offset<ListedTarget>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<RetrySpending> CreateRetrySpending(
+inline flatbuffers::Offset<ListedTarget> CreateListedTarget(
     flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
     flatbuffers::Offset<flatbuffers::String> service = 0,
-    uint32_t calls = 0,
-    uint32_t repeats = 0) {
-  RetrySpendingBuilder builder_(_fbb);
-  builder_.add_repeats(repeats);
-  builder_.add_calls(calls);
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    flatbuffers::Offset<flatbuffers::String> accelerator = 0,
+    uint32_t slots = 0,
+    bool leaving = false,
+    uint32_t from_layer = 0,
+    uint32_t to_layer = 0,
+    int64_t started_unix_ms = 0,
+    int64_t heartbeat = 0) {
+  ListedTargetBuilder builder_(_fbb);
+  builder_.add_heartbeat(heartbeat);
+  builder_.add_started_unix_ms(started_unix_ms);
+  builder_.add_to_layer(to_layer);
+  builder_.add_from_layer(from_layer);
+  builder_.add_slots(slots);
+  builder_.add_accelerator(accelerator);
+  builder_.add_zone(zone);
+  builder_.add_address(address);
   builder_.add_service(service);
+  builder_.add_id(id);
+  builder_.add_leaving(leaving);
   return builder_.Finish();
 }
 
-struct RetrySpending::Traits {
-  using type = RetrySpending;
-  static auto constexpr Create = CreateRetrySpending;
+struct ListedTarget::Traits {
+  using type = ListedTarget;
+  static auto constexpr Create = CreateListedTarget;
 };
 
-inline flatbuffers::Offset<RetrySpending> CreateRetrySpendingDirect(
+inline flatbuffers::Offset<ListedTarget> CreateListedTargetDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
     const char *service = nullptr,
-    uint32_t calls = 0,
-    uint32_t repeats = 0) {
+    const char *address = nullptr,
+    const char *zone = nullptr,
+    const char *accelerator = nullptr,
+    uint32_t slots = 0,
+    bool leaving = false,
+    uint32_t from_layer = 0,
+    uint32_t to_layer = 0,
+    int64_t started_unix_ms = 0,
+    int64_t heartbeat = 0) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
-  return bbv::wire::CreateRetrySpending(
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto accelerator__ = accelerator ? _fbb.CreateString(accelerator) : 0;
+  return bbv::wire::CreateListedTarget(
       _fbb,
+      id__,
       service__,
-      calls,
-      repeats);
+      address__,
+      zone__,
+      accelerator__,
+      slots,
+      leaving,
+      from_layer,
+      to_layer,
+      started_unix_ms,
+      heartbeat);
 }
 
-flatbuffers::Offset<RetrySpending> CreateRetrySpending(flatbuffers::FlatBufferBuilder &_fbb, const RetrySpendingT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<ListedTarget> CreateListedTarget(flatbuffers::FlatBufferBuilder &_fbb, const ListedTargetT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct EntryStateT : public flatbuffers::NativeTable {
-  typedef EntryState TableType;
-  uint64_t configuration_version = 0;
-  int64_t planner_generation = 0;
-  bool leaving = false;
-  std::vector<bbv::wire::OwnLoadT> own{};
-  std::vector<bbv::wire::EngineLoadT> engines{};
-  std::vector<bbv::wire::TargetFaultT> faults{};
-  std::vector<bbv::wire::RetrySpendingT> retries{};
+struct TargetListDeltaT : public flatbuffers::NativeTable {
+  typedef TargetListDelta TableType;
+  int64_t from = 0;
+  int64_t to = 0;
+  bool whole = false;
+  uint32_t age_ms = 0;
+  std::vector<bbv::wire::ListedTargetT> changed{};
+  std::vector<std::string> removed{};
+  std::vector<bbv::wire::HeartbeatRow> heartbeats{};
 };
 
-/// What an entry tells the others a few times a second; `faults` since the last time.
-struct EntryState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef EntryStateT NativeTableType;
-  typedef EntryStateBuilder Builder;
+/// What one read of the target list brought: the records from offset `from` to before `to`, or all of the list when
+/// `whole`. Read `age_ms` ago when it was sent.
+struct TargetListDelta FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TargetListDeltaT NativeTableType;
+  typedef TargetListDeltaBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_CONFIGURATION_VERSION = 4,
-    VT_PLANNER_GENERATION = 6,
-    VT_LEAVING = 8,
-    VT_OWN = 10,
-    VT_ENGINES = 12,
-    VT_FAULTS = 14,
-    VT_RETRIES = 16
+    VT_FROM = 4,
+    VT_TO = 6,
+    VT_WHOLE = 8,
+    VT_AGE_MS = 10,
+    VT_CHANGED = 12,
+    VT_REMOVED = 14,
+    VT_HEARTBEATS = 16
   };
-  uint64_t configuration_version() const {
-    return GetField<uint64_t>(VT_CONFIGURATION_VERSION, 0);
+  int64_t from() const {
+    return GetField<int64_t>(VT_FROM, 0);
   }
-  int64_t planner_generation() const {
-    return GetField<int64_t>(VT_PLANNER_GENERATION, 0);
+  int64_t to() const {
+    return GetField<int64_t>(VT_TO, 0);
   }
-  /// The sender is stopping and takes no duty any more.
-  bool leaving() const {
-    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  bool whole() const {
+    return GetField<uint8_t>(VT_WHOLE, 0) != 0;
   }
-  const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::OwnLoad>> *own() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::OwnLoad>> *>(VT_OWN);
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::EngineLoad>> *engines() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::EngineLoad>> *>(VT_ENGINES);
+  const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::ListedTarget>> *changed() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::ListedTarget>> *>(VT_CHANGED);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::TargetFault>> *faults() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::TargetFault>> *>(VT_FAULTS);
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *removed() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_REMOVED);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::RetrySpending>> *retries() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::RetrySpending>> *>(VT_RETRIES);
+  const flatbuffers::Vector<const bbv::wire::HeartbeatRow *> *heartbeats() const {
+    return GetPointer<const flatbuffers::Vector<const bbv::wire::HeartbeatRow *> *>(VT_HEARTBEATS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_CONFIGURATION_VERSION, 8) &&
-           VerifyField<int64_t>(verifier, VT_PLANNER_GENERATION, 8) &&
-           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
-           VerifyOffset(verifier, VT_OWN) &&
-           verifier.VerifyVector(own()) &&
-           verifier.VerifyVectorOfTables(own()) &&
-           VerifyOffset(verifier, VT_ENGINES) &&
-           verifier.VerifyVector(engines()) &&
-           verifier.VerifyVectorOfTables(engines()) &&
-           VerifyOffset(verifier, VT_FAULTS) &&
-           verifier.VerifyVector(faults()) &&
-           verifier.VerifyVectorOfTables(faults()) &&
-           VerifyOffset(verifier, VT_RETRIES) &&
-           verifier.VerifyVector(retries()) &&
-           verifier.VerifyVectorOfTables(retries()) &&
+           VerifyField<int64_t>(verifier, VT_FROM, 8) &&
+           VerifyField<int64_t>(verifier, VT_TO, 8) &&
+           VerifyField<uint8_t>(verifier, VT_WHOLE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyOffset(verifier, VT_CHANGED) &&
+           verifier.VerifyVector(changed()) &&
+           verifier.VerifyVectorOfTables(changed()) &&
+           VerifyOffset(verifier, VT_REMOVED) &&
+           verifier.VerifyVector(removed()) &&
+           verifier.VerifyVectorOfStrings(removed()) &&
+           VerifyOffset(verifier, VT_HEARTBEATS) &&
+           verifier.VerifyVector(heartbeats()) &&
            verifier.EndTable();
   }
-  EntryStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(EntryStateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<EntryState> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryStateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  TargetListDeltaT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TargetListDeltaT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TargetListDelta> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TargetListDeltaT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct EntryStateBuilder {
-  typedef EntryState Table;
+struct TargetListDeltaBuilder {
+  typedef TargetListDelta Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_configuration_version(uint64_t configuration_version) {
-    fbb_.AddElement<uint64_t>(EntryState::VT_CONFIGURATION_VERSION, configuration_version, 0);
+  void add_from(int64_t from) {
+    fbb_.AddElement<int64_t>(TargetListDelta::VT_FROM, from, 0);
   }
-  void add_planner_generation(int64_t planner_generation) {
-    fbb_.AddElement<int64_t>(EntryState::VT_PLANNER_GENERATION, planner_generation, 0);
+  void add_to(int64_t to) {
+    fbb_.AddElement<int64_t>(TargetListDelta::VT_TO, to, 0);
   }
-  void add_leaving(bool leaving) {
-    fbb_.AddElement<uint8_t>(EntryState::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  void add_whole(bool whole) {
+    fbb_.AddElement<uint8_t>(TargetListDelta::VT_WHOLE, static_cast<uint8_t>(whole), 0);
   }
-  void add_own(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::OwnLoad>>> own) {
-    fbb_.AddOffset(EntryState::VT_OWN, own);
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(TargetListDelta::VT_AGE_MS, age_ms, 0);
   }
-  void add_engines(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::EngineLoad>>> engines) {
-    fbb_.AddOffset(EntryState::VT_ENGINES, engines);
+  void add_changed(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::ListedTarget>>> changed) {
+    fbb_.AddOffset(TargetListDelta::VT_CHANGED, changed);
   }
-  void add_faults(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::TargetFault>>> faults) {
-    fbb_.AddOffset(EntryState::VT_FAULTS, faults);
+  void add_removed(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed) {
+    fbb_.AddOffset(TargetListDelta::VT_REMOVED, removed);
   }
-  void add_retries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::RetrySpending>>> retries) {
-    fbb_.AddOffset(EntryState::VT_RETRIES, retries);
+  void add_heartbeats(flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::HeartbeatRow *>> heartbeats) {
+    fbb_.AddOffset(TargetListDelta::VT_HEARTBEATS, heartbeats);
   }
-  explicit EntryStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit TargetListDeltaBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<EntryState> Finish() {
+  flatbuffers::Offset<TargetListDelta> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<EntryState>(end);
+    auto o = flatbuffers::Offset<TargetListDelta>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<EntryState> CreateEntryState(
+inline flatbuffers::Offset<TargetListDelta> CreateTargetListDelta(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t configuration_version = 0,
-    int64_t planner_generation = 0,
-    bool leaving = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::OwnLoad>>> own = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::EngineLoad>>> engines = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::TargetFault>>> faults = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::RetrySpending>>> retries = 0) {
-  EntryStateBuilder builder_(_fbb);
-  builder_.add_planner_generation(planner_generation);
-  builder_.add_configuration_version(configuration_version);
-  builder_.add_retries(retries);
-  builder_.add_faults(faults);
-  builder_.add_engines(engines);
-  builder_.add_own(own);
-  builder_.add_leaving(leaving);
+    int64_t from = 0,
+    int64_t to = 0,
+    bool whole = false,
+    uint32_t age_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::ListedTarget>>> changed = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::HeartbeatRow *>> heartbeats = 0) {
+  TargetListDeltaBuilder builder_(_fbb);
+  builder_.add_to(to);
+  builder_.add_from(from);
+  builder_.add_heartbeats(heartbeats);
+  builder_.add_removed(removed);
+  builder_.add_changed(changed);
+  builder_.add_age_ms(age_ms);
+  builder_.add_whole(whole);
   return builder_.Finish();
 }
 
-struct EntryState::Traits {
-  using type = EntryState;
-  static auto constexpr Create = CreateEntryState;
+struct TargetListDelta::Traits {
+  using type = TargetListDelta;
+  static auto constexpr Create = CreateTargetListDelta;
 };
 
-inline flatbuffers::Offset<EntryState> CreateEntryStateDirect(
+inline flatbuffers::Offset<TargetListDelta> CreateTargetListDeltaDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t configuration_version = 0,
-    int64_t planner_generation = 0,
-    bool leaving = false,
-    const std::vector<flatbuffers::Offset<bbv::wire::OwnLoad>> *own = nullptr,
-    const std::vector<flatbuffers::Offset<bbv::wire::EngineLoad>> *engines = nullptr,
-    const std::vector<flatbuffers::Offset<bbv::wire::TargetFault>> *faults = nullptr,
-    const std::vector<flatbuffers::Offset<bbv::wire::RetrySpending>> *retries = nullptr) {
-  auto own__ = own ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::OwnLoad>>(*own) : 0;
-  auto engines__ = engines ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::EngineLoad>>(*engines) : 0;
-  auto faults__ = faults ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::TargetFault>>(*faults) : 0;
-  auto retries__ = retries ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::RetrySpending>>(*retries) : 0;
-  return bbv::wire::CreateEntryState(
+    int64_t from = 0,
+    int64_t to = 0,
+    bool whole = false,
+    uint32_t age_ms = 0,
+    const std::vector<flatbuffers::Offset<bbv::wire::ListedTarget>> *changed = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed = nullptr,
+    const std::vector<bbv::wire::HeartbeatRow> *heartbeats = nullptr) {
+  auto changed__ = changed ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::ListedTarget>>(*changed) : 0;
+  auto removed__ = removed ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*removed) : 0;
+  auto heartbeats__ = heartbeats ? _fbb.CreateVectorOfStructs<bbv::wire::HeartbeatRow>(*heartbeats) : 0;
+  return bbv::wire::CreateTargetListDelta(
       _fbb,
-      configuration_version,
-      planner_generation,
-      leaving,
-      own__,
-      engines__,
-      faults__,
-      retries__);
+      from,
+      to,
+      whole,
+      age_ms,
+      changed__,
+      removed__,
+      heartbeats__);
 }
 
-flatbuffers::Offset<EntryState> CreateEntryState(flatbuffers::FlatBufferBuilder &_fbb, const EntryStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<TargetListDelta> CreateTargetListDelta(flatbuffers::FlatBufferBuilder &_fbb, const TargetListDeltaT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct EntryConfigurationT : public flatbuffers::NativeTable {
   typedef EntryConfiguration TableType;
@@ -3855,6 +4658,15 @@
   const bbv::wire::EntryConfiguration *body_as_EntryConfiguration() const {
     return body_type() == bbv::wire::Body::EntryConfiguration ? static_cast<const bbv::wire::EntryConfiguration *>(body()) : nullptr;
   }
+  const bbv::wire::ZoneDigests *body_as_ZoneDigests() const {
+    return body_type() == bbv::wire::Body::ZoneDigests ? static_cast<const bbv::wire::ZoneDigests *>(body()) : nullptr;
+  }
+  const bbv::wire::FaultNotice *body_as_FaultNotice() const {
+    return body_type() == bbv::wire::Body::FaultNotice ? static_cast<const bbv::wire::FaultNotice *>(body()) : nullptr;
+  }
+  const bbv::wire::TargetListDelta *body_as_TargetListDelta() const {
+    return body_type() == bbv::wire::Body::TargetListDelta ? static_cast<const bbv::wire::TargetListDelta *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -3931,6 +4743,18 @@
   return body_as_EntryConfiguration();
 }
 
+template<> inline const bbv::wire::ZoneDigests *Frame::body_as<bbv::wire::ZoneDigests>() const {
+  return body_as_ZoneDigests();
+}
+
+template<> inline const bbv::wire::FaultNotice *Frame::body_as<bbv::wire::FaultNotice>() const {
+  return body_as_FaultNotice();
+}
+
+template<> inline const bbv::wire::TargetListDelta *Frame::body_as<bbv::wire::TargetListDelta>() const {
+  return body_as_TargetListDelta();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5236,204 +6060,94 @@
 inline void ServiceAnswer::UnPackTo(ServiceAnswerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = request(); if (_e) _o->request = *_e; }
-  { auto _e = caller(); _o->caller = _e; }
-  { auto _e = outcome(); _o->outcome = _e; }
-  { auto _e = reason(); _o->reason = _e; }
-  { auto _e = holder(); if (_e) _o->holder = _e->str(); }
-  { auto _e = status(); _o->status = _e; }
-  { auto _e = headers(); if (_e) { _o->headers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->headers[_i] = *std::unique_ptr<bbv::wire::HeaderT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
-  { auto _e = retry_after_milliseconds(); _o->retry_after_milliseconds = _e; }
-}
-
-inline flatbuffers::Offset<ServiceAnswer> ServiceAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServiceAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateServiceAnswer(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<ServiceAnswer> CreateServiceAnswer(flatbuffers::FlatBufferBuilder &_fbb, const ServiceAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ServiceAnswerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _request = &_o->request;
-  auto _caller = _o->caller;
-  auto _outcome = _o->outcome;
-  auto _reason = _o->reason;
-  auto _holder = _o->holder.empty() ? 0 : _fbb.CreateString(_o->holder);
-  auto _status = _o->status;
-  auto _headers = _o->headers.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::Header>> (_o->headers.size(), [](size_t i, _VectorArgs *__va) { return CreateHeader(*__va->__fbb, &(__va->__o->headers[i]), __va->__rehasher); }, &_va ) : 0;
-  auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
-  auto _retry_after_milliseconds = _o->retry_after_milliseconds;
-  return bbv::wire::CreateServiceAnswer(
-      _fbb,
-      _request,
-      _caller,
-      _outcome,
-      _reason,
-      _holder,
-      _status,
-      _headers,
-      _body,
-      _retry_after_milliseconds);
-}
-
-
-inline bool operator==(const EntryHelloT &lhs, const EntryHelloT &rhs) {
-  return
-      (lhs.node == rhs.node) &&
-      (lhs.address == rhs.address);
-}
-
-inline bool operator!=(const EntryHelloT &lhs, const EntryHelloT &rhs) {
-    return !(lhs == rhs);
-}
-
-
-inline EntryHelloT *EntryHello::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<EntryHelloT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void EntryHello::UnPackTo(EntryHelloT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = node(); if (_e) _o->node = _e->str(); }
-  { auto _e = address(); if (_e) _o->address = _e->str(); }
-}
-
-inline flatbuffers::Offset<EntryHello> EntryHello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateEntryHello(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<EntryHello> CreateEntryHello(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EntryHelloT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _node = _o->node.empty() ? 0 : _fbb.CreateString(_o->node);
-  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
-  return bbv::wire::CreateEntryHello(
-      _fbb,
-      _node,
-      _address);
-}
-
-
-inline bool operator==(const EngineLoadT &lhs, const EngineLoadT &rhs) {
-  return
-      (lhs.target == rhs.target) &&
-      (lhs.started_unix_ms == rhs.started_unix_ms) &&
-      (lhs.pace == rhs.pace) &&
-      (lhs.active == rhs.active) &&
-      (lhs.queued == rhs.queued) &&
-      (lhs.used_token_layers == rhs.used_token_layers) &&
-      (lhs.from_layer == rhs.from_layer) &&
-      (lhs.to_layer == rhs.to_layer) &&
-      (lhs.age_ms == rhs.age_ms);
-}
-
-inline bool operator!=(const EngineLoadT &lhs, const EngineLoadT &rhs) {
-    return !(lhs == rhs);
-}
-
-
-inline EngineLoadT *EngineLoad::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<EngineLoadT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void EngineLoad::UnPackTo(EngineLoadT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = target(); if (_e) _o->target = _e->str(); }
-  { auto _e = started_unix_ms(); _o->started_unix_ms = _e; }
-  { auto _e = pace(); _o->pace = _e; }
-  { auto _e = active(); _o->active = _e; }
-  { auto _e = queued(); _o->queued = _e; }
-  { auto _e = used_token_layers(); _o->used_token_layers = _e; }
-  { auto _e = from_layer(); _o->from_layer = _e; }
-  { auto _e = to_layer(); _o->to_layer = _e; }
-  { auto _e = age_ms(); _o->age_ms = _e; }
+  { auto _e = request(); if (_e) _o->request = *_e; }
+  { auto _e = caller(); _o->caller = _e; }
+  { auto _e = outcome(); _o->outcome = _e; }
+  { auto _e = reason(); _o->reason = _e; }
+  { auto _e = holder(); if (_e) _o->holder = _e->str(); }
+  { auto _e = status(); _o->status = _e; }
+  { auto _e = headers(); if (_e) { _o->headers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->headers[_i] = *std::unique_ptr<bbv::wire::HeaderT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
+  { auto _e = retry_after_milliseconds(); _o->retry_after_milliseconds = _e; }
 }
 
-inline flatbuffers::Offset<EngineLoad> EngineLoad::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineLoadT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateEngineLoad(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<ServiceAnswer> ServiceAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ServiceAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateServiceAnswer(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<EngineLoad> CreateEngineLoad(flatbuffers::FlatBufferBuilder &_fbb, const EngineLoadT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<ServiceAnswer> CreateServiceAnswer(flatbuffers::FlatBufferBuilder &_fbb, const ServiceAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EngineLoadT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
-  auto _started_unix_ms = _o->started_unix_ms;
-  auto _pace = _o->pace;
-  auto _active = _o->active;
-  auto _queued = _o->queued;
-  auto _used_token_layers = _o->used_token_layers;
-  auto _from_layer = _o->from_layer;
-  auto _to_layer = _o->to_layer;
-  auto _age_ms = _o->age_ms;
-  return bbv::wire::CreateEngineLoad(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ServiceAnswerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request = &_o->request;
+  auto _caller = _o->caller;
+  auto _outcome = _o->outcome;
+  auto _reason = _o->reason;
+  auto _holder = _o->holder.empty() ? 0 : _fbb.CreateString(_o->holder);
+  auto _status = _o->status;
+  auto _headers = _o->headers.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::Header>> (_o->headers.size(), [](size_t i, _VectorArgs *__va) { return CreateHeader(*__va->__fbb, &(__va->__o->headers[i]), __va->__rehasher); }, &_va ) : 0;
+  auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
+  auto _retry_after_milliseconds = _o->retry_after_milliseconds;
+  return bbv::wire::CreateServiceAnswer(
       _fbb,
-      _target,
-      _started_unix_ms,
-      _pace,
-      _active,
-      _queued,
-      _used_token_layers,
-      _from_layer,
-      _to_layer,
-      _age_ms);
+      _request,
+      _caller,
+      _outcome,
+      _reason,
+      _holder,
+      _status,
+      _headers,
+      _body,
+      _retry_after_milliseconds);
 }
 
 
-inline bool operator==(const OwnLoadT &lhs, const OwnLoadT &rhs) {
+inline bool operator==(const EntryHelloT &lhs, const EntryHelloT &rhs) {
   return
-      (lhs.target == rhs.target) &&
-      (lhs.calls == rhs.calls) &&
-      (lhs.token_layers == rhs.token_layers) &&
-      (lhs.unread_tokens == rhs.unread_tokens);
+      (lhs.node == rhs.node) &&
+      (lhs.address == rhs.address) &&
+      (lhs.zone == rhs.zone) &&
+      (lhs.capacity == rhs.capacity);
 }
 
-inline bool operator!=(const OwnLoadT &lhs, const OwnLoadT &rhs) {
+inline bool operator!=(const EntryHelloT &lhs, const EntryHelloT &rhs) {
     return !(lhs == rhs);
 }
 
 
-inline OwnLoadT *OwnLoad::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<OwnLoadT>();
+inline EntryHelloT *EntryHello::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EntryHelloT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void OwnLoad::UnPackTo(OwnLoadT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void EntryHello::UnPackTo(EntryHelloT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = target(); if (_e) _o->target = _e->str(); }
-  { auto _e = calls(); _o->calls = _e; }
-  { auto _e = token_layers(); _o->token_layers = _e; }
-  { auto _e = unread_tokens(); _o->unread_tokens = _e; }
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = capacity(); _o->capacity = _e; }
 }
 
-inline flatbuffers::Offset<OwnLoad> OwnLoad::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OwnLoadT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateOwnLoad(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<EntryHello> EntryHello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEntryHello(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<OwnLoad> CreateOwnLoad(flatbuffers::FlatBufferBuilder &_fbb, const OwnLoadT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<EntryHello> CreateEntryHello(flatbuffers::FlatBufferBuilder &_fbb, const EntryHelloT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OwnLoadT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
-  auto _calls = _o->calls;
-  auto _token_layers = _o->token_layers;
-  auto _unread_tokens = _o->unread_tokens;
-  return bbv::wire::CreateOwnLoad(
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EntryHelloT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _node = _o->node.empty() ? 0 : _fbb.CreateString(_o->node);
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _capacity = _o->capacity;
+  return bbv::wire::CreateEntryHello(
       _fbb,
-      _target,
-      _calls,
-      _token_layers,
-      _unread_tokens);
+      _node,
+      _address,
+      _zone,
+      _capacity);
 }
 
 
@@ -5533,12 +6247,13 @@
 
 inline bool operator==(const EntryStateT &lhs, const EntryStateT &rhs) {
   return
+      (lhs.sequence == rhs.sequence) &&
       (lhs.configuration_version == rhs.configuration_version) &&
-      (lhs.planner_generation == rhs.planner_generation) &&
+      (lhs.plans == rhs.plans) &&
       (lhs.leaving == rhs.leaving) &&
+      (lhs.reads_store == rhs.reads_store) &&
       (lhs.own == rhs.own) &&
       (lhs.engines == rhs.engines) &&
-      (lhs.faults == rhs.faults) &&
       (lhs.retries == rhs.retries);
 }
 
@@ -5556,12 +6271,13 @@
 inline void EntryState::UnPackTo(EntryStateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
+  { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = configuration_version(); _o->configuration_version = _e; }
-  { auto _e = planner_generation(); _o->planner_generation = _e; }
+  { auto _e = plans(); _o->plans = _e; }
   { auto _e = leaving(); _o->leaving = _e; }
-  { auto _e = own(); if (_e) { _o->own.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->own[_i] = *std::unique_ptr<bbv::wire::OwnLoadT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = engines(); if (_e) { _o->engines.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->engines[_i] = *std::unique_ptr<bbv::wire::EngineLoadT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = faults(); if (_e) { _o->faults.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->faults[_i] = *std::unique_ptr<bbv::wire::TargetFaultT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = reads_store(); _o->reads_store = _e; }
+  { auto _e = own(); if (_e) { _o->own.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->own[_i] = *_e->Get(_i); } } }
+  { auto _e = engines(); if (_e) { _o->engines.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->engines[_i] = *_e->Get(_i); } } }
   { auto _e = retries(); if (_e) { _o->retries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->retries[_i] = *std::unique_ptr<bbv::wire::RetrySpendingT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
@@ -5573,25 +6289,316 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EntryStateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _sequence = _o->sequence;
   auto _configuration_version = _o->configuration_version;
-  auto _planner_generation = _o->planner_generation;
+  auto _plans = _o->plans;
   auto _leaving = _o->leaving;
-  auto _own = _o->own.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::OwnLoad>> (_o->own.size(), [](size_t i, _VectorArgs *__va) { return CreateOwnLoad(*__va->__fbb, &(__va->__o->own[i]), __va->__rehasher); }, &_va ) : 0;
-  auto _engines = _o->engines.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::EngineLoad>> (_o->engines.size(), [](size_t i, _VectorArgs *__va) { return CreateEngineLoad(*__va->__fbb, &(__va->__o->engines[i]), __va->__rehasher); }, &_va ) : 0;
-  auto _faults = _o->faults.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::TargetFault>> (_o->faults.size(), [](size_t i, _VectorArgs *__va) { return CreateTargetFault(*__va->__fbb, &(__va->__o->faults[i]), __va->__rehasher); }, &_va ) : 0;
+  auto _reads_store = _o->reads_store;
+  auto _own = _o->own.size() ? _fbb.CreateVectorOfStructs(_o->own) : 0;
+  auto _engines = _o->engines.size() ? _fbb.CreateVectorOfStructs(_o->engines) : 0;
   auto _retries = _o->retries.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::RetrySpending>> (_o->retries.size(), [](size_t i, _VectorArgs *__va) { return CreateRetrySpending(*__va->__fbb, &(__va->__o->retries[i]), __va->__rehasher); }, &_va ) : 0;
   return bbv::wire::CreateEntryState(
       _fbb,
+      _sequence,
       _configuration_version,
-      _planner_generation,
+      _plans,
       _leaving,
+      _reads_store,
       _own,
       _engines,
-      _faults,
       _retries);
 }
 
 
+inline bool operator==(const ZoneDigestT &lhs, const ZoneDigestT &rhs) {
+  return
+      (lhs.zone == rhs.zone) &&
+      (lhs.sequence == rhs.sequence) &&
+      (lhs.configuration_version == rhs.configuration_version) &&
+      (lhs.known == rhs.known) &&
+      (lhs.live == rhs.live) &&
+      (lhs.plans == rhs.plans) &&
+      (lhs.members == rhs.members) &&
+      (lhs.loads == rhs.loads) &&
+      (lhs.engines == rhs.engines) &&
+      (lhs.retries == rhs.retries);
+}
+
+inline bool operator!=(const ZoneDigestT &lhs, const ZoneDigestT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline ZoneDigestT *ZoneDigest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ZoneDigestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ZoneDigest::UnPackTo(ZoneDigestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = configuration_version(); _o->configuration_version = _e; }
+  { auto _e = known(); _o->known = _e; }
+  { auto _e = live(); _o->live = _e; }
+  { auto _e = plans(); _o->plans = _e; }
+  { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = *_e->Get(_i); } } }
+  { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = *_e->Get(_i); } } }
+  { auto _e = engines(); if (_e) { _o->engines.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->engines[_i] = *_e->Get(_i); } } }
+  { auto _e = retries(); if (_e) { _o->retries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->retries[_i] = *std::unique_ptr<bbv::wire::RetrySpendingT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<ZoneDigest> ZoneDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ZoneDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateZoneDigest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ZoneDigest> CreateZoneDigest(flatbuffers::FlatBufferBuilder &_fbb, const ZoneDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ZoneDigestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _sequence = _o->sequence;
+  auto _configuration_version = _o->configuration_version;
+  auto _known = _o->known;
+  auto _live = _o->live;
+  auto _plans = _o->plans;
+  auto _members = _o->members.size() ? _fbb.CreateVectorOfStructs(_o->members) : 0;
+  auto _loads = _o->loads.size() ? _fbb.CreateVectorOfStructs(_o->loads) : 0;
+  auto _engines = _o->engines.size() ? _fbb.CreateVectorOfStructs(_o->engines) : 0;
+  auto _retries = _o->retries.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::RetrySpending>> (_o->retries.size(), [](size_t i, _VectorArgs *__va) { return CreateRetrySpending(*__va->__fbb, &(__va->__o->retries[i]), __va->__rehasher); }, &_va ) : 0;
+  return bbv::wire::CreateZoneDigest(
+      _fbb,
+      _zone,
+      _sequence,
+      _configuration_version,
+      _known,
+      _live,
+      _plans,
+      _members,
+      _loads,
+      _engines,
+      _retries);
+}
+
+
+inline bool operator==(const ZoneDigestsT &lhs, const ZoneDigestsT &rhs) {
+  return
+      (lhs.zones == rhs.zones);
+}
+
+inline bool operator!=(const ZoneDigestsT &lhs, const ZoneDigestsT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline ZoneDigestsT *ZoneDigests::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ZoneDigestsT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ZoneDigests::UnPackTo(ZoneDigestsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = zones(); if (_e) { _o->zones.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->zones[_i] = *std::unique_ptr<bbv::wire::ZoneDigestT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<ZoneDigests> ZoneDigests::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ZoneDigestsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateZoneDigests(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ZoneDigests> CreateZoneDigests(flatbuffers::FlatBufferBuilder &_fbb, const ZoneDigestsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ZoneDigestsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _zones = _o->zones.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::ZoneDigest>> (_o->zones.size(), [](size_t i, _VectorArgs *__va) { return CreateZoneDigest(*__va->__fbb, &(__va->__o->zones[i]), __va->__rehasher); }, &_va ) : 0;
+  return bbv::wire::CreateZoneDigests(
+      _fbb,
+      _zones);
+}
+
+
+inline bool operator==(const FaultNoticeT &lhs, const FaultNoticeT &rhs) {
+  return
+      (lhs.faults == rhs.faults) &&
+      (lhs.forwarded == rhs.forwarded);
+}
+
+inline bool operator!=(const FaultNoticeT &lhs, const FaultNoticeT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline FaultNoticeT *FaultNotice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<FaultNoticeT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void FaultNotice::UnPackTo(FaultNoticeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = faults(); if (_e) { _o->faults.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->faults[_i] = *std::unique_ptr<bbv::wire::TargetFaultT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = forwarded(); _o->forwarded = _e; }
+}
+
+inline flatbuffers::Offset<FaultNotice> FaultNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FaultNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateFaultNotice(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<FaultNotice> CreateFaultNotice(flatbuffers::FlatBufferBuilder &_fbb, const FaultNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const FaultNoticeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _faults = _o->faults.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::TargetFault>> (_o->faults.size(), [](size_t i, _VectorArgs *__va) { return CreateTargetFault(*__va->__fbb, &(__va->__o->faults[i]), __va->__rehasher); }, &_va ) : 0;
+  auto _forwarded = _o->forwarded;
+  return bbv::wire::CreateFaultNotice(
+      _fbb,
+      _faults,
+      _forwarded);
+}
+
+
+inline bool operator==(const ListedTargetT &lhs, const ListedTargetT &rhs) {
+  return
+      (lhs.id == rhs.id) &&
+      (lhs.service == rhs.service) &&
+      (lhs.address == rhs.address) &&
+      (lhs.zone == rhs.zone) &&
+      (lhs.accelerator == rhs.accelerator) &&
+      (lhs.slots == rhs.slots) &&
+      (lhs.leaving == rhs.leaving) &&
+      (lhs.from_layer == rhs.from_layer) &&
+      (lhs.to_layer == rhs.to_layer) &&
+      (lhs.started_unix_ms == rhs.started_unix_ms) &&
+      (lhs.heartbeat == rhs.heartbeat);
+}
+
+inline bool operator!=(const ListedTargetT &lhs, const ListedTargetT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline ListedTargetT *ListedTarget::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ListedTargetT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ListedTarget::UnPackTo(ListedTargetT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = accelerator(); if (_e) _o->accelerator = _e->str(); }
+  { auto _e = slots(); _o->slots = _e; }
+  { auto _e = leaving(); _o->leaving = _e; }
+  { auto _e = from_layer(); _o->from_layer = _e; }
+  { auto _e = to_layer(); _o->to_layer = _e; }
+  { auto _e = started_unix_ms(); _o->started_unix_ms = _e; }
+  { auto _e = heartbeat(); _o->heartbeat = _e; }
+}
+
+inline flatbuffers::Offset<ListedTarget> ListedTarget::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ListedTargetT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateListedTarget(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ListedTarget> CreateListedTarget(flatbuffers::FlatBufferBuilder &_fbb, const ListedTargetT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ListedTargetT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _accelerator = _o->accelerator.empty() ? 0 : _fbb.CreateString(_o->accelerator);
+  auto _slots = _o->slots;
+  auto _leaving = _o->leaving;
+  auto _from_layer = _o->from_layer;
+  auto _to_layer = _o->to_layer;
+  auto _started_unix_ms = _o->started_unix_ms;
+  auto _heartbeat = _o->heartbeat;
+  return bbv::wire::CreateListedTarget(
+      _fbb,
+      _id,
+      _service,
+      _address,
+      _zone,
+      _accelerator,
+      _slots,
+      _leaving,
+      _from_layer,
+      _to_layer,
+      _started_unix_ms,
+      _heartbeat);
+}
+
+
+inline bool operator==(const TargetListDeltaT &lhs, const TargetListDeltaT &rhs) {
+  return
+      (lhs.from == rhs.from) &&
+      (lhs.to == rhs.to) &&
+      (lhs.whole == rhs.whole) &&
+      (lhs.age_ms == rhs.age_ms) &&
+      (lhs.changed == rhs.changed) &&
+      (lhs.removed == rhs.removed) &&
+      (lhs.heartbeats == rhs.heartbeats);
+}
+
+inline bool operator!=(const TargetListDeltaT &lhs, const TargetListDeltaT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline TargetListDeltaT *TargetListDelta::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TargetListDeltaT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TargetListDelta::UnPackTo(TargetListDeltaT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = from(); _o->from = _e; }
+  { auto _e = to(); _o->to = _e; }
+  { auto _e = whole(); _o->whole = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+  { auto _e = changed(); if (_e) { _o->changed.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->changed[_i] = *std::unique_ptr<bbv::wire::ListedTargetT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = removed(); if (_e) { _o->removed.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->removed[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = heartbeats(); if (_e) { _o->heartbeats.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->heartbeats[_i] = *_e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<TargetListDelta> TargetListDelta::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TargetListDeltaT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTargetListDelta(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TargetListDelta> CreateTargetListDelta(flatbuffers::FlatBufferBuilder &_fbb, const TargetListDeltaT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TargetListDeltaT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _from = _o->from;
+  auto _to = _o->to;
+  auto _whole = _o->whole;
+  auto _age_ms = _o->age_ms;
+  auto _changed = _o->changed.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::ListedTarget>> (_o->changed.size(), [](size_t i, _VectorArgs *__va) { return CreateListedTarget(*__va->__fbb, &(__va->__o->changed[i]), __va->__rehasher); }, &_va ) : 0;
+  auto _removed = _o->removed.size() ? _fbb.CreateVectorOfStrings(_o->removed) : 0;
+  auto _heartbeats = _o->heartbeats.size() ? _fbb.CreateVectorOfStructs(_o->heartbeats) : 0;
+  return bbv::wire::CreateTargetListDelta(
+      _fbb,
+      _from,
+      _to,
+      _whole,
+      _age_ms,
+      _changed,
+      _removed,
+      _heartbeats);
+}
+
+
 inline bool operator==(const EntryConfigurationT &lhs, const EntryConfigurationT &rhs) {
   return
       (lhs.version == rhs.version) &&
@@ -5880,6 +6887,18 @@
       auto ptr = reinterpret_cast<const bbv::wire::EntryConfiguration *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::ZoneDigests: {
+      auto ptr = reinterpret_cast<const bbv::wire::ZoneDigests *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::FaultNotice: {
+      auto ptr = reinterpret_cast<const bbv::wire::FaultNotice *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::TargetListDelta: {
+      auto ptr = reinterpret_cast<const bbv::wire::TargetListDelta *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -5963,6 +6982,18 @@
       auto ptr = reinterpret_cast<const bbv::wire::EntryConfiguration *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::ZoneDigests: {
+      auto ptr = reinterpret_cast<const bbv::wire::ZoneDigests *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::FaultNotice: {
+      auto ptr = reinterpret_cast<const bbv::wire::FaultNotice *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::TargetListDelta: {
+      auto ptr = reinterpret_cast<const bbv::wire::TargetListDelta *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6034,6 +7065,18 @@
       auto ptr = reinterpret_cast<const bbv::wire::EntryConfigurationT *>(value);
       return CreateEntryConfiguration(_fbb, ptr, _rehasher).Union();
     }
+    case Body::ZoneDigests: {
+      auto ptr = reinterpret_cast<const bbv::wire::ZoneDigestsT *>(value);
+      return CreateZoneDigests(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::FaultNotice: {
+      auto ptr = reinterpret_cast<const bbv::wire::FaultNoticeT *>(value);
+      return CreateFaultNotice(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::TargetListDelta: {
+      auto ptr = reinterpret_cast<const bbv::wire::TargetListDeltaT *>(value);
+      return CreateTargetListDelta(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -6104,6 +7147,18 @@
       value = new bbv::wire::EntryConfigurationT(*reinterpret_cast<bbv::wire::EntryConfigurationT *>(u.value));
       break;
     }
+    case Body::ZoneDigests: {
+      value = new bbv::wire::ZoneDigestsT(*reinterpret_cast<bbv::wire::ZoneDigestsT *>(u.value));
+      break;
+    }
+    case Body::FaultNotice: {
+      value = new bbv::wire::FaultNoticeT(*reinterpret_cast<bbv::wire::FaultNoticeT *>(u.value));
+      break;
+    }
+    case Body::TargetListDelta: {
+      value = new bbv::wire::TargetListDeltaT(*reinterpret_cast<bbv::wire::TargetListDeltaT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -6191,6 +7246,21 @@
       delete ptr;
       break;
     }
+    case Body::ZoneDigests: {
+      auto ptr = reinterpret_cast<bbv::wire::ZoneDigestsT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::FaultNotice: {
+      auto ptr = reinterpret_cast<bbv::wire::FaultNoticeT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::TargetListDelta: {
+      auto ptr = reinterpret_cast<bbv::wire::TargetListDeltaT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/tests/fleet_floor_test.cc
+++ b/tests/fleet_floor_test.cc
@@ -131,6 +131,37 @@
   FAIL("the second configuration is not in force after 2 s");
 }
 
+TEST(FleetFloor, OneEntryReadsTheStoreForItsZone) {
+  constexpr int kEntries = 5;
+  constexpr int kSeconds = 5;
+  StartFloor(kEntries);
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  const auto before = floor->store().CallCounts();
+  std::this_thread::sleep_for(std::chrono::seconds(kSeconds));
+  const auto after = floor->store().CallCounts();
+  const auto calls = [&](const std::string& call) {
+    const auto it = before.find(call);
+    return after.at(call) - (it == before.end() ? 0 : it->second);
+  };
+  std::string all;
+  for (const auto& [call, n] : after)
+    all += call + ": " + std::to_string(calls(call)) + "\n";
+  // One reader that waits 700 ms at a time, a second one where it was late.
+  if (calls("/v1/log-read keyed.servers") > 2 * kSeconds)
+    FAIL(all.c_str());
+  // Two entries wait for configurations, 2.5 s at a time.
+  if (calls("/v1/log-read keyed.op") > kSeconds)
+    FAIL(all.c_str());
+  // One entry seeks the planner's lease.
+  if (calls("/v1/log-join ") > 2 * kSeconds)
+    FAIL(all.c_str());
+  int total = 0;
+  for (const auto& [call, n] : after)
+    total += calls(call);
+  if (total > kEntries * kSeconds)
+    FAIL(all.c_str());
+}
+
 TEST(FleetFloor, GoesOnServingWhileTheStoreIsAway) {
   StartFloor(1);
   floor->store().SetOutage(true);
--- a/tests/real_floor_test.cc
+++ b/tests/real_floor_test.cc
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <map>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
@@ -187,6 +188,13 @@
   std::atomic<bool> stopping{false};
   std::atomic<int> cut{0};
   std::atomic<int> served{0};
+  std::mutex mutex;
+  std::vector<std::string> cuts;
+  const auto note_cut = [&](const std::string& what) {
+    ++cut;
+    const std::lock_guard lock(mutex);
+    cuts.push_back(what);
+  };
   constexpr int kCallers = 6;
   std::vector<std::thread> callers;
   callers.reserve(kCallers);
@@ -203,12 +211,20 @@
         if (answer.whole && answer.text == floor.ExpectedText(prompt, 20))
           ++served;
         else if (answer.outcome != "not-run" || answer.status == 200)
-          ++cut;
+          note_cut("completion at entry " + std::to_string(entry) +
+                   ", status " + std::to_string(answer.status) + ", outcome " +
+                   answer.outcome + ", last event " +
+                   std::to_string(answer.last_event_id));
         const auto call = floor.Call(entry, it, "POST", "/bookings", prompt);
-        if (!call ||
-            (call->status != 200 &&
-             call->get_header_value("Bluebellvalve-Outcome") != "not-run"))
-          ++cut;
+        if (!call) {
+          note_cut("call at entry " + std::to_string(entry) + ": " +
+                   httplib::to_string(call.error()));
+        } else if (call->status != 200 &&
+                   call->get_header_value("Bluebellvalve-Outcome") !=
+                       "not-run") {
+          note_cut("call at entry " + std::to_string(entry) + ", status " +
+                   std::to_string(call->status));
+        }
       }
     });
   }
@@ -228,6 +244,8 @@
   stopping = true;
   for (std::thread& caller : callers)
     caller.join();
+  for (const std::string& it : cuts)
+    UT_PRINT(it.c_str());
   CHECK_EQUAL(0, cut.load());
   CHECK_TRUE(served > 0);
   CheckNoFaults(floor.EngineTraceFaults());
--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -56,7 +56,11 @@
 
 FleetStore::FleetStore() {
   Prepare(&server_);
-  server_.set_pre_routing_handler([this](const auto&, auto& response) {
+  server_.set_pre_routing_handler([this](const auto& request, auto& response) {
+    {
+      const std::lock_guard lock(mutex_);
+      ++call_counts_[request.path + ' ' + request.get_param_value("topic")];
+    }
     if (!outage_)
       return httplib::Server::HandlerResponse::Unhandled;
     response.status = 503;
@@ -108,6 +112,11 @@
   appended_.notify_all();
 }
 
+std::map<std::string, int> FleetStore::CallCounts() {
+  const std::lock_guard lock(mutex_);
+  return call_counts_;
+}
+
 void FleetStore::Compact(const std::string& topic) {
   const std::lock_guard lock(mutex_);
   Topic& it = topics_[topic];
--- a/tests/standins/fleet_standin.h
+++ b/tests/standins/fleet_standin.h
@@ -40,6 +40,9 @@
   // While set, every call is answered 503.
   void SetOutage(bool outage) { outage_ = outage; }
 
+  // Calls answered so far, by path and topic or group.
+  std::map<std::string, int> CallCounts();
+
   // Drops all records but the newest of each key.
   void Compact(const std::string& topic);
 
@@ -67,6 +70,7 @@
   std::mutex mutex_;
   std::condition_variable appended_;
   std::map<std::string, Topic> topics_;
+  std::map<std::string, int> call_counts_;
   std::string group_holder_;
   std::chrono::steady_clock::time_point group_until_;
   int64_t generation_ = 0;
