Lose no target after a failed read; one planner; wait at busy hops

From 20.4 to 25.8 s two entries planned against each other: the one cut off from the store kept its lapsed lease. Half of the streams after the restart were refused as "no-target", as memory used beyond its bound counted as missing layers. Where the first in rank was cut off nobody sought the lease. Ruled out: restarts of the entries (the loss began before), false list records. Change: only a list that was read whole tells what is missing; a lapsed lease ends when another entry plans; the first that reaches the store seeks the lease, 0.8 s after its start at the earliest; full targets lack room, not layers; a hop counts half a pass of a busy target. Tests, each failing before: FleetFloor.AReaderCutOffFromTheStoreLosesNoTarget and APlannerCutOffFromTheStoreMakesWayForTheNext (the store's stand-in now keeps changes alone, as the real one), PathChooser.AnOverfullTargetLacksRoomAndNotLayers and BusyTargetsAreNotUsedForAFewOfTheirLayers.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -23,6 +23,8 @@
 constexpr Milliseconds kDefaultWait{30'000};
 // For how long callers of a starting entry wait for it to know where to send.
 constexpr Milliseconds kStartHold{700};
+// Time in which a starting entry learns of those that rank before it.
+constexpr Milliseconds kLeaseDelay{800};
 // Entries that are assumed to share the retry budget before any list of them.
 constexpr int kUnknownEntries = 24;
 // When this entry reaches none of more targets than this within a short time,
@@ -138,6 +140,7 @@
   if (!fault.empty())
     return fault;
   hold_until_ = EventLoop::Now() + kStartHold;
+  seek_lease_at_ = EventLoop::Now() + kLeaseDelay;
   loop_.SetTick(kTick, [this] { OnTick(); });
   loop_.OnSignal(SIGTERM, [this] { BeginStop(); });
   loop_.OnSignal(SIGINT, [this] { BeginStop(); });
@@ -385,7 +388,7 @@
   configuration_.OnTick(reader_rank < kConfigurationReaders, draw_, now);
   targets_.OnTick(reader_rank, draw_, now);
   planner_.SetCandidate(peers_.known_entries().has_value() &&
-                        peers_.members().own_rank() == 0);
+                        now >= seek_lease_at_ && reader_rank == 0);
   planner_.OnTick(configuration_.current(), targets_.complete(),
                   targets_.last_new_target(), now);
   if (planner_.plans() && configuration_.current() != nullptr)
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -141,6 +141,8 @@
   // Whether callers' connections may be on hold, and until when.
   bool holding_ = true;
   Instant hold_until_{};
+  // From when on it may seek the planner's lease.
+  Instant seek_lease_at_{};
 };
 
 }  // namespace bbv
--- a/modules/bbv_entry/planner_agent.cc
+++ b/modules/bbv_entry/planner_agent.cc
@@ -95,9 +95,10 @@
 }
 
 void PlannerAgent::RenewLease(Instant now) {
-  // While the store cannot be reached nobody else is given the lease, or this
-  // entry alone is cut off and the orders' preconditions keep the two apart.
-  if (holds_lease_ && now >= lease_until_ && store_->reachable())
+  // While the store cannot be reached by any entry nobody else is given the
+  // lease. One that alone is cut off hears of the next holder from its peers.
+  if (holds_lease_ && now >= lease_until_ &&
+      (store_->reachable() || peer_plans_))
     SetLease(false, now);
   if (joining_ || leaving_ || now < next_join_ || !SeeksLease(now))
     return;
--- a/modules/bbv_entry/target_follower.cc
+++ b/modules/bbv_entry/target_follower.cc
@@ -73,7 +73,6 @@
     ReadOn(rank == 0 && !catches_up ? schedule_.wait() : Milliseconds(0));
     return;
   }
-  BeginWholeList(now);
   ReadNewest({});
 }
 
@@ -154,6 +153,9 @@
   calling_ = false;
   const bool was_complete = std::exchange(complete_, true);
   positioned_ = true;
+  // Only a list that was read whole tells what is missing.
+  if (read_whole_)
+    BeginWholeList(read_began_);
   next_offset_ = std::max(next_offset_, to);
   // Waiting at the store for heartbeats would only read them one by one.
   const bool only_heartbeats = !read_whole_ && read_changes_.empty() &&
--- a/modules/bbv_fleet/engine_timing.h
+++ b/modules/bbv_fleet/engine_timing.h
@@ -28,6 +28,9 @@
   // Milliseconds of one token step over the layers of `share`.
   static double StepMs(const EngineModel& model, const EngineShare& share);
 
+  // Share of its passes, at most 1, in which a call writes.
+  static double Busy(const EngineShare& share);
+
   // Prompt tokens that are read in a millisecond beside the calls under way.
   static double ReadTokensPerMs(const EngineModel& model,
                                 const EngineShare& share);
--- a/modules/bbv_fleet/path_chooser.cc
+++ b/modules/bbv_fleet/path_chooser.cc
@@ -15,6 +15,8 @@
 
 // Milliseconds a token that each hop adds for forwarding.
 constexpr double kHopMs = 0.1;
+// Passes of a busy target that a token waits for on average.
+constexpr double kPassesWaited = 0.5;
 // Milliseconds a token by which another zone's path counts as slower, so that
 // it is taken only when the caller's own zone is loaded or broken.
 constexpr double kOtherZoneMs = 8.0;
@@ -108,10 +110,15 @@
                          (1 + (kFullTargetFactor - 1) * load * load) *
                          (1 + 4 * target->failure_share) * spread;
     const double backlog_ms = BacklogMs(model, share, *target);
-    candidate.hop_ms = kHopMs + kBacklogWeight * backlog_ms;
+    // On its way to a busy target a token waits for the pass under way to end.
+    candidate.hop_ms = kHopMs +
+                       kPassesWaited * EngineTiming::Busy(share) *
+                           EngineTiming::StepMs(model, share) +
+                       kBacklogWeight * backlog_ms;
     const bool overdue =
         query.most_backlog_ms > 0 && backlog_ms > query.most_backlog_ms;
-    candidate.room_token_layers = overdue ? 0 : capacity - used;
+    // Calls that grew beyond what was expected leave no room, and no less.
+    candidate.room_token_layers = overdue ? 0 : std::max(0.0, capacity - used);
     if (model.first_hop_slots > 0 && candidate.layers.from == 0) {
       const double taken = share.calls / model.first_hop_slots;
       candidate.may_begin = taken < 1;
--- a/modules/bbv_fleet/path_chooser_test.cc
+++ b/modules/bbv_fleet/path_chooser_test.cc
@@ -254,3 +254,42 @@
   CHECK(Choose("b", 1).empty());
   CHECK(failure == PathFailure::kNoRoom);
 }
+
+// Load: answers that grew longer than their callers said. A full target is no
+// missing one: calls wait for room instead of being told that there is none.
+TEST(PathChooser, AnOverfullTargetLacksRoomAndNotLayers) {
+  for (const auto& [id, row] : board.rows())
+    board.Find(id)->own_token_layers = 1e12;
+  CHECK(Choose("b", 1).empty());
+  CHECK(failure == PathFailure::kNoRoom);
+}
+
+// Load: targets that always have a pass under way, for which a token waits at
+// each hop, however few of the target's layers it needs there.
+TEST(PathChooser, BusyTargetsAreNotUsedForAFewOfTheirLayers) {
+  bbv::TargetBoard busy;
+  const auto add = [&](int from, int to) {
+    std::string id = "i-";
+    id += std::to_string(from);
+    bbv::TargetRecord record = bbv_test::MakeRecord(id, "engine", "a");
+    record.id += "-" + std::to_string(to);
+    record.accelerator = "middle";
+    record.layers = bbv::LayerRange{from, to};
+    busy.Apply(record, now);
+    busy.Find(record.id)->own_calls = 100;
+  };
+  model.layers = 16;
+  // Two chains whose ranges overlap.
+  for (const int it : {0, 4, 8, 12})
+    add(it, it + 4);
+  for (const int it : {2, 6, 10})
+    add(it, it + 4);
+  const bbv::PathChooser of_busy(&busy);
+  for (uint64_t draw = 0; draw < 50; ++draw) {
+    PathQuery query = MakeQuery("a");
+    query.draw = draw;
+    const EnginePath path = of_busy.Choose(model, query, now, &failure);
+    CheckWhole(path);
+    CHECK_EQUAL(4, static_cast<int>(path.hops.size()));
+  }
+}
--- a/modules/bbv_membership/member_table.cc
+++ b/modules/bbv_membership/member_table.cc
@@ -43,7 +43,7 @@
 
 }  // namespace
 
-MemberTable::MemberTable(MemberRecord own) {
+MemberTable::MemberTable(const MemberRecord& own) {
   assert(!own.address.empty());
   const std::string address = own.address;
   Learn(own, Instant{});
--- a/modules/bbv_membership/member_table.h
+++ b/modules/bbv_membership/member_table.h
@@ -67,7 +67,7 @@
   // Members in the order of their ranks.
   using Ranking = std::vector<const Member*>;
 
-  explicit MemberTable(MemberRecord own);
+  explicit MemberTable(const MemberRecord& own);
 
   // Adds an entry, or takes what it says anew. Does not count as hearing it.
   void Learn(const MemberRecord& record, Instant now);
--- a/tests/fleet_floor_test.cc
+++ b/tests/fleet_floor_test.cc
@@ -10,6 +10,7 @@
 
 using bbv::FleetFloor;
 using bbv::StreamAnswer;
+using bbv::standins::LinkFault;
 
 namespace {
 
@@ -239,3 +240,48 @@
   CHECK(floor->targets().HoldsAllLayers());
   CHECK(floor->Output(other).find("standing_in") != std::string::npos);
 }
+
+TEST(FleetFloor, AReaderCutOffFromTheStoreLosesNoTarget) {
+  shape.proxied = true;
+  StartFloor(3);
+  const std::string all =
+      "targets\"} " + std::to_string(shape.engines + shape.services) + "\n";
+  int reader = -1;
+  for (int it = 0; it < 3; ++it) {
+    const std::string metrics = floor->Metrics(it);
+    CHECK(metrics.find(all) != std::string::npos);
+    if (metrics.find("zone_rank\"} 0") != std::string::npos)
+      reader = it;
+  }
+  CHECK(reader >= 0);
+  // Its reads fail, while the others go on telling it what they read.
+  floor->store_proxy(reader).SetFault(LinkFault::kSilent);
+  for (int it = 0; it < 16; ++it) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    CHECK(floor->Metrics(reader).find(all) != std::string::npos);
+  }
+}
+
+TEST(FleetFloor, APlannerCutOffFromTheStoreMakesWayForTheNext) {
+  shape.proxied = true;
+  StartFloor(3);
+  const auto plans = [&](int entry) {
+    return floor->Metrics(entry).find("plans\"} 1") != std::string::npos;
+  };
+  int planner = -1;
+  for (int it = 0; it < 3; ++it)
+    planner = plans(it) ? it : planner;
+  CHECK(planner >= 0);
+  floor->store_proxy(planner).SetFault(LinkFault::kSilent);
+  for (int tries = 0; tries < 120; ++tries) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    const bool replaced = plans((planner + 1) % 3) || plans((planner + 2) % 3);
+    if (!replaced)
+      continue;
+    // Both for no longer than the word of the next one takes.
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    CHECK(!plans(planner));
+    return;
+  }
+  FAIL("no other entry plans after 12 s");
+}
--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -225,6 +225,8 @@
   std::optional<std::pair<int, int>> layers;
   int orders = 0;
   int heartbeat = 0;
+  // What it said of itself last, but for the heartbeat's number.
+  std::string listed;
 };
 
 FleetTargets::FleetTargets(FleetStore* store, Shape shape)
@@ -294,7 +296,6 @@
       {"version", "v1"},
       {"slots", 64},
       {"state", "ready"},
-      {"sequence", ++target->heartbeat},
       {"born", target->born}};
   if (target->engine)
     record["type"] = shape_.accelerator;
@@ -302,6 +303,12 @@
     record["layers"] = {{"from", target->layers->first},
                         {"target_version", target->layers->second}};
   }
+  // The store keeps a record when more than the heartbeat's number changes.
+  ++target->heartbeat;
+  const std::string listed = record.dump();
+  if (std::exchange(target->listed, listed) == listed)
+    return;
+  record["sequence"] = target->heartbeat;
   store_->Put("keyed.servers", target->id, record.dump());
 }
 
