--- a/modules/bbv_entry/target_follower.cc
+++ b/modules/bbv_entry/target_follower.cc
@@ -47,7 +47,8 @@
       log_(log),
       board_(board),
       on_read_(std::move(on_read)),
-      schedule_(leave_within * kPicturePercent / 100) {
+      schedule_(
+          std::max(Milliseconds(1), leave_within * kPicturePercent / 100)) {
   assert(store != nullptr && log != nullptr && board != nullptr && on_read_);
 }
 
@@ -70,7 +71,10 @@
   read_whole_ = !positioned_ || schedule_.IsTorn(now);
   if (!read_whole_) {
     read_from_ = next_offset_;
-    ReadOn(rank == 0 && !catches_up ? schedule_.wait() : Milliseconds(0));
+    // With the pause before it a read takes no longer than the others count on.
+    const bool waits = rank == 0 && !catches_up;
+    ReadOn(waits ? std::max(Milliseconds(0), schedule_.wait() - kReadPause)
+                 : Milliseconds(0));
     return;
   }
   ReadNewest({});
