Drop what the zone duties left unused, work a step's time out once

Cause, found by reading the change once more: MemberDirectory::is_registered and next_register_ and TargetFollower::picture_at had no user; the path search worked out the same step time twice for every candidate of every call. Ruled out: another choice of paths (the same value, used twice). Tests: PathChooser, TargetSelector, EngineTiming, MemberTable and FleetFloor.PlacesLayersAndServesStreamsAndCalls pass (31 of 233); the others were not run on this commit. Format clean.

--- a/modules/bbv_entry/member_directory.h
+++ b/modules/bbv_entry/member_directory.h
@@ -34,9 +34,6 @@
   // Whether the records have been read once.
   bool was_read() const { return was_read_; }
 
-  // Whether this entry's record is at the store.
-  bool is_registered() const { return registered_; }
-
  private:
   void Register(Instant now);
   void Read();
@@ -49,7 +46,6 @@
   bool registered_ = false;
   bool was_read_ = false;
   bool calling_ = false;
-  Instant next_register_{};
   Instant read_at_{};
   Instant not_before_{};
 };
--- a/modules/bbv_entry/target_follower.h
+++ b/modules/bbv_entry/target_follower.h
@@ -46,9 +46,6 @@
   // When a target was last seen for the first time.
   Instant last_new_target() const { return last_new_target_; }
 
-  // When the list was true.
-  Instant picture_at() const { return schedule_.picture_at(); }
-
  private:
   void ReadNewest(const std::string& after_key);
   // Reads what follows; the store waits `wait` for it when there is nothing.
--- a/modules/bbv_fleet/path_chooser.cc
+++ b/modules/bbv_fleet/path_chooser.cc
@@ -105,15 +105,14 @@
     candidate.target = target;
     candidate.layers = *target->record.layers;
     const EngineShare share = ShareOf(model, *kind, *target, now);
-    candidate.layer_ms = EngineTiming::StepMs(model, share) /
-                         std::max(1, target->record.layers->size()) *
+    const double step_ms = EngineTiming::StepMs(model, share);
+    candidate.layer_ms = step_ms / std::max(1, target->record.layers->size()) *
                          (1 + (kFullTargetFactor - 1) * load * load) *
                          (1 + 4 * target->failure_share) * spread;
     const double backlog_ms = BacklogMs(model, share, *target);
     // On its way to a busy target a token waits for the pass under way to end.
     candidate.hop_ms = kHopMs +
-                       kPassesWaited * EngineTiming::Busy(share) *
-                           EngineTiming::StepMs(model, share) +
+                       kPassesWaited * EngineTiming::Busy(share) * step_ms +
                        kBacklogWeight * backlog_ms;
     const bool overdue =
         query.most_backlog_ms > 0 && backlog_ms > query.most_backlog_ms;
