Mend the three tests that failed once: ports given twice, a stop's last callers, an unsent proof

What each was traced to: - KeyedCallsRunOnceThroughKillsAndLogOutage (the floor did not start): FreePort drew from 18,000 numbers and remembered none, so that the 35 ports of a floor held one twice in about 3 of 100 floors (600 draws gave 588 numbers). Each number is now reserved by a UDP socket until the test process ends, towards other test processes as well. - RollingRestartCutsNoRequest (one request cut): an entry closed its listener within 20 ms of its last request's end, while the caller sent the next one. It now goes on answering until no request has come for 300 ms. The test chose the entry once for two requests; the second is now sent to an entry that is ready, as its comment says. The check itself is unchanged. - AWrongKeyIsRefused: who found the other's proof wrong closed before its own proof was sent when greeting and proof came in one read, so that the other end saw a closed connection and no cause. What waits is sent before the close.

Ruled out: load alone.

--- a/modules/bbv_node/entry_node.cc
+++ b/modules/bbv_node/entry_node.cc
@@ -19,6 +19,9 @@
 // first that it is not ready.
 constexpr Milliseconds kStopGrace{1500};
 constexpr Milliseconds kStopPollInterval{20};
+// How long no request may have come before a stopping entry closes its
+// listener: callers that had an answer send the next request at once.
+constexpr Milliseconds kStopQuietTime{300};
 
 }  // namespace
 
@@ -84,7 +87,8 @@
   control_.Post([this](Instant) { logic_.set_leaving(true); });
   std::this_thread::sleep_for(kStopGrace);
   refusing_ = true;
-  while (open_requests_ > 0 && std::chrono::steady_clock::now() < stop_deadline)
+  while (!IsQuiet(std::chrono::steady_clock::now()) &&
+         std::chrono::steady_clock::now() < stop_deadline)
     std::this_thread::sleep_for(kStopPollInterval);
   http_.Stop();
   configuration_follower_.Stop();
@@ -155,7 +159,12 @@
   });
 }
 
+bool EntryNode::IsQuiet(Instant now) const {
+  return open_requests_ == 0 && now >= last_request_.load() + kStopQuietTime;
+}
+
 Reason EntryNode::BeginCallerRequest() {
+  last_request_ = std::chrono::steady_clock::now();
   if (refusing_)
     return Reason::kLeaving;
   if (++open_requests_ <= settings_.maximum_open_requests)
@@ -165,6 +174,7 @@
 }
 
 void EntryNode::EndCallerRequest() {
+  last_request_ = std::chrono::steady_clock::now();
   --open_requests_;
 }
 
--- a/modules/bbv_node/entry_node.h
+++ b/modules/bbv_node/entry_node.h
@@ -94,6 +94,8 @@
  private:
   void Tick(Instant now);
   void PublishState();
+  // Whether no caller's request is open or has come just now. Thread safe.
+  bool IsQuiet(Instant now) const;
   void PollInstances();
   std::string SerializeMetrics();
   RefPtr<RequestMailbox> FindMailbox(const RequestId& id);
@@ -126,6 +128,8 @@
   std::atomic<bool> leaving_{false};
   std::atomic<bool> refusing_{false};
   std::atomic<int> open_requests_{0};
+  // When a caller's request last began or ended.
+  std::atomic<Instant> last_request_{Instant{}};
   std::atomic<bool> instance_poll_running_{false};
   bool started_ = false;
   // Owned by the control thread.
--- a/modules/bbv_node/peer_network.cc
+++ b/modules/bbv_node/peer_network.cc
@@ -372,6 +372,8 @@
       return;
     if (const auto result = TakeFrame(connection, std::move(frame)); !result) {
       LogEvent(Event::kPeerRejected, {{"error", result.error().ToString()}});
+      // The peer needs this end's proof to see why the handshake ends.
+      SendOutgoing(connection);
       Close(connection, "handshake");
       return;
     }
@@ -442,8 +444,11 @@
 }
 
 void PeerNetwork::Write(Connection* connection) {
-  if (connection->connecting)
-    return;
+  if (!connection->connecting && !SendOutgoing(connection))
+    Close(connection, "");
+}
+
+bool PeerNetwork::SendOutgoing(Connection* connection) {
   while (connection->outgoing_position < connection->outgoing.size()) {
     const ssize_t n =
         send(connection->fd,
@@ -451,16 +456,15 @@
              connection->outgoing.size() - connection->outgoing_position,
              MSG_NOSIGNAL);
     if (n < 0 && (errno == EAGAIN || errno == EINTR))
-      return;
-    if (n <= 0) {
-      Close(connection, "");
-      return;
-    }
+      return true;
+    if (n <= 0)
+      return false;
     bytes_sent_ += n;
     connection->outgoing_position += n;
   }
   connection->outgoing.clear();
   connection->outgoing_position = 0;
+  return true;
 }
 
 void PeerNetwork::CheckTimes(Instant now) {
--- a/modules/bbv_node/peer_network.h
+++ b/modules/bbv_node/peer_network.h
@@ -115,6 +115,8 @@
   void Authenticated(Connection* connection);
   void Queue(Connection* connection, const std::string& bytes);
   void Write(Connection* connection);
+  // Sends what the socket takes now; false when the connection is broken.
+  bool SendOutgoing(Connection* connection);
   void CheckTimes(Instant now);
   void Close(Connection* connection, const std::string& cause);
   void CloseAllOf(const std::string& peer, const Connection* except);
--- a/modules/bbv_node/peer_network_test.cc
+++ b/modules/bbv_node/peer_network_test.cc
@@ -50,6 +50,21 @@
   return fd;
 }
 
+// Reads the next frame; false when the connection ends before it.
+bool ReadFrame(int fd, bbv::FrameReader* reader, bbv::wire::FrameT* frame) {
+  while (true) {
+    const auto taken = reader->Next(frame);
+    CHECK_TRUE(taken.has_value());
+    if (*taken)
+      return true;
+    char buf[4096];
+    const ssize_t n = recv(fd, buf, sizeof(buf), 0);
+    if (n <= 0)
+      return false;
+    reader->Append({buf, static_cast<std::size_t>(n)});
+  }
+}
+
 bool WaitFor(const std::function<bool()>& done) {
   for (int it = 0; it < kWaitMs / 10; ++it) {
     if (done())
@@ -209,6 +224,31 @@
   CHECK_EQUAL(0, left_events.connected.load());
 }
 
+// Greeting and wrong proof arrive in one read: the node finds the proof wrong
+// before it has sent its own.
+TEST(PeerNetwork, AWrongProofIsAnsweredWithTheOwnProofBeforeTheEnd) {
+  bbv::PeerNetwork right(MakeOptions("right", right_port, "key-one"),
+                         &right_events);
+  CHECK_TRUE(right.Start().has_value());
+  const int fd = Dial(right_port);
+  bbv::FrameReader reader(1 << 16);
+  bbv::wire::FrameT frame;
+  CHECK_TRUE(ReadFrame(fd, &reader, &frame));
+  bbv::PeerHandshake handshake({"left", bbv::wire::Role::kEntry, 1}, "key-two");
+  const auto proof = handshake.TakeHello(*frame.body.AsHello());
+  CHECK_TRUE(proof.has_value());
+  const std::string bytes =
+      bbv::EncodeFrame(bbv::MakeFrame(handshake.MakeHello())) +
+      bbv::EncodeFrame(bbv::MakeFrame(bbv::wire::HelloProofT(*proof)));
+  CHECK_EQUAL(static_cast<ssize_t>(bytes.size()),
+              send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+  CHECK_TRUE(ReadFrame(fd, &reader, &frame));
+  CHECK_TRUE(frame.body.AsHelloProof() != nullptr);
+  CHECK_FALSE(ReadFrame(fd, &reader, &frame));
+  close(fd);
+  CHECK_TRUE(WaitFor([&] { return right_events.HasFault("handshake"); }));
+}
+
 TEST(PeerNetwork, StrangersAndGarbageDisturbNobody) {
   bbv::PeerNetwork left(MakeOptions("left", left_port, "key-one"),
                         &left_events);
--- a/tests/free_port.h
+++ b/tests/free_port.h
@@ -3,8 +3,9 @@
 
 namespace bbv {
 
-// Returns a TCP port of loopback that was free a moment ago, 0 when none can be
-// had. Thread safe.
+// Returns a TCP port of loopback that is free and that no other call returns,
+// in this process or another, until this process ends; 0 when none can be had.
+// Thread safe.
 int FreePort();
 
 }  // namespace bbv
--- a/tests/real_floor_test.cc
+++ b/tests/real_floor_test.cc
@@ -200,10 +200,13 @@
   callers.reserve(kCallers);
   // The balancer sends callers to entries that are ready.
   std::atomic<int> stopped_entry{-1};
+  const auto choose_entry = [&](int caller) {
+    return stopped_entry == caller % 2 ? 1 - caller % 2 : caller % 2;
+  };
   for (int it = 0; it < kCallers; ++it) {
     callers.emplace_back([&, it] {
       for (int n = 0; !stopping; ++n) {
-        const int entry = stopped_entry == it % 2 ? 1 - it % 2 : it % 2;
+        const int entry = choose_entry(it);
         const std::string prompt =
             "rolling " + std::to_string(it) + "/" + std::to_string(n);
         const CompletionAnswer answer =
@@ -215,14 +218,15 @@
                    ", status " + std::to_string(answer.status) + ", outcome " +
                    answer.outcome + ", last event " +
                    std::to_string(answer.last_event_id));
-        const auto call = floor.Call(entry, it, "POST", "/bookings", prompt);
+        const int next = choose_entry(it);
+        const auto call = floor.Call(next, it, "POST", "/bookings", prompt);
         if (!call) {
-          note_cut("call at entry " + std::to_string(entry) + ": " +
+          note_cut("call at entry " + std::to_string(next) + ": " +
                    httplib::to_string(call.error()));
         } else if (call->status != 200 &&
                    call->get_header_value("Bluebellvalve-Outcome") !=
                        "not-run") {
-          note_cut("call at entry " + std::to_string(entry) + ", status " +
+          note_cut("call at entry " + std::to_string(next) + ", status " +
                    std::to_string(call->status));
         }
       }
@@ -252,6 +256,31 @@
   CheckRunsAtMostOnce(floor);
 }
 
+// A stopping entry ends its last request and the caller sends the next one at
+// once, on a new connection, as it may until the balancer has noticed.
+TEST(RealFloor, AStoppingEntryAnswersCallersThatComeRightAfterItsLastRequest) {
+  RealFloor floor({.step_us = 20'000});
+  CHECK_TRUE(floor.started());
+  std::thread stop([&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    floor.Signal("e0", SIGTERM);
+  });
+  // Lasts longer than the time in which requests are still taken.
+  const CompletionAnswer answer = floor.Complete(0, 0, "last", 60, true);
+  stop.join();
+  CHECK_TRUE(answer.whole);
+  constexpr int kCalls = 10;
+  for (int it = 0; it < kCalls; ++it) {
+    const auto call = floor.Call(0, 0, "POST", "/bookings", "next");
+    CHECK_TRUE(call);
+    CHECK_EQUAL(503, call->status);
+    STRCMP_EQUAL("not-run",
+                 call->get_header_value("Bluebellvalve-Outcome").c_str());
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+  }
+  CHECK_EQUAL(0, floor.WaitForExit("e0"));
+}
+
 TEST(RealFloor, OneOfTwoRacingOperatorsWins) {
   RealFloor floor({});
   CHECK_TRUE(floor.started());
