Say what a call without a path is short of

call-refused names the constraint that had to be left out until there was a path: first slots, unread prompts, memory, or crossing.

--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -120,8 +120,10 @@
     const std::vector<std::string>& excluded,
     Instant now,
     CallEnd* end) {
-  return context_->selector->Select(*index_, request, excluded,
-                                    (*context_->random)(), now, end);
+  auto dispatch = context_->selector->Select(*index_, request, excluded,
+                                             (*context_->random)(), now, end);
+  path_failure_ = context_->selector->last_failure();
+  return dispatch;
 }
 
 std::optional<CallDispatch> RelayedCall::ChooseMend(
@@ -263,6 +265,7 @@
        {"service", request.service},
        {"status", static_cast<int64_t>(failure.status)},
        {"cause", std::string(kCallEndNames.Name(failure.end))},
+       {"short_of", std::string(kPathFailureNames.Name(path_failure_))},
        {"outcome", std::string(kRunKnowledgeNames.Name(failure.knowledge))},
        {"sends", static_cast<int64_t>(call_.sends())},
        {"last_target", sent_.target_id},
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -119,6 +119,8 @@
   std::string body_;
   FleetCall call_;
 
+  // Why no path was found when one was last looked for.
+  PathFailure path_failure_ = PathFailure::kNone;
   HttpClient::ExchangeId exchange_ = 0;
   bool under_way_ = false;
   CallDispatch sent_;
--- a/modules/bbv_fleet/path_chooser.cc
+++ b/modules/bbv_fleet/path_chooser.cc
@@ -114,10 +114,10 @@
     candidate.hop_ms = kHopMs +
                        kPassesWaited * EngineTiming::Busy(share) * step_ms +
                        kBacklogWeight * backlog_ms;
-    const bool overdue =
+    candidate.is_overdue =
         query.most_backlog_ms > 0 && backlog_ms > query.most_backlog_ms;
     // Calls that grew beyond what was expected leave no room, and no less.
-    candidate.room_token_layers = overdue ? 0 : std::max(0.0, capacity - used);
+    candidate.room_token_layers = std::max(0.0, capacity - used);
     if (model.first_hop_slots > 0 && candidate.layers.from == 0) {
       const double taken = share.calls / model.first_hop_slots;
       candidate.may_begin = taken < 1;
@@ -158,14 +158,30 @@
     best = SearchOnce(model, all, {query.tokens, /*across_zones=*/true});
   if (!best.empty())
     return best;
-  SearchLimits any_room;
-  any_room.across_zones = true;
-  any_room.ignores_slots = true;
-  const bool held = !SearchOnce(model, all, any_room).empty();
-  *failure = held ? PathFailure::kNoRoom : PathFailure::kLayersMissing;
+  *failure = FindFailure(model, all, query);
   return best;
 }
 
+PathFailure PathChooser::FindFailure(const EngineModel& model,
+                                     const std::vector<Candidate>& candidates,
+                                     const PathQuery& query) {
+  SearchLimits limits;
+  limits.tokens = query.tokens;
+  limits.across_zones = true;
+  if (!query.may_cross && !SearchOnce(model, candidates, limits).empty())
+    return PathFailure::kCrossing;
+  limits.ignores_slots = true;
+  if (!SearchOnce(model, candidates, limits).empty())
+    return PathFailure::kFirstSlots;
+  limits.ignores_backlog = true;
+  if (!SearchOnce(model, candidates, limits).empty())
+    return PathFailure::kUnreadPrompts;
+  limits.tokens = 0;
+  return SearchOnce(model, candidates, limits).empty()
+             ? PathFailure::kLayersMissing
+             : PathFailure::kMemory;
+}
+
 EnginePath PathChooser::Mend(const EngineModel& model,
                              const PathQuery& query,
                              const std::vector<KeptHop>& current,
@@ -302,6 +318,8 @@
         continue;
       if (at == 0 && !it.may_begin && !limits.ignores_slots)
         continue;
+      if (it.is_overdue && !limits.ignores_backlog)
+        continue;
       const int zone = across_zones ? it.zone : 0;
       double cost = best[at][zone].cost;
       if (at > limits.from)
--- a/modules/bbv_fleet/path_chooser.h
+++ b/modules/bbv_fleet/path_chooser.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "bbv_core/instant.h"
+#include "bbv_core/name_table.h"
 #include "bbv_fleet/fleet_configuration.h"
 #include "bbv_fleet/target_board.h"
 
@@ -51,14 +52,25 @@
   LayerRange layers;
 };
 
-// Why no path was found.
+// Why no path was found: what the last constraint was that had to be left out
+// until there was one.
 enum class PathFailure : uint8_t {
   kNone,
   // Some layer is held by no usable target.
   kLayersMissing,
-  // Every path lacks room at some hop, or would wait too long there.
-  kNoRoom,
+  // Layers are held, but in no zone all of them, and calls may not cross zones
+  // now.
+  kCrossing,
+  // The targets with the first layers have no slot.
+  kFirstSlots,
+  // Prompts would wait too long to be read.
+  kUnreadPrompts,
+  // Some layer's targets lack memory for the call.
+  kMemory,
 };
+inline constexpr NameTable<PathFailure, 6> kPathFailureNames(
+    {"none", "layers-missing", "crossing", "first-slots", "unread-prompts",
+     "memory"});
 
 // Finds the path of least expected time for a call over targets that hold the
 // layers now.
@@ -114,6 +126,8 @@
     // Milliseconds a token for the hop itself.
     double hop_ms = 0;
     double room_token_layers = 0;
+    // Whether prompts sent there would be read too late.
+    bool is_overdue = false;
   };
 
   // What one search may use.
@@ -124,14 +138,20 @@
     bool whole_hops = false;
     // First layer that the path has to run.
     int from = 0;
-    // Whether a path may begin where all slots are taken.
+    // Whether a path may begin where all slots are taken, and lead over targets
+    // that would read its prompt too late.
     bool ignores_slots = false;
+    bool ignores_backlog = false;
   };
 
   // Returns the targets that may take hops of new paths.
   std::vector<Candidate> Collect(const EngineModel& model,
                                  const PathQuery& query,
                                  Instant now) const;
+  // Returns why `candidates` give no path.
+  static PathFailure FindFailure(const EngineModel& model,
+                                 const std::vector<Candidate>& candidates,
+                                 const PathQuery& query);
   static bool IsExcluded(const PathQuery& query, std::string_view id);
   static bool HasTargetTwice(const EnginePath& path);
 
--- a/modules/bbv_fleet/path_chooser_test.cc
+++ b/modules/bbv_fleet/path_chooser_test.cc
@@ -108,7 +108,7 @@
   PathQuery query = MakeQuery("a");
   query.may_cross = false;
   CHECK(chooser.Choose(model, query, now, &failure).empty());
-  CHECK(failure == PathFailure::kNoRoom);
+  CHECK(failure == PathFailure::kMemory);
 }
 
 TEST(PathChooser, KnowsHowLongAPromptOccupiesLinksBetweenZones) {
@@ -126,7 +126,7 @@
   query.zone = "a";
   query.tokens = 1e9;
   CHECK(chooser.Choose(model, query, now, &failure).empty());
-  CHECK(failure == PathFailure::kNoRoom);
+  CHECK(failure == PathFailure::kMemory);
   std::vector<std::string> ids;
   for (const auto& [id, row] : board.rows()) {
     if (row->record.layers->from == 0)
@@ -156,7 +156,7 @@
     zones.merge(ZonesOf(path));
     ++placed;
   }
-  CHECK(failure == PathFailure::kNoRoom);
+  CHECK(failure == PathFailure::kMemory);
   CHECK_EQUAL(3, static_cast<int>(zones.size()));
   CHECK(placed > 500);
 }
@@ -176,7 +176,7 @@
     for (const bbv::Hop& it : path.hops)
       it.target->own_unread_tokens += 760;
   }
-  CHECK(failure == PathFailure::kNoRoom);
+  CHECK(failure == PathFailure::kMemory);
   // The slowest hop of each zone reads a prompt in 1.8 to 3 ms a call.
   CHECK(placed > 3 * 150);
   CHECK(placed < 3 * 600);
@@ -252,7 +252,7 @@
   for (FleetTarget* it : first)
     it->own_calls = 192;
   CHECK(Choose("b", 1).empty());
-  CHECK(failure == PathFailure::kNoRoom);
+  CHECK(failure == PathFailure::kMemory);
 }
 
 // Load: answers that grew longer than their callers said. A full target is no
@@ -261,7 +261,7 @@
   for (const auto& [id, row] : board.rows())
     board.Find(id)->own_token_layers = 1e12;
   CHECK(Choose("b", 1).empty());
-  CHECK(failure == PathFailure::kNoRoom);
+  CHECK(failure == PathFailure::kMemory);
 }
 
 // Load: targets that always have a pass under way, for which a token waits at
--- a/modules/bbv_fleet/target_selector.cc
+++ b/modules/bbv_fleet/target_selector.cc
@@ -43,6 +43,7 @@
     Instant now,
     CallEnd* end) {
   assert(end != nullptr);
+  last_failure_ = PathFailure::kNone;
   const ServiceDescription* service = index.FindService(request.service);
   if (service != nullptr && service->engine)
     return SelectPath(*service->engine, request, excluded, draw, now, end);
@@ -61,11 +62,10 @@
   if (request.last_event == kNoEvent && excluded.empty())
     query.most_backlog_ms = kMostBacklogShare * request.route->objective_ms;
   query.may_cross = crossings_.HasRoom(now);
-  PathFailure failure = PathFailure::kNone;
-  const EnginePath path = paths_.Choose(model, query, now, &failure);
+  const EnginePath path = paths_.Choose(model, query, now, &last_failure_);
   if (path.empty()) {
-    *end =
-        failure == PathFailure::kNoRoom ? CallEnd::kNoRoom : CallEnd::kNoTarget;
+    *end = last_failure_ == PathFailure::kLayersMissing ? CallEnd::kNoTarget
+                                                        : CallEnd::kNoRoom;
     return std::nullopt;
   }
   CallDispatch dispatch = MakeDispatch(model, path, request);
--- a/modules/bbv_fleet/target_selector.h
+++ b/modules/bbv_fleet/target_selector.h
@@ -34,6 +34,9 @@
                                      Instant now,
                                      CallEnd* end);
 
+  // Why the last Select() for an engine found no path; kNone when it did.
+  PathFailure last_failure() const { return last_failure_; }
+
   // Returns `current` with hops replaced that are excluded or cannot be used,
   // or nothing when that cannot be done.
   std::optional<CallDispatch> SelectMend(
@@ -82,6 +85,7 @@
   int entries_ = 1;
   CrossingLimit crossings_;
   PathChooser paths_;
+  PathFailure last_failure_ = PathFailure::kNone;
 };
 
 }  // namespace bbv
