--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -48,13 +48,6 @@
 constexpr int kUnavailable = 503;
 // Time a caller is told to wait while this entry is not ready.
 constexpr std::string_view kNotReadyRetry = "0.5";
-// Share of the caller's answer limit that calls are expected to use.
-constexpr double kExpectedAnswerShare = 0.8;
-
-double ExpectedAnswerTokens(const platform::CallerFields& fields) {
-  return kExpectedAnswerShare * fields.max_answer_tokens;
-}
-
 }  // namespace
 
 FleetEntry::FleetEntry(FleetSettings settings, std::string settings_path)
@@ -104,6 +97,7 @@
   context_.metrics = &metrics_;
   context_.random = &random_;
   context_.waiting_room = &waiting_room_;
+  context_.answer_lengths = &answer_lengths_;
   context_.budget = [this](const std::string& service) {
     return budgets_.Of(service);
   };
@@ -268,7 +262,13 @@
         std::min(request.deadline, now + Milliseconds(route->timeout_ms));
   }
   request.prompt_tokens = fields.prompt_tokens;
-  request.answer_tokens = ExpectedAnswerTokens(fields);
+  request.answer_limit_tokens = fields.max_answer_tokens;
+  const ServiceDescription* service = index->FindService(request.service);
+  if (service != nullptr && service->engine) {
+    request.answer_tokens = answer_lengths_.Expected(
+        request.service, service->engine->usual_answer_tokens,
+        request.answer_limit_tokens);
+  }
   request.last_event = fields.last_event.value_or(kNoEvent);
   auto call = std::make_unique<RelayedCall>(&context_, index, connection,
                                             std::move(request), std::move(head),
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -114,6 +114,7 @@
   LoadWatch loads_;
   PeerExchange peers_;
   WaitingRoom waiting_room_;
+  AnswerLengths answer_lengths_;
   CallContext context_;
   TcpListener callers_listener_;
   SmallHttpServer readiness_server_;
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -353,8 +353,10 @@
       FailSend({CallEnd::kBadAnswer, false, false, {}}, "event out of order");
       return;
     }
-    if (it.id)
+    if (it.id) {
       last = *it.id;
+      ++events_relayed_;
+    }
     chunk_.append(it.text);
   }
   if (chunk_.empty() || caller_ == nullptr)
@@ -399,6 +401,19 @@
   return objective > 0 && pause.count() > objective;
 }
 
+void RelayedCall::RecordAnswerLength() {
+  const CallRequest& request = call_.request();
+  const ServiceDescription* service = index_->FindService(request.service);
+  // The events of an answer that was begun elsewhere were not all seen.
+  if (service == nullptr || !service->engine || request.last_event != kNoEvent)
+    return;
+  const EngineModel& model = *service->engine;
+  context_->answer_lengths->Record(
+      request.service,
+      model.tokens_per_event * static_cast<double>(events_relayed_),
+      model.usual_answer_tokens, request.answer_limit_tokens);
+}
+
 void RelayedCall::LogFinished(Instant now) {
   const CallRequest& request = call_.request();
   const Instant answered = head_relayed_ ? first_relayed_ : now;
@@ -433,6 +448,7 @@
     FinishSend(false, now);
     call_.OnAnswerComplete();
     context_->metrics->CountServed(call_.request().service);
+    RecordAnswerLength();
     LogFinished(now);
     if (caller_ != nullptr)
       std::exchange(caller_, nullptr)->EndStream();
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -40,6 +40,7 @@
   std::function<void(const std::string& target_id)> on_target_doubt;
   // Calls that wait for room, by their callers' connections.
   WaitingRoom* waiting_room = nullptr;
+  AnswerLengths* answer_lengths = nullptr;
 };
 
 // One call on its way: carries out what FleetCall decides, between the
@@ -106,6 +107,8 @@
   void NotePause(int64_t event_id, Instant now);
   // Whether events may not be so far apart on the call's route.
   bool IsLatePause(Milliseconds pause) const;
+  // Notes how long the answer of a stream was that ended whole.
+  void RecordAnswerLength();
   // Logs a call that ended well when it was late or sent more than once.
   void LogFinished(Instant now);
   std::string RelayedFields() const;
@@ -132,6 +135,7 @@
   bool head_relayed_ = false;
   // Whether the answer is not read because the caller takes it too slowly.
   bool paused_ = false;
+  int64_t events_relayed_ = 0;
   Instant first_relayed_{};
   Instant last_relayed_{};
   // Longest time between two events relayed, the event that ended it, and the
--- a/modules/bbv_fleet/bbv_fleet.h
+++ b/modules/bbv_fleet/bbv_fleet.h
@@ -9,6 +9,7 @@
 #ifndef MODULES_BBV_FLEET_BBV_FLEET_H_
 #define MODULES_BBV_FLEET_BBV_FLEET_H_
 
+#include "bbv_fleet/answer_lengths.h"
 #include "bbv_fleet/crossing_limit.h"
 #include "bbv_fleet/engine_timing.h"
 #include "bbv_fleet/fleet_call.h"
--- a/modules/bbv_fleet/path_chooser_test.cc
+++ b/modules/bbv_fleet/path_chooser_test.cc
@@ -108,7 +108,7 @@
   PathQuery query = MakeQuery("a");
   query.may_cross = false;
   CHECK(chooser.Choose(model, query, now, &failure).empty());
-  CHECK(failure == PathFailure::kMemory);
+  CHECK(failure == PathFailure::kCrossing);
 }
 
 TEST(PathChooser, KnowsHowLongAPromptOccupiesLinksBetweenZones) {
@@ -176,7 +176,7 @@
     for (const bbv::Hop& it : path.hops)
       it.target->own_unread_tokens += 760;
   }
-  CHECK(failure == PathFailure::kMemory);
+  CHECK(failure == PathFailure::kUnreadPrompts);
   // The slowest hop of each zone reads a prompt in 1.8 to 3 ms a call.
   CHECK(placed > 3 * 150);
   CHECK(placed < 3 * 600);
@@ -252,7 +252,7 @@
   for (FleetTarget* it : first)
     it->own_calls = 192;
   CHECK(Choose("b", 1).empty());
-  CHECK(failure == PathFailure::kMemory);
+  CHECK(failure == PathFailure::kFirstSlots);
 }
 
 // Load: answers that grew longer than their callers said. A full target is no
