--- a/modules/bbv_core/event.cc
+++ b/modules/bbv_core/event.cc
@@ -68,6 +68,9 @@
     EventDescription{Event::kCallPathChanged, "call-path-changed"},
     EventDescription{Event::kZoneCopyBroken, "zone-copy-broken"},
     EventDescription{Event::kZoneCopyWhole, "zone-copy-whole"},
+    EventDescription{Event::kStoreEraChanged, "store-era-changed"},
+    EventDescription{Event::kTargetLeaves, "target-leaves"},
+    EventDescription{Event::kTargetRests, "target-rests"},
 };
 
 // Events of the ordinary course of each request: written at verbosity 1 only.
--- a/modules/bbv_core/event.h
+++ b/modules/bbv_core/event.h
@@ -65,6 +65,9 @@
   kCallPathChanged = 92,
   kZoneCopyBroken = 93,
   kZoneCopyWhole = 94,
+  kStoreEraChanged = 95,
+  kTargetLeaves = 96,
+  kTargetRests = 97,
 };
 
 // One row of the catalogue.
--- a/modules/bbv_entry/configuration_follower.cc
+++ b/modules/bbv_entry/configuration_follower.cc
@@ -88,6 +88,11 @@
                          Failed();
                          return;
                        }
+                       if (page->era < read_to_.era) {
+                         // Left over from before the store's return.
+                         Failed();
+                         return;
+                       }
                        calling_ = false;
                        for (const platform::KeyedRecord& it : page->records) {
                          if (it.key != platform::kConfigurationKey)
@@ -95,7 +100,7 @@
                          TakeRead(it.value);
                        }
                        positioned_ = true;
-                       next_offset_ = page->end_offset;
+                       read_to_ = {page->era, page->end_offset};
                        // What the others have may have come later than this
                        // read; then they say so again.
                        behind_since_.reset();
@@ -104,7 +109,7 @@
 
 void ConfigurationFollower::WaitForNext() {
   store_->Call(
-      platform::EncodeRead(platform::kOperatorTopic, next_offset_,
+      platform::EncodeRead(platform::kOperatorTopic, read_to_.offset,
                            kConfigurationWaitMs),
       Milliseconds(kConfigurationWaitMs) + kWaitSlack,
       [this](const Result<StoreAnswer>& answer) {
@@ -114,7 +119,13 @@
             not_before_ = EventLoop::Now();
           return;
         }
-        const auto page = platform::DecodeRead(answer->body, next_offset_);
+        if (answer->era != read_to_.era) {
+          // Offsets of another era say nothing: the newest is read anew.
+          Failed();
+          not_before_ = EventLoop::Now();
+          return;
+        }
+        const auto page = platform::DecodeRead(answer->body, read_to_.offset);
         if (!page) {
           Failed();
           return;
@@ -124,7 +135,7 @@
           if (it.key == platform::kConfigurationKey && !it.value.empty())
             TakeRead(it.value);
         }
-        next_offset_ += static_cast<int64_t>(page->records.size());
+        read_to_.offset += static_cast<int64_t>(page->records.size());
       });
 }
 
--- a/modules/bbv_entry/configuration_follower.h
+++ b/modules/bbv_entry/configuration_follower.h
@@ -10,6 +10,7 @@
 
 #include "bbv_entry/store_client.h"
 #include "bbv_fleet/bbv_fleet.h"
+#include "bbv_membership/bbv_membership.h"
 #include "bbv_observe/decision_log.h"
 
 namespace bbv {
@@ -60,7 +61,7 @@
   Instant applied_at_{};
   bool calling_ = false;
   bool positioned_ = false;
-  int64_t next_offset_ = 0;
+  StorePosition read_to_;
   Instant not_before_{};
   Instant next_look_{};
   // Since when another entry has had a newer one.
--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -105,6 +105,10 @@
                                     std::string_view evidence, bool witnessed) {
     TakeTargetFault(id, evidence, witnessed);
   };
+  client_.SetHeadObserver(
+      [this](const std::string& address, const HttpHead& head) {
+        TakeNotice(address, platform::DecodeNotice(head));
+      });
   context_.on_target_doubt = [this](const std::string& id) { DoubtTarget(id); };
 }
 
@@ -323,6 +327,31 @@
   stalls_.Doubt(target_id, capacity, EventLoop::Now());
 }
 
+void FleetEntry::TakeNotice(const std::string& address,
+                            const platform::TargetNotice& notice) {
+  if (!notice.leaving && !notice.rest && !notice.rest_is_odd)
+    return;
+  FleetTarget* target = board_.FindAddress(address);
+  if (target == nullptr)
+    return;
+  const Instant now = EventLoop::Now();
+  const std::string& id = target->record.id;
+  if (notice.leaving &&
+      board_.MarkLeaving(id, target->record.started_unix_ms)) {
+    log_.Write(Event::kTargetLeaves, now,
+               {{"target", id}, {"evidence", "its answer"}});
+    peers_.TellLeaving(*target);
+  }
+  if (!notice.rest && !notice.rest_is_odd)
+    return;
+  const Milliseconds rest = notice.rest.value_or(Milliseconds(0));
+  board_.Rest(target, now + rest);
+  log_.Write(Event::kTargetRests, now,
+             {{"target", id},
+              {"for_ms", static_cast<int64_t>(rest.count())},
+              {"odd", notice.rest_is_odd}});
+}
+
 void FleetEntry::TakeLeavingTarget(const std::string& target_id) {
   const Instant now = EventLoop::Now();
   FleetTarget* target = board_.Find(target_id);
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -76,6 +76,9 @@
                        bool witnessed);
   // A target was named as the cause for which a call was turned away.
   void DoubtTarget(const std::string& target_id);
+  // Acts on what a target said of itself in an answer.
+  void TakeNotice(const std::string& address,
+                  const platform::TargetNotice& notice);
   // A target takes no new calls, though the list does not say that it leaves.
   void TakeLeavingTarget(const std::string& target_id);
   // Takes a usable target out for a time; tells the peers when others saw it.
--- a/modules/bbv_entry/member_directory.cc
+++ b/modules/bbv_entry/member_directory.cc
@@ -51,7 +51,8 @@
                              Instant now) {
   if (calling_ || now < not_before_)
     return;
-  if (!registered_) {
+  // A store that came back from a copy may have lost this entry's record.
+  if (!registered_ || registered_era_ != store_->era()) {
     Register(now);
     return;
   }
@@ -71,6 +72,8 @@
       kStoreTimeout, [this](const Result<StoreAnswer>& answer) {
         calling_ = false;
         registered_ = answer && answer->status == kOk;
+        if (registered_)
+          registered_era_ = answer->era;
         if (registered_)
           not_before_ = {};
       });
--- a/modules/bbv_entry/member_directory.h
+++ b/modules/bbv_entry/member_directory.h
@@ -44,6 +44,8 @@
   OnMember on_member_;
   OnRead on_read_;
   bool registered_ = false;
+  // Era of the store in which the record was written.
+  int64_t registered_era_ = 0;
   bool was_read_ = false;
   bool calling_ = false;
   Instant read_at_{};
--- a/modules/bbv_entry/peer_exchange.cc
+++ b/modules/bbv_entry/peer_exchange.cc
@@ -221,7 +221,25 @@
   gossip_.TellFault(std::move(fault), EventLoop::Now());
 }
 
-void PeerExchange::TakeFault(const wire::TargetFaultT& fault, Instant) {
+void PeerExchange::TellLeaving(const FleetTarget& target) {
+  wire::TargetFaultT fault;
+  fault.target = target.record.id;
+  fault.started_unix_ms = target.record.started_unix_ms;
+  fault.heartbeat = target.record.heartbeat;
+  fault.evidence = "said that it leaves";
+  fault.leaving = true;
+  gossip_.TellFault(std::move(fault), EventLoop::Now());
+}
+
+void PeerExchange::TakeFault(const wire::TargetFaultT& fault, Instant now) {
+  if (fault.leaving) {
+    if (parts_.board->MarkLeaving(fault.target, fault.started_unix_ms)) {
+      parts_.log->Write(
+          Event::kTargetLeaves, now,
+          {{"target", fault.target}, {"evidence", "peer: " + fault.evidence}});
+    }
+    return;
+  }
   const FleetTarget* target = parts_.board->Find(fault.target);
   if (target == nullptr ||
       target->record.started_unix_ms != fault.started_unix_ms ||
--- a/modules/bbv_entry/peer_exchange.h
+++ b/modules/bbv_entry/peer_exchange.h
@@ -55,6 +55,9 @@
   // Tells all entries at once of a target at fault.
   void TellFault(const FleetTarget& target, std::string_view evidence);
 
+  // Tells all entries at once of a target that said that it leaves.
+  void TellLeaving(const FleetTarget& target);
+
   // Hands on what this entry has read from the store for its zone.
   void TellTargetList(wire::TargetListDeltaT delta);
   void TellConfiguration();
--- a/modules/bbv_entry/planner_agent.cc
+++ b/modules/bbv_entry/planner_agent.cc
@@ -100,6 +100,12 @@
   if (holds_lease_ && now >= lease_until_ &&
       (store_->reachable() || peer_plans_))
     SetLease(false, now);
+  if (joined_era_ != store_->era()) {
+    // The store came back from a copy: it may not know of this entry's lease.
+    joined_era_ = store_->era();
+    generation_ = 0;
+    next_join_ = now;
+  }
   if (joining_ || leaving_ || now < next_join_ || !SeeksLease(now))
     return;
   joining_ = true;
@@ -109,7 +115,9 @@
                            static_cast<int>(lease_.count()), generation_),
       kStoreTimeout, [this, sent = now](const Result<StoreAnswer>& answer) {
         joining_ = false;
-        if (!answer || answer->status != kOk || leaving_)
+        // An answer of an earlier era tells of a group that is gone.
+        if (!answer || answer->status != kOk || leaving_ ||
+            answer->era < store_->era())
           return;
         const auto group = platform::DecodeGroup(answer->body);
         if (!group)
@@ -202,7 +210,7 @@
     if (!board_->IsUsable(*row, now)) {
       const Instant since = missing_since_.try_emplace(id, now).first->second;
       last_change_ = now;
-      if (row->record.leaving || now >= since + kLossPatience)
+      if (row->IsLeaving() || now >= since + kLossPatience)
         continue;
     } else {
       missing_since_.erase(id);
@@ -213,7 +221,9 @@
       target.layers = it->second.layers;
       target.is_fixed = true;
     }
-    target.is_fixed = target.is_fixed || mute_until_.contains(id);
+    // Nothing may be sent to a target that rests.
+    target.is_fixed =
+        target.is_fixed || mute_until_.contains(id) || row->IsResting(now);
     targets.push_back(std::move(target));
   }
   std::erase_if(missing_since_, [this](const auto& it) {
@@ -328,7 +338,7 @@
     const bool settled =
         target == nullptr ||
         target->record.started_unix_ms != it->second.started_unix_ms ||
-        target->record.layers == it->second.layers || target->record.leaving;
+        target->record.layers == it->second.layers || target->IsLeaving();
     const bool mute = !it->second.answered && now >= it->second.mute_deadline;
     if (mute && !settled) {
       // Others take its part; what it was told may still be carried out.
@@ -351,7 +361,7 @@
 
 void PlannerAgent::AskReport(const std::string& id) {
   const FleetTarget* target = board_->Find(id);
-  if (target == nullptr)
+  if (target == nullptr || target->IsResting(EventLoop::Now()))
     return;
   AskForReport(
       client_, {target->record.address, EventLoop::Now() + kOrderTimeout},
@@ -379,7 +389,8 @@
 void PlannerAgent::SendOrder(const std::string& id, int64_t orders_begun) {
   const FleetTarget* target = board_->Find(id);
   const auto order = pending_.find(id);
-  if (target == nullptr || order == pending_.end())
+  if (target == nullptr || order == pending_.end() ||
+      target->IsResting(EventLoop::Now()))
     return;
   const LayerRange layers = order->second.layers;
   log_->Write(Event::kLayerOrderSent, EventLoop::Now(),
--- a/modules/bbv_entry/planner_agent.h
+++ b/modules/bbv_entry/planner_agent.h
@@ -131,6 +131,8 @@
   bool joining_ = false;
   bool leaving_ = false;
   int64_t generation_ = 0;
+  // Era of the store in which the lease was last sought.
+  int64_t joined_era_ = 0;
   Instant lease_until_{};
   Instant next_join_{};
   Instant next_plan_{};
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -10,6 +10,9 @@
 constexpr Milliseconds kConnectTimeout{250};
 // Answers of plain services are relayed whole, up to this size.
 constexpr std::size_t kMaxAnswerBytes = 16U << 20U;
+// The same for all of them at once, so that targets that send without end
+// leave memory for the other calls.
+constexpr std::size_t kMaxBufferedBytes = 48U << 20U;
 // Bytes that a caller has not taken at which its answer is read no further, and
 // from which on it is read again.
 constexpr std::size_t kStopReadingBytes = 256U << 10U;
@@ -66,6 +69,7 @@
 
 RelayedCall::~RelayedCall() {
   CancelSend();
+  DropBufferedAnswer();
 }
 
 void RelayedCall::Start(Instant now) {
@@ -174,7 +178,7 @@
   sent_at_ = now;
   under_way_ = true;
   streaming_ = false;
-  answer_body_.clear();
+  DropBufferedAnswer();
   splitter_.Reset();
   paused_ = false;
   context_->selector->Begin(sent_);
@@ -246,9 +250,13 @@
          context_->waiting_room->Add(caller_->id(), ticket);
 }
 
-Milliseconds RelayedCall::RetryAfter(const CallRequest&, CallEnd end) {
-  const Milliseconds base =
+Milliseconds RelayedCall::RetryAfter(const CallRequest& request, CallEnd end) {
+  Milliseconds base =
       end == CallEnd::kNoRoom ? kRetryWithoutRoom : kRetryWithoutTarget;
+  const Instant now = EventLoop::Now();
+  const auto rested = context_->board->FirstRestEnd(request.service, now);
+  if (end == CallEnd::kNoTarget && rested)
+    base = std::max(base, Milliseconds(RemainingMilliseconds(*rested, now)));
   const auto spread =
       static_cast<int>((*context_->random)() % kRetrySpreadPercent);
   return base + base * spread / 100;
@@ -337,20 +345,31 @@
     return;
   }
   answer_body_.append(data);
-  if (answer_body_.size() > kMaxAnswerBytes) {
-    context_->client->Cancel(exchange_);
-    FailSend({CallEnd::kBadAnswer, false, false, {}}, "answer too large");
+  context_->buffered_bytes += data.size();
+  if (answer_body_.size() > kMaxAnswerBytes ||
+      context_->buffered_bytes > kMaxBufferedBytes) {
+    DropBufferedAnswer();
+    FailBadAnswer("answer too large");
   }
 }
 
+void RelayedCall::DropBufferedAnswer() {
+  context_->buffered_bytes -= answer_body_.size();
+  answer_body_.clear();
+}
+
+void RelayedCall::FailBadAnswer(std::string_view evidence) {
+  context_->client->Cancel(exchange_);
+  FailSend({CallEnd::kBadAnswer, false, false, {}}, evidence);
+}
+
 void RelayedCall::RelayEvents(std::string_view data) {
   chunk_.clear();
   int64_t last = call_.last_event();
   for (const StreamEvent& it : splitter_.Take(data)) {
     // A target that goes on after an event does not send it again; ids ascend.
     if (it.id && *it.id <= last) {
-      context_->client->Cancel(exchange_);
-      FailSend({CallEnd::kBadAnswer, false, false, {}}, "event out of order");
+      FailBadAnswer("event out of order");
       return;
     }
     if (it.id) {
@@ -359,6 +378,10 @@
     }
     chunk_.append(it.text);
   }
+  if (splitter_.is_overlong()) {
+    FailBadAnswer("event without end");
+    return;
+  }
   if (chunk_.empty() || caller_ == nullptr)
     return;
   const Instant now = EventLoop::Now();
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -41,6 +41,8 @@
   // Calls that wait for room, by their callers' connections.
   WaitingRoom* waiting_room = nullptr;
   AnswerLengths* answer_lengths = nullptr;
+  // Bytes of plain answers that are not whole yet, of all calls.
+  std::size_t buffered_bytes = 0;
 };
 
 // One call on its way: carries out what FleetCall decides, between the
@@ -102,6 +104,9 @@
  private:
   void OnChangeAnswered(const OrderAnswer& answer, const CallDispatch& path);
   void RelayEvents(std::string_view data);
+  // Ends the send under way, whose answer is none of the protocol.
+  void FailBadAnswer(std::string_view evidence);
+  void DropBufferedAnswer();
   void FailSend(const SendFailure& failure, std::string_view evidence);
   void FinishSend(bool failed, Instant now);
   void NotePause(int64_t event_id, Instant now);
--- a/modules/bbv_entry/stall_watch.cc
+++ b/modules/bbv_entry/stall_watch.cc
@@ -31,7 +31,7 @@
 void StallWatch::Suspect(const std::string& target_id, Instant now) {
   Instant& next = next_question_[target_id];
   const FleetTarget* target = board_->Find(target_id);
-  if (now < next || target == nullptr)
+  if (now < next || target == nullptr || target->IsResting(now))
     return;
   next = now + kQuestionPause + kQuestionTimeout;
   AskForReport(client_, {target->record.address, now + kQuestionTimeout},
@@ -43,7 +43,8 @@
 void StallWatch::Probe(const std::string& target_id, Instant now) {
   Instant& next = next_probe_[target_id];
   const FleetTarget* target = board_->Find(target_id);
-  if (now < next || target == nullptr || !board_->IsUsable(*target, now))
+  if (now < next || target == nullptr || target->IsResting(now) ||
+      !board_->IsUsable(*target, now))
     return;
   next = now + kProbePause;
   AskForReport(
@@ -64,7 +65,7 @@
     return;
   board_->MarkFull(target, now);
   Instant& next = next_doubt_[target_id];
-  if (now < next)
+  if (now < next || target->IsResting(now))
     return;
   next = now + kDoubtPause;
   AskForReport(
--- a/modules/bbv_entry/store_client.cc
+++ b/modules/bbv_entry/store_client.cc
@@ -52,11 +52,13 @@
           return;
         }
         const int status = answer->head.status;
+        const int64_t era = platform::DecodeEra(answer->head);
+        TakeEra(era);
         const bool useful =
             status < kServerErrors && status != kTooManyRequests;
         SetReachable(useful, "status " + std::to_string(status));
         if (useful)
-          done(StoreAnswer{status, answer->body});
+          done(StoreAnswer{status, era, answer->body});
         else
           done(Fail(Step::kLogRead, address_.ToString(),
                     "status " + std::to_string(status)));
@@ -79,10 +81,24 @@
                      "status " + std::to_string(answer->status)));
            return;
          }
-         done(platform::DecodeNewest(answer->body));
+         auto page = platform::DecodeNewest(answer->body);
+         if (page)
+           page->era = answer->era;
+         done(page);
        });
 }
 
+void StoreClient::TakeEra(int64_t era) {
+  if (era <= era_)
+    return;
+  // The first answer tells in which era this entry begins.
+  if (era_ > 0) {
+    log_->Write(Event::kStoreEraChanged, EventLoop::Now(),
+                {{"store", address_.ToString()}, {"era", era}});
+  }
+  era_ = era;
+}
+
 void StoreClient::SetReachable(bool reachable, const std::string& cause) {
   if (reachable == reachable_)
     return;
--- a/modules/bbv_entry/store_client.h
+++ b/modules/bbv_entry/store_client.h
@@ -15,6 +15,8 @@
 // An answer of the store.
 struct StoreAnswer {
   int status = 0;
+  // Era of the store that answered.
+  int64_t era = 0;
   std::string body;
 };
 
@@ -46,8 +48,12 @@
   // Since when it is so; the past's start before the first call.
   Instant reachable_since() const { return reachable_since_; }
   uint64_t calls() const { return calls_; }
+  // The latest era that an answer told: it rises when the store comes back from
+  // an older copy, and what this entry wrote there may be gone.
+  int64_t era() const { return era_; }
 
  private:
+  void TakeEra(int64_t era);
   void SetReachable(bool reachable, const std::string& cause);
 
   HttpClient* client_;
@@ -56,6 +62,7 @@
   bool reachable_ = false;
   Instant reachable_since_{};
   uint64_t calls_ = 0;
+  int64_t era_ = 0;
 };
 
 }  // namespace bbv
--- a/modules/bbv_entry/target_follower.cc
+++ b/modules/bbv_entry/target_follower.cc
@@ -70,7 +70,7 @@
   read_heartbeats_.clear();
   read_whole_ = !positioned_ || schedule_.IsTorn(now);
   if (!read_whole_) {
-    read_from_ = next_offset_;
+    read_from_ = known_to_.offset;
     // With the pause before it a read takes no longer than the others count on.
     const bool waits = rank == 0 && !catches_up;
     ReadOn(waits ? std::max(Milliseconds(0), schedule_.wait() - kReadPause)
@@ -95,6 +95,15 @@
       kRetryPause * static_cast<int>(1 + std::min(rank_, kLongestRetry));
 }
 
+bool TargetFollower::GoesOn(int64_t era) {
+  if (era == known_to_.era)
+    return true;
+  Failed();
+  if (era > known_to_.era)
+    not_before_ = EventLoop::Now();
+  return false;
+}
+
 void TargetFollower::ReadNewest(const std::string& after_key) {
   store_->ReadNewest(platform::kTargetTopic, after_key, kCallTimeout,
                      [this, first = after_key.empty()](
@@ -106,9 +115,16 @@
                        const Instant now = EventLoop::Now();
                        // Pages are no snapshot: reading on from the first one's
                        // end repeats what changed between them.
-                       if (first)
+                       if (first) {
                          read_from_ = page->end_offset;
-                       if (read_from_ < next_offset_) {
+                         read_era_ = page->era;
+                       }
+                       if (page->era != read_era_) {
+                         // The pages are of different copies.
+                         Failed();
+                         return;
+                       }
+                       if (StorePosition{read_era_, read_from_} < known_to_) {
                          // Another entry has read more meanwhile.
                          calling_ = false;
                          return;
@@ -124,33 +140,36 @@
 }
 
 void TargetFollower::ReadOn(Milliseconds wait) {
-  store_->Call(platform::EncodeRead(platform::kTargetTopic, read_from_,
-                                    static_cast<int>(wait.count())),
-               wait + (wait.count() > 0 ? kWaitSlack : kCallTimeout),
-               [this](const Result<StoreAnswer>& answer) {
-                 if (!answer || answer->status != kOk) {
-                   Failed();
-                   if (answer && answer->status == kGone)
-                     not_before_ = EventLoop::Now();
-                   return;
-                 }
-                 const auto page =
-                     platform::DecodeRead(answer->body, read_from_);
-                 if (!page) {
-                   Failed();
-                   return;
-                 }
-                 const Instant now = EventLoop::Now();
-                 const int64_t to =
-                     read_from_ + static_cast<int64_t>(page->records.size());
-                 // What another entry has read meanwhile is newer than these.
-                 read_from_ = std::max(read_from_, std::min(next_offset_, to));
-                 for (const platform::KeyedRecord& it : page->records) {
-                   if (it.offset >= read_from_)
-                     TakeRecord(it, now);
-                 }
-                 FinishRead(to, now);
-               });
+  store_->Call(
+      platform::EncodeRead(platform::kTargetTopic, read_from_,
+                           static_cast<int>(wait.count())),
+      wait + (wait.count() > 0 ? kWaitSlack : kCallTimeout),
+      [this](const Result<StoreAnswer>& answer) {
+        if (!answer || answer->status != kOk) {
+          Failed();
+          if (answer && answer->status == kGone)
+            not_before_ = EventLoop::Now();
+          return;
+        }
+        if (!GoesOn(answer->era))
+          return;
+        read_era_ = answer->era;
+        const auto page = platform::DecodeRead(answer->body, read_from_);
+        if (!page) {
+          Failed();
+          return;
+        }
+        const Instant now = EventLoop::Now();
+        const int64_t to =
+            read_from_ + static_cast<int64_t>(page->records.size());
+        // What another entry has read meanwhile is newer than these.
+        read_from_ = std::max(read_from_, std::min(known_to_.offset, to));
+        for (const platform::KeyedRecord& it : page->records) {
+          if (it.offset >= read_from_)
+            TakeRecord(it, now);
+        }
+        FinishRead(to, now);
+      });
 }
 
 void TargetFollower::FinishRead(int64_t to, Instant now) {
@@ -160,7 +179,7 @@
   // Only a list that was read whole tells what is missing.
   if (read_whole_)
     BeginWholeList(read_began_);
-  next_offset_ = std::max(next_offset_, to);
+  known_to_ = std::max(known_to_, StorePosition{read_era_, to});
   // Waiting at the store for heartbeats would only read them one by one.
   const bool only_heartbeats = !read_whole_ && read_changes_.empty() &&
                                read_removals_.empty() && to > read_from_;
@@ -173,6 +192,7 @@
   wire::TargetListDeltaT delta;
   delta.from = read_from_;
   delta.to = to;
+  delta.era = read_era_;
   delta.whole = read_whole_;
   delta.age_ms = RemainingMilliseconds(now, true_at);
   for (const auto& [id, record] : read_changes_)
@@ -237,14 +257,16 @@
 
 void TargetFollower::Take(const wire::TargetListDeltaT& delta, Instant now) {
   const Instant read_at = now - Milliseconds(delta.age_ms);
+  const StorePosition from{delta.era, delta.from};
+  const StorePosition to{delta.era, delta.to};
   // Says less than is known here.
-  if (complete_ && delta.to < next_offset_)
+  if (complete_ && to < known_to_)
     return;
-  if (!delta.whole && (!complete_ || delta.from > next_offset_)) {
+  if (!delta.whole && (!complete_ || from > known_to_)) {
     if (!catch_up_at_ && complete_)
       catch_up_at_ =
           now + Milliseconds(static_cast<int64_t>(
-                    HashPair(next_offset_, delta.to) % kCatchUpSpreadMs));
+                    HashPair(known_to_.offset, delta.to) % kCatchUpSpreadMs));
     return;
   }
   if (!delta.whole && schedule_.IsTorn(now))
@@ -258,7 +280,7 @@
   bool knows_all = true;
   for (const wire::HeartbeatRow& it : delta.heartbeats)
     knows_all &= board_->ApplyHeartbeat(it.target(), it.heartbeat(), now);
-  next_offset_ = delta.to;
+  known_to_ = to;
   complete_ = true;
   positioned_ = knows_all;
   schedule_.TakePicture(read_at);
--- a/modules/bbv_entry/target_follower.h
+++ b/modules/bbv_entry/target_follower.h
@@ -18,8 +18,8 @@
 // Keeps the target board as the store lists it.
 //
 // The first of a zone's readers waits at the store for changes and hands on
-// what each read brought; ReadSchedule says when another entry reads. Offsets
-// of the store's records tell which of two reads knows more.
+// what each read brought; ReadSchedule says when another entry reads. Positions
+// at the store tell which of two reads knows more.
 // Thread safety: none, the loop's thread.
 class TargetFollower {
  public:
@@ -56,6 +56,9 @@
   void RemoveTarget(const std::string& id, Instant now);
   void FinishRead(int64_t to, Instant now);
   void BeginWholeList(Instant read_at);
+  // Whether an answer of `era` goes on with what is known. One of a later era
+  // makes this entry read the whole list, one of an earlier era is too late.
+  bool GoesOn(int64_t era);
   void Failed();
   void RemoveMissing(Instant now);
 
@@ -68,7 +71,8 @@
   bool calling_ = false;
   bool positioned_ = false;
   bool complete_ = false;
-  int64_t next_offset_ = 0;
+  // How far the list is known here, by own reads and by others'.
+  StorePosition known_to_;
   Instant not_before_{};
   // Set when this entry missed what another one read.
   std::optional<Instant> catch_up_at_;
@@ -76,6 +80,8 @@
   // The read under way: when it began, its first offset and what it brought.
   Instant read_began_{};
   int64_t read_from_ = 0;
+  // Era of the store that the read under way began in.
+  int64_t read_era_ = 0;
   bool read_whole_ = false;
   std::map<std::string, TargetRecord> read_changes_;
   std::map<std::string, bool> read_removals_;
--- a/modules/bbv_fleet/path_chooser.cc
+++ b/modules/bbv_fleet/path_chooser.cc
@@ -188,7 +188,9 @@
                              Instant now) const {
   assert(!current.empty());
   FleetTarget* first = board_->Find(current.front().target_id);
-  if (first == nullptr || IsExcluded(query, current.front().target_id))
+  // The order to change the path goes to the first target.
+  if (first == nullptr || first->IsResting(now) ||
+      IsExcluded(query, current.front().target_id))
     return {};
   std::vector<Candidate> candidates = Collect(model, query, now);
   std::erase_if(candidates, [first](const Candidate& it) {
--- a/modules/bbv_fleet/target_board.cc
+++ b/modules/bbv_fleet/target_board.cc
@@ -27,6 +27,8 @@
 // For how long a report's layers go before those of the list, which lags.
 constexpr Milliseconds kReportedLayersLead{2000};
 constexpr double kSlowPace = 2.5;
+// Targets without a row of which something is remembered, at most.
+constexpr std::size_t kMostRemembered = 4096;
 
 bool SameButHeartbeat(const TargetRecord& left, const TargetRecord& right) {
   return left.service == right.service && left.address == right.address &&
@@ -39,6 +41,8 @@
 }  // namespace
 
 bool TargetBoard::Apply(const TargetRecord& record, Instant now) {
+  if (IsOutdated(record))
+    return false;
   // One process listens at an address: the one that started last.
   const FleetTarget* holder = FindAddress(record.address);
   if (holder != nullptr && holder->record.id != record.id) {
@@ -48,8 +52,17 @@
   }
   std::unique_ptr<FleetTarget>& row = rows_[record.id];
   const bool added = row == nullptr;
-  if (added)
+  if (added) {
     row = std::make_unique<FleetTarget>();
+    const auto before = remembered_.find(record.id);
+    if (before != remembered_.end() &&
+        before->second.started_unix_ms == record.started_unix_ms) {
+      row->told_leaving = before->second.leaving;
+      row->rests_until = before->second.rests_until;
+    }
+    if (before != remembered_.end())
+      remembered_.erase(before);
+  }
   by_hash_[ShortHash(record.id)] = row.get();
   const bool restarted =
       !added && row->record.started_unix_ms != record.started_unix_ms;
@@ -73,11 +86,14 @@
     row->failure_share = 0;
     row->health = TargetHealth::kGood;
     row->suspected_until = {};
+    row->told_leaving = false;
+    row->rests_until = {};
   }
+  row->told_leaving = row->IsLeaving();
   const bool still_suspected = row->health == TargetHealth::kSuspected &&
                                (now < row->suspected_until ||
                                 record.heartbeat == row->suspected_heartbeat);
-  if (record.leaving)
+  if (row->told_leaving)
     row->health = TargetHealth::kLeaving;
   else if (!still_suspected)
     row->health = TargetHealth::kGood;
@@ -110,6 +126,9 @@
   const auto it = rows_.find(id);
   if (it == rows_.end())
     return false;
+  const FleetTarget& row = *it->second;
+  Remember(it->first, {row.record.started_unix_ms, row.record.heartbeat,
+                       row.told_leaving, row.rests_until});
   const auto address = by_address_.find(it->second->record.address);
   if (address != by_address_.end() && address->second == it->second.get())
     by_address_.erase(address);
@@ -120,6 +139,71 @@
   return true;
 }
 
+void TargetBoard::Remember(const std::string& id, const Remembered& what) {
+  remembered_[id] = what;
+  if (remembered_.size() <= kMostRemembered)
+    return;
+  remembered_.erase(std::min_element(remembered_.begin(), remembered_.end(),
+                                     [](const auto& left, const auto& right) {
+                                       return left.second.started_unix_ms <
+                                              right.second.started_unix_ms;
+                                     }));
+}
+
+bool TargetBoard::IsOutdated(const TargetRecord& record) const {
+  if (const FleetTarget* row = Find(record.id)) {
+    const TargetRecord& known = row->record;
+    return record.started_unix_ms < known.started_unix_ms ||
+           (record.started_unix_ms == known.started_unix_ms &&
+            record.heartbeat < known.heartbeat);
+  }
+  const auto it = remembered_.find(record.id);
+  if (it == remembered_.end())
+    return false;
+  return record.started_unix_ms < it->second.started_unix_ms ||
+         (record.started_unix_ms == it->second.started_unix_ms &&
+          record.heartbeat <= it->second.heartbeat);
+}
+
+bool TargetBoard::MarkLeaving(const std::string& id, int64_t started_unix_ms) {
+  FleetTarget* row = Find(id);
+  if (row == nullptr) {
+    Remembered what{started_unix_ms, -1, true, {}};
+    const auto it = remembered_.find(id);
+    if (it != remembered_.end()) {
+      if (it->second.started_unix_ms > started_unix_ms || it->second.leaving)
+        return false;
+      if (it->second.started_unix_ms == started_unix_ms)
+        what.heartbeat = it->second.heartbeat;
+    }
+    Remember(id, what);
+    return true;
+  }
+  if (row->record.started_unix_ms != started_unix_ms || row->told_leaving)
+    return false;
+  row->told_leaving = true;
+  row->health = TargetHealth::kLeaving;
+  return true;
+}
+
+void TargetBoard::Rest(FleetTarget* target, Instant until) {
+  assert(target != nullptr);
+  target->rests_until = std::max(target->rests_until, until);
+}
+
+std::optional<Instant> TargetBoard::FirstRestEnd(std::string_view service,
+                                                 Instant now) const {
+  std::optional<Instant> first;
+  for (const auto& [id, row] : rows_) {
+    if (row->record.service != service || !row->IsResting(now) ||
+        !IsUsable(*row, now))
+      continue;
+    if (!first || row->rests_until < *first)
+      first = row->rests_until;
+  }
+  return first;
+}
+
 std::vector<std::string> TargetBoard::RemoveUnlistedSince(Instant since) {
   std::vector<std::string> removed;
   for (const auto& [id, row] : rows_) {
@@ -199,7 +283,8 @@
 }
 
 bool TargetBoard::MayTake(const FleetTarget& target, Instant now) const {
-  return now >= target.full_until && IsUsable(target, now);
+  return now >= target.full_until && !target.IsResting(now) &&
+         IsUsable(target, now);
 }
 
 bool TargetBoard::IsUsable(const FleetTarget& target, Instant now) const {
--- a/modules/bbv_fleet/target_board.h
+++ b/modules/bbv_fleet/target_board.h
@@ -92,6 +92,10 @@
   Instant suspected_until{};
   // Until when it takes no new calls after it turned one away.
   Instant full_until{};
+  // Whether it was listed as leaving, or said so itself, since its start.
+  bool told_leaving = false;
+  // Until when it wants nothing from this process, by its own word.
+  Instant rests_until{};
   // Calls turned away in a row without a reason in its report.
   int unexplained_refusals = 0;
   Instant refused_at{};
@@ -121,6 +125,10 @@
   EngineLoadReport report;
   Instant reported_at{};
 
+  // Whether it leaves. Once told so it stays: a list may be older than that.
+  bool IsLeaving() const { return record.leaving || told_leaving; }
+  // Whether it wants to be left alone by this process at `now`.
+  bool IsResting(Instant now) const { return now < rests_until; }
   // How many times slower than usual it runs, 1 when that is not known.
   double Pace(Instant now) const;
   // Tokens times layers in use, by what is known here and what it said.
@@ -133,7 +141,9 @@
 class TargetBoard {
  public:
   // Takes a listed record. Returns true when anything but its heartbeat
-  // changed.
+  // changed. A record that is older than what is known of its target changes
+  // nothing, as a list that was restored from a copy holds some: it neither
+  // revives a target that was removed, nor makes one that leaves ready again.
   bool Apply(const TargetRecord& record, Instant now);
 
   // Takes a heartbeat of the target whose id has the short hash `hash` and that
@@ -159,6 +169,19 @@
   // Returns the row whose address is `address`, or nullptr.
   FleetTarget* FindAddress(std::string_view address);
 
+  // A target leaves, by its own word or another entry's; it need not be listed.
+  // It takes no new calls until it has started anew. Returns whether that was
+  // not known.
+  bool MarkLeaving(const std::string& id, int64_t started_unix_ms);
+
+  // A target wants nothing from this process until `until`.
+  void Rest(FleetTarget* target, Instant until);
+
+  // The first time from `now` on at which a target of `service` that rests
+  // takes calls again; nothing when none rests.
+  std::optional<Instant> FirstRestEnd(std::string_view service,
+                                      Instant now) const;
+
   // A target did not do its part: refused connections, a stall, silence.
   // It takes no calls until the time given back.
   Instant Suspect(FleetTarget* target, Instant now);
@@ -200,6 +223,21 @@
   }
 
  private:
+  // What must not be forgotten of a target when its row goes, as a list may
+  // name it again.
+  struct Remembered {
+    int64_t started_unix_ms = 0;
+    // Heartbeat of its newest record; a later one proves that it lives.
+    int64_t heartbeat = -1;
+    bool leaving = false;
+    Instant rests_until{};
+  };
+
+  void Remember(const std::string& id, const Remembered& what);
+  // Whether `record` is older than what is remembered of its target.
+  bool IsOutdated(const TargetRecord& record) const;
+
+  std::map<std::string, Remembered, std::less<>> remembered_;
   std::map<std::string, std::unique_ptr<FleetTarget>, std::less<>> rows_;
   std::unordered_map<std::string, FleetTarget*> by_address_;
   std::unordered_map<uint32_t, FleetTarget*> by_hash_;
--- a/modules/bbv_fleet/target_board_test.cc
+++ b/modules/bbv_fleet/target_board_test.cc
@@ -127,3 +127,74 @@
   CHECK(board.Find("t") == nullptr);
   CHECK(board.FindAddress(record.address) == board.Find("next"));
 }
+
+TEST(TargetBoard, ATargetThatSaidThatItLeavesStaysLeavingWhateverTheListSays) {
+  CHECK(board.MarkLeaving("t", record.started_unix_ms));
+  CHECK_FALSE(board.MarkLeaving("t", record.started_unix_ms));
+  CHECK(!Usable(Milliseconds(0)));
+  ++record.heartbeat;
+  board.Apply(record, now);
+  CHECK(!Usable(Milliseconds(9000)));
+  // Also when its row has gone meanwhile, as while the store was away.
+  board.Remove("t");
+  ++record.heartbeat;
+  board.Apply(record, now);
+  CHECK(!Usable(Milliseconds(0)));
+  // A new start under the same id is another target.
+  record.started_unix_ms = 2;
+  board.Apply(record, now);
+  CHECK(Usable(Milliseconds(0)));
+}
+
+TEST(TargetBoard, WordOfALeavingTargetMayComeBeforeItsListing) {
+  CHECK(board.MarkLeaving("u", 1));
+  board.Apply(bbv_test::MakeRecord("u", "s", "a"), now);
+  CHECK(!board.IsUsable(*board.Find("u"), now));
+  // Word of an earlier start says nothing of a later one.
+  CHECK_FALSE(board.MarkLeaving("t", 0));
+  CHECK(Usable(Milliseconds(0)));
+}
+
+// A store that comes back from an older copy lists what has left since.
+TEST(TargetBoard, AnOlderCopyOfTheListChangesNothing) {
+  record.heartbeat = 7;
+  record.leaving = true;
+  board.Apply(record, now);
+  bbv::TargetRecord copy = record;
+  copy.heartbeat = 5;
+  copy.leaving = false;
+  CHECK_FALSE(board.Apply(copy, now));
+  CHECK(!Usable(Milliseconds(0)));
+  board.Remove("t");
+  CHECK_FALSE(board.Apply(copy, now));
+  CHECK(board.Find("t") == nullptr);
+  // What the target wrote after that proves that it lives, and still leaves.
+  copy.heartbeat = 8;
+  CHECK(board.Apply(copy, now));
+  CHECK(!Usable(Milliseconds(0)));
+}
+
+TEST(TargetBoard, ARemovedTargetThatLivesReturnsWithItsNextHeartbeat) {
+  record.heartbeat = 3;
+  board.Apply(record, now);
+  board.Remove("t");
+  CHECK_FALSE(board.Apply(record, now));
+  ++record.heartbeat;
+  CHECK(board.Apply(record, now));
+  CHECK(Usable(Milliseconds(0)));
+}
+
+TEST(TargetBoard, ATargetThatRestsTakesNoCallsUntilItsTimeIsOver) {
+  bbv::FleetTarget* target = board.Find("t");
+  board.Rest(target, now + Milliseconds(4000));
+  board.Rest(target, now + Milliseconds(1000));
+  CHECK(!board.MayTake(*target, now + Milliseconds(3999)));
+  CHECK(board.MayTake(*target, now + Milliseconds(4000)));
+  CHECK(board.FirstRestEnd("s", now) == now + Milliseconds(4000));
+  // Through the loss of its row as well.
+  board.Remove("t");
+  ++record.heartbeat;
+  board.Apply(record, now);
+  CHECK(!board.MayTake(*board.Find("t"), now + Milliseconds(3999)));
+  CHECK(!board.FirstRestEnd("s", now + Milliseconds(4000)).has_value());
+}
--- a/modules/bbv_front/http_client.cc
+++ b/modules/bbv_front/http_client.cc
@@ -13,6 +13,7 @@
 constexpr Milliseconds kIdleMargin{700};
 constexpr std::size_t kMaxAnswerBytes = 64U << 20U;
 constexpr std::size_t kMaxHeadBytes = 64U << 10U;
+constexpr std::size_t kMaxWholeAnswerBytes = 8U << 20U;
 
 Milliseconds IdleTime(const HttpHead& head) {
   const std::string* keep = head.Find("Keep-Alive");
@@ -131,6 +132,8 @@
 
   // HttpSink:
   void OnHead(HttpHead head) override {
+    if (client_->on_head_)
+      client_->on_head_(address_, head);
     if (sink_ == nullptr)
       return;
     const std::string* id =
@@ -291,7 +294,8 @@
 void WholeAnswer::Fetch(HttpClient* client,
                         ExchangeRequest request,
                         Done done) {
-  client->Send(std::move(request), new WholeAnswer(std::move(done)));
+  auto* sink = new WholeAnswer(client, std::move(done));
+  sink->exchange_ = client->Send(std::move(request), sink);
 }
 
 void WholeAnswer::OnAnswerHead(HttpHead head) {
@@ -300,6 +304,11 @@
 
 void WholeAnswer::OnAnswerBody(std::string_view data) {
   answer_.body.append(data);
+  if (answer_.body.size() <= kMaxWholeAnswerBytes)
+    return;
+  const std::unique_ptr<WholeAnswer> self(this);
+  client_->Cancel(exchange_);
+  done_(nullptr);
 }
 
 void WholeAnswer::OnAnswerEnd() {
--- a/modules/bbv_front/http_client.h
+++ b/modules/bbv_front/http_client.h
@@ -85,6 +85,12 @@
   // Ends what is overdue and drops connections that were idle for long.
   void OnTick(Instant now);
 
+  // Called with the head of each answer from `address`, also of those that no
+  // exchange waits for. Must not use the client.
+  using OnHead =
+      std::function<void(const std::string& address, const HttpHead& head)>;
+  void SetHeadObserver(OnHead on_head) { on_head_ = std::move(on_head); }
+
   // Connections opened since the start.
   uint64_t connections_opened() const { return connections_opened_; }
 
@@ -96,6 +102,7 @@
   std::unique_ptr<Connection> TakeIdle(const std::string& address);
 
   EventLoop* loop_;
+  OnHead on_head_;
   ExchangeId next_id_ = 1;
   uint64_t connections_opened_ = 0;
   std::map<ExchangeId, std::unique_ptr<Connection>> busy_;
@@ -111,6 +118,7 @@
 };
 
 // Collects one whole answer and hands it on; keeps itself alive until then.
+// Answers that are longer than any of the platform's count as none.
 class WholeAnswer final : public ExchangeSink {
  public:
   // Gets the answer, or nullptr when there is none.
@@ -125,8 +133,11 @@
   void OnExchangeFailed(ExchangeFailure failure) override;
 
  private:
-  explicit WholeAnswer(Done done) : done_(std::move(done)) {}
+  WholeAnswer(HttpClient* client, Done done)
+      : client_(client), done_(std::move(done)) {}
 
+  HttpClient* client_;
+  HttpClient::ExchangeId exchange_ = 0;
   Done done_;
   HttpAnswer answer_;
 };
--- a/modules/bbv_http/event_splitter.h
+++ b/modules/bbv_http/event_splitter.h
@@ -1,6 +1,7 @@
 #ifndef MODULES_BBV_HTTP_EVENT_SPLITTER_H_
 #define MODULES_BBV_HTTP_EVENT_SPLITTER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -21,11 +22,18 @@
 // Thread safety: none, one stream's owner.
 class EventSplitter {
  public:
+  // Longest part of an event that is kept.
+  static constexpr std::size_t kMostEventBytes = 256U << 10U;
+
   // Takes received bytes and returns the events that are whole now. Their
   // texts point into the splitter or `data` and stay valid until the next call
   // and while `data` does.
   const std::vector<StreamEvent>& Take(std::string_view data);
 
+  // Whether what has come of an event is longer than any event may be: the rest
+  // need not be waited for.
+  bool is_overlong() const { return partial_.size() > kMostEventBytes; }
+
   // Whether part of an event is being kept.
   bool has_partial() const { return !partial_.empty(); }
 
--- a/modules/bbv_http/http_parser.cc
+++ b/modules/bbv_http/http_parser.cc
@@ -178,10 +178,10 @@
     rest.remove_prefix(n);
     if (ec == http::error::need_more) {
       pending_.assign(rest);
-      // A head that is too large may also come as one long unfinished line.
-      if (!engine_->has_head() && pending_.size() > limits_.head_bytes)
-        return ParseStatus::kHeadTooLarge;
-      return ParseStatus::kNeedMore;
+      // A head, a chunk's first line or a trailer may also come as one line
+      // that never ends.
+      return pending_.size() > limits_.head_bytes ? ParseStatus::kHeadTooLarge
+                                                  : ParseStatus::kNeedMore;
     }
     if (ec)
       return StatusOf(ec);
--- a/modules/bbv_http/http_parser_test.cc
+++ b/modules/bbv_http/http_parser_test.cc
@@ -139,3 +139,48 @@
     CHECK(splitter.has_partial());
   }
 }
+
+namespace {
+
+// Feeds `bytes` and then `filler` without end; how much was taken before the
+// parser gave up, 0 when it did not within 16 MB.
+std::size_t FedUntilRefused(const std::string& bytes,
+                            const std::string& filler) {
+  constexpr std::size_t kMost = 16U << 20U;
+  struct Ignore : bbv::HttpSink {
+    void OnHead(bbv::HttpHead) override {}
+    void OnBody(std::string_view) override {}
+    void OnMessageComplete() override {}
+  } sink;
+  bbv::HttpParser parser(bbv::HttpParser::Kind::kAnswers, {65536, kMost * 2},
+                         &sink);
+  if (parser.Parse(bytes) != bbv::ParseStatus::kNeedMore)
+    return bytes.size();
+  for (std::size_t n = 0; n < kMost; n += filler.size()) {
+    if (parser.Parse(filler) != bbv::ParseStatus::kNeedMore)
+      return bytes.size() + n + filler.size();
+    if (parser.pending_bytes() > 2 * 65536)
+      return 0;
+  }
+  return 0;
+}
+
+}  // namespace
+
+// Answers of targets in trouble: lines that never end, until the caller closes.
+TEST(HttpParser, LinesWithoutEndAreCutAtTheBoundOfHeads) {
+  constexpr std::size_t kBound = 3 * 65536;
+  const std::string line(4096, 'a');
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string fields = "X-A: " + std::string(4000, 'a') + "\r\n";
+  for (const std::size_t fed :
+       {FedUntilRefused("", line), FedUntilRefused("HTTP/1.1 200 OK\r\n", line),
+        FedUntilRefused("HTTP/1.1 200 OK\r\n", fields),
+        FedUntilRefused(chunked + "5;x=", line),
+        FedUntilRefused(chunked + "0\r\nX-A: ", line),
+        FedUntilRefused(chunked + "0\r\n", fields)}) {
+    CHECK_TRUE(fed > 0);
+    CHECK_TRUE(fed <= kBound);
+  }
+}
--- a/modules/bbv_membership/bbv_membership.h
+++ b/modules/bbv_membership/bbv_membership.h
@@ -11,6 +11,7 @@
 #include "bbv_membership/fleet_gossip.h"
 #include "bbv_membership/member_table.h"
 #include "bbv_membership/read_schedule.h"
+#include "bbv_membership/store_position.h"
 #include "bbv_membership/zone_ledger.h"
 
 #endif  // MODULES_BBV_MEMBERSHIP_BBV_MEMBERSHIP_H_
--- a/modules/bbv_membership/fleet_gossip.cc
+++ b/modules/bbv_membership/fleet_gossip.cc
@@ -266,7 +266,7 @@
     Instant now) {
   std::vector<wire::TargetFaultT> fresh;
   for (const wire::TargetFaultT& it : faults) {
-    Instant& told = known_faults_[it.target];
+    Instant& told = known_faults_[{it.target, it.leaving}];
     if (told != Instant{} && now < told + kFaultIsKnown)
       continue;
     told = now;
--- a/modules/bbv_membership/fleet_gossip.h
+++ b/modules/bbv_membership/fleet_gossip.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "bbv_core/instant.h"
@@ -124,8 +125,9 @@
   // What this entry told last, newest at the back.
   std::deque<wire::EntryStateT> told_;
   std::map<std::string, ZonePicture> zones_;
-  // When a fault of a target was last told, by this entry or another.
-  std::map<std::string, Instant> known_faults_;
+  // When a fault of a target was last told, by this entry or another; apart for
+  // faults and for targets that said that they leave.
+  std::map<std::pair<std::string, bool>, Instant> known_faults_;
   bool has_unknown_members_ = false;
 };
 
--- a/modules/bbv_wire/wire_generated.h
+++ b/modules/bbv_wire/wire_generated.h
@@ -3431,9 +3431,11 @@
   int64_t started_unix_ms = 0;
   int64_t heartbeat = 0;
   std::string evidence{};
+  bool leaving = false;
 };
 
 /// A target that did not do its part, as the sender saw. `heartbeat` is the target's last one known to the sender.
+/// `leaving`: the target said that it leaves, which needs no proof.
 struct TargetFault FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef TargetFaultT NativeTableType;
   typedef TargetFaultBuilder Builder;
@@ -3442,7 +3444,8 @@
     VT_TARGET = 4,
     VT_STARTED_UNIX_MS = 6,
     VT_HEARTBEAT = 8,
-    VT_EVIDENCE = 10
+    VT_EVIDENCE = 10,
+    VT_LEAVING = 12
   };
   const flatbuffers::String *target() const {
     return GetPointer<const flatbuffers::String *>(VT_TARGET);
@@ -3456,6 +3459,9 @@
   const flatbuffers::String *evidence() const {
     return GetPointer<const flatbuffers::String *>(VT_EVIDENCE);
   }
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TARGET) &&
@@ -3464,6 +3470,7 @@
            VerifyField<int64_t>(verifier, VT_HEARTBEAT, 8) &&
            VerifyOffset(verifier, VT_EVIDENCE) &&
            verifier.VerifyString(evidence()) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            verifier.EndTable();
   }
   TargetFaultT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3487,6 +3494,9 @@
   void add_evidence(flatbuffers::Offset<flatbuffers::String> evidence) {
     fbb_.AddOffset(TargetFault::VT_EVIDENCE, evidence);
   }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(TargetFault::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
   explicit TargetFaultBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3503,12 +3513,14 @@
     flatbuffers::Offset<flatbuffers::String> target = 0,
     int64_t started_unix_ms = 0,
     int64_t heartbeat = 0,
-    flatbuffers::Offset<flatbuffers::String> evidence = 0) {
+    flatbuffers::Offset<flatbuffers::String> evidence = 0,
+    bool leaving = false) {
   TargetFaultBuilder builder_(_fbb);
   builder_.add_heartbeat(heartbeat);
   builder_.add_started_unix_ms(started_unix_ms);
   builder_.add_evidence(evidence);
   builder_.add_target(target);
+  builder_.add_leaving(leaving);
   return builder_.Finish();
 }
 
@@ -3522,7 +3534,8 @@
     const char *target = nullptr,
     int64_t started_unix_ms = 0,
     int64_t heartbeat = 0,
-    const char *evidence = nullptr) {
+    const char *evidence = nullptr,
+    bool leaving = false) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto evidence__ = evidence ? _fbb.CreateString(evidence) : 0;
   return bbv::wire::CreateTargetFault(
@@ -3530,7 +3543,8 @@
       target__,
       started_unix_ms,
       heartbeat,
-      evidence__);
+      evidence__,
+      leaving);
 }
 
 flatbuffers::Offset<TargetFault> CreateTargetFault(flatbuffers::FlatBufferBuilder &_fbb, const TargetFaultT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4363,6 +4377,7 @@
   std::vector<bbv::wire::ListedTargetT> changed{};
   std::vector<std::string> removed{};
   std::vector<bbv::wire::HeartbeatRow> heartbeats{};
+  int64_t era = 0;
 };
 
 /// What one read of the target list brought: the records from offset `from` to before `to`, or all of the list when
@@ -4378,7 +4393,8 @@
     VT_AGE_MS = 10,
     VT_CHANGED = 12,
     VT_REMOVED = 14,
-    VT_HEARTBEATS = 16
+    VT_HEARTBEATS = 16,
+    VT_ERA = 18
   };
   int64_t from() const {
     return GetField<int64_t>(VT_FROM, 0);
@@ -4401,6 +4417,10 @@
   const flatbuffers::Vector<const bbv::wire::HeartbeatRow *> *heartbeats() const {
     return GetPointer<const flatbuffers::Vector<const bbv::wire::HeartbeatRow *> *>(VT_HEARTBEATS);
   }
+  /// Era of the store's offsets; offsets of different eras do not compare.
+  int64_t era() const {
+    return GetField<int64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int64_t>(verifier, VT_FROM, 8) &&
@@ -4415,6 +4435,7 @@
            verifier.VerifyVectorOfStrings(removed()) &&
            VerifyOffset(verifier, VT_HEARTBEATS) &&
            verifier.VerifyVector(heartbeats()) &&
+           VerifyField<int64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
   TargetListDeltaT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4447,6 +4468,9 @@
   void add_heartbeats(flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::HeartbeatRow *>> heartbeats) {
     fbb_.AddOffset(TargetListDelta::VT_HEARTBEATS, heartbeats);
   }
+  void add_era(int64_t era) {
+    fbb_.AddElement<int64_t>(TargetListDelta::VT_ERA, era, 0);
+  }
   explicit TargetListDeltaBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4466,8 +4490,10 @@
     uint32_t age_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::ListedTarget>>> changed = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> removed = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::HeartbeatRow *>> heartbeats = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::HeartbeatRow *>> heartbeats = 0,
+    int64_t era = 0) {
   TargetListDeltaBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_to(to);
   builder_.add_from(from);
   builder_.add_heartbeats(heartbeats);
@@ -4491,7 +4517,8 @@
     uint32_t age_ms = 0,
     const std::vector<flatbuffers::Offset<bbv::wire::ListedTarget>> *changed = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *removed = nullptr,
-    const std::vector<bbv::wire::HeartbeatRow> *heartbeats = nullptr) {
+    const std::vector<bbv::wire::HeartbeatRow> *heartbeats = nullptr,
+    int64_t era = 0) {
   auto changed__ = changed ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::ListedTarget>>(*changed) : 0;
   auto removed__ = removed ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*removed) : 0;
   auto heartbeats__ = heartbeats ? _fbb.CreateVectorOfStructs<bbv::wire::HeartbeatRow>(*heartbeats) : 0;
@@ -4503,7 +4530,8 @@
       age_ms,
       changed__,
       removed__,
-      heartbeats__);
+      heartbeats__,
+      era);
 }
 
 flatbuffers::Offset<TargetListDelta> CreateTargetListDelta(flatbuffers::FlatBufferBuilder &_fbb, const TargetListDeltaT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6156,7 +6184,8 @@
       (lhs.target == rhs.target) &&
       (lhs.started_unix_ms == rhs.started_unix_ms) &&
       (lhs.heartbeat == rhs.heartbeat) &&
-      (lhs.evidence == rhs.evidence);
+      (lhs.evidence == rhs.evidence) &&
+      (lhs.leaving == rhs.leaving);
 }
 
 inline bool operator!=(const TargetFaultT &lhs, const TargetFaultT &rhs) {
@@ -6177,6 +6206,7 @@
   { auto _e = started_unix_ms(); _o->started_unix_ms = _e; }
   { auto _e = heartbeat(); _o->heartbeat = _e; }
   { auto _e = evidence(); if (_e) _o->evidence = _e->str(); }
+  { auto _e = leaving(); _o->leaving = _e; }
 }
 
 inline flatbuffers::Offset<TargetFault> TargetFault::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TargetFaultT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6191,12 +6221,14 @@
   auto _started_unix_ms = _o->started_unix_ms;
   auto _heartbeat = _o->heartbeat;
   auto _evidence = _o->evidence.empty() ? 0 : _fbb.CreateString(_o->evidence);
+  auto _leaving = _o->leaving;
   return bbv::wire::CreateTargetFault(
       _fbb,
       _target,
       _started_unix_ms,
       _heartbeat,
-      _evidence);
+      _evidence,
+      _leaving);
 }
 
 
@@ -6546,7 +6578,8 @@
       (lhs.age_ms == rhs.age_ms) &&
       (lhs.changed == rhs.changed) &&
       (lhs.removed == rhs.removed) &&
-      (lhs.heartbeats == rhs.heartbeats);
+      (lhs.heartbeats == rhs.heartbeats) &&
+      (lhs.era == rhs.era);
 }
 
 inline bool operator!=(const TargetListDeltaT &lhs, const TargetListDeltaT &rhs) {
@@ -6570,6 +6603,7 @@
   { auto _e = changed(); if (_e) { _o->changed.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->changed[_i] = *std::unique_ptr<bbv::wire::ListedTargetT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = removed(); if (_e) { _o->removed.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->removed[_i] = _e->Get(_i)->str(); } } }
   { auto _e = heartbeats(); if (_e) { _o->heartbeats.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->heartbeats[_i] = *_e->Get(_i); } } }
+  { auto _e = era(); _o->era = _e; }
 }
 
 inline flatbuffers::Offset<TargetListDelta> TargetListDelta::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TargetListDeltaT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6587,6 +6621,7 @@
   auto _changed = _o->changed.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::ListedTarget>> (_o->changed.size(), [](size_t i, _VectorArgs *__va) { return CreateListedTarget(*__va->__fbb, &(__va->__o->changed[i]), __va->__rehasher); }, &_va ) : 0;
   auto _removed = _o->removed.size() ? _fbb.CreateVectorOfStrings(_o->removed) : 0;
   auto _heartbeats = _o->heartbeats.size() ? _fbb.CreateVectorOfStructs(_o->heartbeats) : 0;
+  auto _era = _o->era;
   return bbv::wire::CreateTargetListDelta(
       _fbb,
       _from,
@@ -6595,7 +6630,8 @@
       _age_ms,
       _changed,
       _removed,
-      _heartbeats);
+      _heartbeats,
+      _era);
 }
 
 
--- a/tests/fleet_floor_test.cc
+++ b/tests/fleet_floor_test.cc
@@ -38,6 +38,16 @@
   void teardown() override {
     floor.reset();
   }
+  // A plain target that the first entry calls; the least loaded one is taken
+  // by one call after the other.
+  int FindCalledTarget() {
+    floor->Call(0, "/safe/x", "probe");
+    int it = shape.engines;
+    while (it < shape.engines + shape.services - 1 &&
+           floor->targets().Calls(it) == 0)
+      ++it;
+    return it;
+  }
 };
 
 TEST(FleetFloor, PlacesLayersAndServesStreamsAndCalls) {
@@ -285,3 +295,153 @@
   }
   FAIL("no other entry plans after 12 s");
 }
+
+// A plain target says in its answers that it leaves; the list never does.
+TEST(FleetFloor, ATargetThatSaysThatItLeavesGetsNoMoreCallsFromAnyEntry) {
+  shape.services = 3;
+  StartFloor(2);
+  const int leaving = FindCalledTarget();
+  floor->targets().SayLeaving(leaving);
+  const int before = floor->targets().Calls(leaving);
+  int n = 0;
+  const auto call = [&](int entry) {
+    const auto answer =
+        floor->Call(entry, "/safe/x", "leave" + std::to_string(n++));
+    CHECK(answer && answer->status == 200);
+  };
+  while (floor->targets().Calls(leaving) == before && n < 200)
+    call(0);
+  // The word travels to the other entry, which has not asked the target.
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  const int calls = floor->targets().Calls(leaving);
+  for (int it = 0; it < 60; ++it)
+    call(it % 2);
+  CHECK_EQUAL(calls, floor->targets().Calls(leaving));
+  CHECK(floor->Output(1).find("target-leaves") != std::string::npos);
+}
+
+TEST(FleetFloor, ATargetThatWantsToRestIsLeftAloneForSoLong) {
+  shape.services = 3;
+  shape.work_ms = 20;
+  StartFloor(1);
+  const int resting = FindCalledTarget();
+  floor->targets().TurnAway(resting, "2.5");
+  const int before = floor->targets().Requests(resting);
+  int n = 0;
+  const auto call = [&] {
+    const auto answer = floor->Call(0, "/safe/x", "rest" + std::to_string(n++));
+    CHECK(answer && answer->status == 200);
+  };
+  while (floor->targets().Requests(resting) == before && n < 200)
+    call();
+  const auto told = std::chrono::steady_clock::now();
+  floor->targets().TurnAway(resting, "");
+  const int requests = floor->targets().Requests(resting);
+  while (std::chrono::steady_clock::now() <
+         told + std::chrono::milliseconds(2300)) {
+    call();
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  CHECK_EQUAL(requests, floor->targets().Requests(resting));
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  // More at once than the others take.
+  std::vector<std::thread> callers;
+  callers.reserve(120);
+  for (int it = 0; it < 120; ++it) {
+    callers.emplace_back([this, it] {
+      floor->Call(0, "/safe/x", "again" + std::to_string(it));
+    });
+  }
+  for (std::thread& it : callers)
+    it.join();
+  CHECK(floor->targets().Requests(resting) > requests);
+}
+
+// Where nothing else is left callers are told when the target will be there.
+TEST(FleetFloor, CallersAreToldWhenTheLastTargetsRestIsOver) {
+  shape.services = 1;
+  StartFloor(1);
+  floor->targets().TurnAway(shape.engines, "4");
+  floor->Call(0, "/safe/x", "first");
+  const auto answer = floor->Call(0, "/safe/x", "second");
+  CHECK(answer && answer->status == 503);
+  const double after = std::stod(answer->get_header_value("Retry-After"));
+  CHECK(after > 3.0 && after < 6.0);
+}
+
+TEST(FleetFloor, BytesWithoutEndAreCutAndMemoryStaysBounded) {
+  shape.services = 3;
+  StartFloor(1);
+  for (int it = 0; it < shape.engines + 1; ++it)
+    floor->targets().AnswerWithoutEnd(it);
+  std::vector<std::thread> callers;
+  callers.reserve(24);
+  for (int it = 0; it < 24; ++it) {
+    callers.emplace_back([this, it] {
+      const std::string id = "endless" + std::to_string(it);
+      if (it % 2 == 0)
+        CHECK_FALSE(floor->Stream(0, id).whole);
+      else
+        floor->Call(0, "/safe/x", id);
+    });
+  }
+  for (std::thread& it : callers)
+    it.join();
+  const std::string metrics = floor->Metrics(0);
+  const std::string name = "peak_memory_kilobytes\"} ";
+  const std::size_t at = metrics.find(name);
+  CHECK(at != std::string::npos);
+  constexpr double kMostKilobytes = 160 * 1024;
+  CHECK(std::stod(metrics.substr(at + name.size())) < kMostKilobytes);
+  CHECK(floor->IsRunning(0));
+}
+
+// The store comes back from a copy of before a configuration, which withdrew a
+// key, and of before a target left.
+TEST(FleetFloor, AStoreBackFromACopyUndoesNothing) {
+  shape.services = 3;
+  StartFloor(2);
+  const auto version_is = [&](int entry, int version) {
+    return floor->Metrics(entry).find("configuration_version\"} " +
+                                      std::to_string(version)) !=
+           std::string::npos;
+  };
+  const auto wait = [](const auto& done) {
+    for (int it = 0; it < 250; ++it) {
+      if (done())
+        return true;
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return false;
+  };
+  // The copy is made here.
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  const auto copied = std::chrono::steady_clock::now();
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  floor->store().Put("keyed.op", "config",
+                     floor->targets().MakeConfiguration(2));
+  CHECK(wait([&] { return version_is(0, 2) && version_is(1, 2); }));
+  floor->store().SetOutage(true);
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  floor->store().RestoreCopy(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::steady_clock::now() - copied));
+  floor->store().SetOutage(false);
+  CHECK(wait([&] {
+    return floor->Output(0).find("store-era-changed") != std::string::npos ||
+           floor->Output(1).find("store-era-changed") != std::string::npos;
+  }));
+  for (int it = 0; it < 40; ++it) {
+    CHECK(version_is(0, 2) && version_is(1, 2));
+    const auto answer =
+        floor->Call(it % 2, "/version-2/x", "era" + std::to_string(it));
+    CHECK(answer && answer->status == 200);
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  // What is written after the return is in force although its offset was given
+  // out before.
+  floor->store().Put("keyed.op", "config",
+                     floor->targets().MakeConfiguration(3));
+  CHECK(wait([&] { return version_is(0, 3) && version_is(1, 3); }));
+  CHECK(IsWholeStream(floor->Stream(0, "after"), shape.events));
+}
--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -61,6 +61,7 @@
       const std::lock_guard lock(mutex_);
       ++call_counts_[request.path + ' ' + request.get_param_value("topic")];
     }
+    response.set_header("Store-Era", std::to_string(era_));
     if (!outage_)
       return httplib::Server::HandlerResponse::Unhandled;
     response.status = 503;
@@ -107,7 +108,8 @@
                      const std::string& value) {
   {
     const std::lock_guard lock(mutex_);
-    topics_[topic].records.push_back({key, value});
+    topics_[topic].records.push_back(
+        {key, value, std::chrono::steady_clock::now()});
   }
   appended_.notify_all();
 }
@@ -117,6 +119,21 @@
   return call_counts_;
 }
 
+void FleetStore::RestoreCopy(milliseconds age) {
+  {
+    const std::lock_guard lock(mutex_);
+    const auto taken_at = std::chrono::steady_clock::now() - age;
+    for (auto& [name, topic] : topics_) {
+      std::erase_if(topic.records,
+                    [taken_at](const Record& it) { return it.at > taken_at; });
+    }
+    group_holder_.clear();
+    generation_ = 0;
+    ++era_;
+  }
+  appended_.notify_all();
+}
+
 void FleetStore::Compact(const std::string& topic) {
   const std::lock_guard lock(mutex_);
   Topic& it = topics_[topic];
@@ -127,7 +144,7 @@
   it.records.clear();
   for (const auto& [key, value] : newest) {
     if (!value.empty())
-      it.records.push_back({key, value});
+      it.records.push_back({key, value, std::chrono::steady_clock::now()});
   }
 }
 
@@ -159,7 +176,7 @@
   const auto end = [&] {
     return topic.first + static_cast<int64_t>(topic.records.size());
   };
-  if (from < topic.first) {
+  if (from < topic.first || from > end()) {
     response.status = 410;
     SetJson({{"first_offset", topic.first}}, &response);
     return;
@@ -167,7 +184,14 @@
   if (request.has_param("wait_ms")) {
     appended_.wait_for(
         lock, milliseconds(std::stoi(request.get_param_value("wait_ms"))),
-        [&] { return end() > from || outage_; });
+        [&] { return end() > from || outage_ || end() < from; });
+  }
+  // The store may have come back from a copy meanwhile.
+  response.headers.erase("Store-Era");
+  response.set_header("Store-Era", std::to_string(era_));
+  if (end() < from) {
+    response.status = 410;
+    return;
   }
   std::string body;
   AppendBigEndian(static_cast<uint64_t>(end()), 8, &body);
@@ -221,6 +245,14 @@
   bool engine = false;
   int64_t born = 0;
   std::atomic<bool> crashed{false};
+  std::atomic<bool> says_leaving{false};
+  std::atomic<bool> endless{false};
+  std::atomic<int> requests{0};
+  std::atomic<int> calls{0};
+  // What it answers with 503; empty while it serves.
+  std::string retry_after;
+  // Era of the store in which it was listed last.
+  int64_t listed_era = 0;
   // Guarded by the owner's mutex.
   std::optional<std::pair<int, int>> layers;
   int orders = 0;
@@ -241,6 +273,8 @@
     Target* raw = target.get();
     const auto handle = [this, raw](const httplib::Request& request,
                                     httplib::Response& response) {
+      if (AnswersOddly(raw, request, response))
+        return;
       if (raw->engine)
         HandleEngine(raw, request, response);
       else
@@ -306,7 +340,9 @@
   // The store keeps a record when more than the heartbeat's number changes.
   ++target->heartbeat;
   const std::string listed = record.dump();
-  if (std::exchange(target->listed, listed) == listed)
+  const bool again =
+      std::exchange(target->listed_era, store_->era()) != store_->era();
+  if (std::exchange(target->listed, listed) == listed && !again)
     return;
   record["sequence"] = target->heartbeat;
   store_->Put("keyed.servers", target->id, record.dump());
@@ -491,6 +527,57 @@
       });
 }
 
+bool FleetTargets::AnswersOddly(Target* target,
+                                const httplib::Request& request,
+                                httplib::Response& response) {
+  const bool is_call = !request.path.starts_with("/v1/");
+  ++target->requests;
+  target->calls += is_call ? 1 : 0;
+  if (target->says_leaving)
+    response.set_header("Server-Leaving", "1");
+  {
+    const std::lock_guard lock(mutex_);
+    if (!target->retry_after.empty()) {
+      response.status = 503;
+      response.set_header("X-Not-Executed", "1");
+      response.set_header("Retry-After", target->retry_after);
+      return true;
+    }
+  }
+  if (!is_call || !target->endless)
+    return false;
+  response.set_header("X-Attempt-Id", request.get_header_value("X-Attempt-Id"));
+  response.set_header("X-Response-Signature", "s");
+  response.set_chunked_content_provider(
+      "text/event-stream", [this](std::size_t, httplib::DataSink& sink) {
+        static const std::string junk(1 << 16, 'x');
+        sink.write(junk.data(), junk.size());
+        return !stopping_;
+      });
+  return true;
+}
+
+void FleetTargets::SayLeaving(int target) {
+  targets_[target]->says_leaving = true;
+}
+
+void FleetTargets::TurnAway(int target, const std::string& retry_after) {
+  const std::lock_guard lock(mutex_);
+  targets_[target]->retry_after = retry_after;
+}
+
+void FleetTargets::AnswerWithoutEnd(int target) {
+  targets_[target]->endless = true;
+}
+
+int FleetTargets::Requests(int target) {
+  return targets_[target]->requests;
+}
+
+int FleetTargets::Calls(int target) {
+  return targets_[target]->calls;
+}
+
 void FleetTargets::HandlePlain(Target* target,
                                const httplib::Request& request,
                                httplib::Response& response) {
--- a/tests/standins/fleet_standin.h
+++ b/tests/standins/fleet_standin.h
@@ -43,6 +43,11 @@
   // Calls answered so far, by path and topic or group.
   std::map<std::string, int> CallCounts();
 
+  // Comes back from a copy that is `age` old: what was written since is gone,
+  // its offsets are given out again, and the era rises.
+  void RestoreCopy(std::chrono::milliseconds age);
+  int64_t era() const { return era_; }
+
   // Drops all records but the newest of each key.
   void Compact(const std::string& topic);
 
@@ -50,6 +55,7 @@
   struct Record {
     std::string key;
     std::string value;
+    std::chrono::steady_clock::time_point at;
   };
   struct Topic {
     int64_t first = 0;
@@ -67,6 +73,7 @@
   std::thread thread_;
   int port_ = 0;
   std::atomic<bool> outage_{false};
+  std::atomic<int64_t> era_{1};
   std::mutex mutex_;
   std::condition_variable appended_;
   std::map<std::string, Topic> topics_;
@@ -111,6 +118,18 @@
   FaultProxy& proxy(int target);
   // Ends an engine without notice: its port refuses, its streams break.
   void Crash(int engine);
+  // Lets a target, engines first, say in all its answers that it leaves, while
+  // it serves on and the list does not say so.
+  void SayLeaving(int target);
+  // Lets a target turn away whatever comes with 503, and say when to come back;
+  // an empty text ends that.
+  void TurnAway(int target, const std::string& retry_after);
+  // Lets a target answer calls with bytes that never end.
+  void AnswerWithoutEnd(int target);
+  // Calls, questions and orders that have reached a target.
+  int Requests(int target);
+  // Calls alone.
+  int Calls(int target);
   // Number of an engine that holds `layer`, -1 when none does.
   int HolderOf(int layer);
   // First layer that an engine holds, -1 when it holds none.
@@ -136,6 +155,10 @@
                    const httplib::Request& request,
                    httplib::Response& response);
   void ChangePath(const httplib::Request& request, httplib::Response& response);
+  // Whether the target is to answer otherwise than usual, and has.
+  bool AnswersOddly(Target* target,
+                    const httplib::Request& request,
+                    httplib::Response& response);
   void HandlePlain(Target* target,
                    const httplib::Request& request,
                    httplib::Response& response);
