--- a/modules/bbv_entry/planner_agent.cc
+++ b/modules/bbv_entry/planner_agent.cc
@@ -19,8 +19,6 @@
 constexpr Milliseconds kPlanPause{100};
 // A list that is still growing is not planned on.
 constexpr Milliseconds kListSettled{1500};
-// Time for which a target must be unusable before its layers are taken over.
-constexpr Milliseconds kLossPatience{200};
 constexpr Milliseconds kOrderTimeout{500};
 constexpr Milliseconds kOrderGivenUp{3000};
 // Time for which an order may go unanswered, and for which its target is then
@@ -207,14 +205,8 @@
   for (const auto& [id, row] : board_->rows()) {
     if (row->record.service != service.name)
       continue;
-    if (!board_->IsUsable(*row, now)) {
-      const Instant since = missing_since_.try_emplace(id, now).first->second;
-      last_change_ = now;
-      if (row->IsLeaving() || now >= since + kLossPatience)
-        continue;
-    } else {
-      missing_since_.erase(id);
-    }
+    if (losses_.IsLost(id, *row, board_->IsUsable(*row, now), now))
+      continue;
     PlannerTarget target{id, row->record.zone, row->record.accelerator,
                          row->record.layers, row->UsedTokenLayers(now)};
     if (const auto it = pending_.find(id); it != pending_.end()) {
@@ -226,9 +218,7 @@
         target.is_fixed || mute_until_.contains(id) || row->IsResting(now);
     targets.push_back(std::move(target));
   }
-  std::erase_if(missing_since_, [this](const auto& it) {
-    return board_->Find(it.first) == nullptr;
-  });
+  losses_.ForgetUnlisted(*board_);
   return targets;
 }
 
@@ -260,7 +250,7 @@
   // Before the first call loads cost little; later repairs go first.
   if (!in_use)
     return LayerDoubler::Plan(model, targets, kAllTargets);
-  if (now < last_change_ + kDoublingPatience)
+  if (now < std::max(last_settled_, losses_.last_loss()) + kDoublingPatience)
     return {};
   return LayerDoubler::Plan(
       model, targets, std::max(1, model.concurrent_loads / kDoublingPart));
@@ -345,7 +335,7 @@
       mute_until_[it->first] = now + kMuteTime;
     }
     if (settled || mute || now >= it->second.deadline) {
-      last_change_ = now;
+      last_settled_ = now;
       it = pending_.erase(it);
       continue;
     }
--- a/modules/bbv_entry/planner_agent.h
+++ b/modules/bbv_entry/planner_agent.h
@@ -136,15 +136,14 @@
   Instant lease_until_{};
   Instant next_join_{};
   Instant next_plan_{};
-  // When the last order was settled or the last target lost.
-  Instant last_change_{};
+  // When the last order was settled.
+  Instant last_settled_{};
   std::map<std::string, Order> pending_;
   // Targets that left an order unanswered, and until when they get no other.
   std::map<std::string, Instant> mute_until_;
   // Since when the targets of a zone have not held every layer.
   std::map<std::string, Instant> broken_since_;
-  // Since when a target has not counted for planning.
-  std::map<std::string, Instant> missing_since_;
+  LossWatch losses_;
 };
 
 }  // namespace bbv
--- a/modules/bbv_fleet/bbv_fleet.h
+++ b/modules/bbv_fleet/bbv_fleet.h
@@ -18,6 +18,7 @@
 #include "bbv_fleet/layer_coverage.h"
 #include "bbv_fleet/layer_doubler.h"
 #include "bbv_fleet/layer_planner.h"
+#include "bbv_fleet/loss_watch.h"
 #include "bbv_fleet/path_chooser.h"
 #include "bbv_fleet/retry_budgets.h"
 #include "bbv_fleet/shared_retry_budget.h"
