--- a/modules/bbv_fleet/layer_planner_test.cc
+++ b/modules/bbv_fleet/layer_planner_test.cc
@@ -232,18 +232,18 @@
 TEST(LayerPlanner, ANewTargetDoublesWhatOneAloneHoldsBeforeThatOneLeaves) {
   EngineModel model = bbv_test::MakeModel();
   model.layers = 24;
-  Targets targets = {{"lone", "z", "large", LayerRange{14, 24}},
-                     {"a", "z", "middle", LayerRange{0, 7}},
-                     {"b", "z", "middle", LayerRange{0, 7}},
-                     {"c", "z", "middle", LayerRange{7, 14}},
-                     {"d", "z", "middle", LayerRange{7, 14}},
+  Targets targets = {{"lone", "z", "large", LayerRange{18, 24}},
+                     {"a", "z", "middle", LayerRange{0, 9}},
+                     {"b", "z", "middle", LayerRange{0, 9}},
+                     {"c", "z", "middle", LayerRange{9, 18}},
+                     {"d", "z", "middle", LayerRange{9, 18}},
                      {"new", "z", "large", std::nullopt}};
   Apply(LayerPlanner::Plan(model, targets), &targets);
   CHECK(HoldsCopy(model, Without(targets, 0), "z"));
   // A smaller one takes a part, and leaves its requests their memory.
   targets.back() = {"small", "z", "small", std::nullopt};
   Apply(LayerPlanner::Plan(model, targets), &targets);
-  CHECK(targets.back().layers->from >= 14);
+  CHECK(targets.back().layers->from >= 18);
   CHECK(targets.back().layers->size() * model.layer_mb <= 0.7 * 14400);
 }
 
--- a/modules/bbv_fleet/path_chooser.cc
+++ b/modules/bbv_fleet/path_chooser.cc
@@ -85,13 +85,17 @@
 std::vector<PathChooser::Candidate> PathChooser::Collect(
     const EngineModel& model,
     const PathQuery& query,
-    Instant now) const {
+    Instant now,
+    bool with_full) const {
   std::vector<Candidate> candidates;
   uint64_t draw = query.draw;
   for (const auto& [id, row] : board_->rows()) {
     FleetTarget* target = row.get();
     if (target->record.service != query.service || !target->record.layers ||
-        !board_->MayTake(*target, now) || IsExcluded(query, id))
+        IsExcluded(query, id))
+      continue;
+    if (with_full ? !board_->IsUsable(*target, now)
+                  : !board_->MayTake(*target, now))
       continue;
     const AcceleratorKind* kind = model.FindKind(target->record.accelerator);
     if (kind == nullptr)
@@ -158,13 +162,14 @@
     best = SearchOnce(model, all, {query.tokens, /*across_zones=*/true});
   if (!best.empty())
     return best;
-  *failure = FindFailure(model, all, query);
+  *failure = FindFailure(model, all, query, now);
   return best;
 }
 
 PathFailure PathChooser::FindFailure(const EngineModel& model,
                                      const std::vector<Candidate>& candidates,
-                                     const PathQuery& query) {
+                                     const PathQuery& query,
+                                     Instant now) const {
   SearchLimits limits;
   limits.tokens = query.tokens;
   limits.across_zones = true;
@@ -177,9 +182,9 @@
   if (!SearchOnce(model, candidates, limits).empty())
     return PathFailure::kUnreadPrompts;
   limits.tokens = 0;
-  return SearchOnce(model, candidates, limits).empty()
-             ? PathFailure::kLayersMissing
-             : PathFailure::kMemory;
+  const std::vector<Candidate> held = Collect(model, query, now, true);
+  return SearchOnce(model, held, limits).empty() ? PathFailure::kLayersMissing
+                                                 : PathFailure::kMemory;
 }
 
 EnginePath PathChooser::Mend(const EngineModel& model,
--- a/modules/bbv_fleet/path_chooser.h
+++ b/modules/bbv_fleet/path_chooser.h
@@ -65,7 +65,8 @@
   kFirstSlots,
   // Prompts would wait too long to be read.
   kUnreadPrompts,
-  // Some layer's targets lack memory for the call.
+  // Some layer's targets lack memory for the call, or have just turned others
+  // away.
   kMemory,
 };
 inline constexpr NameTable<PathFailure, 6> kPathFailureNames(
@@ -144,14 +145,17 @@
     bool ignores_backlog = false;
   };
 
-  // Returns the targets that may take hops of new paths.
+  // Returns the targets that may take hops of new paths; `with_full` also those
+  // that take none for a moment.
   std::vector<Candidate> Collect(const EngineModel& model,
                                  const PathQuery& query,
-                                 Instant now) const;
+                                 Instant now,
+                                 bool with_full = false) const;
   // Returns why `candidates` give no path.
-  static PathFailure FindFailure(const EngineModel& model,
-                                 const std::vector<Candidate>& candidates,
-                                 const PathQuery& query);
+  PathFailure FindFailure(const EngineModel& model,
+                          const std::vector<Candidate>& candidates,
+                          const PathQuery& query,
+                          Instant now) const;
   static bool IsExcluded(const PathQuery& query, std::string_view id);
   static bool HasTargetTwice(const EnginePath& path);
 
--- a/modules/bbv_fleet/path_chooser_test.cc
+++ b/modules/bbv_fleet/path_chooser_test.cc
@@ -293,3 +293,16 @@
     CHECK_EQUAL(4, static_cast<int>(path.hops.size()));
   }
 }
+
+// Load: callers come all at once after a restart of the entries, and the few
+// targets of a layer turn some away. They take calls again a moment later.
+TEST(PathChooser, TargetsThatHaveJustTurnedCallsAwayAreNoMissingLayers) {
+  for (const auto& [id, row] : board.rows()) {
+    if (row->record.layers->from == 0)
+      board.MarkFull(board.Find(id), now);
+  }
+  CHECK(Choose("b", 1).empty());
+  CHECK(failure == PathFailure::kMemory);
+  now += bbv::Milliseconds(300);
+  CheckWhole(Choose("b", 1));
+}
