--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -101,6 +101,9 @@
   context_.budget = [this](const std::string& service) {
     return budgets_.Of(service);
   };
+  context_.returns = [this](const std::string& service) {
+    return &returns_[service];
+  };
   context_.on_target_fault = [this](const std::string& id,
                                     std::string_view evidence, bool witnessed) {
     TakeTargetFault(id, evidence, witnessed);
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -118,6 +118,8 @@
   PeerExchange peers_;
   WaitingRoom waiting_room_;
   AnswerLengths answer_lengths_;
+  // Returns of refused callers, by service.
+  std::map<std::string, ReturnSchedule> returns_;
   CallContext context_;
   TcpListener callers_listener_;
   SmallHttpServer readiness_server_;
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -21,6 +21,8 @@
 constexpr Milliseconds kRetryWithoutRoom{400};
 // Share of that by which callers' returns are spread.
 constexpr int kRetrySpreadPercent = 50;
+// Callers wait for one part of so many of the time that they have left.
+constexpr int kWaitedPartOfDeadline = 3;
 constexpr int kFirstFailureStatus = 500;
 constexpr Milliseconds kOrderTimeout{300};
 
@@ -182,6 +184,8 @@
   splitter_.Reset();
   paused_ = false;
   context_->selector->Begin(sent_);
+  if (call_.sends() == 1)
+    context_->returns(request.service)->RecordTaken(now);
   platform::ForwardFields fields;
   if (request.account != nullptr)
     fields.account = request.account->name;
@@ -251,15 +255,20 @@
 }
 
 Milliseconds RelayedCall::RetryAfter(const CallRequest& request, CallEnd end) {
-  Milliseconds base =
+  Milliseconds least =
       end == CallEnd::kNoRoom ? kRetryWithoutRoom : kRetryWithoutTarget;
   const Instant now = EventLoop::Now();
   const auto rested = context_->board->FirstRestEnd(request.service, now);
   if (end == CallEnd::kNoTarget && rested)
-    base = std::max(base, Milliseconds(RemainingMilliseconds(*rested, now)));
+    least = std::max(least, Milliseconds(RemainingMilliseconds(*rested, now)));
+  // Callers wait for a part of their time at most.
+  const Milliseconds left(RemainingMilliseconds(request.caller_deadline, now));
+  const Milliseconds most = std::max(least, left / kWaitedPartOfDeadline);
+  const Milliseconds booked =
+      context_->returns(request.service)->Book(least, most, now);
   const auto spread =
       static_cast<int>((*context_->random)() % kRetrySpreadPercent);
-  return base + base * spread / 100;
+  return std::min(most, booked + least * spread / 100);
 }
 
 void RelayedCall::Fail(const CallFailure& failure) {
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -30,6 +30,8 @@
   std::mt19937_64* random = nullptr;
   // The retry budget of a service.
   std::function<SharedRetryBudget*(const std::string&)> budget;
+  // The returns of refused callers of a service.
+  std::function<ReturnSchedule*(const std::string&)> returns;
   // A target failed on evidence that concerns all calls on it; `witnessed`
   // when another target saw it.
   std::function<void(const std::string& target_id,
--- a/modules/bbv_fleet/bbv_fleet.h
+++ b/modules/bbv_fleet/bbv_fleet.h
@@ -21,6 +21,7 @@
 #include "bbv_fleet/loss_watch.h"
 #include "bbv_fleet/path_chooser.h"
 #include "bbv_fleet/retry_budgets.h"
+#include "bbv_fleet/return_schedule.h"
 #include "bbv_fleet/shared_retry_budget.h"
 #include "bbv_fleet/silence_finder.h"
 #include "bbv_fleet/target_board.h"
