Tell from logs who lost worth: bluebellvalve losses

Counts refused, failed, late and abandoned requests by reason, service, entry and span of time, as text or JSON, and what entries left out of their logs.

--- a/apps/bluebellvalve/main.cc
+++ b/apps/bluebellvalve/main.cc
@@ -18,6 +18,7 @@
 #include "bbv_core/event.h"
 #include "bbv_node/caller_authentication.h"
 #include "bbv_observe/log_explainer.h"
+#include "bbv_observe/loss_table.h"
 #include "bbv_platform/http_connection.h"
 #include "bbv_settings/bbv_settings.h"
 
@@ -30,7 +31,8 @@
           "",
           "File whose first line is the operator key");
 
-ABSL_FLAG(bool, json, false, "explain: print JSON");
+ABSL_FLAG(bool, json, false, "explain, losses: print JSON");
+ABSL_FLAG(int, span_ms, 2000, "losses: length of each span of time");
 
 namespace {
 
@@ -197,6 +199,24 @@
   return kExitOk;
 }
 
+int RunLosses(const Arguments& arguments) {
+  const int span_ms = absl::GetFlag(FLAGS_span_ms);
+  if (span_ms <= 0)
+    return Fail(kExitUsage, "--span_ms must be above 0");
+  bbv::LossTable table(span_ms);
+  for (const std::string& it : arguments) {
+    std::ifstream file(it);
+    if (!file)
+      return Fail(kExitUsage, "cannot read " + it);
+    table.Read(&file);
+  }
+  if (arguments.empty())
+    table.Read(&std::cin);
+  std::printf("%s", absl::GetFlag(FLAGS_json) ? table.ToJson().c_str()
+                                              : table.ToText().c_str());
+  return kExitOk;
+}
+
 int RunHashKey(const Arguments& arguments) {
   const std::string key = FirstLine(arguments[0]);
   if (key.empty())
@@ -217,13 +237,14 @@
   int (*run)(const Arguments&);
 };
 
-constexpr std::array<Command, 8> kCommands = {{
+constexpr std::array<Command, 9> kCommands = {{
     {"check", 1, "check FILE", RunCheck},
     {"plan", 1, "plan import FILE | plan INTENT ARGUMENT...", RunPlan},
     {"confirm", 1, "confirm PLAN", RunConfirm},
     {"status", 0, "status", RunStatus},
     {"events", 0, "events", RunEvents},
     {"explain", 1, "explain ID [FILE...]", RunExplain},
+    {"losses", 0, "losses [FILE...]", RunLosses},
     {"hash-key", 1, "hash-key FILE", RunHashKey},
     {"version", 0, "version", RunVersion},
 }};
