--- a/modules/bbv_fleet/path_chooser.cc
+++ b/modules/bbv_fleet/path_chooser.cc
@@ -32,6 +32,9 @@
 // Milliseconds a token for each millisecond of prompts that wait to be read:
 // calls that come at once, as after a crash, are spread over all copies.
 constexpr double kBacklogWeight = 1.0 / 100;
+// Milliseconds a token by which a path counts as slower on which the first
+// event would come too late: more than any path takes.
+constexpr double kLateMs = 1000;
 constexpr double kBytesInMegabyte = 1e6;
 // Bits that a link of one megabit a second carries in a millisecond.
 constexpr double kBitsInMegabitMs = 1e3;
@@ -54,12 +57,11 @@
   return share;
 }
 
-// Expected milliseconds until `target` has read the prompts sent there.
-double BacklogMs(const EngineModel& model,
-                 const EngineShare& share,
-                 const FleetTarget& target) {
+// Expected milliseconds in which a target reads `tokens` of prompts.
+double ReadMs(const EngineModel& model,
+              const EngineShare& share,
+              double tokens) {
   const double rate = EngineTiming::ReadTokensPerMs(model, share);
-  const double tokens = target.own_unread_tokens + target.peer_unread_tokens;
   return rate > 0 ? tokens / rate : 0;
 }
 
@@ -113,7 +115,9 @@
     candidate.layer_ms = step_ms / std::max(1, target->record.layers->size()) *
                          (1 + (kFullTargetFactor - 1) * load * load) *
                          (1 + 4 * target->failure_share) * spread;
-    const double backlog_ms = BacklogMs(model, share, *target);
+    const double backlog_ms = ReadMs(
+        model, share, target->own_unread_tokens + target->peer_unread_tokens);
+    candidate.read_ms = backlog_ms + ReadMs(model, share, query.prompt_tokens);
     // On its way to a busy target a token waits for the pass under way to end.
     candidate.hop_ms = kHopMs +
                        kPassesWaited * EngineTiming::Busy(share) * step_ms +
@@ -146,9 +150,12 @@
   for (const auto& [zone, candidates] : zones) {
     EnginePath path = SearchOnce(model, candidates, {query.tokens});
     const double away = zone == query.zone ? 0 : kOtherZoneMs;
-    if (path.empty() || path.token_ms + away >= best_ms)
+    const bool is_late =
+        query.objective_ms > 0 && path.read_ms > query.objective_ms;
+    const double cost = path.token_ms + away + (is_late ? kLateMs : 0);
+    if (path.empty() || cost >= best_ms)
       continue;
-    best_ms = path.token_ms + away;
+    best_ms = cost;
     best = std::move(path);
   }
   *failure = PathFailure::kNone;
@@ -365,6 +372,7 @@
     const Arrival& arrival = best[at][zone];
     const Candidate& it = candidates[arrival.candidate];
     path.hops.push_back({it.target, {arrival.from, at}});
+    path.read_ms += it.read_ms;
     at = arrival.from;
     if (at == limits.from)
       break;
--- a/modules/bbv_fleet/path_chooser.h
+++ b/modules/bbv_fleet/path_chooser.h
@@ -22,8 +22,9 @@
 // Targets that run every layer once and in order.
 struct EnginePath {
   std::vector<Hop> hops;
-  // Expected milliseconds a token.
+  // Expected milliseconds a token, and until all hops have read the prompt.
   double token_ms = 0;
+  double read_ms = 0;
 
   bool empty() const { return hops.empty(); }
 };
@@ -35,6 +36,10 @@
   std::string_view zone;
   // Tokens that every hop must have room for.
   double tokens = 0;
+  // Those of them that are read before the first event.
+  double prompt_tokens = 0;
+  // Time to the first event that the caller aims for; 0 for none.
+  double objective_ms = 0;
   // Longest time that a hop may need for the prompts sent there before; 0 for
   // any.
   double most_backlog_ms = 0;
@@ -79,7 +84,9 @@
 // A path stays inside one availability zone where one can: activations of every
 // token cross each hop. Crossing paths are used only when no zone holds all
 // layers. Answers the load of days on which a zone has lost part of its layers:
-// whole calls move to other zones while their memory lasts.
+// whole calls move to other zones while their memory lasts. Calls also leave a
+// zone whose prompts would keep them beyond their objective for one where they
+// are read in time.
 // Deterministic. Thread safety: none, owned by the board's thread.
 class PathChooser {
  public:
@@ -126,6 +133,8 @@
     double layer_ms = 0;
     // Milliseconds a token for the hop itself.
     double hop_ms = 0;
+    // Milliseconds until it has read the call's prompt behind those before.
+    double read_ms = 0;
     double room_token_layers = 0;
     // Whether prompts sent there would be read too late.
     bool is_overdue = false;
--- a/modules/bbv_fleet/path_chooser_test.cc
+++ b/modules/bbv_fleet/path_chooser_test.cc
@@ -306,3 +306,29 @@
   now += bbv::Milliseconds(300);
   CheckWhole(Choose("b", 1));
 }
+
+// Load: after a restart callers of one zone come all at once. Each of its hops
+// alone would read a prompt in time, all of them together would not, while the
+// other zones are idle.
+TEST(PathChooser, CallsLeaveAZoneWhosePromptsWouldMakeThemLate) {
+  PathQuery query = MakeQuery("b");
+  query.prompt_tokens = 760;
+  query.objective_ms = 500;
+  query.most_backlog_ms = 500;
+  EnginePath path = chooser.Choose(model, query, now, &failure);
+  CHECK(ZonesOf(path).contains("b"));
+  CHECK(path.read_ms < query.objective_ms);
+  for (const auto& [id, row] : board.rows()) {
+    if (row->record.zone == "b")
+      board.Find(id)->own_unread_tokens = 14'000;
+  }
+  path = chooser.Choose(model, query, now, &failure);
+  CheckWhole(path);
+  CHECK(!ZonesOf(path).contains("b"));
+  CHECK(path.read_ms <= query.objective_ms);
+  // Where all are late the own zone is as good as any.
+  for (const auto& [id, row] : board.rows())
+    board.Find(id)->own_unread_tokens = 14'000;
+  path = chooser.Choose(model, query, now, &failure);
+  CHECK(ZonesOf(path).contains("b"));
+}
--- a/modules/bbv_fleet/target_selector.cc
+++ b/modules/bbv_fleet/target_selector.cc
@@ -107,6 +107,8 @@
   query.service = request.service;
   query.zone = zone_;
   query.tokens = TokensOf(request);
+  query.prompt_tokens = request.prompt_tokens;
+  query.objective_ms = static_cast<double>(request.route->objective_ms);
   query.excluded = &excluded;
   query.draw = draw;
   return query;
