--- a/modules/bbv_http/http_parser_test.cc
+++ b/modules/bbv_http/http_parser_test.cc
@@ -142,6 +142,8 @@
 
 namespace {
 
+constexpr std::size_t kHeadBound = 65536;
+
 // Feeds `bytes` and then `filler` without end; how much was taken before the
 // parser gave up, 0 when it did not within 16 MB.
 std::size_t FedUntilRefused(const std::string& bytes,
@@ -152,14 +154,14 @@
     void OnBody(std::string_view) override {}
     void OnMessageComplete() override {}
   } sink;
-  bbv::HttpParser parser(bbv::HttpParser::Kind::kAnswers, {65536, kMost * 2},
-                         &sink);
+  bbv::HttpParser parser(bbv::HttpParser::Kind::kAnswers,
+                         {kHeadBound, kMost * 2}, &sink);
   if (parser.Parse(bytes) != bbv::ParseStatus::kNeedMore)
     return bytes.size();
   for (std::size_t n = 0; n < kMost; n += filler.size()) {
     if (parser.Parse(filler) != bbv::ParseStatus::kNeedMore)
       return bytes.size() + n + filler.size();
-    if (parser.pending_bytes() > 2 * 65536)
+    if (parser.pending_bytes() > 2 * kHeadBound)
       return 0;
   }
   return 0;
@@ -169,7 +171,7 @@
 
 // Answers of targets in trouble: lines that never end, until the caller closes.
 TEST(HttpParser, LinesWithoutEndAreCutAtTheBoundOfHeads) {
-  constexpr std::size_t kBound = 3 * 65536;
+  constexpr std::size_t kBound = 3 * kHeadBound;
   const std::string line(4096, 'a');
   const std::string chunked =
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
--- a/modules/bbv_membership/store_position.h
+++ b/modules/bbv_membership/store_position.h
@@ -1,7 +1,6 @@
 #ifndef MODULES_BBV_MEMBERSHIP_STORE_POSITION_H_
 #define MODULES_BBV_MEMBERSHIP_STORE_POSITION_H_
 
-#include <compare>
 #include <cstdint>
 
 namespace bbv {
@@ -17,7 +16,11 @@
   int64_t era = 0;
   int64_t offset = 0;
 
-  auto operator<=>(const StorePosition&) const = default;
+  bool operator==(const StorePosition&) const = default;
+  bool operator<(const StorePosition& other) const {
+    return era != other.era ? era < other.era : offset < other.offset;
+  }
+  bool operator>(const StorePosition& other) const { return other < *this; }
 };
 
 }  // namespace bbv
--- /dev/null
+++ b/modules/bbv_membership/store_position_test.cc
@@ -0,0 +1,16 @@
+#include "bbv_membership/store_position.h"
+
+#include <CppUTest/TestHarness.h>
+
+using bbv::StorePosition;
+
+TEST_GROUP(StorePosition){};
+
+// A store that came back from a copy gives offsets out again.
+TEST(StorePosition, ALaterEraKnowsMoreWhateverItsOffset) {
+  CHECK((StorePosition{1, 900} < StorePosition{2, 10}));
+  CHECK((StorePosition{2, 10} > StorePosition{1, 900}));
+  CHECK_FALSE((StorePosition{2, 10} < StorePosition{1, 900}));
+  CHECK((StorePosition{2, 10} < StorePosition{2, 11}));
+  CHECK((StorePosition{0, 5} == StorePosition{0, 5}));
+}
--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -550,7 +550,7 @@
   response.set_header("X-Response-Signature", "s");
   response.set_chunked_content_provider(
       "text/event-stream", [this](std::size_t, httplib::DataSink& sink) {
-        static const std::string junk(1 << 16, 'x');
+        const std::string junk(1 << 16, 'x');
         sink.write(junk.data(), junk.size());
         return !stopping_;
       });
