--- a/modules/bbv_fleet/layer_planner.cc
+++ b/modules/bbv_fleet/layer_planner.cc
@@ -150,9 +150,6 @@
   // then: the one with the fewest calls goes first. Among equals it is the
   // smallest that holds `layers`, or else the largest.
   bool FitsBetter(std::size_t index, std::size_t other, int layers) const {
-    // Calls leave a later hop, but stay at the first to their end.
-    if (IsFirstHop(index) != IsFirstHop(other))
-      return IsFirstHop(other);
     const double tokens = TokensOn(index);
     const double tokens_there = TokensOn(other);
     if (std::abs(tokens - tokens_there) > kLikeTokens)
@@ -165,11 +162,6 @@
                 : Capacity(index) > Capacity(other);
   }
 
-  // Whether calls begin at the target.
-  bool IsFirstHop(std::size_t index) const {
-    return wanted_[index] && wanted_[index]->from == 0 && TokensOn(index) > 0;
-  }
-
   // Tokens of the calls on the target.
   double TokensOn(std::size_t index) const {
     const int layers = wanted_[index] ? wanted_[index]->size() : 1;
--- a/modules/bbv_fleet/layer_planner_test.cc
+++ b/modules/bbv_fleet/layer_planner_test.cc
@@ -246,22 +246,3 @@
   CHECK(targets.back().layers->from >= 18);
   CHECK(targets.back().layers->size() * model.layer_mb <= 0.7 * 14400);
 }
-
-// Load: streams of some seconds on every target while the one that alone holds
-// the upper layers is lost. What is begun at a target stays there, so that its
-// layers are free late; what goes through it later is moved at once.
-TEST(LayerPlanner, ASpareAtWhichNoCallsBeginClosesTheGap) {
-  EngineModel model = bbv_test::MakeModel();
-  model.layers = 20;
-  Targets targets = {{"a", "z", "middle", LayerRange{0, 7}},
-                     {"b", "z", "middle", LayerRange{0, 7}},
-                     {"c", "z", "middle", LayerRange{7, 14}},
-                     {"d", "z", "middle", LayerRange{7, 14}}};
-  for (PlannerTarget& it : targets)
-    it.used_token_layers = 7 * 30'000;
-  // Fewest tokens, and calls that begin there.
-  targets[0].used_token_layers = 7 * 20'000;
-  const auto changes = LayerPlanner::Plan(model, targets);
-  CHECK_EQUAL(1, static_cast<int>(changes.size()));
-  CHECK(changes.front().id == "c" || changes.front().id == "d");
-}
