--- a/modules/bbv_fleet/layer_coverage.cc
+++ b/modules/bbv_fleet/layer_coverage.cc
@@ -21,23 +21,6 @@
   return true;
 }
 
-LayerRange LayerCoverage::LongestRunHeldBy(int n,
-                                           const LayerRange& range) const {
-  const int end = std::min(range.to, static_cast<int>(holders_.size()));
-  LayerRange longest{range.from, range.from};
-  LayerRange run = longest;
-  for (int it = range.from; it < end; ++it) {
-    if (holders_[it] != n) {
-      run = {it + 1, it + 1};
-      continue;
-    }
-    run.to = it + 1;
-    if (run.size() > longest.size())
-      longest = run;
-  }
-  return longest;
-}
-
 int LayerCoverage::CountMissing() const {
   return static_cast<int>(std::count(holders_.begin(), holders_.end(), 0));
 }
--- a/modules/bbv_fleet/layer_coverage.h
+++ b/modules/bbv_fleet/layer_coverage.h
@@ -26,10 +26,6 @@
   // beyond the model count as held.
   bool IsHeldBy(int n, const LayerRange& range) const;
 
-  // The longest run of layers of `range` that just `n` targets hold; empty when
-  // there is none.
-  LayerRange LongestRunHeldBy(int n, const LayerRange& range) const;
-
   // Layers that no target holds.
   int CountMissing() const;
 
--- a/modules/bbv_fleet/layer_planner.cc
+++ b/modules/bbv_fleet/layer_planner.cc
@@ -286,8 +286,6 @@
           LayerRange{gap->from, std::min(gap->to, gap->from + capacity)};
       return;
     }
-    if (DoubleLoneRange(index))
-      return;
     // Doubles the range that has the least memory for requests, cut to fit.
     const std::size_t weakest = WeakestRange();
     if (weakest == targets_.size())
@@ -297,32 +295,6 @@
     wanted_[index] = range;
   }
 
-  // Lets an empty target hold the most layers that one target alone holds: the
-  // loss of that one would leave the zone without them. Returns whether there
-  // are such layers.
-  bool DoubleLoneRange(std::size_t index) {
-    if (index >= members_)
-      return false;
-    const LayerCoverage coverage = Coverage();
-    LayerRange most;
-    for (std::size_t it = 0; it < members_; ++it) {
-      if (!wanted_[it])
-        continue;
-      LayerRange alone = coverage.LongestRunHeldBy(1, *wanted_[it]);
-      // As large a target takes the whole part, another what leaves its
-      // requests their memory.
-      if (Capacity(index) < Capacity(it))
-        alone.to = std::min(alone.to, alone.from + ComfortableLayers(index));
-      if (alone.size() > most.size())
-        most = alone;
-    }
-    if (most.size() == 0)
-      return false;
-    most.to = std::min(most.to, most.from + Capacity(index));
-    wanted_[index] = most;
-    return true;
-  }
-
   // Layers that leave half of the target's memory to requests.
   int ComfortableLayers(std::size_t index) const {
     const double memory = model_.MemoryMb(targets_[index].accelerator);
