Let a target that was only missing from the list return as it was

A list restored from a copy may lack a target for longer than the grace, and the target's record may come back unchanged: treated like one that the list removed, it would have stayed out until its record changed. Found by reading. Test: TargetBoard.ATargetThatWasOnlyMissingReturnsAsItWas (failed before).

--- a/modules/bbv_fleet/target_board.cc
+++ b/modules/bbv_fleet/target_board.cc
@@ -48,7 +48,7 @@
   if (holder != nullptr && holder->record.id != record.id) {
     if (record.started_unix_ms < holder->record.started_unix_ms)
       return false;
-    Remove(std::string(holder->record.id));
+    Drop(std::string(holder->record.id), kNeverRemoved);
   }
   std::unique_ptr<FleetTarget>& row = rows_[record.id];
   const bool added = row == nullptr;
@@ -123,11 +123,18 @@
 }
 
 bool TargetBoard::Remove(std::string_view id) {
-  const auto it = rows_.find(id);
-  if (it == rows_.end())
+  const FleetTarget* row = Find(id);
+  if (row == nullptr)
     return false;
+  Drop(id, row->record.heartbeat);
+  return true;
+}
+
+void TargetBoard::Drop(std::string_view id, int64_t removed_at_heartbeat) {
+  const auto it = rows_.find(id);
+  assert(it != rows_.end());
   const FleetTarget& row = *it->second;
-  Remember(it->first, {row.record.started_unix_ms, row.record.heartbeat,
+  Remember(it->first, {row.record.started_unix_ms, removed_at_heartbeat,
                        row.told_leaving, row.rests_until});
   const auto address = by_address_.find(it->second->record.address);
   if (address != by_address_.end() && address->second == it->second.get())
@@ -136,7 +143,6 @@
   if (hash != by_hash_.end() && hash->second == it->second.get())
     by_hash_.erase(hash);
   rows_.erase(it);
-  return true;
 }
 
 void TargetBoard::Remember(const std::string& id, const Remembered& what) {
@@ -162,19 +168,19 @@
     return false;
   return record.started_unix_ms < it->second.started_unix_ms ||
          (record.started_unix_ms == it->second.started_unix_ms &&
-          record.heartbeat <= it->second.heartbeat);
+          record.heartbeat <= it->second.removed_at_heartbeat);
 }
 
 bool TargetBoard::MarkLeaving(const std::string& id, int64_t started_unix_ms) {
   FleetTarget* row = Find(id);
   if (row == nullptr) {
-    Remembered what{started_unix_ms, -1, true, {}};
+    Remembered what{started_unix_ms, kNeverRemoved, true, {}};
     const auto it = remembered_.find(id);
     if (it != remembered_.end()) {
       if (it->second.started_unix_ms > started_unix_ms || it->second.leaving)
         return false;
       if (it->second.started_unix_ms == started_unix_ms)
-        what.heartbeat = it->second.heartbeat;
+        what.removed_at_heartbeat = it->second.removed_at_heartbeat;
     }
     Remember(id, what);
     return true;
@@ -210,8 +216,9 @@
     if (row->listed_at < since)
       removed.push_back(id);
   }
+  // What is only missing may be listed again as it was.
   for (const std::string& id : removed)
-    Remove(id);
+    Drop(id, kNeverRemoved);
   return removed;
 }
 
--- a/modules/bbv_fleet/target_board.h
+++ b/modules/bbv_fleet/target_board.h
@@ -223,16 +223,22 @@
   }
 
  private:
+  static constexpr int64_t kNeverRemoved = -1;
+
   // What must not be forgotten of a target when its row goes, as a list may
   // name it again.
   struct Remembered {
     int64_t started_unix_ms = 0;
-    // Heartbeat of its newest record; a later one proves that it lives.
-    int64_t heartbeat = -1;
+    // Heartbeat at which the list removed it; a later one proves that it lives.
+    int64_t removed_at_heartbeat = kNeverRemoved;
     bool leaving = false;
     Instant rests_until{};
   };
 
+  // Takes the row of `id` off the table and remembers what must be; the list
+  // removed it at `removed_at_heartbeat`, or kNeverRemoved. Precondition: there
+  // is one.
+  void Drop(std::string_view id, int64_t removed_at_heartbeat);
   void Remember(const std::string& id, const Remembered& what);
   // Whether `record` is older than what is remembered of its target.
   bool IsOutdated(const TargetRecord& record) const;
--- a/modules/bbv_fleet/target_board_test.cc
+++ b/modules/bbv_fleet/target_board_test.cc
@@ -184,6 +184,14 @@
   CHECK(Usable(Milliseconds(0)));
 }
 
+// A list that was restored from a copy lacks a target until it writes again.
+TEST(TargetBoard, ATargetThatWasOnlyMissingReturnsAsItWas) {
+  board.RemoveUnlistedSince(now + Milliseconds(1));
+  CHECK(board.Find("t") == nullptr);
+  CHECK(board.Apply(record, now + Milliseconds(2)));
+  CHECK(Usable(Milliseconds(2)));
+}
+
 TEST(TargetBoard, ATargetThatRestsTakesNoCallsUntilItsTimeIsOver) {
   bbv::FleetTarget* target = board.Find("t");
   board.Rest(target, now + Milliseconds(4000));
