--- a/tests/fleet_soak_test.cc
+++ b/tests/fleet_soak_test.cc
@@ -23,3 +23,9 @@
   for (uint64_t seed = 1; seed <= 2; ++seed)
     Play(seed);
 }
+
+// 112: the stand-in kept an empty entry of a stream that had ended and begun
+// again elsewhere, and a report read it (crash of the stand-in).
+TEST(FleetSoak, SeedsThatOnceFailedPass) {
+  Play(112);
+}
--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -522,8 +522,10 @@
       },
       [this, id, path](bool) {
         const std::lock_guard guard(mutex_);
-        if (streams_[id] == path)
-          streams_.erase(id);
+        // The id may have ended and begun again elsewhere.
+        const auto it = streams_.find(id);
+        if (it != streams_.end() && it->second == path)
+          streams_.erase(it);
       });
 }
 
