Work a target's reading rate out once, make the word of a fault in one place

Cause: each candidate of a path search worked the same rate out twice, on the way of every call, and the word of a leaving target was a copy of that of a fault. Behaviour is as it was: the same sums, the same messages. Ruled out for now: the two followers' handling of failed reads, which belongs in StoreClient, and a path search that fails, which looks up to five times for its reason.

--- a/modules/bbv_entry/peer_exchange.cc
+++ b/modules/bbv_entry/peer_exchange.cc
@@ -25,6 +25,17 @@
   return static_cast<uint32_t>(std::lround(std::max(0.0, value)));
 }
 
+// What is told of `target`, as this entry knows it.
+wire::TargetFaultT MakeFault(const FleetTarget& target,
+                             std::string_view evidence) {
+  wire::TargetFaultT fault;
+  fault.target = target.record.id;
+  fault.started_unix_ms = target.record.started_unix_ms;
+  fault.heartbeat = target.record.heartbeat;
+  fault.evidence = evidence;
+  return fault;
+}
+
 }  // namespace
 
 PeerExchange::PeerExchange(EventLoop* loop,
@@ -213,20 +224,11 @@
 
 void PeerExchange::TellFault(const FleetTarget& target,
                              std::string_view evidence) {
-  wire::TargetFaultT fault;
-  fault.target = target.record.id;
-  fault.started_unix_ms = target.record.started_unix_ms;
-  fault.heartbeat = target.record.heartbeat;
-  fault.evidence = evidence;
-  gossip_.TellFault(std::move(fault), EventLoop::Now());
+  gossip_.TellFault(MakeFault(target, evidence), EventLoop::Now());
 }
 
 void PeerExchange::TellLeaving(const FleetTarget& target) {
-  wire::TargetFaultT fault;
-  fault.target = target.record.id;
-  fault.started_unix_ms = target.record.started_unix_ms;
-  fault.heartbeat = target.record.heartbeat;
-  fault.evidence = "said that it leaves";
+  wire::TargetFaultT fault = MakeFault(target, "said that it leaves");
   fault.leaving = true;
   gossip_.TellFault(std::move(fault), EventLoop::Now());
 }
--- a/modules/bbv_fleet/path_chooser.cc
+++ b/modules/bbv_fleet/path_chooser.cc
@@ -57,12 +57,9 @@
   return share;
 }
 
-// Expected milliseconds in which a target reads `tokens` of prompts.
-double ReadMs(const EngineModel& model,
-              const EngineShare& share,
-              double tokens) {
-  const double rate = EngineTiming::ReadTokensPerMs(model, share);
-  return rate > 0 ? tokens / rate : 0;
+// Milliseconds in which a target that reads `tokens_per_ms` reads `tokens`.
+double ReadMs(double tokens_per_ms, double tokens) {
+  return tokens_per_ms > 0 ? tokens / tokens_per_ms : 0;
 }
 
 }  // namespace
@@ -115,9 +112,10 @@
     candidate.layer_ms = step_ms / std::max(1, target->record.layers->size()) *
                          (1 + (kFullTargetFactor - 1) * load * load) *
                          (1 + 4 * target->failure_share) * spread;
+    const double read_rate = EngineTiming::ReadTokensPerMs(model, share);
     const double backlog_ms = ReadMs(
-        model, share, target->own_unread_tokens + target->peer_unread_tokens);
-    candidate.read_ms = backlog_ms + ReadMs(model, share, query.prompt_tokens);
+        read_rate, target->own_unread_tokens + target->peer_unread_tokens);
+    candidate.read_ms = backlog_ms + ReadMs(read_rate, query.prompt_tokens);
     // On its way to a busy target a token waits for the pass under way to end.
     candidate.hop_ms = kHopMs +
                        kPassesWaited * EngineTiming::Busy(share) * step_ms +
