Log crashed targets and the prompt parts of the calls that they broke off

Now the parts of a prompt are decoded, call-send-failed names them, and target-crashed (BBV0098) sums up the end of one target: broken calls, those without output, their shared parts. A crash is told from a reset, a cut or a planned end by a connection that is refused right after others broke, or by a later start in the list.

No decision uses this yet.

--- a/modules/bbv_core/event.cc
+++ b/modules/bbv_core/event.cc
@@ -71,6 +71,7 @@
     EventDescription{Event::kStoreEraChanged, "store-era-changed"},
     EventDescription{Event::kTargetLeaves, "target-leaves"},
     EventDescription{Event::kTargetRests, "target-rests"},
+    EventDescription{Event::kTargetCrashed, "target-crashed"},
 };
 
 // Returns whether `event` occurs in the normal processing of every request.
--- a/modules/bbv_core/event.h
+++ b/modules/bbv_core/event.h
@@ -68,6 +68,7 @@
   kStoreEraChanged = 95,
   kTargetLeaves = 96,
   kTargetRests = 97,
+  kTargetCrashed = 98,
 };
 
 // The name under which an event is logged.
--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -85,6 +85,7 @@
             OnTargetFault(id, evidence, confirmed_by_target);
           },
           [this](const std::string& id) { OnTargetLeaving(id); }),
+      crash_guard_(&loop_, &log_, &registry_),
       load_poller_(&client_, &registry_),
       peers_(&loop_,
              {&store_, &log_, &registry_, &configuration_, &targets_, &planner_,
@@ -103,6 +104,7 @@
   context_.random = &random_;
   context_.admission_queue = &admission_queue_;
   context_.response_length_estimator = &response_length_estimator_;
+  context_.crash_guard = &crash_guard_;
   context_.retry_budget = [this](const std::string& service) {
     return retry_budgets_.ForService(service);
   };
@@ -286,6 +288,7 @@
         request.max_output_tokens);
   }
   request.last_event = fields.last_event.value_or(kNoEvent);
+  request.shared_parts = SharedParts(fields.prompt_parts);
   auto call = std::make_unique<RelayedCall>(&context_, index, connection,
                                             std::move(request), std::move(head),
                                             std::move(body));
@@ -427,6 +430,7 @@
 void FleetEntry::OnTick() {
   const Instant now = EventLoop::Now();
   client_.OnTick(now);
+  crash_guard_.OnTick(now);
   const std::size_t reader_rank = peers_.reader_rank();
   configuration_.OnTick(reader_rank < kConfigurationReaders, jitter_seed_, now);
   targets_.OnTick(reader_rank, jitter_seed_, now);
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "bbv_entry/configuration_follower.h"
+#include "bbv_entry/crash_guard.h"
 #include "bbv_entry/fault_detector.h"
 #include "bbv_entry/load_poller.h"
 #include "bbv_entry/peer_exchange.h"
@@ -120,6 +121,7 @@
   TargetFollower targets_;
   PlannerAgent planner_;
   FaultDetector fault_detector_;
+  CrashGuard crash_guard_;
   LoadPoller load_poller_;
   PeerExchange peers_;
   AdmissionQueue admission_queue_;
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -185,6 +185,7 @@
   DropBufferedAnswer();
   splitter_.Reset();
   paused_ = false;
+  events_of_send_ = 0;
   context_->selector->AddInFlight(dispatch_);
   if (call_.sends() == 1)
     context_->retry_after_scheduler(request.service)->RecordAccepted(now);
@@ -394,6 +395,7 @@
     if (it.id) {
       last = *it.id;
       ++events_relayed_;
+      ++events_of_send_;
     }
     chunk_.append(it.text);
   }
@@ -529,6 +531,10 @@
                  ? CallEndReason::kBadAnswer
                  : CallEndReason::kConnectionBroken;
   const std::string target_id = dispatch_.target_id;
+  if (failure == ExchangeFailure::kBroken) {
+    context_->crash_guard->OnCallBroken(call_.request(), target_id, sent_at_,
+                                        began_output(), EventLoop::Now());
+  }
   FailSend(send, failure == ExchangeFailure::kNotConnected ? "not connected"
                  : failure == ExchangeFailure::kBroken     ? "broken"
                                                            : "bad answer");
@@ -552,7 +558,8 @@
                         {"at_fault", failure.fault_address},
                         {"not_run", failure.not_run},
                         {"after_ms", MillisecondsBetween(sent_at_, now)},
-                        {"last_event", call_.last_event()}});
+                        {"last_event", call_.last_event()},
+                        {"parts", FormatParts(call_.request().shared_parts)}});
   call_.OnSendFailed(failure, now);
   if (failure.fault_address.empty())
     return;
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "bbv_entry/crash_guard.h"
 #include "bbv_entry/target_requests.h"
 #include "bbv_fleet/bbv_fleet.h"
 #include "bbv_front/caller_connection.h"
@@ -43,6 +44,7 @@
   // Calls that wait for capacity, by connection id of their callers.
   AdmissionQueue* admission_queue = nullptr;
   ResponseLengthEstimator* response_length_estimator = nullptr;
+  CrashGuard* crash_guard = nullptr;
   // Bytes of incomplete non-streamed answers buffered for all calls.
   std::size_t buffered_bytes = 0;
 };
@@ -123,6 +125,14 @@
   void LogFinished(Instant now);
   std::string RelayedFields() const;
   bool IsGoodStreamHead() const;
+  // Whether the target of the current send has begun to write the answer and
+  // has gone on.
+  bool began_output() const {
+    return events_of_send_ >= kEventsOfStartedOutput;
+  }
+
+  // A target may fail while it writes the first event.
+  static constexpr int kEventsOfStartedOutput = 2;
 
   CallContext* context_;
   std::shared_ptr<FleetIndex> index_;
@@ -147,6 +157,8 @@
   // slowly.
   bool paused_ = false;
   int64_t events_relayed_ = 0;
+  // Events relayed from the current send.
+  int events_of_send_ = 0;
   Instant first_relayed_{};
   Instant last_relayed_{};
   // Longest time between two relayed events, the id of the event after it, and
--- a/modules/bbv_fleet/bbv_fleet.h
+++ b/modules/bbv_fleet/bbv_fleet.h
@@ -10,6 +10,7 @@
 #define MODULES_BBV_FLEET_BBV_FLEET_H_
 
 #include "bbv_fleet/admission_queue.h"
+#include "bbv_fleet/crash_detector.h"
 #include "bbv_fleet/engine_timing.h"
 #include "bbv_fleet/fleet_call.h"
 #include "bbv_fleet/fleet_configuration.h"
--- /dev/null
+++ b/modules/bbv_fleet/crash_detector.h
@@ -0,0 +1,100 @@
+#ifndef MODULES_BBV_FLEET_CRASH_DETECTOR_H_
+#define MODULES_BBV_FLEET_CRASH_DETECTOR_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "bbv_core/instant.h"
+#include "bbv_fleet/target_registry.h"
+
+namespace bbv {
+
+// Returns the parts of a prompt that requests may share: all but the last, each
+// once, up to a limit. Thread safe.
+std::vector<uint64_t> SharedParts(const std::vector<uint64_t>& prompt_parts);
+
+// Returns the ids as hexadecimal numbers, separated by commas. Thread safe.
+std::string FormatParts(const std::vector<uint64_t>& parts);
+
+// A call whose connection to the target that ran it broke.
+struct BrokenCall {
+  // Short hash of the call's id.
+  uint32_t call = 0;
+  std::vector<uint64_t> shared_parts;
+  Instant sent_at{};
+  // Whether the target had begun to write the call's answer.
+  bool began_output = false;
+};
+
+// A prompt part of a call that had no output yet when its target crashed.
+struct CrashSuspect {
+  uint64_t part = 0;
+  uint32_t call = 0;
+  Instant sent_at{};
+};
+
+// The end of a target's process, as seen by one entry.
+struct TargetCrash {
+  std::string target_id;
+  int64_t started_unix_ms = 0;
+  std::string service;
+  Instant crashed_at{};
+  // Calls of this entry that the crash broke off, and those of them that had no
+  // output yet.
+  int broken_calls = 0;
+  int silent_calls = 0;
+  std::vector<CrashSuspect> suspects;
+};
+
+// What an attempt to connect to a target showed.
+enum class ListenCheckResult : uint8_t {
+  // The connection was refused: no process listens there.
+  kRefused,
+  kListening,
+  kNoAnswer,
+};
+
+// Tells crashes of targets from connections that broke for other reasons.
+//
+// A broken connection alone proves nothing: networks reset connections, and
+// faulty targets close them. A target has crashed if it refuses connections
+// right after some broke, or if it is listed with a later start. Targets that
+// are leaving end as planned and are ignored. Deterministic; reads no clock.
+// Thread safety: none, owned by one thread.
+class CrashDetector {
+ public:
+  // Records a call whose connection to `target` broke. Returns whether the
+  // caller should try to connect to the target and call RecordCheck().
+  bool RecordBrokenCall(const FleetTarget& target,
+                        BrokenCall call,
+                        Instant now);
+
+  // Records the result of a check of the process that started at
+  // `started_unix_ms`.
+  void RecordCheck(const std::string& target_id,
+                   int64_t started_unix_ms,
+                   ListenCheckResult result);
+
+  // Returns the crashes found since the last call. A crash is returned again
+  // with the calls that broke later.
+  std::vector<TargetCrash> TakeCrashes(const TargetRegistry& registry,
+                                       Instant now);
+
+ private:
+  struct PendingCrash {
+    TargetCrash crash;
+    bool confirmed = false;
+    Instant next_check{};
+    Instant last_broken{};
+  };
+
+  // By target id and start.
+  std::map<std::pair<std::string, int64_t>, PendingCrash> pending_;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_FLEET_CRASH_DETECTOR_H_
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -57,6 +57,8 @@
   double max_output_tokens = 0;
   // Last event that the caller has already received, or kNoEvent.
   int64_t last_event = kNoEvent;
+  // Ids of the prompt's parts that other requests may share.
+  std::vector<uint64_t> shared_parts;
 };
 
 // Destination of a call: a path for engines, a single target for plain
--- a/modules/bbv_front/http_client.cc
+++ b/modules/bbv_front/http_client.cc
@@ -120,7 +120,7 @@
       stream_.reset();
       return;
     }
-    if (end == StreamEnd::kConnectFailed) {
+    if (end == StreamEnd::kConnectFailed || end == StreamEnd::kRefused) {
       Fail(ExchangeFailure::kNotConnected);
       return;
     }
--- a/modules/bbv_front/tcp_stream.cc
+++ b/modules/bbv_front/tcp_stream.cc
@@ -80,7 +80,8 @@
         if (self == nullptr)
           return;
         if (status != 0) {
-          self->End(StreamEnd::kConnectFailed);
+          self->End(status == UV_ECONNREFUSED ? StreamEnd::kRefused
+                                              : StreamEnd::kConnectFailed);
           return;
         }
         self->connected_ = true;
--- a/modules/bbv_front/tcp_stream.h
+++ b/modules/bbv_front/tcp_stream.h
@@ -18,6 +18,8 @@
 enum class StreamEnd : uint8_t {
   // No connection was established; nothing was sent.
   kConnectFailed,
+  // The same, because nothing listens at the address.
+  kRefused,
   // The peer closed the connection cleanly (FIN).
   kClosed,
   // The connection was reset or failed.
@@ -41,8 +43,9 @@
 // Thread safety: none, used on the event loop's thread.
 class TcpStream {
  public:
-  // Starts a connection attempt. OnConnected() or OnStreamEnd(kConnectFailed)
-  // follows. Returns nullptr if the attempt cannot be started.
+  // Starts a connection attempt. OnConnected() or OnStreamEnd() with
+  // kConnectFailed or kRefused follows. Returns nullptr if the attempt cannot
+  // be started.
   static std::unique_ptr<TcpStream> Connect(EventLoop* loop,
                                             const SocketAddress& address,
                                             TcpStreamDelegate* delegate);
