Reproduce targets crashed by one prompt part, with a stand-in

The stand-in's engines now crash when they begin to write an answer on a prompt with a given part, refuse connections for a second and start again empty.

--- a/tests/fleet_floor.cc
+++ b/tests/fleet_floor.cc
@@ -181,16 +181,21 @@
   return WaitFor(limit_ms, [this, entry] { return IsReady(entry); });
 }
 
-StreamAnswer FleetFloor::Stream(int entry, const std::string& id) {
+StreamAnswer FleetFloor::Stream(int entry,
+                                const std::string& id,
+                                const std::string& parts) {
   StreamAnswer answer;
+  httplib::Headers headers = MakeCallHeaders(id, 5000);
+  if (!parts.empty())
+    headers.emplace("X-Prefix-Hash", parts);
   httplib::Client client("127.0.0.1", entries_[entry]->callers);
   client.set_read_timeout(6);
   std::string text;
-  const auto result = client.Get("/stream/x", MakeCallHeaders(id, 5000),
-                                 [&](const char* data, std::size_t n) {
-                                   text.append(data, n);
-                                   return true;
-                                 });
+  const auto result =
+      client.Get("/stream/x", headers, [&](const char* data, std::size_t n) {
+        text.append(data, n);
+        return true;
+      });
   answer.whole = static_cast<bool>(result);
   if (result) {
     answer.status = result->status;
--- a/tests/fleet_floor.h
+++ b/tests/fleet_floor.h
@@ -64,7 +64,11 @@
   // Waits up to `limit_ms` until `entry` is ready.
   bool WaitReady(int entry, int limit_ms);
 
-  StreamAnswer Stream(int entry, const std::string& id);
+  // `parts` names the parts of the prompt, for example "a:40,b:60"; empty for
+  // none.
+  StreamAnswer Stream(int entry,
+                      const std::string& id,
+                      const std::string& parts = {});
   // Calls a plain service; `path` is, for example, "/safe/x".
   httplib::Result Call(int entry,
                        const std::string& path,
--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -46,6 +46,15 @@
   server->set_keep_alive_timeout(20);
 }
 
+// Whether a prompt's parts, such as "a:800,b:410", hold `part` before the last.
+bool HoldsDeadlyPart(const std::string& parts, const std::string& part) {
+  const std::size_t last = parts.rfind(',');
+  if (part.empty() || last == std::string::npos)
+    return false;
+  return (',' + parts.substr(0, last)).find(',' + part + ':') !=
+         std::string::npos;
+}
+
 int64_t NowUnixMs() {
   return std::chrono::duration_cast<milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -236,7 +245,7 @@
 struct FleetTargets::Target {
   std::string id;
   std::string service;
-  httplib::Server server;
+  std::unique_ptr<httplib::Server> server;
   std::thread thread;
   int port = 0;
   // Injects connection faults in front of the port if targets are proxied.
@@ -269,30 +278,45 @@
     target->id = (target->engine ? "engine-" : "plain-") + std::to_string(it);
     target->service = target->engine ? "engine" : "plain";
     target->born = NowUnixMs();
-    ConfigureServer(&target->server);
-    Target* raw = target.get();
-    const auto handle = [this, raw](const httplib::Request& request,
-                                    httplib::Response& response) {
-      if (HandleInjectedFault(raw, request, response))
-        return;
-      if (raw->engine)
-        HandleEngine(raw, request, response);
-      else
-        HandlePlainCall(raw, request, response);
-    };
-    raw->server.Get(".*", handle);
-    raw->server.Post(".*", handle);
+    target->server = MakeServer(target.get());
     targets_.push_back(std::move(target));
   }
 }
 
+std::unique_ptr<httplib::Server> FleetTargets::MakeServer(Target* target) {
+  auto server = std::make_unique<httplib::Server>();
+  ConfigureServer(server.get());
+  // A server ends only after its idle connections.
+  if (!options_.deadly_part.empty())
+    server->set_keep_alive_timeout(1);
+  const auto handle = [this, target](const httplib::Request& request,
+                                     httplib::Response& response) {
+    if (HandleInjectedFault(target, request, response))
+      return;
+    if (target->engine)
+      HandleEngine(target, request, response);
+    else
+      HandlePlainCall(target, request, response);
+  };
+  server->Get(".*", handle);
+  server->Post(".*", handle);
+  return server;
+}
+
 FleetTargets::~FleetTargets() {
   stopping_ = true;
   if (heartbeats_.joinable())
     heartbeats_.join();
+  std::vector<std::thread> restarts;
+  {
+    const std::lock_guard lock(mutex_);
+    restarts = std::move(restarts_);
+  }
+  for (std::thread& it : restarts)
+    it.join();
   for (const auto& it : targets_) {
     it->crashed = true;
-    it->server.stop();
+    it->server->stop();
     if (it->thread.joinable())
       it->thread.join();
   }
@@ -300,12 +324,12 @@
 
 bool FleetTargets::Start() {
   for (const auto& it : targets_) {
-    it->port = it->server.bind_to_any_port("127.0.0.1");
+    it->port = it->server->bind_to_any_port("127.0.0.1");
     if (it->port <= 0 || (options_.proxied && !it->proxy.Start(it->port)))
       return false;
     it->listed_port = options_.proxied ? it->proxy.port() : it->port;
-    it->thread =
-        std::thread([&server = it->server] { server.listen_after_bind(); });
+    it->thread = std::thread(
+        [server = it->server.get()] { server->listen_after_bind(); });
   }
   heartbeats_ = std::thread([this] { Heartbeat(); });
   return true;
@@ -492,6 +516,9 @@
     return;
   }
   const std::string id = request.get_header_value("X-Attempt-Id");
+  const bool deadly = HoldsDeadlyPart(request.get_header_value("X-Prefix-Hash"),
+                                      options_.deadly_part);
+  deadly_part_calls_ += deadly ? 1 : 0;
   ++runs_[id];
   response.set_header("X-Attempt-Id", id);
   response.set_header("X-Response-Signature", "signature-of-" + target->id);
@@ -502,8 +529,10 @@
   streams_[id] = path;
   response.set_chunked_content_provider(
       "text/event-stream",
-      [this, target, path, next](std::size_t, httplib::DataSink& sink) {
+      [this, target, path, next, deadly](std::size_t, httplib::DataSink& sink) {
         std::this_thread::sleep_for(milliseconds(options_.event_ms));
+        if (deadly)
+          CrashAndRestart(target);
         if (target->crashed || stopping_)
           return false;
         {
@@ -606,7 +635,46 @@
 
 void FleetTargets::Crash(int engine) {
   targets_[engine]->crashed = true;
-  targets_[engine]->server.stop();
+  targets_[engine]->server->stop();
+}
+
+void FleetTargets::CrashAndRestart(Target* target) {
+  const std::lock_guard lock(mutex_);
+  if (stopping_ || target->crashed.exchange(true))
+    return;
+  ++deadly_part_crashes_;
+  restarts_.emplace_back([this, target] {
+    target->server->stop();
+    target->thread.join();
+    for (int waited = 0; waited < options_.restart_ms && !stopping_;
+         waited += kHeartbeatIntervalMs)
+      std::this_thread::sleep_for(milliseconds(kHeartbeatIntervalMs));
+    if (stopping_)
+      return;
+    target->server = MakeServer(target);
+    if (!target->server->bind_to_port("127.0.0.1", target->port))
+      return;
+    {
+      const std::lock_guard guard(mutex_);
+      target->layers.reset();
+      target->orders = 0;
+      target->heartbeat = 0;
+      target->born = NowUnixMs();
+    }
+    target->thread = std::thread(
+        [server = target->server.get()] { server->listen_after_bind(); });
+    target->crashed = false;
+  });
+}
+
+int FleetTargets::DeadlyPartCrashCount() {
+  const std::lock_guard lock(mutex_);
+  return deadly_part_crashes_;
+}
+
+int FleetTargets::DeadlyPartCallCount() {
+  const std::lock_guard lock(mutex_);
+  return deadly_part_calls_;
 }
 
 int FleetTargets::PathChangeCount() {
--- a/tests/standins/fleet_standin.h
+++ b/tests/standins/fleet_standin.h
@@ -106,6 +106,10 @@
     int work_ms = 0;
     // Whether each target is reached through a proxy.
     bool proxied = false;
+    // An engine that begins to write an answer on a prompt with this part, not
+    // its last, crashes and starts again after `restart_ms`. Empty for none.
+    std::string deadly_part;
+    int restart_ms = 1000;
   };
 
   FleetTargets(FleetStore* store, Options options);
@@ -144,6 +148,10 @@
   int PathChangeCount();
   // Whether live engines hold every layer.
   bool HoldsAllLayers();
+  // Number of crashes by a deadly part, and of calls with such a part that have
+  // reached engines.
+  int DeadlyPartCrashCount();
+  int DeadlyPartCallCount();
   // Number of executions started, by attempt id.
   std::map<std::string, int> ExecutionCounts();
 
@@ -169,6 +177,9 @@
   void HandlePlainCall(Target* target,
                        const httplib::Request& request,
                        httplib::Response& response);
+  std::unique_ptr<httplib::Server> MakeServer(Target* target);
+  // Ends the engine's process and starts an empty one after `restart_ms`.
+  void CrashAndRestart(Target* target);
   // Address of the first target on `path` that has crashed or does not hold its
   // layers; empty if there is none. Requires `mutex_`.
   std::string FindPathFault(const std::string& path);
@@ -181,6 +192,9 @@
   // Path of each active stream, by attempt id.
   std::map<std::string, std::shared_ptr<std::string>> streams_;
   int path_changes_ = 0;
+  int deadly_part_crashes_ = 0;
+  int deadly_part_calls_ = 0;
+  std::vector<std::thread> restarts_;
   std::atomic<bool> stopping_{false};
   std::thread heartbeats_;
 };
