Do not let crashes that prove nothing delay the verdict on a part

They are no trials at all, so they do not count either way now. The test fails before (verdict one crash later).

--- a/modules/bbv_fleet/crash_evidence.cc
+++ b/modules/bbv_fleet/crash_evidence.cc
@@ -130,17 +130,24 @@
              : static_cast<int>(IndependentCrashes(it->second).size());
 }
 
-double CrashEvidence::ChanceIfSound(const std::vector<CrashKey>& crashes,
-                                    double outputs) const {
+double CrashEvidence::ChanceIfSound(
+    const Accusations& accusations,
+    const std::vector<CrashKey>& crashes) const {
   const auto first = silent_calls_.find(crashes.front());
   if (first == silent_calls_.end())
     return 1;
-  const auto all_crashes = std::count_if(
-      silent_calls_.begin(), silent_calls_.end(), [&first](const auto& it) {
-        return it.second.crashed_at >= first->second.crashed_at;
+  // Crashes that accuse the part, but not independently, prove nothing.
+  const auto independent_crashes = std::count_if(
+      silent_calls_.begin(), silent_calls_.end(), [&](const auto& it) {
+        return it.second.crashed_at >= first->second.crashed_at &&
+               (!IsAccusedBy(accusations, it.first) ||
+                std::find(crashes.begin(), crashes.end(), it.first) !=
+                    crashes.end());
       });
-  const double selections = BinomialCoefficient(
-      static_cast<double>(all_crashes), static_cast<double>(crashes.size()));
+  const double selections =
+      BinomialCoefficient(static_cast<double>(independent_crashes),
+                          static_cast<double>(crashes.size()));
+  const double outputs = outputs_ - accusations.front().outputs_before;
   double highest = 0;
   for (int step = 1; step < kPopularitySteps; ++step) {
     // Share of all calls that hold the part.
@@ -158,6 +165,12 @@
   return highest;
 }
 
+bool CrashEvidence::IsAccusedBy(const Accusations& accusations,
+                                const CrashKey& key) {
+  return std::any_of(accusations.begin(), accusations.end(),
+                     [&key](const Accusation& it) { return it.key == key; });
+}
+
 bool CrashEvidence::IsAccusedByAll(uint64_t part,
                                    const std::vector<CrashKey>& keys) const {
   const auto row = accusations_.find(part);
@@ -189,9 +202,8 @@
     if (list.size() < kMinCrashes)
       continue;
     std::vector<CrashKey> crashes = IndependentCrashes(list);
-    const double outputs = outputs_ - list.front().outputs_before;
     if (crashes.size() >= kMinCrashes &&
-        ChanceIfSound(crashes, outputs) <= max_chance)
+        ChanceIfSound(list, crashes) <= max_chance)
       candidates.push_back({part, std::move(crashes)});
   }
   std::sort(candidates.begin(), candidates.end(),
--- a/modules/bbv_fleet/crash_evidence.h
+++ b/modules/bbv_fleet/crash_evidence.h
@@ -127,13 +127,14 @@
   // Returns the parts that are hardly sound, most crashes first.
   std::vector<Candidate> FindCandidates() const;
   // Returns how probable it is at most, however popular the part, that a sound
-  // part is accused by as many of the known crashes as these and has no output
-  // among `outputs` calls.
-  double ChanceIfSound(const std::vector<CrashKey>& crashes,
-                       double outputs) const;
+  // part with these accusations is accused by as many of the known crashes as
+  // `crashes`, its independent ones, and has had no output since.
+  double ChanceIfSound(const Accusations& accusations,
+                       const std::vector<CrashKey>& crashes) const;
   // Whether another candidate has as many crashes and shares some with `best`.
   bool HasRival(const std::vector<Candidate>& candidates,
                 const Candidate& best) const;
+  static bool IsAccusedBy(const Accusations& accusations, const CrashKey& key);
   bool IsAccusedByAll(uint64_t part, const std::vector<CrashKey>& keys) const;
   // Returns the parts accused by all of these crashes, in ascending order.
   std::vector<uint64_t> PartsAccusedByAll(
--- a/modules/bbv_fleet/crash_evidence_test.cc
+++ b/modules/bbv_fleet/crash_evidence_test.cc
@@ -53,6 +53,16 @@
   CHECK(Finds({kDeadly}));
 }
 
+TEST(CrashEvidence, CrashesThatAreNotIndependentDoNotDelayAVerdict) {
+  Crash({{1, kDeadly}});
+  Crash({{2, kDeadly}});
+  for (int it = 0; it < 8; ++it)
+    evidence.AddCrash(MakeCrash({{3, kDeadly}}, Milliseconds(2)));
+  CHECK(!evidence.TakeDeadlyParts());
+  Crash({{4, kDeadly}});
+  CHECK(Finds({kDeadly}));
+}
+
 TEST(CrashEvidence, OutputOfASoundPartClearsIt) {
   for (int it = 0; it < 10; ++it) {
     Crash({{kFirst}});
