Judge a part sooner the more crashes accuse it

The floor collapses so fast that hardly any call has output, and each crash ends up to 60 calls without; then a popular sound part would look the same, by the old bound divided by the number of accused parts. But few parts are accused by five independent crashes at all, and waiting costs each caller behind the next target.

Now the accepted chance grows fivefold with each crash beyond three, up to 0.03.

--- a/modules/bbv_fleet/crash_evidence.cc
+++ b/modules/bbv_fleet/crash_evidence.cc
@@ -11,8 +11,12 @@
 // rivals do not delay the verdict any more.
 constexpr std::size_t kMinCrashes = 3;
 constexpr std::size_t kDecisiveCrashes = 6;
-// Highest probability with which any of the accused parts may be sound.
-constexpr double kMaxChance = 0.0001;
+// Highest chance, see ChanceIfSound(), with which a part is held to be deadly
+// after kMinCrashes. Each further crash multiplies it, up to a limit: while
+// targets go on ending, waiting costs more callers than a wrong verdict.
+constexpr double kMaxChance = 0.0002;
+constexpr double kChanceGrowthPerCrash = 5;
+constexpr double kMaxChanceLimit = 0.03;
 // Shares of the calls for which the probability is computed.
 constexpr int kPopularitySteps = 200;
 // Retention of accusations; deadly requests may be minutes apart.
@@ -28,6 +32,12 @@
                   std::lgamma(n - k + 1));
 }
 
+double AcceptedChance(std::size_t crashes) {
+  const auto further = static_cast<double>(crashes - kMinCrashes);
+  return std::min(kMaxChanceLimit,
+                  kMaxChance * std::pow(kChanceGrowthPerCrash, further));
+}
+
 }  // namespace
 
 bool CrashEvidence::AddCrash(const CrashReport& report) {
@@ -195,15 +205,13 @@
 }
 
 std::vector<CrashEvidence::Candidate> CrashEvidence::FindCandidates() const {
-  const double max_chance =
-      kMaxChance / static_cast<double>(std::max<std::size_t>(1, size()));
   std::vector<Candidate> candidates;
   for (const auto& [part, list] : accusations_) {
     if (list.size() < kMinCrashes)
       continue;
     std::vector<CrashKey> crashes = IndependentCrashes(list);
     if (crashes.size() >= kMinCrashes &&
-        ChanceIfSound(list, crashes) <= max_chance)
+        ChanceIfSound(list, crashes) <= AcceptedChance(crashes.size()))
       candidates.push_back({part, std::move(crashes)});
   }
   std::sort(candidates.begin(), candidates.end(),
--- a/modules/bbv_fleet/crash_evidence_test.cc
+++ b/modules/bbv_fleet/crash_evidence_test.cc
@@ -184,9 +184,9 @@
     }
     return 100;
   };
-  CHECK(crashes_needed(1) <= 5);
+  CHECK(crashes_needed(1) <= 4);
   CHECK(crashes_needed(10) > crashes_needed(1));
-  CHECK(crashes_needed(40) <= 16);
+  CHECK(crashes_needed(40) <= 6);
 }
 
 TEST(CrashEvidence, AccusationsExpire) {
