Test how responses without a length may end, in both modes

The code did so already: all of these pass without a change to it.

Not covered: callers that read the entry's own streams, which are always chunked.

--- a/tests/fleet_floor_test.cc
+++ b/tests/fleet_floor_test.cc
@@ -450,3 +450,26 @@
   CHECK(wait([&] { return version_is(0, 3) && version_is(1, 3); }));
   CHECK(IsCompleteStream(floor->Stream(0, "after"), options.events));
 }
+
+TEST(FleetFloor, StreamsThatEndWithTheirConnectionAreWhole) {
+  options.close_delimited = true;
+  StartFleet(1);
+  CHECK(IsCompleteStream(floor->Stream(0, "s"), options.events));
+  CHECK_EQUAL(1, floor->targets().ExecutionCounts()["s"]);
+}
+
+TEST(FleetFloor, StreamsThatEndInsideAnEventAreContinued) {
+  // Cut inside a field, inside a multi-byte character, and before the end of an
+  // event that looks complete.
+  for (const char* cut :
+       {"id: 2", "id: 21\ndata: \xe2\x82", "id: 21\ndata: t21\n"}) {
+    for (const bool close_delimited : {false, true}) {
+      options.cut_event = cut;
+      options.close_delimited = close_delimited;
+      StartFleet(1);
+      CHECK(IsCompleteStream(floor->Stream(0, "s"), options.events));
+      CHECK_EQUAL(2, floor->targets().ExecutionCounts()["s"]);
+      floor.reset();
+    }
+  }
+}
--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -527,36 +527,46 @@
     first = std::stoi(request.get_header_value("Last-Event-Id")) + 1;
   auto next = std::make_shared<int>(first);
   streams_[id] = path;
-  response.set_chunked_content_provider(
-      "text/event-stream",
-      [this, target, path, next, deadly](std::size_t, httplib::DataSink& sink) {
-        std::this_thread::sleep_for(milliseconds(options_.event_ms));
-        if (deadly)
-          CrashAndRestart(target);
-        if (target->crashed || stopping_)
-          return false;
-        {
-          const std::lock_guard guard(mutex_);
-          // If a hop is lost, the stream stays open without sending events.
-          if (!FindPathFault(*path).empty())
-            return true;
-        }
-        const std::string event = "id: " + std::to_string(*next) + "\ndata: t" +
-                                  std::to_string(*next) +
-                                  std::string(options_.padding, '.') + "\n\n";
-        sink.write(event.data(), event.size());
-        if (++*next > options_.events)
-          sink.done();
+  const bool cut = !options_.cut_event.empty() && first == 1;
+  const auto provide = [this, target, path, next, deadly, cut](
+                           std::size_t, httplib::DataSink& sink) {
+    std::this_thread::sleep_for(milliseconds(options_.event_ms));
+    if (deadly)
+      CrashAndRestart(target);
+    if (target->crashed || stopping_)
+      return false;
+    {
+      const std::lock_guard guard(mutex_);
+      // If a hop is lost, the stream stays open without sending events.
+      if (!FindPathFault(*path).empty())
         return true;
-      },
-      [this, id, path](bool) {
-        const std::lock_guard guard(mutex_);
-        // The stream may have been restarted on another engine under the same
-        // id.
-        const auto it = streams_.find(id);
-        if (it != streams_.end() && it->second == path)
-          streams_.erase(it);
-      });
+    }
+    if (cut && *next > options_.events / 2) {
+      sink.write(options_.cut_event.data(), options_.cut_event.size());
+      return false;
+    }
+    const std::string event = "id: " + std::to_string(*next) + "\ndata: t" +
+                              std::to_string(*next) +
+                              std::string(options_.padding, '.') + "\n\n";
+    sink.write(event.data(), event.size());
+    if (++*next <= options_.events)
+      return true;
+    sink.done();
+    // Without chunks, only the connection's end is the end of the stream.
+    return !options_.close_delimited;
+  };
+  const auto release = [this, id, path](bool) {
+    const std::lock_guard guard(mutex_);
+    // The stream may have been restarted on another engine under the same id.
+    const auto it = streams_.find(id);
+    if (it != streams_.end() && it->second == path)
+      streams_.erase(it);
+  };
+  if (options_.close_delimited)
+    response.set_content_provider("text/event-stream", provide, release);
+  else
+    response.set_chunked_content_provider("text/event-stream", provide,
+                                          release);
 }
 
 bool FleetTargets::HandleInjectedFault(Target* target,
--- a/tests/standins/fleet_standin.h
+++ b/tests/standins/fleet_standin.h
@@ -106,6 +106,12 @@
     int work_ms = 0;
     // Whether each target is reached through a proxy.
     bool proxied = false;
+    // Whether streams have neither chunks nor a length and end with their
+    // connection.
+    bool close_delimited = false;
+    // If not empty, the connection of each stream that starts at its first
+    // event ends in the middle of its way, after this beginning of an event.
+    std::string cut_event;
     // An engine that begins to write an answer on a prompt with this part, not
     // its last, crashes and starts again after `restart_ms`. Empty for none.
     std::string deadly_part;
