--- a/modules/bbv_fleet/crash_detector.cc
+++ b/modules/bbv_fleet/crash_detector.cc
@@ -45,7 +45,7 @@
 }
 
 bool CrashDetector::RecordBrokenCall(const FleetTarget& target,
-                                     BrokenCall call,
+                                     const BrokenCall& call,
                                      Instant now) {
   if (target.IsLeaving())
     return false;
--- a/modules/bbv_fleet/crash_detector.h
+++ b/modules/bbv_fleet/crash_detector.h
@@ -69,7 +69,7 @@
   // Records a call whose connection to `target` broke. Returns whether the
   // caller should try to connect to the target and call RecordCheck().
   bool RecordBrokenCall(const FleetTarget& target,
-                        BrokenCall call,
+                        const BrokenCall& call,
                         Instant now);
 
   // Records the result of a check of the process that started at
--- a/modules/bbv_fleet/crash_evidence.h
+++ b/modules/bbv_fleet/crash_evidence.h
@@ -1,11 +1,11 @@
 #ifndef MODULES_BBV_FLEET_CRASH_EVIDENCE_H_
 #define MODULES_BBV_FLEET_CRASH_EVIDENCE_H_
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -20,7 +20,11 @@
   uint32_t target = 0;
   int64_t started_unix_ms = 0;
 
-  auto operator<=>(const CrashKey&) const = default;
+  bool operator==(const CrashKey&) const = default;
+  bool operator<(const CrashKey& other) const {
+    return std::tie(target, started_unix_ms) <
+           std::tie(other.target, other.started_unix_ms);
+  }
 };
 
 // What one entry saw of a crash.
