Let only successful output clear a part that crashes targets

A target that answers some calls with 500 before it begins to write would clear a deadly part again and again, and targets would go on ending.

Also: verdicts on news of other entries follow on the next tick, since gossip must not be called from its own callbacks.

--- a/modules/bbv_entry/crash_guard.cc
+++ b/modules/bbv_entry/crash_guard.cc
@@ -258,7 +258,6 @@
   }
   for (const wire::QuarantinedPartsT& it : notice.quarantines)
     is_new |= MergeQuarantine(it, now);
-  QuarantineDeadlyParts(now);
   return is_new;
 }
 
--- a/modules/bbv_entry/crash_guard.h
+++ b/modules/bbv_entry/crash_guard.h
@@ -67,7 +67,8 @@
   // Whether a quarantine has begun since the last call.
   bool TakeNewQuarantine();
 
-  // Handles news of another entry; returns whether any of it was new.
+  // Handles news of another entry; returns whether any of it was new. Announces
+  // nothing itself: verdicts on it follow on the next tick.
   bool OnNotice(const wire::CrashNoticeT& notice, Instant now);
   void OnQuarantines(const std::vector<wire::QuarantinedPartsT>& quarantines,
                      Instant now);
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -522,8 +522,6 @@
       std::exchange(caller_, nullptr)->EndStream();
     return;
   }
-  if (!answer_fields_.not_run)
-    context_->crash_guard->OnOutput(call_.request(), now);
   if (answer_fields_.not_run) {
     FailSend(
         {CallEndReason::kNoRoom, true, false, answer_fields_.fault_address},
@@ -542,6 +540,9 @@
     return;
   }
   FinishSend(false, now);
+  // An error response does not show that the target could write an answer.
+  if (success)
+    context_->crash_guard->OnOutput(call_.request(), now);
   call_.OnResponseComplete();
   context_->metrics->CountServed(call_.request().service);
   LogFinished(now);
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -163,6 +163,9 @@
 //   unknown     retry    502/504  retry after the last relayed event
 //   ran         retry    relayed  retry after the last relayed event
 //
+// A call that may crash its targets is withheld from them: quarantined calls
+// end before they are sent, and suspects of crashes are not sent again.
+//
 // Retries are limited by the deadline, the route's attempts and the retry
 // budget. A final result is reported immediately.
 //
--- a/modules/bbv_fleet/part_quarantine.cc
+++ b/modules/bbv_fleet/part_quarantine.cc
@@ -71,8 +71,8 @@
 QuarantineRow* PartQuarantine::FindActive(
     const std::string& service,
     const std::vector<uint64_t>& call_parts) {
-  return const_cast<QuarantineRow*>(
-      std::as_const(*this).Find(service, call_parts));
+  const QuarantineRow* row = Find(service, call_parts);
+  return row == nullptr ? nullptr : &rows_.at({row->service, row->parts});
 }
 
 QuarantineDecision PartQuarantine::Decide(
--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -522,6 +522,12 @@
   ++runs_[id];
   response.set_header("X-Attempt-Id", id);
   response.set_header("X-Response-Signature", "signature-of-" + target->id);
+  if (options_.failing_every > 0 &&
+      target->calls % options_.failing_every == 0) {
+    response.status = 500;
+    response.set_content("failed", "text/plain");
+    return;
+  }
   int first = 1;
   if (request.has_header("Last-Event-Id"))
     first = std::stoi(request.get_header_value("Last-Event-Id")) + 1;
--- a/tests/standins/fleet_standin.h
+++ b/tests/standins/fleet_standin.h
@@ -116,6 +116,9 @@
     // its last, crashes and starts again after `restart_ms`. Empty for none.
     std::string deadly_part;
     int restart_ms = 1000;
+    // Each engine answers every n-th call with status 500 before it begins to
+    // write; 0 for none.
+    int failing_every = 0;
   };
 
   FleetTargets(FleetStore* store, Options options);
