Report a peer's fault before its connection is closed

PeerNetwork.UnauthenticatedInputDoesNotAffectConnectedPeers failed now and then (4 of 40, KNOWN-RED.txt): the peer, here the test, saw the end of its connection before the fault was on record. Cause by reading: Close() closed first.

--- a/modules/bbv_node/peer_network.cc
+++ b/modules/bbv_node/peer_network.cc
@@ -498,9 +498,10 @@
     return;
   const bool was_ready = connection->ready();
   connection->closed = true;
-  close(connection->fd);
+  // Reported first, so that the fault is on record when the peer sees the end.
   if (!cause.empty())
     listener_->PeerFault(cause);
+  close(connection->fd);
   if (was_ready) {
     // Frames in flight on the peer's other connections cannot be told apart
     // from those lost here, so all of its connections are closed.
