Look a quarantine up once, and do less for each call's output

Cause: three methods of CrashGuard made the same look-up and copied parts of the row out of it; every call with output copied its service into a notice that is almost never sent; a peer's quarantine was decoded twice; IsAccusedByAll wrote IsAccusedBy out again.

Change: one FindQuarantine() serves all callers, the notice is built only when there is news, one decoding, one call.

--- a/modules/bbv_entry/crash_guard.cc
+++ b/modules/bbv_entry/crash_guard.cc
@@ -67,7 +67,7 @@
       log_->Write(Event::kPartProbed, now,
                   {{"id", request.attempt_id},
                    {"service", request.service},
-                   {"parts", FormatParts(QuarantinedPartsOf(request))}});
+                   {"parts", FormatParts(FindQuarantine(request)->parts)}});
       return std::nullopt;
     case QuarantineDecision::kAllowed:
       break;
@@ -86,20 +86,12 @@
 
 bool CrashGuard::IsQuarantined(const CallRequest& request) const {
   return request.attempt_id != probe_call_ &&
-         quarantine_.Find(request.service, request.shared_parts) != nullptr;
+         FindQuarantine(request) != nullptr;
 }
 
-std::vector<uint64_t> CrashGuard::QuarantinedPartsOf(
+const QuarantineRow* CrashGuard::FindQuarantine(
     const CallRequest& request) const {
-  const QuarantineRow* row =
-      quarantine_.Find(request.service, request.shared_parts);
-  return row == nullptr ? std::vector<uint64_t>() : row->parts;
-}
-
-std::optional<Instant> CrashGuard::ProbeTime(const CallRequest& request) const {
-  const QuarantineRow* row =
-      quarantine_.Find(request.service, request.shared_parts);
-  return row == nullptr ? std::nullopt : std::optional(row->probe_at);
+  return quarantine_.Find(request.service, request.shared_parts);
 }
 
 void CrashGuard::OnCallBroken(const CallRequest& request,
@@ -129,23 +121,26 @@
 }
 
 void CrashGuard::OnOutput(const CallRequest& request, Instant now) {
+  std::vector<uint64_t> cleared =
+      evidence_[request.service].RecordOutput(request.shared_parts);
+  const QuarantineRow* row = FindQuarantine(request);
+  if (cleared.empty() && row == nullptr)
+    return;
   wire::CrashNoticeT notice;
-  wire::ClearedPartsT cleared;
-  cleared.service = request.service;
-  cleared.parts = evidence_[request.service].RecordOutput(request.shared_parts);
-  if (!cleared.parts.empty())
-    notice.cleared.push_back(std::move(cleared));
-  const std::vector<uint64_t> quarantined = QuarantinedPartsOf(request);
-  if (quarantine_.RecordOutput(request.service, request.shared_parts, now)) {
+  if (!cleared.empty()) {
+    wire::ClearedPartsT& parts = notice.cleared.emplace_back();
+    parts.service = request.service;
+    parts.parts = std::move(cleared);
+  }
+  if (row != nullptr) {
     log_->Write(Event::kPartQuarantineEnded, now,
                 {{"service", request.service},
-                 {"parts", FormatParts(quarantined)},
+                 {"parts", FormatParts(row->parts)},
                  {"evidence", "output"},
                  {"id", request.attempt_id}});
+    quarantine_.RecordOutput(request.service, request.shared_parts, now);
     notice.quarantines = EncodeRows(now);
   }
-  if (notice.cleared.empty() && notice.quarantines.empty())
-    return;
   announce_(std::move(notice), now);
   QuarantineDeadlyParts(now);
 }
@@ -270,9 +265,11 @@
 
 bool CrashGuard::MergeQuarantine(const wire::QuarantinedPartsT& message,
                                  Instant now) {
-  if (!IsValid(message) || !quarantine_.Merge(FromMessage(message, now), now))
+  if (!IsValid(message))
     return false;
   const QuarantineRow row = FromMessage(message, now);
+  if (!quarantine_.Merge(row, now))
+    return false;
   if (!row.lifted) {
     has_new_quarantine_ = true;
     LogQuarantine(row, "peer", now);
--- a/modules/bbv_entry/crash_guard.h
+++ b/modules/bbv_entry/crash_guard.h
@@ -45,11 +45,9 @@
   // as a probe.
   bool IsQuarantined(const CallRequest& request) const;
 
-  // Returns the shared parts by which the call is quarantined, or nothing.
-  std::vector<uint64_t> QuarantinedPartsOf(const CallRequest& request) const;
-
-  // Returns when a quarantined call may be let through at the earliest.
-  std::optional<Instant> ProbeTime(const CallRequest& request) const;
+  // Returns the quarantine that applies to the call, or nullptr. Valid until
+  // the next call of another method.
+  const QuarantineRow* FindQuarantine(const CallRequest& request) const;
 
   // Handles the end of a connection under a call that was sent to `target_id`
   // at `sent_at`.
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -284,9 +284,10 @@
     earliest = std::max(earliest,
                         Milliseconds(RemainingMilliseconds(*backoff_end, now)));
   if (end == CallEndReason::kQuarantined) {
-    const auto probe_time = context_->crash_guard->ProbeTime(request);
-    return std::max(earliest, Milliseconds(RemainingMilliseconds(
-                                  probe_time.value_or(now), now)));
+    const QuarantineRow* row = context_->crash_guard->FindQuarantine(request);
+    const Instant probe_at = row == nullptr ? now : row->probe_at;
+    return std::max(earliest,
+                    Milliseconds(RemainingMilliseconds(probe_at, now)));
   }
   // A caller is told to wait for part of its remaining time at most.
   const Milliseconds left(RemainingMilliseconds(request.caller_deadline, now));
@@ -303,6 +304,8 @@
 void RelayedCall::Fail(const CallFailure& failure) {
   const CallRequest& request = call_.request();
   const Instant now = EventLoop::Now();
+  const QuarantineRow* quarantine =
+      context_->crash_guard->FindQuarantine(request);
   const bool refused = failure.execution_status == ExecutionStatus::kNotRun;
   context_->metrics->CountFailure(request.service, failure.end);
   context_->log->Write(
@@ -317,7 +320,7 @@
        {"sends", static_cast<int64_t>(call_.sends())},
        {"last_target", dispatch_.target_id},
        {"parts",
-        FormatParts(context_->crash_guard->QuarantinedPartsOf(request))},
+        quarantine == nullptr ? std::string() : FormatParts(quarantine->parts)},
        {"after_ms", MillisecondsBetween(request.arrived, now)},
        {"retry_after_ms",
         static_cast<int64_t>(
--- a/modules/bbv_fleet/crash_evidence.cc
+++ b/modules/bbv_fleet/crash_evidence.cc
@@ -186,10 +186,8 @@
   const auto row = accusations_.find(part);
   if (row == accusations_.end())
     return false;
-  const Accusations& list = row->second;
-  return std::all_of(keys.begin(), keys.end(), [&list](const CrashKey& key) {
-    return std::any_of(list.begin(), list.end(),
-                       [&key](const Accusation& it) { return it.key == key; });
+  return std::all_of(keys.begin(), keys.end(), [&row](const CrashKey& it) {
+    return IsAccusedBy(row->second, it);
   });
 }
 
