Log and measure the rate limits that targets name in their answers

The header is decoded in platform/ and followed per target: lines BBV0102 and BBV0103, a gauge of the limit and one of the entry's requests since it began. A late answer without the header does not end a limit that was heard after its request was sent.

No decision uses it yet: what is sent stays as it was.

--- a/modules/bbv_core/event.cc
+++ b/modules/bbv_core/event.cc
@@ -75,6 +75,8 @@
     EventDescription{Event::kPartQuarantined, "part-quarantined"},
     EventDescription{Event::kPartQuarantineEnded, "part-quarantine-ended"},
     EventDescription{Event::kPartProbed, "part-probed"},
+    EventDescription{Event::kTargetLimited, "target-limited"},
+    EventDescription{Event::kTargetLimitEnded, "target-limit-ended"},
 };
 
 // Returns whether `event` occurs in the normal processing of every request.
--- a/modules/bbv_core/event.h
+++ b/modules/bbv_core/event.h
@@ -72,6 +72,8 @@
   kPartQuarantined = 99,
   kPartQuarantineEnded = 100,
   kPartProbed = 101,
+  kTargetLimited = 102,
+  kTargetLimitEnded = 103,
 };
 
 // The name under which an event is logged.
--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -91,6 +91,7 @@
                    [this](wire::CrashNoticeT notice, Instant now) {
                      peers_.AnnounceCrash(std::move(notice), now);
                    }),
+      rate_limits_(&log_, &registry_),
       load_poller_(&client_, &registry_),
       peers_(&loop_,
              {&store_, &log_, &registry_, &configuration_, &targets_, &planner_,
@@ -121,10 +122,7 @@
                                     bool confirmed_by_target) {
     OnTargetFault(id, evidence, confirmed_by_target);
   };
-  client_.SetHeadObserver(
-      [this](const std::string& address, const HttpHead& head) {
-        OnTargetNotice(address, platform::DecodeNotice(head));
-      });
+  client_.SetObserver(this);
   context_.on_refusal_cause = [this](const std::string& id) {
     CheckRefusalCause(id);
   };
@@ -348,27 +346,44 @@
   fault_detector_.InvestigateRefusal(target_id, capacity, EventLoop::Now());
 }
 
-void FleetEntry::OnTargetNotice(const std::string& address,
-                                const platform::TargetNotice& notice) {
-  if (!notice.leaving && !notice.retry_after && !notice.retry_after_invalid)
-    return;
+void FleetEntry::OnRequest(const std::string& address) {
+  if (FleetTarget* target = registry_.FindAddress(address))
+    target->rate_limit.RecordRequest();
+}
+
+void FleetEntry::OnHead(const std::string& address,
+                        const HttpHead& head,
+                        std::optional<Instant> sent_at) {
   FleetTarget* target = registry_.FindAddress(address);
   if (target == nullptr)
     return;
+  const platform::TargetNotice notice = platform::DecodeNotice(head);
+  if (!notice.is_from_target)
+    return;
   const Instant now = EventLoop::Now();
+  rate_limits_.OnResponse(target, notice, sent_at, now);
+  if (notice.leaving)
+    ApplyLeaving(target, now);
+  if (notice.retry_after || notice.retry_after_invalid)
+    ApplyRetryAfter(target, notice, now);
+}
+
+void FleetEntry::ApplyLeaving(FleetTarget* target, Instant now) {
   const std::string& id = target->record.id;
-  if (notice.leaving &&
-      registry_.MarkLeaving(id, target->record.started_unix_ms)) {
-    log_.Write(Event::kTargetLeaves, now,
-               {{"target", id}, {"evidence", "its answer"}});
-    peers_.AnnounceLeaving(*target);
-  }
-  if (!notice.retry_after && !notice.retry_after_invalid)
+  if (!registry_.MarkLeaving(id, target->record.started_unix_ms))
     return;
+  log_.Write(Event::kTargetLeaves, now,
+             {{"target", id}, {"evidence", "its answer"}});
+  peers_.AnnounceLeaving(*target);
+}
+
+void FleetEntry::ApplyRetryAfter(FleetTarget* target,
+                                 const platform::TargetNotice& notice,
+                                 Instant now) {
   const Milliseconds retry_after = notice.retry_after.value_or(Milliseconds(0));
   registry_.SetBackoff(target, now + retry_after);
   log_.Write(Event::kTargetRests, now,
-             {{"target", id},
+             {{"target", target->record.id},
               {"for_ms", static_cast<int64_t>(retry_after.count())},
               {"odd", notice.retry_after_invalid}});
 }
@@ -573,6 +588,7 @@
   metrics_.SetGauge("target_connections_opened",
                     static_cast<double>(client_.connections_opened()));
   UpdateQuarantineMetrics(now);
+  UpdateRateLimitMetrics();
   if (configuration_.current() != nullptr) {
     metrics_.SetGauge(
         "configuration_version",
@@ -592,7 +608,7 @@
 }
 
 void FleetEntry::UpdateQuarantineMetrics(Instant now) {
-  FleetMetrics::QuarantineAges ages;
+  FleetMetrics::GaugeValues ages;
   for (const QuarantineRow& it : crash_guard_.quarantine().Rows()) {
     if (!it.lifted) {
       ages[{it.service, FormatParts(it.parts)}] =
@@ -603,6 +619,19 @@
   metrics_.SetQuarantines(ages);
 }
 
+void FleetEntry::UpdateRateLimitMetrics() {
+  FleetMetrics::GaugeValues limits;
+  FleetMetrics::GaugeValues requests;
+  for (const auto& [id, row] : registry_.rows()) {
+    const TargetRateLimit& limit = row->rate_limit;
+    if (!limit.per_second())
+      continue;
+    limits[{row->record.service, id}] = *limit.per_second();
+    requests[{row->record.service, id}] = static_cast<double>(limit.requests());
+  }
+  metrics_.SetRateLimits(limits, requests);
+}
+
 void FleetEntry::BeginStop() {
   if (std::exchange(stopping_, true))
     return;
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -16,6 +16,7 @@
 #include "bbv_entry/load_poller.h"
 #include "bbv_entry/peer_exchange.h"
 #include "bbv_entry/planner_agent.h"
+#include "bbv_entry/rate_limit_exchange.h"
 #include "bbv_entry/relayed_call.h"
 #include "bbv_entry/store_client.h"
 #include "bbv_entry/target_follower.h"
@@ -35,7 +36,8 @@
 // holds the planner's lease.
 //
 // Thread safety: none, everything runs on the thread that calls Run().
-class FleetEntry final : public CallerRequestHandler {
+class FleetEntry final : public CallerRequestHandler,
+                         public HttpClient::Observer {
  public:
   // `settings_path` is reloaded on SIGHUP.
   FleetEntry(FleetSettings settings, std::string settings_path);
@@ -54,6 +56,12 @@
   void OnCallerGone(CallerConnection* connection) override;
   void OnBadRequest(CallerConnection* connection, int status) override;
 
+  // HttpClient::Observer:
+  void OnRequest(const std::string& address) override;
+  void OnHead(const std::string& address,
+              const HttpHead& head,
+              std::optional<Instant> sent_at) override;
+
  private:
   void AcceptCaller(std::unique_ptr<TcpStream> stream);
   void OnTick();
@@ -74,6 +82,7 @@
   void Reload();
   void UpdateGauges(Instant now);
   void UpdateQuarantineMetrics(Instant now);
+  void UpdateRateLimitMetrics();
   // Handles a target fault. `confirmed_by_target` is set when other targets
   // observed the fault, so that it cannot be caused by this entry's connections
   // alone.
@@ -82,9 +91,11 @@
                      bool confirmed_by_target);
   // Checks a target that was named as the cause of a refused call.
   void CheckRefusalCause(const std::string& target_id);
-  // Applies what a target states about itself in the header of an answer.
-  void OnTargetNotice(const std::string& address,
-                      const platform::TargetNotice& notice);
+  // Apply what a target states about itself in the header of an answer.
+  void ApplyLeaving(FleetTarget* target, Instant now);
+  void ApplyRetryAfter(FleetTarget* target,
+                       const platform::TargetNotice& notice,
+                       Instant now);
   // Handles a target that refuses calls as if it were leaving, although the
   // target list does not mark it so.
   void OnTargetLeaving(const std::string& target_id);
@@ -123,6 +134,7 @@
   PlannerAgent planner_;
   FaultDetector fault_detector_;
   CrashGuard crash_guard_;
+  RateLimitExchange rate_limits_;
   LoadPoller load_poller_;
   PeerExchange peers_;
   AdmissionQueue admission_queue_;
--- a/modules/bbv_fleet/bbv_fleet.h
+++ b/modules/bbv_fleet/bbv_fleet.h
@@ -27,6 +27,7 @@
 #include "bbv_fleet/shared_retry_budget.h"
 #include "bbv_fleet/stall_detector.h"
 #include "bbv_fleet/target_loss_detector.h"
+#include "bbv_fleet/target_rate_limit.h"
 #include "bbv_fleet/target_registry.h"
 #include "bbv_fleet/target_selector.h"
 #include "bbv_fleet/zone_link_limiter.h"
--- a/modules/bbv_fleet/target_registry.cc
+++ b/modules/bbv_fleet/target_registry.cc
@@ -61,6 +61,7 @@
         before->second.started_unix_ms == record.started_unix_ms) {
       row->known_leaving = before->second.leaving;
       row->backoff_until = before->second.backoff_until;
+      row->rate_limit = before->second.rate_limit;
     }
     if (before != unlisted_.end())
       unlisted_.erase(before);
@@ -91,6 +92,7 @@
     row->suspected_until = {};
     row->known_leaving = false;
     row->backoff_until = {};
+    row->rate_limit = {};
   }
   row->known_leaving = row->IsLeaving();
   const bool still_suspected = row->health == TargetHealth::kSuspected &&
@@ -138,8 +140,9 @@
   const auto it = rows_.find(id);
   assert(it != rows_.end());
   const FleetTarget& row = *it->second;
-  RememberUnlisted(it->first, {row.record.started_unix_ms, removed_at_heartbeat,
-                               row.known_leaving, row.backoff_until});
+  RememberUnlisted(it->first,
+                   {row.record.started_unix_ms, removed_at_heartbeat,
+                    row.known_leaving, row.backoff_until, row.rate_limit});
   const auto address = by_address_.find(it->second->record.address);
   if (address != by_address_.end() && address->second == it->second.get())
     by_address_.erase(address);
@@ -180,7 +183,7 @@
                                  int64_t started_unix_ms) {
   FleetTarget* row = Find(id);
   if (row == nullptr) {
-    UnlistedTarget unlisted{started_unix_ms, kNeverRemoved, true, {}};
+    UnlistedTarget unlisted{started_unix_ms, kNeverRemoved, true, {}, {}};
     const auto it = unlisted_.find(id);
     if (it != unlisted_.end()) {
       if (it->second.started_unix_ms > started_unix_ms || it->second.leaving)
--- a/modules/bbv_fleet/target_registry.h
+++ b/modules/bbv_fleet/target_registry.h
@@ -13,6 +13,7 @@
 
 #include "bbv_core/instant.h"
 #include "bbv_core/name_table.h"
+#include "bbv_fleet/target_rate_limit.h"
 
 namespace bbv {
 
@@ -98,6 +99,8 @@
   // This process sends nothing to the target until this time, as the target
   // requested.
   Instant backoff_until{};
+  // Limit on the requests of all entries, as named by the target.
+  TargetRateLimit rate_limit;
   // Consecutive rejected calls that the target's report does not explain.
   int unexplained_refusals = 0;
   Instant refused_at{};
@@ -246,6 +249,7 @@
     int64_t removed_at_heartbeat = kNeverRemoved;
     bool leaving = false;
     Instant backoff_until{};
+    TargetRateLimit rate_limit;
   };
 
   // Removes the row of `id` and keeps its state in `unlisted_`.
--- a/modules/bbv_front/http_client.cc
+++ b/modules/bbv_front/http_client.cc
@@ -137,13 +137,16 @@
 
   // HttpSink:
   void OnHead(HttpHead head) override {
-    if (client_->on_head_)
-      client_->on_head_(address_, head);
-    if (sink_ == nullptr)
-      return;
     const std::string* id =
         request_.id_field.empty() ? nullptr : head.Find(request_.id_field);
-    if (id != nullptr && *id != request_.attempt_id) {
+    const bool is_stale = id != nullptr && *id != request_.attempt_id;
+    if (client_->observer_ != nullptr) {
+      client_->observer_->OnHead(
+          address_, head, is_stale ? std::nullopt : std::optional(sent_at_));
+    }
+    if (sink_ == nullptr)
+      return;
+    if (is_stale) {
       skipping_stale_response_ = true;
       return;
     }
@@ -159,6 +162,7 @@
  private:
   void SendRequest() {
     sent_ = true;
+    sent_at_ = EventLoop::Now();
     stream_->Write(request_.bytes);
   }
 
@@ -196,6 +200,7 @@
   ExchangeSink* sink_ = nullptr;
   bool skipping_stale_response_ = false;
   bool sent_ = false;
+  Instant sent_at_{};
   bool reusable_ = true;
   Milliseconds idle_timeout_ = kDefaultIdleTimeout;
   Instant idle_deadline_{};
@@ -211,6 +216,8 @@
                                         ExchangeSink* sink) {
   assert(sink != nullptr);
   const std::string address = request.address.ToString();
+  if (observer_ != nullptr)
+    observer_->OnRequest(address);
   std::unique_ptr<Connection> connection;
   if (request.may_reuse)
     connection = AcquireIdleConnection(address);
--- a/modules/bbv_front/http_client.h
+++ b/modules/bbv_front/http_client.h
@@ -6,6 +6,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -87,11 +88,21 @@
   // Fails overdue exchanges and closes connections whose idle timeout passed.
   void OnTick(Instant now);
 
-  // Called with the head of every response from `address`, including skipped
-  // responses. Must not call the client.
-  using OnHead =
-      std::function<void(const std::string& address, const HttpHead& head)>;
-  void SetHeadObserver(OnHead on_head) { on_head_ = std::move(on_head); }
+  // Observes the exchanges with every address. Must not call the client.
+  class Observer {
+   public:
+    virtual ~Observer() = default;
+    // A request is about to be sent to `address`.
+    virtual void OnRequest(const std::string& address) = 0;
+    // The head of a response was received from `address`, to a request that was
+    // sent at `sent_at`. That time is unknown for skipped responses, which
+    // belong to an earlier request.
+    virtual void OnHead(const std::string& address,
+                        const HttpHead& head,
+                        std::optional<Instant> sent_at) = 0;
+  };
+  // `observer` must outlive the client's exchanges.
+  void SetObserver(Observer* observer) { observer_ = observer; }
 
   // Returns the number of connections opened since construction.
   uint64_t connections_opened() const { return connections_opened_; }
@@ -105,7 +116,7 @@
   std::unique_ptr<Connection> AcquireIdleConnection(const std::string& address);
 
   EventLoop* loop_;
-  OnHead on_head_;
+  Observer* observer_ = nullptr;
   ExchangeId next_id_ = 1;
   uint64_t connections_opened_ = 0;
   std::map<ExchangeId, std::unique_ptr<Connection>> active_;
--- a/modules/bbv_observe/fleet_metrics.cc
+++ b/modules/bbv_observe/fleet_metrics.cc
@@ -37,10 +37,25 @@
                   .Name("bbv_fleet_state")
                   .Help("State of the entry, by name")
                   .Register(registry_)),
-      quarantine_ages_(prometheus::BuildGauge()
+      quarantine_ages_{prometheus::BuildGauge()
                            .Name("bbv_fleet_quarantine_seconds")
                            .Help("Age of each quarantine of prompt parts")
-                           .Register(registry_)),
+                           .Register(registry_),
+                       "parts",
+                       {}},
+      rate_limits_{prometheus::BuildGauge()
+                       .Name("bbv_fleet_target_rate_limit")
+                       .Help("Requests per second that a target accepts")
+                       .Register(registry_),
+                   "target",
+                   {}},
+      rate_limited_requests_{
+          prometheus::BuildGauge()
+              .Name("bbv_fleet_rate_limited_requests")
+              .Help("Requests of this entry since a target named its limit")
+              .Register(registry_),
+          "target",
+          {}},
       first_event_(MakeHistogram(&registry_,
                                  "bbv_fleet_first_event_seconds",
                                  "From a stream's arrival to its first event")),
@@ -81,23 +96,32 @@
   gauges_.Add({{"name", name}}).Set(value);
 }
 
-void FleetMetrics::SetQuarantines(const QuarantineAges& ages) {
-  std::erase_if(quarantines_, [&](const auto& it) {
-    if (ages.contains(it.first))
+void FleetMetrics::GaugeSet::Assign(const GaugeValues& values) {
+  std::erase_if(gauges, [&](const auto& it) {
+    if (values.contains(it.first))
       return false;
-    quarantine_ages_.Remove(it.second);
+    family.Remove(it.second);
     return true;
   });
-  for (const auto& [key, seconds] : ages) {
-    prometheus::Gauge*& gauge = quarantines_[key];
+  for (const auto& [key, value] : values) {
+    prometheus::Gauge*& gauge = gauges[key];
     if (gauge == nullptr) {
-      gauge = &quarantine_ages_.Add(
-          {{"service", key.first}, {"parts", key.second}});
+      gauge = &family.Add({{"service", key.first}, {second_label, key.second}});
     }
-    gauge->Set(seconds);
+    gauge->Set(value);
   }
 }
 
+void FleetMetrics::SetQuarantines(const GaugeValues& ages) {
+  quarantine_ages_.Assign(ages);
+}
+
+void FleetMetrics::SetRateLimits(const GaugeValues& per_second,
+                                 const GaugeValues& requests) {
+  rate_limits_.Assign(per_second);
+  rate_limited_requests_.Assign(requests);
+}
+
 std::string FleetMetrics::Serialize() const {
   const prometheus::TextSerializer serializer;
   return serializer.Serialize(registry_.Collect());
--- a/modules/bbv_observe/fleet_metrics.h
+++ b/modules/bbv_observe/fleet_metrics.h
@@ -28,29 +28,43 @@
   void ObserveFirstEvent(double seconds);
   void ObserveAnswer(double seconds);
   void SetGauge(const std::string& name, double value);
-  // Sets the age in seconds of each quarantine, by service and parts; others
-  // are removed.
-  using QuarantineAges = std::map<std::pair<std::string, std::string>, double>;
-  void SetQuarantines(const QuarantineAges& ages);
+  // Values of a family of gauges by service and a second label. Gauges that a
+  // new set does not contain are removed.
+  using GaugeValues = std::map<std::pair<std::string, std::string>, double>;
+  // Sets the age in seconds of each quarantine, by service and parts.
+  void SetQuarantines(const GaugeValues& ages);
+  // Sets the rate limit in requests per second that each target has named, and
+  // this entry's requests since then, by service and target.
+  void SetRateLimits(const GaugeValues& per_second,
+                     const GaugeValues& requests);
 
   // Returns all metrics in the Prometheus text exposition format.
   std::string Serialize() const;
 
  private:
+  // A family of gauges whose members come and go.
+  struct GaugeSet {
+    prometheus::Family<prometheus::Gauge>& family;
+    std::string second_label;
+    std::map<std::pair<std::string, std::string>, prometheus::Gauge*> gauges;
+
+    void Assign(const GaugeValues& values);
+  };
+
   prometheus::Registry registry_;
   prometheus::Family<prometheus::Counter>& served_;
   prometheus::Family<prometheus::Counter>& failures_;
   prometheus::Family<prometheus::Counter>& bad_requests_;
   prometheus::Family<prometheus::Gauge>& gauges_;
-  prometheus::Family<prometheus::Gauge>& quarantine_ages_;
+  GaugeSet quarantine_ages_;
+  GaugeSet rate_limits_;
+  GaugeSet rate_limited_requests_;
   prometheus::Histogram& first_event_;
   prometheus::Histogram& answers_;
   // Caches counters by their labels, which saves a registry lookup per call.
   std::map<std::string, prometheus::Counter*> served_by_service_;
   std::map<std::pair<std::string, CallEndReason>, prometheus::Counter*>
       failures_by_end_;
-  std::map<std::pair<std::string, std::string>, prometheus::Gauge*>
-      quarantines_;
 };
 
 }  // namespace bbv
