--- a/tests/deadly_part_test.cc
+++ b/tests/deadly_part_test.cc
@@ -1,14 +1,12 @@
 #include <CppUTest/TestHarness.h>
 
-#include <algorithm>
-#include <atomic>
 #include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
 #include <thread>
-#include <vector>
 
+#include "background_callers.h"
 #include "fleet_floor.h"
 
 namespace bbv {
@@ -28,52 +26,6 @@
 constexpr milliseconds kDeadlyInterval{150};
 constexpr milliseconds kSoundInterval{60};
 
-// Sends a stream every `interval`, each on a thread of its own and at the next
-// entry in turn, until it is destroyed.
-class Callers {
- public:
-  // `middle_part` returns the second part of the prompt of call `n`.
-  Callers(FleetFloor* floor,
-          std::string name,
-          milliseconds interval,
-          std::function<std::string(int n)> middle_part)
-      : sender_([this,
-                 floor,
-                 name = std::move(name),
-                 interval,
-                 middle_part = std::move(middle_part)] {
-          for (int n = 0; !stopping_; ++n) {
-            calls_.emplace_back([this, floor, name, n, middle_part] {
-              const std::string id = name + std::to_string(n);
-              const StreamAnswer answer =
-                  floor->Stream(n % kEntries, id,
-                                std::string(kFirstPart) + ":40," +
-                                    middle_part(n) + ":60," + id + ":9");
-              ++asked_;
-              served_ += answer.whole ? 1 : 0;
-            });
-            std::this_thread::sleep_for(interval);
-          }
-        }) {}
-  ~Callers() {
-    stopping_ = true;
-    sender_.join();
-    for (std::thread& it : calls_)
-      it.join();
-  }
-
-  // Calls that have ended, and those of them that got their whole answer.
-  int asked() const { return asked_; }
-  int served() const { return served_; }
-
- private:
-  std::atomic<bool> stopping_{false};
-  std::atomic<int> asked_{0};
-  std::atomic<int> served_{0};
-  std::vector<std::thread> calls_;
-  std::thread sender_;
-};
-
 }  // namespace
 
 TEST_GROUP(DeadlyPart) {
@@ -102,6 +54,21 @@
     }
     return true;
   }
+  // Sends a stream every `interval`, at the next entry in turn; `middle_part`
+  // returns the second part of the prompt of call `n`.
+  std::unique_ptr<BackgroundCallers> Send(
+      const std::string& name, milliseconds interval,
+      const std::function<std::string(int n)>& middle_part) {
+    return std::make_unique<BackgroundCallers>(
+        interval, [this, name, middle_part](int n) {
+          const std::string id = name + std::to_string(n);
+          return floor
+              ->Stream(n % kEntries, id,
+                       std::string(kFirstPart) + ":40," + middle_part(n) +
+                           ":60," + id + ":9")
+              .whole;
+        });
+  }
   // Waits until the part can be known, and checks how many calls with it reach
   // targets in the seconds after that.
   void CheckFewLaterCalls() {
@@ -120,28 +87,28 @@
 // One part of a prompt crashed one target after the other.
 TEST(DeadlyPart, CallsWithAPartThatCrashesTargetsKeepReachingThem) {
   StartFleet();
-  Callers sound(floor.get(), "sound", kSoundInterval,
-                [](int n) { return "5" + std::to_string(n % 7); });
+  const auto sound = Send("sound", kSoundInterval,
+                          [](int n) { return "5" + std::to_string(n % 7); });
   std::this_thread::sleep_for(seconds(1));
-  Callers deadly(floor.get(), "deadly", kDeadlyInterval,
-                 [](int) { return kDeadlyPart; });
+  const auto deadly =
+      Send("deadly", kDeadlyInterval, [](int) { return kDeadlyPart; });
   CheckFewLaterCalls();
-  const int asked = sound.asked();
-  const int served = sound.served();
+  const int ended = sound->ended();
+  const int served = sound->served();
   std::this_thread::sleep_for(seconds(4));
   // Sound calls with the same first part are served as if nothing happened.
-  CHECK(sound.asked() - asked >= 20);
-  CHECK(2 * (sound.served() - served) >= sound.asked() - asked);
+  CHECK(sound->ended() - ended >= 20);
+  CHECK(2 * (sound->served() - served) >= sound->ended() - ended);
 }
 
 TEST(DeadlyPart, ErrorResponsesClearAPartThatCrashesTargets) {
   options.failing_every = 2;
   StartFleet();
-  Callers sound(floor.get(), "sound", kSoundInterval,
-                [](int n) { return "5" + std::to_string(n % 7); });
+  const auto sound = Send("sound", kSoundInterval,
+                          [](int n) { return "5" + std::to_string(n % 7); });
   std::this_thread::sleep_for(seconds(1));
-  Callers deadly(floor.get(), "deadly", kDeadlyInterval,
-                 [](int) { return kDeadlyPart; });
+  const auto deadly =
+      Send("deadly", kDeadlyInterval, [](int) { return kDeadlyPart; });
   CheckFewLaterCalls();
 }
 
