--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -260,6 +260,10 @@
   std::atomic<int> calls{0};
   // Retry-After value of the 503 responses; empty while the target serves.
   std::string retry_after;
+  // Rate limit that the target names; empty if it names none.
+  std::string rate_limit;
+  // When requests arrived.
+  std::vector<std::chrono::steady_clock::time_point> arrivals;
   // Era of the store when the record was last checked for publication.
   int64_t listed_era = 0;
   // Guarded by the owner's mutex.
@@ -585,6 +589,9 @@
     response.set_header("Server-Leaving", "1");
   {
     const std::lock_guard lock(mutex_);
+    target->arrivals.push_back(std::chrono::steady_clock::now());
+    if (!target->rate_limit.empty())
+      response.set_header("Server-Limit", target->rate_limit);
     if (!target->retry_after.empty()) {
       response.status = 503;
       response.set_header("X-Not-Executed", "1");
@@ -614,6 +621,26 @@
   targets_[target]->retry_after = retry_after;
 }
 
+void FleetTargets::NameRateLimit(int target, const std::string& per_second) {
+  const std::lock_guard lock(mutex_);
+  targets_[target]->rate_limit = per_second;
+}
+
+int FleetTargets::MostRequests(int target,
+                               milliseconds window,
+                               std::chrono::steady_clock::time_point since) {
+  const std::lock_guard lock(mutex_);
+  const auto& arrivals = targets_[target]->arrivals;
+  auto first = std::lower_bound(arrivals.begin(), arrivals.end(), since);
+  std::ptrdiff_t most = 0;
+  for (auto last = first; last != arrivals.end(); ++last) {
+    while (*first + window < *last)
+      ++first;
+    most = std::max(most, last - first + 1);
+  }
+  return static_cast<int>(most);
+}
+
 void FleetTargets::SendEndlessResponses(int target) {
   targets_[target]->endless = true;
 }
--- a/tests/standins/fleet_standin.h
+++ b/tests/standins/fleet_standin.h
@@ -141,6 +141,14 @@
   // Makes a target reject all requests with status 503 and the given
   // Retry-After value; an empty value ends this.
   void RejectRequests(int target, const std::string& retry_after);
+  // Makes a target name a rate limit in all responses, as the given text; an
+  // empty text ends this.
+  void NameRateLimit(int target, const std::string& per_second);
+  // The largest number of requests that a target has received within `window`
+  // since `since`: calls, reports and orders.
+  int MostRequests(int target,
+                   std::chrono::milliseconds window,
+                   std::chrono::steady_clock::time_point since);
   // Makes a target answer calls with an endless body.
   void SendEndlessResponses(int target);
   // Number of calls, report requests and orders that a target has received.
