--- a/modules/bbv_entry/fault_detector.cc
+++ b/modules/bbv_entry/fault_detector.cc
@@ -32,7 +32,7 @@
                                      Instant now) {
   Instant& next = next_stall_report_[target_id];
   const FleetTarget* target = registry_->Find(target_id);
-  if (now < next || target == nullptr || target->IsInBackoff(now))
+  if (now < next || target == nullptr || !target->AcceptsRequests(now))
     return;
   next = now + kStallReportInterval + kStallReportTimeout;
   FetchReport(client_, {target->record.address, now + kStallReportTimeout},
@@ -44,7 +44,7 @@
 void FaultDetector::Probe(const std::string& target_id, Instant now) {
   Instant& next = next_probe_[target_id];
   const FleetTarget* target = registry_->Find(target_id);
-  if (now < next || target == nullptr || target->IsInBackoff(now) ||
+  if (now < next || target == nullptr || !target->AcceptsRequests(now) ||
       !registry_->IsUsable(*target, now))
     return;
   next = now + kProbeInterval;
@@ -66,7 +66,7 @@
     return;
   registry_->MarkFull(target, now);
   Instant& next = next_refusal_report_[target_id];
-  if (now < next || target->IsInBackoff(now))
+  if (now < next || !target->AcceptsRequests(now))
     return;
   next = now + kRefusalReportInterval;
   FetchReport(
--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -27,8 +27,8 @@
 constexpr Milliseconds kStartupHold{700};
 // Time in which a starting entry learns of the entries that rank before it.
 constexpr Milliseconds kStartupLeaseDelay{800};
-// Number of entries assumed to share the retry budget until the list of entries
-// was read.
+// Number of entries assumed to share the retry budget and rate limits until the
+// list of entries was read.
 constexpr int kAssumedEntries = 24;
 // If this entry fails to connect to more targets than both this number and a
 // fifth of all targets within kUnreachedWindow, its own network is at fault.
@@ -91,11 +91,16 @@
                    [this](wire::CrashNoticeT notice, Instant now) {
                      peers_.AnnounceCrash(std::move(notice), now);
                    }),
-      rate_limits_(&log_, &registry_),
+      rate_limits_(&log_,
+                   &registry_,
+                   OwnRecord(),
+                   [this](wire::RateLimitNoticeT notice, Instant now) {
+                     peers_.AnnounceRateLimits(std::move(notice), now);
+                   }),
       load_poller_(&client_, &registry_),
       peers_(&loop_,
              {&store_, &log_, &registry_, &configuration_, &targets_, &planner_,
-              &retry_budgets_, &crash_guard_},
+              &retry_budgets_, &crash_guard_, &rate_limits_},
              OwnRecord(),
              Milliseconds(settings_.retry_window_ms),
              [this](const std::string& id, std::string_view) {
@@ -111,6 +116,7 @@
   context_.admission_queue = &admission_queue_;
   context_.response_length_estimator = &response_length_estimator_;
   context_.crash_guard = &crash_guard_;
+  context_.rate_limits = &rate_limits_;
   context_.retry_budget = [this](const std::string& service) {
     return retry_budgets_.ForService(service);
   };
@@ -348,7 +354,7 @@
 
 void FleetEntry::OnRequest(const std::string& address) {
   if (FleetTarget* target = registry_.FindAddress(address))
-    target->rate_limit.RecordRequest();
+    target->rate_limit.RecordRequest(EventLoop::Now());
 }
 
 void FleetEntry::OnHead(const std::string& address,
@@ -464,6 +470,8 @@
     load_poller_.OnTick(*configuration_.current(), now);
   peers_.OnTick(now);
   UpdateBudgetShares();
+  rate_limits_.OnTick(peers_.known_entries().value_or(kAssumedEntries),
+                      peers_.propagation_time(), now);
   TickCalls(now);
   TickCallers(now);
   readiness_server_.OnTick(now);
--- a/modules/bbv_entry/load_poller.cc
+++ b/modules/bbv_entry/load_poller.cc
@@ -1,5 +1,6 @@
 #include "bbv_entry/load_poller.h"
 
+#include <algorithm>
 #include <cassert>
 
 #include "bbv_core/hashing.h"
@@ -10,6 +11,20 @@
 
 constexpr Milliseconds kPollInterval{1000};
 constexpr Milliseconds kReportTimeout{400};
+// Part of a target's rate limit that reports may take; calls take the rest.
+constexpr double kPolledPart = 1 - TargetRateLimit::kUsablePart;
+constexpr double kMillisecondsPerSecond = 1000;
+constexpr Milliseconds kMaxPollInterval{60'000};
+
+Milliseconds PollInterval(const FleetTarget& target) {
+  const auto limit = target.rate_limit.per_second();
+  if (!limit)
+    return kPollInterval;
+  const double milliseconds =
+      kMillisecondsPerSecond / std::max(kPolledPart * *limit, 1e-3);
+  return std::clamp(Milliseconds(static_cast<int64_t>(milliseconds)),
+                    kPollInterval, kMaxPollInterval);
+}
 
 }  // namespace
 
@@ -30,7 +45,7 @@
     Instant& next = next_poll_.try_emplace(id, first).first->second;
     if (now < next)
       continue;
-    next = now + kPollInterval;
+    next = now + PollInterval(*row);
     Poll(id, *row, now);
   }
   std::erase_if(next_poll_, [this](const auto& it) {
--- a/modules/bbv_entry/peer_exchange.cc
+++ b/modules/bbv_entry/peer_exchange.cc
@@ -60,7 +60,7 @@
       on_fault_(std::move(on_fault)) {
   assert(parts.registry != nullptr && parts.configuration != nullptr);
   assert(parts.planner != nullptr && parts.targets != nullptr);
-  assert(parts.crash_guard != nullptr);
+  assert(parts.crash_guard != nullptr && parts.rate_limits != nullptr);
 }
 
 std::string PeerExchange::Start(const std::vector<SocketAddress>& seeds) {
@@ -167,6 +167,8 @@
     state.retries.push_back(std::move(retries));
   }
   state.quarantines = parts_.crash_guard->TakeDueQuarantines(now);
+  state.limits = parts_.rate_limits->TakeDueLimits(now);
+  state.claims = parts_.rate_limits->Claims(now);
   AppendReports(now, &state);
   return state;
 }
@@ -219,6 +221,8 @@
   }
   parts_.budgets->SetPeerSpending(zone, std::move(spending_by_service), now);
   ApplyReports(others.engines, now);
+  if (zone == members_.own().record.zone)
+    parts_.rate_limits->OnGrants(others.holders, now);
   parts_.configuration->OnPeerVersion(others.configuration_version, now);
 }
 
--- a/modules/bbv_entry/peer_exchange.h
+++ b/modules/bbv_entry/peer_exchange.h
@@ -13,6 +13,7 @@
 #include "bbv_entry/member_directory.h"
 #include "bbv_entry/peer_links.h"
 #include "bbv_entry/planner_agent.h"
+#include "bbv_entry/rate_limit_exchange.h"
 #include "bbv_entry/target_follower.h"
 #include "bbv_fleet/bbv_fleet.h"
 #include "bbv_membership/bbv_membership.h"
@@ -37,6 +38,7 @@
     PlannerAgent* planner = nullptr;
     RetryBudgets* budgets = nullptr;
     CrashGuard* crash_guard = nullptr;
+    RateLimitExchange* rate_limits = nullptr;
   };
   // Called for a target that another entry found faulty.
   using OnFault =
@@ -67,6 +69,12 @@
     gossip_.AnnounceCrash(std::move(notice), now);
   }
 
+  // Sends rate limits that have begun, changed or ended to all entries
+  // immediately.
+  void AnnounceRateLimits(wire::RateLimitNoticeT notice, Instant now) {
+    gossip_.AnnounceRateLimits(std::move(notice), now);
+  }
+
   // Sends this zone's entries what this entry has read from the store.
   void PublishTargetList(wire::TargetListDeltaT delta);
   void PublishConfiguration();
@@ -101,6 +109,14 @@
                      Instant now) override {
     parts_.crash_guard->OnQuarantines(quarantines, now);
   }
+  bool OnRateLimits(const std::vector<wire::RateLimitRow>& limits,
+                    Instant now) override {
+    return parts_.rate_limits->OnLimits(limits, now);
+  }
+  std::vector<wire::RateClaimRow> AllocateRateLimits(
+      const ClaimsByZone& claims) override {
+    return parts_.rate_limits->Allocate(claims);
+  }
 
  private:
   void OnMessage(const std::string& peer, const wire::FrameT& frame);
--- a/modules/bbv_entry/planner_agent.cc
+++ b/modules/bbv_entry/planner_agent.cc
@@ -230,29 +230,14 @@
     // A target in backoff must not be sent anything.
     target.is_fixed = target.is_fixed || unresponsive_until_.contains(id) ||
                       row->IsInBackoff(now);
+    target.is_slow = TargetRegistry::IsSlow(*row, now);
+    target.has_rate_limit = row->rate_limit.per_second().has_value();
     targets.push_back(std::move(target));
   }
   target_loss_detector_.RemoveUnlisted(*registry_);
   return targets;
 }
 
-std::vector<Placement> PlannerAgent::PlanSlowTargetRelief(
-    const EngineModel& model,
-    const std::vector<PlannerTarget>& targets,
-    Instant now) const {
-  std::vector<PlannerTarget> fast_targets;
-  for (const PlannerTarget& it : targets) {
-    const FleetTarget* target = registry_->Find(it.id);
-    if (target != nullptr && !TargetRegistry::IsSlow(*target, now))
-      fast_targets.push_back(it);
-  }
-  if (fast_targets.size() == targets.size())
-    return {};
-  // Other targets load the layers too, but the slow target keeps them, since it
-  // still serves calls.
-  return LayerPlanner::Plan(model, fast_targets, false);
-}
-
 std::vector<Placement> PlannerAgent::PlanSecondCopies(
     const EngineModel& model,
     const std::vector<PlannerTarget>& targets,
@@ -315,7 +300,7 @@
       pending_orders_.empty() || !AnyZoneHoldsAllLayers(model, targets);
   std::vector<Placement> changes = LayerPlanner::Plan(model, targets, may_move);
   if (changes.empty())
-    changes = PlanSlowTargetRelief(model, targets, now);
+    changes = LayerPlanner::PlanRelief(model, targets);
   if (changes.empty())
     changes = PlanSecondCopies(model, targets, now);
   for (const Placement& it : changes) {
--- a/modules/bbv_entry/planner_agent.h
+++ b/modules/bbv_entry/planner_agent.h
@@ -92,11 +92,6 @@
   // with the layers that it will hold.
   std::vector<PlannerTarget> CollectTargets(const ServiceDescription& service,
                                             Instant now);
-  // Returns placements that let fast targets take over layers of slow ones.
-  std::vector<Placement> PlanSlowTargetRelief(
-      const EngineModel& model,
-      const std::vector<PlannerTarget>& targets,
-      Instant now) const;
   // Returns placements that add second copies of layers, unless more urgent
   // changes are pending.
   std::vector<Placement> PlanSecondCopies(
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -77,6 +77,7 @@
 
 void RelayedCall::Start(Instant now) {
   context_->retry_budget(call_.request().service)->RecordCall(now);
+  context_->rate_limits->RecordCall(call_.request().service, now);
   call_.Start(now);
 }
 
@@ -145,6 +146,8 @@
   auto dispatch = context_->selector->Select(*index_, request, excluded,
                                              (*context_->random)(), now, end);
   path_failure_ = context_->selector->last_failure();
+  if (path_failure_ == PathFailure::kRateLimit)
+    context_->rate_limits->RecordShortage(request.service, now);
   return dispatch;
 }
 
@@ -283,6 +286,11 @@
   if (end == CallEndReason::kNoTarget && backoff_end)
     earliest = std::max(earliest,
                         Milliseconds(RemainingMilliseconds(*backoff_end, now)));
+  const auto allowance =
+      context_->registry->EarliestAllowance(request.service, now);
+  if (end == CallEndReason::kRateLimit && allowance)
+    earliest = std::max(earliest,
+                        Milliseconds(RemainingMilliseconds(*allowance, now)));
   if (end == CallEndReason::kQuarantined) {
     const QuarantineRow* row = context_->crash_guard->FindQuarantine(request);
     const Instant probe_at = row == nullptr ? now : row->probe_at;
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "bbv_entry/crash_guard.h"
+#include "bbv_entry/rate_limit_exchange.h"
 #include "bbv_entry/target_requests.h"
 #include "bbv_fleet/bbv_fleet.h"
 #include "bbv_front/caller_connection.h"
@@ -45,6 +46,7 @@
   AdmissionQueue* admission_queue = nullptr;
   ResponseLengthEstimator* response_length_estimator = nullptr;
   CrashGuard* crash_guard = nullptr;
+  RateLimitExchange* rate_limits = nullptr;
   // Bytes of incomplete non-streamed answers buffered for all calls.
   std::size_t buffered_bytes = 0;
 };
--- a/modules/bbv_entry/target_messages.cc
+++ b/modules/bbv_entry/target_messages.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr double kPercent = 100;
+// Rate limits travel as requests per this many seconds.
+constexpr double kRateLimitScale = 1000;
 
 // Returns the nearest value that fits into `Narrow`. Reports come from other
 // processes and may exceed its range.
@@ -84,4 +86,26 @@
   return report;
 }
 
+wire::RateLimitRow ToRateLimitMessage(const FleetTarget& target, Instant now) {
+  const TargetRateLimit::Statement& known = target.rate_limit.statement();
+  const uint32_t limit =
+      known.per_second
+          ? std::min(Saturate<uint32_t>(*known.per_second * kRateLimitScale),
+                     kNoRateLimit - 1)
+          : kNoRateLimit;
+  return {HashBytes32(target.record.id),
+          static_cast<uint32_t>(target.record.started_unix_ms), known.version,
+          limit, RemainingMilliseconds(now, known.heard_at)};
+}
+
+TargetRateLimit::Statement FromMessage(const wire::RateLimitRow& row,
+                                       Instant now) {
+  TargetRateLimit::Statement known;
+  if (row.per_1000_seconds() != kNoRateLimit)
+    known.per_second = row.per_1000_seconds() / kRateLimitScale;
+  known.version = row.version();
+  known.heard_at = now - Milliseconds(row.age_ms());
+  return known;
+}
+
 }  // namespace bbv
--- a/modules/bbv_entry/target_messages.h
+++ b/modules/bbv_entry/target_messages.h
@@ -21,6 +21,16 @@
 EngineLoadReport FromMessage(const wire::EngineRow& row,
                              int64_t started_unix_ms);
 
+// Value of RateLimitRow for a limit that has ended.
+inline constexpr uint32_t kNoRateLimit = 0xffffffff;
+
+// Converts what is known of a target's rate limit to and from the message that
+// entries exchange. Times travel as ages, since the entries' clocks do not
+// compare. Thread safe.
+wire::RateLimitRow ToRateLimitMessage(const FleetTarget& target, Instant now);
+TargetRateLimit::Statement FromMessage(const wire::RateLimitRow& row,
+                                       Instant now);
+
 }  // namespace bbv
 
 #endif  // MODULES_BBV_ENTRY_TARGET_MESSAGES_H_
--- a/modules/bbv_fleet/bbv_fleet.h
+++ b/modules/bbv_fleet/bbv_fleet.h
@@ -21,6 +21,7 @@
 #include "bbv_fleet/layer_replicator.h"
 #include "bbv_fleet/part_quarantine.h"
 #include "bbv_fleet/path_chooser.h"
+#include "bbv_fleet/rate_limit_allocator.h"
 #include "bbv_fleet/response_length_estimator.h"
 #include "bbv_fleet/retry_after_scheduler.h"
 #include "bbv_fleet/retry_budgets.h"
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -32,11 +32,13 @@
   kQuarantined,
   // The call may have crashed its target and is not repeated.
   kCrashSuspect,
+  // The rate limits of the targets leave this entry no request soon.
+  kRateLimit,
 };
-inline constexpr NameTable<CallEndReason, 10> kCallEndReasonNames(
+inline constexpr NameTable<CallEndReason, 11> kCallEndReasonNames(
     {"no-target", "no-room", "no-attempts-left", "retry-budget-spent",
      "deadline", "connection-broken", "bad-answer", "stopping", "quarantined",
-     "crash-suspect"});
+     "crash-suspect", "rate-limit"});
 
 // Event id before the first event.
 inline constexpr int64_t kNoEvent = -1;
--- a/modules/bbv_fleet/layer_planner.cc
+++ b/modules/bbv_fleet/layer_planner.cc
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <numeric>
+#include <set>
 
 #include "bbv_core/hashing.h"
 #include "bbv_fleet/layer_coverage.h"
@@ -385,6 +386,26 @@
   std::vector<std::optional<LayerRange>> desired_;
 };
 
+// Whether calls can begin at the target, but only at a limited rate.
+bool IsLimitedStart(const PlannerTarget& target) {
+  return target.has_rate_limit && target.layers && target.layers->from == 0;
+}
+
+// Returns the zones in which calls can begin only at targets with a rate limit.
+std::set<std::string> ZonesWithLimitedStarts(
+    const std::vector<PlannerTarget>& targets) {
+  std::set<std::string> zones;
+  for (const PlannerTarget& it : targets) {
+    if (IsLimitedStart(it))
+      zones.insert(it.zone);
+  }
+  for (const PlannerTarget& it : targets) {
+    if (it.layers && it.layers->from == 0 && !it.has_rate_limit)
+      zones.erase(it.zone);
+  }
+  return zones;
+}
+
 }  // namespace
 
 double LayerPlanner::RequestMb(const EngineModel& model) {
@@ -440,4 +461,17 @@
   return changes;
 }
 
+std::vector<Placement> LayerPlanner::PlanRelief(
+    const EngineModel& model,
+    const std::vector<PlannerTarget>& targets) {
+  const std::set<std::string> limited = ZonesWithLimitedStarts(targets);
+  std::vector<PlannerTarget> able_targets = targets;
+  std::erase_if(able_targets, [&limited](const PlannerTarget& it) {
+    return it.is_slow || (IsLimitedStart(it) && limited.contains(it.zone));
+  });
+  return able_targets.size() == targets.size()
+             ? std::vector<Placement>()
+             : Plan(model, able_targets, false);
+}
+
 }  // namespace bbv
--- a/modules/bbv_fleet/layer_planner.h
+++ b/modules/bbv_fleet/layer_planner.h
@@ -22,6 +22,10 @@
   // Whether its layers must not change, because an order is in progress or it
   // does not accept orders.
   bool is_fixed = false;
+  // Whether it is so slow that other targets should hold its layers, too.
+  bool is_slow = false;
+  // Whether it accepts only a limited rate of calls that begin there.
+  bool has_rate_limit = false;
 };
 
 // A target and the layers that it is to hold.
@@ -54,6 +58,14 @@
                                      const std::vector<PlannerTarget>& targets,
                                      bool may_move = true);
 
+  // Returns placements that let other targets load the layers of slow ones, and
+  // the first layers of a zone in which calls can begin only at targets with a
+  // rate limit. The relieved targets keep their layers, since they still serve
+  // calls. Empty if no target needs relief.
+  static std::vector<Placement> PlanRelief(
+      const EngineModel& model,
+      const std::vector<PlannerTarget>& targets);
+
   // Returns the megabytes of KV cache per layer of a typical request.
   static double RequestMb(const EngineModel& model);
 
--- a/modules/bbv_fleet/layer_planner_test.cc
+++ b/modules/bbv_fleet/layer_planner_test.cc
@@ -229,3 +229,32 @@
     }
   }
 }
+
+TEST(LayerPlanner, RateLimitsAreRelievedWhereNoOtherTargetStartsPaths) {
+  const EngineModel model = bbv_test::MakeModel();
+  Targets targets = bbv_test::MakePlacedZones();
+  std::vector<PlannerTarget*> first_targets;
+  for (PlannerTarget& it : targets) {
+    if (it.zone == "a" && it.layers && it.layers->from == 0)
+      first_targets.push_back(&it);
+  }
+  CHECK(!first_targets.empty());
+  CHECK(LayerPlanner::PlanRelief(model, targets).empty());
+  for (PlannerTarget* it : first_targets)
+    it->has_rate_limit = true;
+  const auto changes = LayerPlanner::PlanRelief(model, targets);
+  CHECK(!changes.empty());
+  Targets relieved = targets;
+  Apply(changes, &relieved);
+  CHECK(FitsMemory(model, relieved));
+  CHECK(std::any_of(relieved.begin(), relieved.end(), [](const auto& it) {
+    return it.zone == "a" && !it.has_rate_limit && it.layers &&
+           it.layers->from == 0;
+  }));
+  // The limited targets keep theirs.
+  for (const Placement& it : changes) {
+    for (const PlannerTarget* limited : first_targets)
+      CHECK(it.id != limited->id);
+  }
+  CHECK(LayerPlanner::PlanRelief(model, relieved).empty());
+}
--- a/modules/bbv_fleet/path_chooser.cc
+++ b/modules/bbv_fleet/path_chooser.cc
@@ -110,6 +110,7 @@
     Candidate candidate;
     candidate.target = target;
     candidate.layers = *target->record.layers;
+    candidate.has_allowance = target->rate_limit.HasAllowance(now);
     const EngineShare share = MakeEngineShare(model, *kind, *target, now);
     const double step_ms = EngineTiming::StepMs(model, share);
     candidate.layer_ms = step_ms / std::max(1, target->record.layers->size()) *
@@ -189,6 +190,9 @@
   if (!query.allow_zone_crossing &&
       !SearchSimplePath(model, candidates, limits).empty())
     return PathFailure::kCrossing;
+  limits.ignores_rate_limits = true;
+  if (!SearchSimplePath(model, candidates, limits).empty())
+    return PathFailure::kRateLimit;
   limits.ignores_slots = true;
   if (!SearchSimplePath(model, candidates, limits).empty())
     return PathFailure::kFirstSlots;
@@ -210,7 +214,7 @@
   assert(!current.empty());
   FleetTarget* first = registry_->Find(current.front().target_id);
   // The request to change the path is sent to the first target.
-  if (first == nullptr || first->IsInBackoff(now) ||
+  if (first == nullptr || !first->AcceptsRequests(now) ||
       IsExcluded(query, current.front().target_id))
     return {};
   std::vector<Candidate> candidates = CollectCandidates(model, query, now);
@@ -345,6 +349,8 @@
         continue;
       if (layer == 0 && !it.has_first_hop_slot && !limits.ignores_slots)
         continue;
+      if (layer == 0 && !it.has_allowance && !limits.ignores_rate_limits)
+        continue;
       if (it.exceeds_backlog && !limits.ignores_backlog)
         continue;
       const int zone = across_zones ? it.zone : 0;
--- a/modules/bbv_fleet/path_chooser.h
+++ b/modules/bbv_fleet/path_chooser.h
@@ -68,6 +68,9 @@
   // All layers are held, but not within one zone, and calls may not cross zones
   // at present.
   kCrossing,
+  // The targets with the first layers have rate limits that leave this entry no
+  // request.
+  kRateLimit,
   // All targets with the first layers have no free slot.
   kFirstSlots,
   // Prompts would wait too long for their prefill.
@@ -76,9 +79,9 @@
   // other calls.
   kMemory,
 };
-inline constexpr NameTable<PathFailure, 6> kPathFailureNames(
-    {"none", "layers-missing", "crossing", "first-slots", "unread-prompts",
-     "memory"});
+inline constexpr NameTable<PathFailure, 7> kPathFailureNames(
+    {"none", "layers-missing", "crossing", "rate-limit", "first-slots",
+     "unread-prompts", "memory"});
 
 // Finds the path of least expected time for a call, over the targets that hold
 // the layers now.
@@ -129,6 +132,9 @@
     // Whether the target has a free slot for a call that starts there: the
     // first target of a path uses one slot per call.
     bool has_first_hop_slot = true;
+    // Whether a call may start there: only the first target of a path receives
+    // a request of this entry, which takes part of the target's rate limit.
+    bool has_allowance = true;
     // Cost of starting there, in milliseconds per token.
     double first_hop_ms = 0;
     // Whether the call uses this hop already; it then runs exactly these
@@ -154,8 +160,9 @@
     bool whole_hops = false;
     // First layer of the path.
     int from = 0;
-    // Whether a path may start where all slots are taken, and use targets whose
-    // prefill backlog exceeds the limit.
+    // Whether a path may start where the rate limit is used up or all slots are
+    // taken, and use targets whose prefill backlog exceeds the limit.
+    bool ignores_rate_limits = false;
     bool ignores_slots = false;
     bool ignores_backlog = false;
   };
--- a/modules/bbv_fleet/path_chooser_test.cc
+++ b/modules/bbv_fleet/path_chooser_test.cc
@@ -343,3 +343,41 @@
   CheckComplete(path);
   CHECK(path.prefill_ms > query.objective_ms);
 }
+
+namespace {
+
+// Names a limit, of which this entry has no share, at the first targets of all
+// paths.
+void LimitFirstTargets(bbv::TargetRegistry* registry, Instant now) {
+  for (const auto& [id, row] : registry->rows()) {
+    if (row->record.layers && row->record.layers->from == 0)
+      row->rate_limit.RecordResponse(2, now, now);
+  }
+}
+
+}  // namespace
+
+// Only the first target of a path receives a request of an entry.
+TEST(PathChooser, TargetWhoseRateLimitIsUsedUpStartsNoPathButIsALaterHop) {
+  const EnginePath usual = Choose("a", 1);
+  FleetTarget* first = usual.hops.front().target;
+  for (const auto& [id, row] : registry.rows()) {
+    if (row->record.layers && row->record.layers->from > 0)
+      row->rate_limit.RecordResponse(2, now, now);
+  }
+  CHECK(Choose("a", 1).hops.front().target == first);
+  first->rate_limit.RecordResponse(2, now, now);
+  for (uint64_t it = 0; it < 50; ++it) {
+    const EnginePath path = Choose("a", it);
+    CheckComplete(path);
+    CHECK(path.hops.front().target != first);
+  }
+  // The order that changes the path would be a request to its first target.
+  CHECK(chooser.Reroute(model, MakeQuery("a"), HopsOf(usual), now).empty());
+}
+
+TEST(PathChooser, RateLimitsOfAllFirstTargetsAreNamedAsTheCause) {
+  LimitFirstTargets(&registry, now);
+  CHECK(Choose("a", 1).empty());
+  CHECK(failure == PathFailure::kRateLimit);
+}
--- a/modules/bbv_fleet/target_registry.cc
+++ b/modules/bbv_fleet/target_registry.cc
@@ -220,6 +220,21 @@
   return first;
 }
 
+std::optional<Instant> TargetRegistry::EarliestAllowance(
+    std::string_view service,
+    Instant now) const {
+  std::optional<Instant> first;
+  for (const auto& [id, row] : rows_) {
+    if (row->record.service != service || !row->rate_limit.per_second() ||
+        !IsUsable(*row, now))
+      continue;
+    const auto next = row->rate_limit.NextAllowance(now);
+    if (next && (!first || *next < *first))
+      first = next;
+  }
+  return first;
+}
+
 std::vector<std::string> TargetRegistry::RemoveUnlistedSince(Instant since) {
   std::vector<std::string> removed;
   for (const auto& [id, row] : rows_) {
--- a/modules/bbv_fleet/target_registry.h
+++ b/modules/bbv_fleet/target_registry.h
@@ -138,6 +138,10 @@
   bool IsLeaving() const { return record.leaving || known_leaving; }
   // Returns whether this process must leave the target alone at `now`.
   bool IsInBackoff(Instant now) const { return now < backoff_until; }
+  // Returns whether this process may send any request to the target at `now`.
+  bool AcceptsRequests(Instant now) const {
+    return !IsInBackoff(now) && rate_limit.HasAllowance(now);
+  }
   // Returns the slowdown factor last reported, or 1 if it is not known.
   double Pace(Instant now) const;
   // Returns the tokens times layers in use: the larger of the calls known here
@@ -195,6 +199,11 @@
   std::optional<Instant> EarliestBackoffEnd(std::string_view service,
                                             Instant now) const;
 
+  // Returns the earliest time at which this process may send a request to a
+  // usable target of `service` that has a rate limit; nullopt if there is none.
+  std::optional<Instant> EarliestAllowance(std::string_view service,
+                                           Instant now) const;
+
   // Records a fault of a target: refused connections, a stall or silence. It
   // gets no calls until the returned time.
   Instant Suspect(FleetTarget* target, Instant now);
--- a/modules/bbv_fleet/target_registry_test.cc
+++ b/modules/bbv_fleet/target_registry_test.cc
@@ -210,3 +210,26 @@
   CHECK(
       !registry.EarliestBackoffEnd("s", now + Milliseconds(4000)).has_value());
 }
+
+TEST(TargetRegistry, RateLimitOutlivesTheListEntryButNotTheProcess) {
+  bbv::TargetRecord record;
+  record.id = "t";
+  record.service = "plain";
+  record.address = "10.0.0.1:80";
+  record.started_unix_ms = 5;
+  record.heartbeat = 1;
+  bbv::TargetRegistry registry;
+  const bbv::Instant now = bbv::Instant() + bbv::Milliseconds(1000);
+  registry.Apply(record, now);
+  registry.Find("t")->rate_limit.RecordResponse(2, now, now);
+  CHECK_FALSE(registry.Find("t")->AcceptsRequests(now));
+  CHECK_FALSE(registry.EarliestAllowance("plain", now).has_value());
+  registry.Remove("t");
+  record.heartbeat = 2;
+  registry.Apply(record, now);
+  CHECK_FALSE(registry.Find("t")->AcceptsRequests(now));
+  record.started_unix_ms = 6;
+  record.heartbeat = 1;
+  registry.Apply(record, now);
+  CHECK_TRUE(registry.Find("t")->AcceptsRequests(now));
+}
--- a/modules/bbv_fleet/target_selector.cc
+++ b/modules/bbv_fleet/target_selector.cc
@@ -18,6 +18,8 @@
 // disconnect after a small multiple of that, and what is prefilled for them is
 // wasted.
 constexpr double kMaxBacklogShare = 1.0;
+// How soon a rate limit must leave this entry a request for calls to wait.
+constexpr Milliseconds kMaxAllowanceWait{400};
 // Calls that may queue at a plain target beyond its slots.
 constexpr int kMaxQueuedAtTarget = 3;
 
@@ -69,6 +71,8 @@
   if (path.empty()) {
     *end = last_failure_ == PathFailure::kLayersMissing
                ? CallEndReason::kNoTarget
+           : last_failure_ == PathFailure::kRateLimit
+               ? RateLimitEnd(request.service, now)
                : CallEndReason::kNoRoom;
     return std::nullopt;
   }
@@ -144,11 +148,16 @@
   const FleetTarget* best = nullptr;
   double best_ms = std::numeric_limits<double>::infinity();
   bool has_candidate = false;
+  bool has_limited_target = false;
   for (const auto& [id, row] : registry_->rows()) {
     const FleetTarget& target = *row;
     if (target.record.service != request.service ||
         !registry_->AcceptsCalls(target, now) || Contains(excluded, id))
       continue;
+    if (!target.rate_limit.HasAllowance(now)) {
+      has_limited_target = true;
+      continue;
+    }
     has_candidate = true;
     const int calls = target.own_calls + target.peer_calls;
     const int slots = std::max(1, target.record.slots);
@@ -170,7 +179,9 @@
     }
   }
   if (best == nullptr) {
-    *end = has_candidate ? CallEndReason::kNoRoom : CallEndReason::kNoTarget;
+    *end = has_candidate        ? CallEndReason::kNoRoom
+           : has_limited_target ? RateLimitEnd(request.service, now)
+                                : CallEndReason::kNoTarget;
     return std::nullopt;
   }
   CallDispatch dispatch;
@@ -181,6 +192,13 @@
   return dispatch;
 }
 
+CallEndReason TargetSelector::RateLimitEnd(std::string_view service,
+                                           Instant now) const {
+  const auto next = registry_->EarliestAllowance(service, now);
+  return next && *next <= now + kMaxAllowanceWait ? CallEndReason::kNoRoom
+                                                  : CallEndReason::kRateLimit;
+}
+
 void TargetSelector::SetEntries(int entries) {
   entries_ = entries;
   zone_link_limiter_.SetEntries(entries);
--- a/modules/bbv_fleet/target_selector.h
+++ b/modules/bbv_fleet/target_selector.h
@@ -73,6 +73,10 @@
       Instant now,
       CallEndReason* end) const;
 
+  // Returns why a call ends whose targets have rate limits that leave this
+  // entry no request now: kNoRoom if it may soon send one.
+  CallEndReason RateLimitEnd(std::string_view service, Instant now) const;
+
   // `request` and `excluded` must outlive the query.
   PathQuery MakeQuery(const CallRequest& request,
                       const std::vector<std::string>& excluded,
--- a/modules/bbv_fleet/target_selector_test.cc
+++ b/modules/bbv_fleet/target_selector_test.cc
@@ -130,3 +130,38 @@
   CHECK(taken >= 6);
   CHECK(taken <= 12);
 }
+
+TEST(TargetSelector, PlainCallsAvoidTargetsWhoseRateLimitIsUsedUp) {
+  constexpr int kTargets = 3;
+  for (int it = 0; it < kTargets; ++it) {
+    bbv::TargetRecord record;
+    record.id = "plain-" + std::to_string(it);
+    record.service = "plain";
+    record.address = "10.0.0.1:" + std::to_string(9000 + it);
+    record.zone = "a";
+    record.slots = 6;
+    registry.Apply(record, now);
+  }
+  const bbv::FleetIndex index = MakeIndex();
+  request.service = "plain";
+  registry.Find("plain-0")->rate_limit.RecordResponse(2, now, now);
+  for (uint64_t it = 0; it < 30; ++it) {
+    const auto dispatch = Select(index, it * 0x9e3779b97f4a7c15ULL);
+    CHECK(dispatch.has_value() && dispatch->target_id != "plain-0");
+  }
+  registry.Find("plain-1")->rate_limit.RecordResponse(2, now, now);
+  registry.Find("plain-2")->rate_limit.RecordResponse(2, now, now);
+  // No request is left soon: waiting would not help.
+  CHECK_FALSE(Select(index, 1).has_value());
+  CHECK(end == CallEndReason::kRateLimit);
+  // The whole limit is this entry's: the next request is due in 0.66 s, and
+  // within the time that calls wait once some of it has passed.
+  registry.Find("plain-1")->rate_limit.SetShare(1, Milliseconds(0), now);
+  CHECK_FALSE(Select(index, 1).has_value());
+  CHECK(end == CallEndReason::kRateLimit);
+  now += Milliseconds(400);
+  CHECK_FALSE(Select(index, 1).has_value());
+  CHECK(end == CallEndReason::kNoRoom);
+  now += Milliseconds(300);
+  CHECK_TRUE(Select(index, 1).has_value());
+}
--- a/modules/bbv_membership/fleet_gossip.cc
+++ b/modules/bbv_membership/fleet_gossip.cc
@@ -107,6 +107,7 @@
   delegate_->Send(OwnRelays(), frame);
   state.engines.clear();
   own_quarantines_ = std::exchange(state.quarantines, {});
+  own_limits_ = std::exchange(state.limits, {});
   sent_states_.push_back(std::move(state));
   if (sent_states_.size() > kMaxSentStates)
     sent_states_.pop_front();
@@ -120,6 +121,7 @@
   digest.known = static_cast<uint32_t>(members_->ZoneMembers().size() + 1);
   digest.live = static_cast<uint32_t>(digest.members.size());
   digest.quarantines = own_quarantines_;
+  digest.limits = own_limits_;
   wire::ZoneDigestsT remote_digests;
   remote_digests.zones.push_back(digest);
   const wire::FrameT remote_frame = MakeFrame(std::move(remote_digests));
@@ -127,8 +129,10 @@
     if (zone != own_zone)
       SendToRelays(zone, remote_frame, now);
   }
+  digest.holders = delegate_->AllocateRateLimits(CollectClaims(digest.claims));
   wire::ZoneDigestsT local_digests;
   local_digests.zones.push_back(digest);
+  local_digests.zones.back().claims.clear();
   for (auto& [zone, received] : zones_) {
     // Forward each digest only once: a digest sent again would be taken for a
     // recent one.
@@ -140,8 +144,10 @@
     local_digests.zones.push_back(received.digest);
     // Member lists of other zones are of use to relays only.
     local_digests.zones.back().members.clear();
-    // The own zone's digest holds them, too.
+    // The own zone's digest holds them, too, or what follows from them.
     local_digests.zones.back().quarantines.clear();
+    local_digests.zones.back().limits.clear();
+    local_digests.zones.back().claims.clear();
     received.digest.engines.clear();
   }
   BroadcastToZone(MakeFrame(std::move(local_digests)));
@@ -152,6 +158,15 @@
   received.received_at = now;
 }
 
+GossipDelegate::ClaimsByZone FleetGossip::CollectClaims(
+    const std::vector<wire::RateClaimRow>& own) const {
+  GossipDelegate::ClaimsByZone claims;
+  for (const auto& [zone, received] : zones_)
+    claims[zone] = received.digest.claims;
+  claims[members_->own().record.zone] = own;
+  return claims;
+}
+
 void FleetGossip::SendToRelays(const std::string& zone,
                                const wire::FrameT& frame,
                                Instant now) {
@@ -203,6 +218,9 @@
     HandleFaultNotice(peer, *notice, now);
   } else if (const auto* crash_notice = frame.body.AsCrashNotice()) {
     HandleCrashNotice(peer, *crash_notice, now);
+  } else if (const auto* limit_notice = frame.body.AsRateLimitNotice()) {
+    if (delegate_->OnRateLimits(limit_notice->limits, now))
+      PassNoticeOn(peer, *limit_notice, now);
   }
 }
 
@@ -214,6 +232,8 @@
   aggregator_.RecordState(hash, state, now);
   if (!state.quarantines.empty())
     delegate_->OnQuarantines(state.quarantines, now);
+  if (!state.limits.empty())
+    delegate_->OnRateLimits(state.limits, now);
   if (members_->is_relay())
     delegate_->OnConfigurationVersion(peer, state.configuration_version, now);
 }
@@ -230,6 +250,8 @@
                                Instant now) {
   if (!digest.quarantines.empty())
     delegate_->OnQuarantines(digest.quarantines, now);
+  if (!digest.limits.empty())
+    delegate_->OnRateLimits(digest.limits, now);
   const Member& own = members_->own();
   const bool own_zone = digest.zone == own.record.zone;
   const Member* sender = members_->Find(peer);
@@ -295,15 +317,6 @@
   return new_faults;
 }
 
-void FleetGossip::ForwardFaults(const std::vector<wire::TargetFaultT>& faults,
-                                bool to_other_zones,
-                                Instant now) {
-  wire::FaultNoticeT notice;
-  notice.faults = faults;
-  notice.forwarded = true;
-  ForwardNotice(MakeFrame(std::move(notice)), to_other_zones, now);
-}
-
 void FleetGossip::ForwardNotice(const wire::FrameT& frame,
                                 bool to_other_zones,
                                 Instant now) {
@@ -322,9 +335,12 @@
          sender->record.zone == members_->own().record.zone;
 }
 
-void FleetGossip::AnnounceCrash(wire::CrashNoticeT notice, Instant now) {
-  notice.forwarded = members_->own_rank() < kRelaysPerZone;
-  const bool is_relay = notice.forwarded;
+template <typename Notice>
+void FleetGossip::AnnounceNotice(Notice notice, Instant now) {
+  // The standby relay forwards as well, since the active one may have just
+  // failed.
+  const bool is_relay = members_->own_rank() < kRelaysPerZone;
+  notice.forwarded = is_relay;
   const wire::FrameT frame = MakeFrame(std::move(notice));
   if (is_relay)
     ForwardNotice(frame, true, now);
@@ -332,47 +348,50 @@
     delegate_->Send(OwnRelays(), frame);
 }
 
+template <typename Notice>
+void FleetGossip::PassNoticeOn(const std::string& peer,
+                               Notice notice,
+                               Instant now) {
+  const bool was_forwarded = std::exchange(notice.forwarded, true);
+  const wire::FrameT frame = MakeFrame(std::move(notice));
+  if (!was_forwarded && members_->own_rank() < kRelaysPerZone)
+    ForwardNotice(frame, true, now);
+  else if (was_forwarded && !IsFromOwnZone(peer) && members_->is_relay())
+    ForwardNotice(frame, false, now);
+}
+
+void FleetGossip::AnnounceCrash(wire::CrashNoticeT notice, Instant now) {
+  AnnounceNotice(std::move(notice), now);
+}
+
+void FleetGossip::AnnounceRateLimits(wire::RateLimitNoticeT notice,
+                                     Instant now) {
+  AnnounceNotice(std::move(notice), now);
+}
+
 void FleetGossip::HandleCrashNotice(const std::string& peer,
                                     const wire::CrashNoticeT& notice,
                                     Instant now) {
-  if (!delegate_->OnCrashNotice(notice, now))
-    return;
-  wire::CrashNoticeT forwarded_notice = notice;
-  forwarded_notice.forwarded = true;
-  const wire::FrameT frame = MakeFrame(std::move(forwarded_notice));
-  if (!notice.forwarded && members_->own_rank() < kRelaysPerZone)
-    ForwardNotice(frame, true, now);
-  else if (notice.forwarded && !IsFromOwnZone(peer) && members_->is_relay())
-    ForwardNotice(frame, false, now);
+  if (delegate_->OnCrashNotice(notice, now))
+    PassNoticeOn(peer, notice, now);
 }
 
 void FleetGossip::AnnounceFault(wire::TargetFaultT fault, Instant now) {
-  const auto new_faults = FilterNewFaults({std::move(fault)}, now);
-  if (new_faults.empty())
-    return;
-  // The standby relay forwards as well, since the active one may have just
-  // failed.
-  if (members_->own_rank() < kRelaysPerZone) {
-    ForwardFaults(new_faults, true, now);
-    return;
-  }
   wire::FaultNoticeT notice;
-  notice.faults = new_faults;
-  delegate_->Send(OwnRelays(), MakeFrame(std::move(notice)));
+  notice.faults = FilterNewFaults({std::move(fault)}, now);
+  if (!notice.faults.empty())
+    AnnounceNotice(std::move(notice), now);
 }
 
 void FleetGossip::HandleFaultNotice(const std::string& peer,
                                     const wire::FaultNoticeT& notice,
                                     Instant now) {
-  const auto new_faults = FilterNewFaults(notice.faults, now);
-  if (new_faults.empty())
+  wire::FaultNoticeT new_notice = notice;
+  new_notice.faults = FilterNewFaults(notice.faults, now);
+  if (new_notice.faults.empty())
     return;
-  const bool from_own_zone = IsFromOwnZone(peer);
-  if (!notice.forwarded && members_->own_rank() < kRelaysPerZone)
-    ForwardFaults(new_faults, true, now);
-  else if (notice.forwarded && !from_own_zone && members_->is_relay())
-    ForwardFaults(new_faults, false, now);
-  for (const wire::TargetFaultT& it : new_faults)
+  PassNoticeOn(peer, new_notice, now);
+  for (const wire::TargetFaultT& it : new_notice.faults)
     delegate_->OnTargetFault(it, now);
 }
 
--- a/modules/bbv_membership/fleet_gossip.h
+++ b/modules/bbv_membership/fleet_gossip.h
@@ -49,6 +49,15 @@
   virtual void OnQuarantines(
       const std::vector<wire::QuarantinedPartsT>& quarantines,
       Instant now) = 0;
+  // Called with rate limits of targets that another entry knows. Returns
+  // whether any of them was new here.
+  virtual bool OnRateLimits(const std::vector<wire::RateLimitRow>& limits,
+                            Instant now) = 0;
+  // Decides, at the relay of a zone, which entries share the rate limits of
+  // targets, given the entries that have calls for them.
+  using ClaimsByZone = std::map<std::string, std::vector<wire::RateClaimRow>>;
+  virtual std::vector<wire::RateClaimRow> AllocateRateLimits(
+      const ClaimsByZone& claims) = 0;
 };
 
 // Distributes the load of this entry across the fleet and collects the load of
@@ -60,9 +69,9 @@
 // sums of all zones to the members of its own zone. The number of connections
 // of an entry is therefore bounded by the size of its zone, and the amount of
 // data it receives grows with the number of targets rather than with entries
-// times targets. Reports of faulty targets take the same routes, but are sent
-// immediately. Deterministic; reads no clock. Thread safety: none, owned by one
-// thread.
+// times targets. Reports of faulty targets and rate limits take the same
+// routes, but are sent immediately. Deterministic; reads no clock. Thread
+// safety: none, owned by one thread.
 class FleetGossip {
  public:
   // `members` and `delegate` must outlive this object. `retry_window` is the
@@ -85,6 +94,10 @@
   // Immediately tells the fleet news about prompt parts that crash targets.
   void AnnounceCrash(wire::CrashNoticeT notice, Instant now);
 
+  // Immediately tells the fleet of rate limits that have begun, changed or
+  // ended.
+  void AnnounceRateLimits(wire::RateLimitNoticeT notice, Instant now);
+
   // Sends `frame` to all other entries of this zone.
   void BroadcastToZone(const wire::FrameT& frame);
 
@@ -134,14 +147,22 @@
   void HandleCrashNotice(const std::string& peer,
                          const wire::CrashNoticeT& notice,
                          Instant now);
+  // Sends a notice of this entry to the fleet, through the relays of its zone
+  // unless it is one of them.
+  template <typename Notice>
+  void AnnounceNotice(Notice notice, Instant now);
+  // Forwards a notice that was new here, if this entry is to.
+  template <typename Notice>
+  void PassNoticeOn(const std::string& peer, Notice notice, Instant now);
   // Sends a notice to this zone and, if asked for, to the other zones' relays.
   void ForwardNotice(const wire::FrameT& frame,
                      bool to_other_zones,
                      Instant now);
   bool IsFromOwnZone(const std::string& peer) const;
-  void ForwardFaults(const std::vector<wire::TargetFaultT>& faults,
-                     bool to_other_zones,
-                     Instant now);
+  // Returns the claims on rate limits of all zones; `own` are those of this
+  // one.
+  GossipDelegate::ClaimsByZone CollectClaims(
+      const std::vector<wire::RateClaimRow>& own) const;
   // Returns the faults that were not reported recently, and marks them as
   // reported.
   std::vector<wire::TargetFaultT> FilterNewFaults(
@@ -159,6 +180,8 @@
   std::map<std::string, ReceivedDigest> zones_;
   // Quarantines in the latest state of this entry.
   std::vector<wire::QuarantinedPartsT> own_quarantines_;
+  // Rate limits in the latest state of this entry.
+  std::vector<wire::RateLimitRow> own_limits_;
   // When a fault of a target was last reported, by this entry or another. The
   // flag of the key separates targets that announced that they are leaving from
   // faulty ones.
--- a/modules/bbv_membership/zone_aggregator.cc
+++ b/modules/bbv_membership/zone_aggregator.cc
@@ -6,11 +6,42 @@
 #include <unordered_map>
 #include <utility>
 
+#include "bbv_core/hashing.h"
+
 namespace bbv {
 namespace {
 
 // The load of an entry not heard from for this time is dropped.
 constexpr Milliseconds kMemberTimeout{2500};
+// Limits on the claims in a digest: for each target, and in all.
+constexpr std::size_t kMaxClaimsPerTarget = 16;
+constexpr std::size_t kMaxClaims = 64;
+
+// Members with calls for each target that has a rate limit.
+using Claimants = std::map<uint32_t, std::vector<uint32_t>>;
+
+// Returns the claims within the limits. All relays keep the same targets, and
+// those members that rank first for them.
+std::vector<wire::RateClaimRow> LimitClaims(Claimants claimants) {
+  std::vector<wire::RateClaimRow> rows;
+  if (claimants.empty())
+    return rows;
+  const std::size_t most = std::clamp<std::size_t>(
+      kMaxClaims / claimants.size(), 1, kMaxClaimsPerTarget);
+  for (auto& [target, members] : claimants) {
+    std::sort(members.begin(), members.end(),
+              [target = target](uint32_t left, uint32_t right) {
+                return CombineHashes(target, left) <
+                       CombineHashes(target, right);
+              });
+    for (std::size_t it = 0; it < std::min(most, members.size()); ++it) {
+      if (rows.size() == kMaxClaims)
+        return rows;
+      rows.emplace_back(target, members[it]);
+    }
+  }
+  return rows;
+}
 
 uint32_t SaturatingSubtract(uint32_t from, uint32_t part) {
   return from - std::min(from, part);
@@ -75,6 +106,7 @@
   wire::ZoneDigestT digest;
   std::map<uint32_t, wire::LoadRow> loads;
   std::map<std::string, wire::RetrySpendingT> retries;
+  Claimants claimants;
   for (const auto& [member, report] : reports_) {
     const wire::EntryStateT& state = report.state;
     for (const wire::RetrySpendingT& it : state.retries) {
@@ -89,6 +121,8 @@
     digest.plans = digest.plans || state.plans;
     digest.configuration_version =
         std::max(digest.configuration_version, state.configuration_version);
+    for (const uint32_t target : state.claims)
+      claimants[target].push_back(member);
     for (const wire::LoadRow& it : state.own) {
       wire::LoadRow& sum = loads[it.target()];
       sum = wire::LoadRow(it.target(), sum.calls() + it.calls(),
@@ -100,6 +134,7 @@
     digest.loads.push_back(row);
   for (auto& [service, spending] : retries)
     digest.retries.push_back(std::move(spending));
+  digest.claims = LimitClaims(std::move(claimants));
   digest.engines = std::exchange(engine_reports_, {});
   return digest;
 }
--- a/modules/bbv_wire/wire_generated.h
+++ b/modules/bbv_wire/wire_generated.h
@@ -124,6 +124,10 @@
 struct QuarantinedPartsBuilder;
 struct QuarantinedPartsT;
 
+struct RateLimitRow;
+
+struct RateClaimRow;
+
 struct EntryState;
 struct EntryStateBuilder;
 struct EntryStateT;
@@ -146,6 +150,10 @@
 struct CrashNoticeBuilder;
 struct CrashNoticeT;
 
+struct RateLimitNotice;
+struct RateLimitNoticeBuilder;
+struct RateLimitNoticeT;
+
 struct ListedTarget;
 struct ListedTargetBuilder;
 struct ListedTargetT;
@@ -234,6 +242,10 @@
 bool operator!=(const ClearedPartsT &lhs, const ClearedPartsT &rhs);
 bool operator==(const QuarantinedPartsT &lhs, const QuarantinedPartsT &rhs);
 bool operator!=(const QuarantinedPartsT &lhs, const QuarantinedPartsT &rhs);
+bool operator==(const RateLimitRow &lhs, const RateLimitRow &rhs);
+bool operator!=(const RateLimitRow &lhs, const RateLimitRow &rhs);
+bool operator==(const RateClaimRow &lhs, const RateClaimRow &rhs);
+bool operator!=(const RateClaimRow &lhs, const RateClaimRow &rhs);
 bool operator==(const EntryStateT &lhs, const EntryStateT &rhs);
 bool operator!=(const EntryStateT &lhs, const EntryStateT &rhs);
 bool operator==(const MemberRow &lhs, const MemberRow &rhs);
@@ -246,6 +258,8 @@
 bool operator!=(const FaultNoticeT &lhs, const FaultNoticeT &rhs);
 bool operator==(const CrashNoticeT &lhs, const CrashNoticeT &rhs);
 bool operator!=(const CrashNoticeT &lhs, const CrashNoticeT &rhs);
+bool operator==(const RateLimitNoticeT &lhs, const RateLimitNoticeT &rhs);
+bool operator!=(const RateLimitNoticeT &lhs, const RateLimitNoticeT &rhs);
 bool operator==(const ListedTargetT &lhs, const ListedTargetT &rhs);
 bool operator!=(const ListedTargetT &lhs, const ListedTargetT &rhs);
 bool operator==(const HeartbeatRow &lhs, const HeartbeatRow &rhs);
@@ -387,11 +401,12 @@
   FaultNotice = 18,
   TargetListDelta = 19,
   CrashNotice = 20,
+  RateLimitNotice = 21,
   MIN = NONE,
-  MAX = CrashNotice
+  MAX = RateLimitNotice
 };
 
-inline const Body (&EnumValuesBody())[21] {
+inline const Body (&EnumValuesBody())[22] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -413,13 +428,14 @@
     Body::ZoneDigests,
     Body::FaultNotice,
     Body::TargetListDelta,
-    Body::CrashNotice
+    Body::CrashNotice,
+    Body::RateLimitNotice
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[22] = {
+  static const char * const names[23] = {
     "NONE",
     "Hello",
     "HelloProof",
@@ -441,13 +457,14 @@
     "FaultNotice",
     "TargetListDelta",
     "CrashNotice",
+    "RateLimitNotice",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::CrashNotice)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::RateLimitNotice)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -536,6 +553,10 @@
   static const Body enum_value = Body::CrashNotice;
 };
 
+template<> struct BodyTraits<bbv::wire::RateLimitNotice> {
+  static const Body enum_value = Body::RateLimitNotice;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -620,6 +641,10 @@
   static const Body enum_value = Body::CrashNotice;
 };
 
+template<> struct BodyUnionTraits<bbv::wire::RateLimitNoticeT> {
+  static const Body enum_value = Body::RateLimitNotice;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -810,6 +835,14 @@
     return type == Body::CrashNotice ?
       reinterpret_cast<const bbv::wire::CrashNoticeT *>(value) : nullptr;
   }
+  bbv::wire::RateLimitNoticeT *AsRateLimitNotice() {
+    return type == Body::RateLimitNotice ?
+      reinterpret_cast<bbv::wire::RateLimitNoticeT *>(value) : nullptr;
+  }
+  const bbv::wire::RateLimitNoticeT *AsRateLimitNotice() const {
+    return type == Body::RateLimitNotice ?
+      reinterpret_cast<const bbv::wire::RateLimitNoticeT *>(value) : nullptr;
+  }
 };
 
 
@@ -899,6 +932,10 @@
       return *(reinterpret_cast<const bbv::wire::CrashNoticeT *>(lhs.value)) ==
              *(reinterpret_cast<const bbv::wire::CrashNoticeT *>(rhs.value));
     }
+    case Body::RateLimitNotice: {
+      return *(reinterpret_cast<const bbv::wire::RateLimitNoticeT *>(lhs.value)) ==
+             *(reinterpret_cast<const bbv::wire::RateLimitNoticeT *>(rhs.value));
+    }
     default: {
       return false;
     }
@@ -1144,6 +1181,108 @@
   using type = SuspectRow;
 };
 
+/// Rate limit of a target as the sender knows it; `age_ms` since a response last confirmed it. `target` and `started` as
+/// in EngineRow, `per_1000_seconds` is the limit in requests, or kNoRateLimit of bbv_entry after its end.
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) RateLimitRow FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t target_;
+  uint32_t started_;
+  uint32_t version_;
+  uint32_t per_1000_seconds_;
+  uint32_t age_ms_;
+
+ public:
+  struct Traits;
+  RateLimitRow()
+      : target_(0),
+        started_(0),
+        version_(0),
+        per_1000_seconds_(0),
+        age_ms_(0) {
+  }
+  RateLimitRow(uint32_t _target, uint32_t _started, uint32_t _version, uint32_t _per_1000_seconds, uint32_t _age_ms)
+      : target_(flatbuffers::EndianScalar(_target)),
+        started_(flatbuffers::EndianScalar(_started)),
+        version_(flatbuffers::EndianScalar(_version)),
+        per_1000_seconds_(flatbuffers::EndianScalar(_per_1000_seconds)),
+        age_ms_(flatbuffers::EndianScalar(_age_ms)) {
+  }
+  uint32_t target() const {
+    return flatbuffers::EndianScalar(target_);
+  }
+  uint32_t started() const {
+    return flatbuffers::EndianScalar(started_);
+  }
+  uint32_t version() const {
+    return flatbuffers::EndianScalar(version_);
+  }
+  uint32_t per_1000_seconds() const {
+    return flatbuffers::EndianScalar(per_1000_seconds_);
+  }
+  uint32_t age_ms() const {
+    return flatbuffers::EndianScalar(age_ms_);
+  }
+};
+FLATBUFFERS_STRUCT_END(RateLimitRow, 20);
+
+inline bool operator==(const RateLimitRow &lhs, const RateLimitRow &rhs) {
+  return
+      (lhs.target() == rhs.target()) &&
+      (lhs.started() == rhs.started()) &&
+      (lhs.version() == rhs.version()) &&
+      (lhs.per_1000_seconds() == rhs.per_1000_seconds()) &&
+      (lhs.age_ms() == rhs.age_ms());
+}
+
+inline bool operator!=(const RateLimitRow &lhs, const RateLimitRow &rhs) {
+    return !(lhs == rhs);
+}
+
+
+struct RateLimitRow::Traits {
+  using type = RateLimitRow;
+};
+
+/// An entry with calls for a target that has a rate limit; both are the low halves of hashes.
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) RateClaimRow FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t target_;
+  uint32_t member_;
+
+ public:
+  struct Traits;
+  RateClaimRow()
+      : target_(0),
+        member_(0) {
+  }
+  RateClaimRow(uint32_t _target, uint32_t _member)
+      : target_(flatbuffers::EndianScalar(_target)),
+        member_(flatbuffers::EndianScalar(_member)) {
+  }
+  uint32_t target() const {
+    return flatbuffers::EndianScalar(target_);
+  }
+  uint32_t member() const {
+    return flatbuffers::EndianScalar(member_);
+  }
+};
+FLATBUFFERS_STRUCT_END(RateClaimRow, 8);
+
+inline bool operator==(const RateClaimRow &lhs, const RateClaimRow &rhs) {
+  return
+      (lhs.target() == rhs.target()) &&
+      (lhs.member() == rhs.member());
+}
+
+inline bool operator!=(const RateClaimRow &lhs, const RateClaimRow &rhs) {
+    return !(lhs == rhs);
+}
+
+
+struct RateClaimRow::Traits {
+  using type = RateClaimRow;
+};
+
 /// One entry that a digest covers: the low half of its address's hash, its last state counted, and the bits of
 /// MemberFlag in bbv_membership.
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) MemberRow FLATBUFFERS_FINAL_CLASS {
@@ -4137,6 +4276,8 @@
   std::vector<bbv::wire::EngineRow> engines{};
   std::vector<bbv::wire::RetrySpendingT> retries{};
   std::vector<bbv::wire::QuarantinedPartsT> quarantines{};
+  std::vector<bbv::wire::RateLimitRow> limits{};
+  std::vector<uint32_t> claims{};
 };
 
 /// What an entry tells the relays of its zone a few times a second.
@@ -4153,7 +4294,9 @@
     VT_OWN = 14,
     VT_ENGINES = 16,
     VT_RETRIES = 18,
-    VT_QUARANTINES = 20
+    VT_QUARANTINES = 20,
+    VT_LIMITS = 22,
+    VT_CLAIMS = 24
   };
   uint32_t sequence() const {
     return GetField<uint32_t>(VT_SEQUENCE, 0);
@@ -4184,6 +4327,14 @@
   const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::QuarantinedParts>> *quarantines() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::QuarantinedParts>> *>(VT_QUARANTINES);
   }
+  /// Left out of most states.
+  const flatbuffers::Vector<const bbv::wire::RateLimitRow *> *limits() const {
+    return GetPointer<const flatbuffers::Vector<const bbv::wire::RateLimitRow *> *>(VT_LIMITS);
+  }
+  /// Targets with a rate limit for which the sender has calls.
+  const flatbuffers::Vector<uint32_t> *claims() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_CLAIMS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_SEQUENCE, 4) &&
@@ -4201,6 +4352,10 @@
            VerifyOffset(verifier, VT_QUARANTINES) &&
            verifier.VerifyVector(quarantines()) &&
            verifier.VerifyVectorOfTables(quarantines()) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
+           VerifyOffset(verifier, VT_CLAIMS) &&
+           verifier.VerifyVector(claims()) &&
            verifier.EndTable();
   }
   EntryStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4239,6 +4394,12 @@
   void add_quarantines(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::QuarantinedParts>>> quarantines) {
     fbb_.AddOffset(EntryState::VT_QUARANTINES, quarantines);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::RateLimitRow *>> limits) {
+    fbb_.AddOffset(EntryState::VT_LIMITS, limits);
+  }
+  void add_claims(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> claims) {
+    fbb_.AddOffset(EntryState::VT_CLAIMS, claims);
+  }
   explicit EntryStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4260,9 +4421,13 @@
     flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::LoadRow *>> own = 0,
     flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::EngineRow *>> engines = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::RetrySpending>>> retries = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::QuarantinedParts>>> quarantines = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::QuarantinedParts>>> quarantines = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::RateLimitRow *>> limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> claims = 0) {
   EntryStateBuilder builder_(_fbb);
   builder_.add_configuration_version(configuration_version);
+  builder_.add_claims(claims);
+  builder_.add_limits(limits);
   builder_.add_quarantines(quarantines);
   builder_.add_retries(retries);
   builder_.add_engines(engines);
@@ -4289,11 +4454,15 @@
     const std::vector<bbv::wire::LoadRow> *own = nullptr,
     const std::vector<bbv::wire::EngineRow> *engines = nullptr,
     const std::vector<flatbuffers::Offset<bbv::wire::RetrySpending>> *retries = nullptr,
-    const std::vector<flatbuffers::Offset<bbv::wire::QuarantinedParts>> *quarantines = nullptr) {
+    const std::vector<flatbuffers::Offset<bbv::wire::QuarantinedParts>> *quarantines = nullptr,
+    const std::vector<bbv::wire::RateLimitRow> *limits = nullptr,
+    const std::vector<uint32_t> *claims = nullptr) {
   auto own__ = own ? _fbb.CreateVectorOfStructs<bbv::wire::LoadRow>(*own) : 0;
   auto engines__ = engines ? _fbb.CreateVectorOfStructs<bbv::wire::EngineRow>(*engines) : 0;
   auto retries__ = retries ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::RetrySpending>>(*retries) : 0;
   auto quarantines__ = quarantines ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::QuarantinedParts>>(*quarantines) : 0;
+  auto limits__ = limits ? _fbb.CreateVectorOfStructs<bbv::wire::RateLimitRow>(*limits) : 0;
+  auto claims__ = claims ? _fbb.CreateVector<uint32_t>(*claims) : 0;
   return bbv::wire::CreateEntryState(
       _fbb,
       sequence,
@@ -4304,7 +4473,9 @@
       own__,
       engines__,
       retries__,
-      quarantines__);
+      quarantines__,
+      limits__,
+      claims__);
 }
 
 flatbuffers::Offset<EntryState> CreateEntryState(flatbuffers::FlatBufferBuilder &_fbb, const EntryStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4322,6 +4493,9 @@
   std::vector<bbv::wire::EngineRow> engines{};
   std::vector<bbv::wire::RetrySpendingT> retries{};
   std::vector<bbv::wire::QuarantinedPartsT> quarantines{};
+  std::vector<bbv::wire::RateLimitRow> limits{};
+  std::vector<bbv::wire::RateClaimRow> claims{};
+  std::vector<bbv::wire::RateClaimRow> holders{};
 };
 
 /// The sums over the entries of one zone that `members` lists.
@@ -4340,7 +4514,10 @@
     VT_LOADS = 18,
     VT_ENGINES = 20,
     VT_RETRIES = 22,
-    VT_QUARANTINES = 24
+    VT_QUARANTINES = 24,
+    VT_LIMITS = 26,
+    VT_CLAIMS = 28,
+    VT_HOLDERS = 30
   };
   const flatbuffers::String *zone() const {
     return GetPointer<const flatbuffers::String *>(VT_ZONE);
@@ -4379,6 +4556,18 @@
   const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::QuarantinedParts>> *quarantines() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bbv::wire::QuarantinedParts>> *>(VT_QUARANTINES);
   }
+  /// As quarantines.
+  const flatbuffers::Vector<const bbv::wire::RateLimitRow *> *limits() const {
+    return GetPointer<const flatbuffers::Vector<const bbv::wire::RateLimitRow *> *>(VT_LIMITS);
+  }
+  /// To other zones' relays: entries of this zone with calls for targets that have a rate limit.
+  const flatbuffers::Vector<const bbv::wire::RateClaimRow *> *claims() const {
+    return GetPointer<const flatbuffers::Vector<const bbv::wire::RateClaimRow *> *>(VT_CLAIMS);
+  }
+  /// To the own zone: the entries, of all zones, that share the rate limit of each target.
+  const flatbuffers::Vector<const bbv::wire::RateClaimRow *> *holders() const {
+    return GetPointer<const flatbuffers::Vector<const bbv::wire::RateClaimRow *> *>(VT_HOLDERS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ZONE) &&
@@ -4400,6 +4589,12 @@
            VerifyOffset(verifier, VT_QUARANTINES) &&
            verifier.VerifyVector(quarantines()) &&
            verifier.VerifyVectorOfTables(quarantines()) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
+           VerifyOffset(verifier, VT_CLAIMS) &&
+           verifier.VerifyVector(claims()) &&
+           VerifyOffset(verifier, VT_HOLDERS) &&
+           verifier.VerifyVector(holders()) &&
            verifier.EndTable();
   }
   ZoneDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4444,6 +4639,15 @@
   void add_quarantines(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::QuarantinedParts>>> quarantines) {
     fbb_.AddOffset(ZoneDigest::VT_QUARANTINES, quarantines);
   }
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::RateLimitRow *>> limits) {
+    fbb_.AddOffset(ZoneDigest::VT_LIMITS, limits);
+  }
+  void add_claims(flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::RateClaimRow *>> claims) {
+    fbb_.AddOffset(ZoneDigest::VT_CLAIMS, claims);
+  }
+  void add_holders(flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::RateClaimRow *>> holders) {
+    fbb_.AddOffset(ZoneDigest::VT_HOLDERS, holders);
+  }
   explicit ZoneDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4467,9 +4671,15 @@
     flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::LoadRow *>> loads = 0,
     flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::EngineRow *>> engines = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::RetrySpending>>> retries = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::QuarantinedParts>>> quarantines = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bbv::wire::QuarantinedParts>>> quarantines = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::RateLimitRow *>> limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::RateClaimRow *>> claims = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::RateClaimRow *>> holders = 0) {
   ZoneDigestBuilder builder_(_fbb);
   builder_.add_configuration_version(configuration_version);
+  builder_.add_holders(holders);
+  builder_.add_claims(claims);
+  builder_.add_limits(limits);
   builder_.add_quarantines(quarantines);
   builder_.add_retries(retries);
   builder_.add_engines(engines);
@@ -4500,13 +4710,19 @@
     const std::vector<bbv::wire::LoadRow> *loads = nullptr,
     const std::vector<bbv::wire::EngineRow> *engines = nullptr,
     const std::vector<flatbuffers::Offset<bbv::wire::RetrySpending>> *retries = nullptr,
-    const std::vector<flatbuffers::Offset<bbv::wire::QuarantinedParts>> *quarantines = nullptr) {
+    const std::vector<flatbuffers::Offset<bbv::wire::QuarantinedParts>> *quarantines = nullptr,
+    const std::vector<bbv::wire::RateLimitRow> *limits = nullptr,
+    const std::vector<bbv::wire::RateClaimRow> *claims = nullptr,
+    const std::vector<bbv::wire::RateClaimRow> *holders = nullptr) {
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto members__ = members ? _fbb.CreateVectorOfStructs<bbv::wire::MemberRow>(*members) : 0;
   auto loads__ = loads ? _fbb.CreateVectorOfStructs<bbv::wire::LoadRow>(*loads) : 0;
   auto engines__ = engines ? _fbb.CreateVectorOfStructs<bbv::wire::EngineRow>(*engines) : 0;
   auto retries__ = retries ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::RetrySpending>>(*retries) : 0;
   auto quarantines__ = quarantines ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::QuarantinedParts>>(*quarantines) : 0;
+  auto limits__ = limits ? _fbb.CreateVectorOfStructs<bbv::wire::RateLimitRow>(*limits) : 0;
+  auto claims__ = claims ? _fbb.CreateVectorOfStructs<bbv::wire::RateClaimRow>(*claims) : 0;
+  auto holders__ = holders ? _fbb.CreateVectorOfStructs<bbv::wire::RateClaimRow>(*holders) : 0;
   return bbv::wire::CreateZoneDigest(
       _fbb,
       zone__,
@@ -4519,7 +4735,10 @@
       loads__,
       engines__,
       retries__,
-      quarantines__);
+      quarantines__,
+      limits__,
+      claims__,
+      holders__);
 }
 
 flatbuffers::Offset<ZoneDigest> CreateZoneDigest(flatbuffers::FlatBufferBuilder &_fbb, const ZoneDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4792,6 +5011,88 @@
 
 flatbuffers::Offset<CrashNotice> CreateCrashNotice(flatbuffers::FlatBufferBuilder &_fbb, const CrashNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RateLimitNoticeT : public flatbuffers::NativeTable {
+  typedef RateLimitNotice TableType;
+  std::vector<bbv::wire::RateLimitRow> limits{};
+  bool forwarded = false;
+};
+
+/// Rate limits that began, changed or ended, told at once along the ways of FaultNotice.
+struct RateLimitNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RateLimitNoticeT NativeTableType;
+  typedef RateLimitNoticeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LIMITS = 4,
+    VT_FORWARDED = 6
+  };
+  const flatbuffers::Vector<const bbv::wire::RateLimitRow *> *limits() const {
+    return GetPointer<const flatbuffers::Vector<const bbv::wire::RateLimitRow *> *>(VT_LIMITS);
+  }
+  bool forwarded() const {
+    return GetField<uint8_t>(VT_FORWARDED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_LIMITS) &&
+           verifier.VerifyVector(limits()) &&
+           VerifyField<uint8_t>(verifier, VT_FORWARDED, 1) &&
+           verifier.EndTable();
+  }
+  RateLimitNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RateLimitNoticeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RateLimitNotice> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RateLimitNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RateLimitNoticeBuilder {
+  typedef RateLimitNotice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_limits(flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::RateLimitRow *>> limits) {
+    fbb_.AddOffset(RateLimitNotice::VT_LIMITS, limits);
+  }
+  void add_forwarded(bool forwarded) {
+    fbb_.AddElement<uint8_t>(RateLimitNotice::VT_FORWARDED, static_cast<uint8_t>(forwarded), 0);
+  }
+  explicit RateLimitNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RateLimitNotice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RateLimitNotice>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RateLimitNotice> CreateRateLimitNotice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::RateLimitRow *>> limits = 0,
+    bool forwarded = false) {
+  RateLimitNoticeBuilder builder_(_fbb);
+  builder_.add_limits(limits);
+  builder_.add_forwarded(forwarded);
+  return builder_.Finish();
+}
+
+struct RateLimitNotice::Traits {
+  using type = RateLimitNotice;
+  static auto constexpr Create = CreateRateLimitNotice;
+};
+
+inline flatbuffers::Offset<RateLimitNotice> CreateRateLimitNoticeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<bbv::wire::RateLimitRow> *limits = nullptr,
+    bool forwarded = false) {
+  auto limits__ = limits ? _fbb.CreateVectorOfStructs<bbv::wire::RateLimitRow>(*limits) : 0;
+  return bbv::wire::CreateRateLimitNotice(
+      _fbb,
+      limits__,
+      forwarded);
+}
+
+flatbuffers::Offset<RateLimitNotice> CreateRateLimitNotice(flatbuffers::FlatBufferBuilder &_fbb, const RateLimitNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct ListedTargetT : public flatbuffers::NativeTable {
   typedef ListedTarget TableType;
   std::string id{};
@@ -5329,6 +5630,9 @@
   const bbv::wire::CrashNotice *body_as_CrashNotice() const {
     return body_type() == bbv::wire::Body::CrashNotice ? static_cast<const bbv::wire::CrashNotice *>(body()) : nullptr;
   }
+  const bbv::wire::RateLimitNotice *body_as_RateLimitNotice() const {
+    return body_type() == bbv::wire::Body::RateLimitNotice ? static_cast<const bbv::wire::RateLimitNotice *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -5421,6 +5725,10 @@
   return body_as_CrashNotice();
 }
 
+template<> inline const bbv::wire::RateLimitNotice *Frame::body_as<bbv::wire::RateLimitNotice>() const {
+  return body_as_RateLimitNotice();
+}
+
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -7088,7 +7396,9 @@
       (lhs.own == rhs.own) &&
       (lhs.engines == rhs.engines) &&
       (lhs.retries == rhs.retries) &&
-      (lhs.quarantines == rhs.quarantines);
+      (lhs.quarantines == rhs.quarantines) &&
+      (lhs.limits == rhs.limits) &&
+      (lhs.claims == rhs.claims);
 }
 
 inline bool operator!=(const EntryStateT &lhs, const EntryStateT &rhs) {
@@ -7114,6 +7424,8 @@
   { auto _e = engines(); if (_e) { _o->engines.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->engines[_i] = *_e->Get(_i); } } }
   { auto _e = retries(); if (_e) { _o->retries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->retries[_i] = *std::unique_ptr<bbv::wire::RetrySpendingT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = quarantines(); if (_e) { _o->quarantines.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quarantines[_i] = *std::unique_ptr<bbv::wire::QuarantinedPartsT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = *_e->Get(_i); } } }
+  { auto _e = claims(); if (_e) { _o->claims.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->claims[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<EntryState> EntryState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7133,6 +7445,8 @@
   auto _engines = _o->engines.size() ? _fbb.CreateVectorOfStructs(_o->engines) : 0;
   auto _retries = _o->retries.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::RetrySpending>> (_o->retries.size(), [](size_t i, _VectorArgs *__va) { return CreateRetrySpending(*__va->__fbb, &(__va->__o->retries[i]), __va->__rehasher); }, &_va ) : 0;
   auto _quarantines = _o->quarantines.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::QuarantinedParts>> (_o->quarantines.size(), [](size_t i, _VectorArgs *__va) { return CreateQuarantinedParts(*__va->__fbb, &(__va->__o->quarantines[i]), __va->__rehasher); }, &_va ) : 0;
+  auto _limits = _o->limits.size() ? _fbb.CreateVectorOfStructs(_o->limits) : 0;
+  auto _claims = _o->claims.size() ? _fbb.CreateVector(_o->claims) : 0;
   return bbv::wire::CreateEntryState(
       _fbb,
       _sequence,
@@ -7143,7 +7457,9 @@
       _own,
       _engines,
       _retries,
-      _quarantines);
+      _quarantines,
+      _limits,
+      _claims);
 }
 
 
@@ -7159,7 +7475,10 @@
       (lhs.loads == rhs.loads) &&
       (lhs.engines == rhs.engines) &&
       (lhs.retries == rhs.retries) &&
-      (lhs.quarantines == rhs.quarantines);
+      (lhs.quarantines == rhs.quarantines) &&
+      (lhs.limits == rhs.limits) &&
+      (lhs.claims == rhs.claims) &&
+      (lhs.holders == rhs.holders);
 }
 
 inline bool operator!=(const ZoneDigestT &lhs, const ZoneDigestT &rhs) {
@@ -7187,6 +7506,9 @@
   { auto _e = engines(); if (_e) { _o->engines.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->engines[_i] = *_e->Get(_i); } } }
   { auto _e = retries(); if (_e) { _o->retries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->retries[_i] = *std::unique_ptr<bbv::wire::RetrySpendingT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = quarantines(); if (_e) { _o->quarantines.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quarantines[_i] = *std::unique_ptr<bbv::wire::QuarantinedPartsT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = *_e->Get(_i); } } }
+  { auto _e = claims(); if (_e) { _o->claims.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->claims[_i] = *_e->Get(_i); } } }
+  { auto _e = holders(); if (_e) { _o->holders.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->holders[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<ZoneDigest> ZoneDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ZoneDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7208,6 +7530,9 @@
   auto _engines = _o->engines.size() ? _fbb.CreateVectorOfStructs(_o->engines) : 0;
   auto _retries = _o->retries.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::RetrySpending>> (_o->retries.size(), [](size_t i, _VectorArgs *__va) { return CreateRetrySpending(*__va->__fbb, &(__va->__o->retries[i]), __va->__rehasher); }, &_va ) : 0;
   auto _quarantines = _o->quarantines.size() ? _fbb.CreateVector<flatbuffers::Offset<bbv::wire::QuarantinedParts>> (_o->quarantines.size(), [](size_t i, _VectorArgs *__va) { return CreateQuarantinedParts(*__va->__fbb, &(__va->__o->quarantines[i]), __va->__rehasher); }, &_va ) : 0;
+  auto _limits = _o->limits.size() ? _fbb.CreateVectorOfStructs(_o->limits) : 0;
+  auto _claims = _o->claims.size() ? _fbb.CreateVectorOfStructs(_o->claims) : 0;
+  auto _holders = _o->holders.size() ? _fbb.CreateVectorOfStructs(_o->holders) : 0;
   return bbv::wire::CreateZoneDigest(
       _fbb,
       _zone,
@@ -7220,7 +7545,10 @@
       _loads,
       _engines,
       _retries,
-      _quarantines);
+      _quarantines,
+      _limits,
+      _claims,
+      _holders);
 }
 
 
@@ -7351,6 +7679,47 @@
 }
 
 
+inline bool operator==(const RateLimitNoticeT &lhs, const RateLimitNoticeT &rhs) {
+  return
+      (lhs.limits == rhs.limits) &&
+      (lhs.forwarded == rhs.forwarded);
+}
+
+inline bool operator!=(const RateLimitNoticeT &lhs, const RateLimitNoticeT &rhs) {
+    return !(lhs == rhs);
+}
+
+
+inline RateLimitNoticeT *RateLimitNotice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RateLimitNoticeT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RateLimitNotice::UnPackTo(RateLimitNoticeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = limits(); if (_e) { _o->limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->limits[_i] = *_e->Get(_i); } } }
+  { auto _e = forwarded(); _o->forwarded = _e; }
+}
+
+inline flatbuffers::Offset<RateLimitNotice> RateLimitNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RateLimitNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRateLimitNotice(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RateLimitNotice> CreateRateLimitNotice(flatbuffers::FlatBufferBuilder &_fbb, const RateLimitNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RateLimitNoticeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _limits = _o->limits.size() ? _fbb.CreateVectorOfStructs(_o->limits) : 0;
+  auto _forwarded = _o->forwarded;
+  return bbv::wire::CreateRateLimitNotice(
+      _fbb,
+      _limits,
+      _forwarded);
+}
+
+
 inline bool operator==(const ListedTargetT &lhs, const ListedTargetT &rhs) {
   return
       (lhs.id == rhs.id) &&
@@ -7797,6 +8166,10 @@
       auto ptr = reinterpret_cast<const bbv::wire::CrashNotice *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::RateLimitNotice: {
+      auto ptr = reinterpret_cast<const bbv::wire::RateLimitNotice *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -7896,6 +8269,10 @@
       auto ptr = reinterpret_cast<const bbv::wire::CrashNotice *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::RateLimitNotice: {
+      auto ptr = reinterpret_cast<const bbv::wire::RateLimitNotice *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -7983,6 +8360,10 @@
       auto ptr = reinterpret_cast<const bbv::wire::CrashNoticeT *>(value);
       return CreateCrashNotice(_fbb, ptr, _rehasher).Union();
     }
+    case Body::RateLimitNotice: {
+      auto ptr = reinterpret_cast<const bbv::wire::RateLimitNoticeT *>(value);
+      return CreateRateLimitNotice(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -8069,6 +8450,10 @@
       value = new bbv::wire::CrashNoticeT(*reinterpret_cast<bbv::wire::CrashNoticeT *>(u.value));
       break;
     }
+    case Body::RateLimitNotice: {
+      value = new bbv::wire::RateLimitNoticeT(*reinterpret_cast<bbv::wire::RateLimitNoticeT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -8176,6 +8561,11 @@
       delete ptr;
       break;
     }
+    case Body::RateLimitNotice: {
+      auto ptr = reinterpret_cast<bbv::wire::RateLimitNoticeT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/tests/rate_limit_test.cc
+++ b/tests/rate_limit_test.cc
@@ -21,6 +21,7 @@
 // the limit for half a second.
 constexpr milliseconds kWindow{4000};
 constexpr int kMaxRequests = static_cast<int>(1.5 * kLimit * 4) + 5;
+constexpr int kMinRequests = 3;
 constexpr milliseconds kTimeToKnow{500};
 constexpr milliseconds kCallInterval{15};
 
@@ -58,7 +59,17 @@
           return answer && answer->status == 200;
         });
   }
-  // Names a limit and checks the requests of the next seconds.
+  // The plain target that has received most calls.
+  int FindBusiestTarget() {
+    int busiest = options.engines;
+    for (int it = busiest; it < options.engines + options.services; ++it) {
+      if (floor->targets().CallCount(it) > floor->targets().CallCount(busiest))
+        busiest = it;
+    }
+    return busiest;
+  }
+  // Names a limit and checks that the requests of the next seconds keep it and
+  // make use of it.
   void CheckLimitIsKept(int target) {
     floor->targets().NameRateLimit(target, std::to_string(kLimit));
     std::this_thread::sleep_for(kTimeToKnow);
@@ -67,6 +78,7 @@
     const int requests = floor->targets().MostRequests(target, kWindow, since);
     if (requests > kMaxRequests)
       FAIL((std::to_string(requests) + " requests in 4 s").c_str());
+    CHECK(requests >= kMinRequests);
   }
 };
 
@@ -82,7 +94,63 @@
   StartFleet();
   const auto calls = SendPlainCalls();
   std::this_thread::sleep_for(seconds(1));
-  CheckLimitIsKept(options.engines);
+  CheckLimitIsKept(FindBusiestTarget());
+}
+
+TEST(RateLimit, OneEntryWithCallsMayUseTheWholeLimit) {
+  StartFleet();
+  const auto calls = SendPlainCalls(1);
+  std::this_thread::sleep_for(seconds(1));
+  CheckLimitIsKept(FindBusiestTarget());
+}
+
+TEST(RateLimit, CallsAreRefusedAtOnceIfAllTargetsAreLimited) {
+  options.services = 2;
+  StartFleet();
+  const auto calls = SendPlainCalls();
+  std::this_thread::sleep_for(seconds(1));
+  CHECK(calls->served() > 0);
+  const int targets = options.engines + options.services;
+  for (int it = options.engines; it < targets; ++it)
+    floor->targets().NameRateLimit(it, "0.5");
+  std::this_thread::sleep_for(seconds(1));
+  int refused = 0;
+  for (int n = 0; n < 8; ++n) {
+    const auto began = Clock::now();
+    const auto answer =
+        floor->Call(n % kEntries, "/unsafe/x", "late" + std::to_string(n));
+    CHECK(answer != nullptr);
+    CHECK(Clock::now() - began < milliseconds(600));
+    if (answer->status == 200)
+      continue;
+    ++refused;
+    CHECK_EQUAL(503, answer->status);
+    CHECK(std::stod(answer->get_header_value("Retry-After")) >= 0.4);
+    CHECK(!floor->targets().ExecutionCounts().contains("late" +
+                                                       std::to_string(n)));
+  }
+  CHECK(refused >= 6);
+  CHECK(floor->Output(0).find("\"cause\":\"rate-limit\"") != std::string::npos);
+  // Calls are served as before when the limits have ended.
+  for (int it = options.engines; it < targets; ++it)
+    floor->targets().NameRateLimit(it, "");
+  std::this_thread::sleep_for(seconds(12));
+  const int ended = calls->ended();
+  const int served = calls->served();
+  std::this_thread::sleep_for(seconds(2));
+  CHECK(10 * (calls->served() - served) >= 9 * (calls->ended() - ended));
+}
+
+TEST(RateLimit, MalformedLimitsChangeNothing) {
+  StartFleet();
+  for (int it = 0; it < options.engines + options.services; ++it)
+    floor->targets().NameRateLimit(it, it % 2 == 0 ? "-3" : "soon");
+  const auto calls = SendPlainCalls();
+  const auto streams = SendStreams();
+  std::this_thread::sleep_for(seconds(3));
+  CHECK(calls->ended() > 50 && streams->ended() > 50);
+  CHECK(10 * calls->served() >= 9 * calls->ended());
+  CHECK(10 * streams->served() >= 9 * streams->ended());
 }
 
 }  // namespace bbv
--- a/tests/virtual_fleet.cc
+++ b/tests/virtual_fleet.cc
@@ -6,6 +6,7 @@
 
 #include "bbv_core/hashing.h"
 #include "bbv_entry/crash_messages.h"
+#include "bbv_entry/rate_limit_exchange.h"
 
 namespace bbv {
 namespace {
@@ -19,6 +20,17 @@
 constexpr std::size_t kListBytes = 1500;
 constexpr Milliseconds kQuarantineShareInterval{1000};
 constexpr char kService[] = "service";
+constexpr char kLimitedTarget[] = "limited-target";
+
+TargetRecord LimitedTargetRecord() {
+  TargetRecord record;
+  record.id = kLimitedTarget;
+  record.service = kService;
+  record.address = "10.9.0.1:80";
+  record.zone = "zone-0";
+  record.started_unix_ms = 1;
+  return record;
+}
 
 // Models a fleet of mostly small instances with a few large ones, as is usual
 // at edge sites.
@@ -35,9 +47,17 @@
         members(record),
         gossip(&members, this, kRetryWindow),
         schedule(fleet->options_.max_list_age),
+        log(record.name),
+        rate_limits(&log,
+                    &registry,
+                    record,
+                    [this](wire::RateLimitNoticeT notice, Instant now) {
+                      gossip.AnnounceRateLimits(std::move(notice), now);
+                    }),
         budgets({kRetryShare, kRetryExtra, kRetryWindow, Milliseconds(800)}),
         jitter(fleet->random_()) {
     schedule.RecordSnapshot(fleet->now_);
+    registry.Apply(LimitedTargetRecord(), fleet->now_);
   }
 
   void Send(const MemberTable::Ranking& to,
@@ -62,11 +82,15 @@
       next_quarantine_share = now + kQuarantineShareInterval;
       state.quarantines = EncodeQuarantines(now);
     }
+    state.limits = rate_limits.TakeDueLimits(now);
+    state.claims = rate_limits.Claims(now);
     return state;
   }
   void OnZoneDigest(const std::string& zone,
                     const wire::ZoneDigestT& others,
                     Instant now) override {
+    if (zone == members.own().record.zone)
+      rate_limits.OnGrants(others.holders, now);
     auto& loads = zones[zone];
     loads.clear();
     for (const wire::LoadRow& it : others.loads)
@@ -98,6 +122,14 @@
       messages.push_back(ToMessage(it, now));
     return messages;
   }
+  bool OnRateLimits(const std::vector<wire::RateLimitRow>& limits,
+                    Instant now) override {
+    return rate_limits.OnLimits(limits, now);
+  }
+  std::vector<wire::RateClaimRow> AllocateRateLimits(
+      const ClaimsByZone& claims) override {
+    return rate_limits.Allocate(claims);
+  }
   void OnConfigurationVersion(const std::string&, uint64_t, Instant) override {}
   void OnTargetFault(const wire::TargetFaultT& fault, Instant) override {
     faults.insert(fault.target);
@@ -108,6 +140,9 @@
   MemberTable members;
   FleetGossip gossip;
   ReadSchedule schedule;
+  DecisionLog log;
+  TargetRegistry registry;
+  RateLimitExchange rate_limits;
   RetryBudgets budgets;
   uint64_t jitter;
   Instant next_ranking{};
@@ -182,6 +217,8 @@
     node.budgets.SetEntries(node.members.known(),
                             node.gossip.propagation_time());
   }
+  node.rate_limits.OnTick(node.members.known(), node.gossip.propagation_time(),
+                          now_);
   node.gossip.OnTick(now_);
   const std::size_t rank = node.store_partitioned
                                ? node.members.own_rank()
@@ -319,6 +356,30 @@
   return nodes_[entry]->quarantine.Find(kService, {part}) != nullptr;
 }
 
+void VirtualFleet::NameRateLimit(std::optional<double> per_second) {
+  rate_limit_ = per_second;
+}
+
+bool VirtualFleet::CallLimitedTarget(int entry) {
+  Node& node = *nodes_[entry];
+  FleetTarget* target = node.registry.Find(kLimitedTarget);
+  node.rate_limits.RecordCall(kService, now_);
+  if (!target->AcceptsRequests(now_))
+    return false;
+  target->rate_limit.RecordRequest(now_);
+  platform::TargetNotice notice;
+  notice.rate_limit = rate_limit_;
+  node.rate_limits.OnResponse(target, notice, now_, now_ + kLatency);
+  return true;
+}
+
+bool VirtualFleet::KnowsRateLimit(int entry) const {
+  return nodes_[entry]
+      ->registry.Find(kLimitedTarget)
+      ->rate_limit.per_second()
+      .has_value();
+}
+
 Milliseconds VirtualFleet::ListAge(int entry) const {
   return std::chrono::duration_cast<Milliseconds>(
       now_ - nodes_[entry]->schedule.snapshot_time());
--- a/tests/virtual_fleet.h
+++ b/tests/virtual_fleet.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <string>
@@ -80,6 +81,15 @@
   void Quarantine(int entry, uint64_t part);
   bool IsQuarantined(int entry, uint64_t part) const;
 
+  // Makes the target, which is in zone-0, name a rate limit in its responses;
+  // empty ends this.
+  void NameRateLimit(std::optional<double> per_second);
+  // A caller's call arrives at `entry`, which sends it to the target if it may.
+  // Returns whether it was sent.
+  bool CallLimitedTarget(int entry);
+  // Whether `entry` knows that the target has a limit.
+  bool KnowsRateLimit(int entry) const;
+
   // Age of the entry's target list.
   Milliseconds ListAge(int entry) const;
 
@@ -121,6 +131,8 @@
   Options options_;
   Instant now_;
   std::mt19937_64 random_;
+  // Limit that the target names.
+  std::optional<double> rate_limit_;
   std::vector<std::unique_ptr<Node>> nodes_;
   std::vector<MemberRecord> records_;
   std::map<std::string, int> by_address_;
