--- a/modules/bbv_membership/zone_aggregator.cc
+++ b/modules/bbv_membership/zone_aggregator.cc
@@ -22,13 +22,14 @@
 
 // Returns the claims within the limits. All relays keep the same targets, and
 // those members that rank first for them.
-std::vector<wire::RateClaimRow> LimitClaims(Claimants claimants) {
+std::vector<wire::RateClaimRow> LimitClaims(const Claimants& claimants) {
   std::vector<wire::RateClaimRow> rows;
   if (claimants.empty())
     return rows;
   const std::size_t most = std::clamp<std::size_t>(
       kMaxClaims / claimants.size(), 1, kMaxClaimsPerTarget);
-  for (auto& [target, members] : claimants) {
+  for (const auto& [target, claiming] : claimants) {
+    std::vector<uint32_t> members = claiming;
     std::sort(members.begin(), members.end(),
               [target = target](uint32_t left, uint32_t right) {
                 return CombineHashes(target, left) <
@@ -134,7 +135,7 @@
     digest.loads.push_back(row);
   for (auto& [service, spending] : retries)
     digest.retries.push_back(std::move(spending));
-  digest.claims = LimitClaims(std::move(claimants));
+  digest.claims = LimitClaims(claimants);
   digest.engines = std::exchange(engine_reports_, {});
   return digest;
 }
