--- a/modules/bbv_entry/crash_guard.cc
+++ b/modules/bbv_entry/crash_guard.cc
@@ -11,7 +11,7 @@
 namespace {
 
 // Parts named in one log line.
-constexpr std::size_t kMaxLoggedParts = 32;
+constexpr std::size_t kMaxLoggedTraits = 32;
 // Independent crashes that accuse a part of a call from which on the call is
 // not repeated.
 constexpr int kCrashesWithoutRepeat = 2;
@@ -23,12 +23,12 @@
 constexpr Milliseconds kShareInterval{1000};
 
 // Returns the distinct parts of the suspects, in the order of the calls.
-std::vector<uint64_t> SuspectParts(const TargetCrash& crash) {
+std::vector<uint64_t> SuspectTraits(const TargetCrash& crash) {
   std::vector<uint64_t> parts;
   for (const CrashSuspect& it : crash.suspects) {
-    if (parts.size() < kMaxLoggedParts &&
-        std::find(parts.begin(), parts.end(), it.part) == parts.end())
-      parts.push_back(it.part);
+    if (parts.size() < kMaxLoggedTraits &&
+        std::find(parts.begin(), parts.end(), it.trait) == parts.end())
+      parts.push_back(it.trait);
   }
   return parts;
 }
@@ -67,7 +67,7 @@
       log_->Write(Event::kPartProbed, now,
                   {{"id", request.attempt_id},
                    {"service", request.service},
-                   {"parts", FormatParts(FindQuarantine(request)->parts)}});
+                   {"parts", FormatTraits(FindQuarantine(request)->traits)}});
       return std::nullopt;
     case QuarantineDecision::kAllowed:
       break;
@@ -135,14 +135,14 @@
   if (row != nullptr) {
     log_->Write(Event::kPartQuarantineEnded, now,
                 {{"service", request.service},
-                 {"parts", FormatParts(row->parts)},
+                 {"parts", FormatTraits(row->traits)},
                  {"evidence", "output"},
                  {"id", request.attempt_id}});
     quarantine_.RecordOutput(request.service, request.shared_parts, now);
     notice.quarantines = EncodeRows(now);
   }
   announce_(std::move(notice), now);
-  QuarantineDeadlyParts(now);
+  QuarantineDeadlyTraits(now);
 }
 
 void CrashGuard::OnTick(Instant now) {
@@ -152,7 +152,7 @@
   WithdrawDisprovedCrashes(now);
   for (auto& [service, evidence] : evidence_)
     evidence.OnTick(now);
-  QuarantineDeadlyParts(now);
+  QuarantineDeadlyTraits(now);
   quarantine_.OnTick(now);
 }
 
@@ -166,7 +166,7 @@
                {"service", crash.service},
                {"calls", static_cast<int64_t>(crash.broken_calls)},
                {"silent", static_cast<int64_t>(crash.silent_calls)},
-               {"parts", FormatParts(SuspectParts(crash))},
+               {"parts", FormatTraits(SuspectTraits(crash))},
                {"age_ms", static_cast<int64_t>(
                               RemainingMilliseconds(now, crash.crashed_at))}});
   const CrashReport report = ToReport(crash);
@@ -202,7 +202,7 @@
   };
   std::map<uint32_t, SilentCall> calls;
   for (const CrashSuspect& it : report.suspects) {
-    calls[it.call].parts.push_back(it.part);
+    calls[it.call].parts.push_back(it.trait);
     calls[it.call].sent_at = it.sent_at;
   }
   for (const auto& [id, call] : calls) {
@@ -225,14 +225,14 @@
   });
 }
 
-void CrashGuard::QuarantineDeadlyParts(Instant now) {
+void CrashGuard::QuarantineDeadlyTraits(Instant now) {
   bool is_new = false;
   for (auto& [service, evidence] : evidence_) {
-    while (const auto deadly = evidence.TakeDeadlyParts()) {
-      if (!quarantine_.Add(service, deadly->parts, deadly->crashes, now))
+    while (const auto deadly = evidence.TakeDeadlyTraits()) {
+      if (!quarantine_.Add(service, deadly->traits, deadly->crashes, now))
         continue;
       is_new = true;
-      LogQuarantine(*quarantine_.Find(service, deadly->parts), "own", now);
+      LogQuarantine(*quarantine_.Find(service, deadly->traits), "own", now);
     }
   }
   if (!is_new)
@@ -249,7 +249,7 @@
     is_new |= AddCrash(it.service, FromMessage(it, now), now);
   for (const wire::ClearedPartsT& it : notice.cleared) {
     for (const uint64_t part : it.parts)
-      is_new |= evidence_[it.service].ClearPart(part);
+      is_new |= evidence_[it.service].ClearTrait(part);
   }
   for (const wire::QuarantinedPartsT& it : notice.quarantines)
     is_new |= MergeQuarantine(it, now);
@@ -277,7 +277,7 @@
   }
   log_->Write(Event::kPartQuarantineEnded, now,
               {{"service", row.service},
-               {"parts", FormatParts(row.parts)},
+               {"parts", FormatTraits(row.traits)},
                {"evidence", "peer"}});
   return true;
 }
@@ -303,7 +303,7 @@
   log_->Write(
       Event::kPartQuarantined, now,
       {{"service", row.service},
-       {"parts", FormatParts(row.parts)},
+       {"parts", FormatTraits(row.traits)},
        {"crashes", static_cast<int64_t>(row.crashes)},
        {"from", std::string(from)},
        {"age_ms", static_cast<int64_t>(RemainingMilliseconds(now, row.since))},
--- a/modules/bbv_entry/crash_guard.h
+++ b/modules/bbv_entry/crash_guard.h
@@ -75,7 +75,7 @@
   // nothing.
   std::vector<wire::QuarantinedPartsT> TakeDueQuarantines(Instant now);
 
-  const PartQuarantine& quarantine() const { return quarantine_; }
+  const CallQuarantine& quarantine() const { return quarantine_; }
 
  private:
   // A crash that would be withdrawn if its target turned out to be alive.
@@ -95,7 +95,7 @@
                          const CrashReport& report,
                          Instant now);
   void WithdrawDisprovedCrashes(Instant now);
-  void QuarantineDeadlyParts(Instant now);
+  void QuarantineDeadlyTraits(Instant now);
   // Takes over a quarantine of another entry; returns whether it changed here.
   bool MergeQuarantine(const wire::QuarantinedPartsT& message, Instant now);
   void LogQuarantine(const QuarantineRow& row,
@@ -110,7 +110,7 @@
   CrashDetector crash_detector_;
   // By service.
   std::map<std::string, CrashEvidence> evidence_;
-  PartQuarantine quarantine_;
+  CallQuarantine quarantine_;
   std::map<CrashKey, RecentCrash> recent_crashes_;
   bool is_prober_ = false;
   // Id of the call that was let through last.
--- a/modules/bbv_entry/crash_messages.cc
+++ b/modules/bbv_entry/crash_messages.cc
@@ -9,7 +9,7 @@
 
 // Bounds what one message of another entry can bring.
 constexpr std::size_t kMaxSuspectsOfMessage = 256;
-constexpr std::size_t kMaxPartsOfRow = 64;
+constexpr std::size_t kMaxTraitsOfRow = 64;
 // Longest time taken from a message.
 constexpr uint64_t kMaxTimeMs = 30ULL * 24 * 3600 * 1000;
 
@@ -43,7 +43,8 @@
   message.age_ms = RemainingMilliseconds(now, report.crashed_at);
   for (const CrashSuspect& it : report.suspects) {
     message.suspects.emplace_back(
-        it.part, it.call, RemainingMilliseconds(report.crashed_at, it.sent_at));
+        it.trait, it.call,
+        RemainingMilliseconds(report.crashed_at, it.sent_at));
   }
   return message;
 }
@@ -64,7 +65,7 @@
 wire::QuarantinedPartsT ToMessage(const QuarantineRow& row, Instant now) {
   wire::QuarantinedPartsT message;
   message.service = row.service;
-  message.parts = row.parts;
+  message.parts = row.traits;
   message.crashes = static_cast<uint32_t>(row.crashes);
   message.age_ms = MillisecondsUntil(now, row.since);
   message.probe_in_ms = MillisecondsUntil(row.probe_at, now);
@@ -78,7 +79,7 @@
 QuarantineRow FromMessage(const wire::QuarantinedPartsT& message, Instant now) {
   QuarantineRow row;
   row.service = message.service;
-  row.parts = message.parts;
+  row.traits = message.parts;
   row.crashes = static_cast<int>(message.crashes);
   row.since = now - BoundedTime(message.age_ms);
   row.probe_at = now + BoundedTime(message.probe_in_ms);
@@ -90,7 +91,7 @@
 }
 
 bool IsValid(const wire::QuarantinedPartsT& message) {
-  return !message.parts.empty() && message.parts.size() <= kMaxPartsOfRow &&
+  return !message.parts.empty() && message.parts.size() <= kMaxTraitsOfRow &&
          std::is_sorted(message.parts.begin(), message.parts.end());
 }
 
--- a/modules/bbv_entry/crash_messages.h
+++ b/modules/bbv_entry/crash_messages.h
@@ -3,9 +3,9 @@
 
 #include <string>
 
+#include "bbv_fleet/call_quarantine.h"
 #include "bbv_fleet/crash_detector.h"
 #include "bbv_fleet/crash_evidence.h"
-#include "bbv_fleet/part_quarantine.h"
 #include "bbv_wire/bbv_wire.h"
 
 namespace bbv {
--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -297,7 +297,7 @@
         request.max_output_tokens);
   }
   request.last_event = fields.last_event.value_or(kNoEvent);
-  request.shared_parts = SharedParts(fields.prompt_parts);
+  request.shared_parts = PartTraits(fields.prompt_parts);
   auto call = std::make_unique<RelayedCall>(&context_, index, connection,
                                             std::move(request), std::move(head),
                                             std::move(body));
@@ -619,7 +619,7 @@
   FleetMetrics::GaugeValues ages;
   for (const QuarantineRow& it : crash_guard_.quarantine().Rows()) {
     if (!it.lifted) {
-      ages[{it.service, FormatParts(it.parts)}] =
+      ages[{it.service, FormatTraits(it.traits)}] =
           std::chrono::duration<double>(now - it.since).count();
     }
   }
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -327,8 +327,8 @@
         std::string(kExecutionStatusNames.Name(failure.execution_status))},
        {"sends", static_cast<int64_t>(call_.sends())},
        {"last_target", dispatch_.target_id},
-       {"parts",
-        quarantine == nullptr ? std::string() : FormatParts(quarantine->parts)},
+       {"parts", quarantine == nullptr ? std::string()
+                                       : FormatTraits(quarantine->traits)},
        {"after_ms", MillisecondsBetween(request.arrived, now)},
        {"retry_after_ms",
         static_cast<int64_t>(
@@ -597,7 +597,7 @@
                         {"not_run", failure.not_run},
                         {"after_ms", MillisecondsBetween(sent_at_, now)},
                         {"last_event", call_.last_event()},
-                        {"parts", FormatParts(call_.request().shared_parts)}});
+                        {"parts", FormatTraits(call_.request().shared_parts)}});
   call_.OnSendFailed(failure, now);
   if (failure.fault_address.empty())
     return;
--- a/modules/bbv_fleet/bbv_fleet.h
+++ b/modules/bbv_fleet/bbv_fleet.h
@@ -10,6 +10,8 @@
 #define MODULES_BBV_FLEET_BBV_FLEET_H_
 
 #include "bbv_fleet/admission_queue.h"
+#include "bbv_fleet/call_quarantine.h"
+#include "bbv_fleet/call_trait.h"
 #include "bbv_fleet/crash_detector.h"
 #include "bbv_fleet/crash_evidence.h"
 #include "bbv_fleet/engine_timing.h"
@@ -19,7 +21,6 @@
 #include "bbv_fleet/layer_coverage.h"
 #include "bbv_fleet/layer_planner.h"
 #include "bbv_fleet/layer_replicator.h"
-#include "bbv_fleet/part_quarantine.h"
 #include "bbv_fleet/path_chooser.h"
 #include "bbv_fleet/rate_limit_allocator.h"
 #include "bbv_fleet/response_length_estimator.h"
--- a/modules/bbv_fleet/part_quarantine.cc
+++ b/modules/bbv_fleet/call_quarantine.cc
@@ -1,4 +1,4 @@
-#include "bbv_fleet/part_quarantine.h"
+#include "bbv_fleet/call_quarantine.h"
 
 #include <algorithm>
 #include <cassert>
@@ -23,32 +23,32 @@
   return std::min(delay, kMaxProbeDelay);
 }
 
-// Whether `call_parts`, in any order, contain all of `parts`.
-bool HoldsAll(const std::vector<uint64_t>& call_parts,
-              const std::vector<uint64_t>& parts) {
-  return std::all_of(parts.begin(), parts.end(), [&](uint64_t part) {
-    return std::find(call_parts.begin(), call_parts.end(), part) !=
-           call_parts.end();
+// Whether `call_traits`, in any order, contain all of `traits`.
+bool HoldsAll(const std::vector<uint64_t>& call_traits,
+              const std::vector<uint64_t>& traits) {
+  return std::all_of(traits.begin(), traits.end(), [&](uint64_t trait) {
+    return std::find(call_traits.begin(), call_traits.end(), trait) !=
+           call_traits.end();
   });
 }
 
 }  // namespace
 
-bool PartQuarantine::Add(const std::string& service,
-                         const std::vector<uint64_t>& parts,
+bool CallQuarantine::Add(const std::string& service,
+                         const std::vector<uint64_t>& traits,
                          int crashes,
                          Instant now) {
-  assert(!parts.empty() && std::is_sorted(parts.begin(), parts.end()));
-  if (FindActive(service, parts) != nullptr)
+  assert(!traits.empty() && std::is_sorted(traits.begin(), traits.end()));
+  if (FindActive(service, traits) != nullptr)
     return false;
   for (auto& [key, row] : rows_) {
-    if (key.first == service && !row.lifted && HoldsAll(row.parts, parts))
+    if (key.first == service && !row.lifted && HoldsAll(row.traits, traits))
       Lift(&row, now);
   }
   LimitRows(now);
-  QuarantineRow& row = rows_[{service, parts}];
+  QuarantineRow& row = rows_[{service, traits}];
   row.service = service;
-  row.parts = parts;
+  row.traits = traits;
   row.crashes = crashes;
   row.since = now;
   row.last_refused = now;
@@ -58,32 +58,33 @@
   return true;
 }
 
-const QuarantineRow* PartQuarantine::Find(
+const QuarantineRow* CallQuarantine::Find(
     const std::string& service,
-    const std::vector<uint64_t>& call_parts) const {
+    const std::vector<uint64_t>& call_traits) const {
   for (const auto& [key, row] : rows_) {
-    if (!row.lifted && key.first == service && HoldsAll(call_parts, row.parts))
+    if (!row.lifted && key.first == service &&
+        HoldsAll(call_traits, row.traits))
       return &row;
   }
   return nullptr;
 }
 
-QuarantineRow* PartQuarantine::FindActive(
+QuarantineRow* CallQuarantine::FindActive(
     const std::string& service,
-    const std::vector<uint64_t>& call_parts) {
-  const QuarantineRow* row = Find(service, call_parts);
-  return row == nullptr ? nullptr : &rows_.at({row->service, row->parts});
+    const std::vector<uint64_t>& call_traits) {
+  const QuarantineRow* row = Find(service, call_traits);
+  return row == nullptr ? nullptr : &rows_.at({row->service, row->traits});
 }
 
-QuarantineDecision PartQuarantine::Decide(
+QuarantineDecision CallQuarantine::Decide(
     const std::string& service,
-    const std::vector<uint64_t>& call_parts,
+    const std::vector<uint64_t>& call_traits,
     bool may_probe,
     Instant now) {
-  QuarantineRow* row = FindActive(service, call_parts);
+  QuarantineRow* row = FindActive(service, call_traits);
   if (row == nullptr)
     return QuarantineDecision::kAllowed;
-  Instant& probe_deadline = probe_deadlines_[{service, row->parts}];
+  Instant& probe_deadline = probe_deadlines_[{service, row->traits}];
   if (may_probe && now >= row->probe_at && now >= probe_deadline) {
     probe_deadline = now + kProbeTimeout;
     return QuarantineDecision::kProbe;
@@ -92,22 +93,22 @@
   return QuarantineDecision::kRefused;
 }
 
-bool PartQuarantine::RecordOutput(const std::string& service,
-                                  const std::vector<uint64_t>& call_parts,
+bool CallQuarantine::RecordOutput(const std::string& service,
+                                  const std::vector<uint64_t>& call_traits,
                                   Instant now) {
-  QuarantineRow* row = FindActive(service, call_parts);
+  QuarantineRow* row = FindActive(service, call_traits);
   if (row == nullptr)
     return false;
-  for (; row != nullptr; row = FindActive(service, call_parts))
+  for (; row != nullptr; row = FindActive(service, call_traits))
     Lift(row, now);
   return true;
 }
 
-bool PartQuarantine::RecordCrash(const std::string& service,
-                                 const std::vector<uint64_t>& call_parts,
+bool CallQuarantine::RecordCrash(const std::string& service,
+                                 const std::vector<uint64_t>& call_traits,
                                  Instant sent_at,
                                  Instant now) {
-  QuarantineRow* row = FindActive(service, call_parts);
+  QuarantineRow* row = FindActive(service, call_traits);
   if (row == nullptr || sent_at < row->probe_at)
     return false;
   ++row->failed_probes;
@@ -117,8 +118,8 @@
   return true;
 }
 
-bool PartQuarantine::Merge(const QuarantineRow& row, Instant now) {
-  const Key key{row.service, row.parts};
+bool CallQuarantine::Merge(const QuarantineRow& row, Instant now) {
+  const Key key{row.service, row.traits};
   const auto known = rows_.find(key);
   if (known != rows_.end() && known->second.version >= row.version) {
     QuarantineRow& own = known->second;
@@ -136,14 +137,14 @@
   return was_active == row.lifted;
 }
 
-void PartQuarantine::Lift(QuarantineRow* row, Instant now) {
+void CallQuarantine::Lift(QuarantineRow* row, Instant now) {
   row->lifted = true;
   row->lifted_at = now;
   ++row->version;
-  probe_deadlines_.erase({row->service, row->parts});
+  probe_deadlines_.erase({row->service, row->traits});
 }
 
-void PartQuarantine::LimitRows(Instant now) {
+void CallQuarantine::LimitRows(Instant now) {
   if (rows_.size() < kMaxRows)
     return;
   const auto least_used = std::min_element(
@@ -158,7 +159,7 @@
   rows_.erase(least_used);
 }
 
-void PartQuarantine::OnTick(Instant now) {
+void CallQuarantine::OnTick(Instant now) {
   for (auto it = rows_.begin(); it != rows_.end();) {
     QuarantineRow& row = it->second;
     if (!row.lifted && now >= row.last_refused + kUnusedLifetime)
@@ -168,7 +169,7 @@
   }
 }
 
-std::vector<QuarantineRow> PartQuarantine::Rows() const {
+std::vector<QuarantineRow> CallQuarantine::Rows() const {
   std::vector<QuarantineRow> rows;
   rows.reserve(rows_.size());
   for (const auto& [key, row] : rows_)
@@ -176,7 +177,7 @@
   return rows;
 }
 
-int PartQuarantine::active() const {
+int CallQuarantine::active() const {
   return static_cast<int>(
       std::count_if(rows_.begin(), rows_.end(),
                     [](const auto& it) { return !it.second.lifted; }));
--- a/modules/bbv_fleet/part_quarantine.h
+++ b/modules/bbv_fleet/call_quarantine.h
@@ -1,5 +1,5 @@
-#ifndef MODULES_BBV_FLEET_PART_QUARANTINE_H_
-#define MODULES_BBV_FLEET_PART_QUARANTINE_H_
+#ifndef MODULES_BBV_FLEET_CALL_QUARANTINE_H_
+#define MODULES_BBV_FLEET_CALL_QUARANTINE_H_
 
 #include <cstdint>
 #include <map>
@@ -11,12 +11,12 @@
 
 namespace bbv {
 
-// A quarantine of the calls of a service whose prompts hold all of some parts,
-// because such calls crash their targets.
+// A quarantine of the calls of a service that have all of some traits, because
+// such calls crash their targets.
 struct QuarantineRow {
   std::string service;
   // In ascending order; not empty.
-  std::vector<uint64_t> parts;
+  std::vector<uint64_t> traits;
   // Independent crashes that led to the quarantine.
   int crashes = 0;
   Instant since{};
@@ -43,41 +43,41 @@
 // A quarantine ends without an operator: one entry, the prober, lets a single
 // call through at `probe_at`. Output lifts the quarantine; a crash renews it
 // for ten times as long, a day at most. So the whole fleet spends one target on
-// each probe, and a sound part is served again after a minute. Rows that no
+// each probe, and a sound trait is served again after a minute. Rows that no
 // entry has needed for a day are lifted too.
 //
 // Deterministic; reads no clock. Thread safety: none, owned by one thread.
-class PartQuarantine {
+class CallQuarantine {
  public:
-  // Starts a quarantine. Wider ones, which name more parts than these, are
-  // lifted. Returns false if these parts or fewer are quarantined already.
+  // Starts a quarantine. Wider ones, which name more traits than these, are
+  // lifted. Returns false if these traits or fewer are quarantined already.
   bool Add(const std::string& service,
-           const std::vector<uint64_t>& parts,
+           const std::vector<uint64_t>& traits,
            int crashes,
            Instant now);
 
-  // Decides on a call with these shared parts that is about to be sent.
+  // Decides on a call with these traits that is about to be sent.
   // `may_probe` is set at the prober. A refusal counts as use of the row.
   QuarantineDecision Decide(const std::string& service,
-                            const std::vector<uint64_t>& call_parts,
+                            const std::vector<uint64_t>& call_traits,
                             bool may_probe,
                             Instant now);
 
-  // Returns the row that quarantines a call with these parts, or nullptr.
+  // Returns the row that quarantines a call with these traits, or nullptr.
   const QuarantineRow* Find(const std::string& service,
-                            const std::vector<uint64_t>& call_parts) const;
+                            const std::vector<uint64_t>& call_traits) const;
 
-  // Records that a call with these parts had output: lifts the rows that name
-  // no other parts. Returns whether there were any.
+  // Records that a call with these traits had output: lifts the rows that name
+  // no other traits. Returns whether there were any.
   bool RecordOutput(const std::string& service,
-                    const std::vector<uint64_t>& call_parts,
+                    const std::vector<uint64_t>& call_traits,
                     Instant now);
 
-  // Records that a call with these parts, sent at `sent_at`, was without output
-  // when its target crashed. Returns whether it was a probe: its row is
+  // Records that a call with these traits, sent at `sent_at`, was without
+  // output when its target crashed. Returns whether it was a probe: its row is
   // renewed.
   bool RecordCrash(const std::string& service,
-                   const std::vector<uint64_t>& call_parts,
+                   const std::vector<uint64_t>& call_traits,
                    Instant sent_at,
                    Instant now);
 
@@ -98,7 +98,7 @@
   using Key = std::pair<std::string, std::vector<uint64_t>>;
 
   QuarantineRow* FindActive(const std::string& service,
-                            const std::vector<uint64_t>& call_parts);
+                            const std::vector<uint64_t>& call_traits);
   void Lift(QuarantineRow* row, Instant now);
   // Makes room for one more row.
   void LimitRows(Instant now);
@@ -110,4 +110,4 @@
 
 }  // namespace bbv
 
-#endif  // MODULES_BBV_FLEET_PART_QUARANTINE_H_
+#endif  // MODULES_BBV_FLEET_CALL_QUARANTINE_H_
--- a/modules/bbv_fleet/part_quarantine_test.cc
+++ b/modules/bbv_fleet/call_quarantine_test.cc
@@ -1,4 +1,4 @@
-#include "bbv_fleet/part_quarantine.h"
+#include "bbv_fleet/call_quarantine.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -12,16 +12,16 @@
 
 }  // namespace
 
-TEST_GROUP(PartQuarantine) {
-  PartQuarantine quarantine;
+TEST_GROUP(CallQuarantine) {
+  CallQuarantine quarantine;
 
-  QuarantineDecision Decide(const std::vector<uint64_t>& parts, bool prober,
+  QuarantineDecision Decide(const std::vector<uint64_t>& traits, bool prober,
                             Instant now) {
-    return quarantine.Decide("model", parts, prober, now);
+    return quarantine.Decide("model", traits, prober, now);
   }
 };
 
-TEST(PartQuarantine, RefusesOnlyCallsThatHoldAllPartsOfARow) {
+TEST(CallQuarantine, RefusesOnlyCallsThatHoldAllPartsOfARow) {
   CHECK(quarantine.Add("model", {kFirst, kDeadly}, 3, kStart));
   CHECK(Decide({kDeadly, 5, kFirst}, false, kStart) ==
         QuarantineDecision::kRefused);
@@ -32,7 +32,7 @@
         QuarantineDecision::kAllowed);
 }
 
-TEST(PartQuarantine, ANarrowerRowReplacesAWiderOne) {
+TEST(CallQuarantine, ANarrowerRowReplacesAWiderOne) {
   quarantine.Add("model", {kFirst, kDeadly}, 3, kStart);
   CHECK(quarantine.Add("model", {kDeadly}, 4, kStart));
   CHECK_EQUAL(1, quarantine.active());
@@ -40,7 +40,7 @@
   CHECK(Decide({kDeadly}, false, kStart) == QuarantineDecision::kRefused);
 }
 
-TEST(PartQuarantine, OnlyOneCallIsLetThroughForAProbe) {
+TEST(CallQuarantine, OnlyOneCallIsLetThroughForAProbe) {
   quarantine.Add("model", {kDeadly}, 3, kStart);
   const Instant due = kStart + kFirstProbe;
   CHECK(Decide({kDeadly}, true, due - Milliseconds(1)) ==
@@ -53,7 +53,7 @@
   }
 }
 
-TEST(PartQuarantine, AProbeThatCrashesDelaysTheNextTenTimesAsLong) {
+TEST(CallQuarantine, AProbeThatCrashesDelaysTheNextTenTimesAsLong) {
   quarantine.Add("model", {kDeadly}, 3, kStart);
   Instant now = kStart;
   int probes = 0;
@@ -69,35 +69,35 @@
   CHECK_EQUAL(3, probes);
 }
 
-TEST(PartQuarantine, CallsSentBeforeTheQuarantineAreNoProbes) {
+TEST(CallQuarantine, CallsSentBeforeTheQuarantineAreNoProbes) {
   quarantine.Add("model", {kDeadly}, 3, kStart);
   CHECK(!quarantine.RecordCrash("model", {kDeadly}, kStart - Milliseconds(50),
                                 kStart + Milliseconds(50)));
 }
 
-TEST(PartQuarantine, OutputEndsAQuarantineAtAllEntries) {
+TEST(CallQuarantine, OutputEndsAQuarantineAtAllEntries) {
   quarantine.Add("model", {kDeadly}, 3, kStart);
-  PartQuarantine other;
+  CallQuarantine other;
   CHECK(other.Merge(quarantine.Rows()[0], kStart));
   CHECK(quarantine.RecordOutput("model", {kDeadly, 4}, kStart));
   CHECK(!quarantine.RecordOutput("model", {kDeadly, 4}, kStart));
   CHECK(other.Merge(quarantine.Rows()[0], kStart));
   CHECK_EQUAL(0, other.active());
   // The row of an entry that was cut off does not bring it back.
-  PartQuarantine late;
+  CallQuarantine late;
   late.Add("model", {kDeadly}, 3, kStart);
   CHECK(!other.Merge(late.Rows()[0], kStart));
   CHECK_EQUAL(0, other.active());
 }
 
-TEST(PartQuarantine, ALiftedPartThatCrashesAgainIsQuarantinedAgain) {
+TEST(CallQuarantine, ALiftedPartThatCrashesAgainIsQuarantinedAgain) {
   quarantine.Add("model", {kDeadly}, 3, kStart);
   quarantine.RecordOutput("model", {kDeadly}, kStart);
   CHECK(quarantine.Add("model", {kDeadly}, 3, kStart));
   CHECK_EQUAL(1, quarantine.active());
 }
 
-TEST(PartQuarantine, RowsThatNoEntryNeedsEnd) {
+TEST(CallQuarantine, RowsThatNoEntryNeedsEnd) {
   quarantine.Add("model", {kDeadly}, 3, kStart);
   quarantine.OnTick(kStart + Milliseconds(23LL * 3600 * 1000));
   CHECK_EQUAL(1, quarantine.active());
@@ -105,7 +105,7 @@
   CHECK_EQUAL(0, quarantine.active());
 }
 
-TEST(PartQuarantine, TheNumberOfRowsIsBounded) {
+TEST(CallQuarantine, TheNumberOfRowsIsBounded) {
   for (uint64_t it = 0; it < 1000; ++it) {
     quarantine.Add("model", {it}, 3,
                    kStart + Milliseconds(static_cast<int64_t>(it)));
--- a/modules/bbv_fleet/crash_detector.cc
+++ b/modules/bbv_fleet/crash_detector.cc
@@ -1,49 +1,20 @@
 #include "bbv_fleet/crash_detector.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <iterator>
 
 namespace bbv {
 namespace {
 
-// Bounds the evidence that one call and one crash can bring.
-constexpr std::size_t kMaxSharedParts = 64;
+// Bounds the evidence that one crash can bring.
 constexpr std::size_t kMaxSuspects = 256;
 constexpr Milliseconds kCheckInterval{300};
 // How long a broken connection is remembered. A target that restarts is listed
 // again within this time.
 constexpr Milliseconds kPendingLifetime{15'000};
-constexpr int kHexadecimal = 16;
 
 }  // namespace
 
-std::vector<uint64_t> SharedParts(const std::vector<uint64_t>& prompt_parts) {
-  std::vector<uint64_t> shared;
-  for (std::size_t it = 0; it + 1 < prompt_parts.size(); ++it) {
-    if (shared.size() == kMaxSharedParts)
-      break;
-    if (std::find(shared.begin(), shared.end(), prompt_parts[it]) ==
-        shared.end())
-      shared.push_back(prompt_parts[it]);
-  }
-  return shared;
-}
-
-std::string FormatParts(const std::vector<uint64_t>& parts) {
-  std::string text;
-  for (const uint64_t it : parts) {
-    std::array<char, 16> digits{};
-    const auto result = std::to_chars(
-        digits.data(), digits.data() + digits.size(), it, kHexadecimal);
-    if (!text.empty())
-      text += ',';
-    text.append(digits.data(), result.ptr);
-  }
-  return text;
-}
-
 bool CrashDetector::RecordBrokenCall(const FleetTarget& target,
                                      const BrokenCall& call,
                                      Instant now) {
@@ -62,9 +33,9 @@
   ++crash.broken_calls;
   if (!call.began_output) {
     ++crash.silent_calls;
-    for (const uint64_t part : call.shared_parts) {
+    for (const uint64_t trait : call.traits) {
       if (crash.suspects.size() < kMaxSuspects)
-        crash.suspects.push_back({part, call.call, call.sent_at});
+        crash.suspects.push_back({trait, call.call, call.sent_at});
     }
   }
   if (pending.confirmed || now < pending.next_check)
--- a/modules/bbv_fleet/crash_detector.h
+++ b/modules/bbv_fleet/crash_detector.h
@@ -8,30 +8,24 @@
 #include <vector>
 
 #include "bbv_core/instant.h"
+#include "bbv_fleet/call_trait.h"
 #include "bbv_fleet/target_registry.h"
 
 namespace bbv {
 
-// Returns the parts of a prompt that requests may share: all but the last, each
-// once, up to a limit. Thread safe.
-std::vector<uint64_t> SharedParts(const std::vector<uint64_t>& prompt_parts);
-
-// Returns the ids as hexadecimal numbers, separated by commas. Thread safe.
-std::string FormatParts(const std::vector<uint64_t>& parts);
-
 // A call whose connection to the target that ran it broke.
 struct BrokenCall {
   // Short hash of the call's id.
   uint32_t call = 0;
-  std::vector<uint64_t> shared_parts;
+  std::vector<uint64_t> traits;
   Instant sent_at{};
   // Whether the target had begun to write the call's answer.
   bool began_output = false;
 };
 
-// A prompt part of a call that had no output yet when its target crashed.
+// A trait of a call that had no output yet when its target crashed.
 struct CrashSuspect {
-  uint64_t part = 0;
+  uint64_t trait = 0;
   uint32_t call = 0;
   Instant sent_at{};
 };
--- a/modules/bbv_fleet/crash_detector_test.cc
+++ b/modules/bbv_fleet/crash_detector_test.cc
@@ -100,10 +100,10 @@
 }
 
 TEST(CrashDetector, TheLastPartOfAPromptIsNotShared) {
-  CHECK(SharedParts({}).empty());
-  CHECK(SharedParts({7}).empty());
-  CHECK(SharedParts({7, 8, 7, 9}) == std::vector<uint64_t>({7, 8}));
-  STRCMP_EQUAL("5c1e07a2,7", FormatParts({0x5c1e07a2, 7}).c_str());
+  CHECK(PartTraits({}).empty());
+  CHECK(PartTraits({7}).empty());
+  CHECK(PartTraits({7, 8, 7, 9}) == std::vector<uint64_t>({7, 8}));
+  STRCMP_EQUAL("5c1e07a2,7", FormatTraits({0x5c1e07a2, 7}).c_str());
 }
 
 }  // namespace bbv
--- a/modules/bbv_fleet/crash_evidence.cc
+++ b/modules/bbv_fleet/crash_evidence.cc
@@ -7,11 +7,11 @@
 namespace bbv {
 namespace {
 
-// Fewest independent crashes that make a part deadly, and the number with which
-// rivals do not delay the verdict any more.
+// Fewest independent crashes that make a trait deadly, and the number with
+// which rivals do not delay the verdict any more.
 constexpr std::size_t kMinCrashes = 3;
 constexpr std::size_t kDecisiveCrashes = 6;
-// Highest chance, see ChanceIfSound(), with which a part is held to be deadly
+// Highest chance, see ChanceIfSound(), with which a trait is held to be deadly
 // after kMinCrashes. Each further crash multiplies it, up to a limit: while
 // targets go on ending, waiting costs more callers than a wrong verdict.
 constexpr double kMaxChance = 0.0002;
@@ -22,8 +22,8 @@
 // Retention of accusations; deadly requests may be minutes apart.
 constexpr Milliseconds kAccusationLifetime{600'000};
 constexpr Milliseconds kExpiryInterval{1000};
-constexpr std::size_t kMaxAccusedParts = 8192;
-constexpr std::size_t kMaxAccusationsOfPart = 16;
+constexpr std::size_t kMaxAccusedTraits = 8192;
+constexpr std::size_t kMaxAccusationsOfTrait = 16;
 constexpr std::size_t kMaxCrashes = 512;
 constexpr std::size_t kMaxSilentCallsOfCrash = 64;
 
@@ -47,16 +47,16 @@
   for (const CrashSuspect& it : report.suspects) {
     if (silent.calls.size() < kMaxSilentCallsOfCrash)
       silent.calls.insert(it.call);
-    is_new |= Accuse(it.part, {report.key, report.crashed_at, it.sent_at,
-                               it.call, outputs_});
+    is_new |= Accuse(it.trait, {report.key, report.crashed_at, it.sent_at,
+                                it.call, outputs_});
   }
   has_news_ |= is_new;
   LimitMemory();
   return is_new;
 }
 
-bool CrashEvidence::Accuse(uint64_t part, const Accusation& accusation) {
-  Accusations& list = accusations_[part];
+bool CrashEvidence::Accuse(uint64_t trait, const Accusation& accusation) {
+  Accusations& list = accusations_[trait];
   const auto same = std::find_if(
       list.begin(), list.end(),
       [&](const Accusation& it) { return it.key == accusation.key; });
@@ -73,16 +73,16 @@
         return it.crashed_at > accusation.crashed_at;
       });
   list.insert(later, accusation);
-  if (list.size() > kMaxAccusationsOfPart)
+  if (list.size() > kMaxAccusationsOfTrait)
     list.erase(list.begin());
   return true;
 }
 
 template <typename Predicate>
 void CrashEvidence::RemoveAccusations(Predicate predicate) {
-  for (auto& [part, list] : accusations_) {
-    std::erase_if(list, [&, part = part](const Accusation& it) {
-      return predicate(part, it);
+  for (auto& [trait, list] : accusations_) {
+    std::erase_if(list, [&, trait = trait](const Accusation& it) {
+      return predicate(trait, it);
     });
   }
   std::erase_if(accusations_, [](const auto& it) { return it.second.empty(); });
@@ -94,24 +94,24 @@
 }
 
 std::vector<uint64_t> CrashEvidence::RecordOutput(
-    const std::vector<uint64_t>& parts) {
+    const std::vector<uint64_t>& traits) {
   outputs_ += entries_;
   std::vector<uint64_t> cleared;
   if (accusations_.empty())
     return cleared;
-  for (const uint64_t it : parts) {
-    if (ClearPart(it))
+  for (const uint64_t it : traits) {
+    if (ClearTrait(it))
       cleared.push_back(it);
   }
   return cleared;
 }
 
-bool CrashEvidence::ClearPart(uint64_t part) {
-  if (accusations_.erase(part) == 0)
+bool CrashEvidence::ClearTrait(uint64_t trait) {
+  if (accusations_.erase(trait) == 0)
     return false;
   // Parts that were deadly together with this one are judged again without it.
-  has_news_ |= std::erase_if(verdicts_, [part](const auto& it) {
-                 return std::binary_search(it.begin(), it.end(), part);
+  has_news_ |= std::erase_if(verdicts_, [trait](const auto& it) {
+                 return std::binary_search(it.begin(), it.end(), trait);
                }) > 0;
   return true;
 }
@@ -133,8 +133,8 @@
   return keys;
 }
 
-int CrashEvidence::CrashCount(uint64_t part) const {
-  const auto it = accusations_.find(part);
+int CrashEvidence::CrashCount(uint64_t trait) const {
+  const auto it = accusations_.find(trait);
   return it == accusations_.end()
              ? 0
              : static_cast<int>(IndependentCrashes(it->second).size());
@@ -146,7 +146,7 @@
   const auto first = silent_calls_.find(crashes.front());
   if (first == silent_calls_.end())
     return 1;
-  // Crashes that accuse the part, but not independently, prove nothing.
+  // Crashes that accuse the trait, but not independently, prove nothing.
   const auto independent_crashes = std::count_if(
       silent_calls_.begin(), silent_calls_.end(), [&](const auto& it) {
         return it.second.crashed_at >= first->second.crashed_at &&
@@ -160,7 +160,7 @@
   const double outputs = outputs_ - accusations.front().outputs_before;
   double highest = 0;
   for (int step = 1; step < kPopularitySteps; ++step) {
-    // Share of all calls that hold the part.
+    // Share of all calls that hold the trait.
     const double popularity = static_cast<double>(step) / kPopularitySteps;
     double chance = selections * std::pow(1 - popularity, outputs);
     for (const CrashKey& it : crashes) {
@@ -181,9 +181,9 @@
                      [&key](const Accusation& it) { return it.key == key; });
 }
 
-bool CrashEvidence::IsAccusedByAll(uint64_t part,
+bool CrashEvidence::IsAccusedByAll(uint64_t trait,
                                    const std::vector<CrashKey>& keys) const {
-  const auto row = accusations_.find(part);
+  const auto row = accusations_.find(trait);
   if (row == accusations_.end())
     return false;
   return std::all_of(keys.begin(), keys.end(), [&row](const CrashKey& it) {
@@ -191,32 +191,32 @@
   });
 }
 
-std::vector<uint64_t> CrashEvidence::PartsAccusedByAll(
+std::vector<uint64_t> CrashEvidence::TraitsAccusedByAll(
     const std::vector<CrashKey>& keys) const {
-  std::vector<uint64_t> parts;
-  for (const auto& [part, list] : accusations_) {
-    if (IsAccusedByAll(part, keys))
-      parts.push_back(part);
+  std::vector<uint64_t> traits;
+  for (const auto& [trait, list] : accusations_) {
+    if (IsAccusedByAll(trait, keys))
+      traits.push_back(trait);
   }
-  std::sort(parts.begin(), parts.end());
-  return parts;
+  std::sort(traits.begin(), traits.end());
+  return traits;
 }
 
 std::vector<CrashEvidence::Candidate> CrashEvidence::FindCandidates() const {
   std::vector<Candidate> candidates;
-  for (const auto& [part, list] : accusations_) {
+  for (const auto& [trait, list] : accusations_) {
     if (list.size() < kMinCrashes)
       continue;
     std::vector<CrashKey> crashes = IndependentCrashes(list);
     if (crashes.size() >= kMinCrashes &&
         ChanceIfSound(list, crashes) <= AcceptedChance(crashes.size()))
-      candidates.push_back({part, std::move(crashes)});
+      candidates.push_back({trait, std::move(crashes)});
   }
   std::sort(candidates.begin(), candidates.end(),
             [](const Candidate& left, const Candidate& right) {
               return left.crashes.size() != right.crashes.size()
                          ? left.crashes.size() > right.crashes.size()
-                         : left.part < right.part;
+                         : left.trait < right.trait;
             });
   return candidates;
 }
@@ -226,15 +226,15 @@
   return std::any_of(
       candidates.begin(), candidates.end(), [&](const Candidate& it) {
         return it.crashes.size() == best.crashes.size() &&
-               !IsAccusedByAll(it.part, best.crashes) &&
+               !IsAccusedByAll(it.trait, best.crashes) &&
                std::any_of(it.crashes.begin(), it.crashes.end(),
                            [&](const CrashKey& key) {
-                             return IsAccusedByAll(best.part, {key});
+                             return IsAccusedByAll(best.trait, {key});
                            });
       });
 }
 
-std::optional<DeadlyParts> CrashEvidence::TakeDeadlyParts() {
+std::optional<DeadlyTraits> CrashEvidence::TakeDeadlyTraits() {
   if (!has_news_)
     return std::nullopt;
   for (const std::vector<uint64_t>& it : verdicts_)
@@ -243,29 +243,29 @@
   for (const Candidate& best : candidates) {
     if (best.crashes.size() < kDecisiveCrashes && HasRival(candidates, best))
       continue;
-    DeadlyParts verdict{PartsAccusedByAll(best.crashes),
-                        static_cast<int>(best.crashes.size())};
-    if (verdicts_.insert(verdict.parts).second)
+    DeadlyTraits verdict{TraitsAccusedByAll(best.crashes),
+                         static_cast<int>(best.crashes.size())};
+    if (verdicts_.insert(verdict.traits).second)
       return verdict;
   }
   has_news_ = false;
   return std::nullopt;
 }
 
-void CrashEvidence::RemoveExplained(const std::vector<uint64_t>& parts) {
-  const auto first = accusations_.find(parts.front());
+void CrashEvidence::RemoveExplained(const std::vector<uint64_t>& traits) {
+  const auto first = accusations_.find(traits.front());
   if (first == accusations_.end())
     return;
   std::set<CrashKey> explained;
   for (const Accusation& it : first->second) {
-    if (std::all_of(parts.begin(), parts.end(), [&](uint64_t part) {
-          return IsAccusedByAll(part, {it.key});
+    if (std::all_of(traits.begin(), traits.end(), [&](uint64_t trait) {
+          return IsAccusedByAll(trait, {it.key});
         }))
       explained.insert(it.key);
   }
-  RemoveAccusations([&](uint64_t part, const Accusation& it) {
+  RemoveAccusations([&](uint64_t trait, const Accusation& it) {
     return explained.contains(it.key) &&
-           !std::binary_search(parts.begin(), parts.end(), part);
+           !std::binary_search(traits.begin(), traits.end(), trait);
   });
 }
 
@@ -277,11 +277,11 @@
           return left.second.crashed_at < right.second.crashed_at;
         }));
   }
-  if (accusations_.size() <= kMaxAccusedParts)
+  if (accusations_.size() <= kMaxAccusedTraits)
     return;
   std::vector<Instant> newest;
   newest.reserve(accusations_.size());
-  for (const auto& [part, list] : accusations_)
+  for (const auto& [trait, list] : accusations_)
     newest.push_back(list.back().crashed_at);
   const auto middle =
       newest.begin() + static_cast<std::ptrdiff_t>(newest.size() / 2);
--- a/modules/bbv_fleet/crash_evidence.h
+++ b/modules/bbv_fleet/crash_evidence.h
@@ -34,35 +34,36 @@
   std::vector<CrashSuspect> suspects;
 };
 
-// Parts that crash every target which begins to write an answer on a prompt
-// that holds all of them. Usually one part; more as long as the evidence does
-// not separate them.
-struct DeadlyParts {
+// Traits by which a call that has all of them crashes every target that begins
+// to write its answer. Usually one; more as long as the evidence does not
+// separate them.
+struct DeadlyTraits {
   // In ascending order.
-  std::vector<uint64_t> parts;
+  std::vector<uint64_t> traits;
   int crashes = 0;
 };
 
-// Finds the prompt parts that crash the targets of one service.
+// Finds the traits of calls that crash the targets of one service.
 //
-// A crash accuses the shared parts of the calls that had no output yet when it
-// happened. Most of these are there by chance, so a part is held to be deadly
+// A crash accuses the traits of the calls that had no output yet when it
+// happened. Most of these are there by chance, so a trait is held to be deadly
 // only when
 //  - it is accused by several independent crashes: each time by a call that was
 //    sent after the crash before, and not always by the same call;
-//  - no call with the part has had output since the first of them, at any
-//    entry, as a deadly part leaves none;
-//  - a sound part would hardly show the same: however popular it is, it either
+//  - no call with the trait has had output since the first of them, at any
+//    entry, as a deadly trait leaves none;
+//  - a sound trait would hardly show the same: however popular it is, it either
 //    has output among that of all calls since then, or is rarely under way
 //    without output when a target crashes;
-//  - no other explanation is as good: parts accused by exactly the same crashes
+//  - no other explanation is as good: traits accused by exactly the same
+//  crashes
 //    are deadly together, and rivals accused by some of them delay the verdict
 //    by one crash.
-// Machines that fail one after the other therefore accuse a popular part in
+// Machines that fail one after the other therefore accuse a popular trait in
 // vain: calls with it have output in between.
 //
-// Memory is bounded, also with callers that send ever new parts. Deterministic;
-// reads no clock. Thread safety: none, owned by one thread.
+// Memory is bounded, also with callers that send ever new traits.
+// Deterministic; reads no clock. Thread safety: none, owned by one thread.
 class CrashEvidence {
  public:
   // Adds what an entry saw of a crash. Returns whether any of it was new.
@@ -71,30 +72,30 @@
   // Withdraws the accusations of a crash: the target turned out to be alive.
   void WithdrawCrash(const CrashKey& key);
 
-  // Records that a call of this entry with these shared parts had output.
+  // Records that a call of this entry with these traits had output.
   // Returns those of them that were accused and are cleared by it, for the
   // other entries.
-  std::vector<uint64_t> RecordOutput(const std::vector<uint64_t>& parts);
+  std::vector<uint64_t> RecordOutput(const std::vector<uint64_t>& traits);
 
-  // Clears a part that had output at another entry. Returns whether it was
+  // Clears a trait that had output at another entry. Returns whether it was
   // accused.
-  bool ClearPart(uint64_t part);
+  bool ClearTrait(uint64_t trait);
 
-  // Returns the number of independent crashes that accuse `part`.
-  int CrashCount(uint64_t part) const;
+  // Returns the number of independent crashes that accuse `trait`.
+  int CrashCount(uint64_t trait) const;
 
-  // Returns parts that are deadly by the present evidence, or nullopt if there
-  // are no more. The same parts are returned once, until one of them is
+  // Returns traits that are deadly by the present evidence, or nullopt if there
+  // are no more. The same traits are returned once, until one of them is
   // cleared.
-  std::optional<DeadlyParts> TakeDeadlyParts();
+  std::optional<DeadlyTraits> TakeDeadlyTraits();
 
   // Forgets accusations that are too old; call often.
   void OnTick(Instant now);
 
-  // Sets the number of entries, of whose output this one sees its part only.
+  // Sets the number of entries, of whose output this one sees its trait only.
   void SetEntries(int entries) { entries_ = entries; }
 
-  // Number of accused parts.
+  // Number of accused traits.
   std::size_t size() const { return accusations_.size(); }
 
  private:
@@ -114,24 +115,24 @@
   };
   using Accusations = std::vector<Accusation>;
   struct Candidate {
-    uint64_t part = 0;
+    uint64_t trait = 0;
     // Keys of its independent crashes, in the order of their times.
     std::vector<CrashKey> crashes;
   };
 
   // Adds an accusation; returns whether it was new.
-  bool Accuse(uint64_t part, const Accusation& accusation);
-  // Removes the accusations for which `predicate(part, accusation)` holds.
+  bool Accuse(uint64_t trait, const Accusation& accusation);
+  // Removes the accusations for which `predicate(trait, accusation)` holds.
   template <typename Predicate>
   void RemoveAccusations(Predicate predicate);
   // Returns the keys of independent crashes, in the order of their times, or
   // nothing if the same call is behind all of them.
   static std::vector<CrashKey> IndependentCrashes(
       const Accusations& accusations);
-  // Returns the parts that are hardly sound, most crashes first.
+  // Returns the traits that are hardly sound, most crashes first.
   std::vector<Candidate> FindCandidates() const;
-  // Returns how probable it is at most, however popular the part, that a sound
-  // part with these accusations is accused by as many of the known crashes as
+  // Returns how probable it is at most, however popular the trait, that a sound
+  // trait with these accusations is accused by as many of the known crashes as
   // `crashes`, its independent ones, and has had no output since.
   double ChanceIfSound(const Accusations& accusations,
                        const std::vector<CrashKey>& crashes) const;
@@ -139,18 +140,18 @@
   bool HasRival(const std::vector<Candidate>& candidates,
                 const Candidate& best) const;
   static bool IsAccusedBy(const Accusations& accusations, const CrashKey& key);
-  bool IsAccusedByAll(uint64_t part, const std::vector<CrashKey>& keys) const;
-  // Returns the parts accused by all of these crashes, in ascending order.
-  std::vector<uint64_t> PartsAccusedByAll(
+  bool IsAccusedByAll(uint64_t trait, const std::vector<CrashKey>& keys) const;
+  // Returns the traits accused by all of these crashes, in ascending order.
+  std::vector<uint64_t> TraitsAccusedByAll(
       const std::vector<CrashKey>& keys) const;
-  // Removes the accusations against other parts by crashes that accuse all of
-  // `parts`.
-  void RemoveExplained(const std::vector<uint64_t>& parts);
+  // Removes the accusations against other traits by crashes that accuse all of
+  // `traits`.
+  void RemoveExplained(const std::vector<uint64_t>& traits);
   void LimitMemory();
 
-  // By part; ordered by time within a part.
+  // By trait; ordered by time within a trait.
   std::unordered_map<uint64_t, Accusations> accusations_;
-  // Sets of parts that were returned as deadly.
+  // Sets of traits that were returned as deadly.
   std::set<std::vector<uint64_t>> verdicts_;
   // Whether there may be a verdict that was not returned yet.
   bool has_news_ = false;
--- a/modules/bbv_fleet/crash_evidence_test.cc
+++ b/modules/bbv_fleet/crash_evidence_test.cc
@@ -19,36 +19,36 @@
   uint32_t next_target = 1;
   uint32_t next_call = 1;
 
-  // A target crashes 100 ms after calls with these parts were sent to it; time
+  // A target crashes 100 ms after calls with these traits were sent to it; time
   // goes on by `pause` first.
   CrashReport MakeCrash(const std::vector<std::vector<uint64_t>>& calls,
                         Milliseconds pause = Milliseconds(300)) {
     now += pause;
     CrashReport report{{next_target++, 1}, now, {}};
-    for (const std::vector<uint64_t>& parts : calls) {
+    for (const std::vector<uint64_t>& traits : calls) {
       const uint32_t call = next_call++;
-      for (const uint64_t part : parts)
-        report.suspects.push_back({part, call, now - Milliseconds(100)});
+      for (const uint64_t trait : traits)
+        report.suspects.push_back({trait, call, now - Milliseconds(100)});
     }
     return report;
   }
-  // The same, while 30 calls with other parts have output.
+  // The same, while 30 calls with other traits have output.
   void Crash(const std::vector<std::vector<uint64_t>>& calls) {
     evidence.AddCrash(MakeCrash(calls));
     for (int it = 0; it < 30; ++it)
       evidence.RecordOutput({});
   }
-  // Whether exactly `parts` are found deadly.
-  bool Finds(const std::vector<uint64_t>& parts) {
-    const auto found = evidence.TakeDeadlyParts();
-    return found && found->parts == parts && !evidence.TakeDeadlyParts();
+  // Whether exactly `traits` are found deadly.
+  bool Finds(const std::vector<uint64_t>& traits) {
+    const auto found = evidence.TakeDeadlyTraits();
+    return found && found->traits == traits && !evidence.TakeDeadlyTraits();
   }
 };
 
 TEST(CrashEvidence, APartInThreeCrashesInARowIsDeadly) {
   Crash({{kFirst, kDeadly}, {1}});
   Crash({{2, kDeadly}});
-  CHECK(!evidence.TakeDeadlyParts());
+  CHECK(!evidence.TakeDeadlyTraits());
   Crash({{3, kDeadly}, {1}});
   CHECK(Finds({kDeadly}));
 }
@@ -58,7 +58,7 @@
   Crash({{2, kDeadly}});
   for (int it = 0; it < 8; ++it)
     evidence.AddCrash(MakeCrash({{3, kDeadly}}, Milliseconds(2)));
-  CHECK(!evidence.TakeDeadlyParts());
+  CHECK(!evidence.TakeDeadlyTraits());
   Crash({{4, kDeadly}});
   CHECK(Finds({kDeadly}));
 }
@@ -67,7 +67,7 @@
   for (int it = 0; it < 10; ++it) {
     Crash({{kFirst}});
     CHECK(evidence.RecordOutput({kFirst}) == std::vector<uint64_t>({kFirst}));
-    CHECK(!evidence.TakeDeadlyParts());
+    CHECK(!evidence.TakeDeadlyTraits());
   }
   CHECK(evidence.RecordOutput({kFirst}).empty());
 }
@@ -75,9 +75,9 @@
 TEST(CrashEvidence, OutputAtAnotherEntryClearsAPart) {
   Crash({{kFirst}});
   Crash({{kFirst}});
-  CHECK(evidence.ClearPart(kFirst));
+  CHECK(evidence.ClearTrait(kFirst));
   Crash({{kFirst}});
-  CHECK(!evidence.TakeDeadlyParts());
+  CHECK(!evidence.TakeDeadlyTraits());
 }
 
 // A rack fails: the calls had been sent before the first of the crashes.
@@ -86,7 +86,7 @@
     evidence.AddCrash(MakeCrash({{kFirst}}, Milliseconds(5)));
     CHECK_EQUAL(1, evidence.CrashCount(kFirst));
   }
-  CHECK(!evidence.TakeDeadlyParts());
+  CHECK(!evidence.TakeDeadlyTraits());
 }
 
 TEST(CrashEvidence, OneCallAloneDoesNotMakeAPartDeadly) {
@@ -94,7 +94,7 @@
     next_call = 7;
     Crash({{kFirst}});
   }
-  CHECK(!evidence.TakeDeadlyParts());
+  CHECK(!evidence.TakeDeadlyTraits());
 }
 
 TEST(CrashEvidence, ReportsOfSeveralEntriesOnOneCrashCountOnce) {
@@ -111,7 +111,7 @@
   for (int it = 0; it < 3; ++it)
     Crash({{kFirst, kDeadly}});
   CHECK(Finds({kFirst, kDeadly}));
-  // Sound calls with the same first part go on and clear it.
+  // Sound calls with the same first trait go on and clear it.
   evidence.RecordOutput({kFirst});
   CHECK(Finds({kDeadly}));
 }
@@ -140,12 +140,12 @@
     Crash({{kFirst + 10 + it, kDeadly}});
     Crash({{kFirst + 20 + it, kOther}});
   }
-  const auto first = evidence.TakeDeadlyParts();
-  const auto second = evidence.TakeDeadlyParts();
-  CHECK(first && second && !evidence.TakeDeadlyParts());
-  CHECK(std::min(first->parts, second->parts) ==
+  const auto first = evidence.TakeDeadlyTraits();
+  const auto second = evidence.TakeDeadlyTraits();
+  CHECK(first && second && !evidence.TakeDeadlyTraits());
+  CHECK(std::min(first->traits, second->traits) ==
         std::vector<uint64_t>({kOther}));
-  CHECK(std::max(first->parts, second->parts) ==
+  CHECK(std::max(first->traits, second->traits) ==
         std::vector<uint64_t>({kDeadly}));
 }
 
@@ -160,7 +160,7 @@
 TEST(CrashEvidence, NoPartIsDeadlyWhileNoCallHasOutput) {
   for (int it = 0; it < 12; ++it)
     evidence.AddCrash(MakeCrash({{kFirst}, {1}, {2}}));
-  CHECK(!evidence.TakeDeadlyParts());
+  CHECK(!evidence.TakeDeadlyTraits());
   // Once other calls have output, its lack of output tells.
   for (int it = 0; it < 100; ++it)
     evidence.RecordOutput({3});
@@ -179,7 +179,7 @@
       other.AddCrash(MakeCrash(calls));
       for (int it = 0; it < 15; ++it)
         other.RecordOutput({});
-      if (other.TakeDeadlyParts())
+      if (other.TakeDeadlyTraits())
         return n;
     }
     return 100;
@@ -201,10 +201,10 @@
   Crash({{kDeadly}});
   Crash({{kDeadly}});
   for (uint64_t it = 0; it < 200; ++it) {
-    std::vector<uint64_t> parts;
+    std::vector<uint64_t> traits;
     for (uint64_t n = 0; n < 200; ++n)
-      parts.push_back(1'000'000 + it * 200 + n);
-    Crash({parts});
+      traits.push_back(1'000'000 + it * 200 + n);
+    Crash({traits});
     CHECK(evidence.size() <= 8192);
   }
   // What several crashes accuse is kept.
@@ -212,18 +212,18 @@
   CHECK(Finds({kDeadly}));
 }
 
-// A caller sends the part of another account along with a deadly one.
+// A caller sends the trait of another account along with a deadly one.
 TEST(CrashEvidence, APartInUseCannotBeGivenTheBlameOfAnother) {
   constexpr uint64_t kVictim = 0x71c;
   for (int it = 0; it < 20; ++it) {
     Crash({{kVictim, kDeadly}});
     evidence.RecordOutput({kVictim});
-    if (const auto found = evidence.TakeDeadlyParts())
-      CHECK(found->parts == std::vector<uint64_t>({kDeadly}));
+    if (const auto found = evidence.TakeDeadlyTraits())
+      CHECK(found->traits == std::vector<uint64_t>({kDeadly}));
   }
 }
 
-// Crashes of other causes with a part in most of the calls: 200 seeds, 40
+// Crashes of other causes with a trait in most of the calls: 200 seeds, 40
 // targets that fail one after the other, in groups or by turns, while the
 // calls that are under way at other targets have output.
 TEST(CrashEvidence, CrashesOfOtherCausesQuarantineNoPopularPart) {
@@ -247,9 +247,9 @@
         report.suspects.push_back({draw_part(), next_call++, sent_at});
       }
       fleet.AddCrash(report);
-      while (const auto found = fleet.TakeDeadlyParts()) {
+      while (const auto found = fleet.TakeDeadlyTraits()) {
         ++wrong;
-        if (found->parts == std::vector<uint64_t>({kFirst}))
+        if (found->traits == std::vector<uint64_t>({kFirst}))
           FAIL(("seed " + std::to_string(seed)).c_str());
       }
       // 20 calls a second reach targets that stay.
@@ -258,7 +258,7 @@
       fleet.OnTick(time);
     }
   }
-  // A rare part may be mistaken after one in a thousand of the 8000 crashes.
+  // A rare trait may be mistaken after one in a thousand of the 8000 crashes.
   CHECK(wrong <= 8);
 }
 
--- a/tests/virtual_fleet.cc
+++ b/tests/virtual_fleet.cc
@@ -151,7 +151,7 @@
   std::map<std::string, std::map<uint32_t, uint32_t>> zones;
   std::set<std::string> faults;
   CrashEvidence evidence;
-  PartQuarantine quarantine;
+  CallQuarantine quarantine;
   Instant next_quarantine_share{};
   bool running = true;
   bool frozen = false;
