Log the requests that crashed targets were handling

target-crashed names a hash for each request that had no output when its target ended: client account, method, path and body. With it two requests with one prompt part can be told apart, and a request that comes again recognised. The hash is cryptographic, as clients choose bodies, and computed only when a call broke or something is quarantined or accused.

No decision uses it yet: evidence is given the prompt parts alone.

--- a/modules/bbv_entry/crash_guard.cc
+++ b/modules/bbv_entry/crash_guard.cc
@@ -11,7 +11,7 @@
 namespace {
 
 // Parts named in one log line.
-constexpr std::size_t kMaxLoggedTraits = 32;
+constexpr std::size_t kMaxLoggedTraits = 64;
 // Independent crashes that accuse a part of a call from which on the call is
 // not repeated.
 constexpr int kCrashesWithoutRepeat = 2;
@@ -22,7 +22,7 @@
 // Interval at which all quarantines are sent, for entries that missed a notice.
 constexpr Milliseconds kShareInterval{1000};
 
-// Returns the distinct parts of the suspects, in the order of the calls.
+// Returns the distinct traits of the suspects, in the order of the calls.
 std::vector<uint64_t> SuspectTraits(const TargetCrash& crash) {
   std::vector<uint64_t> parts;
   for (const CrashSuspect& it : crash.suspects) {
@@ -52,49 +52,51 @@
     evidence.SetEntries(entries);
 }
 
-std::optional<CallEndReason> CrashGuard::FindObstacle(
-    const CallRequest& request,
-    bool is_repeat,
-    Instant now) {
-  if (request.shared_parts.empty())
-    return std::nullopt;
-  switch (quarantine_.Decide(request.service, request.shared_parts, is_prober_,
-                             now)) {
-    case QuarantineDecision::kRefused:
-      return CallEndReason::kQuarantined;
-    case QuarantineDecision::kProbe:
-      probe_call_ = request.attempt_id;
-      log_->Write(Event::kPartProbed, now,
-                  {{"id", request.attempt_id},
-                   {"service", request.service},
-                   {"parts", FormatTraits(FindQuarantine(request)->traits)}});
-      return std::nullopt;
-    case QuarantineDecision::kAllowed:
-      break;
+std::optional<CallEndReason> CrashGuard::FindObstacle(const GuardedCall& call,
+                                                      bool is_repeat,
+                                                      Instant now) {
+  if (quarantine_.active() > 0) {
+    switch (
+        quarantine_.Decide(call.service, call.traits.Get(), is_prober_, now)) {
+      case QuarantineDecision::kRefused:
+        return CallEndReason::kQuarantined;
+      case QuarantineDecision::kProbe:
+        probe_call_ = call.attempt_id;
+        log_->Write(Event::kPartProbed, now,
+                    {{"id", call.attempt_id},
+                     {"service", call.service},
+                     {"parts", FormatTraits(FindQuarantine(call)->traits)}});
+        return std::nullopt;
+      case QuarantineDecision::kAllowed:
+        break;
+    }
   }
-  const auto evidence = evidence_.find(request.service);
-  if (!is_repeat || evidence == evidence_.end())
-    return std::nullopt;
-  const bool is_suspect = std::any_of(
-      request.shared_parts.begin(), request.shared_parts.end(),
-      [&](uint64_t part) {
-        return evidence->second.CrashCount(part) >= kCrashesWithoutRepeat;
-      });
-  return is_suspect ? std::optional(CallEndReason::kCrashSuspect)
-                    : std::nullopt;
+  return is_repeat && IsSuspect(call)
+             ? std::optional(CallEndReason::kCrashSuspect)
+             : std::nullopt;
+}
+
+bool CrashGuard::IsSuspect(const GuardedCall& call) const {
+  const auto evidence = evidence_.find(call.service);
+  if (evidence == evidence_.end() || evidence->second.size() == 0)
+    return false;
+  const std::vector<uint64_t>& traits = call.traits.Get();
+  return std::any_of(traits.begin(), traits.end(), [&](uint64_t trait) {
+    return evidence->second.CrashCount(trait) >= kCrashesWithoutRepeat;
+  });
 }
 
-bool CrashGuard::IsQuarantined(const CallRequest& request) const {
-  return request.attempt_id != probe_call_ &&
-         FindQuarantine(request) != nullptr;
+bool CrashGuard::IsQuarantined(const GuardedCall& call) const {
+  return call.attempt_id != probe_call_ && FindQuarantine(call) != nullptr;
 }
 
-const QuarantineRow* CrashGuard::FindQuarantine(
-    const CallRequest& request) const {
-  return quarantine_.Find(request.service, request.shared_parts);
+const QuarantineRow* CrashGuard::FindQuarantine(const GuardedCall& call) const {
+  return quarantine_.active() == 0
+             ? nullptr
+             : quarantine_.Find(call.service, call.traits.Get());
 }
 
-void CrashGuard::OnCallBroken(const CallRequest& request,
+void CrashGuard::OnCallBroken(const GuardedCall& call,
                               const std::string& target_id,
                               Instant sent_at,
                               bool began_output,
@@ -102,9 +104,9 @@
   const FleetTarget* target = registry_->Find(target_id);
   if (target == nullptr)
     return;
-  const BrokenCall call{HashBytes32(request.attempt_id), request.shared_parts,
-                        sent_at, began_output};
-  if (crash_detector_.RecordBrokenCall(*target, call, now))
+  const BrokenCall broken{HashBytes32(call.attempt_id), call.traits.Get(),
+                          sent_at, began_output};
+  if (crash_detector_.RecordBrokenCall(*target, broken, now))
     CheckTarget(*target, now);
 }
 
@@ -120,25 +122,29 @@
       });
 }
 
-void CrashGuard::OnOutput(const CallRequest& request, Instant now) {
-  std::vector<uint64_t> cleared =
-      evidence_[request.service].RecordOutput(request.shared_parts);
-  const QuarantineRow* row = FindQuarantine(request);
+void CrashGuard::OnOutput(const GuardedCall& call, Instant now) {
+  CrashEvidence& evidence = evidence_[call.service];
+  std::vector<uint64_t> cleared;
+  if (evidence.size() == 0)
+    evidence.RecordOutput({});
+  else
+    cleared = evidence.RecordOutput(call.traits.Get());
+  const QuarantineRow* row = FindQuarantine(call);
   if (cleared.empty() && row == nullptr)
     return;
   wire::CrashNoticeT notice;
   if (!cleared.empty()) {
     wire::ClearedPartsT& parts = notice.cleared.emplace_back();
-    parts.service = request.service;
+    parts.service = call.service;
     parts.parts = std::move(cleared);
   }
   if (row != nullptr) {
     log_->Write(Event::kPartQuarantineEnded, now,
-                {{"service", request.service},
+                {{"service", call.service},
                  {"parts", FormatTraits(row->traits)},
                  {"evidence", "output"},
-                 {"id", request.attempt_id}});
-    quarantine_.RecordOutput(request.service, request.shared_parts, now);
+                 {"id", call.attempt_id}});
+    quarantine_.RecordOutput(call.service, call.traits.Get(), now);
     notice.quarantines = EncodeRows(now);
   }
   announce_(std::move(notice), now);
@@ -169,7 +175,10 @@
                {"parts", FormatTraits(SuspectTraits(crash))},
                {"age_ms", static_cast<int64_t>(
                               RemainingMilliseconds(now, crash.crashed_at))}});
-  const CrashReport report = ToReport(crash);
+  CrashReport report = ToReport(crash);
+  std::erase_if(report.suspects, [](const CrashSuspect& it) {
+    return IsRequestTrait(it.trait);
+  });
   if (report.suspects.empty() || !AddCrash(crash.service, report, now))
     return;
   wire::CrashNoticeT notice;
--- a/modules/bbv_entry/crash_guard.h
+++ b/modules/bbv_entry/crash_guard.h
@@ -15,6 +15,13 @@
 
 namespace bbv {
 
+// A call as far as it matters for what crashes targets. Refers to its owner.
+struct GuardedCall {
+  const std::string& service;
+  const std::string& attempt_id;
+  const CallTraits& traits;
+};
+
 // Keeps calls that crash their targets away from further targets: connects the
 // crash detector, the evidence and the quarantines with the calls of this entry
 // and with the other entries.
@@ -37,28 +44,28 @@
 
   // Returns why a call must not be sent, or nullopt. `is_repeat` if it was sent
   // before.
-  std::optional<CallEndReason> FindObstacle(const CallRequest& request,
+  std::optional<CallEndReason> FindObstacle(const GuardedCall& call,
                                             bool is_repeat,
                                             Instant now);
 
   // Whether an open call is quarantined; false for the call that is let through
   // as a probe.
-  bool IsQuarantined(const CallRequest& request) const;
+  bool IsQuarantined(const GuardedCall& call) const;
 
   // Returns the quarantine that applies to the call, or nullptr. Valid until
   // the next call of another method.
-  const QuarantineRow* FindQuarantine(const CallRequest& request) const;
+  const QuarantineRow* FindQuarantine(const GuardedCall& call) const;
 
   // Handles the end of a connection under a call that was sent to `target_id`
   // at `sent_at`.
-  void OnCallBroken(const CallRequest& request,
+  void OnCallBroken(const GuardedCall& call,
                     const std::string& target_id,
                     Instant sent_at,
                     bool began_output,
                     Instant now);
 
   // Handles a call whose target has begun to write its answer and has gone on.
-  void OnOutput(const CallRequest& request, Instant now);
+  void OnOutput(const GuardedCall& call, Instant now);
 
   void OnTick(Instant now);
 
@@ -85,6 +92,8 @@
     int64_t heartbeat = 0;
   };
 
+  // Whether so many crashes accuse a trait of the call that it is not repeated.
+  bool IsSuspect(const GuardedCall& call) const;
   void CheckTarget(const FleetTarget& target, Instant now);
   void OnCrash(const TargetCrash& crash, Instant now);
   // Adds a crash to the evidence; returns whether it was new.
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -66,6 +66,10 @@
       caller_(caller),
       head_(std::move(head)),
       body_(std::move(body)),
+      traits_({request.account == nullptr ? std::string_view()
+                                          : request.account->name,
+               head_.method, head_.target, body_},
+              request.shared_parts),
       call_(std::move(request), this) {
   assert(context != nullptr && caller != nullptr);
 }
@@ -125,7 +129,7 @@
 }
 
 void RelayedCall::CheckQuarantine(Instant now) {
-  if (context_->crash_guard->IsQuarantined(call_.request()))
+  if (context_->crash_guard->IsQuarantined(Guarded()))
     call_.OnQuarantined(now);
 }
 
@@ -136,7 +140,7 @@
     CallEndReason* end) {
   if (!call_.relaying()) {
     const auto obstacle =
-        context_->crash_guard->FindObstacle(request, call_.sends() > 0, now);
+        context_->crash_guard->FindObstacle(Guarded(), call_.sends() > 0, now);
     if (obstacle) {
       path_failure_ = PathFailure::kNone;
       *end = *obstacle;
@@ -292,7 +296,7 @@
     earliest = std::max(earliest,
                         Milliseconds(RemainingMilliseconds(*allowance, now)));
   if (end == CallEndReason::kQuarantined) {
-    const QuarantineRow* row = context_->crash_guard->FindQuarantine(request);
+    const QuarantineRow* row = context_->crash_guard->FindQuarantine(Guarded());
     const Instant probe_at = row == nullptr ? now : row->probe_at;
     return std::max(earliest,
                     Milliseconds(RemainingMilliseconds(probe_at, now)));
@@ -313,7 +317,7 @@
   const CallRequest& request = call_.request();
   const Instant now = EventLoop::Now();
   const QuarantineRow* quarantine =
-      context_->crash_guard->FindQuarantine(request);
+      context_->crash_guard->FindQuarantine(Guarded());
   const bool refused = failure.execution_status == ExecutionStatus::kNotRun;
   context_->metrics->CountFailure(request.service, failure.end);
   context_->log->Write(
@@ -428,7 +432,7 @@
       last = *it.id;
       ++events_relayed_;
       if (++events_of_send_ == kEventsOfStartedOutput)
-        context_->crash_guard->OnOutput(call_.request(), EventLoop::Now());
+        context_->crash_guard->OnOutput(Guarded(), EventLoop::Now());
     }
     chunk_.append(it.text);
   }
@@ -524,7 +528,7 @@
     }
     FinishSend(false, now);
     if (!began_output())
-      context_->crash_guard->OnOutput(call_.request(), now);
+      context_->crash_guard->OnOutput(Guarded(), now);
     call_.OnResponseComplete();
     context_->metrics->CountServed(call_.request().service);
     RecordResponseLength();
@@ -553,7 +557,7 @@
   FinishSend(false, now);
   // An error response does not show that the target could write an answer.
   if (success)
-    context_->crash_guard->OnOutput(call_.request(), now);
+    context_->crash_guard->OnOutput(Guarded(), now);
   call_.OnResponseComplete();
   context_->metrics->CountServed(call_.request().service);
   LogFinished(now);
@@ -570,7 +574,7 @@
                  : CallEndReason::kConnectionBroken;
   const std::string target_id = dispatch_.target_id;
   if (failure == ExchangeFailure::kBroken) {
-    context_->crash_guard->OnCallBroken(call_.request(), target_id, sent_at_,
+    context_->crash_guard->OnCallBroken(Guarded(), target_id, sent_at_,
                                         began_output(), EventLoop::Now());
   }
   FailSend(send, failure == ExchangeFailure::kNotConnected ? "not connected"
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -113,6 +113,9 @@
   void OnExchangeFailed(ExchangeFailure failure) override;
 
  private:
+  GuardedCall Guarded() const {
+    return {call_.request().service, call_.request().attempt_id, traits_};
+  }
   void OnPathChangeAnswer(const OrderAnswer& answer, const CallDispatch& path);
   void RelayEvents(std::string_view data);
   // Fails the current send because its answer violates the protocol.
@@ -145,6 +148,7 @@
   CallerConnection* caller_;
   HttpHead head_;
   std::string body_;
+  CallTraits traits_;
   FleetCall call_;
 
   // Why the last path selection failed.
