--- a/tests/fleet_floor.cc
+++ b/tests/fleet_floor.cc
@@ -183,7 +183,8 @@
 
 StreamAnswer FleetFloor::Stream(int entry,
                                 const std::string& id,
-                                const std::string& parts) {
+                                const std::string& parts,
+                                const std::string& path) {
   StreamAnswer answer;
   httplib::Headers headers = MakeCallHeaders(id, 5000);
   if (!parts.empty())
@@ -192,7 +193,7 @@
   client.set_read_timeout(6);
   std::string text;
   const auto result =
-      client.Get("/stream/x", headers, [&](const char* data, std::size_t n) {
+      client.Get(path, headers, [&](const char* data, std::size_t n) {
         text.append(data, n);
         return true;
       });
--- a/tests/fleet_floor.h
+++ b/tests/fleet_floor.h
@@ -68,7 +68,8 @@
   // none.
   StreamAnswer Stream(int entry,
                       const std::string& id,
-                      const std::string& parts = {});
+                      const std::string& parts = {},
+                      const std::string& path = "/stream/x");
   // Calls a plain service; `path` is, for example, "/safe/x".
   httplib::Result Call(int entry,
                        const std::string& path,
--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -291,7 +291,7 @@
   auto server = std::make_unique<httplib::Server>();
   ConfigureServer(server.get());
   // A server ends only after its idle connections.
-  if (!options_.deadly_part.empty())
+  if (!options_.deadly_part.empty() || !options_.deadly_path.empty())
     server->set_keep_alive_timeout(1);
   const auto handle = [this, target](const httplib::Request& request,
                                      httplib::Response& response) {
@@ -520,9 +520,8 @@
     return;
   }
   const std::string id = request.get_header_value("X-Attempt-Id");
-  const bool deadly = HoldsDeadlyPart(request.get_header_value("X-Prefix-Hash"),
-                                      options_.deadly_part);
-  deadly_part_calls_ += deadly ? 1 : 0;
+  const bool deadly = IsDeadly(request);
+  deadly_calls_ += deadly ? 1 : 0;
   ++runs_[id];
   response.set_header("X-Attempt-Id", id);
   response.set_header("X-Response-Signature", "signature-of-" + target->id);
@@ -579,6 +578,13 @@
                                           release);
 }
 
+bool FleetTargets::IsDeadly(const httplib::Request& request) const {
+  return HoldsDeadlyPart(request.get_header_value("X-Prefix-Hash"),
+                         options_.deadly_part) ||
+         (!options_.deadly_path.empty() &&
+          request.path == options_.deadly_path);
+}
+
 bool FleetTargets::HandleInjectedFault(Target* target,
                                        const httplib::Request& request,
                                        httplib::Response& response) {
@@ -665,6 +671,14 @@
   {
     const std::lock_guard lock(mutex_);
     ++runs_[id];
+    deadly_calls_ += IsDeadly(request) ? 1 : 0;
+  }
+  if (IsDeadly(request)) {
+    CrashAndRestart(target);
+    // Breaks the connection off.
+    response.set_chunked_content_provider(
+        "text/plain", [](std::size_t, httplib::DataSink&) { return false; });
+    return;
   }
   std::this_thread::sleep_for(milliseconds(options_.work_ms));
   response.set_header("X-Response-Signature", "signature-of-" + target->id);
@@ -685,7 +699,7 @@
   const std::lock_guard lock(mutex_);
   if (stopping_ || target->crashed.exchange(true))
     return;
-  ++deadly_part_crashes_;
+  ++deadly_crashes_;
   restarts_.emplace_back([this, target] {
     target->server->stop();
     target->thread.join();
@@ -710,14 +724,14 @@
   });
 }
 
-int FleetTargets::DeadlyPartCrashCount() {
+int FleetTargets::DeadlyCrashCount() {
   const std::lock_guard lock(mutex_);
-  return deadly_part_crashes_;
+  return deadly_crashes_;
 }
 
-int FleetTargets::DeadlyPartCallCount() {
+int FleetTargets::DeadlyCallCount() {
   const std::lock_guard lock(mutex_);
-  return deadly_part_calls_;
+  return deadly_calls_;
 }
 
 int FleetTargets::PathChangeCount() {
--- a/tests/standins/fleet_standin.h
+++ b/tests/standins/fleet_standin.h
@@ -115,6 +115,9 @@
     // An engine that begins to write an answer on a prompt with this part, not
     // its last, crashes and starts again after `restart_ms`. Empty for none.
     std::string deadly_part;
+    // Any target that begins to run a request with this path does the same.
+    // Empty for none.
+    std::string deadly_path;
     int restart_ms = 1000;
     // Each engine answers every n-th call with status 500 before it begins to
     // write; 0 for none.
@@ -165,10 +168,10 @@
   int PathChangeCount();
   // Whether live engines hold every layer.
   bool HoldsAllLayers();
-  // Number of crashes by a deadly part, and of calls with such a part that have
-  // reached engines.
-  int DeadlyPartCrashCount();
-  int DeadlyPartCallCount();
+  // Number of crashes by deadly calls, and of such calls that have reached
+  // targets.
+  int DeadlyCrashCount();
+  int DeadlyCallCount();
   // Number of executions started, by attempt id.
   std::map<std::string, int> ExecutionCounts();
 
@@ -195,7 +198,9 @@
                        const httplib::Request& request,
                        httplib::Response& response);
   std::unique_ptr<httplib::Server> MakeServer(Target* target);
-  // Ends the engine's process and starts an empty one after `restart_ms`.
+  // Whether a call crashes the target that begins to run it.
+  bool IsDeadly(const httplib::Request& request) const;
+  // Ends the target's process and starts an empty one after `restart_ms`.
   void CrashAndRestart(Target* target);
   // Address of the first target on `path` that has crashed or does not hold its
   // layers; empty if there is none. Requires `mutex_`.
@@ -209,8 +214,8 @@
   // Path of each active stream, by attempt id.
   std::map<std::string, std::shared_ptr<std::string>> streams_;
   int path_changes_ = 0;
-  int deadly_part_crashes_ = 0;
-  int deadly_part_calls_ = 0;
+  int deadly_crashes_ = 0;
+  int deadly_calls_ = 0;
   std::vector<std::thread> restarts_;
   std::atomic<bool> stopping_{false};
   std::thread heartbeats_;
