Reproduce a request that crashes targets, with a stand-in

Three entries, sound calls and one request that comes again every 150 ms and crashes each target that begins to run it: a stream whose parts sound prompts share, and plain calls of both kinds. The users' bound: at most three more after the third crash and three seconds.

--- /dev/null
+++ b/tests/deadly_request_test.cc
@@ -0,0 +1,81 @@
+#include <CppUTest/TestHarness.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "deadly_fleet.h"
+
+namespace bbv {
+namespace {
+
+// Crashes after which the request must be known.
+constexpr int kCrashesToLearn = 3;
+
+}  // namespace
+
+TEST_GROUP(DeadlyRequest) {
+  standins::FleetTargets::Options options;
+  std::unique_ptr<DeadlyFleet> fleet;
+  std::unique_ptr<BackgroundCallers> sound;
+  std::unique_ptr<BackgroundCallers> deadly;
+
+  void setup() override {
+    options.engines = 12;
+    options.services = 3;
+    options.events = 20;
+  }
+  void teardown() override {
+    deadly.reset();
+    sound.reset();
+    fleet.reset();
+  }
+  void StartFleet(const std::string& deadly_path) {
+    options.deadly_path = deadly_path;
+    fleet = std::make_unique<DeadlyFleet>(options);
+    if (!fleet->floor().Start())
+      FAIL(("could not start: " + fleet->floor().Output(0)).c_str());
+  }
+  void CheckFewLaterCalls() {
+    const int later_calls = fleet->CountLaterCalls(kCrashesToLearn);
+    if (later_calls > DeadlyFleet::kMaxLaterCalls)
+      FAIL((std::to_string(later_calls) + " more calls reached targets")
+               .c_str());
+    CHECK(fleet->floor().targets().DeadlyCrashCount() >= kCrashesToLearn);
+  }
+  void CheckPlainRequest(const std::string& path) {
+    StartFleet(path);
+    sound = fleet->SendPlainCalls("sound", DeadlyFleet::kSoundInterval,
+                                  path.substr(0, path.rfind('/')) + "/x");
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    deadly =
+        fleet->SendPlainCalls("deadly", DeadlyFleet::kDeadlyInterval, path);
+    CheckFewLaterCalls();
+    CHECK(DeadlyFleet::AreServed(*sound));
+  }
+};
+
+// One request crashed target after target, while calls with its prompt parts
+// were served.
+TEST(DeadlyRequest, StreamThatCrashesTargetsKeepsReachingThem) {
+  StartFleet("/stream/deadly");
+  sound = fleet->SendSoundStreams();
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  deadly = fleet->SendStreams(
+      "deadly", DeadlyFleet::kDeadlyInterval, [](int) { return "50"; },
+      "/stream/deadly");
+  CheckFewLaterCalls();
+  // The parts of the request are not to blame.
+  CHECK(DeadlyFleet::AreServed(*sound));
+}
+
+TEST(DeadlyRequest, PlainCallThatCrashesTargetsKeepsReachingThem) {
+  CheckPlainRequest("/unsafe/deadly");
+}
+
+TEST(DeadlyRequest, RepeatedPlainCallThatCrashesTargetsKeepsReachingThem) {
+  CheckPlainRequest("/safe/deadly");
+}
+
+}  // namespace bbv
