--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -352,14 +352,14 @@
   fault_detector_.InvestigateRefusal(target_id, capacity, EventLoop::Now());
 }
 
-void FleetEntry::OnRequest(const std::string& address) {
+void FleetEntry::OnRequestSending(const std::string& address) {
   if (FleetTarget* target = registry_.FindAddress(address))
     target->rate_limit.RecordRequest(EventLoop::Now());
 }
 
-void FleetEntry::OnHead(const std::string& address,
-                        const HttpHead& head,
-                        std::optional<Instant> sent_at) {
+void FleetEntry::OnHeadReceived(const std::string& address,
+                                const HttpHead& head,
+                                std::optional<Instant> sent_at) {
   FleetTarget* target = registry_.FindAddress(address);
   if (target == nullptr)
     return;
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -57,10 +57,10 @@
   void OnBadRequest(CallerConnection* connection, int status) override;
 
   // HttpClient::Observer:
-  void OnRequest(const std::string& address) override;
-  void OnHead(const std::string& address,
-              const HttpHead& head,
-              std::optional<Instant> sent_at) override;
+  void OnRequestSending(const std::string& address) override;
+  void OnHeadReceived(const std::string& address,
+                      const HttpHead& head,
+                      std::optional<Instant> sent_at) override;
 
  private:
   void AcceptCaller(std::unique_ptr<TcpStream> stream);
--- a/modules/bbv_front/http_client.cc
+++ b/modules/bbv_front/http_client.cc
@@ -141,7 +141,7 @@
         request_.id_field.empty() ? nullptr : head.Find(request_.id_field);
     const bool is_stale = id != nullptr && *id != request_.attempt_id;
     if (client_->observer_ != nullptr) {
-      client_->observer_->OnHead(
+      client_->observer_->OnHeadReceived(
           address_, head, is_stale ? std::nullopt : std::optional(sent_at_));
     }
     if (sink_ == nullptr)
@@ -217,7 +217,7 @@
   assert(sink != nullptr);
   const std::string address = request.address.ToString();
   if (observer_ != nullptr)
-    observer_->OnRequest(address);
+    observer_->OnRequestSending(address);
   std::unique_ptr<Connection> connection;
   if (request.may_reuse)
     connection = AcquireIdleConnection(address);
--- a/modules/bbv_front/http_client.h
+++ b/modules/bbv_front/http_client.h
@@ -93,13 +93,13 @@
    public:
     virtual ~Observer() = default;
     // A request is about to be sent to `address`.
-    virtual void OnRequest(const std::string& address) = 0;
+    virtual void OnRequestSending(const std::string& address) = 0;
     // The head of a response was received from `address`, to a request that was
     // sent at `sent_at`. That time is unknown for skipped responses, which
     // belong to an earlier request.
-    virtual void OnHead(const std::string& address,
-                        const HttpHead& head,
-                        std::optional<Instant> sent_at) = 0;
+    virtual void OnHeadReceived(const std::string& address,
+                                const HttpHead& head,
+                                std::optional<Instant> sent_at) = 0;
   };
   // `observer` must outlive the client's exchanges.
   void SetObserver(Observer* observer) { observer_ = observer; }
