One rank order for claims on rate limits; less work without limits

Found on rereading; what the code does stays. - The order of members by rendezvous hashing stood in the allocator, the aggregator and the exchange, and all relays must agree on it: now RendezvousBefore. That a zone's claims suffice for all holders is asserted. - A request to a target without a limit refilled its bucket; nothing needs that. - Each refusal searched the targets twice for times that most refusals do not use, once for rests (older) and once for limits: now for its own reason only.

--- a/modules/bbv_core/hashing.cc
+++ b/modules/bbv_core/hashing.cc
@@ -21,4 +21,10 @@
   return XXH3_64bits_withSeed(&left, sizeof(left), right);
 }
 
+bool RendezvousBefore(uint32_t key, uint32_t left, uint32_t right) {
+  const uint64_t left_hash = CombineHashes(key, left);
+  const uint64_t right_hash = CombineHashes(key, right);
+  return left_hash != right_hash ? left_hash < right_hash : left < right;
+}
+
 }  // namespace bbv
--- a/modules/bbv_core/hashing.h
+++ b/modules/bbv_core/hashing.h
@@ -27,6 +27,10 @@
 // hashing. Thread safe.
 uint64_t CombineHashes(uint64_t left, uint64_t right);
 
+// Whether `left` comes before `right` in the order of rendezvous hashing for
+// `key`, which all processes compute alike. Thread safe.
+bool RendezvousBefore(uint32_t key, uint32_t left, uint32_t right);
+
 }  // namespace bbv
 
 #endif  // MODULES_BBV_CORE_HASHING_H_
--- a/modules/bbv_entry/rate_limit_exchange.cc
+++ b/modules/bbv_entry/rate_limit_exchange.cc
@@ -22,6 +22,9 @@
 constexpr Milliseconds kShareInterval{1000};
 constexpr std::size_t kMaxSharedLimits = 32;
 constexpr Milliseconds kEndedLimitLifetime{30'000};
+static_assert(ZoneAggregator::kMaxClaimsPerTarget >=
+                  RateLimitAllocator::kMaxHolders,
+              "one zone's claims suffice for all holders of a limit");
 
 // Whether other entries that missed the news need to hear of the limit.
 bool IsWorthSharing(const TargetRateLimit& limit, Instant now) {
@@ -151,10 +154,10 @@
       claims.push_back(HashBytes32(id));
   }
   // Entries that cannot claim all targets claim different ones.
-  std::sort(
-      claims.begin(), claims.end(), [this](uint32_t left, uint32_t right) {
-        return CombineHashes(own_hash_, left) < CombineHashes(own_hash_, right);
-      });
+  std::sort(claims.begin(), claims.end(),
+            [this](uint32_t left, uint32_t right) {
+              return RendezvousBefore(own_hash_, left, right);
+            });
   if (claims.size() > kMaxClaims)
     claims.resize(kMaxClaims);
   return claims;
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -285,16 +285,14 @@
   Milliseconds earliest = end == CallEndReason::kNoRoom ? kRetryAfterNoCapacity
                                                         : kRetryAfterNoTarget;
   const Instant now = EventLoop::Now();
-  const auto backoff_end =
-      context_->registry->EarliestBackoffEnd(request.service, now);
-  if (end == CallEndReason::kNoTarget && backoff_end)
+  std::optional<Instant> capacity_at;
+  if (end == CallEndReason::kNoTarget)
+    capacity_at = context_->registry->EarliestBackoffEnd(request.service, now);
+  else if (end == CallEndReason::kRateLimit)
+    capacity_at = context_->registry->EarliestAllowance(request.service, now);
+  if (capacity_at)
     earliest = std::max(earliest,
-                        Milliseconds(RemainingMilliseconds(*backoff_end, now)));
-  const auto allowance =
-      context_->registry->EarliestAllowance(request.service, now);
-  if (end == CallEndReason::kRateLimit && allowance)
-    earliest = std::max(earliest,
-                        Milliseconds(RemainingMilliseconds(*allowance, now)));
+                        Milliseconds(RemainingMilliseconds(*capacity_at, now)));
   if (end == CallEndReason::kQuarantined) {
     const QuarantineRow* row = context_->crash_guard->FindQuarantine(Guarded());
     const Instant probe_at = row == nullptr ? now : row->probe_at;
--- a/modules/bbv_fleet/rate_limit_allocator.cc
+++ b/modules/bbv_fleet/rate_limit_allocator.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
 
 #include "bbv_core/hashing.h"
 #include "bbv_fleet/target_rate_limit.h"
@@ -11,11 +10,11 @@
 namespace {
 
 bool RanksBefore(const RateClaim& left, const RateClaim& right) {
-  const auto rank = [](const RateClaim& it) {
-    return std::tuple(it.target, !it.is_in_zone,
-                      CombineHashes(it.target, it.member), it.member);
-  };
-  return rank(left) < rank(right);
+  if (left.target != right.target)
+    return left.target < right.target;
+  if (left.is_in_zone != right.is_in_zone)
+    return left.is_in_zone;
+  return RendezvousBefore(left.target, left.member, right.member);
 }
 
 }  // namespace
--- a/modules/bbv_fleet/target_rate_limit.cc
+++ b/modules/bbv_fleet/target_rate_limit.cc
@@ -89,6 +89,8 @@
 }
 
 void TargetRateLimit::RecordRequest(Instant now) {
+  if (!statement_.per_second)
+    return;
   ++requests_;
   Refill(now);
   tokens_ = std::max(tokens_ - 1, -kMaxDebt);
--- a/modules/bbv_fleet/target_rate_limit.h
+++ b/modules/bbv_fleet/target_rate_limit.h
@@ -51,7 +51,8 @@
   // before applies after `delay`, in which the entry that held it gives it up.
   void SetShare(double share, Milliseconds delay, Instant now);
 
-  // Counts a request that this entry sends to the target.
+  // Counts a request that this entry sends to the target; has no effect without
+  // a limit.
   void RecordRequest(Instant now);
 
   // Whether this entry may send a request now; always true without a limit.
--- a/modules/bbv_membership/zone_aggregator.cc
+++ b/modules/bbv_membership/zone_aggregator.cc
@@ -13,8 +13,7 @@
 
 // The load of an entry not heard from for this time is dropped.
 constexpr Milliseconds kMemberTimeout{2500};
-// Limits on the claims in a digest: for each target, and in all.
-constexpr std::size_t kMaxClaimsPerTarget = 16;
+// Limit on the claims in a digest.
 constexpr std::size_t kMaxClaims = 64;
 
 // Members with calls for each target that has a rate limit.
@@ -27,13 +26,12 @@
   if (claimants.empty())
     return rows;
   const std::size_t most = std::clamp<std::size_t>(
-      kMaxClaims / claimants.size(), 1, kMaxClaimsPerTarget);
+      kMaxClaims / claimants.size(), 1, ZoneAggregator::kMaxClaimsPerTarget);
   for (const auto& [target, claiming] : claimants) {
     std::vector<uint32_t> members = claiming;
     std::sort(members.begin(), members.end(),
               [target = target](uint32_t left, uint32_t right) {
-                return CombineHashes(target, left) <
-                       CombineHashes(target, right);
+                return RendezvousBefore(target, left, right);
               });
     for (std::size_t it = 0; it < std::min(most, members.size()); ++it) {
       if (rows.size() == kMaxClaims)
--- a/modules/bbv_membership/zone_aggregator.h
+++ b/modules/bbv_membership/zone_aggregator.h
@@ -1,6 +1,7 @@
 #ifndef MODULES_BBV_MEMBERSHIP_ZONE_AGGREGATOR_H_
 #define MODULES_BBV_MEMBERSHIP_ZONE_AGGREGATOR_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <vector>
@@ -25,6 +26,9 @@
 // clock. Thread safety: none, owned by one thread.
 class ZoneAggregator {
  public:
+  // Limit on the claims on one target's rate limit in a digest.
+  static constexpr std::size_t kMaxClaimsPerTarget = 16;
+
   // `retry_window` is the window of the retry budget.
   explicit ZoneAggregator(Milliseconds retry_window);
 
