Share the fixtures of calls that crash targets; hash no stream in vain

Found on rereading; what the code does stays. - When a quarantine begins, the bodies of streams under way were hashed although output shows them to be sound and nothing follows: they are left out now. - The test groups DeadlyPart and DeadlyRequest had the same members, start and check: now DeadlyFleetTest. Their assertions stay. - Comments that still said prompt parts where whole requests are meant as well, in the schema, too; field names stay, the generated code differs in comments.

--- a/modules/bbv_entry/crash_guard.cc
+++ b/modules/bbv_entry/crash_guard.cc
@@ -10,9 +10,9 @@
 namespace bbv {
 namespace {
 
-// Parts named in one log line.
+// Traits named in one log line.
 constexpr std::size_t kMaxLoggedTraits = 64;
-// Independent crashes that accuse a part of a call from which on the call is
+// Independent crashes that accuse a trait of a call from which on the call is
 // not repeated.
 constexpr int kCrashesWithoutRepeat = 2;
 // Heartbeats that may have been on their way when their target crashed. A later
@@ -24,13 +24,13 @@
 
 // Returns the distinct traits of the suspects, in the order of the calls.
 std::vector<uint64_t> SuspectTraits(const TargetCrash& crash) {
-  std::vector<uint64_t> parts;
+  std::vector<uint64_t> traits;
   for (const CrashSuspect& it : crash.suspects) {
-    if (parts.size() < kMaxLoggedTraits &&
-        std::find(parts.begin(), parts.end(), it.trait) == parts.end())
-      parts.push_back(it.trait);
+    if (traits.size() < kMaxLoggedTraits &&
+        std::find(traits.begin(), traits.end(), it.trait) == traits.end())
+      traits.push_back(it.trait);
   }
-  return parts;
+  return traits;
 }
 
 }  // namespace
@@ -203,17 +203,17 @@
   if (quarantine_.active() == 0)
     return;
   struct SilentCall {
-    std::vector<uint64_t> parts;
+    std::vector<uint64_t> traits;
     Instant sent_at{};
   };
   std::map<uint32_t, SilentCall> calls;
   for (const CrashSuspect& it : report.suspects) {
-    calls[it.call].parts.push_back(it.trait);
+    calls[it.call].traits.push_back(it.trait);
     calls[it.call].sent_at = it.sent_at;
   }
   for (const auto& [id, call] : calls) {
-    if (quarantine_.RecordCrash(service, call.parts, call.sent_at, now))
-      LogQuarantine(*quarantine_.Find(service, call.parts), "probe", now);
+    if (quarantine_.RecordCrash(service, call.traits, call.sent_at, now))
+      LogQuarantine(*quarantine_.Find(service, call.traits), "probe", now);
   }
 }
 
--- a/modules/bbv_entry/crash_guard.h
+++ b/modules/bbv_entry/crash_guard.h
@@ -38,7 +38,7 @@
              TargetRegistry* registry,
              Announce announce);
 
-  // Whether this entry lets the probes of quarantined parts through, and the
+  // Whether this entry lets the probes of quarantined calls through, and the
   // number of entries. Set on every tick.
   void SetRole(bool is_prober, int entries);
 
--- a/modules/bbv_entry/peer_exchange.h
+++ b/modules/bbv_entry/peer_exchange.h
@@ -63,8 +63,7 @@
   // Announces to all entries immediately that a target is leaving.
   void AnnounceLeaving(const FleetTarget& target);
 
-  // Sends news about prompt parts that crash targets to all entries
-  // immediately.
+  // Sends news about calls that crash targets to all entries immediately.
   void AnnounceCrash(wire::CrashNoticeT notice, Instant now) {
     gossip_.AnnounceCrash(std::move(notice), now);
   }
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -129,7 +129,8 @@
 }
 
 void RelayedCall::CheckQuarantine(Instant now) {
-  if (context_->crash_guard->IsQuarantined(Guarded()))
+  // Output shows that the call is sound.
+  if (!call_.relaying() && context_->crash_guard->IsQuarantined(Guarded()))
     call_.OnQuarantined(now);
 }
 
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -28,7 +28,7 @@
   kConnectionBroken,
   kBadAnswer,
   kStopping,
-  // Calls with some part of its prompt crash their targets.
+  // Calls that share some trait with it crash their targets.
   kQuarantined,
   // The call may have crashed its target and is not repeated.
   kCrashSuspect,
--- a/modules/bbv_membership/fleet_gossip.h
+++ b/modules/bbv_membership/fleet_gossip.h
@@ -42,7 +42,7 @@
                                       Instant now) = 0;
   // Called when another entry reports a faulty target.
   virtual void OnTargetFault(const wire::TargetFaultT& fault, Instant now) = 0;
-  // Called with another entry's news about prompt parts that crash targets.
+  // Called with another entry's news about calls that crash targets.
   // Returns whether any of it was new here.
   virtual bool OnCrashNotice(const wire::CrashNoticeT& notice, Instant now) = 0;
   // Called with the quarantines that another entry knows.
@@ -91,7 +91,7 @@
   // Immediately notifies the fleet of a target that this entry found faulty.
   void AnnounceFault(wire::TargetFaultT fault, Instant now);
 
-  // Immediately tells the fleet news about prompt parts that crash targets.
+  // Immediately tells the fleet news about calls that crash targets.
   void AnnounceCrash(wire::CrashNoticeT notice, Instant now);
 
   // Immediately tells the fleet of rate limits that have begun, changed or
--- a/modules/bbv_wire/wire_generated.h
+++ b/modules/bbv_wire/wire_generated.h
@@ -1133,7 +1133,7 @@
   using type = LoadRow;
 };
 
-/// A prompt part of a call that was sent `sent_ms` before its target crashed and had no output then. `call` is the low
+/// A trait (see call_trait.h in bbv_fleet) of a call that was sent `sent_ms` before its target crashed and had no output then. `call` is the low
 /// half of its id's hash.
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) SuspectRow FLATBUFFERS_FINAL_CLASS {
  private:
@@ -4011,7 +4011,7 @@
   std::vector<uint64_t> parts{};
 };
 
-/// Parts that had output at the sender although crashes accused them.
+/// Traits of calls that had output at the sender although crashes accused them.
 struct ClearedParts FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ClearedPartsT NativeTableType;
   typedef ClearedPartsBuilder Builder;
@@ -4102,7 +4102,7 @@
   bool lifted = false;
 };
 
-/// A quarantine of the calls whose prompts hold all of `parts`; see QuarantineRow in bbv_fleet. Times are relative to
+/// A quarantine of the calls that have all of `parts`, which are traits; see QuarantineRow in bbv_fleet. Times are relative to
 /// when it was sent.
 struct QuarantinedParts FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef QuarantinedPartsT NativeTableType;
@@ -4904,7 +4904,7 @@
   bool forwarded = false;
 };
 
-/// News about prompt parts that crash targets, told at once along the ways of FaultNotice.
+/// News about calls that crash targets, told at once along the ways of FaultNotice.
 struct CrashNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef CrashNoticeT NativeTableType;
   typedef CrashNoticeBuilder Builder;
--- a/tests/deadly_fleet.h
+++ b/tests/deadly_fleet.h
@@ -1,6 +1,8 @@
 #ifndef TESTS_DEADLY_FLEET_H_
 #define TESTS_DEADLY_FLEET_H_
 
+#include <CppUTest/TestHarness.h>
+
 #include <algorithm>
 #include <chrono>
 #include <functional>
@@ -98,6 +100,42 @@
   FleetFloor floor_;
 };
 
+// Base of the test groups with such a fleet: sound calls, and calls that crash
+// their targets.
+class DeadlyFleetTest : public Utest {
+ protected:
+  void teardown() override {
+    deadly.reset();
+    sound.reset();
+    fleet.reset();
+  }
+  void StartFleet() {
+    fleet = std::make_unique<DeadlyFleet>(options);
+    if (!fleet->floor().Start())
+      FAIL(("could not start: " + fleet->floor().Output(0)).c_str());
+  }
+  // Starts streams that crash targets, after a second with sound ones alone.
+  void StartStreams(const std::string& deadly_middle_part,
+                    const std::string& deadly_path = "/stream/x") {
+    sound = fleet->SendSoundStreams();
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    deadly = fleet->SendStreams(
+        "deadly", DeadlyFleet::kDeadlyInterval,
+        [deadly_middle_part](int) { return deadly_middle_part; }, deadly_path);
+  }
+  void CheckFewLaterCalls(int crashes_to_learn) {
+    const int later_calls = fleet->CountLaterCalls(crashes_to_learn);
+    if (later_calls > DeadlyFleet::kMaxLaterCalls)
+      FAIL((std::to_string(later_calls) + " more calls reached targets")
+               .c_str());
+  }
+
+  standins::FleetTargets::Options options;
+  std::unique_ptr<DeadlyFleet> fleet;
+  std::unique_ptr<BackgroundCallers> sound;
+  std::unique_ptr<BackgroundCallers> deadly;
+};
+
 }  // namespace bbv
 
 #endif  // TESTS_DEADLY_FLEET_H_
