Log what a suspicion rests on and what delays an entry

Logs could not tell a faulty target from an entry whose own connections are slow: target-suspected now says when the target was asked and when this entry last heard from it or over a path through it; node-congested tells of slow connections and a late event loop; call-failed of streams that are broken off says how long they were silent, what the last search for a path lacked and whether the entry was told to stop. No decision changed.

--- a/modules/bbv_core/event.cc
+++ b/modules/bbv_core/event.cc
@@ -77,6 +77,7 @@
     EventDescription{Event::kPartProbed, "part-probed"},
     EventDescription{Event::kTargetLimited, "target-limited"},
     EventDescription{Event::kTargetLimitEnded, "target-limit-ended"},
+    EventDescription{Event::kNodeCongested, "node-congested"},
 };
 
 // Returns whether `event` occurs in the normal processing of every request.
--- a/modules/bbv_core/event.h
+++ b/modules/bbv_core/event.h
@@ -74,6 +74,7 @@
   kPartProbed = 101,
   kTargetLimited = 102,
   kTargetLimitEnded = 103,
+  kNodeCongested = 110,
 };
 
 // The name under which an event is logged.
--- a/modules/bbv_entry/fault_detector.cc
+++ b/modules/bbv_entry/fault_detector.cc
@@ -36,8 +36,8 @@
     return;
   next = now + kStallReportInterval + kStallReportTimeout;
   FetchReport(client_, {target->record.address, now + kStallReportTimeout},
-              [this, target_id](const ReportAnswer& answer) {
-                OnStallReport(target_id, answer);
+              [this, target_id, now](const ReportAnswer& answer) {
+                OnStallReport(target_id, now, answer);
               });
 }
 
@@ -51,10 +51,11 @@
   FetchReport(
       client_,
       {target->record.address, now + kProbeTimeout, /*may_reuse=*/false},
-      [this, target_id](const ReportAnswer& answer) {
+      [this, target_id, now](const ReportAnswer& answer) {
         if (!answer.answered)
-          on_fault_(target_id, "its streams fell silent and it gives no report",
-                    false);
+          on_fault_({target_id,
+                     "its streams fell silent and it gives no report", now,
+                     false});
       });
 }
 
@@ -72,16 +73,18 @@
   FetchReport(
       client_,
       {target->record.address, now + kProbeTimeout, /*may_reuse=*/false},
-      [this, target_id, capacity](const ReportAnswer& answer) {
-        OnRefusalReport(target_id, capacity, answer);
+      [this, target_id, now, capacity](const ReportAnswer& answer) {
+        OnRefusalReport(target_id, now, capacity, answer);
       });
 }
 
 void FaultDetector::OnRefusalReport(const std::string& target_id,
+                                    Instant asked_at,
                                     double capacity,
                                     const ReportAnswer& answer) {
   if (!answer.answered) {
-    on_fault_(target_id, "turned a call away and gives no report", true);
+    on_fault_(
+        {target_id, "turned a call away and gives no report", asked_at, true});
     return;
   }
   const auto& report = answer.report;
@@ -100,10 +103,11 @@
 }
 
 void FaultDetector::OnStallReport(const std::string& target_id,
+                                  Instant asked_at,
                                   const ReportAnswer& answer) {
   next_stall_report_[target_id] = EventLoop::Now() + kStallReportInterval;
   if (!answer.answered) {
-    on_fault_(target_id, "no report", false);
+    on_fault_({target_id, "no report", asked_at, false});
     return;
   }
   const auto& report = answer.report;
@@ -116,7 +120,7 @@
     hops.insert(it.hop_address);
   for (const std::string& it : hops) {
     if (const FleetTarget* hop = registry_->FindAddress(it))
-      on_fault_(std::string(hop->record.id), "streams wait for it", true);
+      on_fault_({hop->record.id, "streams wait for it", asked_at, true});
   }
 }
 
--- a/modules/bbv_entry/fault_detector.h
+++ b/modules/bbv_entry/fault_detector.h
@@ -4,9 +4,9 @@
 #include <functional>
 #include <map>
 #include <string>
-#include <string_view>
 
 #include "bbv_entry/target_requests.h"
+#include "bbv_fleet/target_fault.h"
 #include "bbv_fleet/target_registry.h"
 #include "bbv_front/http_client.h"
 
@@ -19,11 +19,8 @@
 // Thread safety: none, the loop's thread.
 class FaultDetector {
  public:
-  // Called with a faulty target. `confirmed_by_target` is set when another
-  // target named it, which rules out this entry's own connection as the cause.
-  using OnFault = std::function<void(const std::string& target_id,
-                                     std::string_view evidence,
-                                     bool confirmed_by_target)>;
+  // Called with a target that seems faulty.
+  using OnFault = std::function<void(const TargetFault& fault)>;
 
   // Called with a target that repeatedly refuses calls although it has free
   // memory, which means that it is leaving.
@@ -51,8 +48,11 @@
                           Instant now);
 
  private:
-  void OnStallReport(const std::string& target_id, const ReportAnswer& answer);
+  void OnStallReport(const std::string& target_id,
+                     Instant asked_at,
+                     const ReportAnswer& answer);
   void OnRefusalReport(const std::string& target_id,
+                       Instant asked_at,
                        double capacity,
                        const ReportAnswer& answer);
 
--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -44,6 +44,10 @@
 // that its own exit would cut off.
 constexpr Milliseconds kMaxStreamTime{4800};
 constexpr Milliseconds kMaxPlainCallTime{1500};
+// Delays of the event loop or of connections from which on they are logged, and
+// the interval of these lines.
+constexpr Milliseconds kLoggedDelay{60};
+constexpr Milliseconds kCongestionLogInterval{1000};
 constexpr int kReservedDescriptors = 400;
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
@@ -79,11 +83,7 @@
       fault_detector_(
           &client_,
           &registry_,
-          [this](const std::string& id,
-                 std::string_view evidence,
-                 bool confirmed_by_target) {
-            OnTargetFault(id, evidence, confirmed_by_target);
-          },
+          [this](const TargetFault& fault) { OnTargetFault(fault); },
           [this](const std::string& id) { OnTargetLeaving(id); }),
       crash_guard_(&loop_,
                    &log_,
@@ -123,11 +123,10 @@
   context_.retry_after_scheduler = [this](const std::string& service) {
     return &retry_after_schedulers_[service];
   };
-  context_.on_target_fault = [this](const std::string& id,
-                                    std::string_view evidence,
-                                    bool confirmed_by_target) {
-    OnTargetFault(id, evidence, confirmed_by_target);
+  context_.on_target_fault = [this](const TargetFault& fault) {
+    OnTargetFault(fault);
   };
+  context_.is_stopping = [this] { return stopping_; };
   client_.SetObserver(this);
   context_.on_refusal_cause = [this](const std::string& id) {
     CheckRefusalCause(id);
@@ -357,6 +356,18 @@
     target->rate_limit.RecordRequest(EventLoop::Now());
 }
 
+void FleetEntry::OnBytesReceived(const std::string& address,
+                                 std::size_t bytes) {
+  congestion_.bytes_received += bytes;
+  if (FleetTarget* target = registry_.FindAddress(address))
+    target->heard_at = EventLoop::Now();
+}
+
+void FleetEntry::OnConnected(const std::string&, Milliseconds took) {
+  ++congestion_.connects;
+  congestion_.slowest_connect = std::max(congestion_.slowest_connect, took);
+}
+
 void FleetEntry::OnHeadReceived(const std::string& address,
                                 const HttpHead& head,
                                 std::optional<Instant> sent_at) {
@@ -401,20 +412,36 @@
     return;
   // Streams that the target serves continue there; only new calls and the
   // planner avoid it.
-  SuspectTarget(target, "turns calls away with memory to spare", now);
+  SuspectTarget(target,
+                {target_id, "turns calls away with memory to spare", now}, now);
 }
 
 void FleetEntry::SuspectTarget(FleetTarget* target,
-                               std::string_view evidence,
+                               const TargetFault& fault,
                                Instant now) {
   const Instant until = registry_.Suspect(target, now);
   log_.Write(
       Event::kTargetSuspected, now,
       {{"target", target->record.id},
-       {"evidence", std::string(evidence)},
+       {"evidence", fault.evidence},
+       {"asked_ms_ago", int64_t{RemainingMilliseconds(now, fault.asked_at)}},
+       {"heard_ms_ago",
+        int64_t{RemainingMilliseconds(now, LastContact(*target))}},
        {"for_ms", static_cast<int64_t>(RemainingMilliseconds(until, now))}});
   // Peers check the target themselves before they act on this.
-  peers_.AnnounceFault(*target, evidence);
+  peers_.AnnounceFault(*target, fault.evidence);
+}
+
+Instant FleetEntry::LastContact(const FleetTarget& target) const {
+  Instant last = target.heard_at;
+  for (const auto& [id, call] : calls_) {
+    const auto& hops = call->call().dispatch().hop_ids;
+    const auto event = call->call().last_event_time();
+    if (event && *event > last &&
+        std::find(hops.begin(), hops.end(), target.record.id) != hops.end())
+      last = *event;
+  }
+  return last;
 }
 
 bool FleetEntry::IsLocalNetworkFault(const std::string& target_id,
@@ -428,21 +455,19 @@
   return unreached_targets_.size() > bound;
 }
 
-void FleetEntry::OnTargetFault(const std::string& target_id,
-                               std::string_view evidence,
-                               bool confirmed_by_target) {
+void FleetEntry::OnTargetFault(const TargetFault& fault) {
   const Instant now = EventLoop::Now();
-  FleetTarget* target = registry_.Find(target_id);
+  FleetTarget* target = registry_.Find(fault.target_id);
   if (target == nullptr)
     return;
-  if (!confirmed_by_target && IsLocalNetworkFault(target_id, now))
+  if (!fault.confirmed_by_target && IsLocalNetworkFault(fault.target_id, now))
     return;
   if (registry_.IsUsable(*target, now))
-    SuspectTarget(target, evidence, now);
+    SuspectTarget(target, fault, now);
   if (const auto address = ParseSocketAddress(target->record.address))
     client_.CloseIdleConnections(*address);
   for (RelayedCall* it : OpenCalls())
-    it->OnPathFault(target_id, now);
+    it->OnPathFault(fault.target_id, now);
 }
 
 std::vector<RelayedCall*> FleetEntry::OpenCalls() const {
@@ -455,6 +480,7 @@
 
 void FleetEntry::OnTick() {
   const Instant now = EventLoop::Now();
+  LogCongestion(now);
   client_.OnTick(now);
   crash_guard_.SetRole(peers_.members().IsFleetLeader(now),
                        peers_.known_entries().value_or(1));
@@ -482,6 +508,33 @@
     TickStop(now);
 }
 
+void FleetEntry::LogCongestion(Instant now) {
+  const Instant last = std::exchange(last_tick_, now);
+  if (last != Instant{}) {
+    congestion_.longest_tick_gap =
+        std::max(congestion_.longest_tick_gap,
+                 std::chrono::duration_cast<Milliseconds>(now - last));
+  }
+  if (now < next_congestion_log_)
+    return;
+  next_congestion_log_ = now + kCongestionLogInterval;
+  const Congestion seen = std::exchange(congestion_, {});
+  if (std::max(seen.longest_tick_gap, seen.slowest_connect) < kLoggedDelay)
+    return;
+  std::size_t queued = 0;
+  for (const auto& [id, connection] : callers_)
+    queued += connection->queued_bytes();
+  log_.Write(
+      Event::kNodeCongested, now,
+      {{"tick_gap_ms", static_cast<int64_t>(seen.longest_tick_gap.count())},
+       {"connect_ms", static_cast<int64_t>(seen.slowest_connect.count())},
+       {"connects", static_cast<int64_t>(seen.connects)},
+       {"received_bytes", static_cast<int64_t>(seen.bytes_received)},
+       {"unsent_bytes", static_cast<int64_t>(queued)},
+       {"calls", static_cast<int64_t>(calls_.size())},
+       {"stopping", stopping_}});
+}
+
 void FleetEntry::UpdateBudgetShares() {
   // A high number is assumed until the list of entries was read. An entry that
   // falls silent still counts, since it may still spend its part.
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -58,6 +58,8 @@
 
   // HttpClient::Observer:
   void OnRequestSending(const std::string& address) override;
+  void OnBytesReceived(const std::string& address, std::size_t bytes) override;
+  void OnConnected(const std::string& address, Milliseconds took) override;
   void OnHeadReceived(const std::string& address,
                       const HttpHead& head,
                       std::optional<Instant> sent_at) override;
@@ -83,12 +85,11 @@
   void UpdateGauges(Instant now);
   void UpdateQuarantineMetrics(Instant now);
   void UpdateRateLimitMetrics();
-  // Handles a target fault. `confirmed_by_target` is set when other targets
-  // observed the fault, so that it cannot be caused by this entry's connections
-  // alone.
-  void OnTargetFault(const std::string& target_id,
-                     std::string_view evidence,
-                     bool confirmed_by_target);
+  // Handles a target that seems faulty.
+  void OnTargetFault(const TargetFault& fault);
+  // Returns when this entry last received anything that shows that `target`
+  // works: bytes of its own, or an event of a stream whose path uses it.
+  Instant LastContact(const FleetTarget& target) const;
   // Checks a target that was named as the cause of a refused call.
   void CheckRefusalCause(const std::string& target_id);
   // Apply what a target states about itself in the header of an answer.
@@ -101,8 +102,11 @@
   void OnTargetLeaving(const std::string& target_id);
   // Excludes a usable target for a limited time and announces it to the peers.
   void SuspectTarget(FleetTarget* target,
-                     std::string_view evidence,
+                     const TargetFault& fault,
                      Instant now);
+  // Logs once a second how busy this entry's processor and connections were, if
+  // they delayed anything.
+  void LogCongestion(Instant now);
   // Records that this entry could not connect to `target_id`. Returns true when
   // so many targets were unreachable lately that this entry's own network must
   // be the cause.
@@ -162,6 +166,16 @@
   uint64_t jitter_seed_ = 0;
   // Targets that this entry failed to connect to recently, and when.
   std::map<std::string, Instant> unreached_targets_;
+  // What delayed this entry since the last line about it.
+  struct Congestion {
+    Milliseconds longest_tick_gap{};
+    Milliseconds slowest_connect{};
+    int connects = 0;
+    std::size_t bytes_received = 0;
+  };
+  Congestion congestion_;
+  Instant last_tick_{};
+  Instant next_congestion_log_{};
   // Number of entries last used to divide the retry budget.
   int budget_entries_ = 0;
   // Gossip propagation time last used for the retry budget.
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -371,13 +371,21 @@
 
 void RelayedCall::AbortResponse(CallEndReason end) {
   context_->metrics->CountFailure(call_.request().service, end);
-  context_->log->Write(Event::kCallFailed, EventLoop::Now(),
-                       {{"id", call_.request().attempt_id},
-                        {"cause", std::string(kCallEndReasonNames.Name(end))},
-                        {"outcome", "broken off"},
-                        {"last_event", call_.last_event()},
-                        {"last_target", dispatch_.target_id},
-                        {"path", PathText(dispatch_)}});
+  const Instant now = EventLoop::Now();
+  context_->log->Write(
+      Event::kCallFailed, now,
+      {{"id", call_.request().attempt_id},
+       {"cause", std::string(kCallEndReasonNames.Name(end))},
+       {"outcome", "broken off"},
+       {"short_of", std::string(kPathFailureNames.Name(path_failure_))},
+       {"sends", static_cast<int64_t>(call_.sends())},
+       {"events", events_relayed_},
+       {"silent_ms", MillisecondsBetween(last_relayed_, now)},
+       {"after_ms", MillisecondsBetween(call_.request().arrived, now)},
+       {"entry_stopping", context_->is_stopping()},
+       {"last_event", call_.last_event()},
+       {"last_target", dispatch_.target_id},
+       {"path", PathText(dispatch_)}});
   if (caller_ != nullptr)
     std::exchange(caller_, nullptr)->Abort();
 }
@@ -572,6 +580,7 @@
                  ? CallEndReason::kBadAnswer
                  : CallEndReason::kConnectionBroken;
   const std::string target_id = dispatch_.target_id;
+  const Instant asked_at = sent_at_;
   if (failure == ExchangeFailure::kBroken) {
     context_->crash_guard->OnCallBroken(Guarded(), target_id, sent_at_,
                                         began_output(), EventLoop::Now());
@@ -582,7 +591,7 @@
   // Reported after FailSend() has rerouted this call, so that it is not
   // rerouted twice.
   if (failure == ExchangeFailure::kNotConnected)
-    context_->on_target_fault(target_id, "not connected", false);
+    context_->on_target_fault({target_id, "not connected", asked_at, false});
 }
 
 void RelayedCall::FailSend(const SendFailure& failure,
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -34,14 +34,12 @@
   std::function<SharedRetryBudget*(const std::string&)> retry_budget;
   // Returns the retry schedule for refused callers of a service.
   std::function<RetryAfterScheduler*(const std::string&)> retry_after_scheduler;
-  // Called for a target fault that affects all calls on the target;
-  // `confirmed_by_target` when another target observed it.
-  std::function<void(const std::string& target_id,
-                     std::string_view evidence,
-                     bool confirmed_by_target)>
-      on_target_fault;
+  // Called for a target fault that affects all calls on the target.
+  std::function<void(const TargetFault& fault)> on_target_fault;
   // Called for a target that was named as the cause of a refused call.
   std::function<void(const std::string& target_id)> on_refusal_cause;
+  // Returns whether the entry was told to stop.
+  std::function<bool()> is_stopping;
   // Calls that wait for capacity, by connection id of their callers.
   AdmissionQueue* admission_queue = nullptr;
   ResponseLengthEstimator* response_length_estimator = nullptr;
--- a/modules/bbv_fleet/bbv_fleet.h
+++ b/modules/bbv_fleet/bbv_fleet.h
@@ -28,6 +28,7 @@
 #include "bbv_fleet/retry_budgets.h"
 #include "bbv_fleet/shared_retry_budget.h"
 #include "bbv_fleet/stall_detector.h"
+#include "bbv_fleet/target_fault.h"
 #include "bbv_fleet/target_loss_detector.h"
 #include "bbv_fleet/target_rate_limit.h"
 #include "bbv_fleet/target_registry.h"
--- a/modules/bbv_fleet/target_registry.h
+++ b/modules/bbv_fleet/target_registry.h
@@ -108,6 +108,8 @@
   // is alive.
   int64_t suspected_heartbeat = -1;
   Instant listed_at{};
+  // When bytes of any answer of the target last reached this process.
+  Instant heard_at{};
   // Layers according to the list; those of `record` may come from a later
   // report.
   std::optional<LayerRange> listed_layers;
--- a/modules/bbv_front/http_client.cc
+++ b/modules/bbv_front/http_client.cc
@@ -42,6 +42,7 @@
                 this) {}
 
   bool Open(const SocketAddress& address) {
+    opened_at_ = EventLoop::Now();
     stream_ = TcpStream::Connect(client_->loop_, address, this);
     return stream_ != nullptr;
   }
@@ -90,9 +91,18 @@
   bool alive() const { return stream_ != nullptr; }
 
   // TcpStreamDelegate:
-  void OnConnected() override { SendRequest(); }
+  void OnConnected() override {
+    if (client_->observer_ != nullptr) {
+      client_->observer_->OnConnected(
+          address_, std::chrono::duration_cast<Milliseconds>(EventLoop::Now() -
+                                                             opened_at_));
+    }
+    SendRequest();
+  }
 
   void OnData(std::string_view data) override {
+    if (client_->observer_ != nullptr)
+      client_->observer_->OnBytesReceived(address_, data.size());
     if (sink_ == nullptr) {
       // Unsolicited data: no request is outstanding.
       stream_.reset();
@@ -200,6 +210,7 @@
   ExchangeSink* sink_ = nullptr;
   bool skipping_stale_response_ = false;
   bool sent_ = false;
+  Instant opened_at_{};
   Instant sent_at_{};
   bool reusable_ = true;
   Milliseconds idle_timeout_ = kDefaultIdleTimeout;
--- a/modules/bbv_front/http_client.h
+++ b/modules/bbv_front/http_client.h
@@ -94,6 +94,11 @@
     virtual ~Observer() = default;
     // A request is about to be sent to `address`.
     virtual void OnRequestSending(const std::string& address) = 0;
+    // Bytes were received from `address`.
+    virtual void OnBytesReceived(const std::string& address,
+                                 std::size_t bytes) = 0;
+    // A connection to `address` was established `took` after it was begun.
+    virtual void OnConnected(const std::string& address, Milliseconds took) = 0;
     // The head of a response was received from `address`, to a request that was
     // sent at `sent_at`. That time is unknown for skipped responses, which
     // belong to an earlier request.
