--- a/modules/bbv_fleet/fleet_call_test.cc
+++ b/modules/bbv_fleet/fleet_call_test.cc
@@ -291,6 +291,38 @@
   CHECK_EQUAL(1, delegate.aborted);
 }
 
+TEST(FleetCall, AWronglySuspectedFirstTargetKeepsTheRunThatNothingReplaces) {
+  delegate.targets = {"a"};
+  request_time = Milliseconds(20000);
+  auto call = MakeStreamAt(5);
+  call.OnPathFault("a", now);
+  for (int it = 1; it <= 100; ++it) {
+    const Instant at = now + it * Milliseconds(40);
+    if (!call.done())
+      call.OnEventRelayed(5 + it, at);
+    call.OnTick(at);
+  }
+  CHECK_EQUAL(0, delegate.cancelled + delegate.aborted);
+  CHECK_EQUAL(1, static_cast<int>(delegate.sent.size()));
+}
+
+TEST(FleetCall, AWronglySuspectedFirstTargetKeepsTheRunWithoutRetryBudget) {
+  delegate.retries_left = 0;
+  auto call = MakeStreamAt(5);
+  call.OnPathFault("a", now);
+  call.OnEventRelayed(6, now + Milliseconds(40));
+  CHECK_EQUAL(0, delegate.cancelled + delegate.aborted);
+}
+
+TEST(FleetCall, ASuspicionLeavesAnUnsafeCallWithItsTarget) {
+  auto call = MakeCall(CallKind::kUnsafe, 2);
+  call.Start(now);
+  call.OnPathFault("a", now);
+  CHECK_EQUAL(0, delegate.cancelled);
+  CHECK(!delegate.failure);
+  CHECK_EQUAL(1, static_cast<int>(delegate.sent.size()));
+}
+
 TEST(FleetCall, AnActiveStreamWaitsForLayersToReturn) {
   delegate.targets = {"a"};
   auto call = MakeStreamAt(5);
--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -256,6 +256,7 @@
   std::atomic<bool> crashed{false};
   std::atomic<bool> announces_leaving{false};
   std::atomic<bool> endless{false};
+  std::atomic<int> answer_delay_ms{0};
   std::atomic<int> requests{0};
   std::atomic<int> calls{0};
   // Retry-After value of the 503 responses; empty while the target serves.
@@ -590,6 +591,7 @@
                                        httplib::Response& response) {
   const bool is_call = !request.path.starts_with("/v1/");
   ++target->requests;
+  std::this_thread::sleep_for(milliseconds(target->answer_delay_ms));
   target->calls += is_call ? 1 : 0;
   if (target->announces_leaving)
     response.set_header("Server-Leaving", "1");
@@ -647,6 +649,10 @@
   return static_cast<int>(most);
 }
 
+void FleetTargets::DelayAnswers(int target, milliseconds delay) {
+  targets_[target]->answer_delay_ms = static_cast<int>(delay.count());
+}
+
 void FleetTargets::SendEndlessResponses(int target) {
   targets_[target]->endless = true;
 }
--- a/tests/standins/fleet_standin.h
+++ b/tests/standins/fleet_standin.h
@@ -152,6 +152,9 @@
   int MostRequests(int target,
                    std::chrono::milliseconds window,
                    std::chrono::steady_clock::time_point since);
+  // Makes a target answer every new request this much later. Answers that have
+  // begun are not affected.
+  void DelayAnswers(int target, std::chrono::milliseconds delay);
   // Makes a target answer calls with an endless body.
   void SendEndlessResponses(int target);
   // Number of calls, report requests and orders that a target has received.
