Keep a call's send until another one replaces it

Cause: when the first target of a path was suspected, the call cancelled its send before it knew that another one could be made. Without another path or retry budget it then waited for what it had just given up. A call that may not be sent again was given up too. Now a suspected first target is handled like any other hop: the send goes on until another replaces it, and is given up only after 1.7 s without an event. At a target that counts as sound again nothing is sent anew while its run still delivers. Only calls that may be repeated are sent anew while they may run. Floor test FalseSuspicion still fails: the streams run twice.

--- a/modules/bbv_fleet/fleet_call.cc
+++ b/modules/bbv_fleet/fleet_call.cc
@@ -85,7 +85,7 @@
   ++sends_;
   ++possible_runs_;
   sending_ = true;
-  path_broken_since_.reset();
+  MarkPathWhole();
   pending_path_.reset();
   if (!relaying_)
     last_progress_ = now;
@@ -128,15 +128,23 @@
   if (sends_ >= kMaxSends)
     return false;
   const ServiceRoute& route = *request_.route;
-  const bool idempotent = route.kind == CallKind::kSafe ||
-                          (route.kind == CallKind::kStream && route.resumable);
   if (relaying_ && !(route.kind == CallKind::kStream && route.resumable))
     return false;
-  if (execution_status_ != ExecutionStatus::kNotRun && !idempotent)
+  if (execution_status_ != ExecutionStatus::kNotRun && !IsIdempotent())
     return false;
   return failure.not_run || possible_runs_ < std::max(1, route.max_attempts);
 }
 
+bool FleetCall::IsIdempotent() const {
+  const ServiceRoute& route = *request_.route;
+  return route.kind == CallKind::kSafe ||
+         (route.kind == CallKind::kStream && route.resumable);
+}
+
+bool FleetCall::CanRepeatActiveSend() const {
+  return IsIdempotent() && CanRetry({});
+}
+
 void FleetCall::Exclude(const SendFailure& failure) {
   const auto& addresses = dispatch_.hop_addresses;
   const auto it =
@@ -159,7 +167,7 @@
   if (done_ || !sending_)
     return;
   sending_ = false;
-  path_broken_since_.reset();
+  MarkPathWhole();
   pending_path_.reset();
   if (failure.not_run)
     --possible_runs_;
@@ -236,10 +244,15 @@
     execution_status_ = ExecutionStatus::kUnknown;
 }
 
+void FleetCall::MarkPathWhole() {
+  path_broken_since_.reset();
+  first_target_suspected_ = false;
+}
+
 void FleetCall::CheckBrokenPath(Instant now) {
   if (relaying_ &&
       last_progress_ >= *path_broken_since_ + kInFlightEventWindow) {
-    path_broken_since_.reset();
+    MarkPathWhole();
     return;
   }
   if (pending_path_) {
@@ -266,21 +279,19 @@
   const auto hop = std::find(ids.begin(), ids.end(), target_id);
   if (hop == ids.end())
     return;
-  if (hop == ids.begin()) {
-    SendFailure failure;
-    failure.fault_address = dispatch_.hop_addresses.front();
-    // The send is kept if it may not be repeated: the target may recover.
-    if (!CanRetry(failure))
-      return;
-    delegate_->CancelSend();
-    OnSendFailed(failure, now);
-    return;
-  }
   if (path_broken_since_ && IsExcluded(target_id))
     return;
+  const bool is_first = hop == ids.begin();
+  if (is_first && !CanRepeatActiveSend())
+    return;
   ExcludeTarget(target_id);
   if (!path_broken_since_)
     path_broken_since_ = now;
+  // Only the first target can change the path of its run.
+  if (is_first) {
+    pending_path_.reset();
+    first_target_suspected_ = true;
+  }
   TryReroute(now);
 }
 
@@ -300,7 +311,7 @@
   if (pending_path_)
     return;
   next_path_search_ = now + kPathSearchInterval;
-  if (path_changes_ < kMaxPathChanges) {
+  if (path_changes_ < kMaxPathChanges && !first_target_suspected_) {
     pending_path_ =
         delegate_->ChooseReroute(request_, dispatch_, excluded_, now);
     if (pending_path_) {
@@ -314,11 +325,17 @@
 }
 
 void FleetCall::TryResend(Instant now) {
-  if (!CanRetry({}))
+  if (!CanRepeatActiveSend())
     return;
   CallEndReason end = CallEndReason::kNoTarget;
   auto dispatch = delegate_->Choose(request_, excluded_, now, &end);
-  if (!dispatch || !delegate_->TakeRetry(now))
+  if (!dispatch)
+    return;
+  // Where the active send runs, another one helps only if that one is lost.
+  if (first_target_suspected_ && dispatch->target_id == dispatch_.target_id &&
+      now < silent_since_ + kMinStallTimeout)
+    return;
+  if (!delegate_->TakeRetry(now))
     return;
   CancelActiveSend();
   SendTo(std::move(*dispatch), now);
@@ -338,7 +355,7 @@
     if (UsesExcludedHop())
       TryReroute(now);
     else
-      path_broken_since_.reset();
+      MarkPathWhole();
     return;
   }
   const auto hop = std::find(path.hop_addresses.begin(),
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -173,9 +173,10 @@
 //
 // When a hop after the first one fails, the first target is instructed to
 // continue on a rerouted path. The same execution continues, for every kind of
-// call, and no retry is spent. Only if no reroute exists is the call sent to
-// another target; if that is impossible too, the send is kept until the layers
-// are available again or it ends.
+// call, and no retry is spent. Only if no reroute exists, or if the first
+// target itself seems to have failed, is the call sent to another target; if
+// that is impossible too, the send is kept until the layers are available
+// again or it ends. A send is cancelled only when another one replaces it.
 //
 // An active stream without a path waits for a short time, because lost layers
 // are loaded on other targets meanwhile; the same holds if the retry budget is
@@ -215,8 +216,9 @@
   // The wait for capacity ended without any.
   void OnCapacityWaitTimeout(Instant now);
 
-  // A hop of the path was found dead: the call continues without it
-  // immediately.
+  // A hop of the path seems dead: the call continues without it as soon as it
+  // can. The active send is kept until another one replaces it, since the hop
+  // may be sound, and is given up if neither brings an event for a time.
   void OnPathFault(const std::string& target_id, Instant now);
 
   // Calls like this one are quarantined from now on: ends the call immediately,
@@ -254,6 +256,9 @@
   Instant CapacityDeadline() const;
   bool WaitsForPath(Instant now) const;
   bool CanRetry(const SendFailure& failure) const;
+  bool IsIdempotent() const;
+  // Whether the call may be sent again although its active send may run.
+  bool CanRepeatActiveSend() const;
   void SendTo(CallDispatch dispatch, Instant now);
   void ChooseAndSend(const SendFailure& failure, Instant now);
   // Whether a call that ends for this reason was withheld from targets because
@@ -267,6 +272,8 @@
   void TryReroute(Instant now);
   void TryResend(Instant now);
   void CheckBrokenPath(Instant now);
+  // No hop of the path is missing any more.
+  void MarkPathWhole();
   bool UsesExcludedHop() const;
   // Cancels the active send; the call may have run.
   void CancelActiveSend();
@@ -285,6 +292,9 @@
   SendFailure last_failure_;
   // Set while a hop of the path is missing.
   std::optional<Instant> path_broken_since_;
+  // Whether the first target is the missing hop: it cannot be told to change
+  // the path.
+  bool first_target_suspected_ = false;
   // Changed path that the first target has not confirmed yet, and the deadline
   // for its reply.
   std::optional<CallDispatch> pending_path_;
