Reproduce the messages of entries that all leave

Callers saw streams broken off under planned restarts. The entries' links were full of messages to each other.

--- a/tests/virtual_fleet.cc
+++ b/tests/virtual_fleet.cc
@@ -1,5 +1,6 @@
 #include "virtual_fleet.h"
 
+#include <algorithm>
 #include <cmath>
 #include <set>
 #include <utility>
@@ -84,6 +85,9 @@
     }
     state.limits = rate_limits.TakeDueLimits(now);
     state.claims = rate_limits.Claims(now);
+    for (int it = 0; it < fleet->options_.targets && plans; ++it)
+      state.engines.emplace_back(static_cast<uint32_t>(it + 1), 1, 1, 0, 1, 100,
+                                 1, 0, 0);
     return state;
   }
   void OnZoneDigest(const std::string& zone,
@@ -154,6 +158,8 @@
   CallQuarantine quarantine;
   Instant next_quarantine_share{};
   bool running = true;
+  bool leaving = false;
+  bool plans = false;
   bool frozen = false;
   bool store_partitioned = false;
   bool peers_partitioned = false;
@@ -204,12 +210,38 @@
   }
 }
 
+void VirtualFleet::Leave(int entry) {
+  nodes_[entry]->leaving = true;
+}
+
+void VirtualFleet::Plan(int entry) {
+  nodes_[entry]->plans = true;
+}
+
+int VirtualFleet::RelayCount(const std::string& zone) const {
+  return static_cast<int>(
+      std::count_if(nodes_.begin(), nodes_.end(), [&zone](const auto& it) {
+        return it->running && it->members.own().record.zone == zone &&
+               it->members.is_relay();
+      }));
+}
+
+int VirtualFleet::FirstReaderCount(const std::string& zone) const {
+  return static_cast<int>(
+      std::count_if(nodes_.begin(), nodes_.end(), [&zone](const auto& it) {
+        return it->running && it->members.own().record.zone == zone &&
+               it->members.own_reader_rank() == 0;
+      }));
+}
+
 void VirtualFleet::TickNode(int entry) {
   Node& node = *nodes_[entry];
   if (!node.running || node.frozen)
     return;
   MemberStatus own_status;
   own_status.reads_store = !node.store_partitioned;
+  own_status.leaving = node.leaving;
+  own_status.plans = node.plans;
   node.members.SetOwnStatus(own_status);
   if (now_ >= node.next_ranking) {
     node.next_ranking = now_ + kRankingInterval;
--- a/tests/virtual_fleet.h
+++ b/tests/virtual_fleet.h
@@ -53,6 +53,10 @@
   void Restart(int entry);
   // Suspends an entry, which keeps its state, or resumes it.
   void Freeze(int entry, bool frozen);
+  // Tells an entry to stop, which it announces while it goes on running.
+  void Leave(int entry);
+  // Makes an entry plan, so that it shares a report of every target.
+  void Plan(int entry);
   // Starts or ends a network partition between an entry and the store, or
   // between an entry and all others.
   void SetStorePartition(int entry, bool partitioned);
@@ -62,6 +66,10 @@
   int size() const { return static_cast<int>(nodes_.size()); }
   bool IsRunning(int entry) const;
   std::string ZoneOf(int entry) const;
+  // How many running entries consider themselves the relay of `zone`, and how
+  // many its first reader.
+  int RelayCount(const std::string& zone) const;
+  int FirstReaderCount(const std::string& zone) const;
   // The entry that considers itself the relay of `zone`; -1 if there is none.
   int RelayOf(const std::string& zone) const;
 
--- a/tests/virtual_fleet_test.cc
+++ b/tests/virtual_fleet_test.cc
@@ -270,6 +270,45 @@
 // Entries keep a target list that is recent enough to act on, unless they were
 // affected by a fault within kReadTime or all readers of their zone are
 // partitioned.
+TEST(VirtualFleet, AZoneWhoseEntriesAllLeaveKeepsOneRelayAndOneReader) {
+  VirtualFleet fleet(MakeOptions(27, 3));
+  fleet.Run(kSettleTime);
+  for (int it = 0; it < fleet.size(); ++it) {
+    if (fleet.ZoneOf(it) == "zone-0")
+      fleet.Leave(it);
+    fleet.Run(Milliseconds(100));
+  }
+  fleet.Run(Milliseconds(2000));
+  CHECK_EQUAL(1, fleet.RelayCount("zone-0"));
+  CHECK_EQUAL(1, fleet.FirstReaderCount("zone-0"));
+}
+
+TEST(VirtualFleet, EntriesThatAllLeaveSendNoMoreThanBefore) {
+  VirtualFleet::Options options = MakeOptions(26, 3);
+  options.targets = 52;
+  VirtualFleet fleet(options);
+  fleet.Run(kSettleTime);
+  fleet.Plan(fleet.RelayOf("zone-1"));
+  fleet.Run(Milliseconds(2000));
+  const auto largest_traffic = [&fleet] {
+    fleet.ResetTraffic();
+    fleet.Run(Milliseconds(2000));
+    uint64_t bytes = 0;
+    for (int it = 0; it < fleet.size(); ++it)
+      bytes = std::max(bytes, fleet.TrafficOf(it).bytes_sent);
+    return bytes;
+  };
+  const uint64_t before = largest_traffic();
+  for (int it = 0; it < fleet.size(); ++it)
+    fleet.Leave(it);
+  fleet.Run(Milliseconds(1000));
+  const uint64_t after = largest_traffic();
+  CHECK_TRUE_TEXT(after <= before + before / 4,
+                  (std::to_string(before) + " bytes before, " +
+                   std::to_string(after) + " after")
+                      .c_str());
+}
+
 TEST(VirtualFleet, ListsStayFreshThroughKillsFreezesAndPartitions) {
   for (uint64_t seed = 1; seed <= 40; ++seed) {
     VirtualFleet fleet(MakeOptions(30, 3, seed));
