Do not forward a digest to the zone that forwarded it

Cause: a relay marks each digest of another zone as not yet forwarded, also one that an entry of its own zone has just forwarded to all of the zone. Two entries that take themselves for the relay send such digests to and fro, each time with the engine reports that were kept from before, and so ever larger. Why it works: each digest is forwarded by those who got it from its own zone's relay, so a forwarded one ends where it arrives.

--- a/modules/bbv_membership/fleet_gossip.cc
+++ b/modules/bbv_membership/fleet_gossip.cc
@@ -265,9 +265,10 @@
     std::vector<wire::EngineRow> engines = std::move(received.digest.engines);
     received.digest = digest;
     received.received_at = now;
-    received.sent_to_zone = false;
+    // What an entry of this zone forwarded was sent to all of the zone.
+    received.sent_to_zone = IsFromOwnZone(peer);
     // Keep engine reports that were not forwarded yet for the next digest.
-    if (members_->is_relay()) {
+    if (members_->is_relay() && !received.sent_to_zone) {
       received.digest.engines.insert(received.digest.engines.begin(),
                                      engines.begin(), engines.end());
     }
