Keep one relay and one reader in a zone whose entries all leave

Callers saw streams broken off under planned restarts (LOST): all entries of a zone that were told to stop filled each other's links. Cause: leaving entries were left out of the ranking of their zone. With all of them leaving it was empty, the rank of each entry in it was its size, 0, and each took itself for the relay and the first reader: each sent digests to all of its zone and to the other zones' relays, and read the store for all. Class: an empty list whose end looks like its first place; a role that is given by default when nobody may have it. Evidence: peers' messages grow at an entry from the moment at which the last one of its zone is told to stop. Why it works: leaving entries come last in the ranking instead of being left out, so that it always holds this entry and always has one first; they have a role only while no other can, and keep it until they stop.

--- a/modules/bbv_membership/member_table.cc
+++ b/modules/bbv_membership/member_table.cc
@@ -35,13 +35,6 @@
   return left.record.address < right.record.address;
 }
 
-void SortByRank(MemberTable::Ranking* ranking) {
-  std::sort(ranking->begin(), ranking->end(),
-            [](const Member* left, const Member* right) {
-              return RanksBefore(*left, *right);
-            });
-}
-
 }  // namespace
 
 MemberTable::MemberTable(const MemberRecord& own) {
@@ -118,10 +111,6 @@
   return &member == own_ || now <= member.last_contact_at + kMemberTimeout;
 }
 
-bool MemberTable::IsEligible(const Member& member, Instant now) const {
-  return IsAlive(member, now) && !member.current_status.leaving;
-}
-
 std::vector<std::string> MemberTable::OnTick(Instant now) {
   std::vector<std::string> lost;
   for (auto it = members_.begin(); it != members_.end();) {
@@ -149,12 +138,12 @@
 }
 
 void MemberTable::UpdateZoneRanking(Instant now) {
-  Ranking candidates;
+  Ranking in_zone;
   for (const auto& [address, member] : members_) {
-    if (IsInOwnZone(*member) && IsEligible(*member, now))
-      candidates.push_back(member.get());
+    if (IsInOwnZone(*member))
+      in_zone.push_back(member.get());
   }
-  SortByRank(&candidates);
+  const Ranking candidates = SelectCandidates(in_zone, now);
   zone_ranking_.clear();
   // Only the highest ranked candidate is expected to send digests. The next one
   // is expected to once its predecessor has been skipped.
@@ -178,6 +167,25 @@
   }
 }
 
+MemberTable::Ranking MemberTable::SelectCandidates(const Ranking& members,
+                                                   Instant now) const {
+  Ranking candidates;
+  for (const Member* it : members) {
+    if (IsAlive(*it, now))
+      candidates.push_back(it);
+  }
+  if (candidates.empty())
+    candidates = members;
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Member* left, const Member* right) {
+              const bool left_leaves = left->current_status.leaving;
+              if (left_leaves != right->current_status.leaving)
+                return !left_leaves;
+              return RanksBefore(*left, *right);
+            });
+  return candidates;
+}
+
 std::size_t MemberTable::own_rank() const {
   const auto it = std::find(zone_ranking_.begin(), zone_ranking_.end(), own_);
   return static_cast<std::size_t>(it - zone_ranking_.begin());
@@ -197,17 +205,12 @@
 MemberTable::Ranking MemberTable::HighestRankedOfZone(const std::string& zone,
                                                       std::size_t count,
                                                       Instant now) const {
-  Ranking eligible;
   Ranking known;
   for (const auto& [address, member] : members_) {
-    if (member.get() == own_ || member->record.zone != zone)
-      continue;
-    known.push_back(member.get());
-    if (IsEligible(*member, now))
-      eligible.push_back(member.get());
+    if (member.get() != own_ && member->record.zone == zone)
+      known.push_back(member.get());
   }
-  Ranking& first = eligible.empty() ? known : eligible;
-  SortByRank(&first);
+  Ranking first = SelectCandidates(known, now);
   if (first.size() > count)
     first.resize(count);
   return first;
@@ -230,11 +233,12 @@
 }
 
 bool MemberTable::IsFleetLeader(Instant now) const {
-  return is_relay() &&
-         std::none_of(members_.begin(), members_.end(), [&](const auto& it) {
-           return it.second.get() != own_ && IsEligible(*it.second, now) &&
-                  RanksBefore(*it.second, *own_);
-         });
+  if (!is_relay())
+    return false;
+  Ranking all;
+  for (const auto& [address, member] : members_)
+    all.push_back(member.get());
+  return SelectCandidates(all, now).front() == own_;
 }
 
 bool MemberTable::HasOtherPlanner(Instant now) const {
--- a/modules/bbv_membership/member_table.h
+++ b/modules/bbv_membership/member_table.h
@@ -30,7 +30,8 @@
 struct MemberStatus {
   // The entry runs the planner, which assigns layers to targets.
   bool plans = false;
-  // The entry is shutting down and must not be elected as relay or reader.
+  // The entry is shutting down; it is relay or reader only while no other entry
+  // of its zone can be.
   bool leaving = false;
   // The entry's last call to the store was answered.
   bool reads_store = true;
@@ -105,18 +106,18 @@
   // that were alive at the previous call and no longer are.
   std::vector<std::string> OnTick(Instant now);
 
-  // Entries of this zone that are eligible as relay or reader, including this
-  // one, as of the last tick.
+  // Live entries of this zone in the order in which they are relay or reader,
+  // as of the last tick, including this one. Leaving entries come last: they
+  // have a role only while no other entry can.
   const Ranking& zone_ranking() const { return zone_ranking_; }
-  // Index of this entry in zone_ranking(), or its size if this entry is not
-  // eligible.
+  // Index of this entry in zone_ranking().
   std::size_t own_rank() const;
-  // Rank of this entry among the eligible entries that can reach the store.
+  // Rank of this entry among those of zone_ranking() that can reach the store.
   std::size_t own_reader_rank() const;
   // Whether this entry is the relay of its zone.
   bool is_relay() const { return own_rank() == 0; }
 
-  // The `count` highest ranked eligible entries of another zone. Falls back to
+  // The `count` highest ranked live entries of another zone. Falls back to
   // entries not heard from recently if there are no others.
   Ranking HighestRankedOfZone(const std::string& zone,
                               std::size_t count,
@@ -128,8 +129,7 @@
   // Zones with at least one known entry, including this entry's zone.
   std::vector<std::string> Zones() const;
 
-  // Whether this entry is the relay of its zone and no live, eligible entry of
-  // the fleet ranks before it.
+  // Whether this entry is the relay of its zone and ranks first in the fleet.
   bool IsFleetLeader(Instant now) const;
 
   // Whether a live entry other than this one announces that it runs the
@@ -147,8 +147,10 @@
  private:
   bool IsAlive(const Member& member, Instant now) const;
   bool IsInOwnZone(const Member& member) const;
-  bool IsEligible(const Member& member, Instant now) const;
   void UpdateZoneRanking(Instant now);
+  // Returns the live ones of `members`, or all if none is, in order of rank,
+  // leaving ones last.
+  Ranking SelectCandidates(const Ranking& members, Instant now) const;
 
   std::map<std::string, std::unique_ptr<Member>, std::less<>> members_;
   std::unordered_map<uint32_t, Member*> by_hash_;
