Let what a target sends disprove a fault that only a missing answer shows

Cause: a missing answer was taken for a fault of the target even while its streams went on; it may as well be the entry's own connection. Anything received from the target, or an event over a path through it, after that disproves it: the target is not suspected and not announced, and only calls that stand still leave it. A target that is dead sends nothing after the question, so its loss is found as fast as before.

--- a/modules/bbv_core/event.cc
+++ b/modules/bbv_core/event.cc
@@ -78,6 +78,7 @@
     EventDescription{Event::kTargetLimited, "target-limited"},
     EventDescription{Event::kTargetLimitEnded, "target-limit-ended"},
     EventDescription{Event::kNodeCongested, "node-congested"},
+    EventDescription{Event::kTargetFaultDoubted, "target-fault-doubted"},
 };
 
 // Returns whether `event` occurs in the normal processing of every request.
--- a/modules/bbv_core/event.h
+++ b/modules/bbv_core/event.h
@@ -75,6 +75,7 @@
   kTargetLimited = 102,
   kTargetLimitEnded = 103,
   kNodeCongested = 110,
+  kTargetFaultDoubted = 111,
 };
 
 // The name under which an event is logged.
--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -432,6 +432,19 @@
   peers_.AnnounceFault(*target, fault.evidence);
 }
 
+void FleetEntry::DoubtFault(const TargetFault& fault, Instant now) {
+  log_.Write(
+      Event::kTargetFaultDoubted, now,
+      {{"target", fault.target_id},
+       {"evidence", fault.evidence},
+       {"asked_ms_ago", int64_t{RemainingMilliseconds(now, fault.asked_at)}}});
+  // The target works, but calls that stand still may have lost their way to it.
+  for (RelayedCall* it : OpenCalls()) {
+    if (it->call().IsStalled(now))
+      it->OnPathFault(fault.target_id, now);
+  }
+}
+
 Instant FleetEntry::LastContact(const FleetTarget& target) const {
   Instant last = target.heard_at;
   for (const auto& [id, call] : calls_) {
@@ -460,6 +473,10 @@
   FleetTarget* target = registry_.Find(fault.target_id);
   if (target == nullptr)
     return;
+  if (fault.IsDisprovedBy(LastContact(*target))) {
+    DoubtFault(fault, now);
+    return;
+  }
   if (!fault.confirmed_by_target && IsLocalNetworkFault(fault.target_id, now))
     return;
   if (registry_.IsUsable(*target, now))
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -87,6 +87,9 @@
   void UpdateRateLimitMetrics();
   // Handles a target that seems faulty.
   void OnTargetFault(const TargetFault& fault);
+  // Handles a fault of a target that is known to work: only calls that stand
+  // still leave it.
+  void DoubtFault(const TargetFault& fault, Instant now);
   // Returns when this entry last received anything that shows that `target`
   // works: bytes of its own, or an event of a stream whose path uses it.
   Instant LastContact(const FleetTarget& target) const;
--- a/modules/bbv_fleet/target_fault.h
+++ b/modules/bbv_fleet/target_fault.h
@@ -18,6 +18,12 @@
   // Whether another target named it, so that this entry's own connections
   // cannot be the only cause.
   bool confirmed_by_target = false;
+
+  // Whether something received from the target at `last_contact` disproves the
+  // fault: it came after the question, so that only the answer was late.
+  bool IsDisprovedBy(Instant last_contact) const {
+    return last_contact > asked_at;
+  }
 };
 
 }  // namespace bbv
