Believe what the sender of a digest says of itself; forward reports once

Callers would see loads and retries counted wrongly after rolling restarts: a zone kept two relays and two first readers for good. Cause: an entry that starts again is listed as leaving by the relay's older rows. It takes itself for the first, sends no state to the one that the others take for the first, and they read nothing in its digests as it is not first for them: the stale row never goes. And: engine reports that another relay had forwarded were kept and sent again with the next. Why it works: a digest's row of its own sender is newer than what others say of it and is taken before the digest is judged by rank.

--- a/modules/bbv_membership/fleet_gossip.cc
+++ b/modules/bbv_membership/fleet_gossip.cc
@@ -245,6 +245,17 @@
   }
 }
 
+void FleetGossip::RecordSender(const wire::ZoneDigestT& digest,
+                               const Member* sender,
+                               Instant now) {
+  if (sender == nullptr)
+    return;
+  for (const wire::MemberRow& it : digest.members) {
+    if (it.member() == sender->hash)
+      members_->RecordContact(it.member(), ToMemberStatus(it.flags()), now);
+  }
+}
+
 void FleetGossip::HandleDigest(const std::string& peer,
                                const wire::ZoneDigestT& digest,
                                Instant now) {
@@ -265,10 +276,11 @@
     std::vector<wire::EngineRow> engines = std::move(received.digest.engines);
     received.digest = digest;
     received.received_at = now;
+    const bool were_sent = received.sent_to_zone;
     // What an entry of this zone forwarded was sent to all of the zone.
     received.sent_to_zone = IsFromOwnZone(peer);
     // Keep engine reports that were not forwarded yet for the next digest.
-    if (members_->is_relay() && !received.sent_to_zone) {
+    if (members_->is_relay() && !were_sent && !received.sent_to_zone) {
       received.digest.engines.insert(received.digest.engines.begin(),
                                      engines.begin(), engines.end());
     }
@@ -278,6 +290,7 @@
     return;
   }
   members_->RecordDigest(peer, now);
+  RecordSender(digest, sender, now);
   // If two entries relay at the same time, only the one that ranks first in the
   // local view counts.
   const auto& ranking = members_->zone_ranking();
--- a/modules/bbv_membership/fleet_gossip.h
+++ b/modules/bbv_membership/fleet_gossip.h
@@ -144,6 +144,11 @@
                          const wire::FaultNoticeT& notice,
                          Instant now);
   void RecordMembers(const wire::ZoneDigestT& digest, Instant now);
+  // Records what the sender of a digest of this zone says of itself, which is
+  // newer than what others say of it.
+  void RecordSender(const wire::ZoneDigestT& digest,
+                    const Member* sender,
+                    Instant now);
   void HandleCrashNotice(const std::string& peer,
                          const wire::CrashNoticeT& notice,
                          Instant now);
--- a/modules/bbv_membership/fleet_gossip_test.cc
+++ b/modules/bbv_membership/fleet_gossip_test.cc
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <vector>
@@ -50,6 +51,19 @@
     return n;
   }
 
+  // The largest number of engine reports in a digest that was sent.
+  std::size_t LargestReportCount() const {
+    std::size_t n = 0;
+    for (const wire::FrameT& frame : sent) {
+      const auto* digests = frame.body.AsZoneDigests();
+      if (digests == nullptr)
+        continue;
+      for (const wire::ZoneDigestT& it : digests->zones)
+        n = std::max(n, it.engines.size());
+    }
+    return n;
+  }
+
   std::vector<wire::FrameT> sent;
 };
 
@@ -70,9 +84,10 @@
     members.AddOrUpdate(remote, now);
     members.OnTick(now);
   }
-  void ReceiveDigestOfZoneB(const MemberRecord& from) {
+  void ReceiveDigestOfZoneB(const MemberRecord& from, int engines = 0) {
     wire::ZoneDigestT digest;
     digest.zone = "b";
+    digest.engines.resize(engines);
     wire::ZoneDigestsT digests;
     digests.zones.push_back(digest);
     gossip.OnMessage(from.address, MakeFrame(std::move(digests)), now);
@@ -90,4 +105,13 @@
   CHECK_EQUAL(0, delegate.CountDigests("b"));
 }
 
+TEST(FleetGossip, ReportsThatAnotherRelayForwardedDoNotPileUp) {
+  for (int it = 0; it < 50; ++it) {
+    ReceiveDigestOfZoneB(neighbor, 10);
+    ReceiveDigestOfZoneB(remote, 10);
+    now += Milliseconds(200);
+  }
+  CHECK_TRUE(delegate.LargestReportCount() <= 30);
+}
+
 }  // namespace bbv
--- a/tests/virtual_fleet_test.cc
+++ b/tests/virtual_fleet_test.cc
@@ -4,7 +4,10 @@
 
 #include <algorithm>
 #include <deque>
+#include <numeric>
+#include <random>
 #include <string>
+#include <vector>
 
 namespace bbv {
 namespace {
@@ -283,6 +286,36 @@
   CHECK_EQUAL(1, fleet.FirstReaderCount("zone-0"));
 }
 
+// Entries that stop three at a time each 0.8 s, exit 7.7 s later and start
+// again after `restart_ms`.
+TEST(VirtualFleet, RollingRestartsLeaveOneRelayAndOneReaderInEachZone) {
+  for (const int restart_ms : {300, 1000, 2000}) {
+    for (uint64_t seed = 1; seed <= 8; ++seed) {
+      VirtualFleet fleet(MakeOptions(26, 3, seed));
+      fleet.Run(kSettleTime);
+      std::vector<int> order(fleet.size());
+      std::iota(order.begin(), order.end(), 0);
+      std::shuffle(order.begin(), order.end(), std::mt19937_64(seed));
+      for (int time = 0; time < 25'000; time += 100) {
+        for (int it = 0; it < fleet.size(); ++it) {
+          const int leaves_at = it / 3 * 800;
+          if (time == leaves_at)
+            fleet.Leave(order[it]);
+          if (time == leaves_at + 7700)
+            fleet.Kill(order[it]);
+          if (time == leaves_at + 7700 + restart_ms)
+            fleet.Restart(order[it]);
+        }
+        fleet.Run(Milliseconds(100));
+      }
+      for (const char* zone : {"zone-0", "zone-1", "zone-2"}) {
+        CHECK_EQUAL(1, fleet.RelayCount(zone));
+        CHECK_EQUAL(1, fleet.FirstReaderCount(zone));
+      }
+    }
+  }
+}
+
 TEST(VirtualFleet, EntriesThatAllLeaveSendNoMoreThanBefore) {
   VirtualFleet::Options options = MakeOptions(26, 3);
   options.targets = 52;
