--- a/modules/bbv_entry/fault_detector.cc
+++ b/modules/bbv_entry/fault_detector.cc
@@ -120,7 +120,7 @@
     hops.insert(it.hop_address);
   for (const std::string& it : hops) {
     if (const FleetTarget* hop = registry_->FindAddress(it))
-      on_fault_({hop->record.id, "streams wait for it", asked_at, true});
+      on_fault_({hop->record.id, "streams wait for it", std::nullopt, true});
   }
 }
 
--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -55,6 +55,13 @@
 constexpr int kUnavailable = 503;
 // Retry-After in seconds while this entry is not ready.
 constexpr std::string_view kNotReadyRetryAfter = "0.5";
+
+// Returns -1 for a fault that rests on no question.
+int64_t AskedMillisecondsAgo(const TargetFault& fault, Instant now) {
+  return fault.asked_at ? int64_t{RemainingMilliseconds(now, *fault.asked_at)}
+                        : -1;
+}
+
 }  // namespace
 
 FleetEntry::FleetEntry(FleetSettings settings, std::string settings_path)
@@ -412,8 +419,8 @@
     return;
   // Streams that the target serves continue there; only new calls and the
   // planner avoid it.
-  SuspectTarget(target,
-                {target_id, "turns calls away with memory to spare", now}, now);
+  SuspectTarget(target, {target_id, "turns calls away with memory to spare"},
+                now);
 }
 
 void FleetEntry::SuspectTarget(FleetTarget* target,
@@ -424,7 +431,7 @@
       Event::kTargetSuspected, now,
       {{"target", target->record.id},
        {"evidence", fault.evidence},
-       {"asked_ms_ago", int64_t{RemainingMilliseconds(now, fault.asked_at)}},
+       {"asked_ms_ago", AskedMillisecondsAgo(fault, now)},
        {"heard_ms_ago",
         int64_t{RemainingMilliseconds(now, LastContact(*target))}},
        {"for_ms", static_cast<int64_t>(RemainingMilliseconds(until, now))}});
@@ -433,11 +440,10 @@
 }
 
 void FleetEntry::DoubtFault(const TargetFault& fault, Instant now) {
-  log_.Write(
-      Event::kTargetFaultDoubted, now,
-      {{"target", fault.target_id},
-       {"evidence", fault.evidence},
-       {"asked_ms_ago", int64_t{RemainingMilliseconds(now, fault.asked_at)}}});
+  log_.Write(Event::kTargetFaultDoubted, now,
+             {{"target", fault.target_id},
+              {"evidence", fault.evidence},
+              {"asked_ms_ago", AskedMillisecondsAgo(fault, now)}});
   // The target works, but calls that stand still may have lost their way to it.
   for (RelayedCall* it : OpenCalls()) {
     if (it->call().IsStalled(now))
@@ -450,7 +456,8 @@
   for (const auto& [id, call] : calls_) {
     const auto& hops = call->call().dispatch().hop_ids;
     const auto event = call->call().last_event_time();
-    if (event && *event > last &&
+    // Reading of a paused answer depends on its caller alone.
+    if (event && !call->is_paused() && *event > last &&
         std::find(hops.begin(), hops.end(), target.record.id) != hops.end())
       last = *event;
   }
--- a/modules/bbv_fleet/fleet_call.cc
+++ b/modules/bbv_fleet/fleet_call.cc
@@ -260,7 +260,10 @@
       OnPathChanged(false, {}, now);
     return;
   }
-  if (now >= *path_broken_since_ + kPathWait) {
+  // A first target that is dead delivers nothing more.
+  const Instant since =
+      first_target_suspected_ ? last_progress_ : *path_broken_since_;
+  if (now >= since + kPathWait) {
     CancelActiveSend();
     EndCall(CallEndReason::kNoTarget, false, now);
     return;
@@ -288,10 +291,7 @@
   if (!path_broken_since_)
     path_broken_since_ = now;
   // Only the first target can change the path of its run.
-  if (is_first) {
-    pending_path_.reset();
-    first_target_suspected_ = true;
-  }
+  first_target_suspected_ = first_target_suspected_ || is_first;
   TryReroute(now);
 }
 
@@ -331,10 +331,12 @@
   auto dispatch = delegate_->Choose(request_, excluded_, now, &end);
   if (!dispatch)
     return;
-  // Where the active send runs, another one helps only if that one is lost.
+  // The first target counts as sound again: its run goes on unless it is lost.
   if (first_target_suspected_ && dispatch->target_id == dispatch_.target_id &&
-      now < silent_since_ + kMinStallTimeout)
+      now < silent_since_ + StallTimeout()) {
+    MarkPathWhole();
     return;
+  }
   if (!delegate_->TakeRetry(now))
     return;
   CancelActiveSend();
@@ -385,12 +387,15 @@
   if (done_ || !sending_ || path_broken_since_ ||
       request_.route->kind != CallKind::kStream)
     return false;
+  return now - silent_since_ >= StallTimeout();
+}
+
+Milliseconds FleetCall::StallTimeout() const {
   if (!relaying_ || last_event_ == dispatch_.last_event)
-    return now - silent_since_ >= kFirstEventStallTimeout;
+    return kFirstEventStallTimeout;
   const auto usual =
       Milliseconds(static_cast<int64_t>(kStallFactor * dispatch_.event_ms) + 1);
-  const auto timeout = std::clamp(usual, kMinStallTimeout, kMaxStallTimeout);
-  return now - silent_since_ >= timeout;
+  return std::clamp(usual, kMinStallTimeout, kMaxStallTimeout);
 }
 
 void FleetCall::EndCall(CallEndReason end,
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -275,6 +275,8 @@
   // No hop of the path is missing any more.
   void MarkPathWhole();
   bool UsesExcludedHop() const;
+  // How long the active send may be silent before it counts as stalled.
+  Milliseconds StallTimeout() const;
   // Cancels the active send; the call may have run.
   void CancelActiveSend();
 
--- a/modules/bbv_fleet/fleet_call_test.cc
+++ b/modules/bbv_fleet/fleet_call_test.cc
@@ -308,16 +308,45 @@
 
 TEST(FleetCall, AWronglySuspectedFirstTargetKeepsTheRunWithoutRetryBudget) {
   delegate.retries_left = 0;
+  request_time = Milliseconds(20000);
   auto call = MakeStreamAt(5);
   call.OnPathFault("a", now);
-  call.OnEventRelayed(6, now + Milliseconds(40));
+  for (int it = 1; it <= 60; ++it) {
+    call.OnEventRelayed(5 + it, now + it * Milliseconds(40));
+    call.OnTick(now + it * Milliseconds(40));
+  }
   CHECK_EQUAL(0, delegate.cancelled + delegate.aborted);
 }
 
+TEST(FleetCall, ADeadFirstTargetHoldsAStreamNoLongerThanItsCallerWaits) {
+  delegate.targets = {"a"};
+  request_time = Milliseconds(20000);
+  auto call = MakeStreamAt(5);
+  call.OnPathFault("a", now + Milliseconds(600));
+  delegate.targets.clear();
+  call.OnTick(now + Milliseconds(1600));
+  CHECK_EQUAL(0, delegate.aborted);
+  call.OnTick(now + Milliseconds(1800));
+  CHECK_EQUAL(1, delegate.aborted);
+}
+
+TEST(FleetCall, ASuspicionThatHasEndedDoesNotRepeatAPrefill) {
+  delegate.targets = {"a"};
+  auto call = MakeCall(CallKind::kStream, 3);
+  call.Start(now);
+  call.OnPathFault("a", now + Milliseconds(100));
+  call.OnTick(now + Milliseconds(300));
+  call.OnTick(now + Milliseconds(390));
+  CHECK_EQUAL(0, delegate.cancelled);
+  CHECK_EQUAL(1, static_cast<int>(delegate.sent.size()));
+}
+
 TEST(FleetCall, ASuspicionLeavesAnUnsafeCallWithItsTarget) {
   auto call = MakeCall(CallKind::kUnsafe, 2);
   call.Start(now);
   call.OnPathFault("a", now);
+  for (int it = 1; it <= 35; ++it)
+    call.OnTick(now + it * Milliseconds(20));
   CHECK_EQUAL(0, delegate.cancelled);
   CHECK(!delegate.failure);
   CHECK_EQUAL(1, static_cast<int>(delegate.sent.size()));
