Let no stream lose its run for layers that a target gives up

Cause: the same as in planned restarts. When a target was ordered to hold other layers, the streams that ran over its old ones were sent elsewhere at once, all at the same moment, and their sends cancelled; where the next targets had no memory they were turned away (503), waited 1.7 s and were broken off. But a target keeps what it gives up until what passes through it has ended. Now such a stream moves only along a changed path, on which its run goes on; else it stays. The price: the target loads its new layers when its streams have ended. Class: a planned move that ends work before its next place is certain.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -628,17 +628,16 @@
   next_layer_check_ = now + kLayerCheckInterval;
   for (RelayedCall* call : calls) {
     const CallDispatch& path = call->call().dispatch();
-    // Collected first because OnPathFault() changes the call's path.
-    std::vector<std::string> released;
+    bool released = false;
     for (std::size_t it = 1; it < path.layers.size(); ++it) {
       const FleetTarget* target = registry_.Find(path.hop_ids[it]);
-      if (target != nullptr &&
-          (!target->record.layers ||
-           !target->record.layers->Contains(path.layers[it])))
-        released.push_back(path.hop_ids[it]);
+      released =
+          released || (target != nullptr &&
+                       (!target->record.layers ||
+                        !target->record.layers->Contains(path.layers[it])));
     }
-    for (const std::string& it : released)
-      call->OnPathFault(it, now);
+    if (released)
+      call->OnLayersReleased(now);
   }
 }
 
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -70,6 +70,9 @@
   // Handles a fault of `target_id`: reroutes the call if its path uses it.
   void OnPathFault(const std::string& target_id, Instant now);
 
+  // Handles hops that give up the layers that the call uses there.
+  void OnLayersReleased(Instant now) { call_.OnLayersReleased(now); }
+
   // Ends the call if it is quarantined and has no output.
   void CheckQuarantine(Instant now);
 
--- a/modules/bbv_fleet/fleet_call.cc
+++ b/modules/bbv_fleet/fleet_call.cc
@@ -227,7 +227,9 @@
     return;
   }
   if (now < request_.deadline) {
-    if (path_broken_since_)
+    if (pending_path_ && now >= path_change_deadline_)
+      OnPathChanged(false, {}, now);
+    else if (path_broken_since_)
       CheckBrokenPath(now);
     return;
   }
@@ -255,11 +257,8 @@
     MarkPathWhole();
     return;
   }
-  if (pending_path_) {
-    if (now >= path_change_deadline_)
-      OnPathChanged(false, {}, now);
+  if (pending_path_)
     return;
-  }
   // A first target that is dead delivers nothing more.
   const Instant since =
       first_target_suspected_ ? last_progress_ : *path_broken_since_;
@@ -295,6 +294,13 @@
   TryReroute(now);
 }
 
+void FleetCall::OnLayersReleased(Instant now) {
+  if (done_ || !sending_ || path_broken_since_ || pending_path_ ||
+      now < next_path_search_)
+    return;
+  StartReroute(now);
+}
+
 void FleetCall::OnQuarantined(Instant now) {
   if (done_ || relaying_)
     return;
@@ -308,20 +314,21 @@
 }
 
 void FleetCall::TryReroute(Instant now) {
-  if (pending_path_)
-    return;
+  if (!pending_path_ && !StartReroute(now))
+    TryResend(now);
+}
+
+bool FleetCall::StartReroute(Instant now) {
   next_path_search_ = now + kPathSearchInterval;
-  if (path_changes_ < kMaxPathChanges && !first_target_suspected_) {
-    pending_path_ =
-        delegate_->ChooseReroute(request_, dispatch_, excluded_, now);
-    if (pending_path_) {
-      ++path_changes_;
-      path_change_deadline_ = now + kPathChangeTimeout;
-      delegate_->ChangePath(*pending_path_, now);
-      return;
-    }
-  }
-  TryResend(now);
+  if (path_changes_ >= kMaxPathChanges || first_target_suspected_)
+    return false;
+  pending_path_ = delegate_->ChooseReroute(request_, dispatch_, excluded_, now);
+  if (!pending_path_)
+    return false;
+  ++path_changes_;
+  path_change_deadline_ = now + kPathChangeTimeout;
+  delegate_->ChangePath(*pending_path_, now);
+  return true;
 }
 
 void FleetCall::TryResend(Instant now) {
@@ -360,6 +367,9 @@
       MarkPathWhole();
     return;
   }
+  // The run goes on along its present path.
+  if (!path_broken_since_)
+    return;
   const auto hop = std::find(path.hop_addresses.begin(),
                              path.hop_addresses.end(), fault_address);
   if (hop == path.hop_addresses.end() || hop == path.hop_addresses.begin()) {
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -221,6 +221,11 @@
   // may be sound, and is given up if neither brings an event for a time.
   void OnPathFault(const std::string& target_id, Instant now);
 
+  // Hops after the first one give up the layers that the call uses there. They
+  // keep them until the call has ended: it moves to another path if its run can
+  // be continued there, and else stays.
+  void OnLayersReleased(Instant now);
+
   // Calls like this one are quarantined from now on: ends the call immediately,
   // unless it has output, which shows that it is sound.
   void OnQuarantined(Instant now);
@@ -270,6 +275,8 @@
   bool IsExcluded(const std::string& id) const;
   // Reroutes a call with a failed hop, or sends it to another target.
   void TryReroute(Instant now);
+  // Tells the first target to continue on another path; false if there is none.
+  bool StartReroute(Instant now);
   void TryResend(Instant now);
   void CheckBrokenPath(Instant now);
   // No hop of the path is missing any more.
--- a/modules/bbv_fleet/fleet_call_test.cc
+++ b/modules/bbv_fleet/fleet_call_test.cc
@@ -352,6 +352,17 @@
   CHECK_EQUAL(1, static_cast<int>(delegate.sent.size()));
 }
 
+TEST(FleetCall, LayersThatAHopGivesUpDoNotEndTheRunThatUsesThem) {
+  auto call = MakeStreamAt(5);
+  call.OnLayersReleased(now);
+  delegate.replacement_hops = {"m"};
+  call.OnLayersReleased(now + Milliseconds(100));
+  CHECK_EQUAL(1, static_cast<int>(delegate.changed.size()));
+  call.OnPathChanged(false, "m:1", now + Milliseconds(110));
+  CHECK_EQUAL(0, delegate.cancelled + delegate.aborted);
+  CHECK_EQUAL(1, static_cast<int>(delegate.sent.size()));
+}
+
 TEST(FleetCall, AnActiveStreamWaitsForLayersToReturn) {
   delegate.targets = {"a"};
   auto call = MakeStreamAt(5);
