Test that errors and repeats do not continue a stream

The stand-in of targets can answer a call that resumes a stream with another response, once per attempt; with two attempts the stream must break off visibly, with three it must go on.

--- a/tests/fleet_floor.cc
+++ b/tests/fleet_floor.cc
@@ -13,6 +13,7 @@
 #include <fstream>
 #include <sstream>
 #include <thread>
+#include <utility>
 
 #include "free_port.h"
 
@@ -53,7 +54,7 @@
   std::istringstream lines(text);
   for (std::string line; std::getline(lines, line);) {
     if (line.starts_with("id: "))
-      ids.push_back(std::stoi(line.substr(4)));
+      ids.push_back(static_cast<int>(std::strtol(&line[4], nullptr, 10)));
   }
   return ids;
 }
@@ -203,6 +204,7 @@
     answer.signature = result->get_header_value("X-Response-Signature");
   }
   answer.events = ParseEventIds(text);
+  answer.text = std::move(text);
   answer.whole = answer.whole && answer.status == 200;
   return answer;
 }
--- a/tests/fleet_floor.h
+++ b/tests/fleet_floor.h
@@ -16,6 +16,7 @@
 struct StreamAnswer {
   int status = 0;
   std::string signature;
+  std::string text;
   // Ids of the events in order of arrival.
   std::vector<int> events;
   // Whether the response was received completely, with status 200.
--- /dev/null
+++ b/tests/resumed_stream_test.cc
@@ -0,0 +1,113 @@
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fleet_floor.h"
+
+namespace bbv {
+namespace {
+
+using Answer = standins::FleetTargets::ResumedAnswer;
+
+constexpr int kEvents = 40;
+constexpr char kType[] = "text/event-stream";
+
+struct Fault {
+  const char* name;
+  Answer answer;
+};
+
+std::vector<Fault> MakeErrors() {
+  return {
+      {"error", {500, "text/plain", "upstream failed"}},
+      {"chunked-error", {500, "text/plain", "upstream failed", false}},
+      {"refusal", {404, "text/plain", "no such stream"}},
+      {"error-like-events", {500, kType, "id: 21\ndata: failed\n\n"}},
+      {"refusal-like-events", {400, kType, "id: 21\ndata: failed\n\n", false}},
+      {"unsigned",
+       {200, kType, "id: 21\ndata: failed\n\n", true, false, false}},
+      {"redirect", {302, "text/html", "<html>\n\n</html>\n\n"}},
+  };
+}
+
+std::vector<Fault> MakeRepeats() {
+  return {
+      {"from-the-start", {200, kType, "id: 1\ndata: t1\n\n", false}},
+      {"from-zero", {200, kType, "id: 0\ndata: t0\n\n", false}},
+      {"repeat", {200, kType, "id: 20\ndata: t20\n\n", false}},
+      {"repeat-in-a-chunk",
+       {200, kType, "id: 21\ndata: t21\n\nid: 21\ndata: failed\n\n", false}},
+  };
+}
+
+std::string MakeStreamText(int events) {
+  std::string text;
+  for (int it = 1; it <= events; ++it) {
+    const std::string number = std::to_string(it);
+    text += "id: " + number + "\ndata: t" + number + "\n\n";
+  }
+  return text;
+}
+
+std::string PathOf(const Fault& fault) {
+  return std::string("/stream/") + fault.name;
+}
+
+}  // namespace
+
+TEST_GROUP(ResumedStream) {
+  standins::FleetTargets::Options options;
+  std::unique_ptr<FleetFloor> floor;
+
+  void setup() override {
+    options.events = kEvents;
+    options.cut_event = "id: 21\nda";
+  }
+  void teardown() override {
+    floor.reset();
+  }
+  void StartFleet(const std::vector<Fault>& faults) {
+    for (const Fault& it : faults)
+      options.resumed_answers[PathOf(it)] = it.answer;
+    floor.reset();
+    floor = std::make_unique<FleetFloor>(1, options);
+    if (!floor->Start())
+      FAIL(("could not start: " + floor->Output(0)).c_str());
+  }
+  // Streams once for each fault. Returns the names of those after which the
+  // caller does not have exactly the first `events` events, or the stream has
+  // another end than `whole` says, with what came from the last event on.
+  std::string Stream(const std::vector<Fault>& faults, int events, bool whole) {
+    StartFleet(faults);
+    std::string failures;
+    for (const Fault& it : faults) {
+      const StreamAnswer answer = floor->Stream(0, it.name, {}, PathOf(it));
+      if (answer.text == MakeStreamText(events) && answer.whole == whole)
+        continue;
+      const std::size_t end = answer.text.rfind("id: 20\n");
+      failures += std::string(it.name) + (answer.whole ? " (whole): " : ": ") +
+                  answer.text.substr(std::min(end, answer.text.size())) + "\n";
+    }
+    return failures;
+  }
+  // Checks that nothing of a fault in place of the continuation reaches the
+  // caller: the stream breaks off visibly, or goes on at another target.
+  void CheckHidden(const std::vector<Fault>& faults) {
+    STRCMP_EQUAL("", Stream(faults, kEvents / 2, false).c_str());
+    options.max_attempts = 3;
+    STRCMP_EQUAL("", Stream(faults, kEvents, true).c_str());
+  }
+};
+
+TEST(ResumedStream, ErrorsDoNotReachTheCaller) {
+  CheckHidden(MakeErrors());
+}
+
+TEST(ResumedStream, RepeatedEventsDoNotReachTheCaller) {
+  CheckHidden(MakeRepeats());
+}
+
+}  // namespace bbv
--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -377,8 +377,8 @@
 }
 
 std::string FleetTargets::MakeConfiguration(int version) const {
-  const auto route = [](const char* name, const char* type,
-                        const char* service) {
+  const auto route = [this](const char* name, const char* type,
+                            const char* service) {
     return Json{{"name", name},
                 {"host", "fleet.example"},
                 {"path_prefix", std::string("/") + name + "/"},
@@ -387,7 +387,7 @@
                 {"timeout_ms", 5000},
                 {"slo_ms", 500},
                 {"priority", 1},
-                {"max_attempts", 2},
+                {"max_attempts", options_.max_attempts},
                 {"resumable", std::string(type) == "streaming"}};
   };
   const Json engine = {
@@ -531,6 +531,8 @@
     response.set_content("failed", "text/plain");
     return;
   }
+  if (SendResumedAnswer(request, response))
+    return;
   int first = 1;
   if (request.has_header("Last-Event-Id"))
     first = std::stoi(request.get_header_value("Last-Event-Id")) + 1;
@@ -578,6 +580,33 @@
                                           release);
 }
 
+bool FleetTargets::SendResumedAnswer(const httplib::Request& request,
+                                     httplib::Response& response) {
+  const auto it = options_.resumed_answers.find(request.path);
+  if (it == options_.resumed_answers.end() ||
+      !request.has_header("Last-Event-Id") ||
+      !resumed_.insert(request.get_header_value("X-Attempt-Id")).second)
+    return false;
+  const ResumedAnswer& answer = it->second;
+  if (!answer.is_signed)
+    response.headers.erase("X-Response-Signature");
+  response.status = answer.status;
+  response.set_header("Location", "/elsewhere");
+  if (answer.has_length) {
+    response.set_content(answer.body, answer.type);
+    return true;
+  }
+  response.set_chunked_content_provider(
+      answer.type, [this, answer](std::size_t, httplib::DataSink& sink) {
+        sink.write(answer.body.data(), answer.body.size());
+        while (answer.stays_open && !stopping_ && sink.is_writable())
+          std::this_thread::sleep_for(milliseconds(kHeartbeatIntervalMs));
+        sink.done();
+        return true;
+      });
+  return true;
+}
+
 bool FleetTargets::IsDeadly(const httplib::Request& request) const {
   return HoldsDeadlyPart(request.get_header_value("X-Prefix-Hash"),
                          options_.deadly_part) ||
--- a/tests/standins/fleet_standin.h
+++ b/tests/standins/fleet_standin.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -91,6 +92,18 @@
 // Thread safety: all methods may be called from any thread.
 class FleetTargets {
  public:
+  // A response that is not the rest of the stream, to the first call of a
+  // request that resumes it.
+  struct ResumedAnswer {
+    int status = 200;
+    std::string type = "text/event-stream";
+    std::string body;
+    // Whether the body has a length or is sent in chunks.
+    bool has_length = true;
+    // Whether the response stays open after its body; only without a length.
+    bool stays_open = false;
+    bool is_signed = true;
+  };
   struct Options {
     int engines = 6;
     std::string accelerator = "middle";
@@ -122,6 +135,10 @@
     // Each engine answers every n-th call with status 500 before it begins to
     // write; 0 for none.
     int failing_every = 0;
+    // `max_attempts` of every route.
+    int max_attempts = 2;
+    // Responses to calls that resume a stream, by the path of the request.
+    std::map<std::string, ResumedAnswer> resumed_answers;
   };
 
   FleetTargets(FleetStore* store, Options options);
@@ -198,6 +215,10 @@
                        const httplib::Request& request,
                        httplib::Response& response);
   std::unique_ptr<httplib::Server> MakeServer(Target* target);
+  // Answers a call that resumes a stream as Options::resumed_answers says;
+  // false if it says nothing. Requires `mutex_`.
+  bool SendResumedAnswer(const httplib::Request& request,
+                         httplib::Response& response);
   // Whether a call crashes the target that begins to run it.
   bool IsDeadly(const httplib::Request& request) const;
   // Ends the target's process and starts an empty one after `restart_ms`.
@@ -211,6 +232,8 @@
   std::vector<std::unique_ptr<Target>> targets_;
   std::mutex mutex_;
   std::map<std::string, int> runs_;
+  // Ids of the attempts that got a response of Options::resumed_answers.
+  std::set<std::string> resumed_;
   // Path of each active stream, by attempt id.
   std::map<std::string, std::shared_ptr<std::string>> streams_;
   int path_changes_ = 0;
