Don't end a resumed stream as complete without an event

Cause: RelayedCall::OnResponseEnd() took any end of a stream for complete once the call relayed. A resumed send always relays already, by the send before it.

Fix: a resumed send must bring an event of its own before its end counts. Blocks without data before its first event are the new target's opening, which the first target has sent already; they are not relayed.

A first target may also break off between its last event and the end of its body; the right continuation is empty then. Nothing in the protocol tells how many events a stream has, so it cannot be told from a failed one. It goes to another target and is broken off visibly in the end: the caller has lost an answer that was whole, but is never told that a cut one is.

--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -204,6 +204,7 @@
   sent_at_ = now;
   send_in_flight_ = true;
   streaming_ = false;
+  resuming_ = head_relayed_;
   DropBufferedAnswer();
   splitter_.Reset();
   paused_ = false;
@@ -427,6 +428,9 @@
       FailBadAnswer("event out of order");
       return;
     }
+    // Comments and the like before the first event repeat the first target's.
+    if (!it.id && resuming_ && events_of_send_ == 0 && !HasData(it))
+      continue;
     if (it.id) {
       last = *it.id;
       ++events_relayed_;
@@ -521,7 +525,7 @@
 void RelayedCall::OnResponseEnd() {
   const Instant now = EventLoop::Now();
   if (streaming_) {
-    if (splitter_.has_partial_event() || !call_.relaying()) {
+    if (splitter_.has_partial_event() || !has_output()) {
       FailSend({CallEndReason::kBadAnswer, false, false, {}}, "stream cut");
       return;
     }
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -133,6 +133,11 @@
   void LogFinished(Instant now);
   std::string RelayedFields() const;
   bool IsGoodStreamHead() const;
+  // Whether the stream of the current send may end as complete. A stream that
+  // is resumed but brings no event may as well have failed.
+  bool has_output() const {
+    return resuming_ ? events_of_send_ > 0 : call_.relaying();
+  }
   // Whether the target of the current send has begun to write the answer and
   // has gone on.
   bool began_output() const {
@@ -162,6 +167,8 @@
   std::string answer_body_;
   bool streaming_ = false;
   bool head_relayed_ = false;
+  // Whether the current send continues a stream whose head was relayed.
+  bool resuming_ = false;
   // Whether reading of the answer is paused because the caller reads too
   // slowly.
   bool paused_ = false;
--- a/modules/bbv_http/event_splitter.cc
+++ b/modules/bbv_http/event_splitter.cc
@@ -7,6 +7,8 @@
 
 constexpr std::string_view kEventEnd = "\n\n";
 constexpr std::string_view kIdField = "id:";
+constexpr std::string_view kDataField = "data";
+constexpr std::string_view kDataLine = "\ndata";
 
 std::optional<int64_t> FindId(std::string_view event) {
   std::size_t at = 0;
@@ -30,6 +32,11 @@
 
 }  // namespace
 
+bool HasData(const StreamEvent& event) {
+  return event.text.starts_with(kDataField) ||
+         event.text.find(kDataLine) != std::string_view::npos;
+}
+
 const std::vector<StreamEvent>& EventSplitter::Split(std::string_view data) {
   events_.clear();
   std::string_view rest = data;
--- a/modules/bbv_http/event_splitter.h
+++ b/modules/bbv_http/event_splitter.h
@@ -18,6 +18,10 @@
   std::optional<int64_t> id;
 };
 
+// Whether `event` carries data. Without any it is a comment or a setting.
+// Thread safe.
+bool HasData(const StreamEvent& event);
+
 // Splits an event stream into complete events and buffers an incomplete one
 // until its remaining bytes arrive.
 //
--- a/tests/resumed_stream_test.cc
+++ b/tests/resumed_stream_test.cc
@@ -43,6 +43,16 @@
   };
 }
 
+std::vector<Fault> MakeEmptyStreams() {
+  return {
+      {"nothing", {200, kType, ""}},
+      {"nothing-chunked", {200, kType, "", false}},
+      {"part-of-an-event", {200, kType, "id: 21\ndata: failed\n", false}},
+      {"comment", {200, kType, ": failed\n\n", false}},
+      {"retry-time", {200, kType, "retry: 1000\n\n"}},
+  };
+}
+
 std::string MakeStreamText(int events) {
   std::string text;
   for (int it = 1; it <= events; ++it) {
@@ -110,4 +120,8 @@
   CheckHidden(MakeRepeats());
 }
 
+TEST(ResumedStream, AnEmptyContinuationDoesNotEndTheStream) {
+  CheckHidden(MakeEmptyStreams());
+}
+
 }  // namespace bbv
