Don't continue a stream by events whose order is unknown

Cause: RelayedCall::RelayEvents() compared ids with the last relayed one only where an event had one; an id that could not be read counted as none, and one such as "21x" was read as 21. Whatever lacked a number was relayed.

AnIdIsAWholeNumberThatCanBeCompared failed before at "21x".

Fix: data of a resumed send that comes before its first event with an id ends that send: it may be an error, a piece that the caller has, or one that follows a missing piece. An id is a whole number or none. What a target adds without an id after an event in order stays its own answer and is relayed as before.

Ids are not required to be consecutive: PROTOCOL.md promises increasing ids, and one event may hold several tokens, so a jump does not show a missing piece.

--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -428,9 +428,13 @@
       FailBadAnswer("event out of order");
       return;
     }
-    // Comments and the like before the first event repeat the first target's.
-    if (!it.id && resuming_ && events_of_send_ == 0 && !HasData(it))
-      continue;
+    if (!it.id && resuming_ && events_of_send_ == 0) {
+      // Comments and the like before the first event repeat the first target's.
+      if (!HasData(it))
+        continue;
+      FailBadAnswer("event without id");
+      return;
+    }
     if (it.id) {
       last = *it.id;
       ++events_relayed_;
--- a/modules/bbv_http/event_splitter.cc
+++ b/modules/bbv_http/event_splitter.cc
@@ -21,9 +21,9 @@
     if (line.starts_with(' '))
       line.remove_prefix(1);
     int64_t id = 0;
-    const auto result =
-        std::from_chars(line.data(), line.data() + line.size(), id);
-    if (result.ec == std::errc() && id >= 0)
+    const char* const end = line.data() + line.size();
+    const auto result = std::from_chars(line.data(), end, id);
+    if (result.ec == std::errc() && result.ptr == end && id >= 0)
       return id;
     return std::nullopt;
   }
--- a/modules/bbv_http/event_splitter.h
+++ b/modules/bbv_http/event_splitter.h
@@ -14,7 +14,7 @@
 struct StreamEvent {
   // Includes the blank line that ends the event.
   std::string_view text;
-  // Value of the event's id line, if it has one that is a number.
+  // Value of the event's id line, if it is a whole number of at most 63 bits.
   std::optional<int64_t> id;
 };
 
--- a/modules/bbv_http/http_parser_test.cc
+++ b/modules/bbv_http/http_parser_test.cc
@@ -140,6 +140,14 @@
   }
 }
 
+TEST(EventSplitter, AnIdIsAWholeNumberThatCanBeCompared) {
+  for (const char* id : {"x", "21x", "2 1", "", "-1", "99999999999999999999"}) {
+    bbv::EventSplitter splitter;
+    const std::string event = std::string("id: ") + id + "\ndata: a\n\n";
+    CHECK_TEXT(!splitter.Split(event).front().id, id);
+  }
+}
+
 namespace {
 
 constexpr std::size_t kMaxHeadBytes = 65536;
--- a/tests/resumed_stream_test.cc
+++ b/tests/resumed_stream_test.cc
@@ -53,6 +53,19 @@
   };
 }
 
+std::vector<Fault> MakeEventsWithoutIds() {
+  return {
+      {"no-id", {200, kType, "event: error\ndata: failed\n\n", false}},
+      {"word-id", {200, kType, "id: x\ndata: failed\n\n", false}},
+      {"half-id", {200, kType, "id: 21x\ndata: failed\n\n", false}},
+      {"huge-id",
+       {200, kType, "id: 99999999999999999999\ndata: failed\n\n", false}},
+      {"negative-id", {200, kType, "id: -1\ndata: failed\n\n", false}},
+      {"no-id-first",
+       {200, kType, "data: failed\n\nid: 21\ndata: t21\n\n", false}},
+  };
+}
+
 std::string MakeStreamText(int events) {
   std::string text;
   for (int it = 1; it <= events; ++it) {
@@ -124,4 +137,8 @@
   CheckHidden(MakeEmptyStreams());
 }
 
+TEST(ResumedStream, EventsWithoutIdsDoNotContinueTheStream) {
+  CheckHidden(MakeEventsWithoutIds());
+}
+
 }  // namespace bbv
