Don't continue a stream by a response of another type

Cause: RelayedCall::IsGoodStreamHead() did not look at the type of the body. Whatever has blank lines is split into events.

Fix: the type of a resumed send's body, without parameters, must be the one whose head the caller has. The first send is not checked: its head and body reach the caller unchanged.

--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -44,6 +44,17 @@
   return text;
 }
 
+// Returns the type of a response's body without parameters; empty if there is
+// none.
+std::string_view MediaType(const HttpHead& head) {
+  const std::string* value = head.Find("Content-Type");
+  if (value == nullptr)
+    return {};
+  const std::string_view type =
+      std::string_view(*value).substr(0, value->find(';'));
+  return type.substr(0, type.find_last_not_of(" \t") + 1);
+}
+
 // Returns how a call proceeds that lost a hop after `sends_before` sends.
 std::string_view ContinuationText(const FleetCall& call, int sends_before) {
   if (call.is_changing_path())
@@ -386,7 +397,8 @@
 bool RelayedCall::IsGoodStreamHead() const {
   return call_.request().route->kind == CallKind::kStream &&
          answer_head_.status == 200 && answer_fields_.has_signature &&
-         !answer_fields_.encoded;
+         !answer_fields_.encoded &&
+         (!resuming_ || SameFieldName(MediaType(answer_head_), media_type_));
 }
 
 void RelayedCall::OnResponseHead(HttpHead head) {
@@ -455,6 +467,7 @@
     call_.OnResponseStarted(now);
   if (!head_relayed_) {
     head_relayed_ = true;
+    media_type_ = MediaType(answer_head_);
     first_relayed_ = now;
     context_->metrics->ObserveFirstEvent(
         MillisecondsBetween(call_.request().arrived, now) / 1000);
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -167,6 +167,8 @@
   std::string answer_body_;
   bool streaming_ = false;
   bool head_relayed_ = false;
+  // Type of the body whose head was relayed.
+  std::string media_type_;
   // Whether the current send continues a stream whose head was relayed.
   bool resuming_ = false;
   // Whether reading of the answer is paused because the caller reads too
--- a/tests/resumed_stream_test.cc
+++ b/tests/resumed_stream_test.cc
@@ -66,6 +66,15 @@
   };
 }
 
+std::vector<Fault> MakePages() {
+  return {
+      {"page", {200, "text/html", "<html>\n\nfailed</html>\n\n"}},
+      {"page-with-ids", {200, "text/html", "id: 21\ndata: failed\n\n"}},
+      {"json", {200, "application/json", "{\"error\":1}\n\n", false}},
+      {"untyped", {200, "", "id: 21\ndata: failed\n\n", false}},
+  };
+}
+
 std::string MakeStreamText(int events) {
   std::string text;
   for (int it = 1; it <= events; ++it) {
@@ -141,4 +150,8 @@
   CheckHidden(MakeEventsWithoutIds());
 }
 
+TEST(ResumedStream, AResponseOfAnotherTypeDoesNotContinueTheStream) {
+  CheckHidden(MakePages());
+}
+
 }  // namespace bbv
