Don't resume a stream after output without an id

The call was sent to another target with the id before that data, and that target sends the data again.

Cause: FleetCall resumes after the last id, whatever was relayed since.

Evidence: AStreamThatBreaksOffAfterDataWithoutAnIdIsNotResumed failed before: after "id: 21 data: t21, data: t22" came "id: 22 data: t22" and the rest, as a complete stream. FleetCall's AStreamIsNotResumedAfterOutputWithoutAnId failed with the rule in CanRetry() taken out (2 sends, expected 1).

Fix: after such data a call is not sent again until an event with an id is relayed; it breaks off visibly. A run that changes its path goes on as before.

fleet_call is outside this part: one flag, one setter, one more condition. RelayEvents() is split, since it had grown.

--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -431,32 +431,42 @@
   FailSend({CallEndReason::kBadAnswer, false, false, {}}, evidence);
 }
 
-void RelayedCall::RelayEvents(std::string_view data) {
+std::string_view RelayedCall::FindEventFault(const StreamEvent& event,
+                                             int64_t last) const {
+  // A target that resumes after an event must not repeat it; ids increase.
+  if (event.id)
+    return *event.id <= last ? "event out of order" : "";
+  return awaits_first_event() && HasData(event) ? "event without id" : "";
+}
+
+std::string_view RelayedCall::CollectEvents(std::string_view data,
+                                            int64_t* last) {
   chunk_.clear();
-  int64_t last = call_.last_event();
+  chunk_ends_unnumbered_ = false;
   for (const StreamEvent& it : splitter_.Split(data)) {
-    // A target that resumes after an event must not repeat it; ids increase.
-    if (it.id && *it.id <= last) {
-      FailBadAnswer("event out of order");
-      return;
-    }
-    if (!it.id && resuming_ && events_of_send_ == 0) {
-      // Comments and the like before the first event repeat the first target's.
-      if (!HasData(it))
-        continue;
-      FailBadAnswer("event without id");
-      return;
-    }
+    const std::string_view fault = FindEventFault(it, *last);
+    if (!fault.empty())
+      return fault;
+    // Comments and the like before the first event repeat the first target's.
+    if (!it.id && awaits_first_event())
+      continue;
     if (it.id) {
-      last = *it.id;
+      *last = *it.id;
       ++events_relayed_;
       if (++events_of_send_ == kEventsOfStartedOutput)
         context_->crash_guard->OnOutput(Guarded(), EventLoop::Now());
     }
+    chunk_ends_unnumbered_ = !it.id && (chunk_ends_unnumbered_ || HasData(it));
     chunk_.append(it.text);
   }
-  if (splitter_.is_overlong()) {
-    FailBadAnswer("event without end");
+  return splitter_.is_overlong() ? "event without end" : "";
+}
+
+void RelayedCall::RelayEvents(std::string_view data) {
+  int64_t last = call_.last_event();
+  const std::string_view fault = CollectEvents(data, &last);
+  if (!fault.empty()) {
+    FailBadAnswer(fault);
     return;
   }
   if (chunk_.empty() || caller_ == nullptr)
@@ -478,6 +488,8 @@
   }
   RecordEventGap(last, now);
   call_.OnEventRelayed(last, now);
+  if (chunk_ends_unnumbered_)
+    call_.OnUnnumberedOutput();
   if (!paused_ && caller_->queued_bytes() > kStopReadingBytes) {
     paused_ = true;
     context_->client->SetReadingPaused(exchange_, true);
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -118,6 +118,11 @@
   }
   void OnPathChangeAnswer(const OrderAnswer& answer, const CallDispatch& path);
   void RelayEvents(std::string_view data);
+  // Replaces `chunk_` by the events that `data` completes and advances `last`,
+  // the id of the last event. Returns why the target's output is faulty; empty
+  // if it is not.
+  std::string_view CollectEvents(std::string_view data, int64_t* last);
+  std::string_view FindEventFault(const StreamEvent& event, int64_t last) const;
   // Fails the current send because its answer violates the protocol.
   void FailBadAnswer(std::string_view evidence);
   void DropBufferedAnswer();
@@ -135,9 +140,9 @@
   bool IsGoodStreamHead() const;
   // Whether the stream of the current send may end as complete. A stream that
   // is resumed but brings no event may as well have failed.
-  bool has_output() const {
-    return resuming_ ? events_of_send_ > 0 : call_.relaying();
-  }
+  bool has_output() const { return call_.relaying() && !awaits_first_event(); }
+  // Whether the current send resumes a stream and has brought no event yet.
+  bool awaits_first_event() const { return resuming_ && events_of_send_ == 0; }
   // Whether the target of the current send has begun to write the answer and
   // has gone on.
   bool began_output() const {
@@ -186,6 +191,8 @@
   std::string late_gap_path_;
   EventSplitter splitter_;
   std::string chunk_;
+  // Whether data without an id follows the last event of `chunk_`.
+  bool chunk_ends_unnumbered_ = false;
   // Lets callbacks of orders detect that the call was destroyed.
   std::shared_ptr<RelayedCall*> self_ = std::make_shared<RelayedCall*>(this);
 };
--- a/modules/bbv_fleet/fleet_call.cc
+++ b/modules/bbv_fleet/fleet_call.cc
@@ -130,7 +130,8 @@
   const ServiceRoute& route = *request_.route;
   const bool idempotent = route.kind == CallKind::kSafe ||
                           (route.kind == CallKind::kStream && route.resumable);
-  if (relaying_ && !(route.kind == CallKind::kStream && route.resumable))
+  if (relaying_ && (route.kind != CallKind::kStream || !route.resumable ||
+                    has_unnumbered_output_))
     return false;
   if (execution_status_ != ExecutionStatus::kNotRun && !idempotent)
     return false;
@@ -187,6 +188,8 @@
 }
 
 void FleetCall::OnEventRelayed(int64_t event_id, Instant now) {
+  if (event_id != last_event_)
+    has_unnumbered_output_ = false;
   last_event_ = event_id;
   last_progress_ = now;
   silent_since_ = now;
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -200,6 +200,10 @@
   // An event was relayed to the caller. Ids are ascending.
   void OnEventRelayed(int64_t event_id, Instant now);
 
+  // Output without an id was relayed after the last event. No other target can
+  // continue the stream after it, until the next event is relayed.
+  void OnUnnumberedOutput() { has_unnumbered_output_ = true; }
+
   // The valid response is complete and relayed.
   void OnResponseComplete();
 
@@ -293,6 +297,7 @@
   bool relaying_ = false;
   bool done_ = false;
   int64_t last_event_ = kNoEvent;
+  bool has_unnumbered_output_ = false;
   Instant last_progress_{};
   // Since when the next event of the active path has been expected.
   Instant silent_since_{};
--- a/modules/bbv_fleet/fleet_call_test.cc
+++ b/modules/bbv_fleet/fleet_call_test.cc
@@ -324,6 +324,24 @@
   CHECK(!delegate.failure);
 }
 
+TEST(FleetCall, AStreamIsNotResumedAfterOutputWithoutAnId) {
+  // Another target would send that output again.
+  auto call = MakeStreamAt(7);
+  call.OnUnnumberedOutput();
+  call.OnSendFailed({CallEndReason::kConnectionBroken, false, false, {}}, now);
+  CHECK_EQUAL(1, static_cast<int>(delegate.sent.size()));
+  CHECK_EQUAL(1, delegate.aborted);
+}
+
+TEST(FleetCall, AStreamIsResumedAfterAnEventThatFollowsOutputWithoutAnId) {
+  auto call = MakeStreamAt(7);
+  call.OnUnnumberedOutput();
+  call.OnEventRelayed(8, now);
+  call.OnSendFailed({CallEndReason::kConnectionBroken, false, false, {}}, now);
+  CHECK_EQUAL(2, static_cast<int>(delegate.sent.size()));
+  CHECK_EQUAL(8, static_cast<int>(delegate.sent[1].last_event));
+}
+
 TEST(FleetCall, FaultsOfFirstTargetsCountAmongTheRoutesAttempts) {
   // A target that seemed dead may have run the call: a third run would exceed
   // the route's two attempts.
--- a/tests/resumed_stream_test.cc
+++ b/tests/resumed_stream_test.cc
@@ -150,6 +150,17 @@
   CheckHidden(MakeEventsWithoutIds());
 }
 
+TEST(ResumedStream, AStreamThatBreaksOffAfterDataWithoutAnIdIsNotResumed) {
+  options.max_attempts = 3;
+  const std::string without_id = "data: t22\n\n";
+  const std::string text = "id: 21\ndata: t21\n\n" + without_id;
+  StartFleet({{"cut", {200, kType, text + "id: 2", false}}});
+  const StreamAnswer answer = floor->Stream(0, "cut", {}, "/stream/cut");
+  STRCMP_EQUAL((MakeStreamText(21) + without_id).c_str(), answer.text.c_str());
+  CHECK(!answer.whole);
+  CHECK_EQUAL(2, floor->targets().ExecutionCounts()["cut"]);
+}
+
 TEST(ResumedStream, AResponseOfAnotherTypeDoesNotContinueTheStream) {
   CheckHidden(MakePages());
 }
