Don't wait for the end of an answer that continues no stream

Cause: RelayedCall judged an answer that is no stream at its end only, also where its head already shows that nothing of it can be used; only the deadline of the call ended the wait.

An answer that ends at once is still taken to its end, so that its connection is kept.

--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -117,6 +117,11 @@
       context_->client->SetReadingPaused(exchange_, false);
     }
   }
+  if (is_continuation_refused_) {
+    // The body that is still to come is of no use.
+    context_->client->Cancel(exchange_);
+    FailUnusableAnswer();
+  }
   call_.OnTick(now);
 }
 
@@ -266,6 +271,7 @@
 
 void RelayedCall::FinishSend(bool failed, Instant now) {
   send_in_flight_ = false;
+  is_continuation_refused_ = false;
   context_->selector->RemoveInFlight(&dispatch_);
   FleetTarget* target = context_->registry->Find(dispatch_.target_id);
   if (target != nullptr && now > sent_at_) {
@@ -405,6 +411,7 @@
   answer_head_ = std::move(head);
   answer_fields_ = platform::DecodeResponse(answer_head_);
   streaming_ = IsGoodStreamHead();
+  is_continuation_refused_ = resuming_ && !streaming_;
 }
 
 void RelayedCall::OnResponseBody(std::string_view data) {
@@ -551,6 +558,27 @@
        {"target", dispatch_.target_id}});
 }
 
+bool RelayedCall::FailUnusableAnswer() {
+  if (answer_fields_.not_run) {
+    FailSend(
+        {CallEndReason::kNoRoom, true, false, answer_fields_.fault_address},
+        "not run, status " + std::to_string(answer_head_.status));
+    return true;
+  }
+  if (is_success() &&
+      (!answer_fields_.has_signature || answer_fields_.encoded)) {
+    FailSend({CallEndReason::kBadAnswer, false, false, {}},
+             "not the target's body");
+    return true;
+  }
+  if (answer_head_.status >= kFirstServerErrorStatus || resuming_) {
+    FailSend({CallEndReason::kBadAnswer, false, !resuming_, {}},
+             "status " + std::to_string(answer_head_.status));
+    return true;
+  }
+  return false;
+}
+
 void RelayedCall::OnResponseEnd() {
   const Instant now = EventLoop::Now();
   if (streaming_) {
@@ -569,26 +597,11 @@
       std::exchange(caller_, nullptr)->EndStream();
     return;
   }
-  if (answer_fields_.not_run) {
-    FailSend(
-        {CallEndReason::kNoRoom, true, false, answer_fields_.fault_address},
-        "not run, status " + std::to_string(answer_head_.status));
-    return;
-  }
-  const bool success = answer_head_.status >= 200 && answer_head_.status < 300;
-  if (success && (!answer_fields_.has_signature || answer_fields_.encoded)) {
-    FailSend({CallEndReason::kBadAnswer, false, false, {}},
-             "not the target's body");
-    return;
-  }
-  if (answer_head_.status >= kFirstServerErrorStatus || head_relayed_) {
-    FailSend({CallEndReason::kBadAnswer, false, !head_relayed_, {}},
-             "status " + std::to_string(answer_head_.status));
+  if (FailUnusableAnswer())
     return;
-  }
   FinishSend(false, now);
   // An error response does not show that the target could write an answer.
-  if (success)
+  if (is_success())
     context_->crash_guard->OnOutput(Guarded(), now);
   call_.OnResponseComplete();
   context_->metrics->CountServed(call_.request().service);
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -125,6 +125,12 @@
   std::string_view FindEventFault(const StreamEvent& event, int64_t last) const;
   // Fails the current send because its answer violates the protocol.
   void FailBadAnswer(std::string_view evidence);
+  // Fails the current send if its answer, which is not a stream, cannot be
+  // relayed; returns whether that is so.
+  bool FailUnusableAnswer();
+  bool is_success() const {
+    return answer_head_.status >= 200 && answer_head_.status < 300;
+  }
   void DropBufferedAnswer();
   void FailSend(const SendFailure& failure, std::string_view evidence);
   void FinishSend(bool failed, Instant now);
@@ -176,6 +182,9 @@
   std::string media_type_;
   // Whether the current send continues a stream whose head was relayed.
   bool resuming_ = false;
+  // Whether the head of the current send's answer showed that it does not
+  // continue the stream.
+  bool is_continuation_refused_ = false;
   // Whether reading of the answer is paused because the caller reads too
   // slowly.
   bool paused_ = false;
--- a/tests/resumed_stream_test.cc
+++ b/tests/resumed_stream_test.cc
@@ -161,6 +161,15 @@
   CHECK_EQUAL(2, floor->targets().ExecutionCounts()["cut"]);
 }
 
+TEST(ResumedStream, AnErrorThatDoesNotEndDoesNotHoldTheStreamUp) {
+  const std::vector<Fault> faults = {
+      {"open", {500, "text/plain", "upstream failed", false, true}},
+      {"open-page", {200, "text/html", "<html>", false, true}},
+  };
+  options.max_attempts = 3;
+  STRCMP_EQUAL("", Stream(faults, kEvents, true).c_str());
+}
+
 TEST(ResumedStream, AResponseOfAnotherTypeDoesNotContinueTheStream) {
   CheckHidden(MakePages());
 }
