Deliver tokens to a reconnected caller once and in order

Cause: EntryNode::OpenRequest() registers the new mailbox and only then posts the request to the control thread. A token that comes in between goes to the new mailbox before RequestCoordinator::Reattach() delivers the missed ones, that token among them; and the mailbox numbered what it held on from the first token it got. If that token is the last one, the stream ends there.

Evidence: found by reading, not seen in a run of an entry; the window is the time that the control thread needs to get to the request.

Fix: the mailbox knows the next index that its caller expects. It skips what the caller has and whatever comes after a gap, with its end; the reattached or resumed request delivers that again, in order.

--- a/modules/bbv_node/entry_node.cc
+++ b/modules/bbv_node/entry_node.cc
@@ -100,7 +100,7 @@
 }
 
 RefPtr<RequestMailbox> EntryNode::OpenRequest(ModelRequest request) {
-  auto mailbox = MakeRefCounted<RequestMailbox>();
+  auto mailbox = MakeRefCounted<RequestMailbox>(request.delivered_before);
   {
     const std::scoped_lock lock(mailboxes_mutex_);
     RefPtr<RequestMailbox>& place = mailboxes_[request.id];
--- a/modules/bbv_node/request_mailbox.cc
+++ b/modules/bbv_node/request_mailbox.cc
@@ -1,5 +1,6 @@
 #include "bbv_node/request_mailbox.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace bbv {
@@ -9,9 +10,15 @@
                                bool finished) {
   {
     const std::scoped_lock lock(mutex_);
+    if (first_index > next_index_)
+      return;
+    const auto known =
+        std::min<std::size_t>(next_index_ - first_index, tokens.size());
+    const auto added = tokens.subspan(known);
     if (pending_.tokens.empty())
-      pending_.first_index = first_index;
-    pending_.tokens.insert(pending_.tokens.end(), tokens.begin(), tokens.end());
+      pending_.first_index = next_index_;
+    pending_.tokens.insert(pending_.tokens.end(), added.begin(), added.end());
+    next_index_ += static_cast<uint32_t>(added.size());
     pending_.finished = finished;
   }
   delivery_available_.notify_one();
--- a/modules/bbv_node/request_mailbox.h
+++ b/modules/bbv_node/request_mailbox.h
@@ -30,6 +30,14 @@
 // Thread safety: all methods may be called from any thread.
 class RequestMailbox : public RefCounted {
  public:
+  // `next_index` is the index of the first token that the caller has not
+  // received.
+  explicit RequestMailbox(uint32_t next_index) : next_index_(next_index) {}
+
+  // Adds tokens that follow those added before. Tokens that the caller has are
+  // skipped, and so are tokens after a gap, with the end that they bring: while
+  // a caller reconnects, its request may produce tokens before those that the
+  // caller misses are delivered.
   void PutTokens(uint32_t first_index,
                  std::span<const uint64_t> tokens,
                  bool finished);
@@ -42,6 +50,7 @@
  private:
   std::mutex mutex_;
   std::condition_variable delivery_available_;
+  uint32_t next_index_;
   Delivery pending_;
 };
 
