Test that a caller that resumes gets no repeats

A caller's own Last-Event-Id is held to like that of a resumed send: a target that begins again before it is left for another one (FleetCall starts with the caller's last event).

--- a/tests/resumed_stream_test.cc
+++ b/tests/resumed_stream_test.cc
@@ -75,11 +75,13 @@
   };
 }
 
-std::string MakeStreamText(int events) {
+// The events of a stream after `last`, up to `end`.
+std::string MakeStreamText(int end, int last = 0) {
   std::string text;
-  for (int it = 1; it <= events; ++it) {
+  for (int it = last + 1; it <= end; ++it) {
     const std::string number = std::to_string(it);
-    text += "id: " + number + "\ndata: t" + number + "\n\n";
+    text.append("id: ").append(number).append("\ndata: t");
+    text.append(number).append("\n\n");
   }
   return text;
 }
@@ -142,6 +144,21 @@
   CheckHidden(MakeRepeats());
 }
 
+TEST(ResumedStream, RepeatedEventsDoNotReachACallerThatResumes) {
+  const std::vector<Fault> faults = MakeRepeats();
+  StartFleet(faults);
+  for (const Fault& it : faults) {
+    httplib::Headers headers = MakeCallHeaders(it.name, 5000);
+    headers.emplace("Last-Event-Id", "20");
+    httplib::Client client("127.0.0.1", floor->callers_port(0));
+    const auto answer = client.Get(PathOf(it), headers);
+    CHECK_TEXT(answer, it.name);
+    STRCMP_EQUAL_TEXT(MakeStreamText(kEvents, 20).c_str(), answer->body.c_str(),
+                      it.name);
+    CHECK_EQUAL(2, floor->targets().ExecutionCounts()[it.name]);
+  }
+}
+
 TEST(ResumedStream, AnEmptyContinuationDoesNotEndTheStream) {
   CheckHidden(MakeEmptyStreams());
 }
