--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -44,6 +44,17 @@
   return text;
 }
 
+// Returns the type of a response's body without parameters; empty if there is
+// none.
+std::string_view MediaType(const HttpHead& head) {
+  const std::string* value = head.Find("Content-Type");
+  if (value == nullptr)
+    return {};
+  const std::string_view type =
+      std::string_view(*value).substr(0, value->find(';'));
+  return type.substr(0, type.find_last_not_of(" \t") + 1);
+}
+
 // Returns how a call proceeds that lost a hop after `sends_before` sends.
 std::string_view ContinuationText(const FleetCall& call, int sends_before) {
   if (call.is_changing_path())
@@ -106,6 +117,11 @@
       context_->client->SetReadingPaused(exchange_, false);
     }
   }
+  if (is_continuation_refused_) {
+    // The body that is still to come is of no use.
+    context_->client->Cancel(exchange_);
+    FailUnusableAnswer();
+  }
   call_.OnTick(now);
 }
 
@@ -204,6 +220,7 @@
   sent_at_ = now;
   send_in_flight_ = true;
   streaming_ = false;
+  resuming_ = head_relayed_;
   DropBufferedAnswer();
   splitter_.Reset();
   paused_ = false;
@@ -254,6 +271,7 @@
 
 void RelayedCall::FinishSend(bool failed, Instant now) {
   send_in_flight_ = false;
+  is_continuation_refused_ = false;
   context_->selector->RemoveInFlight(&dispatch_);
   FleetTarget* target = context_->registry->Find(dispatch_.target_id);
   if (target != nullptr && now > sent_at_) {
@@ -393,13 +411,15 @@
 bool RelayedCall::IsGoodStreamHead() const {
   return call_.request().route->kind == CallKind::kStream &&
          answer_head_.status == 200 && answer_fields_.has_signature &&
-         !answer_fields_.encoded;
+         !answer_fields_.encoded &&
+         (!resuming_ || SameFieldName(MediaType(answer_head_), media_type_));
 }
 
 void RelayedCall::OnResponseHead(HttpHead head) {
   answer_head_ = std::move(head);
   answer_fields_ = platform::DecodeResponse(answer_head_);
   streaming_ = IsGoodStreamHead();
+  is_continuation_refused_ = resuming_ && !streaming_;
 }
 
 void RelayedCall::OnResponseBody(std::string_view data) {
@@ -426,25 +446,42 @@
   FailSend({CallEndReason::kBadAnswer, false, false, {}}, evidence);
 }
 
-void RelayedCall::RelayEvents(std::string_view data) {
+std::string_view RelayedCall::FindEventFault(const StreamEvent& event,
+                                             int64_t last) const {
+  // A target that resumes after an event must not repeat it; ids increase.
+  if (event.id)
+    return *event.id <= last ? "event out of order" : "";
+  return awaits_first_event() && HasData(event) ? "event without id" : "";
+}
+
+std::string_view RelayedCall::CollectEvents(std::string_view data,
+                                            int64_t* last) {
   chunk_.clear();
-  int64_t last = call_.last_event();
+  chunk_ends_unnumbered_ = false;
   for (const StreamEvent& it : splitter_.Split(data)) {
-    // A target that resumes after an event must not repeat it; ids increase.
-    if (it.id && *it.id <= last) {
-      FailBadAnswer("event out of order");
-      return;
-    }
+    const std::string_view fault = FindEventFault(it, *last);
+    if (!fault.empty())
+      return fault;
+    // Comments and the like before the first event repeat the first target's.
+    if (!it.id && awaits_first_event())
+      continue;
     if (it.id) {
-      last = *it.id;
+      *last = *it.id;
       ++events_relayed_;
       if (++events_of_send_ == kEventsOfStartedOutput)
         context_->crash_guard->OnOutput(Guarded(), EventLoop::Now());
     }
+    chunk_ends_unnumbered_ = !it.id && (chunk_ends_unnumbered_ || HasData(it));
     chunk_.append(it.text);
   }
-  if (splitter_.is_overlong()) {
-    FailBadAnswer("event without end");
+  return splitter_.is_overlong() ? "event without end" : "";
+}
+
+void RelayedCall::RelayEvents(std::string_view data) {
+  int64_t last = call_.last_event();
+  const std::string_view fault = CollectEvents(data, &last);
+  if (!fault.empty()) {
+    FailBadAnswer(fault);
     return;
   }
   if (chunk_.empty() || caller_ == nullptr)
@@ -455,6 +492,7 @@
     call_.OnResponseStarted(now);
   if (!head_relayed_) {
     head_relayed_ = true;
+    media_type_ = MediaType(answer_head_);
     first_relayed_ = now;
     context_->metrics->ObserveFirstEvent(
         MillisecondsBetween(call_.request().arrived, now) / 1000);
@@ -465,6 +503,8 @@
   }
   RecordEventGap(last, now);
   call_.OnEventRelayed(last, now);
+  if (chunk_ends_unnumbered_)
+    call_.OnUnnumberedOutput();
   if (!paused_ && caller_->queued_bytes() > kStopReadingBytes) {
     paused_ = true;
     context_->client->SetReadingPaused(exchange_, true);
@@ -526,10 +566,31 @@
        {"target", dispatch_.target_id}});
 }
 
+bool RelayedCall::FailUnusableAnswer() {
+  if (answer_fields_.not_run) {
+    FailSend(
+        {CallEndReason::kNoRoom, true, false, answer_fields_.fault_address},
+        "not run, status " + std::to_string(answer_head_.status));
+    return true;
+  }
+  if (is_success() &&
+      (!answer_fields_.has_signature || answer_fields_.encoded)) {
+    FailSend({CallEndReason::kBadAnswer, false, false, {}},
+             "not the target's body");
+    return true;
+  }
+  if (answer_head_.status >= kFirstServerErrorStatus || resuming_) {
+    FailSend({CallEndReason::kBadAnswer, false, !resuming_, {}},
+             "status " + std::to_string(answer_head_.status));
+    return true;
+  }
+  return false;
+}
+
 void RelayedCall::OnResponseEnd() {
   const Instant now = EventLoop::Now();
   if (streaming_) {
-    if (splitter_.has_partial_event() || !call_.relaying()) {
+    if (splitter_.has_partial_event() || !has_output()) {
       FailSend({CallEndReason::kBadAnswer, false, false, {}}, "stream cut");
       return;
     }
@@ -544,26 +605,11 @@
       std::exchange(caller_, nullptr)->EndStream();
     return;
   }
-  if (answer_fields_.not_run) {
-    FailSend(
-        {CallEndReason::kNoRoom, true, false, answer_fields_.fault_address},
-        "not run, status " + std::to_string(answer_head_.status));
-    return;
-  }
-  const bool success = answer_head_.status >= 200 && answer_head_.status < 300;
-  if (success && (!answer_fields_.has_signature || answer_fields_.encoded)) {
-    FailSend({CallEndReason::kBadAnswer, false, false, {}},
-             "not the target's body");
+  if (FailUnusableAnswer())
     return;
-  }
-  if (answer_head_.status >= kFirstServerErrorStatus || head_relayed_) {
-    FailSend({CallEndReason::kBadAnswer, false, !head_relayed_, {}},
-             "status " + std::to_string(answer_head_.status));
-    return;
-  }
   FinishSend(false, now);
   // An error response does not show that the target could write an answer.
-  if (success)
+  if (is_success())
     context_->crash_guard->OnOutput(Guarded(), now);
   call_.OnResponseComplete();
   context_->metrics->CountServed(call_.request().service);
--- a/modules/bbv_fleet/fleet_call.cc
+++ b/modules/bbv_fleet/fleet_call.cc
@@ -128,7 +128,8 @@
   if (sends_ >= kMaxSends)
     return false;
   const ServiceRoute& route = *request_.route;
-  if (relaying_ && !(route.kind == CallKind::kStream && route.resumable))
+  if (relaying_ && (route.kind != CallKind::kStream || !route.resumable ||
+                    has_unnumbered_output_))
     return false;
   if (execution_status_ != ExecutionStatus::kNotRun && !IsIdempotent())
     return false;
@@ -195,6 +196,8 @@
 }
 
 void FleetCall::OnEventRelayed(int64_t event_id, Instant now) {
+  if (event_id != last_event_)
+    has_unnumbered_output_ = false;
   last_event_ = event_id;
   last_progress_ = now;
   silent_since_ = now;
--- a/modules/bbv_http/event_splitter.h
+++ b/modules/bbv_http/event_splitter.h
@@ -14,10 +14,14 @@
 struct StreamEvent {
   // Includes the blank line that ends the event.
   std::string_view text;
-  // Value of the event's id line, if it has one that is a number.
+  // Value of the event's id line, if it is a whole number of at most 63 bits.
   std::optional<int64_t> id;
 };
 
+// Whether `event` carries data. Without any it is a comment or a setting.
+// Thread safe.
+bool HasData(const StreamEvent& event);
+
 // Splits an event stream into complete events and buffers an incomplete one
 // until its remaining bytes arrive.
 //
