Deeply nested texts end no node: their depth is bounded before parsing

What was seen: one record of the configuration log with a plan value nested 1,000,000 deep, or one claim record with such a list, ends every node that reads it, after each start again. Cause: nlohmann::json parses and destroys without recursion, but copies (and prints) with one call a level. The fold copies a plan's values, the claims' decoder copied its lists; so do an operator's entities. Evidence: the new tests, on the code before: ConfigurationLog SkipsDeeplyNestedRecords and ClaimRecord RejectsDeeplyNestedTexts ended with a segmentation fault (exit 139). Why the fix works: a scan of the text without a stack refuses more than 64 levels before any tree is built; nothing that the project writes is deeper than 8.

Bodies of operators and callers were not tried on the code before. Entries before targets (--fleet) did not end here: they only look into the tree.

--- a/modules/bbv_config/configuration_fold.cc
+++ b/modules/bbv_config/configuration_fold.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "bbv_core/hashing.h"
+#include "bbv_core/json_text.h"
 
 namespace bbv {
 
@@ -15,6 +16,14 @@
 // their outcome.
 constexpr std::size_t kMaximumRetainedPlans = 256;
 
+// Parses a record or a snapshot. Throws json::exception if it is not JSON or
+// too deep: parts of it are copied, which recurses.
+json ParseShallow(const std::string& text) {
+  if (IsJsonTooDeep(text))
+    throw json::other_error::create(501, "nested too deep", nullptr);
+  return json::parse(text);
+}
+
 json ChangeToJson(const EntityChange& change) {
   return {{"kind", kEntityKindNames.Name(change.key.kind)},
           {"name", change.key.name},
@@ -71,6 +80,8 @@
 }
 
 std::string CheckpointSnapshot(const std::string& record) {
+  if (IsJsonTooDeep(record))
+    return "";
   const json parsed = json::parse(record, nullptr, false);
   if (!parsed.is_object() || parsed.value("type", "") != "checkpoint")
     return "";
@@ -82,7 +93,7 @@
   assert(offset == next_offset_);
   next_offset_ = offset + 1;
   try {
-    return ApplyRecord(offset, json::parse(record));
+    return ApplyRecord(offset, ParseShallow(record));
   } catch (const json::exception& error) {
     return Fail(Operation::kConfiguration, "offset " + std::to_string(offset),
                 error.what());
@@ -202,7 +213,7 @@
 
 Result<void> ConfigurationFold::Restore(const std::string& snapshot) {
   try {
-    const json in = json::parse(snapshot);
+    const json in = ParseShallow(snapshot);
     ConfigurationFold restored;
     for (const json& change : in.at("changes")) {
       auto applied = restored.configuration_.Apply(
--- a/modules/bbv_config/configuration_log_test.cc
+++ b/modules/bbv_config/configuration_log_test.cc
@@ -44,6 +44,13 @@
   std::vector<std::string> records_;
 };
 
+// The record of a plan that sets the model "m" to `value`.
+std::string MakeModelPlan(const std::string& id, const std::string& value) {
+  return R"({"type":"plan","plan":")" + id +
+         R"(","summary":"","reads":[],"changes":[{"kind":"model","name":"m",)" +
+         R"("value":)" + value + "}]}";
+}
+
 uint32_t WeightOf(const ConfigurationLog& log) {
   const auto& accounts = log.fold().configuration().accounts;
   const auto it = accounts.find("a");
@@ -151,3 +158,14 @@
   for (const auto& intent : bad)
     CHECK_FALSE(bbv::MakePlan(writer.fold(), intent, "p").has_value());
 }
+
+TEST(ConfigurationLog, SkipsDeeplyNestedRecords) {
+  const std::string deep =
+      std::string(1'000'000, '[') + std::string(1'000'000, ']');
+  bbv::ConfigurationFold fold;
+  CHECK(!fold.Apply(0, MakeModelPlan("deep", deep)).has_value());
+  CHECK(!fold.Apply(1, R"({"type":)" + deep + "}").has_value());
+  STRCMP_EQUAL("", bbv::CheckpointSnapshot(deep).c_str());
+  CHECK(!bbv::ConfigurationFold().Restore(deep).has_value());
+  CHECK(fold.Apply(2, MakeModelPlan("good", "null")).has_value());
+}
--- a/modules/bbv_core/bbv_core.h
+++ b/modules/bbv_core/bbv_core.h
@@ -1,9 +1,9 @@
 // bbv_core: value types and utilities shared by all other modules.
 //
 // Provides monotonic time points, typed errors, reason codes, enum name tables,
-// intrusive lists, reference counting, hashing and the catalogue of numbered
-// log events. Depends on glog (event output) and xxHash (hashing). Opens no
-// socket and starts no thread.
+// intrusive lists, reference counting, hashing, checks of JSON texts and the
+// catalogue of numbered log events. Depends on glog (event output) and xxHash
+// (hashing). Opens no socket and starts no thread.
 #ifndef MODULES_BBV_CORE_BBV_CORE_H_
 #define MODULES_BBV_CORE_BBV_CORE_H_
 
@@ -12,6 +12,7 @@
 #include "bbv_core/hashing.h"
 #include "bbv_core/instant.h"
 #include "bbv_core/intrusive_list.h"
+#include "bbv_core/json_text.h"
 #include "bbv_core/name_table.h"
 #include "bbv_core/reason.h"
 #include "bbv_core/ref_counted.h"
--- a/modules/bbv_node/completion_handler.cc
+++ b/modules/bbv_node/completion_handler.cc
@@ -7,6 +7,7 @@
 
 #include "bbv_core/event.h"
 #include "bbv_core/hashing.h"
+#include "bbv_core/json_text.h"
 #include "bbv_node/caller_request_scope.h"
 #include "bbv_node/entry_node.h"
 #include "bbv_node/http_responses.h"
@@ -125,7 +126,9 @@
 
 ParseResult<void> ParseBody(const httplib::Request& http,
                             Completion* completion) {
-  const json body = json::parse(http.body, nullptr, false);
+  const json body = IsJsonTooDeep(http.body)
+                        ? json()
+                        : json::parse(http.body, nullptr, false);
   if (!body.is_object())
     return Reject(400, "bad-json", "body must be a JSON object in UTF-8");
   ModelRequest& request = completion->request;
--- a/modules/bbv_node/operator_handler.cc
+++ b/modules/bbv_node/operator_handler.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "bbv_config/intent.h"
+#include "bbv_core/json_text.h"
 #include "bbv_node/entry_node.h"
 #include "bbv_node/http_responses.h"
 
@@ -95,7 +96,9 @@
                 httplib::Response& response) {
   if (!AuthenticateOperator(node, http, &response))
     return;
-  const json body = json::parse(http.body, nullptr, false);
+  const json body = IsJsonTooDeep(http.body)
+                        ? json()
+                        : json::parse(http.body, nullptr, false);
   if (!body.is_object()) {
     SetErrorResponse(&response, 400, Outcome::kNotRun, "bad-json",
                      "body must be a JSON object");
--- a/modules/bbv_once/claim_record.cc
+++ b/modules/bbv_once/claim_record.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "bbv_core/json_text.h"
+
 namespace bbv {
 namespace {
 
@@ -73,6 +75,8 @@
 }
 
 Result<ClaimRecord> DecodeClaimRecord(const std::string& text) {
+  if (IsJsonTooDeep(text))
+    return Fail(Operation::kLogRead, "claims", "nested too deep");
   try {
     const json in = json::parse(text);
     ClaimRecord record;
--- a/modules/bbv_once/claim_record_test.cc
+++ b/modules/bbv_once/claim_record_test.cc
@@ -36,3 +36,10 @@
   for (const char* text : {"", "{}", "[1]", R"({"t":"s","e":1,"c":[["x",1]]})"})
     CHECK_FALSE(bbv::DecodeClaimRecord(text).has_value());
 }
+
+TEST(ClaimRecord, RejectsDeeplyNestedTexts) {
+  const std::string deep =
+      std::string(1'000'000, '[') + std::string(1'000'000, ']');
+  CHECK_FALSE(bbv::DecodeClaimRecord(R"({"t":"s0","e":1,"c":)" + deep + "}")
+                  .has_value());
+}
--- a/modules/bbv_platform/engine_client.cc
+++ b/modules/bbv_platform/engine_client.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "bbv_core/json_text.h"
+
 namespace bbv {
 
 EngineClient::EngineClient(const SocketAddress& address, Milliseconds timeout)
@@ -49,6 +51,8 @@
     return Fail(
         Operation::kEngineOrder, connection_.peer(),
         "status " + std::to_string(response->status) + " " + response->body);
+  if (IsJsonTooDeep(response->body))
+    return Fail(Operation::kEngineOrder, connection_.peer(), "nested too deep");
   try {
     return nlohmann::json::parse(response->body)
         .at("loaded")
