Integers of log records out of range are refused, not cut to their low bits

What operators would see: a model of 2^32 + 8 layers in a record of another writer came into force as one of 8; an answer with status 65736 as one with 200; an epoch of -1 as 2^64 - 1; half a layer as none. Cause: json::get_to() converts any number to the field's type. Evidence: on the code before, ConfigurationLog SkipsRecordsWithNumbersOutOfRange failed ("models.empty()" after layers) and ClaimRecord RejectsNumbersOutOfRange at {"t":"s0","e":-1}. Why the fix works: ReadInteger takes an integer in the type's range and throws otherwise, which the callers already turn into a skipped record.

--- a/modules/bbv_config/configuration.cc
+++ b/modules/bbv_config/configuration.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <set>
 
+#include "bbv_config/json_integer.h"
+
 namespace bbv {
 
 using nlohmann::json;
@@ -15,8 +17,8 @@
 
 void from_json(const json& in, Account& account) {
   in.at("key_sha256").get_to(account.key_sha256);
-  in.at("weight").get_to(account.weight);
-  in.at("priority").get_to(account.priority);
+  ReadInteger(in.at("weight"), &account.weight);
+  ReadInteger(in.at("priority"), &account.priority);
 }
 
 void to_json(json& out, const Model& model) {
@@ -24,7 +26,7 @@
 }
 
 void from_json(const json& in, Model& model) {
-  in.at("layers").get_to(model.layers);
+  ReadInteger(in.at("layers"), &model.layers);
   in.at("version").get_to(model.version);
 }
 
@@ -63,10 +65,10 @@
   in.at("zone").get_to(target.zone);
   in.at("model").get_to(target.model);
   in.at("service").get_to(target.service);
-  in.at("first_layer").get_to(target.first_layer);
-  in.at("end_layer").get_to(target.end_layer);
-  in.at("capacity").get_to(target.capacity);
-  in.at("speed").get_to(target.speed);
+  ReadInteger(in.at("first_layer"), &target.first_layer);
+  ReadInteger(in.at("end_layer"), &target.end_layer);
+  ReadInteger(in.at("capacity"), &target.capacity);
+  ReadInteger(in.at("speed"), &target.speed);
   in.at("honours_fence").get_to(target.honours_fence);
   const auto state = kTargetStateNames.Find(in.at("state").get<std::string>());
   target.state = state.value_or(TargetState::kActive);
--- a/modules/bbv_config/configuration_log_test.cc
+++ b/modules/bbv_config/configuration_log_test.cc
@@ -169,3 +169,19 @@
   CHECK(!bbv::ConfigurationFold().Restore(deep).has_value());
   CHECK(fold.Apply(2, MakeModelPlan("good", "null")).has_value());
 }
+
+TEST(ConfigurationLog, SkipsRecordsWithNumbersOutOfRange) {
+  bbv::ConfigurationFold fold;
+  uint64_t offset = 0;
+  for (const std::string layers :
+       {"4294967304", "-1", "0.5", "18446744073709551616", "1e999"}) {
+    const std::string id = "p" + layers;
+    fold.Apply(offset++,
+               MakeModelPlan(id, R"({"version":"v","layers":)" + layers + "}"));
+    fold.Apply(offset++, bbv::MakeConfirmRecord(id));
+    CHECK(fold.configuration().models.empty());
+  }
+  fold.Apply(offset++, MakeModelPlan("good", R"({"version":"v","layers":8})"));
+  CHECK(fold.Apply(offset++, bbv::MakeConfirmRecord("good")).has_value());
+  CHECK_EQUAL(8, static_cast<int>(fold.configuration().models.at("m").layers));
+}
--- a/modules/bbv_once/claim_record.cc
+++ b/modules/bbv_once/claim_record.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "bbv_config/json_integer.h"
 #include "bbv_core/json_text.h"
 
 namespace bbv {
@@ -27,8 +28,11 @@
 
 std::string BytesFromJson(const json& in) {
   std::string bytes;
-  for (const json& value : in)
-    bytes.push_back(static_cast<char>(value.get<uint8_t>()));
+  for (const json& value : in) {
+    uint8_t byte = 0;
+    ReadInteger(value, &byte);
+    bytes.push_back(static_cast<char>(byte));
+  }
   return bytes;
 }
 
@@ -53,7 +57,7 @@
 ClaimAnswer AnswerFromJson(const json& in) {
   ClaimAnswer answer;
   answer.key = KeyFromJson(in.at(0));
-  in.at(1).get_to(answer.status);
+  ReadInteger(in.at(1), &answer.status);
   in.at(2).get_to(answer.body_recorded);
   in.at(3).get_to(answer.content_type);
   answer.body = in.at(4).is_string() ? in.at(4).get<std::string>()
@@ -81,10 +85,12 @@
     const json in = json::parse(text);
     ClaimRecord record;
     in.at("t").get_to(record.holder.target);
-    in.at("e").get_to(record.holder.epoch);
-    for (const json& claim : in.value("c", json::array()))
-      record.claims.push_back(
-          {KeyFromJson(claim.at(0)), claim.at(1).get<uint64_t>()});
+    ReadInteger(in.at("e"), &record.holder.epoch);
+    for (const json& claim : in.value("c", json::array())) {
+      Claim read{KeyFromJson(claim.at(0))};
+      ReadInteger(claim.at(1), &read.fingerprint);
+      record.claims.push_back(read);
+    }
     for (const json& answer : in.value("a", json::array()))
       record.answers.push_back(AnswerFromJson(answer));
     for (const json& key : in.value("v", json::array()))
--- a/modules/bbv_once/claim_record_test.cc
+++ b/modules/bbv_once/claim_record_test.cc
@@ -43,3 +43,16 @@
   CHECK_FALSE(bbv::DecodeClaimRecord(R"({"t":"s0","e":1,"c":)" + deep + "}")
                   .has_value());
 }
+
+TEST(ClaimRecord, RejectsNumbersOutOfRange) {
+  const std::string key = R"("00000000000000000000000000000001")";
+  for (const std::string& text :
+       {std::string(R"({"t":"s0","e":-1})"),
+        std::string(R"({"t":"s0","e":18446744073709551616})"),
+        R"({"t":"s0","e":1,"a":[[)" + key + R"(,65736,true,"t","b"]]})",
+        R"({"t":"s0","e":1,"a":[[)" + key + R"(,200,true,"t",[256]]]})",
+        R"({"t":"s0","e":1,"c":[[)" + key + ",-1]]}"}) {
+    if (bbv::DecodeClaimRecord(text))
+      FAIL(text.c_str());
+  }
+}
