A list record with numbers out of range ends no entry

What was seen: two entries at the stand-in store, then records of another writer among those of the servers. With layers from 2^31 to 2^31 + 5 the entry that plans ended. Whoever plans next, and its next start, reads the same record. Without assertions the code would write 8 GB before an array. Cause: layers were checked as 64-bit numbers and then cut to 32: 2^31 became -2^31, 2^32 + 8 became 8 layers, 5 to 2^32 + 3 a range that ends before it begins. The same for slots and reports; 2^64 - 1 as a heartbeat became -1. Heartbeats above 2^32 were cut on the way to other entries, so that these took the target's record as old. An address with a null character passed with any text behind it (inet_pton stops there), and would have gone into header lines, as would control characters in an id. Records from peers were not checked at all: an address that cannot be parsed throws where it is used. Evidence: OddEntry EntriesFollowTheOtherTargets on the code before: "entry ended", abort in LayerCoverage::Add() below PlannerAgent::LogCoverageChanges(). Why the fix works: numbers are compared with their ranges before they are cut; IsWellFormed() is one check for records of the list and of peers, and what does not pass names no target.

--- a/modules/bbv_entry/target_follower.cc
+++ b/modules/bbv_entry/target_follower.cc
@@ -286,8 +286,10 @@
     StartMissingTargetGrace(read_at);
   for (const std::string& it : delta.removed)
     RemoveTarget(it, now);
-  for (const wire::ListedTargetT& it : delta.changed)
-    ApplyRecord(FromMessage(it), now);
+  for (const wire::ListedTargetT& it : delta.changed) {
+    if (const auto record = FromMessage(it))
+      ApplyRecord(*record, now);
+  }
   bool knows_all = true;
   for (const wire::HeartbeatRow& it : delta.heartbeats)
     knows_all &= registry_->ApplyHeartbeat(it.target(), it.heartbeat(), now);
--- a/modules/bbv_entry/target_messages.cc
+++ b/modules/bbv_entry/target_messages.cc
@@ -41,7 +41,9 @@
   return message;
 }
 
-TargetRecord FromMessage(const wire::ListedTargetT& message) {
+std::optional<TargetRecord> FromMessage(const wire::ListedTargetT& message) {
+  if (message.to_layer > kMaxLayers)
+    return std::nullopt;
   TargetRecord record;
   record.id = message.id;
   record.service = message.service;
@@ -50,13 +52,13 @@
   record.accelerator = message.accelerator;
   record.slots = static_cast<int>(message.slots);
   record.leaving = message.leaving;
-  if (message.to_layer > message.from_layer) {
+  if (message.from_layer < message.to_layer) {
     record.layers = LayerRange{static_cast<int>(message.from_layer),
                                static_cast<int>(message.to_layer)};
   }
   record.started_unix_ms = message.started_unix_ms;
   record.heartbeat = message.heartbeat;
-  return record;
+  return IsWellFormed(record) ? std::optional(record) : std::nullopt;
 }
 
 wire::EngineRow ToMessage(const FleetTarget& target, Milliseconds age) {
--- a/modules/bbv_entry/target_messages.h
+++ b/modules/bbv_entry/target_messages.h
@@ -1,15 +1,17 @@
 #ifndef MODULES_BBV_ENTRY_TARGET_MESSAGES_H_
 #define MODULES_BBV_ENTRY_TARGET_MESSAGES_H_
 
+#include <optional>
+
 #include "bbv_fleet/target_registry.h"
 #include "bbv_wire/bbv_wire.h"
 
 namespace bbv {
 
-// Converts a listed target to and from the message that entries exchange.
-// Thread safe.
+// Converts a listed target to and from the message that entries exchange. A
+// message that is not well formed yields nothing. Thread safe.
 wire::ListedTargetT ToMessage(const TargetRecord& record);
-TargetRecord FromMessage(const wire::ListedTargetT& message);
+std::optional<TargetRecord> FromMessage(const wire::ListedTargetT& message);
 
 // Encodes an engine report that is `age` old for the other entries. Thread
 // safe.
--- a/modules/bbv_fleet/target_registry.cc
+++ b/modules/bbv_fleet/target_registry.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "bbv_core/hashing.h"
+#include "bbv_settings/socket_address.h"
 
 namespace bbv {
 namespace {
@@ -31,6 +32,13 @@
 constexpr double kSlowPace = 2.5;
 // Limit on the targets in `unlisted_`.
 constexpr std::size_t kMaxUnlisted = 4096;
+// Limit on the length of each text in a record.
+constexpr std::size_t kMaxTextBytes = 255;
+
+bool IsPrintable(std::string_view text) {
+  return std::all_of(text.begin(), text.end(),
+                     [](char it) { return it > ' ' && it <= '~'; });
+}
 
 bool EqualExceptHeartbeat(const TargetRecord& left, const TargetRecord& right) {
   return left.service == right.service && left.address == right.address &&
@@ -42,6 +50,20 @@
 
 }  // namespace
 
+bool IsWellFormed(const TargetRecord& record) {
+  for (const std::string* it : {&record.id, &record.service, &record.address,
+                                &record.zone, &record.accelerator}) {
+    if (it->size() > kMaxTextBytes)
+      return false;
+  }
+  const LayerRange layers = record.layers.value_or(LayerRange{0, 1});
+  return !record.id.empty() && IsPrintable(record.id) &&
+         ParseSocketAddress(record.address) && record.slots >= 0 &&
+         record.started_unix_ms >= 0 && record.heartbeat >= 0 &&
+         record.heartbeat <= kMaxHeartbeat && layers.from >= 0 &&
+         layers.from < layers.to && layers.to <= kMaxLayers;
+}
+
 bool TargetRegistry::Apply(const TargetRecord& record, Instant now) {
   if (IsOutdated(record))
     return false;
--- a/modules/bbv_fleet/target_registry.h
+++ b/modules/bbv_fleet/target_registry.h
@@ -34,6 +34,10 @@
   bool operator==(const LayerRange&) const = default;
 };
 
+// Entries exchange layers as 16-bit numbers and heartbeats as 32-bit numbers.
+inline constexpr int kMaxLayers = 0xffff;
+inline constexpr int64_t kMaxHeartbeat = 0xffffffff;
+
 // Record that a target publishes about itself in the target list.
 struct TargetRecord {
   std::string id;
@@ -53,6 +57,11 @@
   int64_t heartbeat = 0;
 };
 
+// Returns whether the fields of a record from another process are within their
+// ranges: texts are short, the id is printable (it is sent in header fields),
+// the address is valid and the layers are a range. Thread safe.
+bool IsWellFormed(const TargetRecord& record);
+
 // Load that an engine reported.
 struct EngineLoadReport {
   // Slowdown factor: how many times slower than usual the engine runs.
--- a/modules/bbv_settings/socket_address.cc
+++ b/modules/bbv_settings/socket_address.cc
@@ -12,6 +12,9 @@
     return std::nullopt;
   SocketAddress address;
   address.ip = text.substr(0, colon);
+  // inet_pton() would ignore all text after a null character.
+  if (address.ip.find('\0') != std::string::npos)
+    return std::nullopt;
   in_addr ignored{};
   if (inet_pton(AF_INET, address.ip.c_str(), &ignored) != 1)
     return std::nullopt;
--- /dev/null
+++ b/tests/odd_entry_test.cc
@@ -0,0 +1,132 @@
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "fleet_floor.h"
+
+using bbv::FleetFloor;
+
+namespace {
+
+constexpr char kTargetTopic[] = "keyed.servers";
+constexpr int kEntries = 2;
+
+// The record of an engine at an unused `port`, with `fields` in addition.
+std::string EngineRecord(int port, const std::string& fields) {
+  return R"({"service":"engine","address":"127.0.0.1:)" + std::to_string(port) +
+         R"(","zone":"zone-a",)"
+         R"("version":"v1","type":"middle","state":"ready","slots":64,)"
+         R"("born":1700000000000,)" +
+         fields + "}";
+}
+
+std::string Nested(std::size_t depth) {
+  return std::string(depth, '[') + std::string(depth, ']');
+}
+
+// Records of another writer, by key.
+std::vector<std::pair<std::string, std::string>> OddRecords() {
+  const std::string layers = R"("sequence":1,"layers":{"from":)";
+  const std::string address = R"({"service":"plain","zone":"zone-a",)"
+                              R"("state":"ready","slots":64,"sequence":1,)"
+                              R"("version":"v1","address":")";
+  return {
+      {"odd-nested",
+       EngineRecord(1, R"("sequence":1,"x":)" + Nested(1'000'000))},
+      {"odd-unclosed", std::string(100'000, '[')},
+      {"odd-infinite", EngineRecord(2, R"("sequence":1e999)")},
+      {"odd-2^31", EngineRecord(3, layers + R"(2147483648,)"
+                                            R"("target_version":2147483653})")},
+      {"odd-2^32",
+       EngineRecord(4, layers + R"(0,"target_version":4294967308})")},
+      {"odd-2^64", EngineRecord(5, R"("sequence":18446744073709551615)")},
+      {"odd-port-0", address + R"(127.0.0.1:0"})"},
+      {"odd-port-65536", address + R"(127.0.0.1:65536"})"},
+      {"odd-port-2^32", address + R"(127.0.0.1:4294967376"})"},
+      {"odd-text", "\xff\xfe\x80"},
+      {"odd key & more#%", address + R"(127.0.0.1:6"})"},
+      {"odd-\xff\xfe", address + R"(127.0.0.1:7"})"},
+  };
+}
+
+int CountOf(const std::string& text, const std::string& part) {
+  int n = 0;
+  for (std::size_t at = text.find(part); at != std::string::npos;
+       at = text.find(part, at + part.size()))
+    ++n;
+  return n;
+}
+
+}  // namespace
+
+TEST_GROUP(OddEntry) {
+  bbv::standins::FleetTargets::Options options;
+  std::unique_ptr<FleetFloor> floor;
+
+  void setup() override {
+    options.services = 2;
+    floor = std::make_unique<FleetFloor>(kEntries, options);
+    if (!floor->Start())
+      FAIL(("could not start: " + floor->Output(0)).c_str());
+  }
+  void teardown() override {
+    floor.reset();
+  }
+  void PutOddRecords() {
+    for (const auto& [key, value] : OddRecords())
+      floor->store().Put(kTargetTopic, key, value);
+  }
+  void CheckEntriesRun() {
+    for (int it = 0; it < kEntries; ++it) {
+      int code = 0;
+      if (floor->HasExited(it, &code))
+        FAIL(("entry ended: " + floor->Output(it)).c_str());
+    }
+  }
+  // Waits until all entries list `n` targets.
+  void WaitForTargets(int n) {
+    const std::string listed = "targets\"} " + std::to_string(n) + "\n";
+    for (int tries = 0; tries < 250; ++tries) {
+      CheckEntriesRun();
+      bool all = true;
+      for (int it = 0; it < kEntries; ++it)
+        all &= floor->Metrics(it).find(listed) != std::string::npos;
+      if (all)
+        return;
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    FAIL(("other targets than expected: " + floor->Metrics(0)).c_str());
+  }
+};
+
+TEST(OddEntry, EntriesFollowTheOtherTargets) {
+  const int leaving = options.engines;
+  const int added = options.engines + 1;
+  const int all = options.engines + options.services;
+  floor->targets().SetListed(added, false);
+  WaitForTargets(all - 1);
+  PutOddRecords();
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  floor->targets().SetListed(added, true);
+  floor->targets().Drain(leaving);
+  WaitForTargets(all);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  const int calls = floor->targets().CallCount(leaving);
+  for (int it = 0; it < 20; ++it) {
+    const auto answer =
+        floor->Call(it % kEntries, "/safe/x", "odd" + std::to_string(it));
+    CHECK(answer && answer->status == 200);
+  }
+  CHECK_EQUAL(calls, floor->targets().CallCount(leaving));
+  CHECK(floor->targets().CallCount(added) >= 20);
+  for (int it = 0; it < kEntries; ++it)
+    CHECK(floor->Stream(it, "stream" + std::to_string(it)).whole);
+  CheckEntriesRun();
+}
--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -36,7 +36,10 @@
 }
 
 void SetJson(const Json& json, httplib::Response* response) {
-  response->set_content(json.dump(), "application/json");
+  // Keys may hold bytes that are not UTF-8.
+  response->set_content(
+      json.dump(-1, ' ', false, Json::error_handler_t::replace),
+      "application/json");
 }
 
 void ConfigureServer(httplib::Server* server) {
@@ -165,15 +168,20 @@
   int64_t offset = topic.first;
   for (const Record& it : topic.records)
     newest[it.key] = {it.value, offset++};
+  std::erase_if(newest, [](const auto& it) { return it.second.first.empty(); });
+  const int page_size = page_size_;
   Json items = Json::array();
-  for (const auto& [key, value] : newest) {
-    if (!value.first.empty()) {
-      items.push_back({{"key", key},
-                       {"value", Base64(value.first)},
-                       {"offset", value.second}});
-    }
+  auto it = newest.upper_bound(request.get_param_value("after"));
+  for (; it != newest.end(); ++it) {
+    if (page_size > 0 && static_cast<int>(items.size()) == page_size)
+      break;
+    items.push_back({{"key", it->first},
+                     {"value", Base64(it->second.first)},
+                     {"offset", it->second.second}});
   }
-  SetJson({{"items", items}, {"more_pages", false}, {"end_offset", offset}},
+  SetJson({{"items", items},
+           {"more_pages", it != newest.end()},
+           {"end_offset", offset}},
           &response);
 }
 
@@ -255,6 +263,8 @@
   int64_t born = 0;
   std::atomic<bool> crashed{false};
   std::atomic<bool> announces_leaving{false};
+  std::atomic<bool> draining{false};
+  std::atomic<bool> unlisted{false};
   std::atomic<bool> endless{false};
   std::atomic<int> requests{0};
   std::atomic<int> calls{0};
@@ -351,13 +361,15 @@
 
 void FleetTargets::PublishRecord(Target* target) {
   const std::lock_guard lock(mutex_);
+  if (target->unlisted)
+    return;
   Json record = {
       {"service", target->service},
       {"address", "127.0.0.1:" + std::to_string(target->listed_port)},
       {"zone", options_.zone},
       {"version", "v1"},
       {"slots", 64},
-      {"state", "ready"},
+      {"state", target->draining ? "draining" : "ready"},
       {"born", target->born}};
   if (target->engine)
     record["type"] = options_.accelerator;
@@ -622,6 +634,19 @@
   targets_[target]->announces_leaving = true;
 }
 
+void FleetTargets::SetListed(int target, bool listed) {
+  Target* const changed = targets_[target].get();
+  const std::lock_guard lock(mutex_);
+  changed->unlisted = !listed;
+  changed->listed.clear();
+  if (!listed)
+    store_->Put("keyed.servers", changed->id, "");
+}
+
+void FleetTargets::Drain(int target) {
+  targets_[target]->draining = true;
+}
+
 void FleetTargets::RejectRequests(int target, const std::string& retry_after) {
   const std::lock_guard lock(mutex_);
   targets_[target]->retry_after = retry_after;
--- a/tests/standins/fleet_standin.h
+++ b/tests/standins/fleet_standin.h
@@ -52,6 +52,9 @@
   // Drops all records except the newest of each key.
   void Compact(const std::string& topic);
 
+  // Splits the newest records into pages of `items`; 0 for one page.
+  void SetPageSize(int items) { page_size_ = items; }
+
  private:
   struct Record {
     std::string key;
@@ -75,6 +78,7 @@
   int port_ = 0;
   std::atomic<bool> outage_{false};
   std::atomic<int64_t> era_{1};
+  std::atomic<int> page_size_{0};
   std::mutex mutex_;
   std::condition_variable appended_;
   std::map<std::string, Topic> topics_;
@@ -141,6 +145,10 @@
   // Makes a target announce in all responses that it is leaving, while it
   // continues to serve and its record does not say so.
   void AnnounceLeaving(int target);
+  // Takes a target's record off the list, or lists it again.
+  void SetListed(int target, bool listed);
+  // Makes a target list itself as leaving while it continues to serve.
+  void Drain(int target);
   // Makes a target reject all requests with status 503 and the given
   // Retry-After value; an empty value ends this.
   void RejectRequests(int target, const std::string& retry_after);
