--- a/modules/bbv_entry/target_follower.cc
+++ b/modules/bbv_entry/target_follower.cc
@@ -114,8 +114,7 @@
 void TargetFollower::ReadNewest(const std::string& after_key) {
   store_->ReadNewest(
       platform::kTargetTopic, after_key, kCallTimeout,
-      [this,
-       first = after_key.empty()](const Result<platform::NewestPage>& page) {
+      [this, after_key](const Result<platform::NewestPage>& page) {
         if (!page) {
           OnReadFailed();
           return;
@@ -123,7 +122,7 @@
         const Instant now = EventLoop::Now();
         // The pages are not a snapshot: reading on from the end offset of the
         // first one repeats the changes made between them.
-        if (first) {
+        if (after_key.empty()) {
           read_from_ = page->end_offset;
           read_era_ = page->era;
         }
@@ -140,7 +139,12 @@
         for (const platform::KeyedRecord& it : page->records)
           ApplyReadRecord(it, now);
         if (page->has_more && !page->records.empty()) {
-          ReadNewest(page->records.back().key);
+          const std::string& last_key = page->records.back().key;
+          // The next page would begin where this one did.
+          if (last_key.empty() || last_key == after_key)
+            OnReadFailed();
+          else
+            ReadNewest(last_key);
           return;
         }
         FinishRead(read_from_, now);
--- a/tests/odd_entry_test.cc
+++ b/tests/odd_entry_test.cc
@@ -130,3 +130,19 @@
     CHECK(floor->Stream(it, "stream" + std::to_string(it)).whole);
   CheckEntriesRun();
 }
+
+TEST(OddEntry, EntriesStartWithOddRecordsInAListOfManyPages) {
+  PutOddRecords();
+  floor->store().SetPageSize(2);
+  for (int it = 0; it < kEntries; ++it) {
+    floor->Signal(it, SIGKILL);
+    floor->WaitForExit(it);
+    floor->StartEntry(it);
+  }
+  for (int it = 0; it < kEntries; ++it) {
+    if (!floor->WaitReady(it, 5000))
+      FAIL(("not ready: " + floor->Output(it)).c_str());
+  }
+  WaitForTargets(options.engines + options.services);
+  CHECK(floor->Stream(0, "stream").whole);
+}
