A record that names no target is logged and counted once

What was seen: each full read of the list (after each outage of the store) wrote one line for each odd record again: 24 lines instead of 12 after three outages of 1 s, and nothing counted them. Cause: the record was logged wherever it was read. Why the fix works: the follower remembers the hashes of 1024 rejected contents, logs and counts only new ones (state rejected_target_records), from the store or from peers. The line names the size, not the content.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -586,6 +586,8 @@
   metrics_.SetGauge("calls_waiting",
                     static_cast<double>(admission_queue_.size()));
   metrics_.SetGauge("targets", static_cast<double>(registry_.rows().size()));
+  metrics_.SetGauge("rejected_target_records",
+                    static_cast<double>(targets_.rejected_records()));
   metrics_.SetGauge("plans", planner_.plans() ? 1 : 0);
   metrics_.SetGauge("live_entries", peers_.members().live(now));
   metrics_.SetGauge("zone_rank",
--- a/modules/bbv_entry/target_follower.cc
+++ b/modules/bbv_entry/target_follower.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "bbv_core/hashing.h"
+#include "bbv_core/json_text.h"
 #include "bbv_entry/target_messages.h"
 #include "platform/target_codec.h"
 
@@ -34,6 +35,8 @@
 constexpr Milliseconds kMaxAnswerTransit{250};
 // Additional time within which the answer to a long poll must arrive.
 constexpr Milliseconds kLongPollMargin{600};
+// Limit on the rejected records that are remembered.
+constexpr std::size_t kMaxRejected = 1024;
 constexpr int kOk = 200;
 constexpr int kGone = 410;
 
@@ -231,7 +234,7 @@
   }
   const auto decoded = platform::DecodeTargetRecord(record.key, record.value);
   if (!decoded) {
-    log_->Write(Event::kTargetRecordRejected, now, {{"target", record.key}});
+    LogRejected(record.key, record.value, now);
     return;
   }
   read_removals_.erase(record.key);
@@ -246,6 +249,21 @@
   ApplyRecord(*decoded, now);
 }
 
+void TargetFollower::LogRejected(const std::string& id,
+                                 std::string_view value,
+                                 Instant now) {
+  if (rejected_.size() >= kMaxRejected)
+    rejected_.clear();
+  // The two ways of reading the store differ in keys that are not UTF-8.
+  const std::string name = ReplaceMalformedUtf8(id);
+  if (!rejected_.insert(HashBytes(value, HashBytes(name))).second)
+    return;
+  ++rejected_records_;
+  log_->Write(
+      Event::kTargetRecordRejected, now,
+      {{"target", name}, {"bytes", static_cast<int64_t>(value.size())}});
+}
+
 void TargetFollower::RemoveTarget(const std::string& id, Instant now) {
   if (registry_->Remove(id))
     log_->Write(Event::kTargetGone, now,
@@ -293,6 +311,8 @@
   for (const wire::ListedTargetT& it : delta.changed) {
     if (const auto record = FromMessage(it))
       ApplyRecord(*record, now);
+    else
+      LogRejected(it.id, {}, now);
   }
   bool knows_all = true;
   for (const wire::HeartbeatRow& it : delta.heartbeats)
--- a/modules/bbv_entry/target_follower.h
+++ b/modules/bbv_entry/target_follower.h
@@ -7,6 +7,8 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <unordered_set>
 
 #include "bbv_entry/store_client.h"
 #include "bbv_fleet/bbv_fleet.h"
@@ -44,6 +46,9 @@
   // Whether the whole list has been received at least once.
   bool complete() const { return complete_; }
 
+  // Number of different records, of the list or of peers, that named no target.
+  uint64_t rejected_records() const { return rejected_records_; }
+
   // When a previously unknown target was last listed.
   Instant last_new_target() const { return last_new_target_; }
 
@@ -56,6 +61,8 @@
   // others.
   void ApplyReadRecord(const platform::KeyedRecord& record, Instant now);
   void ApplyRecord(const TargetRecord& record, Instant now);
+  // Logs and counts a record that names no target, once per content.
+  void LogRejected(const std::string& id, std::string_view value, Instant now);
   void RemoveTarget(const std::string& id, Instant now);
   void FinishRead(int64_t to, Instant now);
   void StartMissingTargetGrace(Instant read_at);
@@ -91,6 +98,9 @@
   std::map<std::string, TargetRecord> read_changes_;
   std::map<std::string, bool> read_removals_;
   std::map<uint32_t, int64_t> read_heartbeats_;
+  // Hashes of the rejected records that were logged.
+  std::unordered_set<uint64_t> rejected_;
+  uint64_t rejected_records_ = 0;
   // Start of the period in which the list was read without a gap. Targets that
   // were not renewed since then are removed after kListRecoveryTime.
   Instant continuous_since_{};
--- a/tests/odd_entry_test.cc
+++ b/tests/odd_entry_test.cc
@@ -146,3 +146,30 @@
   WaitForTargets(options.engines + options.services);
   CHECK(floor->Stream(0, "stream").whole);
 }
+
+TEST(OddEntry, IsLoggedAndCountedOnceHoweverOftenItIsRead) {
+  PutOddRecords();
+  // After each outage the whole list is read again.
+  for (int it = 0; it < 3; ++it) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(700));
+    floor->store().SetOutage(true);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    floor->store().SetOutage(false);
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+  CheckEntriesRun();
+  const int odd = static_cast<int>(OddRecords().size());
+  int readers = 0;
+  for (int it = 0; it < kEntries; ++it) {
+    const int lines = CountOf(floor->Output(it), "target-record-rejected");
+    if (lines == 0)
+      continue;
+    ++readers;
+    CHECK_EQUAL(odd, lines);
+    const std::string counted =
+        "rejected_target_records\"} " + std::to_string(odd) + "\n";
+    if (floor->Metrics(it).find(counted) == std::string::npos)
+      FAIL(floor->Metrics(it).c_str());
+  }
+  CHECK(readers > 0);
+}
