--- a/modules/bbv_platform/log_client.cc
+++ b/modules/bbv_platform/log_client.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "bbv_core/json_text.h"
+
 namespace bbv {
 namespace {
 
@@ -11,6 +13,16 @@
   return "/v1/streams/" + stream + "/records";
 }
 
+// Returns the text of a record; empty if it is not a string. Each record counts
+// for the offsets, so none is left out.
+std::string ParseRecord(std::string_view item) {
+  if (IsJsonTooDeep(item))
+    return {};
+  const auto record =
+      nlohmann::json::parse(ReplaceMalformedUtf8(item), nullptr, false);
+  return record.is_string() ? record.get<std::string>() : std::string();
+}
+
 }  // namespace
 
 std::string ClaimStreamName(const std::string& service) {
@@ -48,13 +60,19 @@
   if (response->status != 200)
     return Fail(Operation::kLogRead, connection_.peer(),
                 "status " + std::to_string(response->status));
+  const JsonList list = SplitJsonList(response->body, "records");
+  if (IsJsonTooDeep(list.rest))
+    return Fail(Operation::kLogRead, connection_.peer(), "nested too deep");
   try {
-    const auto document = nlohmann::json::parse(response->body);
+    const auto document = nlohmann::json::parse(list.rest);
+    if (!document.at("records").is_array())
+      return Fail(Operation::kLogRead, connection_.peer(), "no records");
     LogRecords records;
     document.at("first").get_to(records.first_offset);
     document.at("start").get_to(records.log_start);
     document.at("end").get_to(records.log_end);
-    document.at("records").get_to(records.records);
+    for (const std::string_view item : list.items)
+      records.records.push_back(ParseRecord(item));
     return records;
   } catch (const nlohmann::json::exception& error) {
     return Fail(Operation::kLogRead, connection_.peer(), error.what());
--- a/modules/bbv_platform/log_client.h
+++ b/modules/bbv_platform/log_client.h
@@ -28,6 +28,7 @@
   Result<void> Append(const std::string& stream, const std::string& record);
 
   // Returns records from `offset` on; waits up to `wait` if there are none yet.
+  // A record that is not a text is returned as an empty one.
   Result<LogRecords> Read(const std::string& stream,
                           uint64_t offset,
                           Milliseconds wait);
