Layers beyond the model count for no copy of it

What operators would see: one well formed list record of an engine with layers 0 to 60,000 makes the planner take its zone for whole; it closes no gap there. Cause: the count of holders ignored only what lies beyond the model's end. Evidence: LayerPlanner LayersBeyondTheModelCountForNothing on the code before: "expected <80> but was <0>" missing layers. Why the fix works: a range that ends beyond the model is not of this model, so it holds none of its layers.

--- a/modules/bbv_fleet/layer_coverage.cc
+++ b/modules/bbv_fleet/layer_coverage.cc
@@ -7,8 +7,9 @@
 
 void LayerCoverage::Add(const LayerRange& range) {
   assert(range.from >= 0);
-  const int end = std::min(range.to, static_cast<int>(holders_.size()));
-  for (int it = range.from; it < end; ++it)
+  if (range.to > static_cast<int>(holders_.size()))
+    return;
+  for (int it = range.from; it < range.to; ++it)
     ++holders_[it];
 }
 
--- a/modules/bbv_fleet/layer_coverage.h
+++ b/modules/bbv_fleet/layer_coverage.h
@@ -13,8 +13,9 @@
  public:
   explicit LayerCoverage(int layers) : holders_(layers, 0) {}
 
-  // Adds a target that holds `range`. Layers beyond the end of the model are
-  // ignored. Precondition: the range starts at 0 or later.
+  // Adds a target that holds `range`. A range beyond the end of the model is
+  // not of this model and counts for nothing. Precondition: the range starts at
+  // 0 or later.
   void Add(const LayerRange& range);
 
   // Returns the number of targets that hold `layer`. Precondition: `layer` is a
--- a/modules/bbv_fleet/layer_planner_test.cc
+++ b/modules/bbv_fleet/layer_planner_test.cc
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "bbv_fleet/layer_coverage.h"
 #include "tests/fleet_fixtures.h"
 
 using bbv::EngineModel;
@@ -258,3 +259,12 @@
   }
   CHECK(LayerPlanner::PlanRelief(model, relieved).empty());
 }
+
+TEST(LayerPlanner, LayersBeyondTheModelCountForNothing) {
+  const EngineModel model = bbv_test::MakeModel();
+  bbv::LayerCoverage coverage(model.layers);
+  coverage.Add({0, 60'000});
+  CHECK_EQUAL(model.layers, coverage.CountMissing());
+  coverage.Add({0, model.layers});
+  CHECK_EQUAL(0, coverage.CountMissing());
+}
