--- a/modules/bbv_entry/target_follower.cc
+++ b/modules/bbv_entry/target_follower.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "bbv_core/hashing.h"
+#include "bbv_core/json_text.h"
 #include "bbv_entry/target_messages.h"
 #include "platform/target_codec.h"
 
@@ -34,6 +35,8 @@
 constexpr Milliseconds kMaxAnswerTransit{250};
 // Additional time within which the answer to a long poll must arrive.
 constexpr Milliseconds kLongPollMargin{600};
+// Limit on the rejected records that are remembered.
+constexpr std::size_t kMaxRejected = 1024;
 constexpr int kOk = 200;
 constexpr int kGone = 410;
 
@@ -114,8 +117,7 @@
 void TargetFollower::ReadNewest(const std::string& after_key) {
   store_->ReadNewest(
       platform::kTargetTopic, after_key, kCallTimeout,
-      [this,
-       first = after_key.empty()](const Result<platform::NewestPage>& page) {
+      [this, after_key](const Result<platform::NewestPage>& page) {
         if (!page) {
           OnReadFailed();
           return;
@@ -123,7 +125,7 @@
         const Instant now = EventLoop::Now();
         // The pages are not a snapshot: reading on from the end offset of the
         // first one repeats the changes made between them.
-        if (first) {
+        if (after_key.empty()) {
           read_from_ = page->end_offset;
           read_era_ = page->era;
         }
@@ -140,7 +142,12 @@
         for (const platform::KeyedRecord& it : page->records)
           ApplyReadRecord(it, now);
         if (page->has_more && !page->records.empty()) {
-          ReadNewest(page->records.back().key);
+          const std::string& last_key = page->records.back().key;
+          // The next page would begin where this one did.
+          if (last_key.empty() || last_key == after_key)
+            OnReadFailed();
+          else
+            ReadNewest(last_key);
           return;
         }
         FinishRead(read_from_, now);
@@ -227,7 +234,7 @@
   }
   const auto decoded = platform::DecodeTargetRecord(record.key, record.value);
   if (!decoded) {
-    log_->Write(Event::kTargetRecordRejected, now, {{"target", record.key}});
+    LogRejected(record.key, record.value, now);
     return;
   }
   read_removals_.erase(record.key);
@@ -242,6 +249,21 @@
   ApplyRecord(*decoded, now);
 }
 
+void TargetFollower::LogRejected(const std::string& id,
+                                 std::string_view value,
+                                 Instant now) {
+  if (rejected_.size() >= kMaxRejected)
+    rejected_.clear();
+  // The two ways of reading the store differ in keys that are not UTF-8.
+  const std::string name = ReplaceMalformedUtf8(id);
+  if (!rejected_.insert(HashBytes(value, HashBytes(name))).second)
+    return;
+  ++rejected_records_;
+  log_->Write(
+      Event::kTargetRecordRejected, now,
+      {{"target", name}, {"bytes", static_cast<int64_t>(value.size())}});
+}
+
 void TargetFollower::RemoveTarget(const std::string& id, Instant now) {
   if (registry_->Remove(id))
     log_->Write(Event::kTargetGone, now,
@@ -286,8 +308,12 @@
     StartMissingTargetGrace(read_at);
   for (const std::string& it : delta.removed)
     RemoveTarget(it, now);
-  for (const wire::ListedTargetT& it : delta.changed)
-    ApplyRecord(FromMessage(it), now);
+  for (const wire::ListedTargetT& it : delta.changed) {
+    if (const auto record = FromMessage(it))
+      ApplyRecord(*record, now);
+    else
+      LogRejected(it.id, {}, now);
+  }
   bool knows_all = true;
   for (const wire::HeartbeatRow& it : delta.heartbeats)
     knows_all &= registry_->ApplyHeartbeat(it.target(), it.heartbeat(), now);
