Take no refusal for a call's own that may belong to an earlier call

What callers see: a faulty target writes an earlier refusal once more on a kept connection, without the id of a call. The entry took it for the answer to the call that it had just sent there. With one target the caller was told 503 "not run" for a call that the target ran (REFUSED); with two, a stream that may not be resumed ran at both (TWICE).

Cause: HttpClient skipped a response with another id, but a response without an id counted as the answer to whatever request was under way, also on a connection that had carried others, after a skipped response, with a second id, or before the request was wholly written. Bytes that lay unread in the kernel when the next request was written counted too. Unsafe calls were covered: they always get a new connection.

Now a response is a call's own if it echoes the call's id. Without an id it is, only if it is the first response on its connection and the request was wholly written; else the exchange fails as a bad answer, with an unknown outcome. An idle connection is reused only if no byte waits on it and its last request had another id; a new one on which bytes wait before the request is not used. This costs one recv call a request and no connection, unless bytes wait. Targets echo ids in all responses (PROTOCOL.md, Servers); the stand-in's refusals now do, too, as they would else be no proof.

--- a/modules/bbv_front/http_client.cc
+++ b/modules/bbv_front/http_client.cc
@@ -29,6 +29,27 @@
   return std::min(kDefaultIdleTimeout, peer_timeout - kIdleTimeoutMargin);
 }
 
+// How the id in a response relates to the id of a request.
+enum class IdMatch : uint8_t { kNone, kSame, kOther, kContradictory };
+
+IdMatch MatchId(const HttpHead& head,
+                std::string_view id_field,
+                std::string_view request_id) {
+  if (id_field.empty())
+    return IdMatch::kNone;
+  IdMatch match = IdMatch::kNone;
+  for (const HttpField& it : head.fields) {
+    if (!SameFieldName(it.name, id_field))
+      continue;
+    const IdMatch found =
+        it.value == request_id ? IdMatch::kSame : IdMatch::kOther;
+    if (match != IdMatch::kNone && match != found)
+      return IdMatch::kContradictory;
+    match = found;
+  }
+  return match;
+}
+
 }  // namespace
 
 // A connection and its current exchange, if any.
@@ -85,12 +106,25 @@
     return stream_ == nullptr || now >= idle_deadline_;
   }
 
+  // Whether a response to `request` could be told from responses to earlier
+  // requests on this connection. Precondition: it is idle and not expired.
+  bool CanCarry(const ExchangeRequest& request) const {
+    const bool is_repeated_id = !request.attempt_id.empty() &&
+                                request.attempt_id == request_.attempt_id;
+    return !is_repeated_id && stream_->IsQuiet();
+  }
+
   const std::string& address() const { return address_; }
   ExchangeId id() const { return id_; }
   bool alive() const { return stream_ != nullptr; }
 
   // TcpStreamDelegate:
-  void OnConnected() override { SendRequest(); }
+  void OnConnected() override {
+    if (stream_->IsQuiet())
+      SendRequest();
+    else
+      Fail(ExchangeFailure::kBadAnswer);
+  }
 
   void OnData(std::string_view data) override {
     if (sink_ == nullptr) {
@@ -137,19 +171,24 @@
 
   // HttpSink:
   void OnHead(HttpHead head) override {
-    const std::string* id =
-        request_.id_field.empty() ? nullptr : head.Find(request_.id_field);
-    const bool is_stale = id != nullptr && *id != request_.attempt_id;
+    const IdMatch match = MatchId(head, request_.id_field, request_.attempt_id);
+    const bool is_own = match == IdMatch::kSame ||
+                        (match == IdMatch::kNone && IsOnlyResponse());
+    may_have_stale_response_ = true;
     if (client_->observer_ != nullptr) {
       client_->observer_->OnHeadReceived(
-          address_, head, is_stale ? std::nullopt : std::optional(sent_at_));
+          address_, head, is_own ? std::optional(sent_at_) : std::nullopt);
     }
     if (sink_ == nullptr)
       return;
-    if (is_stale) {
+    if (match == IdMatch::kOther) {
       skipping_stale_response_ = true;
       return;
     }
+    if (!is_own) {
+      Fail(ExchangeFailure::kBadAnswer);
+      return;
+    }
     idle_timeout_ = IdleTimeout(head);
     sink_->OnResponseHead(std::move(head));
   }
@@ -160,6 +199,14 @@
   void OnMessageComplete() override {}
 
  private:
+  // Whether a response without an id can only belong to the current request:
+  // the request was completely written and, if its responses carry an id, no
+  // earlier response was received on the connection.
+  bool IsOnlyResponse() const {
+    return stream_->queued_bytes() == 0 &&
+           (request_.attempt_id.empty() || !may_have_stale_response_);
+  }
+
   void SendRequest() {
     sent_ = true;
     sent_at_ = EventLoop::Now();
@@ -199,6 +246,8 @@
   ExchangeRequest request_;
   ExchangeSink* sink_ = nullptr;
   bool skipping_stale_response_ = false;
+  // Whether a response was received, which the peer may send again.
+  bool may_have_stale_response_ = false;
   bool sent_ = false;
   Instant sent_at_{};
   bool reusable_ = true;
@@ -220,7 +269,7 @@
     observer_->OnRequestSending(address);
   std::unique_ptr<Connection> connection;
   if (request.may_reuse)
-    connection = AcquireIdleConnection(address);
+    connection = AcquireIdleConnection(address, request);
   if (connection == nullptr) {
     connection = std::make_unique<Connection>(this, address);
     ++connections_opened_;
@@ -269,7 +318,8 @@
 }
 
 std::unique_ptr<HttpClient::Connection> HttpClient::AcquireIdleConnection(
-    const std::string& address) {
+    const std::string& address,
+    const ExchangeRequest& request) {
   const auto it = idle_.find(address);
   if (it == idle_.end())
     return nullptr;
@@ -279,7 +329,7 @@
     // by the peer.
     auto connection = std::move(it->second.back());
     it->second.pop_back();
-    if (!connection->IsIdleExpired(now))
+    if (!connection->IsIdleExpired(now) && connection->CanCarry(request))
       return connection;
     closed_.push_back(std::move(connection));
   }
--- a/modules/bbv_front/http_client.h
+++ b/modules/bbv_front/http_client.h
@@ -24,7 +24,8 @@
   // The connection ended or failed, or the deadline passed, after the request
   // was sent.
   kBroken,
-  // The received data is not a valid response.
+  // The received data is not a valid response, or it may belong to another
+  // request.
   kBadAnswer,
 };
 
@@ -44,8 +45,10 @@
   // Serialized head and body.
   std::string bytes;
   // Name of the response field that echoes the request's id, and that id. A
-  // response with a different id is skipped. `id_field` is empty for exchanges
-  // without ids.
+  // response with a different id is skipped. A response without an id counts
+  // only if it cannot belong to an earlier request. If the request has no id,
+  // `attempt_id` is empty and every response with an id is skipped. `id_field`
+  // is empty for exchanges with peers that use no ids.
   std::string_view id_field;
   std::string attempt_id;
   // Whether an idle connection may be reused. On a new connection, a failure
@@ -59,8 +62,9 @@
 
 // HTTP/1.1 client with a pool of persistent connections per address.
 //
-// A connection carries one request at a time. Thread safety: none, used on the
-// event loop's thread.
+// A connection carries one request at a time. Data that arrives while no
+// request is outstanding belongs to no request and ends the connection. Thread
+// safety: none, used on the event loop's thread.
 class HttpClient {
  public:
   // Identifies an active exchange; 0 means none.
@@ -113,7 +117,10 @@
 
   // Moves a connection whose exchange has ended to `idle_` or `closed_`.
   void Release(Connection* connection);
-  std::unique_ptr<Connection> AcquireIdleConnection(const std::string& address);
+  // Returns an idle connection on which `request` may be sent, or nullptr.
+  std::unique_ptr<Connection> AcquireIdleConnection(
+      const std::string& address,
+      const ExchangeRequest& request);
 
   EventLoop* loop_;
   Observer* observer_ = nullptr;
--- a/modules/bbv_front/tcp_stream.cc
+++ b/modules/bbv_front/tcp_stream.cc
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cassert>
+#include <cerrno>
 #include <utility>
 
 namespace bbv {
@@ -202,6 +203,16 @@
   stream->handle_ = nullptr;
 }
 
+bool TcpStream::IsQuiet() const {
+  assert(connected_);
+  uv_os_fd_t fd = -1;
+  if (ended_ || uv_fileno(reinterpret_cast<uv_handle_t*>(handle_), &fd) != 0)
+    return false;
+  char byte = 0;
+  return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 std::size_t TcpStream::queued_bytes() const {
   return uv_stream_get_write_queue_size(
       reinterpret_cast<const uv_stream_t*>(handle_));
--- /dev/null
+++ b/tests/stale_response_test.cc
@@ -0,0 +1,335 @@
+#include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "bbv_front/http_client.h"
+#include "fleet_floor.h"
+#include "free_port.h"
+#include "platform/call_codec.h"
+
+namespace bbv {
+namespace {
+
+constexpr Milliseconds kTimeout{1000};
+// More than the sockets of a connection buffer.
+constexpr std::size_t kLongBodyBytes = 32U << 20U;
+
+std::string MakeResponse(int status,
+                         const std::string& fields,
+                         const std::string& body = {}) {
+  return "HTTP/1.1 " + std::to_string(status) + " x\r\n" + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string MakeRefusal(const std::string& fields) {
+  return MakeResponse(503, fields + "X-Not-Executed: 1\r\n");
+}
+
+// A server on the client's loop that answers each request on any of its
+// connections with the next of its scripted texts, which may be empty.
+class ScriptedServer {
+ public:
+  explicit ScriptedServer(EventLoop* loop)
+      : address_{"127.0.0.1", static_cast<uint16_t>(FreePort())} {
+    STRCMP_EQUAL(
+        "", listener_
+                .Listen(loop, address_,
+                        [this](std::unique_ptr<TcpStream> stream) {
+                          connections_.push_back(std::make_unique<Connection>(
+                              this, std::move(stream)));
+                        })
+                .c_str());
+  }
+
+  const SocketAddress& address() const { return address_; }
+  int connections() const { return static_cast<int>(connections_.size()); }
+
+  void Script(std::vector<std::string> texts) { texts_ = std::move(texts); }
+
+  // Sends `text` unasked on the first connection and waits until the peer's
+  // kernel holds it.
+  void SendUnasked(const std::string& text) {
+    connections_.front()->stream->Write(text);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+
+ private:
+  struct Connection final : TcpStreamDelegate {
+    Connection(ScriptedServer* owner, std::unique_ptr<TcpStream> accepted)
+        : server(owner), stream(std::move(accepted)) {
+      stream->SetDelegate(this);
+      stream->StartReading();
+    }
+    void OnData(std::string_view data) override {
+      received.append(data);
+      if (received.find("\r\n\r\n") == std::string::npos)
+        return;
+      received.clear();
+      if (server->next_ < server->texts_.size())
+        stream->Write(server->texts_[server->next_++]);
+      // Leaves the rest of a long body in the network.
+      if (server->next_ == server->texts_.size())
+        stream->StopReading();
+    }
+    void OnStreamEnd(StreamEnd) override {}
+
+    ScriptedServer* server;
+    std::unique_ptr<TcpStream> stream;
+    std::string received;
+  };
+
+  SocketAddress address_;
+  TcpListener listener_;
+  std::vector<std::unique_ptr<Connection>> connections_;
+  std::vector<std::string> texts_;
+  std::size_t next_ = 0;
+};
+
+// Records the end of one exchange.
+struct Outcome final : ExchangeSink {
+  void OnResponseHead(HttpHead head) override {
+    status = head.status;
+    not_run = platform::DecodeResponse(head).not_run;
+  }
+  void OnResponseBody(std::string_view data) override { body.append(data); }
+  void OnResponseEnd() override {
+    whole = true;
+    on_end();
+  }
+  void OnExchangeFailed(ExchangeFailure) override { on_end(); }
+
+  // Whether the exchange proves that the request was not run.
+  bool proves_not_run() const { return whole && not_run; }
+
+  int status = 0;
+  bool not_run = false;
+  bool whole = false;
+  std::string body;
+  std::function<void()> on_end;
+};
+
+}  // namespace
+
+TEST_GROUP(StaleResponse) {
+  EventLoop loop;
+  HttpClient client{&loop};
+  std::unique_ptr<ScriptedServer> server;
+  Outcome first;
+  Outcome second;
+
+  void setup() override {
+    server = std::make_unique<ScriptedServer>(&loop);
+    loop.StartPeriodicTimer(Milliseconds(5),
+                            [this] { client.OnTick(EventLoop::Now()); });
+    first.on_end = [this] { loop.Stop(); };
+    second.on_end = [this] { loop.Stop(); };
+  }
+  HttpClient::ExchangeId SendCall(const std::string& id, Outcome* outcome,
+                                  const std::string& body = {}) {
+    ExchangeRequest request;
+    request.address = server->address();
+    request.bytes = "POST /x HTTP/1.1\r\nX-Attempt-Id: " + id +
+                    "\r\nContent-Length: " + std::to_string(body.size()) +
+                    "\r\n\r\n" + body;
+    request.id_field = platform::kAttemptIdField;
+    request.attempt_id = id;
+    request.connect_deadline = EventLoop::Now() + kTimeout;
+    request.deadline = EventLoop::Now() + kTimeout;
+    return client.Send(std::move(request), outcome);
+  }
+  // Runs two calls, "a" and "b", one after the other on one connection.
+  void RunTwoCalls() {
+    SendCall("a", &first);
+    loop.Run();
+    SendCall("b", &second);
+    loop.Run();
+  }
+};
+
+TEST(StaleResponse, RefusalWithoutIdOnAKeptConnectionIsNoProof) {
+  server->Script({MakeRefusal("X-Attempt-Id: a\r\n"), MakeRefusal({})});
+  RunTwoCalls();
+  CHECK_EQUAL(1, server->connections());
+  CHECK(first.proves_not_run());
+  CHECK(!second.proves_not_run());
+}
+
+TEST(StaleResponse, RefusalWithoutIdAfterInterimResponseIsNoProof) {
+  server->Script(
+      {MakeRefusal("X-Attempt-Id: a\r\n"),
+       "HTTP/1.1 103 x\r\nX-Attempt-Id: b\r\n\r\n" + MakeRefusal({})});
+  RunTwoCalls();
+  CHECK(!second.proves_not_run());
+}
+
+TEST(StaleResponse, RefusalWithoutIdAfterASkippedResponseIsNoProof) {
+  server->Script({MakeRefusal("X-Attempt-Id: z\r\n") + MakeRefusal({})});
+  SendCall("a", &first);
+  loop.Run();
+  CHECK(!first.proves_not_run());
+}
+
+TEST(StaleResponse, RefusalWithTwoIdsIsNoProof) {
+  server->Script({MakeRefusal("X-Attempt-Id: a\r\nX-Attempt-Id: z\r\n")});
+  SendCall("a", &first);
+  loop.Run();
+  CHECK(!first.proves_not_run());
+}
+
+TEST(StaleResponse, RefusalWithAnotherIdIsSkipped) {
+  server->Script({MakeRefusal("X-Attempt-Id: a\r\n"),
+                  MakeRefusal("X-Attempt-Id: a\r\n") +
+                      MakeResponse(200, "X-Attempt-Id: b\r\n", "done")});
+  RunTwoCalls();
+  CHECK_EQUAL(1, server->connections());
+  CHECK(second.whole);
+  STRCMP_EQUAL("done", second.body.c_str());
+}
+
+TEST(StaleResponse, BytesThatWaitOnAKeptConnectionBelongToNoCall) {
+  server->Script({MakeRefusal("X-Attempt-Id: a\r\n"),
+                  MakeResponse(200, "X-Attempt-Id: b\r\n", "done")});
+  // The copy has arrived when the next call is sent, before the loop reads it.
+  first.on_end = [this] {
+    server->SendUnasked(MakeRefusal({}));
+    SendCall("b", &second);
+  };
+  SendCall("a", &first);
+  loop.Run();
+  CHECK_EQUAL(2, server->connections());
+  CHECK(second.whole);
+  STRCMP_EQUAL("done", second.body.c_str());
+}
+
+TEST(StaleResponse, BytesThatWaitOnANewConnectionBelongToNoCall) {
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in own{};
+  own.sin_family = AF_INET;
+  own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t length = sizeof(own);
+  CHECK_EQUAL(0, bind(listener, reinterpret_cast<sockaddr*>(&own), length));
+  CHECK_EQUAL(0, listen(listener, 1));
+  getsockname(listener, reinterpret_cast<sockaddr*>(&own), &length);
+  ExchangeRequest request;
+  request.address = {"127.0.0.1", ntohs(own.sin_port)};
+  request.bytes = "GET /x HTTP/1.1\r\n\r\n";
+  request.connect_deadline = EventLoop::Now() + kTimeout;
+  request.deadline = EventLoop::Now() + kTimeout;
+  client.Send(std::move(request), &first);
+  const int peer = accept(listener, nullptr, nullptr);
+  const std::string refusal = MakeRefusal({});
+  send(peer, refusal.data(), refusal.size(), MSG_NOSIGNAL);
+  loop.Run();
+  close(peer);
+  close(listener);
+  CHECK(!first.proves_not_run());
+}
+
+TEST(StaleResponse, RefusalWithoutIdBeforeTheWholeRequestIsNoProof) {
+  server->Script({MakeRefusal({})});
+  SendCall("a", &first, std::string(kLongBodyBytes, 'x'));
+  loop.Run();
+  CHECK(!first.proves_not_run());
+}
+
+TEST(StaleResponse, RefusalWithTheIdBeforeTheWholeRequestIsProof) {
+  server->Script({MakeRefusal("X-Attempt-Id: a\r\n")});
+  SendCall("a", &first, std::string(kLongBodyBytes, 'x'));
+  loop.Run();
+  CHECK(first.proves_not_run());
+}
+
+TEST(StaleResponse, OwnRefusalOnAKeptConnectionIsProof) {
+  server->Script(
+      {MakeRefusal("X-Attempt-Id: a\r\n"),
+       "HTTP/1.1 100 x\r\n\r\n" + MakeRefusal("X-Attempt-Id: b\r\n")});
+  RunTwoCalls();
+  CHECK_EQUAL(1, server->connections());
+  CHECK(second.proves_not_run());
+}
+
+TEST(StaleResponse, RefusalWithoutIdOnANewConnectionIsProof) {
+  server->Script({MakeRefusal({})});
+  SendCall("a", &first);
+  loop.Run();
+  CHECK(first.proves_not_run());
+}
+
+TEST(StaleResponse, ACallIsNotSentAgainOnTheConnectionThatRefusedIt) {
+  server->Script({MakeRefusal("X-Attempt-Id: a\r\n"),
+                  MakeResponse(200, "X-Attempt-Id: a\r\n", "done")});
+  SendCall("a", &first);
+  loop.Run();
+  SendCall("a", &second);
+  loop.Run();
+  CHECK_EQUAL(2, server->connections());
+}
+
+TEST(StaleResponse, BytesAfterARefusalEndItsConnection) {
+  server->Script({MakeRefusal("X-Attempt-Id: a\r\n") + MakeRefusal({}),
+                  MakeResponse(200, "X-Attempt-Id: b\r\n", "done")});
+  RunTwoCalls();
+  CHECK_EQUAL(2, server->connections());
+  STRCMP_EQUAL("done", second.body.c_str());
+}
+
+TEST_GROUP(StaleRefusalFleet) {
+  std::unique_ptr<FleetFloor> floor;
+
+  void StartFleet(int services) {
+    standins::FleetTargets::Options options;
+    options.services = services;
+    options.repeat_refusal_ms = 200;
+    floor = std::make_unique<FleetFloor>(1, options);
+    if (!floor->Start())
+      FAIL(("could not start: " + floor->Output(0)).c_str());
+  }
+  void teardown() override {
+    floor.reset();
+  }
+  // Every target refuses a call and repeats the refusal while the next call,
+  // "second", is under way. Returns the status of that call.
+  int CallAfterRefusals(const std::string& path) {
+    const auto refused = floor->Call(0, path, "refused");
+    CHECK(refused && refused->status == 503);
+    const auto second = floor->Call(0, path, "second");
+    return second ? second->status : 0;
+  }
+  int Runs() {
+    return floor->targets().ExecutionCounts()["second"];
+  }
+};
+
+TEST(StaleRefusalFleet, CallThatRanIsNotReportedAsNotRun) {
+  StartFleet(1);
+  const int status = CallAfterRefusals("/safe/x");
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  CHECK(Runs() > 0);
+  CHECK(status != 503);
+}
+
+TEST(StaleRefusalFleet, StreamThatMayNotBeResumedRunsOnce) {
+  StartFleet(2);
+  const int status = CallAfterRefusals("/feed/x");
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  CHECK_EQUAL(1, Runs());
+  CHECK(status != 503);
+}
+
+TEST(StaleRefusalFleet, UnsafeCallIsServed) {
+  StartFleet(1);
+  CHECK_EQUAL(200, CallAfterRefusals("/unsafe/x"));
+  CHECK_EQUAL(1, Runs());
+}
+
+}  // namespace bbv
--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -388,7 +388,7 @@
                 {"slo_ms", 500},
                 {"priority", 1},
                 {"max_attempts", 2},
-                {"resumable", std::string(type) == "streaming"}};
+                {"resumable", std::string(name) == "stream"}};
   };
   const Json engine = {
       {"layers", options_.layers},
@@ -409,6 +409,7 @@
       {"routes", Json::array({route("stream", "streaming", "engine"),
                               route("safe", "safe", "plain"),
                               route("unsafe", "unsafe", "plain"),
+                              route("feed", "streaming", "plain"),
                               route(own.c_str(), "safe", "plain")})},
       {"services", Json::array({{{"name", "engine"}, {"engine", engine}},
                                 {{"name", "plain"}}})},
@@ -512,6 +513,8 @@
   const auto path =
       std::make_shared<std::string>(request.get_header_value("X-Hop-Count"));
   const std::string fault = FindPathFault(*path);
+  const std::string id = request.get_header_value("X-Attempt-Id");
+  response.set_header("X-Attempt-Id", id);
   if (request.get_header_value("X-Expect-Instance") != target->id ||
       !fault.empty()) {
     response.status = 503;
@@ -519,11 +522,9 @@
     response.set_header("At-Server", fault);
     return;
   }
-  const std::string id = request.get_header_value("X-Attempt-Id");
   const bool deadly = IsDeadly(request);
   deadly_calls_ += deadly ? 1 : 0;
   ++runs_[id];
-  response.set_header("X-Attempt-Id", id);
   response.set_header("X-Response-Signature", "signature-of-" + target->id);
   if (options_.failing_every > 0 &&
       target->calls % options_.failing_every == 0) {
@@ -599,6 +600,10 @@
     if (!target->rate_limit.empty())
       response.set_header("Server-Limit", target->rate_limit);
     if (!target->retry_after.empty()) {
+      if (is_call) {
+        response.set_header("X-Attempt-Id",
+                            request.get_header_value("X-Attempt-Id"));
+      }
       response.status = 503;
       response.set_header("X-Not-Executed", "1");
       response.set_header("Retry-After", target->retry_after);
@@ -668,6 +673,10 @@
     response.status = 421;
     return;
   }
+  if (options_.repeat_refusal_ms > 0 && id.starts_with("refused")) {
+    RefuseTwice(&response);
+    return;
+  }
   {
     const std::lock_guard lock(mutex_);
     ++runs_[id];
@@ -682,8 +691,27 @@
   }
   std::this_thread::sleep_for(milliseconds(options_.work_ms));
   response.set_header("X-Response-Signature", "signature-of-" + target->id);
-  response.set_content("done for " + request.get_header_value("X-Tenant"),
-                       "text/plain");
+  if (request.path.starts_with("/feed/"))
+    response.set_content("id: 1\ndata: x\n\n", "text/event-stream");
+  else
+    response.set_content("done for " + request.get_header_value("X-Tenant"),
+                         "text/plain");
+}
+
+void FleetTargets::RefuseTwice(httplib::Response* response) const {
+  response->status = 503;
+  response->set_header("X-Not-Executed", "1");
+  response->set_content_provider(
+      1, "text/plain",
+      [this](std::size_t, std::size_t, httplib::DataSink& sink) {
+        sink.write("-", 1);
+        std::this_thread::sleep_for(milliseconds(options_.repeat_refusal_ms));
+        const std::string copy =
+            "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+            "Content-Length: 0\r\n\r\n";
+        sink.write(copy.data(), copy.size());
+        return true;
+      });
 }
 
 FaultProxy& FleetTargets::proxy(int target) {
--- a/tests/standins/fleet_standin.h
+++ b/tests/standins/fleet_standin.h
@@ -122,6 +122,9 @@
     // Each engine answers every n-th call with status 500 before it begins to
     // write; 0 for none.
     int failing_every = 0;
+    // If not 0, plain targets refuse each call whose id begins with "refused"
+    // and send the refusal once more after this time, without the call's id.
+    int repeat_refusal_ms = 0;
   };
 
   FleetTargets(FleetStore* store, Options options);
@@ -197,6 +200,8 @@
   void HandlePlainCall(Target* target,
                        const httplib::Request& request,
                        httplib::Response& response);
+  // Refuses a call and repeats the refusal after `repeat_refusal_ms`.
+  void RefuseTwice(httplib::Response* response) const;
   std::unique_ptr<httplib::Server> MakeServer(Target* target);
   // Whether a call crashes the target that begins to run it.
   bool IsDeadly(const httplib::Request& request) const;
