Take no response to a call for the answer to an order or a report

What callers would see: calls, orders and polls share kept connections, so a repeated refusal of a call, although it names that call's id, answered the next order or report request. A path change that the target had begun counted as refused and the stream was sent elsewhere; a repeated 200 counted as an accepted order; a liveness check took it for the target's word.

Cause: these requests have no ids, so HttpClient did not look for ids in their responses. Now they name the id field with an empty id, and a response that carries one is skipped.

Evidence, on the code before: ResponseToACallDoesNotAnswerAnOrder "expected <202> but was <503>", ResponseToACallIsNoReport "CHECK(report.report.has_value()) failed". A repeated response without an id that comes after an order was sent cannot be told from its answer: place orders carry the expected count of orders and are checked by reports, and a path change that did not happen shows as a stall.

--- a/modules/bbv_entry/target_requests.cc
+++ b/modules/bbv_entry/target_requests.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "platform/call_codec.h"
+
 namespace bbv {
 namespace {
 
@@ -26,6 +28,8 @@
                 &request.bytes);
   }
   request.bytes += "\r\n" + json_body;
+  // Only responses to calls carry ids.
+  request.id_field = platform::kAttemptIdField;
   request.connect_deadline = deadline;
   request.deadline = deadline;
   return request;
--- a/tests/stale_response_test.cc
+++ b/tests/stale_response_test.cc
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "bbv_entry/target_requests.h"
 #include "bbv_front/http_client.h"
 #include "fleet_floor.h"
 #include "free_port.h"
@@ -283,6 +284,40 @@
   STRCMP_EQUAL("done", second.body.c_str());
 }
 
+TEST(StaleResponse, ResponseToACallDoesNotAnswerAnOrder) {
+  server->Script({MakeRefusal("X-Attempt-Id: a\r\n"),
+                  MakeRefusal("X-Attempt-Id: a\r\n") + MakeResponse(202, {})});
+  SendCall("a", &first);
+  loop.Run();
+  OrderAnswer order;
+  PostOrder(&client, server->address().ToString(), "{}",
+            EventLoop::Now() + kTimeout, [&](const OrderAnswer& answer) {
+              order = answer;
+              loop.Stop();
+            });
+  loop.Run();
+  CHECK_EQUAL(1, server->connections());
+  CHECK_EQUAL(202, order.status);
+}
+
+TEST(StaleResponse, ResponseToACallIsNoReport) {
+  server->Script({MakeRefusal("X-Attempt-Id: a\r\n"),
+                  MakeRefusal("X-Attempt-Id: a\r\n") +
+                      MakeResponse(200, {}, "{\"sequence\":7}")});
+  SendCall("a", &first);
+  loop.Run();
+  ReportAnswer report;
+  FetchReport(&client,
+              {server->address().ToString(), EventLoop::Now() + kTimeout},
+              [&](const ReportAnswer& answer) {
+                report = answer;
+                loop.Stop();
+              });
+  loop.Run();
+  CHECK_EQUAL(1, server->connections());
+  CHECK(report.report.has_value());
+}
+
 TEST_GROUP(StaleRefusalFleet) {
   std::unique_ptr<FleetFloor> floor;
 
