Read on a kept connection again after a slow caller paused it

What callers would see: the call after a long stream to a slow caller gets no answer until its deadline, although its target serves it at once; if it may not be repeated, it is lost (504).

Cause: the entry stops reading from the target when the caller has taken too little. If the stream's last events and its end are read in that same block, the exchange is complete and the connection goes back to the pool with reading stopped; resuming looks up the exchange, which has ended. Such a connection also sees neither unasked bytes nor its end while it is idle.

Now reading starts again when a connection becomes idle.

Evidence, on the code before: AKeptConnectionIsReadAfterItsReaderPaused "CHECK(second.whole) failed" after 1,005 ms, the deadline of its second call.

--- a/modules/bbv_front/http_client.cc
+++ b/modules/bbv_front/http_client.cc
@@ -229,6 +229,8 @@
                            stream_ != nullptr && stream_->queued_bytes() == 0;
     if (can_reuse) {
       parser_.StartNextMessage();
+      // The last sink may have paused reading.
+      stream_->StartReading();
       idle_deadline_ = EventLoop::Now() + idle_timeout_;
       sent_ = false;
     } else {
--- a/tests/stale_response_test.cc
+++ b/tests/stale_response_test.cc
@@ -102,7 +102,11 @@
     status = head.status;
     not_run = platform::DecodeResponse(head).not_run;
   }
-  void OnResponseBody(std::string_view data) override { body.append(data); }
+  void OnResponseBody(std::string_view data) override {
+    body.append(data);
+    if (on_body)
+      on_body();
+  }
   void OnResponseEnd() override {
     whole = true;
     on_end();
@@ -117,6 +121,7 @@
   bool whole = false;
   std::string body;
   std::function<void()> on_end;
+  std::function<void()> on_body;
 };
 
 }  // namespace
@@ -318,6 +323,19 @@
   CHECK(report.report.has_value());
 }
 
+TEST(StaleResponse, AKeptConnectionIsReadAfterItsReaderPaused) {
+  server->Script({MakeResponse(200, "X-Attempt-Id: a\r\n", "done"),
+                  MakeResponse(200, "X-Attempt-Id: b\r\n", "done")});
+  HttpClient::ExchangeId exchange = 0;
+  first.on_body = [&] { client.SetReadingPaused(exchange, true); };
+  exchange = SendCall("a", &first);
+  loop.Run();
+  SendCall("b", &second);
+  loop.Run();
+  CHECK_EQUAL(1, server->connections());
+  CHECK(second.whole);
+}
+
 TEST_GROUP(StaleRefusalFleet) {
   std::unique_ptr<FleetFloor> floor;
 
