Send no side's request on a connection where bytes wait

What callers would see: a side's log client takes a repeated 429 that waits on its kept connection for the answer to its next append and counts a record that the log would append, or has appended, as not appended; the engine's and the instance list's clients share the code. No caller is told "not run" for a call that ran by this: a claim so refused is forgotten with its callers (CallRunner::HandleAppendResult), and when it is read back it is held, not run (HandleClaim). But every answer after it is off by one.

Cause: httplib looks at a kept socket only to see whether it has ended; bytes that wait there pass for the next response. Now such a connection is closed before the next request, at one recv call a request.

Evidence, on the code before: SideStaleResponse.BytesThatWaitOnAKeptConnectionBelongToNoRequest "CHECK(log.Append("s", "two").has_value()) failed". QuietConnectionIsKept passed before and guards that connections are still reused.

--- a/modules/bbv_platform/http_connection.cc
+++ b/modules/bbv_platform/http_connection.cc
@@ -1,8 +1,20 @@
 #include "bbv_platform/http_connection.h"
 
+#include <sys/socket.h>
+
+#include <cerrno>
 #include <utility>
 
 namespace bbv {
+namespace {
+
+bool IsQuiet(int socket) {
+  char byte = 0;
+  return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}  // namespace
 
 HttpConnection::HttpConnection(const SocketAddress& address,
                                Operation step,
@@ -18,24 +30,35 @@
 }
 
 Result<httplib::Response> HttpConnection::Get(const std::string& path) {
+  CloseUnlessQuiet();
   return ToResult(client_->Get(path));
 }
 
 Result<httplib::Response> HttpConnection::Post(const std::string& path,
                                                const std::string& body,
                                                const char* content_type) {
+  CloseUnlessQuiet();
   return ToResult(client_->Post(path, body, content_type));
 }
 
 Result<httplib::Response> HttpConnection::Send(
     const httplib::Request& request) {
+  CloseUnlessQuiet();
   return ToResult(client_->send(request));
 }
 
 void HttpConnection::Abort() {
+  const std::lock_guard lock(mutex_);
   client_->stop();
 }
 
+void HttpConnection::CloseUnlessQuiet() {
+  const std::lock_guard lock(mutex_);
+  const auto socket = client_->socket();
+  if (socket != INVALID_SOCKET && !IsQuiet(socket))
+    client_->stop();
+}
+
 Result<httplib::Response> HttpConnection::ToResult(
     httplib::Result result) const {
   if (result)
--- a/modules/bbv_platform/http_connection.h
+++ b/modules/bbv_platform/http_connection.h
@@ -4,6 +4,7 @@
 #include <httplib.h>
 
 #include <memory>
+#include <mutex>
 #include <string>
 
 #include "bbv_core/error.h"
@@ -14,6 +15,9 @@
 
 // A persistent HTTP connection to one peer.
 //
+// Data that arrives while no request is outstanding belongs to no request; the
+// next request then uses a new connection.
+//
 // Thread safety: one call at a time, except Abort().
 class HttpConnection {
  public:
@@ -30,17 +34,22 @@
                                  const char* content_type);
   Result<httplib::Response> Send(const httplib::Request& request);
 
-  // Aborts a call in progress; for use from another thread.
+  // Aborts a call in progress; for use from another thread. Without one, closes
+  // the connection. The next call connects again.
   void Abort();
 
   const std::string& peer() const { return peer_; }
 
  private:
   Result<httplib::Response> ToResult(httplib::Result result) const;
+  // Closes an idle connection that has unread data or has ended.
+  void CloseUnlessQuiet();
 
   std::string peer_;
   Operation step_;
   std::unique_ptr<httplib::Client> client_;
+  // Held while an idle socket is examined or closed.
+  std::mutex mutex_;
 };
 
 }  // namespace bbv
