Take no engine results for those of another step

What callers would see: an engine that sends the results of a step once more on its kept connection gives the next step of the same attempt the values of the one before: a wrong or repeated token, and every later step off by one.

Cause: the side compared request and attempt of a result, not its position, and a step without any result stayed under way. Now results that are not one for each step of the batch, at its position if it was run, leave the batch in doubt: its attempts end and begin again elsewhere, as after a lost answer. The connection is closed, since the step's own results may still come on it.

Evidence, on the code before: SideStaleResponse.RepeatedEngineResultsBelongToNoOtherStep "CHECK(!engine.RunStep(MakeBatch(1)).has_value()) failed" and EngineResultsForOnlySomeStepsAreInDoubt "CHECK(!engine.RunStep(batch).has_value()) failed".

--- a/modules/bbv_platform/engine_client.cc
+++ b/modules/bbv_platform/engine_client.cc
@@ -1,8 +1,34 @@
 #include "bbv_platform/engine_client.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace bbv {
+namespace {
+
+bool IsResultOf(const wire::StepT& step, const wire::EngineResultT& result) {
+  // Only a step that was run needs to name its position.
+  return result.request == step.request &&
+         result.attempt_number == step.attempt_number &&
+         (result.status != wire::EngineStatus::kDone ||
+          result.position == step.position);
+}
+
+// Whether there is exactly one result for each step, in any order.
+bool AreResultsOf(const wire::EngineBatchT& batch,
+                  const wire::EngineResultsT& results) {
+  return batch.steps.size() == results.results.size() &&
+         std::all_of(batch.steps.begin(), batch.steps.end(),
+                     [&results](const wire::StepT& step) {
+                       return std::any_of(
+                           results.results.begin(), results.results.end(),
+                           [&step](const wire::EngineResultT& result) {
+                             return IsResultOf(step, result);
+                           });
+                     });
+}
+
+}  // namespace
 
 EngineClient::EngineClient(const SocketAddress& address, Milliseconds timeout)
     : connection_(address, Operation::kEngineStep, timeout) {}
@@ -28,6 +54,12 @@
                 "results fail FlatBuffers verification");
   wire::EngineResultsT results;
   flatbuffers::GetRoot<wire::EngineResults>(bytes)->UnPackTo(&results);
+  if (!AreResultsOf(batch, results)) {
+    // The results of this batch may still arrive on the connection.
+    connection_.Abort();
+    return Fail(Operation::kEngineStep, connection_.peer(),
+                "results of other steps");
+  }
   return results;
 }
 
--- a/tests/side_stale_response_test.cc
+++ b/tests/side_stale_response_test.cc
@@ -8,8 +8,10 @@
 #include <string>
 #include <thread>
 
+#include "bbv_platform/engine_client.h"
 #include "bbv_platform/http_connection.h"
 #include "bbv_platform/log_client.h"
+#include "bbv_wire/bbv_wire.h"
 
 namespace bbv {
 namespace {
@@ -69,6 +71,32 @@
       });
 }
 
+wire::EngineBatchT MakeBatch(uint32_t position) {
+  wire::EngineBatchT batch;
+  wire::StepT step;
+  step.request = {1, 2};
+  step.attempt_number = 3;
+  step.position = position;
+  step.values = {9};
+  batch.steps.push_back(std::move(step));
+  return batch;
+}
+
+std::string EncodeResults(uint32_t position) {
+  wire::EngineResultsT results;
+  wire::EngineResultT result;
+  result.request = {1, 2};
+  result.attempt_number = 3;
+  result.position = position;
+  result.status = wire::EngineStatus::kDone;
+  result.values = {position + 100};
+  results.results.push_back(std::move(result));
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(wire::EngineResults::Pack(builder, &results));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+          builder.GetSize()};
+}
+
 }  // namespace
 
 TEST_GROUP(SideStaleResponse) {
@@ -100,4 +128,33 @@
   CHECK_EQUAL(1, server.connections());
 }
 
+TEST(SideStaleResponse, RepeatedEngineResultsBelongToNoOtherStep) {
+  std::atomic<uint32_t> next_result{0};
+  server.http().Post("/v1/step",
+                     [&](const httplib::Request&, httplib::Response& response) {
+                       response.set_content(EncodeResults(next_result), "x/y");
+                     });
+  server.Start();
+  EngineClient engine(server.address(), kTimeout);
+  CHECK(engine.RunStep(MakeBatch(0)).has_value());
+  CHECK(!engine.RunStep(MakeBatch(1)).has_value());
+  // The results of the step before may still arrive on its connection.
+  next_result = 2;
+  CHECK(engine.RunStep(MakeBatch(2)).has_value());
+  CHECK_EQUAL(2, server.connections());
+}
+
+TEST(SideStaleResponse, EngineResultsForOnlySomeStepsAreInDoubt) {
+  server.http().Post("/v1/step",
+                     [&](const httplib::Request&, httplib::Response& response) {
+                       response.set_content(EncodeResults(0), "x/y");
+                     });
+  server.Start();
+  EngineClient engine(server.address(), kTimeout);
+  wire::EngineBatchT batch = MakeBatch(0);
+  batch.steps.push_back(MakeBatch(0).steps.front());
+  batch.steps.back().request = {7, 7};
+  CHECK(!engine.RunStep(batch).has_value());
+}
+
 }  // namespace bbv
