Take no refusal that began before its request was wholly written

What callers would see: a refusal without an id on a new connection counts as proof when its first bytes came while the body was still being written and its last ones after that.

Cause: whether the request was wholly written was looked at when the head of the response was complete. Now it is looked at whenever bytes arrive. A refusal with the call's id remains proof at any time.

Evidence, on the code before: StaleResponse.RefusalThatBeginsBeforeTheWholeRequestIsNoProof "CHECK(!first.proves_not_run()) failed".

--- a/modules/bbv_front/http_client.cc
+++ b/modules/bbv_front/http_client.cc
@@ -132,6 +132,8 @@
       stream_.reset();
       return;
     }
+    if (stream_->queued_bytes() > 0)
+      received_early_ = true;
     ParseStatus status = parser_.Parse(data);
     while (status == ParseStatus::kComplete && sink_ != nullptr &&
            skipping_stale_response_) {
@@ -200,15 +202,16 @@
 
  private:
   // Whether a response without an id can only belong to the current request:
-  // the request was completely written and, if its responses carry an id, no
-  // earlier response was received on the connection.
+  // nothing was received before the request was completely written and, if its
+  // responses carry an id, there was no earlier response on the connection.
   bool IsOnlyResponse() const {
-    return stream_->queued_bytes() == 0 &&
+    return !received_early_ &&
            (request_.attempt_id.empty() || !may_have_stale_response_);
   }
 
   void SendRequest() {
     sent_ = true;
+    received_early_ = false;
     sent_at_ = EventLoop::Now();
     stream_->Write(request_.bytes);
   }
@@ -251,6 +254,8 @@
   // Whether a response was received, which the peer may send again.
   bool may_have_stale_response_ = false;
   bool sent_ = false;
+  // Whether data was received before the request was completely written.
+  bool received_early_ = false;
   Instant sent_at_{};
   bool reusable_ = true;
   Milliseconds idle_timeout_ = kDefaultIdleTimeout;
--- a/tests/stale_response_test.cc
+++ b/tests/stale_response_test.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -36,8 +37,8 @@
   return MakeResponse(503, fields + "X-Not-Executed: 1\r\n");
 }
 
-// A server on the client's loop that answers each request on any of its
-// connections with the next of its scripted texts, which may be empty.
+// A server on the client's loop that answers each empty line that it receives
+// on any of its connections with the next of its scripted texts.
 class ScriptedServer {
  public:
   explicit ScriptedServer(EventLoop* loop)
@@ -73,8 +74,11 @@
     }
     void OnData(std::string_view data) override {
       received.append(data);
-      if (received.find("\r\n\r\n") == std::string::npos)
+      if (received.find("\r\n\r\n") == std::string::npos) {
+        received.erase(
+            0, received.size() - std::min<std::size_t>(received.size(), 3));
         return;
+      }
       received.clear();
       if (server->next_ < server->texts_.size())
         stream->Write(server->texts_[server->next_++]);
@@ -248,6 +252,14 @@
   CHECK(!first.proves_not_run());
 }
 
+TEST(StaleResponse, RefusalThatBeginsBeforeTheWholeRequestIsNoProof) {
+  const std::string refusal = MakeRefusal({});
+  server->Script({refusal.substr(0, 20), refusal.substr(20)});
+  SendCall("a", &first, std::string(kLongBodyBytes, 'x') + "\r\n\r\n");
+  loop.Run();
+  CHECK(!first.proves_not_run());
+}
+
 TEST(StaleResponse, RefusalWithTheIdBeforeTheWholeRequestIsProof) {
   server->Script({MakeRefusal("X-Attempt-Id: a\r\n")});
   SendCall("a", &first, std::string(kLongBodyBytes, 'x'));
