Count a connection that ended before its request as broken again

What callers would see: failed a call as a bad answer when its new connection had ended by the time that it was established, as in the moment of a target's crash. Crashes so seen no longer counted for the quarantine of calls that crash targets, and more such calls reached targets.

Cause: "quiet" meant neither bytes nor an end. Only unread bytes can be taken for an answer, so only they are looked for; a connection that has ended fails as broken, when it is read, as before.

The new StaleResponse.ConnectionThatEndsBeforeItsRequestIsBroken failed on: "CHECK(first.failure == ExchangeFailure::kBroken) failed".

--- a/modules/bbv_front/http_client.cc
+++ b/modules/bbv_front/http_client.cc
@@ -111,7 +111,7 @@
   bool CanCarry(const ExchangeRequest& request) const {
     const bool is_repeated_id = !request.attempt_id.empty() &&
                                 request.attempt_id == request_.attempt_id;
-    return !is_repeated_id && stream_->IsQuiet();
+    return !is_repeated_id && !stream_->HasUnreadData();
   }
 
   const std::string& address() const { return address_; }
@@ -120,10 +120,10 @@
 
   // TcpStreamDelegate:
   void OnConnected() override {
-    if (stream_->IsQuiet())
-      SendRequest();
-    else
+    if (stream_->HasUnreadData())
       Fail(ExchangeFailure::kBadAnswer);
+    else
+      SendRequest();
   }
 
   void OnData(std::string_view data) override {
--- a/modules/bbv_front/tcp_stream.cc
+++ b/modules/bbv_front/tcp_stream.cc
@@ -6,7 +6,6 @@
 
 #include <array>
 #include <cassert>
-#include <cerrno>
 #include <utility>
 
 namespace bbv {
@@ -203,14 +202,13 @@
   stream->handle_ = nullptr;
 }
 
-bool TcpStream::IsQuiet() const {
+bool TcpStream::HasUnreadData() const {
   assert(connected_);
   uv_os_fd_t fd = -1;
   if (ended_ || uv_fileno(reinterpret_cast<uv_handle_t*>(handle_), &fd) != 0)
     return false;
   char byte = 0;
-  return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-         (errno == EAGAIN || errno == EWOULDBLOCK);
+  return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 std::size_t TcpStream::queued_bytes() const {
--- a/modules/bbv_front/tcp_stream.h
+++ b/modules/bbv_front/tcp_stream.h
@@ -72,9 +72,9 @@
   // further calls to the delegate.
   static void FlushAndClose(std::unique_ptr<TcpStream> stream);
 
-  // Returns whether the connection is open and the peer has sent no byte that
-  // has not been read. Precondition: connected().
-  bool IsQuiet() const;
+  // Returns whether the peer has sent bytes that have not been read.
+  // Precondition: connected().
+  bool HasUnreadData() const;
 
   std::size_t queued_bytes() const;
   bool connected() const { return connected_; }
--- a/tests/stale_response_test.cc
+++ b/tests/stale_response_test.cc
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -115,7 +116,10 @@
     whole = true;
     on_end();
   }
-  void OnExchangeFailed(ExchangeFailure) override { on_end(); }
+  void OnExchangeFailed(ExchangeFailure reason) override {
+    failure = reason;
+    on_end();
+  }
 
   // Whether the exchange proves that the request was not run.
   bool proves_not_run() const { return whole && not_run; }
@@ -123,6 +127,7 @@
   int status = 0;
   bool not_run = false;
   bool whole = false;
+  std::optional<ExchangeFailure> failure;
   std::string body;
   std::function<void()> on_end;
   std::function<void()> on_body;
@@ -157,6 +162,29 @@
     request.deadline = EventLoop::Now() + kTimeout;
     return client.Send(std::move(request), outcome);
   }
+  // Runs a call on a connection that is accepted and given to `act` before the
+  // loop sees it.
+  void RunCallAfterAccept(const std::function<void(int peer)>& act) {
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in own{};
+    own.sin_family = AF_INET;
+    own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(own);
+    CHECK_EQUAL(0, bind(listener, reinterpret_cast<sockaddr*>(&own), length));
+    CHECK_EQUAL(0, listen(listener, 1));
+    getsockname(listener, reinterpret_cast<sockaddr*>(&own), &length);
+    ExchangeRequest request;
+    request.address = {"127.0.0.1", ntohs(own.sin_port)};
+    request.bytes = "GET /x HTTP/1.1\r\n\r\n";
+    request.connect_deadline = EventLoop::Now() + kTimeout;
+    request.deadline = EventLoop::Now() + kTimeout;
+    client.Send(std::move(request), &first);
+    const int peer = accept(listener, nullptr, nullptr);
+    act(peer);
+    loop.Run();
+    close(peer);
+    close(listener);
+  }
   // Runs two calls, "a" and "b", one after the other on one connection.
   void RunTwoCalls() {
     SendCall("a", &first);
@@ -222,29 +250,19 @@
 }
 
 TEST(StaleResponse, BytesThatWaitOnANewConnectionBelongToNoCall) {
-  const int listener = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in own{};
-  own.sin_family = AF_INET;
-  own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t length = sizeof(own);
-  CHECK_EQUAL(0, bind(listener, reinterpret_cast<sockaddr*>(&own), length));
-  CHECK_EQUAL(0, listen(listener, 1));
-  getsockname(listener, reinterpret_cast<sockaddr*>(&own), &length);
-  ExchangeRequest request;
-  request.address = {"127.0.0.1", ntohs(own.sin_port)};
-  request.bytes = "GET /x HTTP/1.1\r\n\r\n";
-  request.connect_deadline = EventLoop::Now() + kTimeout;
-  request.deadline = EventLoop::Now() + kTimeout;
-  client.Send(std::move(request), &first);
-  const int peer = accept(listener, nullptr, nullptr);
-  const std::string refusal = MakeRefusal({});
-  send(peer, refusal.data(), refusal.size(), MSG_NOSIGNAL);
-  loop.Run();
-  close(peer);
-  close(listener);
+  RunCallAfterAccept([](int peer) {
+    const std::string refusal = MakeRefusal({});
+    send(peer, refusal.data(), refusal.size(), MSG_NOSIGNAL);
+  });
   CHECK(!first.proves_not_run());
 }
 
+// The broken connection is what tells of a target's crash.
+TEST(StaleResponse, ConnectionThatEndsBeforeItsRequestIsBroken) {
+  RunCallAfterAccept([](int peer) { shutdown(peer, SHUT_RDWR); });
+  CHECK(first.failure == ExchangeFailure::kBroken);
+}
+
 TEST(StaleResponse, RefusalWithoutIdBeforeTheWholeRequestIsNoProof) {
   server->Script({MakeRefusal({})});
   SendCall("a", &first, std::string(kLongBodyBytes, 'x'));
