--- a/tests/standins/fleet_standin.h
+++ b/tests/standins/fleet_standin.h
@@ -143,6 +143,9 @@
     int max_attempts = 2;
     // Responses to calls that resume a stream, by the path of the request.
     std::map<std::string, ResumedAnswer> resumed_answers;
+    // If not 0, plain targets refuse each call whose id begins with "refused"
+    // and send the refusal once more after this time, without the call's id.
+    int repeat_refusal_ms = 0;
   };
 
   FleetTargets(FleetStore* store, Options options);
@@ -225,6 +228,8 @@
   void HandlePlainCall(Target* target,
                        const httplib::Request& request,
                        httplib::Response& response);
+  // Refuses a call and repeats the refusal after `repeat_refusal_ms`.
+  void RefuseTwice(httplib::Response* response) const;
   std::unique_ptr<httplib::Server> MakeServer(Target* target);
   // Answers a call that resumes a stream as Options::resumed_answers says;
   // false if it says nothing. Requires `mutex_`.
