Log callers' connections that end with something left open

A call that ended without a complete answer left no trace of its connection: who ended it, how much was read and written, whether the entry was stopping. caller-connection-ended (BBV0110) says that for every connection with an open or partly received request, unsent or unread bytes; caller-turned-away (BBV0111) says when the limit of connections closes one unread. No behaviour changes. Test: CallerLedger.ConnectionsThatEndWithAnOpenCallAreLogged.

--- a/modules/bbv_core/event.cc
+++ b/modules/bbv_core/event.cc
@@ -77,6 +77,8 @@
     EventDescription{Event::kPartProbed, "part-probed"},
     EventDescription{Event::kTargetLimited, "target-limited"},
     EventDescription{Event::kTargetLimitEnded, "target-limit-ended"},
+    EventDescription{Event::kCallerConnectionEnded, "caller-connection-ended"},
+    EventDescription{Event::kCallerTurnedAway, "caller-turned-away"},
 };
 
 // Returns whether `event` occurs in the normal processing of every request.
--- a/modules/bbv_core/event.h
+++ b/modules/bbv_core/event.h
@@ -74,6 +74,8 @@
   kPartProbed = 101,
   kTargetLimited = 102,
   kTargetLimitEnded = 103,
+  kCallerConnectionEnded = 110,
+  kCallerTurnedAway = 111,
 };
 
 // The name under which an event is logged.
--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -186,8 +186,11 @@
 void FleetEntry::AcceptCaller(std::unique_ptr<TcpStream> stream) {
   const auto limit = static_cast<std::size_t>(std::max(
       64, (settings_.maximum_connections - kReservedDescriptors) * 3 / 4));
-  if (callers_.size() >= limit)
+  if (callers_.size() >= limit) {
+    log_.Write(Event::kCallerTurnedAway, EventLoop::Now(),
+               {{"connections", static_cast<int64_t>(callers_.size())}});
     return;
+  }
   const CallerLimits limits =
       configuration_.current() == nullptr
           ? CallerLimits{}
@@ -339,6 +342,32 @@
               {"cause", "malformed request"}});
 }
 
+void FleetEntry::OnConnectionEnd(CallerConnection* connection,
+                                 const CallerConnectionEnd& end) {
+  if (!end.is_incomplete())
+    return;
+  const Instant now = EventLoop::Now();
+  const auto call = calls_.find(connection->id());
+  const std::string* attempt_id =
+      end.request_open && call != calls_.end()
+          ? &call->second->call().request().attempt_id
+          : connection->head().Find(platform::kAttemptIdField);
+  log_.Write(Event::kCallerConnectionEnded, now,
+             {{"id", attempt_id == nullptr ? std::string() : *attempt_id},
+              {"connection", static_cast<int64_t>(connection->id())},
+              {"by", std::string(kCallerEndCauseNames.Name(end.cause))},
+              {"request", end.response_begun    ? "answering"
+                          : end.request_open    ? "open"
+                          : end.request_partial ? "partial"
+                                                : "none"},
+              {"read", static_cast<int64_t>(end.bytes_read)},
+              {"written", static_cast<int64_t>(end.bytes_written)},
+              {"unsent", static_cast<int64_t>(end.bytes_unsent)},
+              {"unread", static_cast<int64_t>(end.bytes_unread)},
+              {"stopping_ms", stopping_ ? (now - stop_began_) / Milliseconds(1)
+                                        : int64_t{-1}}});
+}
+
 void FleetEntry::CheckRefusalCause(const std::string& target_id) {
   const FleetTarget* target = registry_.Find(target_id);
   if (target == nullptr || configuration_.current() == nullptr)
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -55,6 +55,8 @@
                  std::string body) override;
   void OnCallerGone(CallerConnection* connection) override;
   void OnBadRequest(CallerConnection* connection, int status) override;
+  void OnConnectionEnd(CallerConnection* connection,
+                       const CallerConnectionEnd& end) override;
 
   // HttpClient::Observer:
   void OnRequestSending(const std::string& address) override;
--- a/modules/bbv_front/caller_connection.cc
+++ b/modules/bbv_front/caller_connection.cc
@@ -55,6 +55,7 @@
 }
 
 void CallerConnection::OnData(std::string_view data) {
+  bytes_read_ += data.size();
   if (!request_open_) {
     ParseInput(data);
     return;
@@ -100,7 +101,31 @@
   SendResponse(status, {}, {}, {});
 }
 
-void CallerConnection::OnStreamEnd(StreamEnd) {
+void CallerConnection::Write(std::string_view data) {
+  bytes_written_ += data.size();
+  stream_->Write(data);
+}
+
+CallerConnectionEnd CallerConnection::MakeEnd(CallerEndCause cause) const {
+  CallerConnectionEnd end;
+  end.cause = cause;
+  end.request_open = request_open_;
+  end.response_begun = request_open_ && response_begun_;
+  end.request_partial = !request_open_ && parser_.in_message();
+  end.bytes_read = bytes_read_;
+  end.bytes_written = bytes_written_;
+  end.bytes_unsent = stream_->queued_bytes();
+  end.bytes_unread =
+      stream_->unread_bytes() + pipelined_input_.size() +
+      (request_open_ || !parser_.in_message() ? parser_.pending_bytes() : 0);
+  return end;
+}
+
+void CallerConnection::OnStreamEnd(StreamEnd stream_end) {
+  request_handler_->OnConnectionEnd(
+      this,
+      MakeEnd(stream_end == StreamEnd::kClosed ? CallerEndCause::kCallerClosed
+                                               : CallerEndCause::kCallerReset));
   const bool open = std::exchange(request_open_, false);
   stream_.reset();
   if (open)
@@ -111,7 +136,7 @@
   head_ = std::move(head);
   const std::string* expect = head_.Find("Expect");
   if (expect != nullptr && SameFieldName(*expect, "100-continue"))
-    stream_->Write("HTTP/1.1 100 Continue\r\n\r\n");
+    Write("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
 void CallerConnection::OnBody(std::string_view data) {
@@ -131,6 +156,7 @@
 void CallerConnection::BeginResponseHead(int status,
                                          std::string_view reason,
                                          std::string_view fields) {
+  response_begun_ = true;
   output_.clear();
   AppendStatusLine(status, reason, &output_);
   output_.append(fields);
@@ -147,7 +173,7 @@
   AppendField("Content-Length", std::to_string(body.size()), &output_);
   output_.append("\r\n");
   output_.append(body);
-  stream_->Write(output_);
+  Write(output_);
   FinishResponse();
 }
 
@@ -160,7 +186,7 @@
   BeginResponseHead(status, reason, fields);
   output_.append("Transfer-Encoding: chunked\r\n\r\n");
   AppendChunk(first_chunk, &output_);
-  stream_->Write(output_);
+  Write(output_);
 }
 
 void CallerConnection::WriteChunk(std::string_view data) {
@@ -168,20 +194,21 @@
     return;
   output_.clear();
   AppendChunk(data, &output_);
-  stream_->Write(output_);
+  Write(output_);
 }
 
 void CallerConnection::EndStream() {
   if (closed() || !request_open_)
     return;
-  stream_->Write("0\r\n\r\n");
+  Write("0\r\n\r\n");
   FinishResponse();
 }
 
 void CallerConnection::FinishResponse() {
   request_open_ = false;
+  response_begun_ = false;
   if (!KeepsAlive()) {
-    Close();
+    Close(CallerEndCause::kAnswered);
     return;
   }
   parser_.StartNextMessage();
@@ -197,6 +224,8 @@
 }
 
 void CallerConnection::Abort() {
+  if (!closed())
+    request_handler_->OnConnectionEnd(this, MakeEnd(CallerEndCause::kAborted));
   request_open_ = false;
   stream_.reset();
 }
@@ -213,12 +242,14 @@
 
 void CallerConnection::CloseIfIdle() {
   if (!closed() && !request_open_ && !parser_.in_message())
-    Close();
+    Close(CallerEndCause::kIdle);
 }
 
-void CallerConnection::Close() {
-  if (stream_ != nullptr)
-    TcpStream::FlushAndClose(std::move(stream_));
+void CallerConnection::Close(CallerEndCause cause) {
+  if (stream_ == nullptr)
+    return;
+  request_handler_->OnConnectionEnd(this, MakeEnd(cause));
+  TcpStream::FlushAndClose(std::move(stream_));
 }
 
 bool CallerConnection::OnTick(Instant now) {
@@ -227,7 +258,7 @@
   if (request_open_ || now < read_deadline_)
     return true;
   if (!parser_.in_message()) {
-    Close();
+    Close(CallerEndCause::kIdle);
     return false;
   }
   Reject(408);
--- a/modules/bbv_front/caller_connection.h
+++ b/modules/bbv_front/caller_connection.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "bbv_core/instant.h"
+#include "bbv_core/name_table.h"
 #include "bbv_fleet/fleet_configuration.h"
 #include "bbv_front/tcp_stream.h"
 #include "bbv_http/bbv_http.h"
@@ -16,6 +17,42 @@
 
 class CallerConnection;
 
+// Who ended a caller's connection, and why.
+enum class CallerEndCause : uint8_t {
+  // The caller closed or reset it.
+  kCallerClosed,
+  kCallerReset,
+  // This process closed it: after its last response, because it was idle, or
+  // to break off a response.
+  kAnswered,
+  kIdle,
+  kAborted,
+};
+inline constexpr NameTable<CallerEndCause, 5> kCallerEndCauseNames(
+    {"caller-closed", "caller-reset", "entry-answered", "entry-idle",
+     "entry-aborted"});
+
+// State of a caller's connection when it ended.
+struct CallerConnectionEnd {
+  CallerEndCause cause = CallerEndCause::kCallerClosed;
+  // Whether a request had no complete response, and whether one had begun.
+  bool request_open = false;
+  bool response_begun = false;
+  // Whether a request was received in part.
+  bool request_partial = false;
+  uint64_t bytes_read = 0;
+  uint64_t bytes_written = 0;
+  // Written bytes that were not sent, and received bytes that were not read.
+  std::size_t bytes_unsent = 0;
+  std::size_t bytes_unread = 0;
+
+  // Whether anything was left unfinished.
+  bool is_incomplete() const {
+    return request_open || request_partial || bytes_unsent > 0 ||
+           bytes_unread > 0;
+  }
+};
+
 // Receives the requests of caller connections.
 class CallerRequestHandler {
  public:
@@ -30,6 +67,8 @@
   // Called before `status` is sent in response to an invalid, oversized or
   // overdue request.
   virtual void OnBadRequest(CallerConnection* connection, int status) = 0;
+  // Called once when the connection has ended, before OnCallerGone().
+  virtual void OnConnectionEnd(CallerConnection*, const CallerConnectionEnd&) {}
 };
 
 // Server side of one caller's HTTP/1.1 connection. Requests are handled one at
@@ -82,6 +121,9 @@
   uint64_t id() const { return id_; }
   bool closed() const { return stream_ == nullptr; }
   bool has_open_request() const { return request_open_; }
+  // The head of the request that is being received or handled; empty fields
+  // once the handler has taken it.
+  const HttpHead& head() const { return head_; }
   // Returns the size of the response data not yet written to the socket.
   std::size_t queued_bytes() const;
 
@@ -104,7 +146,9 @@
   void FinishResponse();
   std::string_view ConnectionField() const;
   bool KeepsAlive() const;
-  void Close();
+  void Close(CallerEndCause cause);
+  void Write(std::string_view data);
+  CallerConnectionEnd MakeEnd(CallerEndCause cause) const;
 
   uint64_t id_;
   std::unique_ptr<TcpStream> stream_;
@@ -116,6 +160,9 @@
   std::string pipelined_input_;
   std::string output_;
   bool request_open_ = false;
+  bool response_begun_ = false;
+  uint64_t bytes_read_ = 0;
+  uint64_t bytes_written_ = 0;
   bool request_keeps_alive_ = true;
   bool keep_alive_disabled_ = false;
   // Deadline for the head, the body or the next request.
--- a/modules/bbv_front/tcp_stream.cc
+++ b/modules/bbv_front/tcp_stream.cc
@@ -16,6 +16,7 @@
 // data queued on an unresponsive link is discarded.
 constexpr unsigned kUserTimeoutMs = 4000;
 constexpr std::size_t kReadBytes = 64U << 10U;
+constexpr std::size_t kMaxCountedUnreadBytes = 4096;
 
 void DeleteHandle(uv_handle_t* handle) {
   delete reinterpret_cast<uv_tcp_t*>(handle);
@@ -207,6 +208,15 @@
       reinterpret_cast<const uv_stream_t*>(handle_));
 }
 
+std::size_t TcpStream::unread_bytes() const {
+  uv_os_fd_t fd = -1;
+  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(handle_), &fd) != 0)
+    return 0;
+  std::array<char, kMaxCountedUnreadBytes> buf;
+  const ssize_t n = recv(fd, buf.data(), buf.size(), MSG_PEEK | MSG_DONTWAIT);
+  return n > 0 ? static_cast<std::size_t>(n) : 0;
+}
+
 void TcpStream::End(StreamEnd end) {
   if (ended_)
     return;
--- a/modules/bbv_front/tcp_stream.h
+++ b/modules/bbv_front/tcp_stream.h
@@ -73,6 +73,9 @@
   static void FlushAndClose(std::unique_ptr<TcpStream> stream);
 
   std::size_t queued_bytes() const;
+  // Returns the number of bytes that were received and not read yet, counted up
+  // to 4096.
+  std::size_t unread_bytes() const;
   bool connected() const { return connected_; }
 
  private:
--- /dev/null
+++ b/tests/caller_ledger_test.cc
@@ -0,0 +1,85 @@
+#include <CppUTest/TestHarness.h>
+
+#include <csignal>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "fleet_floor.h"
+#include "raw_caller.h"
+
+using bbv::CountOf;
+using bbv::FleetFloor;
+using bbv::RawCaller;
+using bbv::RequestText;
+
+namespace {
+
+void SleepFor(int milliseconds) {
+  std::this_thread::sleep_for(std::chrono::milliseconds(milliseconds));
+}
+
+}  // namespace
+
+// Every whole request that an entry has read ends in an answer or a refusal,
+// unless its caller leaves.
+TEST_GROUP(CallerLedger) {
+  bbv::standins::FleetTargets::Options options;
+  std::unique_ptr<FleetFloor> floor;
+
+  void StartFleet(int stop_timeout_s = 8) {
+    floor = std::make_unique<FleetFloor>(1, options, stop_timeout_s);
+    if (!floor->Start())
+      FAIL(("could not start: " + floor->Output(0)).c_str());
+  }
+  void teardown() override {
+    floor.reset();
+  }
+
+  RawCaller Connect() {
+    return RawCaller(floor->callers_port(0));
+  }
+
+  // Returns the line of caller-connection-ended of `id`, waiting for it.
+  std::string FindEndLine(const std::string& id) {
+    for (int it = 0; it < 100; ++it) {
+      const std::string output = floor->Output(0);
+      const std::size_t id_at =
+          output.find("\"id\":\"" + id + "\",\"connection\"");
+      if (id_at != std::string::npos) {
+        const std::size_t start = output.rfind('\n', id_at) + 1;
+        return output.substr(start, output.find('\n', id_at) - start);
+      }
+      SleepFor(20);
+    }
+    return {};
+  }
+};
+
+TEST(CallerLedger, ConnectionsThatEndWithAnOpenCallAreLogged) {
+  options.work_ms = 400;
+  StartFleet();
+  const std::string request = RequestText("/safe/x", "left");
+  {
+    const RawCaller caller = Connect();
+    CHECK(caller.Send(request));
+    SleepFor(100);
+  }
+  const std::string line = FindEndLine("left");
+  CHECK(line.find("caller-connection-ended") != std::string::npos);
+  CHECK(line.find("\"by\":\"caller-closed\"") != std::string::npos);
+  CHECK(line.find("\"request\":\"open\"") != std::string::npos);
+  CHECK(line.find("\"read\":" + std::to_string(request.size())) !=
+        std::string::npos);
+  CHECK(line.find("\"stopping_ms\":-1") != std::string::npos);
+  {
+    const RawCaller caller = Connect();
+    floor->Signal(0, SIGTERM);
+    SleepFor(100);
+    CHECK(caller.Send(RequestText("/safe/x", "left-in-stop")));
+    SleepFor(100);
+  }
+  const std::string in_stop = FindEndLine("left-in-stop");
+  CHECK(in_stop.find("caller-connection-ended") != std::string::npos);
+  CHECK(in_stop.find("\"stopping_ms\":-1") == std::string::npos);
+}
--- a/tests/fleet_floor.cc
+++ b/tests/fleet_floor.cc
@@ -71,8 +71,11 @@
 };
 
 FleetFloor::FleetFloor(int entries,
-                       const standins::FleetTargets::Options& options)
-    : targets_(&store_, options), proxied_(options.proxied) {
+                       const standins::FleetTargets::Options& options,
+                       int stop_timeout_s)
+    : targets_(&store_, options),
+      proxied_(options.proxied),
+      stop_timeout_s_(stop_timeout_s) {
   std::string folder =
       (std::filesystem::temp_directory_path() / "bbv-fleet-XXXXXX").string();
   folder_ = mkdtemp(folder.data());
@@ -107,8 +110,8 @@
     entry.output = folder_ + "/" + name + ".out";
     std::ofstream file(entry.settings);
     file << "[node]\nrole = \"fleet-entry\"\nname = \"" << name
-         << "\"\nzone = \"zone-a\"\nstop_timeout_s = 8\n[front]\ncallers = "
-         << TomlAddress(entry.callers)
+         << "\"\nzone = \"zone-a\"\nstop_timeout_s = " << stop_timeout_s_
+         << "\n[front]\ncallers = " << TomlAddress(entry.callers)
          << "readiness = " << TomlAddress(entry.readiness)
          << "peers = " << TomlAddress(entry.peers)
          << "metrics = " << TomlAddress(entry.metrics) << "[store]\naddress = "
--- a/tests/fleet_floor.h
+++ b/tests/fleet_floor.h
@@ -36,7 +36,9 @@
 // methods from the owning thread only.
 class FleetFloor {
  public:
-  FleetFloor(int entries, const standins::FleetTargets::Options& options);
+  FleetFloor(int entries,
+             const standins::FleetTargets::Options& options,
+             int stop_timeout_s = 8);
   ~FleetFloor();
 
   // Starts all processes and stand-ins and waits until the layers are placed
@@ -86,6 +88,7 @@
   standins::FleetStore store_;
   standins::FleetTargets targets_;
   const bool proxied_;
+  const int stop_timeout_s_;
   std::string folder_;
   std::vector<std::unique_ptr<Entry>> entries_;
 };
