Parse pipelined requests in a loop, so that they cannot crash an entry

Seen by callers: the entry's process ends and cuts every connection. Cause: a response that a handler gives at once parses the next received request from within the response, so each pipelined request adds frames to the stack. Up to 320 KB wait behind one slow call, which is enough small requests to overflow it. Evidence: one slow call and 15,000 requests of 18 bytes behind it on one connection ended the real program. Both kinds of input, from the socket and kept behind an open request, now go through one loop.

CallerLedger.RequestsReadBehindASlowCallAreAllAnswered failed before: the process had exited (CHECK_FALSE(floor->HasExited(0, &code)) failed), 6212 of 15,000 answers had come. CallerConnection.ThousandsOfPipelinedRequests... did not fail before, since it reads 64 KB at a time; it guards the other path.

--- a/modules/bbv_front/caller_connection.cc
+++ b/modules/bbv_front/caller_connection.cc
@@ -57,7 +57,7 @@
 void CallerConnection::OnData(std::string_view data) {
   bytes_read_ += data.size();
   if (!request_open_) {
-    ParseInput(data);
+    ParseAll(data);
     return;
   }
   pipelined_input_.append(data);
@@ -65,7 +65,20 @@
     stream_->StopReading();
 }
 
-void CallerConnection::ParseInput(std::string_view data) {
+void CallerConnection::ParseAll(std::string_view data) {
+  // A handler may respond at once. The next request is then parsed here and not
+  // from within the response, so that the stack does not grow with each one.
+  parsing_ = true;
+  ParseStatus status = ParseInput(data);
+  while (status == ParseStatus::kComplete && !request_open_ && !closed() &&
+         has_buffered_input()) {
+    const std::string input = std::exchange(pipelined_input_, {});
+    status = ParseInput(input);
+  }
+  parsing_ = false;
+}
+
+ParseStatus CallerConnection::ParseInput(std::string_view data) {
   const bool message_started = parser_.in_message();
   const ParseStatus status = parser_.Parse(data);
   switch (status) {
@@ -76,22 +89,23 @@
       }
       if (parser_.has_head())
         read_deadline_ = EventLoop::Now() + kBodyReadTimeout;
-      return;
+      break;
     case ParseStatus::kComplete:
       request_open_ = true;
       request_keeps_alive_ = parser_.keeps_alive();
       request_handler_->OnRequest(this, std::move(head_), std::move(body_));
-      return;
+      break;
     case ParseStatus::kHeadTooLarge:
       Reject(431);
-      return;
+      break;
     case ParseStatus::kBodyTooLarge:
       Reject(413);
-      return;
+      break;
     case ParseStatus::kMalformed:
       Reject(400);
-      return;
+      break;
   }
+  return status;
 }
 
 void CallerConnection::Reject(int status) {
@@ -216,11 +230,9 @@
   body_.clear();
   read_deadline_ = EventLoop::Now() + Milliseconds(limits_.idle_timeout_ms);
   stream_->StartReading();
-  const std::string pipelined_input = std::move(pipelined_input_);
-  pipelined_input_.clear();
   // The parser's own buffer may already hold a complete request.
-  if (!pipelined_input.empty() || parser_.pending_bytes() > 0)
-    ParseInput(pipelined_input);
+  if (!parsing_ && has_buffered_input())
+    ParseAll(std::exchange(pipelined_input_, {}));
 }
 
 void CallerConnection::Abort() {
--- a/modules/bbv_front/caller_connection.h
+++ b/modules/bbv_front/caller_connection.h
@@ -137,7 +137,12 @@
   void OnMessageComplete() override;
 
  private:
-  void ParseInput(std::string_view data);
+  ParseStatus ParseInput(std::string_view data);
+  // Parses `data` and whatever else was received until a request is open.
+  void ParseAll(std::string_view data);
+  bool has_buffered_input() const {
+    return !pipelined_input_.empty() || parser_.pending_bytes() > 0;
+  }
   void Reject(int status);
   // Replaces `output_` by the status line, `fields` and the Connection field.
   void BeginResponseHead(int status,
@@ -165,6 +170,7 @@
   uint64_t bytes_written_ = 0;
   bool request_keeps_alive_ = true;
   bool keep_alive_disabled_ = false;
+  bool parsing_ = false;
   // Deadline for the head, the body or the next request.
   Instant read_deadline_;
 };
--- /dev/null
+++ b/modules/bbv_front/caller_connection_test.cc
@@ -0,0 +1,99 @@
+#include "bbv_front/caller_connection.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "free_port.h"
+#include "raw_caller.h"
+
+using bbv::CallerConnection;
+using bbv::CountOf;
+using bbv::EventLoop;
+using bbv::HttpHead;
+using bbv::Instant;
+using bbv::Milliseconds;
+using bbv::RawCaller;
+
+namespace {
+
+constexpr char kRequest[] = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+
+}  // namespace
+
+// One connection on the loopback interface between a plain caller and a
+// CallerConnection whose requests are answered at once.
+TEST_GROUP(CallerConnection) {
+  class Handler final : public bbv::CallerRequestHandler {
+   public:
+    void OnRequest(CallerConnection* connection,
+                   HttpHead,
+                   std::string) override {
+      ++requests;
+      connection->SendResponse(200, {}, {}, answer);
+    }
+    void OnCallerGone(CallerConnection*) override {}
+    void OnBadRequest(CallerConnection*, int) override {}
+
+    int requests = 0;
+    std::string answer = "answer";
+  };
+
+  EventLoop loop;
+  bbv::TcpListener listener;
+  Handler handler;
+  std::unique_ptr<CallerConnection> connection;
+  std::unique_ptr<RawCaller> caller;
+  int receive_bytes = 8192;
+
+  void setup() override {
+    const int port = bbv::FreePort();
+    listener.Listen(&loop, {"127.0.0.1", static_cast<uint16_t>(port)},
+                    [this](std::unique_ptr<bbv::TcpStream> stream) {
+                      connection = std::make_unique<CallerConnection>(
+                          1, std::move(stream), bbv::CallerLimits{}, &handler);
+                    });
+    caller = std::make_unique<RawCaller>(port, receive_bytes);
+    while (connection == nullptr)
+      uv_run(loop.raw(), UV_RUN_ONCE);
+  }
+  void teardown() override {
+    connection.reset();
+    caller.reset();
+  }
+
+  // Runs the loop and the connection's timeouts.
+  void RunFor(int milliseconds) {
+    for (int it = 0; it < milliseconds / 5; ++it) {
+      uv_run(loop.raw(), UV_RUN_NOWAIT);
+      connection->OnTick(EventLoop::Now());
+      std::this_thread::sleep_for(Milliseconds(5));
+    }
+  }
+  // A time at which every timeout has passed.
+  static Instant Late() {
+    return EventLoop::Now() + std::chrono::minutes(1);
+  }
+};
+
+TEST(CallerConnection, ThousandsOfPipelinedRequestsDoNotExhaustTheStack) {
+  constexpr int kRequests = 20'000;
+  std::thread sender([this] {
+    std::string all;
+    for (int it = 0; it < kRequests; ++it)
+      all += kRequest;
+    caller->Send(all);
+  });
+  std::thread receiver([this] { caller->Receive(5000); });
+  while (handler.requests < kRequests)
+    RunFor(5);
+  sender.join();
+  connection->DisableKeepAlive();
+  connection->CloseIfIdle();
+  RunFor(50);
+  receiver.join();
+  CHECK_EQUAL(kRequests, CountOf(caller->Receive(0), "HTTP/1.1 200"));
+}
--- a/tests/caller_ledger_test.cc
+++ b/tests/caller_ledger_test.cc
@@ -83,3 +83,22 @@
   CHECK(in_stop.find("caller-connection-ended") != std::string::npos);
   CHECK(in_stop.find("\"stopping_ms\":-1") == std::string::npos);
 }
+
+TEST(CallerLedger, RequestsReadBehindASlowCallAreAllAnswered) {
+  constexpr int kRequests = 15'000;
+  options.work_ms = 500;
+  StartFleet();
+  RawCaller caller = Connect();
+  std::string all = RequestText("/safe/x", "slow");
+  for (int it = 0; it < kRequests; ++it)
+    all += "GET / HTTP/1.1\r\n\r\n";
+  // The last answer.
+  all += RequestText("/safe/x", "last", "Connection: close\r\n");
+  std::thread sender([&caller, &all] { caller.Send(all); });
+  caller.Receive(20'000);
+  sender.join();
+  SleepFor(500);
+  int code = 0;
+  CHECK_FALSE(floor->HasExited(0, &code));
+  CHECK_EQUAL(kRequests, CountOf(caller.Receive(0), "HTTP/1.1 404"));
+}
