Close no caller's connection over a request that was received already

Seen by callers: a request gets neither an answer nor a refusal, the connection ends. Cause: four closes looked at requests that the parser had seen, not at bytes behind it or in the socket's buffer: the answer that says Connection: close with a second request read already, CloseIfIdle during a stop, the idle timeout and the head timeout (timers run before the loop reads, so a suspended or late process takes a caller for idle whose request waits).

A connection now closes only when nothing is left to read: a response announces the close only then, CloseIfIdle leaves the connection to the loop, and a timeout is put off once, which trickling bytes cannot repeat. CloseIfIdle also spares unsent answers and connections younger than 300 ms without a byte. A stream whose head did not announce the close is no longer followed by one; the connection closes when it is idle after the balancer's notice time.

TimeoutsAreEnforced... passed before; it bounds the fix.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -689,7 +689,7 @@
   // callers here.
   if (now >= stop_began_ + kBalancerNoticeTime) {
     for (const auto& [id, connection] : callers_)
-      connection->CloseIfIdle();
+      connection->CloseIfIdle(now);
   }
   if (!finished && now < stop_deadline_)
     return;
--- a/modules/bbv_front/caller_connection.cc
+++ b/modules/bbv_front/caller_connection.cc
@@ -11,6 +11,8 @@
 constexpr std::size_t kMaxPipelinedBytes = 256U << 10U;
 // Maximum time to receive a body. CallerLimits bounds the time for a head.
 constexpr Milliseconds kBodyReadTimeout{20'000};
+// Time in which a new connection is expected to bring its first request.
+constexpr Milliseconds kFirstRequestTime{300};
 
 void AppendHexadecimal(std::size_t value, std::string* out) {
   char buf[20];
@@ -48,8 +50,9 @@
       parser_(HttpParser::Kind::kRequests,
               {limits.max_header_bytes, limits.max_body_bytes},
               this),
-      read_deadline_(EventLoop::Now() + Milliseconds(limits.idle_timeout_ms)) {
+      opened_at_(EventLoop::Now()) {
   assert(request_handler != nullptr);
+  SetReadTimeout(Milliseconds(limits.idle_timeout_ms));
   stream_->SetDelegate(this);
   stream_->StartReading();
 }
@@ -83,12 +86,10 @@
   const ParseStatus status = parser_.Parse(data);
   switch (status) {
     case ParseStatus::kNeedMore:
-      if (!message_started && parser_.in_message()) {
-        read_deadline_ =
-            EventLoop::Now() + Milliseconds(limits_.header_timeout_ms);
-      }
+      if (!message_started && parser_.in_message())
+        SetReadTimeout(Milliseconds(limits_.header_timeout_ms));
       if (parser_.has_head())
-        read_deadline_ = EventLoop::Now() + kBodyReadTimeout;
+        SetReadTimeout(kBodyReadTimeout);
       break;
     case ParseStatus::kComplete:
       request_open_ = true;
@@ -108,6 +109,11 @@
   return status;
 }
 
+void CallerConnection::SetReadTimeout(Milliseconds timeout) {
+  read_deadline_ = EventLoop::Now() + timeout;
+  deadline_extended_ = false;
+}
+
 void CallerConnection::Reject(int status) {
   request_handler_->OnBadRequest(this, status);
   request_keeps_alive_ = false;
@@ -129,9 +135,8 @@
   end.bytes_read = bytes_read_;
   end.bytes_written = bytes_written_;
   end.bytes_unsent = stream_->queued_bytes();
-  end.bytes_unread =
-      stream_->unread_bytes() + pipelined_input_.size() +
-      (request_open_ || !parser_.in_message() ? parser_.pending_bytes() : 0);
+  end.bytes_unread = stream_->unread_bytes() + pipelined_input_.size() +
+                     (request_open_ ? parser_.pending_bytes() : 0);
   return end;
 }
 
@@ -159,12 +164,12 @@
 
 void CallerConnection::OnMessageComplete() {}
 
-bool CallerConnection::KeepsAlive() const {
-  return request_keeps_alive_ && !keep_alive_disabled_;
-}
-
-std::string_view CallerConnection::ConnectionField() const {
-  return KeepsAlive() ? "" : "Connection: close\r\n";
+bool CallerConnection::MustClose() const {
+  if (!request_keeps_alive_)
+    return true;
+  // A request that was received already still gets its response.
+  return keep_alive_disabled_ && !has_buffered_input() &&
+         stream_->unread_bytes() == 0;
 }
 
 void CallerConnection::BeginResponseHead(int status,
@@ -174,7 +179,9 @@
   output_.clear();
   AppendStatusLine(status, reason, &output_);
   output_.append(fields);
-  output_.append(ConnectionField());
+  close_announced_ = MustClose();
+  if (close_announced_)
+    output_.append("Connection: close\r\n");
 }
 
 void CallerConnection::SendResponse(int status,
@@ -221,14 +228,14 @@
 void CallerConnection::FinishResponse() {
   request_open_ = false;
   response_begun_ = false;
-  if (!KeepsAlive()) {
+  if (std::exchange(close_announced_, false)) {
     Close(CallerEndCause::kAnswered);
     return;
   }
   parser_.StartNextMessage();
   head_ = {};
   body_.clear();
-  read_deadline_ = EventLoop::Now() + Milliseconds(limits_.idle_timeout_ms);
+  SetReadTimeout(Milliseconds(limits_.idle_timeout_ms));
   stream_->StartReading();
   // The parser's own buffer may already hold a complete request.
   if (!parsing_ && has_buffered_input())
@@ -252,13 +259,17 @@
     stream_->StartReading();
 }
 
-void CallerConnection::CloseIfIdle() {
-  if (!closed() && !request_open_ && !parser_.in_message())
+void CallerConnection::CloseIfIdle(Instant now) {
+  if (closed() || request_open_ || parser_.in_message())
+    return;
+  if (bytes_read_ == 0 && now < opened_at_ + kFirstRequestTime)
+    return;
+  if (stream_->queued_bytes() == 0 && stream_->unread_bytes() == 0)
     Close(CallerEndCause::kIdle);
 }
 
 void CallerConnection::Close(CallerEndCause cause) {
-  if (stream_ == nullptr)
+  if (closed())
     return;
   request_handler_->OnConnectionEnd(this, MakeEnd(cause));
   TcpStream::FlushAndClose(std::move(stream_));
@@ -267,14 +278,17 @@
 bool CallerConnection::OnTick(Instant now) {
   if (closed())
     return false;
-  if (request_open_ || now < read_deadline_)
+  if (request_open_ || now < read_deadline_ || stream_->queued_bytes() > 0)
+    return true;
+  // After a suspension the bytes may have arrived in time.
+  if (!std::exchange(deadline_extended_, true) && stream_->unread_bytes() > 0)
     return true;
   if (!parser_.in_message()) {
     Close(CallerEndCause::kIdle);
     return false;
   }
   Reject(408);
-  return false;
+  return true;
 }
 
 std::size_t CallerConnection::queued_bytes() const {
--- a/modules/bbv_front/caller_connection.h
+++ b/modules/bbv_front/caller_connection.h
@@ -74,6 +74,9 @@
 // Server side of one caller's HTTP/1.1 connection. Requests are handled one at
 // a time; pipelined requests wait.
 //
+// The connection is closed only when no request has been received that lacks
+// its response, in this process or in the socket's buffer.
+//
 // Limits the size of heads and bodies, the time to receive them, and the idle
 // time. Thread safety: none, used on the event loop's thread.
 class CallerConnection final : public TcpStreamDelegate, public HttpSink {
@@ -107,15 +110,15 @@
   void PauseReading();
   void Resume();
 
-  // Closes the connection unless a request is open or partly received.
-  void CloseIfIdle();
+  // Closes the connection unless a request is open or received in part, a
+  // response is not sent yet, or a first request is due on a new connection.
+  void CloseIfIdle(Instant now);
 
   // Makes the next response announce "Connection: close" and close the
-  // connection.
+  // connection, unless a further request has been received by then.
   void DisableKeepAlive() { keep_alive_disabled_ = true; }
 
-  // Enforces the timeouts. Returns false if the connection is closed or about
-  // to close.
+  // Enforces the timeouts. Returns false if the connection is closed.
   bool OnTick(Instant now);
 
   uint64_t id() const { return id_; }
@@ -143,14 +146,15 @@
   bool has_buffered_input() const {
     return !pipelined_input_.empty() || parser_.pending_bytes() > 0;
   }
+  void SetReadTimeout(Milliseconds timeout);
   void Reject(int status);
   // Replaces `output_` by the status line, `fields` and the Connection field.
   void BeginResponseHead(int status,
                          std::string_view reason,
                          std::string_view fields);
   void FinishResponse();
-  std::string_view ConnectionField() const;
-  bool KeepsAlive() const;
+  // Whether the connection must close after the response that begins now.
+  bool MustClose() const;
   void Close(CallerEndCause cause);
   void Write(std::string_view data);
   CallerConnectionEnd MakeEnd(CallerEndCause cause) const;
@@ -170,9 +174,14 @@
   uint64_t bytes_written_ = 0;
   bool request_keeps_alive_ = true;
   bool keep_alive_disabled_ = false;
+  // Whether the open request's response announced that the connection closes.
+  bool close_announced_ = false;
   bool parsing_ = false;
   // Deadline for the head, the body or the next request.
   Instant read_deadline_;
+  // Whether the deadline has passed while received bytes were unread.
+  bool deadline_extended_ = false;
+  Instant opened_at_;
 };
 
 }  // namespace bbv
--- a/modules/bbv_front/caller_connection_test.cc
+++ b/modules/bbv_front/caller_connection_test.cc
@@ -79,6 +79,59 @@
   }
 };
 
+TEST(CallerConnection, IdleTimeoutSparesARequestThatIsNotReadYet) {
+  CHECK(caller->Send(kRequest));
+  std::this_thread::sleep_for(Milliseconds(20));
+  connection->OnTick(Late());
+  RunFor(50);
+  CHECK_EQUAL(1, handler.requests);
+  CHECK_EQUAL(1, CountOf(caller->Receive(100, "answer"), "HTTP/1.1 200"));
+}
+
+TEST(CallerConnection, HeadTimeoutSparesARequestWhoseRestIsNotReadYet) {
+  CHECK(caller->Send("GET /a HTTP/1.1\r\n"));
+  RunFor(30);
+  CHECK(caller->Send("Host: x\r\n\r\n"));
+  std::this_thread::sleep_for(Milliseconds(20));
+  connection->OnTick(Late());
+  RunFor(50);
+  CHECK_EQUAL(1, handler.requests);
+}
+
+TEST(CallerConnection, TimeoutsAreEnforcedDespiteSlowlyTricklingBytes) {
+  CHECK(caller->Send("GET /a HTTP/1.1\r\n"));
+  RunFor(30);
+  CHECK(caller->Send("H"));
+  std::this_thread::sleep_for(Milliseconds(20));
+  connection->OnTick(Late());
+  CHECK(caller->Send("o"));
+  std::this_thread::sleep_for(Milliseconds(20));
+  connection->OnTick(Late());
+  RunFor(50);
+  CHECK_EQUAL(1, CountOf(caller->Receive(100), "HTTP/1.1 408"));
+}
+
+TEST(CallerConnection, AnIdleConnectionStaysOpenForARequestThatIsNotReadYet) {
+  CHECK(caller->Send(kRequest));
+  RunFor(50);
+  CHECK(caller->Send(kRequest));
+  std::this_thread::sleep_for(Milliseconds(20));
+  connection->DisableKeepAlive();
+  connection->CloseIfIdle(EventLoop::Now());
+  RunFor(50);
+  const std::string answers = caller->Receive(100);
+  CHECK_EQUAL(2, CountOf(answers, "HTTP/1.1 200"));
+  CHECK_EQUAL(1, CountOf(answers, "Connection: close"));
+}
+
+TEST(CallerConnection, ANewConnectionStaysOpenForItsFirstRequest) {
+  connection->DisableKeepAlive();
+  connection->CloseIfIdle(EventLoop::Now());
+  CHECK_FALSE(connection->closed());
+  connection->CloseIfIdle(Late());
+  CHECK(connection->closed());
+}
+
 TEST(CallerConnection, ThousandsOfPipelinedRequestsDoNotExhaustTheStack) {
   constexpr int kRequests = 20'000;
   std::thread sender([this] {
@@ -92,7 +145,7 @@
     RunFor(5);
   sender.join();
   connection->DisableKeepAlive();
-  connection->CloseIfIdle();
+  connection->CloseIfIdle(Late());
   RunFor(50);
   receiver.join();
   CHECK_EQUAL(kRequests, CountOf(caller->Receive(0), "HTTP/1.1 200"));
--- a/tests/caller_ledger_test.cc
+++ b/tests/caller_ledger_test.cc
@@ -84,6 +84,33 @@
   CHECK(in_stop.find("\"stopping_ms\":-1") == std::string::npos);
 }
 
+TEST(CallerLedger, RequestsReadTogetherAreAllAnsweredByAStoppingEntry) {
+  options.work_ms = 200;
+  StartFleet();
+  RawCaller caller = Connect();
+  CHECK(caller.Send(RequestText("/safe/x", "first")));
+  SleepFor(100);
+  floor->Signal(0, SIGTERM);
+  SleepFor(30);
+  CHECK(caller.Send(RequestText("/safe/x", "second") +
+                    RequestText("/safe/x", "third")));
+  const std::string answers = caller.Receive(3000);
+  CHECK_EQUAL(3, CountOf(answers, "HTTP/1.1 200"));
+  CHECK_EQUAL(1, CountOf(answers, "Connection: close"));
+  CHECK(caller.ended() && !caller.was_reset());
+  CHECK_EQUAL(0, floor->WaitForExit(0));
+}
+
+TEST(CallerLedger, ConnectionsThatNeverSendDoNotDelayTheStop) {
+  StartFleet();
+  RawCaller idle = Connect();
+  SleepFor(100);
+  floor->Signal(0, SIGTERM);
+  const auto began = std::chrono::steady_clock::now();
+  CHECK_EQUAL(0, floor->WaitForExit(0));
+  CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(4));
+}
+
 TEST(CallerLedger, RequestsReadBehindASlowCallAreAllAnswered) {
   constexpr int kRequests = 15'000;
   options.work_ms = 500;
