Half-close callers' connections and let their last bytes come

Seen by callers: an answer that was written is cut or lost, or sending a body ends with a reset before the refusal of it is read. Cause: a connection was closed as soon as the answer was in the socket. When bytes of the caller are unread then, or come later (the rest of a body refused by its head, bytes behind the last request), the kernel resets the connection and drops what it has not sent. Now the entry ends only its own direction, discards what comes until the caller has closed its side, for at most 1 s after the answer was sent, and keeps the connection in its table until then.

Failed before: AnAnswerIsNotResetByBytesThatFollowTheRequest (3,000,000 bytes of answer, 12,224 came) and AnEarlyRefusalReachesACallerThatStillSends (CHECK(sent) failed). AClosedConnectionEnds... bounds the fix.

--- a/modules/bbv_front/caller_connection.cc
+++ b/modules/bbv_front/caller_connection.cc
@@ -11,6 +11,8 @@
 constexpr std::size_t kMaxPipelinedBytes = 256U << 10U;
 // Maximum time to receive a body. CallerLimits bounds the time for a head.
 constexpr Milliseconds kBodyReadTimeout{20'000};
+// Time for which a caller may still close its side after the last response.
+constexpr Milliseconds kClosingTime{1000};
 // Time in which a new connection is expected to bring its first request.
 constexpr Milliseconds kFirstRequestTime{300};
 
@@ -59,6 +61,8 @@
 
 void CallerConnection::OnData(std::string_view data) {
   bytes_read_ += data.size();
+  if (closing_)
+    return;
   if (!request_open_) {
     ParseAll(data);
     return;
@@ -73,8 +77,8 @@
   // from within the response, so that the stack does not grow with each one.
   parsing_ = true;
   ParseStatus status = ParseInput(data);
-  while (status == ParseStatus::kComplete && !request_open_ && !closed() &&
-         has_buffered_input()) {
+  while (status == ParseStatus::kComplete && !request_open_ && !closing_ &&
+         !closed() && has_buffered_input()) {
     const std::string input = std::exchange(pipelined_input_, {});
     status = ParseInput(input);
   }
@@ -131,7 +135,7 @@
   end.cause = cause;
   end.request_open = request_open_;
   end.response_begun = request_open_ && response_begun_;
-  end.request_partial = !request_open_ && parser_.in_message();
+  end.request_partial = !request_open_ && !closing_ && parser_.in_message();
   end.bytes_read = bytes_read_;
   end.bytes_written = bytes_written_;
   end.bytes_unsent = stream_->queued_bytes();
@@ -229,7 +233,7 @@
   request_open_ = false;
   response_begun_ = false;
   if (std::exchange(close_announced_, false)) {
-    Close(CallerEndCause::kAnswered);
+    BeginClosing();
     return;
   }
   parser_.StartNextMessage();
@@ -260,31 +264,49 @@
 }
 
 void CallerConnection::CloseIfIdle(Instant now) {
-  if (closed() || request_open_ || parser_.in_message())
+  if (closed() || closing_ || request_open_ || parser_.in_message())
     return;
   if (bytes_read_ == 0 && now < opened_at_ + kFirstRequestTime)
     return;
   if (stream_->queued_bytes() == 0 && stream_->unread_bytes() == 0)
-    Close(CallerEndCause::kIdle);
+    Close();
 }
 
-void CallerConnection::Close(CallerEndCause cause) {
-  if (closed())
-    return;
-  request_handler_->OnConnectionEnd(this, MakeEnd(cause));
+void CallerConnection::Close() {
+  request_handler_->OnConnectionEnd(this, MakeEnd(CallerEndCause::kIdle));
   TcpStream::FlushAndClose(std::move(stream_));
 }
 
+void CallerConnection::BeginClosing() {
+  closing_ = true;
+  stream_->ShutDown();
+  stream_->StartReading();
+}
+
+bool CallerConnection::TickClosing(Instant now) {
+  if (stream_->queued_bytes() > 0)
+    return true;
+  if (!closing_deadline_)
+    closing_deadline_ = now + kClosingTime;
+  if (now < *closing_deadline_)
+    return true;
+  request_handler_->OnConnectionEnd(this, MakeEnd(CallerEndCause::kAnswered));
+  stream_.reset();
+  return false;
+}
+
 bool CallerConnection::OnTick(Instant now) {
   if (closed())
     return false;
+  if (closing_)
+    return TickClosing(now);
   if (request_open_ || now < read_deadline_ || stream_->queued_bytes() > 0)
     return true;
   // After a suspension the bytes may have arrived in time.
   if (!std::exchange(deadline_extended_, true) && stream_->unread_bytes() > 0)
     return true;
   if (!parser_.in_message()) {
-    Close(CallerEndCause::kIdle);
+    Close();
     return false;
   }
   Reject(408);
--- a/modules/bbv_front/caller_connection.h
+++ b/modules/bbv_front/caller_connection.h
@@ -75,7 +75,10 @@
 // a time; pipelined requests wait.
 //
 // The connection is closed only when no request has been received that lacks
-// its response, in this process or in the socket's buffer.
+// its response, in this process or in the socket's buffer. After the last
+// response, bytes of the caller are discarded until it has closed its side or
+// for a bounded time, because closing a socket with unread bytes resets the
+// connection and may destroy the response.
 //
 // Limits the size of heads and bodies, the time to receive them, and the idle
 // time. Thread safety: none, used on the event loop's thread.
@@ -147,6 +150,7 @@
     return !pipelined_input_.empty() || parser_.pending_bytes() > 0;
   }
   void SetReadTimeout(Milliseconds timeout);
+  bool TickClosing(Instant now);
   void Reject(int status);
   // Replaces `output_` by the status line, `fields` and the Connection field.
   void BeginResponseHead(int status,
@@ -155,7 +159,10 @@
   void FinishResponse();
   // Whether the connection must close after the response that begins now.
   bool MustClose() const;
-  void Close(CallerEndCause cause);
+  // Closes an idle connection.
+  void Close();
+  // Closes the connection once the last response has reached the caller.
+  void BeginClosing();
   void Write(std::string_view data);
   CallerConnectionEnd MakeEnd(CallerEndCause cause) const;
 
@@ -176,6 +183,10 @@
   bool keep_alive_disabled_ = false;
   // Whether the open request's response announced that the connection closes.
   bool close_announced_ = false;
+  // Whether the last response was written and the connection is to close, and
+  // until when the caller may close its side once all was sent.
+  bool closing_ = false;
+  std::optional<Instant> closing_deadline_;
   bool parsing_ = false;
   // Deadline for the head, the body or the next request.
   Instant read_deadline_;
--- a/modules/bbv_front/caller_connection_test.cc
+++ b/modules/bbv_front/caller_connection_test.cc
@@ -132,6 +132,47 @@
   CHECK(connection->closed());
 }
 
+TEST(CallerConnection, AnEarlyRefusalReachesACallerThatStillSends) {
+  bool sent = false;
+  std::thread body([this, &sent] {
+    std::string head = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: ";
+    sent =
+        caller->Send(head + "30000000\r\n\r\n" + std::string(20'000'000, 'x'));
+    caller->Receive(1000);
+  });
+  RunFor(1500);
+  body.join();
+  // A reset would end the sending, and may overtake the answer.
+  CHECK(sent);
+  CHECK_EQUAL(1, CountOf(caller->Receive(0), "HTTP/1.1 413"));
+  CHECK(caller->ended());
+  CHECK_FALSE(caller->was_reset());
+}
+
+TEST(CallerConnection, AnAnswerIsNotResetByBytesThatFollowTheRequest) {
+  handler.answer = std::string(3'000'000, 'a');
+  std::thread receiver([this] {
+    caller->Send("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" +
+                 std::string(200'000, 'x'));
+    std::this_thread::sleep_for(Milliseconds(200));
+    caller->Receive(2000);
+  });
+  RunFor(1500);
+  receiver.join();
+  CHECK_EQUAL(static_cast<int>(handler.answer.size() / 2),
+              CountOf(caller->Receive(0), "aa"));
+  CHECK_FALSE(caller->was_reset());
+}
+
+TEST(CallerConnection, AClosedConnectionEndsThoughTheCallerKeepsItsSideOpen) {
+  CHECK(
+      caller->Send("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"));
+  RunFor(100);
+  CHECK_FALSE(connection->closed());
+  RunFor(1300);
+  CHECK(connection->closed());
+}
+
 TEST(CallerConnection, ThousandsOfPipelinedRequestsDoNotExhaustTheStack) {
   constexpr int kRequests = 20'000;
   std::thread sender([this] {
--- a/modules/bbv_front/tcp_stream.cc
+++ b/modules/bbv_front/tcp_stream.cc
@@ -177,6 +177,18 @@
     delete request;
 }
 
+void TcpStream::ShutDown() {
+  if (ended_)
+    return;
+  auto* request = new uv_shutdown_t;
+  // A failure is reported by the next read.
+  const int result =
+      uv_shutdown(request, reinterpret_cast<uv_stream_t*>(handle_),
+                  [](uv_shutdown_t* shutdown, int) { delete shutdown; });
+  if (result != 0)
+    delete request;
+}
+
 void TcpStream::FlushAndClose(std::unique_ptr<TcpStream> stream) {
   assert(stream != nullptr);
   stream->delegate_ = nullptr;
--- a/modules/bbv_front/tcp_stream.h
+++ b/modules/bbv_front/tcp_stream.h
@@ -68,6 +68,10 @@
   // Sends or queues `data`. Has no effect after the stream has ended.
   void Write(std::string_view data);
 
+  // Ends this direction of the connection after the queued data; reading goes
+  // on. Nothing may be written afterwards.
+  void ShutDown();
+
   // Sends the queued data and closes the connection in the background, without
   // further calls to the delegate.
   static void FlushAndClose(std::unique_ptr<TcpStream> stream);
