Keep a call queued that was added while another one of its id ended

Seen by callers: a request that follows one which waited for capacity on the same connection hangs until its deadline, though capacity came back. Cause: calls wait under the id of their connection. When the call that is tried ends with a failure at once, the caller's next request, read already, may be queued under the same id before the try returns; the queue then took that one for the call it had tried and dropped it. The queue now tells calls apart by a number.

AdmissionQueue.ACallThatIsAddedWhileAnotherOneOfItsIdEndsStaysQueued failed before: expected 1 call in the queue, was 0.

--- a/modules/bbv_fleet/admission_queue.cc
+++ b/modules/bbv_fleet/admission_queue.cc
@@ -20,6 +20,7 @@
     return false;
   auto call = std::make_unique<Call>();
   call->id = id;
+  call->number = next_number_++;
   call->service = parameters.service;
   call->account = parameters.account;
   // FairQueue serves higher numbers first.
@@ -56,10 +57,11 @@
   for (auto& [service, queue] : queues_) {
     while (!queue.empty()) {
       const uint64_t id = queue.Front()->id;
+      const uint64_t number = queue.Front()->number;
       if (!try_send(id))
         break;
-      // `try_send` may already have removed the call.
-      if (!queue.empty() && queue.Front()->id == id) {
+      // `try_send` may already have removed the call and added another one.
+      if (!queue.empty() && queue.Front()->number == number) {
         queue.Pop();
         calls_.erase(id);
       }
--- a/modules/bbv_fleet/admission_queue.h
+++ b/modules/bbv_fleet/admission_queue.h
@@ -59,6 +59,8 @@
  private:
   struct Call : IntrusiveNode {
     uint64_t id = 0;
+    // Distinguishes successive calls with the same id.
+    uint64_t number = 0;
     std::string service;
     std::string account;
     uint32_t weight = 1;
@@ -67,6 +69,7 @@
     Instant deadline;
   };
 
+  uint64_t next_number_ = 0;
   std::map<uint64_t, std::unique_ptr<Call>> calls_;
   std::map<std::string, FairQueue<Call>> queues_;
 };
--- a/modules/bbv_fleet/admission_queue_test.cc
+++ b/modules/bbv_fleet/admission_queue_test.cc
@@ -189,3 +189,31 @@
   CHECK(id >= 16);
   CHECK(id <= 64);
 }
+
+// The id is that of the caller's connection, whose next request may wait as
+// soon as the call before it has ended.
+TEST(AdmissionQueue, ACallThatIsAddedWhileAnotherOneOfItsIdEndsStaysQueued) {
+  AdmissionQueue admission_queue;
+  const Instant now = Instant() + Milliseconds(1000);
+  AdmissionQueue::CallParameters parameters;
+  parameters.service = "s";
+  parameters.deadline = now + Milliseconds(100);
+  admission_queue.Add(1, parameters);
+  int tries = 0;
+  admission_queue.OnTick(
+      now,
+      [&](uint64_t id) {
+        if (++tries > 1)
+          return false;
+        admission_queue.Remove(id);
+        CHECK(admission_queue.Add(id, parameters));
+        return true;
+      },
+      [](uint64_t) {});
+  CHECK_EQUAL(1, static_cast<int>(admission_queue.size()));
+  int expired = 0;
+  admission_queue.OnTick(
+      now + Milliseconds(100), [](uint64_t) { return false; },
+      [&](uint64_t) { ++expired; });
+  CHECK_EQUAL(1, expired);
+}
