Answer the calls that are still open when a stop is forced

Seen by callers: at the end of the stop timeout the connection closes without an answer. Cause: TickStop stopped the loop at the forced deadline with calls open. They are now ended 300 ms before the stop timeout, as at a deadline: one that waits and was never sent gets 503 (not run), one that was sent gets 502 (unknown), a stream that has begun is broken off visibly. The loop goes on for up to 200 ms so that the answers leave.

CallerLedger.CallsOpenAtTheForcedStopAreAnswered failed before: expected "HTTP/1.1 502", was "". StreamsUnderWayAtTheForcedStopAreBrokenOffVisibly passed before and guards the other case. FleetCall gains OnForcedStop().

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -18,9 +18,10 @@
 // After the stop signal the load balancer keeps sending callers here until it
 // notices that the entry is not ready.
 constexpr Milliseconds kBalancerNoticeTime{2400};
-// The entry exits this long before the stop timeout, at which it would be
-// killed.
+// The entry ends its open calls, and exits, this long before the stop timeout,
+// at which it would be killed.
 constexpr Milliseconds kForcedStopMargin{300};
+constexpr Milliseconds kExitMargin{100};
 constexpr Milliseconds kDefaultCallerTimeout{30'000};
 // How long connections of callers are held while a starting entry cannot route
 // calls yet.
@@ -675,6 +676,8 @@
   stop_began_ = EventLoop::Now();
   stop_deadline_ =
       stop_began_ + Milliseconds(settings_.stop_timeout_ms) - kForcedStopMargin;
+  exit_deadline_ =
+      stop_began_ + Milliseconds(settings_.stop_timeout_ms) - kExitMargin;
   log_.Write(Event::kNodeLeaving, stop_began_,
              {{"calls", static_cast<int64_t>(calls_.size())}});
   planner_.Leave();
@@ -682,16 +685,26 @@
     connection->DisableKeepAlive();
 }
 
+void FleetEntry::EndOpenCalls(Instant now) {
+  if (std::exchange(calls_ended_, true))
+    return;
+  for (RelayedCall* it : OpenCalls())
+    it->OnForcedStop(now);
+}
+
 void FleetEntry::TickStop(Instant now) {
+  const bool forced = now >= stop_deadline_;
+  if (forced)
+    EndOpenCalls(now);
   const bool finished =
-      now >= stop_began_ + kBalancerNoticeTime && calls_.empty();
+      (forced || now >= stop_began_ + kBalancerNoticeTime) && calls_.empty();
   // Idle connections are closed once the load balancer has stopped sending
   // callers here.
   if (now >= stop_began_ + kBalancerNoticeTime) {
     for (const auto& [id, connection] : callers_)
       connection->CloseIfIdle(now);
   }
-  if (!finished && now < stop_deadline_)
+  if (!finished && now < exit_deadline_)
     return;
   loop_.Stop();
 }
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -79,6 +79,8 @@
   // even if a call ends before that.
   std::vector<RelayedCall*> OpenCalls() const;
   void TickStop(Instant now);
+  // Ends the calls that are still open at the stop deadline.
+  void EndOpenCalls(Instant now);
   void UpdateBudgetShares();
   void BeginStop();
   void Reload();
@@ -157,7 +159,11 @@
 
   bool stopping_ = false;
   Instant stop_began_{};
+  // Time at which open calls are ended, and at which the process exits even if
+  // callers have not taken their responses.
   Instant stop_deadline_{};
+  Instant exit_deadline_{};
+  bool calls_ended_ = false;
   Instant next_gauges_{};
   Instant next_layer_check_{};
   // Random offset that staggers entries whose timers would fire together.
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -75,6 +75,9 @@
   // Ends the call if it is quarantined and has no output.
   void CheckQuarantine(Instant now);
 
+  // Ends the call because this process is about to exit.
+  void OnForcedStop(Instant now) { call_.OnForcedStop(now); }
+
   // Sends a call that waits for capacity; returns false if there still is none.
   bool TrySendWaiting(Instant now) { return call_.TrySendWaiting(now); }
   void OnCapacityWaitTimeout(Instant now) { call_.OnCapacityWaitTimeout(now); }
--- a/modules/bbv_fleet/fleet_call.cc
+++ b/modules/bbv_fleet/fleet_call.cc
@@ -291,6 +291,13 @@
   EndCall(CallEndReason::kQuarantined, false, now);
 }
 
+void FleetCall::OnForcedStop(Instant now) {
+  if (done_)
+    return;
+  CancelActiveSend();
+  EndCall(CallEndReason::kStopping, false, now);
+}
+
 bool FleetCall::IsWithheld(CallEndReason end) {
   return end == CallEndReason::kQuarantined ||
          end == CallEndReason::kCrashSuspect;
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -223,6 +223,9 @@
   // unless it has output, which shows that it is sound.
   void OnQuarantined(Instant now);
 
+  // This process is about to exit: ends the call immediately.
+  void OnForcedStop(Instant now);
+
   // The first target accepted or rejected the changed path; `fault_address` is
   // the hop that it names as the cause.
   void OnPathChanged(bool accepted,
--- a/modules/bbv_fleet/fleet_call_test.cc
+++ b/modules/bbv_fleet/fleet_call_test.cc
@@ -422,3 +422,28 @@
   CHECK(delegate.failure->end == CallEndReason::kCrashSuspect);
   CHECK_EQUAL(502, delegate.failure->status);
 }
+
+TEST(FleetCall, AForcedStopAnswersEveryCallByWhatIsKnownOfItsRun) {
+  auto sent = MakeCall(CallKind::kSafe, 2);
+  sent.Start(now);
+  sent.OnForcedStop(now);
+  CHECK_EQUAL(1, delegate.cancelled);
+  CHECK_EQUAL(502, delegate.failure->status);
+
+  ExhaustCapacity();
+  auto waiting = MakeCall(CallKind::kUnsafe, 1);
+  waiting.Start(now);
+  waiting.OnForcedStop(now);
+  CHECK_EQUAL(503, delegate.failure->status);
+  CHECK(delegate.failure->retry_after.has_value());
+  CHECK(waiting.done());
+}
+
+TEST(FleetCall, AForcedStopBreaksOffAStreamThatHasBegun) {
+  auto call = MakeStreamAt(3);
+  call.OnForcedStop(now);
+  CHECK_EQUAL(1, delegate.aborted);
+  CHECK(!delegate.failure);
+  call.OnForcedStop(now);
+  CHECK_EQUAL(1, delegate.aborted);
+}
--- a/tests/caller_ledger_test.cc
+++ b/tests/caller_ledger_test.cc
@@ -84,6 +84,38 @@
   CHECK(in_stop.find("\"stopping_ms\":-1") == std::string::npos);
 }
 
+TEST(CallerLedger, CallsOpenAtTheForcedStopAreAnswered) {
+  options.work_ms = 4500;
+  StartFleet(3);
+  RawCaller safe = Connect();
+  RawCaller unsafe = Connect();
+  CHECK(safe.Send(RequestText("/safe/x", "forced-safe")));
+  CHECK(unsafe.Send(RequestText("/unsafe/x", "forced-unsafe")));
+  SleepFor(150);
+  floor->Signal(0, SIGTERM);
+  // The outcome is unknown, which a refusal would deny.
+  STRNCMP_EQUAL("HTTP/1.1 502", safe.Receive(4000).c_str(), 12);
+  STRNCMP_EQUAL("HTTP/1.1 502", unsafe.Receive(1000).c_str(), 12);
+  CHECK_EQUAL(0, floor->WaitForExit(0));
+}
+
+TEST(CallerLedger, StreamsUnderWayAtTheForcedStopAreBrokenOffVisibly) {
+  options.event_ms = 100;
+  options.events = 45;
+  StartFleet(3);
+  RawCaller caller = Connect();
+  CHECK(caller.Send(
+      RequestText("/stream/x", "forced-stream", "X-Token-Counts: 100,50\r\n")));
+  caller.Receive(2000, "id: 3\n");
+  floor->Signal(0, SIGTERM);
+  const std::string answer = caller.Receive(4000);
+  CHECK(caller.ended());
+  CHECK(answer.find("id: 10\n") != std::string::npos);
+  // Without the last chunk the response is not complete.
+  CHECK(answer.find("\r\n0\r\n\r\n") == std::string::npos);
+  CHECK_EQUAL(0, floor->WaitForExit(0));
+}
+
 TEST(CallerLedger, RequestsReadTogetherAreAllAnsweredByAStoppingEntry) {
   options.work_ms = 200;
   StartFleet();
