Exit only when every caller has been served or has left

Seen by callers: in the last moment of a stop a whole request, or an answer that was written, is lost with a reset. Cause: TickStop stopped the loop in the tick in which no call was open after the balancer's notice time. Requests in the sockets' buffers and in the listener's queue were not read, answers in the write queues not sent. Callers that a starting entry holds are answered as soon as it is told to stop.

What is left is a connection whose handshake ends between the last accept and the close of the listener; nothing of it has been read.

Failed before: RequestsThatArriveAtTheLastMomentAreAnswered (suspended at the end of the stop: expected 2 answers on a kept connection, was 1), AnswersThatAreStillQueuedAreSentBeforeTheStop (12 MB to a slow caller, cut).

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -678,6 +678,8 @@
       stop_began_ + Milliseconds(settings_.stop_timeout_ms) - kForcedStopMargin;
   exit_deadline_ =
       stop_began_ + Milliseconds(settings_.stop_timeout_ms) - kExitMargin;
+  // Callers held since the start are answered now.
+  hold_until_ = stop_began_;
   log_.Write(Event::kNodeLeaving, stop_began_,
              {{"calls", static_cast<int64_t>(calls_.size())}});
   planner_.Leave();
@@ -696,17 +698,24 @@
   const bool forced = now >= stop_deadline_;
   if (forced)
     EndOpenCalls(now);
-  const bool finished =
-      (forced || now >= stop_began_ + kBalancerNoticeTime) && calls_.empty();
+  if (now >= exit_deadline_) {
+    loop_.Stop();
+    return;
+  }
   // Idle connections are closed once the load balancer has stopped sending
   // callers here.
-  if (now >= stop_began_ + kBalancerNoticeTime) {
-    for (const auto& [id, connection] : callers_)
-      connection->CloseIfIdle(now);
-  }
-  if (!finished && now < exit_deadline_)
+  if (!forced && now < stop_began_ + kBalancerNoticeTime)
+    return;
+  for (const auto& [id, connection] : callers_)
+    connection->CloseIfIdle(now);
+  std::erase_if(callers_, [](const auto& it) { return it.second->closed(); });
+  if (!calls_.empty() || !callers_.empty())
     return;
-  loop_.Stop();
+  // Callers that are still in the listener's queue are served first.
+  if (callers_listener_.is_listening())
+    callers_listener_.Close();
+  else
+    loop_.Stop();
 }
 
 void FleetEntry::Reload() {
--- a/modules/bbv_front/tcp_stream.cc
+++ b/modules/bbv_front/tcp_stream.cc
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <array>
 #include <cassert>
@@ -109,6 +110,18 @@
   return stream;
 }
 
+std::unique_ptr<TcpStream> TcpStream::Adopt(EventLoop* loop, int fd) {
+  std::unique_ptr<TcpStream> stream(new TcpStream);
+  stream->Initialise(loop);
+  if (uv_tcp_open(stream->handle_, fd) != 0) {
+    close(fd);
+    return nullptr;
+  }
+  stream->connected_ = true;
+  SetSocketOptions(stream->handle_);
+  return stream;
+}
+
 TcpStream::~TcpStream() {
   if (handle_ == nullptr)
     return;
@@ -243,6 +256,22 @@
     uv_close(reinterpret_cast<uv_handle_t*>(handle_), DeleteHandle);
 }
 
+void TcpListener::Close() {
+  if (handle_ == nullptr)
+    return;
+  auto* handle =
+      reinterpret_cast<uv_handle_t*>(std::exchange(handle_, nullptr));
+  uv_os_fd_t fd = -1;
+  int peer = -1;
+  while (uv_fileno(handle, &fd) == 0 &&
+         (peer = accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >=
+             0) {
+    if (auto stream = TcpStream::Adopt(loop_, peer))
+      on_accept_(std::move(stream));
+  }
+  uv_close(handle, DeleteHandle);
+}
+
 std::string TcpListener::Listen(EventLoop* loop,
                                 const SocketAddress& address,
                                 OnAccept on_accept) {
--- a/modules/bbv_front/tcp_stream.h
+++ b/modules/bbv_front/tcp_stream.h
@@ -54,6 +54,9 @@
   static std::unique_ptr<TcpStream> Accept(EventLoop* loop,
                                            uv_stream_t* listener);
 
+  // Wraps the connected socket `fd` and owns it. Returns nullptr on failure.
+  static std::unique_ptr<TcpStream> Adopt(EventLoop* loop, int fd);
+
   // Closes the connection immediately and discards queued data.
   ~TcpStream();
   TcpStream(const TcpStream&) = delete;
@@ -111,6 +114,10 @@
                      const SocketAddress& address,
                      OnAccept on_accept);
 
+  // Accepts the connections that are pending and stops listening at once.
+  void Close();
+  bool is_listening() const { return handle_ != nullptr; }
+
  private:
   EventLoop* loop_ = nullptr;
   uv_tcp_t* handle_ = nullptr;
--- a/tests/caller_ledger_test.cc
+++ b/tests/caller_ledger_test.cc
@@ -116,6 +116,44 @@
   CHECK_EQUAL(0, floor->WaitForExit(0));
 }
 
+TEST(CallerLedger, AnswersThatAreStillQueuedAreSentBeforeTheStop) {
+  options.plain_padding = 12'000'000;
+  StartFleet();
+  RawCaller caller(floor->callers_port(0), 8192);
+  CHECK(caller.Send(RequestText("/safe/x", "queued")));
+  CHECK(caller.Receive(2000, "done").find("done") != std::string::npos);
+  floor->Signal(0, SIGTERM);
+  // Longer than callers are accepted.
+  SleepFor(2700);
+  const std::string answer = caller.Receive(5000);
+  CHECK(answer.size() > options.plain_padding);
+  CHECK_EQUAL(0, floor->WaitForExit(0));
+}
+
+// The process is suspended while requests arrive, so that it decides to exit
+// before it has read them.
+TEST(CallerLedger, RequestsThatArriveAtTheLastMomentAreAnswered) {
+  StartFleet();
+  RawCaller kept = Connect();
+  CHECK(kept.Send(RequestText("/safe/x", "kept-1")));
+  kept.Receive(1000, "done for account");
+  RawCaller idle = Connect();
+  floor->Signal(0, SIGTERM);
+  SleepFor(2200);
+  floor->Signal(0, SIGSTOP);
+  SleepFor(100);
+  CHECK(kept.Send(RequestText("/safe/x", "kept-2")));
+  RawCaller queued = Connect();
+  CHECK(queued.Send(RequestText("/safe/x", "queued")));
+  SleepFor(300);
+  floor->Signal(0, SIGCONT);
+  CHECK_EQUAL(2, CountOf(kept.Receive(1000), "HTTP/1.1 200"));
+  CHECK_EQUAL(1, CountOf(queued.Receive(1000), "HTTP/1.1 200"));
+  idle.Receive(1000);
+  CHECK(idle.ended() && !idle.was_reset());
+  CHECK_EQUAL(0, floor->WaitForExit(0));
+}
+
 TEST(CallerLedger, RequestsReadTogetherAreAllAnsweredByAStoppingEntry) {
   options.work_ms = 200;
   StartFleet();
@@ -133,6 +171,20 @@
   CHECK_EQUAL(0, floor->WaitForExit(0));
 }
 
+TEST(CallerLedger, CallersHeldByAStartingEntryAreAnsweredWhenItStops) {
+  StartFleet(1);
+  floor->Signal(0, SIGKILL);
+  floor->WaitForExit(0);
+  floor->store().SetOutage(true);
+  floor->StartEntry(0);
+  SleepFor(300);
+  RawCaller caller = Connect();
+  CHECK(caller.Send(RequestText("/safe/x", "held")));
+  floor->Signal(0, SIGTERM);
+  STRNCMP_EQUAL("HTTP/1.1 503", caller.Receive(2000).c_str(), 12);
+  CHECK_EQUAL(0, floor->WaitForExit(0));
+}
+
 TEST(CallerLedger, ConnectionsThatNeverSendDoNotDelayTheStop) {
   StartFleet();
   RawCaller idle = Connect();
--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -682,7 +682,8 @@
   }
   std::this_thread::sleep_for(milliseconds(options_.work_ms));
   response.set_header("X-Response-Signature", "signature-of-" + target->id);
-  response.set_content("done for " + request.get_header_value("X-Tenant"),
+  response.set_content("done for " + request.get_header_value("X-Tenant") +
+                           std::string(options_.plain_padding, '.'),
                        "text/plain");
 }
 
--- a/tests/standins/fleet_standin.h
+++ b/tests/standins/fleet_standin.h
@@ -102,6 +102,8 @@
     int load_ms = 200;
     // Additional bytes per event.
     std::size_t padding = 0;
+    // Additional bytes in the answer to a plain call.
+    std::size_t plain_padding = 0;
     // Duration of a plain call.
     int work_ms = 0;
     // Whether each target is reached through a proxy.
