Let a leaving side refuse calls until its entries must know that it leaves

Seen by callers: during a rolling restart a call that must not run twice ends with 502 and an unknown outcome (RealFloor.RollingRestartCutsNoRequest). Cause: a side that is told to stop while idle closed its connections 20 ms later, though entries hear of it by a heartbeat only, up to 300 ms later. A call sent in that time meets a closed connection, and its entry must assume that it ran.

A stopping side now sends its heartbeat at once, refuses calls as not run for at least a heartbeat interval and 250 ms, and until no call or step has come for 150 ms and none is open. A network that stops ends its own direction of each connection first and waits up to 200 ms for the peers' ends, so that no reset destroys the last answers; entries stop by the same code.

Left: an entry that is suspended for longer than all this sends one call into a closed connection.

--- a/modules/bbv_node/peer_network.cc
+++ b/modules/bbv_node/peer_network.cc
@@ -28,6 +28,9 @@
 constexpr Milliseconds kHandshakeTimeout{2000};
 constexpr Milliseconds kFirstReconnectDelay{50};
 constexpr uint32_t kMaximumReconnectDoublings = 4;
+// Time for which a stopping network waits for its peers to end connections.
+constexpr Milliseconds kFinishTime{200};
+constexpr int kFinishPollMs = 2;
 
 sockaddr_in ToSockaddr(const SocketAddress& address) {
   sockaddr_in result{};
@@ -76,6 +79,8 @@
   int fd;
   bool connecting = false;
   bool closed = false;
+  // Whether this end has sent all it will send.
+  bool shut_down = false;
   // Name that the connection was opened for; empty for inbound connections.
   std::string expected_name;
   bool outbound = false;
@@ -181,6 +186,13 @@
   Post([this, frame = std::move(frame)] { heartbeat_ = frame; });
 }
 
+void PeerNetwork::SendHeartbeat() {
+  Post([this] {
+    for (const auto& connection : connections_)
+      connection->next_heartbeat = {};
+  });
+}
+
 void PeerNetwork::Post(Task task) {
   {
     const std::scoped_lock lock(mutex_);
@@ -211,13 +223,41 @@
     CheckTimeouts(std::chrono::steady_clock::now());
     RemoveClosed();
   }
-  for (const auto& connection : connections_) {
-    if (!connection->closed)
-      close(connection->fd);
+  FinishConnections();
+}
+
+void PeerNetwork::FinishConnections() {
+  const Instant deadline = std::chrono::steady_clock::now() + kFinishTime;
+  while (!connections_.empty() && std::chrono::steady_clock::now() < deadline) {
+    for (const auto& connection : connections_) {
+      if (!connection->closed)
+        Finish(connection.get());
+    }
+    RemoveClosed();
+    poll(nullptr, 0, kFinishPollMs);
   }
+  for (const auto& connection : connections_)
+    close(connection->fd);
   connections_.clear();
 }
 
+void PeerNetwork::Finish(Connection* connection) {
+  bool ended = connection->connecting || !SendOutgoing(connection);
+  if (!ended && !connection->shut_down && connection->outgoing.empty()) {
+    connection->shut_down = true;
+    shutdown(connection->fd, SHUT_WR);
+  }
+  std::array<char, kReadBytes> buf;
+  ssize_t n = 1;
+  while (!ended && n > 0)
+    n = recv(connection->fd, buf.data(), buf.size(), 0);
+  ended = ended || n == 0 || (errno != EAGAIN && errno != EINTR);
+  if (!ended)
+    return;
+  close(connection->fd);
+  connection->closed = true;
+}
+
 void PeerNetwork::RunTasks() {
   uint64_t count = 0;
   if (read(wake_fd_, &count, sizeof(count)) < 0) {
--- a/modules/bbv_node/peer_network.h
+++ b/modules/bbv_node/peer_network.h
@@ -71,8 +71,9 @@
   // Opens the listening socket and starts the thread.
   Result<void> Start();
 
-  // Writes queued data as far as the sockets accept it without blocking, then
-  // joins the thread.
+  // Writes queued data, ends its own direction of each connection and waits a
+  // short time until the peers have ended theirs, so that no reset destroys the
+  // last frames. Then joins the thread.
   void Stop();
 
   // Maintains a connection to the peer at `address`, reconnecting as needed. An
@@ -92,6 +93,9 @@
   // Sets the encoded frame to send as the heartbeat.
   void SetHeartbeat(std::string frame);
 
+  // Sends the heartbeat to all peers without waiting for its interval.
+  void SendHeartbeat();
+
   uint64_t bytes_sent() const { return bytes_sent_; }
   uint64_t control_bytes_sent() const { return control_bytes_sent_; }
 
@@ -109,6 +113,10 @@
   void RunTasks();
   void Accept();
   void Poll();
+  // Ends all connections in order.
+  void FinishConnections();
+  // Sends what is queued, and discards what comes until the peer's end.
+  void Finish(Connection* connection);
   void ConnectPersistentPeers(Instant now);
   Connection* Open(const std::string& name, const SocketAddress& address);
   Connection* Add(int fd, const std::string& expected_name, Instant now);
--- a/modules/bbv_node/side_node.cc
+++ b/modules/bbv_node/side_node.cc
@@ -13,6 +13,11 @@
 constexpr Milliseconds kInstancePollInterval{1000};
 constexpr Milliseconds kHeartbeatUpdateInterval{50};
 constexpr Milliseconds kStopPollInterval{20};
+// A stopping side node refuses work for at least a heartbeat interval and this
+// time, in which entries learn that it leaves, and until none has come for the
+// quiet time.
+constexpr Milliseconds kStopNoticeTime{250};
+constexpr Milliseconds kStopQuietTime{150};
 // Loading weights takes longer than a step, so it has a timeout of its own.
 constexpr Milliseconds kLoadTimeout{60'000};
 constexpr int kMaximumCallThreads = 64;
@@ -123,14 +128,12 @@
   LogEvent(Event::kNodeLeaving, {{"node", settings_.name}});
   const Instant deadline = std::chrono::steady_clock::now() +
                            Milliseconds(settings_.stop_timeout_ms);
-  control_.Post([this](Instant) { logic_.SetStopping(true); });
-  const auto idle = [this] {
-    return control_.Call([this](Instant) { return logic_.idle(); });
-  };
-  while (!idle() && std::chrono::steady_clock::now() < deadline)
-    std::this_thread::sleep_for(kStopPollInterval);
-  // Let the last answers reach their entries before the sockets are closed.
-  std::this_thread::sleep_for(kStopPollInterval);
+  control_.Post([this](Instant) {
+    logic_.SetStopping(true);
+    network_.SetHeartbeat(EncodeFrame(MakeFrame(logic_.MakeHeartbeat())));
+    network_.SendHeartbeat();
+  });
+  WaitUntilLeft(deadline);
   http_.Stop();
   configuration_follower_.Stop();
   if (claim_follower_)
@@ -143,6 +146,21 @@
   LogEvent(Event::kNodeStopped, {{"node", settings_.name}});
 }
 
+void SideNode::WaitUntilLeft(Instant deadline) {
+  const Instant noticed_at = std::chrono::steady_clock::now() +
+                             Milliseconds(settings_.heartbeat_interval_ms) +
+                             kStopNoticeTime;
+  while (true) {
+    const Instant now = std::chrono::steady_clock::now();
+    const bool quiet =
+        now >= noticed_at && now >= last_work_.load() + kStopQuietTime;
+    if (now >= deadline ||
+        (quiet && control_.Call([this](Instant) { return logic_.idle(); })))
+      return;
+    std::this_thread::sleep_for(kStopPollInterval);
+  }
+}
+
 void SideNode::Send(const std::string& peer, wire::FrameT frame) {
   if (const auto* answer = frame.body.AsServiceAnswer())
     EndSpan(answer->request, "side.call");
@@ -212,6 +230,9 @@
 
 void SideNode::FrameReceived(const std::string& peer, wire::FrameT frame) {
   auto shared = std::make_shared<wire::FrameT>(std::move(frame));
+  if (shared->body.type == wire::Body::ServiceCall ||
+      shared->body.type == wire::Body::StepBatch)
+    last_work_ = std::chrono::steady_clock::now();
   control_.Post([this, peer, shared](Instant now) {
     if (spans_.enabled())
       TraceFrame(*shared);
--- a/modules/bbv_node/side_node.h
+++ b/modules/bbv_node/side_node.h
@@ -57,6 +57,9 @@
   };
 
   void Tick(Instant now);
+  // Waits until the entries must know that this node leaves and no work is
+  // left, or until `deadline`.
+  void WaitUntilLeft(Instant deadline);
   void PollInstances();
   std::string SerializeMetrics();
   void TraceFrame(const wire::FrameT& frame);
@@ -83,6 +86,8 @@
   HttpServer http_;
   std::atomic<bool> ready_{false};
   std::atomic<bool> stopping_{false};
+  // Time at which an entry or another side node last sent work.
+  std::atomic<Instant> last_work_{Instant{}};
   bool started_ = false;
   // Accessed only on the control thread.
   std::unordered_map<RequestId, ActiveSpan, RequestIdHash> active_spans_;
