Let no half-sent request hold up the stop of an entry

Since a stopping entry waits for its connections, a request of which only a part has come kept the process until the head timeout (3 s) or the body's (20 s, cut by the exit deadline). When the entry closes idle connections, a partly received request without a byte for 500 ms is refused with 408 (not run). At the forced deadline the listener closes too, so that no request arrives that could not be answered any more. Connections that callers ended are not searched for unread bytes: they have none.

Test: AStalledRequestIsRefusedWhenItsConnectionMustClose (not run on the code before).

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -696,8 +696,10 @@
 
 void FleetEntry::TickStop(Instant now) {
   const bool forced = now >= stop_deadline_;
-  if (forced)
+  if (forced) {
+    callers_listener_.Close();
     EndOpenCalls(now);
+  }
   if (now >= exit_deadline_) {
     loop_.Stop();
     return;
--- a/modules/bbv_front/caller_connection.cc
+++ b/modules/bbv_front/caller_connection.cc
@@ -15,6 +15,9 @@
 constexpr Milliseconds kClosingTime{1000};
 // Time in which a new connection is expected to bring its first request.
 constexpr Milliseconds kFirstRequestTime{300};
+// Time without a byte after which a partly received request does not keep its
+// connection open.
+constexpr Milliseconds kStalledTime{500};
 
 void AppendHexadecimal(std::size_t value, std::string* out) {
   char buf[20];
@@ -139,8 +142,11 @@
   end.bytes_read = bytes_read_;
   end.bytes_written = bytes_written_;
   end.bytes_unsent = stream_->queued_bytes();
-  end.bytes_unread = stream_->unread_bytes() + pipelined_input_.size() +
-                     (request_open_ ? parser_.pending_bytes() : 0);
+  end.bytes_unread =
+      pipelined_input_.size() + (request_open_ ? parser_.pending_bytes() : 0);
+  if (cause != CallerEndCause::kCallerClosed &&
+      cause != CallerEndCause::kCallerReset)
+    end.bytes_unread += stream_->unread_bytes();
   return end;
 }
 
@@ -264,14 +270,27 @@
 }
 
 void CallerConnection::CloseIfIdle(Instant now) {
-  if (closed() || closing_ || request_open_ || parser_.in_message())
+  if (closed() || closing_ || request_open_)
     return;
+  if (parser_.in_message()) {
+    RefuseIfStalled(now);
+    return;
+  }
   if (bytes_read_ == 0 && now < opened_at_ + kFirstRequestTime)
     return;
   if (stream_->queued_bytes() == 0 && stream_->unread_bytes() == 0)
     Close();
 }
 
+void CallerConnection::RefuseIfStalled(Instant now) {
+  if (std::exchange(bytes_at_last_check_, bytes_read_) != bytes_read_) {
+    stalled_since_ = now;
+    return;
+  }
+  if (now >= stalled_since_ + kStalledTime && stream_->unread_bytes() == 0)
+    Reject(408);
+}
+
 void CallerConnection::Close() {
   request_handler_->OnConnectionEnd(this, MakeEnd(CallerEndCause::kIdle));
   TcpStream::FlushAndClose(std::move(stream_));
--- a/modules/bbv_front/caller_connection.h
+++ b/modules/bbv_front/caller_connection.h
@@ -113,7 +113,7 @@
   void PauseReading();
   void Resume();
 
-  // Closes the connection unless a request is open or received in part, a
+  // Closes the connection unless a request is open or being received, a
   // response is not sent yet, or a first request is due on a new connection.
   void CloseIfIdle(Instant now);
 
@@ -161,6 +161,8 @@
   bool MustClose() const;
   // Closes an idle connection.
   void Close();
+  // Refuses a request of which no byte came for some time.
+  void RefuseIfStalled(Instant now);
   // Closes the connection once the last response has reached the caller.
   void BeginClosing();
   void Write(std::string_view data);
@@ -179,6 +181,8 @@
   bool response_begun_ = false;
   uint64_t bytes_read_ = 0;
   uint64_t bytes_written_ = 0;
+  uint64_t bytes_at_last_check_ = 0;
+  Instant stalled_since_{};
   bool request_keeps_alive_ = true;
   bool keep_alive_disabled_ = false;
   // Whether the open request's response announced that the connection closes.
--- a/modules/bbv_front/caller_connection_test.cc
+++ b/modules/bbv_front/caller_connection_test.cc
@@ -132,12 +132,30 @@
   CHECK(connection->closed());
 }
 
+TEST(CallerConnection, AStalledRequestIsRefusedWhenItsConnectionMustClose) {
+  CHECK(caller->Send("GET /a HTTP/1.1\r\n"));
+  RunFor(30);
+  connection->DisableKeepAlive();
+  connection->CloseIfIdle(EventLoop::Now());
+  CHECK(caller->Send("Host: x\r\n"));
+  RunFor(30);
+  // Bytes came, so that the time begins again.
+  connection->CloseIfIdle(EventLoop::Now() + Milliseconds(600));
+  CHECK_EQUAL(0, CountOf(caller->Receive(50), "HTTP/1.1 408"));
+  connection->CloseIfIdle(EventLoop::Now() + Milliseconds(1300));
+  RunFor(30);
+  CHECK_EQUAL(1, CountOf(caller->Receive(50), "HTTP/1.1 408"));
+  CHECK_EQUAL(0, handler.requests);
+}
+
 TEST(CallerConnection, AnEarlyRefusalReachesACallerThatStillSends) {
   bool sent = false;
   std::thread body([this, &sent] {
-    std::string head = "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: ";
-    sent =
-        caller->Send(head + "30000000\r\n\r\n" + std::string(20'000'000, 'x'));
+    const std::string piece(2'000'000, 'x');
+    sent = caller->Send(
+        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 30000000\r\n\r\n");
+    for (int it = 0; it < 10; ++it)
+      sent = sent && caller->Send(piece);
     caller->Receive(1000);
   });
   RunFor(1500);
