--- a/modules/bbv_core/event.h
+++ b/modules/bbv_core/event.h
@@ -74,8 +74,10 @@
   kPartProbed = 101,
   kTargetLimited = 102,
   kTargetLimitEnded = 103,
-  kNodeCongested = 110,
-  kTargetFaultDoubted = 111,
+  kCallerConnectionEnded = 110,
+  kCallerTurnedAway = 111,
+  kNodeCongested = 112,
+  kTargetFaultDoubted = 113,
 };
 
 // The name under which an event is logged.
--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -18,9 +18,10 @@
 // After the stop signal the load balancer keeps sending callers here until it
 // notices that the entry is not ready.
 constexpr Milliseconds kBalancerNoticeTime{2400};
-// The entry exits this long before the stop timeout, at which it would be
-// killed.
+// The entry ends its open calls, and exits, this long before the stop timeout,
+// at which it would be killed.
 constexpr Milliseconds kForcedStopMargin{300};
+constexpr Milliseconds kExitMargin{100};
 constexpr Milliseconds kDefaultCallerTimeout{30'000};
 // How long connections of callers are held while a starting entry cannot route
 // calls yet.
@@ -192,8 +193,11 @@
 void FleetEntry::AcceptCaller(std::unique_ptr<TcpStream> stream) {
   const auto limit = static_cast<std::size_t>(std::max(
       64, (settings_.maximum_connections - kReservedDescriptors) * 3 / 4));
-  if (callers_.size() >= limit)
+  if (callers_.size() >= limit) {
+    log_.Write(Event::kCallerTurnedAway, EventLoop::Now(),
+               {{"connections", static_cast<int64_t>(callers_.size())}});
     return;
+  }
   const CallerLimits limits =
       configuration_.current() == nullptr
           ? CallerLimits{}
@@ -345,6 +349,32 @@
               {"cause", "malformed request"}});
 }
 
+void FleetEntry::OnConnectionEnd(CallerConnection* connection,
+                                 const CallerConnectionEnd& end) {
+  if (!end.is_incomplete())
+    return;
+  const Instant now = EventLoop::Now();
+  const auto call = calls_.find(connection->id());
+  const std::string* attempt_id =
+      end.request_open && call != calls_.end()
+          ? &call->second->call().request().attempt_id
+          : connection->head().Find(platform::kAttemptIdField);
+  log_.Write(Event::kCallerConnectionEnded, now,
+             {{"id", attempt_id == nullptr ? std::string() : *attempt_id},
+              {"connection", static_cast<int64_t>(connection->id())},
+              {"by", std::string(kCallerEndCauseNames.Name(end.cause))},
+              {"request", end.response_begun    ? "answering"
+                          : end.request_open    ? "open"
+                          : end.request_partial ? "partial"
+                                                : "none"},
+              {"read", static_cast<int64_t>(end.bytes_read)},
+              {"written", static_cast<int64_t>(end.bytes_written)},
+              {"unsent", static_cast<int64_t>(end.bytes_unsent)},
+              {"unread", static_cast<int64_t>(end.bytes_unread)},
+              {"stopping_ms", stopping_ ? (now - stop_began_) / Milliseconds(1)
+                                        : int64_t{-1}}});
+}
+
 void FleetEntry::CheckRefusalCause(const std::string& target_id) {
   const FleetTarget* target = registry_.Find(target_id);
   if (target == nullptr || configuration_.current() == nullptr)
@@ -724,6 +754,10 @@
   stop_began_ = EventLoop::Now();
   stop_deadline_ =
       stop_began_ + Milliseconds(settings_.stop_timeout_ms) - kForcedStopMargin;
+  exit_deadline_ =
+      stop_began_ + Milliseconds(settings_.stop_timeout_ms) - kExitMargin;
+  // Callers held since the start are answered now.
+  hold_until_ = stop_began_;
   log_.Write(Event::kNodeLeaving, stop_began_,
              {{"calls", static_cast<int64_t>(calls_.size())}});
   planner_.Leave();
@@ -731,18 +765,37 @@
     connection->DisableKeepAlive();
 }
 
+void FleetEntry::EndOpenCalls(Instant now) {
+  if (std::exchange(calls_ended_, true))
+    return;
+  for (RelayedCall* it : OpenCalls())
+    it->OnForcedStop(now);
+}
+
 void FleetEntry::TickStop(Instant now) {
-  const bool finished =
-      now >= stop_began_ + kBalancerNoticeTime && calls_.empty();
+  const bool forced = now >= stop_deadline_;
+  if (forced) {
+    callers_listener_.Close();
+    EndOpenCalls(now);
+  }
+  if (now >= exit_deadline_) {
+    loop_.Stop();
+    return;
+  }
   // Idle connections are closed once the load balancer has stopped sending
   // callers here.
-  if (now >= stop_began_ + kBalancerNoticeTime) {
-    for (const auto& [id, connection] : callers_)
-      connection->CloseIfIdle();
-  }
-  if (!finished && now < stop_deadline_)
+  if (!forced && now < stop_began_ + kBalancerNoticeTime)
+    return;
+  for (const auto& [id, connection] : callers_)
+    connection->CloseIfIdle(now);
+  std::erase_if(callers_, [](const auto& it) { return it.second->closed(); });
+  if (!calls_.empty() || !callers_.empty())
     return;
-  loop_.Stop();
+  // Callers that are still in the listener's queue are served first.
+  if (callers_listener_.is_listening())
+    callers_listener_.Close();
+  else
+    loop_.Stop();
 }
 
 void FleetEntry::Reload() {
--- a/modules/bbv_front/caller_connection.cc
+++ b/modules/bbv_front/caller_connection.cc
@@ -11,6 +11,13 @@
 constexpr std::size_t kMaxPipelinedBytes = 256U << 10U;
 // Maximum time to receive a body. CallerLimits bounds the time for a head.
 constexpr Milliseconds kBodyReadTimeout{20'000};
+// Time for which a caller may still close its side after the last response.
+constexpr Milliseconds kClosingTime{1000};
+// Time in which a new connection is expected to bring its first request.
+constexpr Milliseconds kFirstRequestTime{300};
+// Time without a byte after which a partly received request does not keep its
+// connection open.
+constexpr Milliseconds kStalledTime{500};
 
 void AppendHexadecimal(std::size_t value, std::string* out) {
   char buf[20];
@@ -48,15 +55,19 @@
       parser_(HttpParser::Kind::kRequests,
               {limits.max_header_bytes, limits.max_body_bytes},
               this),
-      read_deadline_(EventLoop::Now() + Milliseconds(limits.idle_timeout_ms)) {
+      opened_at_(EventLoop::Now()) {
   assert(request_handler != nullptr);
+  SetReadTimeout(Milliseconds(limits.idle_timeout_ms));
   stream_->SetDelegate(this);
   stream_->StartReading();
 }
 
 void CallerConnection::OnData(std::string_view data) {
+  bytes_read_ += data.size();
+  if (closing_)
+    return;
   if (!request_open_) {
-    ParseInput(data);
+    ParseAll(data);
     return;
   }
   pipelined_input_.append(data);
@@ -64,33 +75,50 @@
     stream_->StopReading();
 }
 
-void CallerConnection::ParseInput(std::string_view data) {
+void CallerConnection::ParseAll(std::string_view data) {
+  // A handler may respond at once. The next request is then parsed here and not
+  // from within the response, so that the stack does not grow with each one.
+  parsing_ = true;
+  ParseStatus status = ParseInput(data);
+  while (status == ParseStatus::kComplete && !request_open_ && !closing_ &&
+         !closed() && has_buffered_input()) {
+    const std::string input = std::exchange(pipelined_input_, {});
+    status = ParseInput(input);
+  }
+  parsing_ = false;
+}
+
+ParseStatus CallerConnection::ParseInput(std::string_view data) {
   const bool message_started = parser_.in_message();
   const ParseStatus status = parser_.Parse(data);
   switch (status) {
     case ParseStatus::kNeedMore:
-      if (!message_started && parser_.in_message()) {
-        read_deadline_ =
-            EventLoop::Now() + Milliseconds(limits_.header_timeout_ms);
-      }
+      if (!message_started && parser_.in_message())
+        SetReadTimeout(Milliseconds(limits_.header_timeout_ms));
       if (parser_.has_head())
-        read_deadline_ = EventLoop::Now() + kBodyReadTimeout;
-      return;
+        SetReadTimeout(kBodyReadTimeout);
+      break;
     case ParseStatus::kComplete:
       request_open_ = true;
       request_keeps_alive_ = parser_.keeps_alive();
       request_handler_->OnRequest(this, std::move(head_), std::move(body_));
-      return;
+      break;
     case ParseStatus::kHeadTooLarge:
       Reject(431);
-      return;
+      break;
     case ParseStatus::kBodyTooLarge:
       Reject(413);
-      return;
+      break;
     case ParseStatus::kMalformed:
       Reject(400);
-      return;
+      break;
   }
+  return status;
+}
+
+void CallerConnection::SetReadTimeout(Milliseconds timeout) {
+  read_deadline_ = EventLoop::Now() + timeout;
+  deadline_extended_ = false;
 }
 
 void CallerConnection::Reject(int status) {
@@ -100,7 +128,33 @@
   SendResponse(status, {}, {}, {});
 }
 
-void CallerConnection::OnStreamEnd(StreamEnd) {
+void CallerConnection::Write(std::string_view data) {
+  bytes_written_ += data.size();
+  stream_->Write(data);
+}
+
+CallerConnectionEnd CallerConnection::MakeEnd(CallerEndCause cause) const {
+  CallerConnectionEnd end;
+  end.cause = cause;
+  end.request_open = request_open_;
+  end.response_begun = request_open_ && response_begun_;
+  end.request_partial = !request_open_ && !closing_ && parser_.in_message();
+  end.bytes_read = bytes_read_;
+  end.bytes_written = bytes_written_;
+  end.bytes_unsent = stream_->queued_bytes();
+  end.bytes_unread =
+      pipelined_input_.size() + (request_open_ ? parser_.pending_bytes() : 0);
+  if (cause != CallerEndCause::kCallerClosed &&
+      cause != CallerEndCause::kCallerReset)
+    end.bytes_unread += stream_->unread_bytes();
+  return end;
+}
+
+void CallerConnection::OnStreamEnd(StreamEnd stream_end) {
+  request_handler_->OnConnectionEnd(
+      this,
+      MakeEnd(stream_end == StreamEnd::kClosed ? CallerEndCause::kCallerClosed
+                                               : CallerEndCause::kCallerReset));
   const bool open = std::exchange(request_open_, false);
   stream_.reset();
   if (open)
@@ -111,7 +165,7 @@
   head_ = std::move(head);
   const std::string* expect = head_.Find("Expect");
   if (expect != nullptr && SameFieldName(*expect, "100-continue"))
-    stream_->Write("HTTP/1.1 100 Continue\r\n\r\n");
+    Write("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
 void CallerConnection::OnBody(std::string_view data) {
@@ -120,21 +174,24 @@
 
 void CallerConnection::OnMessageComplete() {}
 
-bool CallerConnection::KeepsAlive() const {
-  return request_keeps_alive_ && !keep_alive_disabled_;
-}
-
-std::string_view CallerConnection::ConnectionField() const {
-  return KeepsAlive() ? "" : "Connection: close\r\n";
+bool CallerConnection::MustClose() const {
+  if (!request_keeps_alive_)
+    return true;
+  // A request that was received already still gets its response.
+  return keep_alive_disabled_ && !has_buffered_input() &&
+         stream_->unread_bytes() == 0;
 }
 
 void CallerConnection::BeginResponseHead(int status,
                                          std::string_view reason,
                                          std::string_view fields) {
+  response_begun_ = true;
   output_.clear();
   AppendStatusLine(status, reason, &output_);
   output_.append(fields);
-  output_.append(ConnectionField());
+  close_announced_ = MustClose();
+  if (close_announced_)
+    output_.append("Connection: close\r\n");
 }
 
 void CallerConnection::SendResponse(int status,
@@ -147,7 +204,7 @@
   AppendField("Content-Length", std::to_string(body.size()), &output_);
   output_.append("\r\n");
   output_.append(body);
-  stream_->Write(output_);
+  Write(output_);
   FinishResponse();
 }
 
@@ -160,7 +217,7 @@
   BeginResponseHead(status, reason, fields);
   output_.append("Transfer-Encoding: chunked\r\n\r\n");
   AppendChunk(first_chunk, &output_);
-  stream_->Write(output_);
+  Write(output_);
 }
 
 void CallerConnection::WriteChunk(std::string_view data) {
@@ -168,35 +225,36 @@
     return;
   output_.clear();
   AppendChunk(data, &output_);
-  stream_->Write(output_);
+  Write(output_);
 }
 
 void CallerConnection::EndStream() {
   if (closed() || !request_open_)
     return;
-  stream_->Write("0\r\n\r\n");
+  Write("0\r\n\r\n");
   FinishResponse();
 }
 
 void CallerConnection::FinishResponse() {
   request_open_ = false;
-  if (!KeepsAlive()) {
-    Close();
+  response_begun_ = false;
+  if (std::exchange(close_announced_, false)) {
+    BeginClosing();
     return;
   }
   parser_.StartNextMessage();
   head_ = {};
   body_.clear();
-  read_deadline_ = EventLoop::Now() + Milliseconds(limits_.idle_timeout_ms);
+  SetReadTimeout(Milliseconds(limits_.idle_timeout_ms));
   stream_->StartReading();
-  const std::string pipelined_input = std::move(pipelined_input_);
-  pipelined_input_.clear();
   // The parser's own buffer may already hold a complete request.
-  if (!pipelined_input.empty() || parser_.pending_bytes() > 0)
-    ParseInput(pipelined_input);
+  if (!parsing_ && has_buffered_input())
+    ParseAll(std::exchange(pipelined_input_, {}));
 }
 
 void CallerConnection::Abort() {
+  if (!closed())
+    request_handler_->OnConnectionEnd(this, MakeEnd(CallerEndCause::kAborted));
   request_open_ = false;
   stream_.reset();
 }
@@ -211,27 +269,67 @@
     stream_->StartReading();
 }
 
-void CallerConnection::CloseIfIdle() {
-  if (!closed() && !request_open_ && !parser_.in_message())
+void CallerConnection::CloseIfIdle(Instant now) {
+  if (closed() || closing_ || request_open_)
+    return;
+  if (parser_.in_message()) {
+    RefuseIfStalled(now);
+    return;
+  }
+  if (bytes_read_ == 0 && now < opened_at_ + kFirstRequestTime)
+    return;
+  if (stream_->queued_bytes() == 0 && stream_->unread_bytes() == 0)
     Close();
 }
 
+void CallerConnection::RefuseIfStalled(Instant now) {
+  if (std::exchange(bytes_at_last_check_, bytes_read_) != bytes_read_) {
+    stalled_since_ = now;
+    return;
+  }
+  if (now >= stalled_since_ + kStalledTime && stream_->unread_bytes() == 0)
+    Reject(408);
+}
+
 void CallerConnection::Close() {
-  if (stream_ != nullptr)
-    TcpStream::FlushAndClose(std::move(stream_));
+  request_handler_->OnConnectionEnd(this, MakeEnd(CallerEndCause::kIdle));
+  TcpStream::FlushAndClose(std::move(stream_));
+}
+
+void CallerConnection::BeginClosing() {
+  closing_ = true;
+  stream_->ShutDown();
+  stream_->StartReading();
+}
+
+bool CallerConnection::TickClosing(Instant now) {
+  if (stream_->queued_bytes() > 0)
+    return true;
+  if (!closing_deadline_)
+    closing_deadline_ = now + kClosingTime;
+  if (now < *closing_deadline_)
+    return true;
+  request_handler_->OnConnectionEnd(this, MakeEnd(CallerEndCause::kAnswered));
+  stream_.reset();
+  return false;
 }
 
 bool CallerConnection::OnTick(Instant now) {
   if (closed())
     return false;
-  if (request_open_ || now < read_deadline_)
+  if (closing_)
+    return TickClosing(now);
+  if (request_open_ || now < read_deadline_ || stream_->queued_bytes() > 0)
+    return true;
+  // After a suspension the bytes may have arrived in time.
+  if (!std::exchange(deadline_extended_, true) && stream_->unread_bytes() > 0)
     return true;
   if (!parser_.in_message()) {
     Close();
     return false;
   }
   Reject(408);
-  return false;
+  return true;
 }
 
 std::size_t CallerConnection::queued_bytes() const {
--- a/modules/bbv_front/caller_connection.h
+++ b/modules/bbv_front/caller_connection.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "bbv_core/instant.h"
+#include "bbv_core/name_table.h"
 #include "bbv_fleet/fleet_configuration.h"
 #include "bbv_front/tcp_stream.h"
 #include "bbv_http/bbv_http.h"
@@ -16,6 +17,42 @@
 
 class CallerConnection;
 
+// Who ended a caller's connection, and why.
+enum class CallerEndCause : uint8_t {
+  // The caller closed or reset it.
+  kCallerClosed,
+  kCallerReset,
+  // This process closed it: after its last response, because it was idle, or
+  // to break off a response.
+  kAnswered,
+  kIdle,
+  kAborted,
+};
+inline constexpr NameTable<CallerEndCause, 5> kCallerEndCauseNames(
+    {"caller-closed", "caller-reset", "entry-answered", "entry-idle",
+     "entry-aborted"});
+
+// State of a caller's connection when it ended.
+struct CallerConnectionEnd {
+  CallerEndCause cause = CallerEndCause::kCallerClosed;
+  // Whether a request had no complete response, and whether one had begun.
+  bool request_open = false;
+  bool response_begun = false;
+  // Whether a request was received in part.
+  bool request_partial = false;
+  uint64_t bytes_read = 0;
+  uint64_t bytes_written = 0;
+  // Written bytes that were not sent, and received bytes that were not read.
+  std::size_t bytes_unsent = 0;
+  std::size_t bytes_unread = 0;
+
+  // Whether anything was left unfinished.
+  bool is_incomplete() const {
+    return request_open || request_partial || bytes_unsent > 0 ||
+           bytes_unread > 0;
+  }
+};
+
 // Receives the requests of caller connections.
 class CallerRequestHandler {
  public:
@@ -30,11 +67,19 @@
   // Called before `status` is sent in response to an invalid, oversized or
   // overdue request.
   virtual void OnBadRequest(CallerConnection* connection, int status) = 0;
+  // Called once when the connection has ended, before OnCallerGone().
+  virtual void OnConnectionEnd(CallerConnection*, const CallerConnectionEnd&) {}
 };
 
 // Server side of one caller's HTTP/1.1 connection. Requests are handled one at
 // a time; pipelined requests wait.
 //
+// The connection is closed only when no request has been received that lacks
+// its response, in this process or in the socket's buffer. After the last
+// response, bytes of the caller are discarded until it has closed its side or
+// for a bounded time, because closing a socket with unread bytes resets the
+// connection and may destroy the response.
+//
 // Limits the size of heads and bodies, the time to receive them, and the idle
 // time. Thread safety: none, used on the event loop's thread.
 class CallerConnection final : public TcpStreamDelegate, public HttpSink {
@@ -68,20 +113,23 @@
   void PauseReading();
   void Resume();
 
-  // Closes the connection unless a request is open or partly received.
-  void CloseIfIdle();
+  // Closes the connection unless a request is open or being received, a
+  // response is not sent yet, or a first request is due on a new connection.
+  void CloseIfIdle(Instant now);
 
   // Makes the next response announce "Connection: close" and close the
-  // connection.
+  // connection, unless a further request has been received by then.
   void DisableKeepAlive() { keep_alive_disabled_ = true; }
 
-  // Enforces the timeouts. Returns false if the connection is closed or about
-  // to close.
+  // Enforces the timeouts. Returns false if the connection is closed.
   bool OnTick(Instant now);
 
   uint64_t id() const { return id_; }
   bool closed() const { return stream_ == nullptr; }
   bool has_open_request() const { return request_open_; }
+  // The head of the request that is being received or handled; empty fields
+  // once the handler has taken it.
+  const HttpHead& head() const { return head_; }
   // Returns the size of the response data not yet written to the socket.
   std::size_t queued_bytes() const;
 
@@ -95,16 +143,30 @@
   void OnMessageComplete() override;
 
  private:
-  void ParseInput(std::string_view data);
+  ParseStatus ParseInput(std::string_view data);
+  // Parses `data` and whatever else was received until a request is open.
+  void ParseAll(std::string_view data);
+  bool has_buffered_input() const {
+    return !pipelined_input_.empty() || parser_.pending_bytes() > 0;
+  }
+  void SetReadTimeout(Milliseconds timeout);
+  bool TickClosing(Instant now);
   void Reject(int status);
   // Replaces `output_` by the status line, `fields` and the Connection field.
   void BeginResponseHead(int status,
                          std::string_view reason,
                          std::string_view fields);
   void FinishResponse();
-  std::string_view ConnectionField() const;
-  bool KeepsAlive() const;
+  // Whether the connection must close after the response that begins now.
+  bool MustClose() const;
+  // Closes an idle connection.
   void Close();
+  // Refuses a request of which no byte came for some time.
+  void RefuseIfStalled(Instant now);
+  // Closes the connection once the last response has reached the caller.
+  void BeginClosing();
+  void Write(std::string_view data);
+  CallerConnectionEnd MakeEnd(CallerEndCause cause) const;
 
   uint64_t id_;
   std::unique_ptr<TcpStream> stream_;
@@ -116,10 +178,25 @@
   std::string pipelined_input_;
   std::string output_;
   bool request_open_ = false;
+  bool response_begun_ = false;
+  uint64_t bytes_read_ = 0;
+  uint64_t bytes_written_ = 0;
+  uint64_t bytes_at_last_check_ = 0;
+  Instant stalled_since_{};
   bool request_keeps_alive_ = true;
   bool keep_alive_disabled_ = false;
+  // Whether the open request's response announced that the connection closes.
+  bool close_announced_ = false;
+  // Whether the last response was written and the connection is to close, and
+  // until when the caller may close its side once all was sent.
+  bool closing_ = false;
+  std::optional<Instant> closing_deadline_;
+  bool parsing_ = false;
   // Deadline for the head, the body or the next request.
   Instant read_deadline_;
+  // Whether the deadline has passed while received bytes were unread.
+  bool deadline_extended_ = false;
+  Instant opened_at_;
 };
 
 }  // namespace bbv
--- /dev/null
+++ b/modules/bbv_front/caller_connection_test.cc
@@ -0,0 +1,211 @@
+#include "bbv_front/caller_connection.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "free_port.h"
+#include "raw_caller.h"
+
+using bbv::CallerConnection;
+using bbv::CountOf;
+using bbv::EventLoop;
+using bbv::HttpHead;
+using bbv::Instant;
+using bbv::Milliseconds;
+using bbv::RawCaller;
+
+namespace {
+
+constexpr char kRequest[] = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+
+}  // namespace
+
+// One connection on the loopback interface between a plain caller and a
+// CallerConnection whose requests are answered at once.
+TEST_GROUP(CallerConnection) {
+  class Handler final : public bbv::CallerRequestHandler {
+   public:
+    void OnRequest(CallerConnection* connection,
+                   HttpHead,
+                   std::string) override {
+      ++requests;
+      connection->SendResponse(200, {}, {}, answer);
+    }
+    void OnCallerGone(CallerConnection*) override {}
+    void OnBadRequest(CallerConnection*, int) override {}
+
+    int requests = 0;
+    std::string answer = "answer";
+  };
+
+  EventLoop loop;
+  bbv::TcpListener listener;
+  Handler handler;
+  std::unique_ptr<CallerConnection> connection;
+  std::unique_ptr<RawCaller> caller;
+  int receive_bytes = 8192;
+
+  void setup() override {
+    const int port = bbv::FreePort();
+    listener.Listen(&loop, {"127.0.0.1", static_cast<uint16_t>(port)},
+                    [this](std::unique_ptr<bbv::TcpStream> stream) {
+                      connection = std::make_unique<CallerConnection>(
+                          1, std::move(stream), bbv::CallerLimits{}, &handler);
+                    });
+    caller = std::make_unique<RawCaller>(port, receive_bytes);
+    while (connection == nullptr)
+      uv_run(loop.raw(), UV_RUN_ONCE);
+  }
+  void teardown() override {
+    connection.reset();
+    caller.reset();
+  }
+
+  // Runs the loop and the connection's timeouts.
+  void RunFor(int milliseconds) {
+    for (int it = 0; it < milliseconds / 5; ++it) {
+      uv_run(loop.raw(), UV_RUN_NOWAIT);
+      connection->OnTick(EventLoop::Now());
+      std::this_thread::sleep_for(Milliseconds(5));
+    }
+  }
+  // A time at which every timeout has passed.
+  static Instant Late() {
+    return EventLoop::Now() + std::chrono::minutes(1);
+  }
+};
+
+TEST(CallerConnection, IdleTimeoutSparesARequestThatIsNotReadYet) {
+  CHECK(caller->Send(kRequest));
+  std::this_thread::sleep_for(Milliseconds(20));
+  connection->OnTick(Late());
+  RunFor(50);
+  CHECK_EQUAL(1, handler.requests);
+  CHECK_EQUAL(1, CountOf(caller->Receive(100, "answer"), "HTTP/1.1 200"));
+}
+
+TEST(CallerConnection, HeadTimeoutSparesARequestWhoseRestIsNotReadYet) {
+  CHECK(caller->Send("GET /a HTTP/1.1\r\n"));
+  RunFor(30);
+  CHECK(caller->Send("Host: x\r\n\r\n"));
+  std::this_thread::sleep_for(Milliseconds(20));
+  connection->OnTick(Late());
+  RunFor(50);
+  CHECK_EQUAL(1, handler.requests);
+}
+
+TEST(CallerConnection, TimeoutsAreEnforcedDespiteSlowlyTricklingBytes) {
+  CHECK(caller->Send("GET /a HTTP/1.1\r\n"));
+  RunFor(30);
+  CHECK(caller->Send("H"));
+  std::this_thread::sleep_for(Milliseconds(20));
+  connection->OnTick(Late());
+  CHECK(caller->Send("o"));
+  std::this_thread::sleep_for(Milliseconds(20));
+  connection->OnTick(Late());
+  RunFor(50);
+  CHECK_EQUAL(1, CountOf(caller->Receive(100), "HTTP/1.1 408"));
+}
+
+TEST(CallerConnection, AnIdleConnectionStaysOpenForARequestThatIsNotReadYet) {
+  CHECK(caller->Send(kRequest));
+  RunFor(50);
+  CHECK(caller->Send(kRequest));
+  std::this_thread::sleep_for(Milliseconds(20));
+  connection->DisableKeepAlive();
+  connection->CloseIfIdle(EventLoop::Now());
+  RunFor(50);
+  const std::string answers = caller->Receive(100);
+  CHECK_EQUAL(2, CountOf(answers, "HTTP/1.1 200"));
+  CHECK_EQUAL(1, CountOf(answers, "Connection: close"));
+}
+
+TEST(CallerConnection, ANewConnectionStaysOpenForItsFirstRequest) {
+  connection->DisableKeepAlive();
+  connection->CloseIfIdle(EventLoop::Now());
+  CHECK_FALSE(connection->closed());
+  connection->CloseIfIdle(Late());
+  CHECK(connection->closed());
+}
+
+TEST(CallerConnection, AStalledRequestIsRefusedWhenItsConnectionMustClose) {
+  CHECK(caller->Send("GET /a HTTP/1.1\r\n"));
+  RunFor(30);
+  connection->DisableKeepAlive();
+  connection->CloseIfIdle(EventLoop::Now());
+  CHECK(caller->Send("Host: x\r\n"));
+  RunFor(30);
+  // Bytes came, so that the time begins again.
+  connection->CloseIfIdle(EventLoop::Now() + Milliseconds(600));
+  CHECK_EQUAL(0, CountOf(caller->Receive(50), "HTTP/1.1 408"));
+  connection->CloseIfIdle(EventLoop::Now() + Milliseconds(1300));
+  RunFor(30);
+  CHECK_EQUAL(1, CountOf(caller->Receive(50), "HTTP/1.1 408"));
+  CHECK_EQUAL(0, handler.requests);
+}
+
+TEST(CallerConnection, AnEarlyRefusalReachesACallerThatStillSends) {
+  bool sent = false;
+  std::thread body([this, &sent] {
+    const std::string piece(2'000'000, 'x');
+    sent = caller->Send(
+        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 30000000\r\n\r\n");
+    for (int it = 0; it < 10; ++it)
+      sent = sent && caller->Send(piece);
+    caller->Receive(1000);
+  });
+  RunFor(1500);
+  body.join();
+  // A reset would end the sending, and may overtake the answer.
+  CHECK(sent);
+  CHECK_EQUAL(1, CountOf(caller->Receive(0), "HTTP/1.1 413"));
+  CHECK(caller->ended());
+  CHECK_FALSE(caller->was_reset());
+}
+
+TEST(CallerConnection, AnAnswerIsNotResetByBytesThatFollowTheRequest) {
+  handler.answer = std::string(3'000'000, 'a');
+  std::thread receiver([this] {
+    caller->Send("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" +
+                 std::string(200'000, 'x'));
+    std::this_thread::sleep_for(Milliseconds(200));
+    caller->Receive(2000);
+  });
+  RunFor(1500);
+  receiver.join();
+  CHECK_EQUAL(static_cast<int>(handler.answer.size() / 2),
+              CountOf(caller->Receive(0), "aa"));
+  CHECK_FALSE(caller->was_reset());
+}
+
+TEST(CallerConnection, AClosedConnectionEndsThoughTheCallerKeepsItsSideOpen) {
+  CHECK(
+      caller->Send("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"));
+  RunFor(100);
+  CHECK_FALSE(connection->closed());
+  RunFor(1300);
+  CHECK(connection->closed());
+}
+
+TEST(CallerConnection, ThousandsOfPipelinedRequestsDoNotExhaustTheStack) {
+  constexpr int kRequests = 20'000;
+  std::thread sender([this] {
+    std::string all;
+    for (int it = 0; it < kRequests; ++it)
+      all += kRequest;
+    caller->Send(all);
+  });
+  std::thread receiver([this] { caller->Receive(5000); });
+  while (handler.requests < kRequests)
+    RunFor(5);
+  sender.join();
+  connection->DisableKeepAlive();
+  connection->CloseIfIdle(Late());
+  RunFor(50);
+  receiver.join();
+  CHECK_EQUAL(kRequests, CountOf(caller->Receive(0), "HTTP/1.1 200"));
+}
--- a/modules/bbv_front/tcp_stream.cc
+++ b/modules/bbv_front/tcp_stream.cc
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <array>
 #include <cassert>
@@ -16,6 +17,7 @@
 // data queued on an unresponsive link is discarded.
 constexpr unsigned kUserTimeoutMs = 4000;
 constexpr std::size_t kReadBytes = 64U << 10U;
+constexpr std::size_t kMaxCountedUnreadBytes = 4096;
 
 void DeleteHandle(uv_handle_t* handle) {
   delete reinterpret_cast<uv_tcp_t*>(handle);
@@ -108,6 +110,18 @@
   return stream;
 }
 
+std::unique_ptr<TcpStream> TcpStream::Adopt(EventLoop* loop, int fd) {
+  std::unique_ptr<TcpStream> stream(new TcpStream);
+  stream->Initialise(loop);
+  if (uv_tcp_open(stream->handle_, fd) != 0) {
+    close(fd);
+    return nullptr;
+  }
+  stream->connected_ = true;
+  SetSocketOptions(stream->handle_);
+  return stream;
+}
+
 TcpStream::~TcpStream() {
   if (handle_ == nullptr)
     return;
@@ -176,6 +190,18 @@
     delete request;
 }
 
+void TcpStream::ShutDown() {
+  if (ended_)
+    return;
+  auto* request = new uv_shutdown_t;
+  // A failure is reported by the next read.
+  const int result =
+      uv_shutdown(request, reinterpret_cast<uv_stream_t*>(handle_),
+                  [](uv_shutdown_t* shutdown, int) { delete shutdown; });
+  if (result != 0)
+    delete request;
+}
+
 void TcpStream::FlushAndClose(std::unique_ptr<TcpStream> stream) {
   assert(stream != nullptr);
   stream->delegate_ = nullptr;
@@ -216,6 +242,15 @@
       reinterpret_cast<const uv_stream_t*>(handle_));
 }
 
+std::size_t TcpStream::unread_bytes() const {
+  uv_os_fd_t fd = -1;
+  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(handle_), &fd) != 0)
+    return 0;
+  std::array<char, kMaxCountedUnreadBytes> buf;
+  const ssize_t n = recv(fd, buf.data(), buf.size(), MSG_PEEK | MSG_DONTWAIT);
+  return n > 0 ? static_cast<std::size_t>(n) : 0;
+}
+
 void TcpStream::End(StreamEnd end) {
   if (ended_)
     return;
@@ -230,6 +265,22 @@
     uv_close(reinterpret_cast<uv_handle_t*>(handle_), DeleteHandle);
 }
 
+void TcpListener::Close() {
+  if (handle_ == nullptr)
+    return;
+  auto* handle =
+      reinterpret_cast<uv_handle_t*>(std::exchange(handle_, nullptr));
+  uv_os_fd_t fd = -1;
+  int peer = -1;
+  while (uv_fileno(handle, &fd) == 0 &&
+         (peer = accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) >=
+             0) {
+    if (auto stream = TcpStream::Adopt(loop_, peer))
+      on_accept_(std::move(stream));
+  }
+  uv_close(handle, DeleteHandle);
+}
+
 std::string TcpListener::Listen(EventLoop* loop,
                                 const SocketAddress& address,
                                 OnAccept on_accept) {
--- a/modules/bbv_front/tcp_stream.h
+++ b/modules/bbv_front/tcp_stream.h
@@ -54,6 +54,9 @@
   static std::unique_ptr<TcpStream> Accept(EventLoop* loop,
                                            uv_stream_t* listener);
 
+  // Wraps the connected socket `fd` and owns it. Returns nullptr on failure.
+  static std::unique_ptr<TcpStream> Adopt(EventLoop* loop, int fd);
+
   // Closes the connection immediately and discards queued data.
   ~TcpStream();
   TcpStream(const TcpStream&) = delete;
@@ -68,6 +71,10 @@
   // Sends or queues `data`. Has no effect after the stream has ended.
   void Write(std::string_view data);
 
+  // Ends this direction of the connection after the queued data; reading goes
+  // on. Nothing may be written afterwards.
+  void ShutDown();
+
   // Sends the queued data and closes the connection in the background, without
   // further calls to the delegate.
   static void FlushAndClose(std::unique_ptr<TcpStream> stream);
@@ -77,6 +84,9 @@
   bool HasUnreadData() const;
 
   std::size_t queued_bytes() const;
+  // Returns the number of bytes that were received and not read yet, counted up
+  // to 4096.
+  std::size_t unread_bytes() const;
   bool connected() const { return connected_; }
 
  private:
@@ -108,6 +118,10 @@
                      const SocketAddress& address,
                      OnAccept on_accept);
 
+  // Accepts the connections that are pending and stops listening at once.
+  void Close();
+  bool is_listening() const { return handle_ != nullptr; }
+
  private:
   EventLoop* loop_ = nullptr;
   uv_tcp_t* handle_ = nullptr;
--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -754,7 +754,8 @@
   if (request.path.starts_with("/feed/"))
     response.set_content("id: 1\ndata: x\n\n", "text/event-stream");
   else
-    response.set_content("done for " + request.get_header_value("X-Tenant"),
+    response.set_content("done for " + request.get_header_value("X-Tenant") +
+                             std::string(options_.plain_padding, '.'),
                          "text/plain");
 }
 
