Log answers that are cut by the end of a stop, with their request's id

caller-connection-ended had no id once the response was written and only its bytes were unsent, and no line was written for connections that the exit of the process ends. Test: CallerLedger.AnswersThatAreCutByTheEndOfAStopAreLogged (not run on the code before).

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -248,6 +248,7 @@
                            std::string body) {
   const Instant now = EventLoop::Now();
   const platform::RequestFields fields = platform::DecodeRequest(head);
+  connection->SetRequestName(fields.attempt_id);
   const std::shared_ptr<FleetIndex>& index = configuration_.current();
   if (index == nullptr) {
     Refuse(connection, fields.attempt_id, kUnavailable, "no configuration",
@@ -348,11 +349,9 @@
   if (!end.is_incomplete())
     return;
   const Instant now = EventLoop::Now();
-  const auto call = calls_.find(connection->id());
   const std::string* attempt_id =
-      end.request_open && call != calls_.end()
-          ? &call->second->call().request().attempt_id
-          : connection->head().Find(platform::kAttemptIdField);
+      end.request_partial ? connection->head().Find(platform::kAttemptIdField)
+                          : &connection->request_name();
   log_.Write(Event::kCallerConnectionEnded, now,
              {{"id", attempt_id == nullptr ? std::string() : *attempt_id},
               {"connection", static_cast<int64_t>(connection->id())},
@@ -701,6 +700,8 @@
     EndOpenCalls(now);
   }
   if (now >= exit_deadline_) {
+    for (const auto& [id, connection] : callers_)
+      connection->Abort();
     loop_.Stop();
     return;
   }
--- a/modules/bbv_front/caller_connection.h
+++ b/modules/bbv_front/caller_connection.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "bbv_core/instant.h"
 #include "bbv_core/name_table.h"
@@ -125,10 +126,12 @@
   bool OnTick(Instant now);
 
   uint64_t id() const { return id_; }
+  // A name of the last request that was handled, for the log.
+  void SetRequestName(std::string name) { request_name_ = std::move(name); }
+  const std::string& request_name() const { return request_name_; }
   bool closed() const { return stream_ == nullptr; }
   bool has_open_request() const { return request_open_; }
-  // The head of the request that is being received or handled; empty fields
-  // once the handler has taken it.
+  // The head of a request that is received in part; otherwise without fields.
   const HttpHead& head() const { return head_; }
   // Returns the size of the response data not yet written to the socket.
   std::size_t queued_bytes() const;
@@ -175,6 +178,7 @@
   HttpParser parser_;
   HttpHead head_;
   std::string body_;
+  std::string request_name_;
   std::string pipelined_input_;
   std::string output_;
   bool request_open_ = false;
--- a/tests/caller_ledger_test.cc
+++ b/tests/caller_ledger_test.cc
@@ -130,6 +130,21 @@
   CHECK_EQUAL(0, floor->WaitForExit(0));
 }
 
+TEST(CallerLedger, AnswersThatAreCutByTheEndOfAStopAreLogged) {
+  options.plain_padding = 12'000'000;
+  StartFleet(3);
+  RawCaller caller(floor->callers_port(0), 8192);
+  CHECK(caller.Send(RequestText("/safe/x", "unsent")));
+  caller.Receive(2000, "done");
+  floor->Signal(0, SIGTERM);
+  CHECK_EQUAL(0, floor->WaitForExit(0));
+  const std::string line = FindEndLine("unsent");
+  CHECK(line.find("\"by\":\"entry-aborted\"") != std::string::npos);
+  CHECK(line.find("\"unsent\":") != std::string::npos);
+  CHECK(line.find("\"unsent\":0") == std::string::npos);
+  CHECK(line.find("\"stopping_ms\":-1") == std::string::npos);
+}
+
 // The process is suspended while requests arrive, so that it decides to exit
 // before it has read them.
 TEST(CallerLedger, RequestsThatArriveAtTheLastMomentAreAnswered) {
