--- a/modules/bbv_fleet/fleet_call_test.cc
+++ b/modules/bbv_fleet/fleet_call_test.cc
@@ -341,6 +341,17 @@
   CHECK_EQUAL(1, static_cast<int>(delegate.sent.size()));
 }
 
+TEST(FleetCall, AStreamThatMayNotBeRepeatedIsNotSentAgainWhileItMayRun) {
+  auto call = MakeCall(CallKind::kStream, 2);
+  route.resumable = false;
+  call.Start(now);
+  call.OnPathFault("a-hop", now);
+  delegate.replacement_hops = {"m"};
+  call.OnTick(now + Milliseconds(100));
+  call.OnPathChanged(false, "", now + Milliseconds(110));
+  CHECK_EQUAL(1, static_cast<int>(delegate.sent.size()));
+}
+
 TEST(FleetCall, ASuspicionLeavesAnUnsafeCallWithItsTarget) {
   auto call = MakeCall(CallKind::kUnsafe, 2);
   call.Start(now);
