Keep entries that all cannot read the store from all being its first reader

The same class: a role given by default when nobody may have it. The test failed before (0; own_rank(), more than 0, expected). While none reads, the rank among all holds; who reads again first is ahead of the others as before.

--- a/modules/bbv_membership/member_table.cc
+++ b/modules/bbv_membership/member_table.cc
@@ -192,6 +192,11 @@
 }
 
 std::size_t MemberTable::own_reader_rank() const {
+  const bool any_reads = std::any_of(
+      zone_ranking_.begin(), zone_ranking_.end(),
+      [](const Member* it) { return it->current_status.reads_store; });
+  if (!any_reads)
+    return own_rank();
   std::size_t rank = 0;
   for (const Member* it : zone_ranking_) {
     if (it == own_)
--- a/modules/bbv_membership/member_table.h
+++ b/modules/bbv_membership/member_table.h
@@ -112,7 +112,8 @@
   const Ranking& zone_ranking() const { return zone_ranking_; }
   // Index of this entry in zone_ranking().
   std::size_t own_rank() const;
-  // Rank of this entry among those of zone_ranking() that can reach the store.
+  // Rank of this entry among those of zone_ranking() that can reach the store;
+  // own_rank() while none can.
   std::size_t own_reader_rank() const;
   // Whether this entry is the relay of its zone.
   bool is_relay() const { return own_rank() == 0; }
--- a/modules/bbv_membership/member_table_test.cc
+++ b/modules/bbv_membership/member_table_test.cc
@@ -55,6 +55,21 @@
 
 TEST_GROUP(MemberTable){};
 
+TEST(MemberTable, EntriesThatAllCannotReadTheStoreAreNotAllItsFirstReader) {
+  FourEntryZone zone;
+  zone.Advance(Milliseconds(1000), {1, 2, 3});
+  const std::size_t rank = zone.table().own_rank();
+  CHECK_TRUE(rank > 0);
+  MemberStatus cut_off;
+  cut_off.reads_store = false;
+  for (const int it : {1, 2, 3}) {
+    zone.table().RecordContact(HashBytes32(MakeRecord(it, "a", 0).address),
+                               cut_off, zone.now());
+  }
+  zone.table().SetOwnStatus(cut_off);
+  CHECK_EQUAL(rank, zone.table().own_reader_rank());
+}
+
 TEST(MemberTable, LargestInstanceRelaysForItsZone) {
   FourEntryZone zone;
   zone.Advance(Milliseconds(3000), {1, 2, 3});
