--- a/modules/bbv_front/caller_connection.cc
+++ b/modules/bbv_front/caller_connection.cc
@@ -179,7 +179,7 @@
     return true;
   // A request that was received already still gets its response.
   return keep_alive_disabled_ && !has_buffered_input() &&
-         stream_->unread_bytes() == 0;
+         !stream_->HasUnreadData();
 }
 
 void CallerConnection::BeginResponseHead(int status,
@@ -278,7 +278,7 @@
   }
   if (bytes_read_ == 0 && now < opened_at_ + kFirstRequestTime)
     return;
-  if (stream_->queued_bytes() == 0 && stream_->unread_bytes() == 0)
+  if (stream_->queued_bytes() == 0 && !stream_->HasUnreadData())
     Close();
 }
 
@@ -287,7 +287,7 @@
     stalled_since_ = now;
     return;
   }
-  if (now >= stalled_since_ + kStalledTime && stream_->unread_bytes() == 0)
+  if (now >= stalled_since_ + kStalledTime && !stream_->HasUnreadData())
     Reject(408);
 }
 
@@ -322,7 +322,7 @@
   if (request_open_ || now < read_deadline_ || stream_->queued_bytes() > 0)
     return true;
   // After a suspension the bytes may have arrived in time.
-  if (!std::exchange(deadline_extended_, true) && stream_->unread_bytes() > 0)
+  if (!std::exchange(deadline_extended_, true) && stream_->HasUnreadData())
     return true;
   if (!parser_.in_message()) {
     Close();
--- a/modules/bbv_front/tcp_stream.cc
+++ b/modules/bbv_front/tcp_stream.cc
@@ -228,29 +228,31 @@
   stream->handle_ = nullptr;
 }
 
-bool TcpStream::HasUnreadData() const {
-  assert(connected_);
-  uv_os_fd_t fd = -1;
-  if (ended_ || uv_fileno(reinterpret_cast<uv_handle_t*>(handle_), &fd) != 0)
-    return false;
-  char byte = 0;
-  return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 std::size_t TcpStream::queued_bytes() const {
   return uv_stream_get_write_queue_size(
       reinterpret_cast<const uv_stream_t*>(handle_));
 }
 
-std::size_t TcpStream::unread_bytes() const {
+std::size_t TcpStream::PeekUnread(std::span<char> buf) const {
   uv_os_fd_t fd = -1;
-  if (uv_fileno(reinterpret_cast<const uv_handle_t*>(handle_), &fd) != 0)
+  if (ended_ ||
+      uv_fileno(reinterpret_cast<const uv_handle_t*>(handle_), &fd) != 0)
     return 0;
-  std::array<char, kMaxCountedUnreadBytes> buf;
   const ssize_t n = recv(fd, buf.data(), buf.size(), MSG_PEEK | MSG_DONTWAIT);
   return n > 0 ? static_cast<std::size_t>(n) : 0;
 }
 
+bool TcpStream::HasUnreadData() const {
+  assert(connected_);
+  std::array<char, 1> buf;
+  return PeekUnread(buf) > 0;
+}
+
+std::size_t TcpStream::unread_bytes() const {
+  std::array<char, kMaxCountedUnreadBytes> buf;
+  return PeekUnread(buf);
+}
+
 void TcpStream::End(StreamEnd end) {
   if (ended_)
     return;
--- a/modules/bbv_front/tcp_stream.h
+++ b/modules/bbv_front/tcp_stream.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -93,6 +94,9 @@
   struct WriteRequest;
 
   TcpStream() = default;
+  // Copies received bytes that were not read yet to `buf` and leaves them
+  // unread. Returns their number.
+  std::size_t PeekUnread(std::span<char> buf) const;
   void Initialise(EventLoop* loop);
   void End(StreamEnd end);
 
