--- a/tests/virtual_fleet_test.cc
+++ b/tests/virtual_fleet_test.cc
@@ -270,9 +270,6 @@
   CHECK_TRUE(MeanStoreCallsPerSecond(350, 7) < 0.05);
 }
 
-// Entries keep a target list that is recent enough to act on, unless they were
-// affected by a fault within kReadTime or all readers of their zone are
-// partitioned.
 TEST(VirtualFleet, AZoneWhoseEntriesAllLeaveKeepsOneRelayAndOneReader) {
   VirtualFleet fleet(MakeOptions(27, 3));
   fleet.Run(kSettleTime);
@@ -342,6 +339,9 @@
                       .c_str());
 }
 
+// Entries keep a target list that is recent enough to act on, unless they were
+// affected by a fault within kReadTime or all readers of their zone are
+// partitioned.
 TEST(VirtualFleet, ListsStayFreshThroughKillsFreezesAndPartitions) {
   for (uint64_t seed = 1; seed <= 40; ++seed) {
     VirtualFleet fleet(MakeOptions(30, 3, seed));
