--- a/review/build.sh
+++ b/review/build.sh
@@ -8,7 +8,7 @@
 flags=(-std=c++20 -O1 -g1 -Wall -Wextra -Werror -pthread)
 common=(harness/harness.cc harness/engine_fleet.cc harness/deadly_case.cc)
 pids=()
-for source in "${common[@]}" harness/engine.cc ?/case.cc; do
+for source in "${common[@]}" harness/engine.cc harness/plain.cc ?/case.cc; do
   object="build/$(echo "${source%.cc}" | tr / -).o"
   g++ "${flags[@]}" -c "$source" -o "$object" &
   pids+=($!)
@@ -18,7 +18,9 @@
 done
 objects=(build/harness-harness.o build/harness-engine_fleet.o
   build/harness-deadly_case.o)
-g++ "${flags[@]}" build/harness-engine.o "${objects[@]}" -o build/engine
+for program in engine plain; do
+  g++ "${flags[@]}" "build/harness-$program.o" "${objects[@]}" -o "build/$program"
+done
 for object in build/?-case.o; do
   number="$(basename "$object" -case.o)"
   g++ "${flags[@]}" "$object" "${objects[@]}" -o "build/case-$number"
--- a/review/harness/engine.cc
+++ b/review/harness/engine.cc
@@ -25,13 +25,6 @@
 constexpr int64_t kEventMs = 10;
 constexpr int64_t kHeartbeatMs = 1200;
 
-std::map<std::string, std::string> ReadOptions(int argc, char** argv) {
-  std::map<std::string, std::string> options;
-  for (int it = 1; it + 1 < argc; it += 2)
-    options[argv[it]] = argv[it + 1];
-  return options;
-}
-
 // A model server. Thread safety: Handle() may be called from any thread.
 class Engine {
  public:
@@ -80,20 +73,8 @@
       record["sequence"] = ++heartbeat_;
       AddLayers(&record);
     }
-    const std::string value = record.dump();
-    std::string content(1, static_cast<char>(id_.size()));
-    content += id_ + value;
-    std::string body;
-    for (int shift = 24; shift >= 0; shift -= 8)
-      body.push_back(static_cast<char>(content.size() >> shift & 0xffU));
-    body += content;
-    const auto socket = Socket::Connect(std::stoi(options_.at("--store")));
-    Message answer;
-    if (socket != nullptr &&
-        socket->Write("POST /v1/log-append?topic=keyed.servers&part=0 "
-                      "HTTP/1.1\r\nHost: x\r\nContent-Length: " +
-                      std::to_string(body.size()) + "\r\n\r\n" + body))
-      socket->ReadMessage(&answer, true, NowMs() + 1000);
+    review::AppendRecord(std::stoi(options_.at("--store")), "keyed.servers",
+                         id_, record.dump());
   }
 
   // Requires `mutex_`.
@@ -234,7 +215,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  auto options = ReadOptions(argc, argv);
+  auto options = review::ReadOptions(argc, argv);
   options.try_emplace("--service", "engine");
   options.try_emplace("--type", "card");
   options.try_emplace("--deadly", "");
--- a/review/harness/harness.cc
+++ b/review/harness/harness.cc
@@ -460,6 +460,24 @@
                  "Store-Era: 1\r\nContent-Type: application/json\r\n", body);
 }
 
+void AppendRecord(int store_port,
+                  const std::string& topic,
+                  const std::string& key,
+                  const std::string& value) {
+  std::string content(1, static_cast<char>(key.size()));
+  content += key + value;
+  std::string body;
+  AppendBigEndian(content.size(), 4, &body);
+  body += content;
+  const auto socket = Socket::Connect(store_port);
+  Message answer;
+  std::string request = "POST /v1/log-append?topic=" + topic;
+  request += "&part=0 HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+             std::to_string(body.size()) + "\r\n\r\n" + body;
+  if (socket != nullptr && socket->Write(request))
+    socket->ReadMessage(&answer, true, NowMs() + 1000);
+}
+
 void Recorder::Write(const std::string& line) {
   const std::scoped_lock lock(mutex_);
   file_ << Since(NowMs()) << " ms  " << line << std::endl;
@@ -583,6 +601,13 @@
   _exit(127);
 }
 
+std::map<std::string, std::string> ReadOptions(int argc, char** argv) {
+  std::map<std::string, std::string> options;
+  for (int it = 1; it + 1 < argc; it += 2)
+    options[argv[it]] = argv[it + 1];
+  return options;
+}
+
 int TroubleLevel() {
   const char* text = std::getenv("TROUBLE");
   return text == nullptr ? 1 : std::atoi(text);
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -134,6 +134,13 @@
   int64_t generation_ = 0;
 };
 
+// Appends a record to a keyed topic of the store at `store_port`, as servers do
+// for their entries.
+void AppendRecord(int store_port,
+                  const std::string& topic,
+                  const std::string& key,
+                  const std::string& value);
+
 // The record of a script: what was sent, answered and run.
 class Recorder {
  public:
@@ -191,6 +198,9 @@
                    const std::vector<std::string>& environment,
                    const std::string& log);
 
+// Returns the arguments "--name value" of a program.
+std::map<std::string, std::string> ReadOptions(int argc, char** argv);
+
 // Returns the value of TROUBLE, 1 if it is not set.
 int TroubleLevel();
 
