Log which side ended a send, and when its target was heard last

So far a run that the entry cancelled left no line of its own.

call-send-cancelled (BBV0114) names the reason, since when a hop of the path was missing and when anything last came from the target; call-failed, call-refused and call-send-failed tell the latter too. Reasons are an enum that FleetCall gives to its delegate. No decision changes.

--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -86,7 +86,7 @@
 }
 
 RelayedCall::~RelayedCall() {
-  CancelSend();
+  CloseSend();
   DropBufferedAnswer();
 }
 
@@ -105,7 +105,7 @@
        {"after_ms", MillisecondsBetween(call_.request().arrived, now)},
        {"last_event", call_.last_event()},
        {"path", PathText(dispatch_)}});
-  call_.OnCallerLeft();
+  call_.OnCallerLeft(now);
 }
 
 void RelayedCall::OnTick(Instant now) {
@@ -262,13 +262,42 @@
   exchange_ = context_->client->Send(std::move(exchange), this);
 }
 
-void RelayedCall::CancelSend() {
+void RelayedCall::CancelSend(SendCancelReason reason, Instant now) {
+  if (!send_in_flight_)
+    return;
+  // Callers that leave have a line of their own.
+  if (reason != SendCancelReason::kCallerLeft) {
+    const auto broken_since = call_.path_broken_since();
+    context_->log->Write(
+        Event::kCallSendCancelled, now,
+        {{"id", call_.request().attempt_id},
+         {"reason", std::string(kSendCancelReasonNames.Name(reason))},
+         {"send", static_cast<int64_t>(call_.sends())},
+         {"target", dispatch_.target_id},
+         {"after_ms", MillisecondsBetween(sent_at_, now)},
+         {"path_broken_ms",
+          broken_since ? MillisecondsBetween(*broken_since, now) : -1.0},
+         {"heard_ms_ago", HeardMillisecondsAgo(now)},
+         {"last_event", call_.last_event()},
+         {"entry_stopping", context_->is_stopping()}});
+  }
+  CloseSend();
+}
+
+void RelayedCall::CloseSend() {
   if (!send_in_flight_)
     return;
   FinishSend(false, sent_at_);
   context_->client->Cancel(exchange_);
 }
 
+int64_t RelayedCall::HeardMillisecondsAgo(Instant now) const {
+  const FleetTarget* target = context_->registry->Find(dispatch_.target_id);
+  if (target == nullptr || target->heard_at == Instant{})
+    return -1;
+  return RemainingMilliseconds(now, target->heard_at);
+}
+
 void RelayedCall::FinishSend(bool failed, Instant now) {
   send_in_flight_ = false;
   is_continuation_refused_ = false;
@@ -348,6 +377,7 @@
         std::string(kExecutionStatusNames.Name(failure.execution_status))},
        {"sends", static_cast<int64_t>(call_.sends())},
        {"last_target", dispatch_.target_id},
+       {"heard_ms_ago", HeardMillisecondsAgo(now)},
        {"parts", quarantine == nullptr ? std::string()
                                        : FormatTraits(quarantine->traits)},
        {"after_ms", MillisecondsBetween(request.arrived, now)},
@@ -399,6 +429,7 @@
        {"sends", static_cast<int64_t>(call_.sends())},
        {"events", events_relayed_},
        {"silent_ms", MillisecondsBetween(last_relayed_, now)},
+       {"heard_ms_ago", HeardMillisecondsAgo(now)},
        {"after_ms", MillisecondsBetween(call_.request().arrived, now)},
        {"entry_stopping", context_->is_stopping()},
        {"last_event", call_.last_event()},
@@ -654,6 +685,7 @@
                         {"at_fault", failure.fault_address},
                         {"not_run", failure.not_run},
                         {"after_ms", MillisecondsBetween(sent_at_, now)},
+                        {"heard_ms_ago", HeardMillisecondsAgo(now)},
                         {"last_event", call_.last_event()},
                         {"parts", FormatTraits(call_.request().shared_parts)}});
   call_.OnSendFailed(failure, now);
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -101,7 +101,7 @@
       Instant now) override;
   void ChangePath(const CallDispatch& path, Instant now) override;
   void Send(const CallDispatch& dispatch, Instant now) override;
-  void CancelSend() override;
+  void CancelSend(SendCancelReason reason, Instant now) override;
   bool TakeRetry(Instant now) override;
   void Fail(const CallFailure& failure) override;
   void RelayBufferedResponse() override;
@@ -138,6 +138,11 @@
   void DropBufferedAnswer();
   void FailSend(const SendFailure& failure, std::string_view evidence);
   void FinishSend(bool failed, Instant now);
+  // Closes the connection of the active send, if any.
+  void CloseSend();
+  // Milliseconds since anything was received from the target of the last send;
+  // -1 if nothing was.
+  int64_t HeardMillisecondsAgo(Instant now) const;
   void RecordEventGap(int64_t event_id, Instant now);
   // Whether `event_gap` exceeds the limit of the call's route for the time
   // between two events.
--- a/modules/bbv_fleet/fleet_call.cc
+++ b/modules/bbv_fleet/fleet_call.cc
@@ -208,12 +208,12 @@
   done_ = true;
 }
 
-void FleetCall::OnCallerLeft() {
+void FleetCall::OnCallerLeft(Instant now) {
   if (done_)
     return;
   done_ = true;
   if (sending_)
-    delegate_->CancelSend();
+    delegate_->CancelSend(SendCancelReason::kCallerLeft, now);
   sending_ = false;
 }
 
@@ -236,14 +236,14 @@
       CheckBrokenPath(now);
     return;
   }
-  CancelActiveSend();
+  CancelActiveSend(SendCancelReason::kDeadline, now);
   EndCall(CallEndReason::kDeadline, false, now);
 }
 
-void FleetCall::CancelActiveSend() {
+void FleetCall::CancelActiveSend(SendCancelReason reason, Instant now) {
   if (!sending_)
     return;
-  delegate_->CancelSend();
+  delegate_->CancelSend(reason, now);
   sending_ = false;
   if (execution_status_ == ExecutionStatus::kNotRun)
     execution_status_ = ExecutionStatus::kUnknown;
@@ -266,7 +266,7 @@
   const Instant since =
       first_target_suspected_ ? last_progress_ : *path_broken_since_;
   if (now >= since + kPathWait) {
-    CancelActiveSend();
+    CancelActiveSend(SendCancelReason::kNoPath, now);
     EndCall(CallEndReason::kNoTarget, false, now);
     return;
   }
@@ -307,14 +307,14 @@
 void FleetCall::OnQuarantined(Instant now) {
   if (done_ || relaying_)
     return;
-  CancelActiveSend();
+  CancelActiveSend(SendCancelReason::kQuarantined, now);
   EndCall(CallEndReason::kQuarantined, false, now);
 }
 
 void FleetCall::OnForcedStop(Instant now) {
   if (done_)
     return;
-  CancelActiveSend();
+  CancelActiveSend(SendCancelReason::kStopping, now);
   EndCall(CallEndReason::kStopping, false, now);
 }
 
@@ -356,7 +356,7 @@
   }
   if (!delegate_->TakeRetry(now))
     return;
-  CancelActiveSend();
+  CancelActiveSend(SendCancelReason::kReplaced, now);
   SendTo(std::move(*dispatch), now);
 }
 
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -40,6 +40,21 @@
      "deadline", "connection-broken", "bad-answer", "stopping", "quarantined",
      "crash-suspect", "rate-limit"});
 
+// Why an active send is cancelled.
+enum class SendCancelReason : uint8_t {
+  // Another send takes its place.
+  kReplaced,
+  // Its path is broken and no other one was found in time.
+  kNoPath,
+  kDeadline,
+  kCallerLeft,
+  kQuarantined,
+  kStopping,
+};
+inline constexpr NameTable<SendCancelReason, 6> kSendCancelReasonNames(
+    {"replaced", "no-path", "deadline", "caller-left", "quarantined",
+     "stopping"});
+
 // Event id before the first event.
 inline constexpr int64_t kNoEvent = -1;
 
@@ -135,7 +150,7 @@
   virtual void ChangePath(const CallDispatch& path, Instant now) = 0;
   virtual void Send(const CallDispatch& dispatch, Instant now) = 0;
   // Closes the connection of the active send.
-  virtual void CancelSend() = 0;
+  virtual void CancelSend(SendCancelReason reason, Instant now) = 0;
   // Takes one retry from the shared budget; returns false if it is exhausted.
   virtual bool TakeRetry(Instant now) = 0;
   // Sends a failure to the caller. Called only if no part of a response was
@@ -209,7 +224,7 @@
   void OnResponseComplete();
 
   // The caller disconnected.
-  void OnCallerLeft();
+  void OnCallerLeft(Instant now);
 
   // Handles timeouts and searches for a path again if needed; call often.
   void OnTick(Instant now);
@@ -254,6 +269,10 @@
   std::optional<Instant> last_event_time() const;
   // Whether a hop of the active path failed and is not replaced yet.
   bool is_path_broken() const { return path_broken_since_.has_value(); }
+  // Since when a hop of the active path is missing.
+  std::optional<Instant> path_broken_since() const {
+    return path_broken_since_;
+  }
   // Whether the first target was instructed to change the path and has not
   // replied yet.
   bool is_changing_path() const { return pending_path_.has_value(); }
@@ -292,7 +311,7 @@
   // How long the active send may be silent before it counts as stalled.
   Milliseconds StallTimeout() const;
   // Cancels the active send; the call may have run.
-  void CancelActiveSend();
+  void CancelActiveSend(SendCancelReason reason, Instant now);
 
   CallRequest request_;
   FleetCallDelegate* delegate_;
--- a/modules/bbv_fleet/fleet_call_test.cc
+++ b/modules/bbv_fleet/fleet_call_test.cc
@@ -59,7 +59,7 @@
   void ChangePath(const bbv::CallDispatch& path, Instant) override {
     changed.push_back(path);
   }
-  void CancelSend() override { ++cancelled; }
+  void CancelSend(bbv::SendCancelReason, Instant) override { ++cancelled; }
   bool TakeRetry(Instant) override { return retries_left-- > 0; }
   void Fail(const CallFailure& it) override { failure = it; }
   void RelayBufferedResponse() override { ++relayed; }
@@ -438,7 +438,7 @@
 TEST(FleetCall, NothingIsSentOnceTheCallerHasDisconnected) {
   auto call = MakeCall(CallKind::kStream, 2);
   call.Start(now);
-  call.OnCallerLeft();
+  call.OnCallerLeft(now);
   CHECK_EQUAL(1, delegate.cancelled);
   call.OnSendFailed({CallEndReason::kConnectionBroken, false, false, {}}, now);
   call.OnPathFault("a", now);
