--- /dev/null
+++ b/tests/silent_target_test.cc
@@ -0,0 +1,94 @@
+#include <CppUTest/TestHarness.h>
+
+#include <chrono>
+#include <csignal>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "fleet_floor.h"
+
+using std::chrono::milliseconds;
+
+// Sound targets that fall silent for a second or two and go on.
+TEST_GROUP(SilentTarget) {
+  bbv::standins::FleetTargets::Options options;
+  std::unique_ptr<bbv::FleetFloor> floor;
+  std::vector<bbv::StreamAnswer> answers = std::vector<bbv::StreamAnswer>(6);
+  std::vector<std::thread> callers;
+
+  void StartFloor() {
+    options.event_ms = 20;
+    options.events = 60;
+    floor = std::make_unique<bbv::FleetFloor>(1, options);
+    if (!floor->Start())
+      FAIL(("could not start: " + floor->Output(0)).c_str());
+  }
+  // Starts streams that last 1.2 s if nothing disturbs them.
+  void StartStreams() {
+    for (std::size_t it = 0; it < answers.size(); ++it) {
+      callers.emplace_back([this, it] {
+        answers[it] = floor->Stream(0, "s" + std::to_string(it));
+      });
+    }
+  }
+  void SilenceAllEngines(milliseconds duration) {
+    for (int it = 0; it < options.engines; ++it)
+      floor->targets().FallSilent(it, duration);
+  }
+  void JoinCallers() {
+    for (std::thread& it : callers)
+      it.join();
+    callers.clear();
+  }
+  void CheckWhole() {
+    JoinCallers();
+    for (const bbv::StreamAnswer& it : answers) {
+      CHECK_EQUAL(options.events, static_cast<int>(it.events.size()));
+      CHECK(it.whole);
+    }
+  }
+  void teardown() override {
+    JoinCallers();
+    floor.reset();
+  }
+};
+
+TEST(SilentTarget, StreamsAreNotBrokenOffForTheSilenceOfTheirTargets) {
+  StartFloor();
+  StartStreams();
+  std::this_thread::sleep_for(milliseconds(300));
+  SilenceAllEngines(milliseconds(2500));
+  CheckWhole();
+}
+
+TEST(SilentTarget, StreamsOfAStoppingEntryAreNotBrokenOffForSilence) {
+  StartFloor();
+  StartStreams();
+  std::this_thread::sleep_for(milliseconds(300));
+  floor->Signal(0, SIGTERM);
+  SilenceAllEngines(milliseconds(2500));
+  CheckWhole();
+}
+
+TEST(SilentTarget, CallsWithoutAnEventAreNotFailedForSilence) {
+  StartFloor();
+  SilenceAllEngines(milliseconds(2800));
+  StartStreams();
+  CheckWhole();
+}
+
+TEST(SilentTarget, ARunIsNotEndedForAnotherTargetThatRefusesTheCall) {
+  StartFloor();
+  StartStreams();
+  std::this_thread::sleep_for(milliseconds(300));
+  const int first = floor->targets().FindHolder(0);
+  floor->targets().FallSilent(first, milliseconds(1500));
+  for (int it = 0; it < options.engines; ++it)
+    floor->targets().RejectRequests(it, "0");
+  CheckWhole();
+  const auto runs = floor->targets().ExecutionCounts();
+  for (std::size_t it = 0; it < answers.size(); ++it)
+    CHECK_EQUAL(1, runs.at("s" + std::to_string(it)));
+}
--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -17,6 +17,7 @@
 constexpr int kThreads = 64;
 constexpr int kGroupTtlMs = 3000;
 constexpr int kHeartbeatIntervalMs = 100;
+constexpr int kSilencePollMs = 5;
 constexpr int kLayerMb = 1000;
 constexpr int kAcceleratorMb = 4000;
 
@@ -271,6 +272,8 @@
   std::atomic<int> calls{0};
   // Retry-After value of the 503 responses; empty while the target serves.
   std::string retry_after;
+  // Until when the target is silent. Guarded by the owner's mutex.
+  std::chrono::steady_clock::time_point silent_until;
   // Rate limit that the target names; empty if it names none.
   std::string rate_limit;
   // When requests arrived.
@@ -353,7 +356,12 @@
 void FleetTargets::Heartbeat() {
   while (!stopping_) {
     for (const auto& it : targets_) {
-      if (!it->crashed)
+      bool silent = false;
+      {
+        const std::lock_guard lock(mutex_);
+        silent = IsSilent(*it);
+      }
+      if (!it->crashed && !silent)
         PublishRecord(it.get());
     }
     std::this_thread::sleep_for(milliseconds(kHeartbeatIntervalMs));
@@ -563,7 +571,7 @@
     {
       const std::lock_guard guard(mutex_);
       // If a hop is lost, the stream stays open without sending events.
-      if (!FindPathFault(*path).empty())
+      if (!FindPathFault(*path).empty() || IsPathSilent(*path))
         return true;
     }
     if (cut && *next > options_.events / 2) {
@@ -634,6 +642,7 @@
   const bool is_call = !request.path.starts_with("/v1/");
   ++target->requests;
   std::this_thread::sleep_for(milliseconds(target->answer_delay_ms));
+  WaitWhileSilent(*target);
   target->calls += is_call ? 1 : 0;
   if (target->announces_leaving)
     response.set_header("Server-Leaving", "1");
@@ -708,6 +717,35 @@
   return static_cast<int>(most);
 }
 
+void FleetTargets::FallSilent(int target, milliseconds duration) {
+  const std::lock_guard lock(mutex_);
+  targets_[target]->silent_until = std::chrono::steady_clock::now() + duration;
+}
+
+bool FleetTargets::IsSilent(const Target& target) const {
+  return std::chrono::steady_clock::now() < target.silent_until;
+}
+
+void FleetTargets::WaitWhileSilent(const Target& target) {
+  while (!stopping_) {
+    {
+      const std::lock_guard lock(mutex_);
+      if (!IsSilent(target))
+        return;
+    }
+    std::this_thread::sleep_for(milliseconds(kSilencePollMs));
+  }
+}
+
+bool FleetTargets::IsPathSilent(const std::string& path) const {
+  return std::any_of(
+      targets_.begin(), targets_.end(), [this, &path](const auto& it) {
+        const std::string hop =
+            "127.0.0.1:" + std::to_string(it->listed_port) + '=';
+        return IsSilent(*it) && path.find(hop) != std::string::npos;
+      });
+}
+
 void FleetTargets::DelayAnswers(int target, milliseconds delay) {
   targets_[target]->answer_delay_ms = static_cast<int>(delay.count());
 }
--- a/tests/standins/fleet_standin.h
+++ b/tests/standins/fleet_standin.h
@@ -182,6 +182,10 @@
   int MostRequests(int target,
                    std::chrono::milliseconds window,
                    std::chrono::steady_clock::time_point since);
+  // Makes a sound target fall silent: for `duration` it answers nothing, sends
+  // no event of a stream that passes through it and publishes no record. Then
+  // it goes on where it was.
+  void FallSilent(int target, std::chrono::milliseconds duration);
   // Makes a target answer every new request this much later. Answers that have
   // begun are not affected.
   void DelayAnswers(int target, std::chrono::milliseconds delay);
@@ -233,6 +237,12 @@
   // Refuses a call and repeats the refusal after `repeat_refusal_ms`.
   void RefuseTwice(httplib::Response* response) const;
   std::unique_ptr<httplib::Server> MakeServer(Target* target);
+  // Whether `target` is silent now. Requires `mutex_`.
+  bool IsSilent(const Target& target) const;
+  // Blocks while `target` is silent.
+  void WaitWhileSilent(const Target& target);
+  // Whether a target on `path` is silent now. Requires `mutex_`.
+  bool IsPathSilent(const std::string& path) const;
   // Answers a call that resumes a stream as Options::resumed_answers says;
   // false if it says nothing. Requires `mutex_`.
   bool SendResumedAnswer(const httplib::Request& request,
