--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -628,8 +628,8 @@
   const std::vector<RelayedCall*> open = OpenCalls();
   for (RelayedCall* it : open) {
     it->OnTick(now);
-    if (it->call().IsStalled(now))
-      fault_detector_.InvestigateStall(it->call().dispatch().target_id, now);
+    if (const CallDispatch* path = it->call().FindOverduePath(now))
+      fault_detector_.InvestigateStall(path->target_id, now);
   }
   ProbeSilentTargets(open, now);
   RerouteReleasedLayers(open, now);
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -86,8 +86,15 @@
 }
 
 RelayedCall::~RelayedCall() {
-  CloseSend();
-  DropBufferedAnswer();
+  for (const auto& it : sends_) {
+    CloseSend(it.get());
+    DropBufferedAnswer(it.get());
+  }
+}
+
+const CallDispatch& RelayedCall::path() const {
+  static const CallDispatch kNoPath;
+  return active_ == nullptr ? kNoPath : active_->dispatch;
 }
 
 void RelayedCall::Start(Instant now) {
@@ -101,10 +108,10 @@
   context_->log->Write(
       Event::kCallerLeft, now,
       {{"id", call_.request().attempt_id},
-       {"target", dispatch_.target_id},
+       {"target", path().target_id},
        {"after_ms", MillisecondsBetween(call_.request().arrived, now)},
        {"last_event", call_.last_event()},
-       {"path", PathText(dispatch_)}});
+       {"path", PathText(path())}});
   call_.OnCallerLeft(now);
 }
 
@@ -114,34 +121,35 @@
     call_.OnEventRelayed(call_.last_event(), now);
     if (caller_->queued_bytes() < kResumeReadingBytes) {
       paused_ = false;
-      context_->client->SetReadingPaused(exchange_, false);
+      context_->client->SetReadingPaused(active_->exchange, false);
     }
   }
-  if (is_continuation_refused_) {
+  for (TargetSend* it : {active_, replacement_}) {
+    if (it == nullptr || !it->is_continuation_refused)
+      continue;
     // The body that is still to come is of no use.
-    context_->client->Cancel(exchange_);
-    FailUnusableAnswer();
+    context_->client->Cancel(it->exchange);
+    FailUnusableAnswer(it);
   }
   call_.OnTick(now);
 }
 
 void RelayedCall::OnPathFault(const std::string& target_id, Instant now) {
-  const auto& ids = dispatch_.hop_ids;
+  const auto& ids = path().hop_ids;
   const bool affected =
-      send_in_flight_ && !call_.is_path_broken() &&
+      is_sending() && !call_.is_path_broken() &&
       std::find(ids.begin(), ids.end(), target_id) != ids.end();
   const int sends = call_.sends();
   call_.OnPathFault(target_id, now);
   if (!affected)
     return;
-  context_->log->Write(
-      Event::kCallPathLost, now,
-      {{"id", call_.request().attempt_id},
-       {"hop", target_id},
-       {"way_on", std::string(ContinuationText(call_, sends))},
-       {"target", dispatch_.target_id},
-       {"hops", static_cast<int64_t>(dispatch_.hop_ids.size())},
-       {"last_event", call_.last_event()}});
+  context_->log->Write(Event::kCallPathLost, now,
+                       {{"id", call_.request().attempt_id},
+                        {"hop", target_id},
+                        {"way_on", std::string(ContinuationText(call_, sends))},
+                        {"target", path().target_id},
+                        {"hops", static_cast<int64_t>(path().hop_ids.size())},
+                        {"last_event", call_.last_event()}});
 }
 
 void RelayedCall::CheckQuarantine(Instant now) {
@@ -186,13 +194,13 @@
             platform::EncodeChangePathOrder(call_.request().attempt_id,
                                             path.hop_addresses, path.layers),
             now + kOrderTimeout,
-            [self = std::weak_ptr<RelayedCall*>(self_), exchange = exchange_,
+            [self = std::weak_ptr<RelayedCall*>(self_), send = active_,
              path](const OrderAnswer& answer) {
               const auto call = self.lock();
               // Ignore the answer if its send has ended: it does not apply to
               // the next one.
-              if (call != nullptr && (*call)->send_in_flight_ &&
-                  (*call)->exchange_ == exchange)
+              if (call != nullptr && (*call)->active_ == send &&
+                  (*call)->is_sending())
                 (*call)->OnPathChangeAnswer(answer, path);
             });
 }
@@ -202,46 +210,68 @@
   const Instant now = EventLoop::Now();
   context_->log->Write(Event::kCallPathChanged, now,
                        {{"id", call_.request().attempt_id},
-                        {"target", dispatch_.target_id},
+                        {"target", active_->dispatch.target_id},
                         {"status", static_cast<int64_t>(answer.status)},
                         {"at_fault", answer.fault_address},
                         {"last_event", call_.last_event()}});
   if (answer.is_accepted()) {
-    context_->selector->RemoveInFlight(&dispatch_);
-    dispatch_ = path;
-    context_->selector->AddInFlight(dispatch_);
+    context_->selector->RemoveInFlight(&active_->dispatch);
+    active_->dispatch = path;
+    context_->selector->AddInFlight(active_->dispatch);
   }
   call_.OnPathChanged(answer.is_accepted(), answer.fault_address, now);
 }
 
 void RelayedCall::Send(const CallDispatch& dispatch, Instant now) {
   const CallRequest& request = call_.request();
-  dispatch_ = dispatch;
-  sent_at_ = now;
-  send_in_flight_ = true;
-  streaming_ = false;
-  resuming_ = head_relayed_;
-  DropBufferedAnswer();
-  splitter_.Reset();
-  paused_ = false;
-  events_of_send_ = 0;
-  context_->selector->AddInFlight(dispatch_);
-  if (call_.sends() == 1)
+  sends_.push_back(std::make_unique<TargetSend>(this, call_.sends(), dispatch,
+                                                head_relayed_, now));
+  TargetSend* send = sends_.back().get();
+  const bool is_replacement = is_sending();
+  if (is_replacement) {
+    replacement_ = send;
+  } else {
+    if (active_ != nullptr)
+      DropBufferedAnswer(active_);
+    active_ = send;
+    paused_ = false;
+  }
+  context_->selector->AddInFlight(send->dispatch);
+  if (send->number == 1)
     context_->retry_after_scheduler(request.service)->RecordAccepted(now);
+  if (send->number > 1) {
+    context_->log->Write(
+        Event::kCallSent, now,
+        {{"id", request.attempt_id},
+         {"send", static_cast<int64_t>(send->number)},
+         {"target", dispatch.target_id},
+         {"hops", static_cast<int64_t>(dispatch.hop_ids.size())},
+         {"after_event", dispatch.last_event},
+         {"beside", is_replacement ? active_->dispatch.target_id : ""},
+         {"remaining_ms",
+          int64_t{RemainingMilliseconds(request.deadline, now)}}});
+  }
+  send->exchange = context_->client->Send(MakeExchange(*send, now), send);
+}
+
+ExchangeRequest RelayedCall::MakeExchange(const TargetSend& send,
+                                          Instant now) const {
+  const CallRequest& request = call_.request();
+  const CallDispatch& dispatch = send.dispatch;
   platform::ForwardFields fields;
   if (request.account != nullptr)
     fields.account = request.account->name;
   fields.remaining_ms = RemainingMilliseconds(request.deadline, now);
-  fields.target_id = dispatch_.target_id;
-  if (!dispatch_.layers.empty()) {
-    fields.hop_addresses = dispatch_.hop_addresses;
-    fields.hop_layers = dispatch_.layers;
+  fields.target_id = dispatch.target_id;
+  if (!dispatch.layers.empty()) {
+    fields.hop_addresses = dispatch.hop_addresses;
+    fields.hop_layers = dispatch.layers;
   }
-  if (dispatch_.last_event >= 0)
-    fields.last_event = dispatch_.last_event;
+  if (dispatch.last_event >= 0)
+    fields.last_event = dispatch.last_event;
   fields.body_bytes = body_.size();
   ExchangeRequest exchange;
-  exchange.address = ParseSocketAddress(dispatch_.target_address).value();
+  exchange.address = ParseSocketAddress(dispatch.target_address).value();
   exchange.bytes = platform::EncodeForwardedHead(head_, fields) + body_;
   exchange.id_field = platform::kAttemptIdField;
   exchange.attempt_id = request.attempt_id;
@@ -249,63 +279,75 @@
   // call that was sent on it cannot be repeated.
   exchange.may_reuse = request.route->kind != CallKind::kUnsafe;
   exchange.connect_deadline = std::min(now + kConnectTimeout, request.deadline);
-  if (call_.sends() > 1) {
-    context_->log->Write(
-        Event::kCallSent, now,
-        {{"id", request.attempt_id},
-         {"send", static_cast<int64_t>(call_.sends())},
-         {"target", dispatch_.target_id},
-         {"hops", static_cast<int64_t>(dispatch_.hop_ids.size())},
-         {"after_event", dispatch_.last_event},
-         {"remaining_ms", fields.remaining_ms}});
-  }
-  exchange_ = context_->client->Send(std::move(exchange), this);
+  return exchange;
 }
 
 void RelayedCall::CancelSend(SendCancelReason reason, Instant now) {
-  if (!send_in_flight_)
+  if (!is_sending())
     return;
+  LogCancelled(*active_, reason, now);
+  CloseSend(active_);
+}
+
+void RelayedCall::CancelReplacement(SendCancelReason reason, Instant now) {
+  assert(replacement_ != nullptr);
+  LogCancelled(*replacement_, reason, now);
+  CloseSend(replacement_);
+  DropBufferedAnswer(replacement_);
+  replacement_ = nullptr;
+}
+
+void RelayedCall::PromoteReplacement() {
+  assert(replacement_ != nullptr && !is_sending());
+  DropBufferedAnswer(active_);
+  active_ = std::exchange(replacement_, nullptr);
+  paused_ = false;
+}
+
+void RelayedCall::LogCancelled(const TargetSend& send,
+                               SendCancelReason reason,
+                               Instant now) {
   // Callers that leave have a line of their own.
-  if (reason != SendCancelReason::kCallerLeft) {
-    const auto broken_since = call_.path_broken_since();
-    context_->log->Write(
-        Event::kCallSendCancelled, now,
-        {{"id", call_.request().attempt_id},
-         {"reason", std::string(kSendCancelReasonNames.Name(reason))},
-         {"send", static_cast<int64_t>(call_.sends())},
-         {"target", dispatch_.target_id},
-         {"after_ms", MillisecondsBetween(sent_at_, now)},
-         {"path_broken_ms",
-          broken_since ? MillisecondsBetween(*broken_since, now) : -1.0},
-         {"heard_ms_ago", HeardMillisecondsAgo(now)},
-         {"last_event", call_.last_event()},
-         {"entry_stopping", context_->is_stopping()}});
-  }
-  CloseSend();
+  if (reason == SendCancelReason::kCallerLeft)
+    return;
+  const auto broken_since = call_.path_broken_since();
+  context_->log->Write(
+      Event::kCallSendCancelled, now,
+      {{"id", call_.request().attempt_id},
+       {"reason", std::string(kSendCancelReasonNames.Name(reason))},
+       {"send", static_cast<int64_t>(send.number)},
+       {"target", send.dispatch.target_id},
+       {"after_ms", MillisecondsBetween(send.sent_at, now)},
+       {"path_broken_ms",
+        broken_since ? MillisecondsBetween(*broken_since, now) : -1.0},
+       {"heard_ms_ago", HeardMillisecondsAgo(send.dispatch, now)},
+       {"last_event", call_.last_event()},
+       {"entry_stopping", context_->is_stopping()}});
 }
 
-void RelayedCall::CloseSend() {
-  if (!send_in_flight_)
+void RelayedCall::CloseSend(TargetSend* send) {
+  if (!send->in_flight)
     return;
-  FinishSend(false, sent_at_);
-  context_->client->Cancel(exchange_);
+  FinishSend(send, false, send->sent_at);
+  context_->client->Cancel(send->exchange);
 }
 
-int64_t RelayedCall::HeardMillisecondsAgo(Instant now) const {
-  const FleetTarget* target = context_->registry->Find(dispatch_.target_id);
+int64_t RelayedCall::HeardMillisecondsAgo(const CallDispatch& path,
+                                          Instant now) const {
+  const FleetTarget* target = context_->registry->Find(path.target_id);
   if (target == nullptr || target->heard_at == Instant{})
     return -1;
   return RemainingMilliseconds(now, target->heard_at);
 }
 
-void RelayedCall::FinishSend(bool failed, Instant now) {
-  send_in_flight_ = false;
-  is_continuation_refused_ = false;
-  context_->selector->RemoveInFlight(&dispatch_);
-  FleetTarget* target = context_->registry->Find(dispatch_.target_id);
-  if (target != nullptr && now > sent_at_) {
+void RelayedCall::FinishSend(TargetSend* send, bool failed, Instant now) {
+  send->in_flight = false;
+  send->is_continuation_refused = false;
+  context_->selector->RemoveInFlight(&send->dispatch);
+  FleetTarget* target = context_->registry->Find(send->dispatch.target_id);
+  if (target != nullptr && now > send->sent_at) {
     context_->registry->RecordOutcome(target, failed,
-                                      MillisecondsBetween(sent_at_, now));
+                                      MillisecondsBetween(send->sent_at, now));
   }
 }
 
@@ -376,8 +418,8 @@
        {"outcome",
         std::string(kExecutionStatusNames.Name(failure.execution_status))},
        {"sends", static_cast<int64_t>(call_.sends())},
-       {"last_target", dispatch_.target_id},
-       {"heard_ms_ago", HeardMillisecondsAgo(now)},
+       {"last_target", path().target_id},
+       {"heard_ms_ago", HeardMillisecondsAgo(path(), now)},
        {"parts", quarantine == nullptr ? std::string()
                                        : FormatTraits(quarantine->traits)},
        {"after_ms", MillisecondsBetween(request.arrived, now)},
@@ -398,8 +440,9 @@
 
 std::string RelayedCall::RelayedFields() const {
   std::string fields;
-  const std::string* connection = answer_head_.Find("Connection");
-  for (const HttpField& it : answer_head_.fields) {
+  const HttpHead& head = active_->head;
+  const std::string* connection = head.Find("Connection");
+  for (const HttpField& it : head.fields) {
     if (IsConnectionSpecificField(it.name))
       continue;
     if (connection != nullptr && HasListToken(*connection, it.name))
@@ -413,8 +456,8 @@
   if (caller_ == nullptr)
     return;
   std::exchange(caller_, nullptr)
-      ->SendResponse(answer_head_.status, answer_head_.reason, RelayedFields(),
-                     answer_body_);
+      ->SendResponse(active_->head.status, active_->head.reason,
+                     RelayedFields(), active_->body);
 }
 
 void RelayedCall::AbortResponse(CallEndReason end) {
@@ -429,119 +472,132 @@
        {"sends", static_cast<int64_t>(call_.sends())},
        {"events", events_relayed_},
        {"silent_ms", MillisecondsBetween(last_relayed_, now)},
-       {"heard_ms_ago", HeardMillisecondsAgo(now)},
+       {"heard_ms_ago", HeardMillisecondsAgo(path(), now)},
        {"after_ms", MillisecondsBetween(call_.request().arrived, now)},
        {"entry_stopping", context_->is_stopping()},
        {"last_event", call_.last_event()},
-       {"last_target", dispatch_.target_id},
-       {"path", PathText(dispatch_)}});
+       {"last_target", path().target_id},
+       {"path", PathText(path())}});
   if (caller_ != nullptr)
     std::exchange(caller_, nullptr)->Abort();
 }
 
-bool RelayedCall::IsGoodStreamHead() const {
+bool RelayedCall::IsGoodStreamHead(const TargetSend& send) const {
   return call_.request().route->kind == CallKind::kStream &&
-         answer_head_.status == 200 && answer_fields_.has_signature &&
-         !answer_fields_.encoded &&
-         (!resuming_ || SameFieldName(MediaType(answer_head_), media_type_));
+         send.head.status == 200 && send.fields.has_signature &&
+         !send.fields.encoded &&
+         (!send.resuming || SameFieldName(MediaType(send.head), media_type_));
 }
 
-void RelayedCall::OnResponseHead(HttpHead head) {
-  answer_head_ = std::move(head);
-  answer_fields_ = platform::DecodeResponse(answer_head_);
-  streaming_ = IsGoodStreamHead();
-  is_continuation_refused_ = resuming_ && !streaming_;
+void RelayedCall::OnResponseHead(TargetSend* send, HttpHead head) {
+  send->head = std::move(head);
+  send->fields = platform::DecodeResponse(send->head);
+  send->streaming = IsGoodStreamHead(*send);
+  send->is_continuation_refused = send->resuming && !send->streaming;
 }
 
-void RelayedCall::OnResponseBody(std::string_view data) {
-  if (streaming_) {
-    RelayEvents(data);
+void RelayedCall::OnResponseBody(TargetSend* send, std::string_view data) {
+  if (send->streaming) {
+    RelayEvents(send, data);
     return;
   }
-  answer_body_.append(data);
+  send->body.append(data);
   context_->buffered_bytes += data.size();
-  if (answer_body_.size() > kMaxAnswerBytes ||
+  if (send->body.size() > kMaxAnswerBytes ||
       context_->buffered_bytes > kMaxBufferedBytes) {
-    DropBufferedAnswer();
-    FailBadAnswer("answer too large");
+    DropBufferedAnswer(send);
+    FailBadAnswer(send, "answer too large");
   }
 }
 
-void RelayedCall::DropBufferedAnswer() {
-  context_->buffered_bytes -= answer_body_.size();
-  answer_body_.clear();
+void RelayedCall::DropBufferedAnswer(TargetSend* send) {
+  context_->buffered_bytes -= send->body.size();
+  send->body.clear();
 }
 
-void RelayedCall::FailBadAnswer(std::string_view evidence) {
-  context_->client->Cancel(exchange_);
-  FailSend({CallEndReason::kBadAnswer, false, false, {}}, evidence);
+void RelayedCall::FailBadAnswer(TargetSend* send, std::string_view evidence) {
+  context_->client->Cancel(send->exchange);
+  FailSend(send, {CallEndReason::kBadAnswer, false, false, {}}, evidence);
 }
 
-std::string_view RelayedCall::FindEventFault(const StreamEvent& event,
-                                             int64_t last) const {
+std::string_view RelayedCall::FindEventFault(const TargetSend& send,
+                                             const StreamEvent& event,
+                                             int64_t last) {
   // A target that resumes after an event must not repeat it; ids increase.
   if (event.id)
     return *event.id <= last ? "event out of order" : "";
-  return awaits_first_event() && HasData(event) ? "event without id" : "";
+  return send.awaits_first_event() && HasData(event) ? "event without id" : "";
 }
 
-std::string_view RelayedCall::CollectEvents(std::string_view data,
+std::string_view RelayedCall::CollectEvents(TargetSend* send,
+                                            std::string_view data,
                                             int64_t* last) {
   chunk_.clear();
   chunk_ends_unnumbered_ = false;
-  for (const StreamEvent& it : splitter_.Split(data)) {
-    const std::string_view fault = FindEventFault(it, *last);
+  for (const StreamEvent& it : send->splitter.Split(data)) {
+    const std::string_view fault = FindEventFault(*send, it, *last);
     if (!fault.empty())
       return fault;
     // Comments and the like before the first event repeat the first target's.
-    if (!it.id && awaits_first_event())
+    if (!it.id && !HasData(it) && send->events == 0 &&
+        (send->resuming || send == replacement_))
       continue;
     if (it.id) {
       *last = *it.id;
       ++events_relayed_;
-      if (++events_of_send_ == kEventsOfStartedOutput)
+      if (++send->events == TargetSend::kEventsOfStartedOutput)
         context_->crash_guard->OnOutput(Guarded(), EventLoop::Now());
     }
     chunk_ends_unnumbered_ = !it.id && (chunk_ends_unnumbered_ || HasData(it));
     chunk_.append(it.text);
   }
-  return splitter_.is_overlong() ? "event without end" : "";
+  return send->splitter.is_overlong() ? "event without end" : "";
 }
 
-void RelayedCall::RelayEvents(std::string_view data) {
+void RelayedCall::AcceptOutput(TargetSend* send, Instant now) {
+  if (send == replacement_)
+    call_.OnReplacementOutput(now);
+}
+
+void RelayedCall::RelayEvents(TargetSend* send, std::string_view data) {
   int64_t last = call_.last_event();
-  const std::string_view fault = CollectEvents(data, &last);
+  const std::string_view fault = CollectEvents(send, data, &last);
   if (!fault.empty()) {
-    FailBadAnswer(fault);
+    FailBadAnswer(send, fault);
     return;
   }
   if (chunk_.empty() || caller_ == nullptr)
     return;
   const Instant now = EventLoop::Now();
-  context_->selector->MarkPromptRead(&dispatch_);
+  AcceptOutput(send, now);
+  context_->selector->MarkPromptRead(&send->dispatch);
   if (!call_.relaying())
     call_.OnResponseStarted(now);
-  if (!head_relayed_) {
-    head_relayed_ = true;
-    media_type_ = MediaType(answer_head_);
-    first_relayed_ = now;
-    context_->metrics->ObserveFirstEvent(
-        MillisecondsBetween(call_.request().arrived, now) / 1000);
-    caller_->BeginStream(answer_head_.status, answer_head_.reason,
-                         RelayedFields(), chunk_);
-  } else {
-    caller_->WriteChunk(chunk_);
-  }
+  WriteEvents(*send, now);
   RecordEventGap(last, now);
   call_.OnEventRelayed(last, now);
   if (chunk_ends_unnumbered_)
     call_.OnUnnumberedOutput();
   if (!paused_ && caller_->queued_bytes() > kStopReadingBytes) {
     paused_ = true;
-    context_->client->SetReadingPaused(exchange_, true);
+    context_->client->SetReadingPaused(send->exchange, true);
   }
 }
 
+void RelayedCall::WriteEvents(const TargetSend& send, Instant now) {
+  if (head_relayed_) {
+    caller_->WriteChunk(chunk_);
+    return;
+  }
+  head_relayed_ = true;
+  media_type_ = MediaType(send.head);
+  first_relayed_ = now;
+  context_->metrics->ObserveFirstEvent(
+      MillisecondsBetween(call_.request().arrived, now) / 1000);
+  caller_->BeginStream(send.head.status, send.head.reason, RelayedFields(),
+                       chunk_);
+}
+
 void RelayedCall::RecordEventGap(int64_t event_id, Instant now) {
   const Instant last = std::exchange(last_relayed_, now);
   if (last == Instant{})
@@ -552,7 +608,7 @@
   longest_event_gap_ = event_gap;
   event_after_longest_gap_ = event_id;
   if (IsLateEventGap(event_gap))
-    late_gap_path_ = PathText(dispatch_);
+    late_gap_path_ = PathText(path());
 }
 
 bool RelayedCall::IsLateEventGap(Milliseconds event_gap) const {
@@ -594,55 +650,44 @@
        {"pause_before_event", event_after_longest_gap_},
        {"pause_path", late_gap_path_},
        {"sends", static_cast<int64_t>(call_.sends())},
-       {"target", dispatch_.target_id}});
+       {"target", path().target_id}});
 }
 
-bool RelayedCall::FailUnusableAnswer() {
-  if (answer_fields_.not_run) {
-    FailSend(
-        {CallEndReason::kNoRoom, true, false, answer_fields_.fault_address},
-        "not run, status " + std::to_string(answer_head_.status));
+bool RelayedCall::FailUnusableAnswer(TargetSend* send) {
+  if (send->fields.not_run) {
+    FailSend(send,
+             {CallEndReason::kNoRoom, true, false, send->fields.fault_address},
+             "not run, status " + std::to_string(send->head.status));
     return true;
   }
-  if (is_success() &&
-      (!answer_fields_.has_signature || answer_fields_.encoded)) {
-    FailSend({CallEndReason::kBadAnswer, false, false, {}},
+  if (send->is_success() &&
+      (!send->fields.has_signature || send->fields.encoded)) {
+    FailSend(send, {CallEndReason::kBadAnswer, false, false, {}},
              "not the target's body");
     return true;
   }
-  if (answer_head_.status >= kFirstServerErrorStatus || resuming_) {
-    FailSend({CallEndReason::kBadAnswer, false, !resuming_, {}},
-             "status " + std::to_string(answer_head_.status));
+  if (send->head.status >= kFirstServerErrorStatus || send->resuming) {
+    FailSend(send, {CallEndReason::kBadAnswer, false, !send->resuming, {}},
+             "status " + std::to_string(send->head.status));
     return true;
   }
   return false;
 }
 
-void RelayedCall::OnResponseEnd() {
+void RelayedCall::OnResponseEnd(TargetSend* send) {
   const Instant now = EventLoop::Now();
-  if (streaming_) {
-    if (splitter_.has_partial_event() || !has_output()) {
-      FailSend({CallEndReason::kBadAnswer, false, false, {}}, "stream cut");
-      return;
-    }
-    FinishSend(false, now);
-    if (!began_output())
-      context_->crash_guard->OnOutput(Guarded(), now);
-    call_.OnResponseComplete();
-    context_->metrics->CountServed(call_.request().service);
-    RecordResponseLength();
-    LogFinished(now);
-    if (caller_ != nullptr)
-      std::exchange(caller_, nullptr)->EndStream();
+  if (send->streaming) {
+    FinishStream(send, now);
     return;
   }
-  if (FailUnusableAnswer())
+  if (FailUnusableAnswer(send))
     return;
-  FinishSend(false, now);
+  AcceptOutput(send, now);
+  FinishSend(send, false, now);
   // An error response does not show that the target could write an answer.
-  if (is_success())
+  if (send->is_success())
     context_->crash_guard->OnOutput(Guarded(), now);
-  call_.OnResponseComplete();
+  call_.OnResponseComplete(now);
   context_->metrics->CountServed(call_.request().service);
   LogFinished(now);
   context_->metrics->ObserveAnswer(
@@ -650,45 +695,73 @@
   RelayBufferedResponse();
 }
 
-void RelayedCall::OnExchangeFailed(ExchangeFailure failure) {
-  SendFailure send;
-  send.not_run = failure == ExchangeFailure::kNotConnected;
-  send.end = failure == ExchangeFailure::kBadAnswer
-                 ? CallEndReason::kBadAnswer
-                 : CallEndReason::kConnectionBroken;
-  const std::string target_id = dispatch_.target_id;
-  const Instant asked_at = sent_at_;
+void RelayedCall::FinishStream(TargetSend* send, Instant now) {
+  // A replacement that has brought no event yet cannot end the stream.
+  if (send == replacement_ || send->splitter.has_partial_event() ||
+      !has_output(*send)) {
+    FailSend(send, {CallEndReason::kBadAnswer, false, false, {}}, "stream cut");
+    return;
+  }
+  FinishSend(send, false, now);
+  if (!send->began_output())
+    context_->crash_guard->OnOutput(Guarded(), now);
+  call_.OnResponseComplete(now);
+  context_->metrics->CountServed(call_.request().service);
+  RecordResponseLength();
+  LogFinished(now);
+  if (caller_ != nullptr)
+    std::exchange(caller_, nullptr)->EndStream();
+}
+
+void RelayedCall::OnExchangeFailed(TargetSend* send, ExchangeFailure failure) {
+  SendFailure send_failure;
+  send_failure.not_run = failure == ExchangeFailure::kNotConnected;
+  send_failure.end = failure == ExchangeFailure::kBadAnswer
+                         ? CallEndReason::kBadAnswer
+                         : CallEndReason::kConnectionBroken;
+  const std::string target_id = send->dispatch.target_id;
+  const Instant asked_at = send->sent_at;
   if (failure == ExchangeFailure::kBroken) {
-    context_->crash_guard->OnCallBroken(Guarded(), target_id, sent_at_,
-                                        began_output(), EventLoop::Now());
+    context_->crash_guard->OnCallBroken(Guarded(), target_id, asked_at,
+                                        send->began_output(), EventLoop::Now());
   }
-  FailSend(send, failure == ExchangeFailure::kNotConnected ? "not connected"
-                 : failure == ExchangeFailure::kBroken     ? "broken"
-                                                           : "bad answer");
+  FailSend(send, send_failure,
+           failure == ExchangeFailure::kNotConnected ? "not connected"
+           : failure == ExchangeFailure::kBroken     ? "broken"
+                                                     : "bad answer");
   // Reported after FailSend() has rerouted this call, so that it is not
   // rerouted twice.
   if (failure == ExchangeFailure::kNotConnected)
     context_->on_target_fault({target_id, "not connected", asked_at, false});
 }
 
-void RelayedCall::FailSend(const SendFailure& failure,
+void RelayedCall::FailSend(TargetSend* send,
+                           const SendFailure& failure,
                            std::string_view evidence) {
   const Instant now = EventLoop::Now();
-  if (!send_in_flight_)
+  if (!send->in_flight)
     return;
-  FinishSend(true, now);
-  context_->log->Write(Event::kCallSendFailed, now,
-                       {{"id", call_.request().attempt_id},
-                        {"send", static_cast<int64_t>(call_.sends())},
-                        {"target", dispatch_.target_id},
-                        {"evidence", std::string(evidence)},
-                        {"at_fault", failure.fault_address},
-                        {"not_run", failure.not_run},
-                        {"after_ms", MillisecondsBetween(sent_at_, now)},
-                        {"heard_ms_ago", HeardMillisecondsAgo(now)},
-                        {"last_event", call_.last_event()},
-                        {"parts", FormatTraits(call_.request().shared_parts)}});
-  call_.OnSendFailed(failure, now);
+  FinishSend(send, true, now);
+  const bool is_replacement = send == replacement_;
+  context_->log->Write(
+      Event::kCallSendFailed, now,
+      {{"id", call_.request().attempt_id},
+       {"send", static_cast<int64_t>(send->number)},
+       {"target", send->dispatch.target_id},
+       {"evidence", std::string(evidence)},
+       {"at_fault", failure.fault_address},
+       {"not_run", failure.not_run},
+       {"after_ms", MillisecondsBetween(send->sent_at, now)},
+       {"heard_ms_ago", HeardMillisecondsAgo(send->dispatch, now)},
+       {"last_event", call_.last_event()},
+       {"parts", FormatTraits(call_.request().shared_parts)}});
+  if (is_replacement) {
+    DropBufferedAnswer(send);
+    replacement_ = nullptr;
+    call_.OnReplacementFailed(failure, now);
+  } else {
+    call_.OnSendFailed(failure, now);
+  }
   if (failure.fault_address.empty())
     return;
   if (const FleetTarget* it =
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -13,6 +13,7 @@
 #include "bbv_entry/crash_guard.h"
 #include "bbv_entry/rate_limit_exchange.h"
 #include "bbv_entry/target_requests.h"
+#include "bbv_entry/target_send.h"
 #include "bbv_fleet/bbv_fleet.h"
 #include "bbv_front/caller_connection.h"
 #include "bbv_front/http_client.h"
@@ -53,7 +54,7 @@
 // connection and the HTTP exchanges with targets.
 //
 // Thread safety: none, the loop's thread.
-class RelayedCall final : public FleetCallDelegate, public ExchangeSink {
+class RelayedCall final : public FleetCallDelegate, public TargetSendOwner {
  public:
   // `index` is the configuration that applies to the call until it ends.
   RelayedCall(CallContext* context,
@@ -102,6 +103,8 @@
   void ChangePath(const CallDispatch& path, Instant now) override;
   void Send(const CallDispatch& dispatch, Instant now) override;
   void CancelSend(SendCancelReason reason, Instant now) override;
+  void CancelReplacement(SendCancelReason reason, Instant now) override;
+  void PromoteReplacement() override;
   bool TakeRetry(Instant now) override;
   void Fail(const CallFailure& failure) override;
   void RelayBufferedResponse() override;
@@ -110,39 +113,56 @@
   Milliseconds RetryAfter(const CallRequest& request,
                           CallEndReason end) override;
 
-  // ExchangeSink:
-  void OnResponseHead(HttpHead head) override;
-  void OnResponseBody(std::string_view data) override;
-  void OnResponseEnd() override;
-  void OnExchangeFailed(ExchangeFailure failure) override;
+  // TargetSendOwner:
+  void OnResponseHead(TargetSend* send, HttpHead head) override;
+  void OnResponseBody(TargetSend* send, std::string_view data) override;
+  void OnResponseEnd(TargetSend* send) override;
+  void OnExchangeFailed(TargetSend* send, ExchangeFailure failure) override;
 
  private:
   GuardedCall Guarded() const {
     return {call_.request().service, call_.request().attempt_id, traits_};
   }
+  // Path of the last active send; empty before the first one.
+  const CallDispatch& path() const;
+  bool is_sending() const { return active_ != nullptr && active_->in_flight; }
   void OnPathChangeAnswer(const OrderAnswer& answer, const CallDispatch& path);
-  void RelayEvents(std::string_view data);
+  // Serialized request of `send` and its deadlines.
+  ExchangeRequest MakeExchange(const TargetSend& send, Instant now) const;
+  void RelayEvents(TargetSend* send, std::string_view data);
+  // Writes the events of `chunk_` to the caller.
+  void WriteEvents(const TargetSend& send, Instant now);
   // Replaces `chunk_` by the events that `data` completes and advances `last`,
   // the id of the last event. Returns why the target's output is faulty; empty
   // if it is not.
-  std::string_view CollectEvents(std::string_view data, int64_t* last);
-  std::string_view FindEventFault(const StreamEvent& event, int64_t last) const;
-  // Fails the current send because its answer violates the protocol.
-  void FailBadAnswer(std::string_view evidence);
-  // Fails the current send if its answer, which is not a stream, cannot be
-  // relayed; returns whether that is so.
-  bool FailUnusableAnswer();
-  bool is_success() const {
-    return answer_head_.status >= 200 && answer_head_.status < 300;
-  }
-  void DropBufferedAnswer();
-  void FailSend(const SendFailure& failure, std::string_view evidence);
-  void FinishSend(bool failed, Instant now);
-  // Closes the connection of the active send, if any.
-  void CloseSend();
-  // Milliseconds since anything was received from the target of the last send;
+  std::string_view CollectEvents(TargetSend* send,
+                                 std::string_view data,
+                                 int64_t* last);
+  static std::string_view FindEventFault(const TargetSend& send,
+                                         const StreamEvent& event,
+                                         int64_t last);
+  // Output of `send` is about to be relayed: a replacement takes over, and
+  // output of the active send ends the replacement.
+  void AcceptOutput(TargetSend* send, Instant now);
+  // Fails a send because its answer violates the protocol.
+  void FailBadAnswer(TargetSend* send, std::string_view evidence);
+  // Fails a send if its answer, which is not a stream, cannot be relayed;
+  // returns whether that is so.
+  bool FailUnusableAnswer(TargetSend* send);
+  void FinishStream(TargetSend* send, Instant now);
+  void DropBufferedAnswer(TargetSend* send);
+  void FailSend(TargetSend* send,
+                const SendFailure& failure,
+                std::string_view evidence);
+  void FinishSend(TargetSend* send, bool failed, Instant now);
+  // Closes the connection of `send` if it is in flight.
+  void CloseSend(TargetSend* send);
+  void LogCancelled(const TargetSend& send,
+                    SendCancelReason reason,
+                    Instant now);
+  // Milliseconds since anything was received from the first target of `path`;
   // -1 if nothing was.
-  int64_t HeardMillisecondsAgo(Instant now) const;
+  int64_t HeardMillisecondsAgo(const CallDispatch& path, Instant now) const;
   void RecordEventGap(int64_t event_id, Instant now);
   // Whether `event_gap` exceeds the limit of the call's route for the time
   // between two events.
@@ -152,21 +172,13 @@
   // Logs a successful call if it was late or was sent more than once.
   void LogFinished(Instant now);
   std::string RelayedFields() const;
-  bool IsGoodStreamHead() const;
-  // Whether the stream of the current send may end as complete. A stream that
-  // is resumed but brings no event may as well have failed.
-  bool has_output() const { return call_.relaying() && !awaits_first_event(); }
-  // Whether the current send resumes a stream and has brought no event yet.
-  bool awaits_first_event() const { return resuming_ && events_of_send_ == 0; }
-  // Whether the target of the current send has begun to write the answer and
-  // has gone on.
-  bool began_output() const {
-    return events_of_send_ >= kEventsOfStartedOutput;
+  bool IsGoodStreamHead(const TargetSend& send) const;
+  // Whether the stream of `send` may end as complete. A stream that is resumed
+  // but brings no event may as well have failed.
+  bool has_output(const TargetSend& send) const {
+    return call_.relaying() && !send.awaits_first_event();
   }
 
-  // A target may fail while it writes the first event.
-  static constexpr int kEventsOfStartedOutput = 2;
-
   CallContext* context_;
   std::shared_ptr<FleetIndex> index_;
   // Null after the caller was answered or has disconnected.
@@ -178,28 +190,22 @@
 
   // Why the last path selection failed.
   PathFailure path_failure_ = PathFailure::kNone;
-  HttpClient::ExchangeId exchange_ = 0;
-  bool send_in_flight_ = false;
-  CallDispatch dispatch_;
-  Instant sent_at_{};
-  HttpHead answer_head_;
-  platform::ResponseFields answer_fields_;
-  std::string answer_body_;
-  bool streaming_ = false;
+  // All sends of the call. Ended ones are kept, since they may still be
+  // executing one of their own callbacks.
+  std::vector<std::unique_ptr<TargetSend>> sends_;
+  // The send whose output is relayed; ended if it failed and no other send has
+  // taken its place.
+  TargetSend* active_ = nullptr;
+  // The send that takes over if it brings output before the active one does;
+  // null if there is none.
+  TargetSend* replacement_ = nullptr;
   bool head_relayed_ = false;
   // Type of the body whose head was relayed.
   std::string media_type_;
-  // Whether the current send continues a stream whose head was relayed.
-  bool resuming_ = false;
-  // Whether the head of the current send's answer showed that it does not
-  // continue the stream.
-  bool is_continuation_refused_ = false;
   // Whether reading of the answer is paused because the caller reads too
   // slowly.
   bool paused_ = false;
   int64_t events_relayed_ = 0;
-  // Events relayed from the current send.
-  int events_of_send_ = 0;
   Instant first_relayed_{};
   Instant last_relayed_{};
   // Longest time between two relayed events, the id of the event after it, and
@@ -207,7 +213,6 @@
   Milliseconds longest_event_gap_{};
   int64_t event_after_longest_gap_ = kNoEvent;
   std::string late_gap_path_;
-  EventSplitter splitter_;
   std::string chunk_;
   // Whether data without an id follows the last event of `chunk_`.
   bool chunk_ends_unnumbered_ = false;
--- /dev/null
+++ b/modules/bbv_entry/target_send.h
@@ -0,0 +1,82 @@
+#ifndef MODULES_BBV_ENTRY_TARGET_SEND_H_
+#define MODULES_BBV_ENTRY_TARGET_SEND_H_
+
+#include <string>
+#include <string_view>
+
+#include "bbv_core/instant.h"
+#include "bbv_fleet/fleet_call.h"
+#include "bbv_front/http_client.h"
+#include "platform/call_codec.h"
+
+namespace bbv {
+
+class TargetSend;
+
+// Receives what happens to the sends of a call. Any method may cancel the
+// exchange of any send.
+class TargetSendOwner {
+ public:
+  virtual ~TargetSendOwner() = default;
+  virtual void OnResponseHead(TargetSend* send, HttpHead head) = 0;
+  virtual void OnResponseBody(TargetSend* send, std::string_view data) = 0;
+  virtual void OnResponseEnd(TargetSend* send) = 0;
+  virtual void OnExchangeFailed(TargetSend* send, ExchangeFailure failure) = 0;
+};
+
+// One send of a call: its exchange with the first target of its path, and what
+// was received so far. A call may have two of them, the active one and its
+// replacement.
+//
+// Thread safety: none, the loop's thread.
+class TargetSend final : public ExchangeSink {
+ public:
+  // `owner` must outlive the exchange. `resumes_stream` says whether a part of
+  // the stream was relayed from an earlier send. The exchange is not begun.
+  TargetSend(TargetSendOwner* owner,
+             int number,
+             CallDispatch path,
+             bool resumes_stream,
+             Instant now);
+
+  // Whether this send resumes a stream and has brought no event yet.
+  bool awaits_first_event() const { return resuming && events == 0; }
+  // Whether the target has begun to write the answer and has gone on.
+  bool began_output() const { return events >= kEventsOfStartedOutput; }
+  bool is_success() const { return head.status >= 200 && head.status < 300; }
+
+  // ExchangeSink:
+  void OnResponseHead(HttpHead response_head) override;
+  void OnResponseBody(std::string_view data) override;
+  void OnResponseEnd() override;
+  void OnExchangeFailed(ExchangeFailure failure) override;
+
+  // A target may fail while it writes the first event.
+  static constexpr int kEventsOfStartedOutput = 2;
+
+  // Counts the sends of the call from 1.
+  const int number;
+  const Instant sent_at;
+  CallDispatch dispatch;
+  HttpClient::ExchangeId exchange = 0;
+  bool in_flight = true;
+  HttpHead head;
+  platform::ResponseFields fields;
+  // Body received so far; unused for streams.
+  std::string body;
+  // Whether the head is that of a stream that can be relayed.
+  bool streaming = false;
+  const bool resuming;
+  // Whether the head showed that the answer does not continue the stream.
+  bool is_continuation_refused = false;
+  EventSplitter splitter;
+  // Events relayed from this send.
+  int events = 0;
+
+ private:
+  TargetSendOwner* owner_;
+};
+
+}  // namespace bbv
+
+#endif  // MODULES_BBV_ENTRY_TARGET_SEND_H_
--- a/modules/bbv_fleet/fleet_call.cc
+++ b/modules/bbv_fleet/fleet_call.cc
@@ -20,8 +20,8 @@
 // Stall timeout before the first event, which has to wait for the prefill of
 // the prompt.
 constexpr Milliseconds kFirstEventStallTimeout{400};
-// How long an active stream waits for a path. Callers disconnect from silent
-// streams soon after that.
+// How long a stream whose send has ended waits for a path. Callers disconnect
+// from silent streams soon after that.
 constexpr Milliseconds kPathWait{1700};
 constexpr Milliseconds kPathSearchInterval{60};
 // Limit on the path changes of one call, and the timeout of each change.
@@ -30,6 +30,9 @@
 // An event that arrives later than this after the loss of a hop proves that the
 // path still works; an earlier one may have been in flight already.
 constexpr Milliseconds kInFlightEventWindow{100};
+// Events that were on their way when a hop failed arrive within this time. A
+// replacement that was sent earlier would send them again.
+constexpr Milliseconds kEventTransitTime{40};
 // Limits on the wait for capacity: a percentage of the route's objective and an
 // absolute maximum.
 constexpr int kCapacityWaitPercent = 60;
@@ -93,6 +96,32 @@
   delegate_->Send(dispatch_, now);
 }
 
+void FleetCall::SendReplacement(CallDispatch dispatch, Instant now) {
+  assert(sending_ && !replacement_);
+  dispatch.last_event = last_event_;
+  replacement_ = std::move(dispatch);
+  replacement_sent_ = now;
+  ++sends_;
+  ++possible_runs_;
+  delegate_->Send(*replacement_, now);
+}
+
+void FleetCall::CancelReplacement(SendCancelReason reason, Instant now) {
+  if (!replacement_)
+    return;
+  replacement_.reset();
+  delegate_->CancelReplacement(reason, now);
+}
+
+void FleetCall::TakeReplacement() {
+  dispatch_ = *std::exchange(replacement_, std::nullopt);
+  silent_since_ = replacement_sent_;
+  sending_ = true;
+  pending_path_.reset();
+  MarkPathWhole();
+  delegate_->PromoteReplacement();
+}
+
 Instant FleetCall::CapacityDeadline() const {
   const auto wait = std::min<Milliseconds>(
       kMaxCapacityWait,
@@ -146,13 +175,12 @@
   return IsIdempotent() && CanRetry({});
 }
 
-void FleetCall::Exclude(const SendFailure& failure) {
-  const auto& addresses = dispatch_.hop_addresses;
+void FleetCall::Exclude(const CallDispatch& path, const SendFailure& failure) {
+  const auto& addresses = path.hop_addresses;
   const auto it =
       std::find(addresses.begin(), addresses.end(), failure.fault_address);
-  ExcludeTarget(it != addresses.end()
-                    ? dispatch_.hop_ids[it - addresses.begin()]
-                    : dispatch_.target_id);
+  ExcludeTarget(it != addresses.end() ? path.hop_ids[it - addresses.begin()]
+                                      : path.target_id);
 }
 
 void FleetCall::ExcludeTarget(const std::string& id) {
@@ -168,15 +196,14 @@
   if (done_ || !sending_)
     return;
   sending_ = false;
+  RecordFailure(failure);
+  Exclude(dispatch_, failure);
+  if (replacement_) {
+    TakeReplacement();
+    return;
+  }
   MarkPathWhole();
   pending_path_.reset();
-  if (failure.not_run)
-    --possible_runs_;
-  else if (failure.has_buffered_response)
-    execution_status_ = ExecutionStatus::kRan;
-  else if (execution_status_ == ExecutionStatus::kNotRun)
-    execution_status_ = ExecutionStatus::kUnknown;
-  Exclude(failure);
   if (now + kMinRemainingTime >= request_.deadline) {
     EndCall(CallEndReason::kDeadline, failure.has_buffered_response, now);
     return;
@@ -188,6 +215,31 @@
   ChooseAndSend(failure, now);
 }
 
+void FleetCall::RecordFailure(const SendFailure& failure) {
+  if (failure.not_run)
+    --possible_runs_;
+  else if (failure.has_buffered_response)
+    execution_status_ = ExecutionStatus::kRan;
+  else if (execution_status_ == ExecutionStatus::kNotRun)
+    execution_status_ = ExecutionStatus::kUnknown;
+}
+
+void FleetCall::OnReplacementFailed(const SendFailure& failure, Instant now) {
+  if (done_ || !replacement_)
+    return;
+  const CallDispatch path = *std::exchange(replacement_, std::nullopt);
+  RecordFailure(failure);
+  Exclude(path, failure);
+  next_path_search_ = now + kPathSearchInterval;
+}
+
+void FleetCall::OnReplacementOutput(Instant now) {
+  assert(replacement_ && sending_);
+  delegate_->CancelSend(SendCancelReason::kReplaced, now);
+  sending_ = false;
+  TakeReplacement();
+}
+
 void FleetCall::OnResponseStarted(Instant now) {
   relaying_ = true;
   execution_status_ = ExecutionStatus::kRan;
@@ -196,6 +248,8 @@
 }
 
 void FleetCall::OnEventRelayed(int64_t event_id, Instant now) {
+  // Its output would repeat this event.
+  CancelReplacement(SendCancelReason::kNotNeeded, now);
   if (event_id != last_event_)
     has_unnumbered_output_ = false;
   last_event_ = event_id;
@@ -203,7 +257,8 @@
   silent_since_ = now;
 }
 
-void FleetCall::OnResponseComplete() {
+void FleetCall::OnResponseComplete(Instant now) {
+  CancelReplacement(SendCancelReason::kNotNeeded, now);
   sending_ = false;
   done_ = true;
 }
@@ -212,9 +267,7 @@
   if (done_)
     return;
   done_ = true;
-  if (sending_)
-    delegate_->CancelSend(SendCancelReason::kCallerLeft, now);
-  sending_ = false;
+  CancelSends(SendCancelReason::kCallerLeft, now);
 }
 
 void FleetCall::OnTick(Instant now) {
@@ -236,11 +289,12 @@
       CheckBrokenPath(now);
     return;
   }
-  CancelActiveSend(SendCancelReason::kDeadline, now);
+  CancelSends(SendCancelReason::kDeadline, now);
   EndCall(CallEndReason::kDeadline, false, now);
 }
 
-void FleetCall::CancelActiveSend(SendCancelReason reason, Instant now) {
+void FleetCall::CancelSends(SendCancelReason reason, Instant now) {
+  CancelReplacement(reason, now);
   if (!sending_)
     return;
   delegate_->CancelSend(reason, now);
@@ -257,20 +311,11 @@
 void FleetCall::CheckBrokenPath(Instant now) {
   if (relaying_ &&
       last_progress_ >= *path_broken_since_ + kInFlightEventWindow) {
+    CancelReplacement(SendCancelReason::kNotNeeded, now);
     MarkPathWhole();
     return;
   }
-  if (pending_path_)
-    return;
-  // A first target that is dead delivers nothing more.
-  const Instant since =
-      first_target_suspected_ ? last_progress_ : *path_broken_since_;
-  if (now >= since + kPathWait) {
-    CancelActiveSend(SendCancelReason::kNoPath, now);
-    EndCall(CallEndReason::kNoTarget, false, now);
-    return;
-  }
-  if (now < next_path_search_)
+  if (pending_path_ || replacement_ || now < next_path_search_)
     return;
   // Targets excluded after earlier failures may have recovered.
   excluded_.clear();
@@ -280,6 +325,11 @@
 void FleetCall::OnPathFault(const std::string& target_id, Instant now) {
   if (done_ || !sending_)
     return;
+  if (replacement_ && UsesHop(*replacement_, target_id) && CanRetry({})) {
+    CancelReplacement(SendCancelReason::kPathFault, now);
+    ExcludeTarget(target_id);
+    TryResend(now);
+  }
   const auto& ids = dispatch_.hop_ids;
   const auto hop = std::find(ids.begin(), ids.end(), target_id);
   if (hop == ids.end())
@@ -307,14 +357,14 @@
 void FleetCall::OnQuarantined(Instant now) {
   if (done_ || relaying_)
     return;
-  CancelActiveSend(SendCancelReason::kQuarantined, now);
+  CancelSends(SendCancelReason::kQuarantined, now);
   EndCall(CallEndReason::kQuarantined, false, now);
 }
 
 void FleetCall::OnForcedStop(Instant now) {
   if (done_)
     return;
-  CancelActiveSend(SendCancelReason::kStopping, now);
+  CancelSends(SendCancelReason::kStopping, now);
   EndCall(CallEndReason::kStopping, false, now);
 }
 
@@ -324,7 +374,7 @@
 }
 
 void FleetCall::TryReroute(Instant now) {
-  if (!pending_path_ && !StartReroute(now))
+  if (!pending_path_ && !replacement_ && !StartReroute(now))
     TryResend(now);
 }
 
@@ -342,22 +392,24 @@
 }
 
 void FleetCall::TryResend(Instant now) {
-  if (!CanRepeatActiveSend())
+  if (replacement_ || !CanRepeatActiveSend())
+    return;
+  if (relaying_ && now < last_progress_ + kEventTransitTime)
     return;
   CallEndReason end = CallEndReason::kNoTarget;
   auto dispatch = delegate_->Choose(request_, excluded_, now, &end);
   if (!dispatch)
     return;
-  // The first target counts as sound again: its run goes on unless it is lost.
+  // The first target counts as sound again, and its run goes on unless the
+  // target has restarted.
   if (first_target_suspected_ && dispatch->target_id == dispatch_.target_id &&
-      now < silent_since_ + StallTimeout()) {
+      dispatch->target_started_unix_ms == dispatch_.target_started_unix_ms) {
     MarkPathWhole();
     return;
   }
   if (!delegate_->TakeRetry(now))
     return;
-  CancelActiveSend(SendCancelReason::kReplaced, now);
-  SendTo(std::move(*dispatch), now);
+  SendReplacement(std::move(*dispatch), now);
 }
 
 void FleetCall::OnPathChanged(bool accepted,
@@ -392,6 +444,11 @@
   TryReroute(now);
 }
 
+bool FleetCall::UsesHop(const CallDispatch& path, const std::string& id) {
+  return std::find(path.hop_ids.begin(), path.hop_ids.end(), id) !=
+         path.hop_ids.end();
+}
+
 bool FleetCall::UsesExcludedHop() const {
   return std::any_of(dispatch_.hop_ids.begin(), dispatch_.hop_ids.end(),
                      [this](const std::string& it) { return IsExcluded(it); });
@@ -410,6 +467,13 @@
   return now - silent_since_ >= StallTimeout();
 }
 
+const CallDispatch* FleetCall::FindOverduePath(Instant now) const {
+  if (replacement_ && !done_ && request_.route->kind == CallKind::kStream &&
+      now >= replacement_sent_ + kFirstEventStallTimeout)
+    return &*replacement_;
+  return IsStalled(now) ? &dispatch_ : nullptr;
+}
+
 Milliseconds FleetCall::StallTimeout() const {
   if (!relaying_ || last_event_ == dispatch_.last_event)
     return kFirstEventStallTimeout;
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -42,18 +42,20 @@
 
 // Why an active send is cancelled.
 enum class SendCancelReason : uint8_t {
-  // Another send takes its place.
+  // Another send brought output in its place.
   kReplaced,
-  // Its path is broken and no other one was found in time.
-  kNoPath,
+  // It was to replace the active send, which has gone on.
+  kNotNeeded,
+  // It was to replace the active send, and a hop of its own path failed.
+  kPathFault,
   kDeadline,
   kCallerLeft,
   kQuarantined,
   kStopping,
 };
-inline constexpr NameTable<SendCancelReason, 6> kSendCancelReasonNames(
-    {"replaced", "no-path", "deadline", "caller-left", "quarantined",
-     "stopping"});
+inline constexpr NameTable<SendCancelReason, 7> kSendCancelReasonNames(
+    {"replaced", "not-needed", "path-fault", "deadline", "caller-left",
+     "quarantined", "stopping"});
 
 // Event id before the first event.
 inline constexpr int64_t kNoEvent = -1;
@@ -88,6 +90,8 @@
 struct CallDispatch {
   std::string target_id;
   std::string target_address;
+  // Start of the target's process, which tells restarts apart.
+  int64_t target_started_unix_ms = 0;
   // Empty for plain services.
   std::vector<LayerRange> layers;
   std::vector<std::string> hop_ids;
@@ -148,9 +152,15 @@
   // Instructs the first target to continue along `path`; its reply is passed to
   // OnPathChanged().
   virtual void ChangePath(const CallDispatch& path, Instant now) = 0;
+  // Sends the call. If a send is active, the new one is its replacement: both
+  // go on until one of them brings output.
   virtual void Send(const CallDispatch& dispatch, Instant now) = 0;
   // Closes the connection of the active send.
   virtual void CancelSend(SendCancelReason reason, Instant now) = 0;
+  // Closes the connection of the replacement.
+  virtual void CancelReplacement(SendCancelReason reason, Instant now) = 0;
+  // Makes the replacement the active send, which has ended.
+  virtual void PromoteReplacement() = 0;
   // Takes one retry from the shared budget; returns false if it is exhausted.
   virtual bool TakeRetry(Instant now) = 0;
   // Sends a failure to the caller. Called only if no part of a response was
@@ -189,14 +199,16 @@
 // When a hop after the first one fails, the first target is instructed to
 // continue on a rerouted path. The same execution continues, for every kind of
 // call, and no retry is spent. Only if no reroute exists, or if the first
-// target itself seems to have failed, is the call sent to another target; if
-// that is impossible too, the send is kept until the layers are available
-// again or it ends. A send is cancelled only when another one replaces it.
+// target itself seems to have failed, is the call sent to another target as
+// well. Silence does not show whether a target has failed or will go on, and
+// another target may refuse the call. The active send is therefore kept until
+// the replacement brings output, and whichever of the two brings output first
+// goes on. A call is never ended because its target is silent.
 //
-// An active stream without a path waits for a short time, because lost layers
-// are loaded on other targets meanwhile; the same holds if the retry budget is
-// exhausted. A call that finds no capacity waits for a part of its objective
-// before it is rejected.
+// A stream whose send has ended without another path waits for a short time,
+// because lost layers are loaded on other targets meanwhile; the same holds if
+// the retry budget is exhausted. A call that finds no capacity waits for a part
+// of its objective before it is rejected.
 //
 // Thread safety: none, owned by the thread of its connection.
 class FleetCall {
@@ -210,6 +222,13 @@
   // The active send ended without a valid response.
   void OnSendFailed(const SendFailure& failure, Instant now);
 
+  // The replacement ended without a valid response.
+  void OnReplacementFailed(const SendFailure& failure, Instant now);
+
+  // The replacement has brought output that is about to be relayed: it takes
+  // the place of the active send.
+  void OnReplacementOutput(Instant now);
+
   // The head of a valid response was received; for streams, it is relayed.
   void OnResponseStarted(Instant now);
 
@@ -221,7 +240,7 @@
   void OnUnnumberedOutput() { has_unnumbered_output_ = true; }
 
   // The valid response is complete and relayed.
-  void OnResponseComplete();
+  void OnResponseComplete(Instant now);
 
   // The caller disconnected.
   void OnCallerLeft(Instant now);
@@ -236,8 +255,8 @@
   void OnCapacityWaitTimeout(Instant now);
 
   // A hop of the path seems dead: the call continues without it as soon as it
-  // can. The active send is kept until another one replaces it, since the hop
-  // may be sound, and is given up if neither brings an event for a time.
+  // can. The active send is kept until another one has brought output, since
+  // the hop may be sound.
   void OnPathFault(const std::string& target_id, Instant now);
 
   // Hops after the first one give up the layers that the call uses there. They
@@ -261,6 +280,9 @@
   // Whether the stream has been silent for much longer than expected on its
   // path.
   bool IsStalled(Instant now) const;
+  // Path of the send that should have brought an event by now: the replacement,
+  // or the active send; null if none is overdue.
+  const CallDispatch* FindOverduePath(Instant now) const;
 
   bool done() const { return done_; }
   bool relaying() const { return relaying_; }
@@ -291,12 +313,19 @@
   // Whether the call may be sent again although its active send may run.
   bool CanRepeatActiveSend() const;
   void SendTo(CallDispatch dispatch, Instant now);
+  void SendReplacement(CallDispatch dispatch, Instant now);
+  void CancelReplacement(SendCancelReason reason, Instant now);
+  // The replacement becomes the active send, which has ended.
+  void TakeReplacement();
+  // Counts how a send that ended without a response leaves the call.
+  void RecordFailure(const SendFailure& failure);
   void ChooseAndSend(const SendFailure& failure, Instant now);
   // Whether a call that ends for this reason was withheld from targets because
   // it might crash them.
   static bool IsWithheld(CallEndReason end);
   void EndCall(CallEndReason end, bool has_buffered_response, Instant now);
-  void Exclude(const SendFailure& failure);
+  // Excludes the target at fault for a failed send along `path`.
+  void Exclude(const CallDispatch& path, const SendFailure& failure);
   void ExcludeTarget(const std::string& id);
   bool IsExcluded(const std::string& id) const;
   // Reroutes a call with a failed hop, or sends it to another target.
@@ -308,10 +337,11 @@
   // No hop of the path is missing any more.
   void MarkPathWhole();
   bool UsesExcludedHop() const;
+  static bool UsesHop(const CallDispatch& path, const std::string& id);
   // How long the active send may be silent before it counts as stalled.
   Milliseconds StallTimeout() const;
-  // Cancels the active send; the call may have run.
-  void CancelActiveSend(SendCancelReason reason, Instant now);
+  // Cancels all sends; the call may have run.
+  void CancelSends(SendCancelReason reason, Instant now);
 
   CallRequest request_;
   FleetCallDelegate* delegate_;
@@ -335,6 +365,10 @@
   std::optional<CallDispatch> pending_path_;
   Instant path_change_deadline_{};
   int path_changes_ = 0;
+  // The send that takes over if it brings output before the active one does,
+  // and when it was sent.
+  std::optional<CallDispatch> replacement_;
+  Instant replacement_sent_{};
   bool relaying_ = false;
   bool done_ = false;
   int64_t last_event_ = kNoEvent;
--- a/modules/bbv_fleet/target_selector.cc
+++ b/modules/bbv_fleet/target_selector.cc
@@ -129,6 +129,8 @@
   CallDispatch dispatch;
   dispatch.target_id = path.hops.front().target->record.id;
   dispatch.target_address = path.hops.front().target->record.address;
+  dispatch.target_started_unix_ms =
+      path.hops.front().target->record.started_unix_ms;
   for (const Hop& it : path.hops) {
     dispatch.layers.push_back(it.layers);
     dispatch.hop_ids.push_back(it.target->record.id);
@@ -187,6 +189,7 @@
   CallDispatch dispatch;
   dispatch.target_id = best->record.id;
   dispatch.target_address = best->record.address;
+  dispatch.target_started_unix_ms = best->record.started_unix_ms;
   dispatch.hop_ids.push_back(best->record.id);
   dispatch.hop_addresses.push_back(best->record.address);
   return dispatch;
