Replacements of a silent run: keep suspected ones, and instruct first targets again

They are one change, since all concern which sends may be under way at once.

What callers would see, and why it is so no longer: - A replacement that fell silent itself was cancelled for the next one, although nobody knew whether that one would be found or accepted: the only living run could be lost, which the code before did not do. Now all sends are kept, and whichever brings output first goes on (AReplacementWithASuspectedHop..., ASuspectedReplacementIsKeptWithoutRetryBudget). - A first target that left a path change unanswered for 150 ms, as a silent one does, never got another: streams that may not be repeated stood still until their end. Now it is instructed again after 250 ms, six answered changes at most (AnUnansweredPathChangeIsRepeated...). Now a replacement is sent only when the next event is overdue (OneFalseSuspicion...). - Targets that refuse were asked again each 60 ms until no send was left for the end of the run. Now each 250 ms, and one send is kept (RefusedReplacements...). - A call whose replacement was cancelled counted as not run: a 503 of it would have been untrue (ACancelledReplacementMayHaveRun). - A target could get the same call twice at once, as first target of two paths.

The tests with silent stand-ins now use 3.6 s of silence, so that no longer wait for a path would pass them.

--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -103,8 +103,10 @@
   void ChangePath(const CallDispatch& path, Instant now) override;
   void Send(const CallDispatch& dispatch, Instant now) override;
   void CancelSend(SendCancelReason reason, Instant now) override;
-  void CancelReplacement(SendCancelReason reason, Instant now) override;
-  void PromoteReplacement() override;
+  void CancelReplacement(int send,
+                         SendCancelReason reason,
+                         Instant now) override;
+  void PromoteReplacement(int send) override;
   bool TakeRetry(Instant now) override;
   void Fail(const CallFailure& failure) override;
   void RelayBufferedResponse() override;
@@ -141,8 +143,10 @@
   static std::string_view FindEventFault(const TargetSend& send,
                                          const StreamEvent& event,
                                          int64_t last);
-  // Output of `send` is about to be relayed: a replacement takes over, and
-  // output of the active send ends the replacement.
+  bool IsReplacement(const TargetSend* send) const;
+  // Removes replacement `number` from `replacements_` and returns it.
+  TargetSend* TakeReplacement(int number);
+  // Output of `send` is about to be relayed: a replacement takes over.
   void AcceptOutput(TargetSend* send, Instant now);
   // Fails a send because its answer violates the protocol.
   void FailBadAnswer(TargetSend* send, std::string_view evidence);
@@ -196,9 +200,8 @@
   // The send whose output is relayed; ended if it failed and no other send has
   // taken its place.
   TargetSend* active_ = nullptr;
-  // The send that takes over if it brings output before the active one does;
-  // null if there is none.
-  TargetSend* replacement_ = nullptr;
+  // Sends that take over if they bring output before the active one does.
+  std::vector<TargetSend*> replacements_;
   bool head_relayed_ = false;
   // Type of the body whose head was relayed.
   std::string media_type_;
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -44,18 +44,16 @@
 enum class SendCancelReason : uint8_t {
   // Another send brought output in its place.
   kReplaced,
-  // It was to replace the active send, which has gone on.
+  // It was to replace a send that has gone on.
   kNotNeeded,
-  // It was to replace the active send, and a hop of its own path failed.
-  kPathFault,
   kDeadline,
   kCallerLeft,
   kQuarantined,
   kStopping,
 };
-inline constexpr NameTable<SendCancelReason, 7> kSendCancelReasonNames(
-    {"replaced", "not-needed", "path-fault", "deadline", "caller-left",
-     "quarantined", "stopping"});
+inline constexpr NameTable<SendCancelReason, 6> kSendCancelReasonNames(
+    {"replaced", "not-needed", "deadline", "caller-left", "quarantined",
+     "stopping"});
 
 // Event id before the first event.
 inline constexpr int64_t kNoEvent = -1;
@@ -152,15 +150,18 @@
   // Instructs the first target to continue along `path`; its reply is passed to
   // OnPathChanged().
   virtual void ChangePath(const CallDispatch& path, Instant now) = 0;
-  // Sends the call. If a send is active, the new one is its replacement: both
-  // go on until one of them brings output.
+  // Sends the call. If a send is active, the new one is a replacement for it:
+  // all go on until one of them brings output. Replacements are identified by
+  // the value of sends() during this call.
   virtual void Send(const CallDispatch& dispatch, Instant now) = 0;
   // Closes the connection of the active send.
   virtual void CancelSend(SendCancelReason reason, Instant now) = 0;
-  // Closes the connection of the replacement.
-  virtual void CancelReplacement(SendCancelReason reason, Instant now) = 0;
-  // Makes the replacement the active send, which has ended.
-  virtual void PromoteReplacement() = 0;
+  // Closes the connection of replacement `send`.
+  virtual void CancelReplacement(int send,
+                                 SendCancelReason reason,
+                                 Instant now) = 0;
+  // Makes replacement `send` the active send, which has ended.
+  virtual void PromoteReplacement(int send) = 0;
   // Takes one retry from the shared budget; returns false if it is exhausted.
   virtual bool TakeRetry(Instant now) = 0;
   // Sends a failure to the caller. Called only if no part of a response was
@@ -202,8 +203,9 @@
 // target itself seems to have failed, is the call sent to another target as
 // well. Silence does not show whether a target has failed or will go on, and
 // another target may refuse the call. The active send is therefore kept until
-// the replacement brings output, and whichever of the two brings output first
-// goes on. A call is never ended because its target is silent.
+// a replacement brings output, and whichever send brings output first goes on.
+// A replacement that falls silent is kept as well. A call is never ended
+// because its targets are silent.
 //
 // A stream whose send has ended without another path waits for a short time,
 // because lost layers are loaded on other targets meanwhile; the same holds if
@@ -222,12 +224,12 @@
   // The active send ended without a valid response.
   void OnSendFailed(const SendFailure& failure, Instant now);
 
-  // The replacement ended without a valid response.
-  void OnReplacementFailed(const SendFailure& failure, Instant now);
+  // Replacement `send` ended without a valid response.
+  void OnReplacementFailed(int send, const SendFailure& failure, Instant now);
 
-  // The replacement has brought output that is about to be relayed: it takes
+  // Replacement `send` has brought output that is about to be relayed: it takes
   // the place of the active send.
-  void OnReplacementOutput(Instant now);
+  void OnReplacementOutput(int send, Instant now);
 
   // The head of a valid response was received; for streams, it is relayed.
   void OnResponseStarted(Instant now);
@@ -271,16 +273,20 @@
   // This process is about to exit: ends the call immediately.
   void OnForcedStop(Instant now);
 
-  // The first target accepted or rejected the changed path; `fault_address` is
-  // the hop that it names as the cause.
-  void OnPathChanged(bool accepted,
+  // The first target accepted or rejected `path`, perhaps after the timeout for
+  // its reply; `fault_address` is the hop that it names as the cause.
+  void OnPathChanged(const CallDispatch& path,
+                     bool accepted,
                      const std::string& fault_address,
                      Instant now);
 
+  // The instruction to change the path got no reply.
+  void OnPathChangeUnanswered(Instant now);
+
   // Whether the stream has been silent for much longer than expected on its
   // path.
   bool IsStalled(Instant now) const;
-  // Path of the send that should have brought an event by now: the replacement,
+  // Path of the send that should have brought an event by now: a replacement,
   // or the active send; null if none is overdue.
   const CallDispatch* FindOverduePath(Instant now) const;
 
@@ -296,7 +302,7 @@
     return path_broken_since_;
   }
   // Whether the first target was instructed to change the path and has not
-  // replied yet.
+  // replied in time yet.
   bool is_changing_path() const { return pending_path_.has_value(); }
   const CallRequest& request() const { return request_; }
   const CallDispatch& dispatch() const { return dispatch_; }
@@ -314,9 +320,20 @@
   bool CanRepeatActiveSend() const;
   void SendTo(CallDispatch dispatch, Instant now);
   void SendReplacement(CallDispatch dispatch, Instant now);
-  void CancelReplacement(SendCancelReason reason, Instant now);
-  // The replacement becomes the active send, which has ended.
-  void TakeReplacement();
+  void CancelReplacements(SendCancelReason reason, Instant now);
+  // Replacement `send` becomes the active send, which has ended.
+  void TakeReplacement(int send);
+  // Whether a replacement is under way whose path has no suspected hop.
+  bool HasSoundReplacement() const;
+  // Marks the replacements whose path uses `target_id`; returns whether there
+  // are new ones.
+  bool SuspectReplacements(const std::string& target_id);
+  // Hops that a replacement must not use: excluded ones, and the first targets
+  // of the sends under way.
+  std::vector<std::string> ExcludedForReplacement() const;
+  // When the next event of the active send will be overdue, so that none is on
+  // its way.
+  Instant NextEventDue() const;
   // Counts how a send that ended without a response leaves the call.
   void RecordFailure(const SendFailure& failure);
   void ChooseAndSend(const SendFailure& failure, Instant now);
@@ -334,10 +351,11 @@
   bool StartReroute(Instant now);
   void TryResend(Instant now);
   void CheckBrokenPath(Instant now);
+  // The run continues on `path`.
+  void AdoptPath(const CallDispatch& path, Instant now);
   // No hop of the path is missing any more.
   void MarkPathWhole();
   bool UsesExcludedHop() const;
-  static bool UsesHop(const CallDispatch& path, const std::string& id);
   // How long the active send may be silent before it counts as stalled.
   Milliseconds StallTimeout() const;
   // Cancels all sends; the call may have run.
@@ -365,10 +383,19 @@
   std::optional<CallDispatch> pending_path_;
   Instant path_change_deadline_{};
   int path_changes_ = 0;
-  // The send that takes over if it brings output before the active one does,
-  // and when it was sent.
-  std::optional<CallDispatch> replacement_;
-  Instant replacement_sent_{};
+  // The first target gets no other instruction before this time, after it left
+  // one unanswered.
+  Instant next_path_change_{};
+  // Sends that take over if they bring output before the active one does, in
+  // the order in which they were sent.
+  struct Replacement {
+    int send = 0;
+    CallDispatch path;
+    Instant sent_at{};
+    // Whether a hop of its path seems dead.
+    bool suspected = false;
+  };
+  std::vector<Replacement> replacements_;
   bool relaying_ = false;
   bool done_ = false;
   int64_t last_event_ = kNoEvent;
