Wait for a path from the end of a stream's run on, not from its last event

Callers saw a stream broken off at once when its run ended after a silence of over 1.7 s and the next target refused it, although a path could appear and they would wait: the wait for a path was counted from the last event alone.

Now the wait begins when the last send that may have run has ended. Callers leave by themselves if that is too long for them. TheWaitForAPathBeginsWhenTheRunHasEnded failed before: aborted 1, expected 0.

--- a/modules/bbv_fleet/fleet_call.cc
+++ b/modules/bbv_fleet/fleet_call.cc
@@ -196,7 +196,7 @@
 }
 
 bool FleetCall::WaitsForPath(Instant now) const {
-  return relaying_ && now < last_progress_ + kPathWait &&
+  return relaying_ && now < std::max(last_progress_, run_ended_) + kPathWait &&
          now + kMinRemainingTime < request_.deadline;
 }
 
@@ -244,6 +244,8 @@
     return;
   sending_ = false;
   RecordFailure(failure);
+  if (!failure.not_run)
+    run_ended_ = now;
   Exclude(dispatch_, failure);
   if (!replacements_.empty()) {
     // The last one was sent with the latest knowledge of the targets.
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -396,6 +396,8 @@
     bool suspected = false;
   };
   std::vector<Replacement> replacements_;
+  // When the last send ended that may have run.
+  Instant run_ended_{};
   bool relaying_ = false;
   bool done_ = false;
   int64_t last_event_ = kNoEvent;
--- a/modules/bbv_fleet/fleet_call_test.cc
+++ b/modules/bbv_fleet/fleet_call_test.cc
@@ -338,6 +338,19 @@
   CHECK_EQUAL(502, delegate.failure->status);
 }
 
+TEST(FleetCall, TheWaitForAPathBeginsWhenTheRunHasEnded) {
+  delegate.targets = {"a"};
+  request_time = Milliseconds(20000);
+  auto call = MakeStreamAt(5);
+  delegate.targets.clear();
+  call.OnSendFailed({CallEndReason::kConnectionBroken, false, false, {}},
+                    now + Milliseconds(1800));
+  CHECK_EQUAL(0, delegate.aborted);
+  delegate.targets = {"b"};
+  call.OnTick(now + Milliseconds(1900));
+  CHECK_EQUAL(2, static_cast<int>(delegate.sent.size()));
+}
+
 TEST(FleetCall, AnUnansweredPathChangeIsRepeatedForAStreamThatCannotBeResent) {
   delegate.replacement_hops = {"m", "n"};
   request_time = Milliseconds(20000);
