A side takes no interim response for the answer of its service

Callers of services behind sides got status 103 with a body that was the beginning of the real response's head, framed as whole by a Content-Length: for a service that sends 103 (Early Hints) and whose connection ends inside the head of its final response. A keyed call recorded that as its answer.

Evidence: ResponseHeadEnd.ASideGetsNothingOfAResponseThatEndsInsideItsHead ends a response at each byte of its head, on new and kept connections and after interim responses. Change: HttpConnection, the only client of the library, rejects a status below 200 when the head is read, before any body, and closes the connection. The request counts as possibly performed, so that only idempotent calls are sent again. This does not depend on where or how the connection ends. A service's 103 followed by a complete response is not answered with that response, which the library cannot read; its outcome is unknown.

--- a/modules/bbv_platform/http_connection.cc
+++ b/modules/bbv_platform/http_connection.cc
@@ -8,6 +8,8 @@
 namespace bbv {
 namespace {
 
+constexpr int kFirstFinalStatus = 200;
+
 bool IsQuiet(int socket) {
   char byte = 0;
   return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
@@ -30,21 +32,41 @@
 }
 
 Result<httplib::Response> HttpConnection::Get(const std::string& path) {
-  CloseUnlessQuiet();
-  return ToResult(client_->Get(path));
+  httplib::Request request;
+  request.method = "GET";
+  request.path = path;
+  return Send(std::move(request));
 }
 
 Result<httplib::Response> HttpConnection::Post(const std::string& path,
                                                const std::string& body,
                                                const char* content_type) {
-  CloseUnlessQuiet();
-  return ToResult(client_->Post(path, body, content_type));
+  httplib::Request request;
+  request.method = "POST";
+  request.path = path;
+  request.body = body;
+  request.set_header("Content-Type", content_type);
+  return Send(std::move(request));
 }
 
-Result<httplib::Response> HttpConnection::Send(
-    const httplib::Request& request) {
+Result<httplib::Response> HttpConnection::Send(httplib::Request request) {
   CloseUnlessQuiet();
-  return ToResult(client_->send(request));
+  // httplib skips 100 (Continue) but takes any other interim response for the
+  // final one, and the bytes after it for its body.
+  int status = kFirstFinalStatus;
+  request.response_handler = [&status](const httplib::Response& response) {
+    status = response.status;
+    return status >= kFirstFinalStatus;
+  };
+  auto result = client_->send(request);
+  // The handler is not called for responses that have no body.
+  if (result)
+    status = result->status;
+  if (status >= kFirstFinalStatus)
+    return ToResult(std::move(result));
+  // The final response may still arrive on the connection.
+  Abort();
+  return Fail(step_, peer_, "interim response " + std::to_string(status));
 }
 
 void HttpConnection::Abort() {
--- a/modules/bbv_platform/http_connection.h
+++ b/modules/bbv_platform/http_connection.h
@@ -26,13 +26,14 @@
                  Operation step,
                  Milliseconds timeout);
 
-  // Return the response, whatever its status, or an error with the
-  // constructor's `step`.
+  // Return the final response, whatever its status, or an error with the
+  // constructor's `step`. An interim (1xx) response other than 100 is an error,
+  // after which the request may have been performed.
   Result<httplib::Response> Get(const std::string& path);
   Result<httplib::Response> Post(const std::string& path,
                                  const std::string& body,
                                  const char* content_type);
-  Result<httplib::Response> Send(const httplib::Request& request);
+  Result<httplib::Response> Send(httplib::Request request);
 
   // Aborts a call in progress; for use from another thread. Without one, closes
   // the connection. The next call connects again.
--- a/modules/bbv_platform/service_client.cc
+++ b/modules/bbv_platform/service_client.cc
@@ -35,7 +35,7 @@
   for (const wire::HeaderT& header : call.headers)
     request.headers.emplace(header.name, header.value);
   request.headers.emplace("Bluebellvalve-Request-Id", ToString(call.request));
-  auto response = connection.Send(request);
+  auto response = connection.Send(std::move(request));
   if (!response)
     return tl::make_unexpected(response.error());
   wire::ServiceAnswerT answer;
--- a/tests/raw_server.cc
+++ b/tests/raw_server.cc
@@ -11,7 +11,10 @@
 
 namespace bbv {
 
-RawServer::RawServer(std::string response, bool reset) {
+RawServer::RawServer(std::string response, bool reset)
+    : RawServer(std::vector{std::move(response)}, reset) {}
+
+RawServer::RawServer(std::vector<std::string> responses, bool reset) {
   listener_ = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
@@ -22,8 +25,8 @@
       getsockname(listener_, raw_address, &length) != 0)
     std::abort();
   address_ = {"127.0.0.1", ntohs(address.sin_port)};
-  thread_ = std::thread([this, response = std::move(response), reset] {
-    Serve(response, reset);
+  thread_ = std::thread([this, responses = std::move(responses), reset] {
+    Serve(responses, reset);
   });
 }
 
@@ -32,12 +35,17 @@
   close(listener_);
 }
 
-void RawServer::Serve(const std::string& response, bool reset) const {
+void RawServer::Serve(const std::vector<std::string>& responses,
+                      bool reset) const {
   const int connection = accept(listener_, nullptr, nullptr);
   std::array<char, 4096> request{};
-  if (recv(connection, request.data(), request.size(), 0) <= 0)
-    return;
-  send(connection, response.data(), response.size(), MSG_NOSIGNAL);
+  for (const std::string& it : responses) {
+    if (recv(connection, request.data(), request.size(), 0) <= 0) {
+      close(connection);
+      return;
+    }
+    send(connection, it.data(), it.size(), MSG_NOSIGNAL);
+  }
   if (reset) {
     // Lets the peer read the data before the reset discards it.
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
--- /dev/null
+++ b/tests/response_head_end_test.cc
@@ -0,0 +1,285 @@
+#include <CppUTest/TestHarness.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "bbv_entry/store_client.h"
+#include "bbv_entry/target_requests.h"
+#include "bbv_front/http_client.h"
+#include "bbv_observe/decision_log.h"
+#include "bbv_platform/http_connection.h"
+#include "bbv_platform/log_client.h"
+#include "bbv_platform/service_client.h"
+#include "platform/call_codec.h"
+#include "raw_server.h"
+
+namespace bbv {
+namespace {
+
+constexpr Milliseconds kTimeout{2000};
+constexpr char kId[] = "9c41d07be2a35f68";
+constexpr char kInterim[] = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr char kEarlyHints[] =
+    "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\nX-Response-Signature: s\r\n\r\n";
+
+std::string MakeHead() {
+  return std::string("HTTP/1.1 200 OK\r\nX-Attempt-Id: ") + kId +
+         "\r\nX-Response-Signature: 3e1b.07\r\nContent-Type: text/plain\r\n"
+         "Content-Length: 15\r\n\r\n";
+}
+
+std::string MakeWholeResponse(const std::string& id) {
+  return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id +
+         "\r\nX-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok";
+}
+
+// Lengths at which a head ends early: after the status line, after a field,
+// inside the value of Content-Length and before the empty line.
+std::vector<std::size_t> TypicalCuts() {
+  const std::string head = MakeHead();
+  return {0,
+          head.find("\r\n") + 2,
+          head.find("Content-Type"),
+          head.find("15\r\n") + 1,
+          head.size() - 2,
+          head.size() - 1};
+}
+
+std::vector<std::size_t> AllCuts() {
+  std::vector<std::size_t> cuts;
+  for (std::size_t it = 0; it < MakeHead().size(); ++it)
+    cuts.push_back(it);
+  return cuts;
+}
+
+// What comes before the head that ends early.
+struct Prefix {
+  const char* name;
+  // Complete response to an earlier request on the connection; empty if the
+  // connection is new.
+  std::string earlier;
+  std::string before_head;
+};
+
+std::vector<Prefix> MakePrefixes() {
+  const std::string earlier = MakeWholeResponse("earlier");
+  return {{"new", "", ""},
+          {"kept", earlier, ""},
+          {"new, interim", "", kInterim},
+          {"kept, interim", earlier, kInterim},
+          {"new, hints", "", kEarlyHints},
+          {"new, two interim", "", std::string(kInterim) + kEarlyHints},
+          {"kept, stale", earlier, earlier},
+          {"kept, stale and interim", earlier, earlier + kInterim}};
+}
+
+std::vector<std::string> MakeResponses(const Prefix& prefix, std::size_t cut) {
+  std::vector<std::string> responses;
+  if (!prefix.earlier.empty())
+    responses.push_back(prefix.earlier);
+  responses.push_back(prefix.before_head + MakeHead().substr(0, cut));
+  return responses;
+}
+
+// Records what reaches the owner of an exchange.
+class Recorder final : public ExchangeSink {
+ public:
+  explicit Recorder(EventLoop* loop) : loop_(loop) {}
+
+  void OnResponseHead(HttpHead) override { output_ += "head "; }
+  void OnResponseBody(std::string_view) override { output_ += "body "; }
+  void OnResponseEnd() override { Stop("whole"); }
+  void OnExchangeFailed(ExchangeFailure failure) override {
+    Stop(failure == ExchangeFailure::kBroken ? "broken" : "other failure");
+  }
+
+  const std::string& output() const { return output_; }
+
+ private:
+  void Stop(const char* end) {
+    output_ += end;
+    loop_->Stop();
+  }
+
+  EventLoop* loop_;
+  std::string output_;
+};
+
+// An event loop with a client whose deadlines are checked.
+struct ClientLoop {
+  ClientLoop() {
+    loop.StartPeriodicTimer(Milliseconds(20),
+                            [this] { client.OnTick(EventLoop::Now()); });
+  }
+  std::string Exchange(const SocketAddress& address, const std::string& id) {
+    Recorder recorder(&loop);
+    ExchangeRequest request;
+    request.address = address;
+    request.bytes = "GET /x HTTP/1.1\r\nX-Attempt-Id: " + id + "\r\n\r\n";
+    request.id_field = platform::kAttemptIdField;
+    request.attempt_id = id;
+    request.connect_deadline = EventLoop::Now() + kTimeout;
+    request.deadline = EventLoop::Now() + kTimeout;
+    client.Send(std::move(request), &recorder);
+    loop.Run();
+    return recorder.output();
+  }
+
+  EventLoop loop;
+  HttpClient client{&loop};
+};
+
+// Returns the cases in which an entry sees anything but a broken exchange.
+std::string FindEntryFailures(const std::vector<std::size_t>& cuts,
+                              bool reset) {
+  std::string failures;
+  for (const Prefix& prefix : MakePrefixes()) {
+    for (const std::size_t cut : cuts) {
+      const RawServer server(MakeResponses(prefix, cut), reset);
+      ClientLoop entry;
+      if (!prefix.earlier.empty())
+        entry.Exchange(server.address(), "earlier");
+      const std::string output = entry.Exchange(server.address(), kId);
+      if (output != "broken")
+        failures += std::string(prefix.name) + " " + std::to_string(cut) +
+                    ": " + output + "\n";
+    }
+  }
+  return failures;
+}
+
+// Whether a failed request may have been run.
+template <typename T>
+bool IsUnknown(const Result<T>& result) {
+  return !result.has_value() && !result.error().not_performed;
+}
+
+// Returns the cases in which a side gets a response, or proof that the request
+// was not run.
+std::string FindSideFailures(const std::vector<std::size_t>& cuts, bool reset) {
+  std::string failures;
+  for (const Prefix& prefix : MakePrefixes()) {
+    // A side does not skip responses to earlier requests.
+    if (prefix.before_head.starts_with("HTTP/1.1 200"))
+      continue;
+    for (const std::size_t cut : cuts) {
+      const RawServer server(MakeResponses(prefix, cut), reset);
+      HttpConnection connection(server.address(), Operation::kServiceCall,
+                                kTimeout);
+      if (!prefix.earlier.empty() && !connection.Get("/").has_value())
+        failures += "earlier request failed\n";
+      const auto response = connection.Get("/");
+      if (!IsUnknown(response))
+        failures += std::string(prefix.name) + " " + std::to_string(cut) +
+                    (response ? ": answered\n" : ": not performed\n");
+    }
+  }
+  return failures;
+}
+
+}  // namespace
+
+TEST_GROUP(ResponseHeadEnd){};
+
+TEST(ResponseHeadEnd, AnEntryGetsNothingOfAResponseThatEndsInsideItsHead) {
+  STRCMP_EQUAL("", FindEntryFailures(AllCuts(), false).c_str());
+}
+
+TEST(ResponseHeadEnd, AnEntryGetsNothingOfAResponseThatIsResetInsideItsHead) {
+  STRCMP_EQUAL("", FindEntryFailures(TypicalCuts(), true).c_str());
+}
+
+TEST(ResponseHeadEnd, ASideGetsNothingOfAResponseThatEndsInsideItsHead) {
+  STRCMP_EQUAL("", FindSideFailures(AllCuts(), false).c_str());
+}
+
+TEST(ResponseHeadEnd, ASideGetsNothingOfAResponseThatIsResetInsideItsHead) {
+  STRCMP_EQUAL("", FindSideFailures(TypicalCuts(), true).c_str());
+}
+
+TEST(ResponseHeadEnd, AServiceCallOfASideMayHaveRun) {
+  for (const std::size_t cut : TypicalCuts()) {
+    const RawServer server(MakeHead().substr(0, cut), false);
+    wire::ServiceCallT call;
+    call.method = "POST";
+    call.path = "/x";
+    CHECK(IsUnknown(CallService(server.address(), kTimeout, call)));
+  }
+}
+
+TEST(ResponseHeadEnd, AnInterimResponseIsNoAnswerToAServiceCallOfASide) {
+  const std::string response = kEarlyHints + MakeWholeResponse(kId);
+  // The connection ends after the second request, which is never sent.
+  const std::vector<std::vector<std::string>> endings = {
+      {response}, {response, ""}, {kEarlyHints, ""}};
+  for (const auto& responses : endings) {
+    for (const char* method : {"GET", "HEAD", "POST"}) {
+      const RawServer server(responses, false);
+      wire::ServiceCallT call;
+      call.method = method;
+      call.path = "/x";
+      const Instant started = EventLoop::Now();
+      CHECK(IsUnknown(CallService(server.address(), kTimeout, call)));
+      CHECK(EventLoop::Now() < started + kTimeout / 2);
+    }
+  }
+}
+
+TEST(ResponseHeadEnd, AnAppendOfASideMayHaveTakenEffect) {
+  for (const std::size_t cut : TypicalCuts()) {
+    const RawServer server(MakeHead().substr(0, cut), false);
+    CHECK(IsUnknown(LogClient(server.address(), kTimeout).Append("s", "{}")));
+  }
+}
+
+TEST(ResponseHeadEnd, AnOrderIsNotAnswered) {
+  for (const std::size_t cut : TypicalCuts()) {
+    const RawServer server(MakeHead().substr(0, cut), false);
+    ClientLoop entry;
+    std::optional<OrderAnswer> order;
+    PostOrder(&entry.client, server.address().ToString(), "{}",
+              EventLoop::Now() + kTimeout, [&](const OrderAnswer& answer) {
+                order = answer;
+                entry.loop.Stop();
+              });
+    entry.loop.Run();
+    CHECK_EQUAL(0, order->status);
+  }
+}
+
+TEST(ResponseHeadEnd, AReportIsNotAnswered) {
+  for (const std::size_t cut : TypicalCuts()) {
+    const RawServer server(MakeHead().substr(0, cut), false);
+    ClientLoop entry;
+    std::optional<ReportAnswer> report;
+    FetchReport(&entry.client,
+                {server.address().ToString(), EventLoop::Now() + kTimeout},
+                [&](const ReportAnswer& answer) {
+                  report = answer;
+                  entry.loop.Stop();
+                });
+    entry.loop.Run();
+    CHECK(!report->answered && !report->report);
+  }
+}
+
+TEST(ResponseHeadEnd, AStoreCallIsNotAnswered) {
+  for (const std::size_t cut : TypicalCuts()) {
+    const RawServer server(MakeHead().substr(0, cut), false);
+    ClientLoop entry;
+    DecisionLog log("test");
+    StoreClient store(&entry.client, server.address(), &log);
+    bool answered = true;
+    store.Call({"GET", "/x", {}, {}}, kTimeout,
+               [&](const Result<StoreAnswer>& answer) {
+                 answered = answer.has_value();
+                 entry.loop.Stop();
+               });
+    entry.loop.Run();
+    CHECK(!answered && !store.reachable());
+  }
+}
+
+}  // namespace bbv
