Tests: targets whose responses end inside their heads

Evidence: this can't happen to callers of targets that forward. A proxy ends the first response before its head, after its status line, inside a field, before the signature or inside the empty line, with a clean end or a reset. ResponseHeadEndFleet passes on the code without a change: HttpClient's OnStreamEnd() completes a response only if its head is complete and the parser accepts the end; any other end is a broken exchange, whose outcome is unknown. Safe calls and streams are sent to another target, unsafe calls and streams that may not be resumed run once, all end with 502 or 504 if no target is left, and a resumed stream breaks off without its last chunk. The tests are kept, as no other test cuts heads before running entries. Change: FaultProxy cuts responses; six tests.

--- a/tests/response_head_end_test.cc
+++ b/tests/response_head_end_test.cc
@@ -1,6 +1,6 @@
 #include <CppUTest/TestHarness.h>
 
-#include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -12,6 +12,7 @@
 #include "bbv_platform/http_connection.h"
 #include "bbv_platform/log_client.h"
 #include "bbv_platform/service_client.h"
+#include "fleet_floor.h"
 #include "platform/call_codec.h"
 #include "raw_server.h"
 
@@ -54,6 +55,24 @@
   return cuts;
 }
 
+// How the response of a target of a fleet ends inside its head.
+struct Ending {
+  const char* name;
+  // The text after which it ends.
+  std::string response_text;
+  bool reset = false;
+};
+
+std::vector<Ending> MakeEndings() {
+  return {{"before-head", ""},
+          {"after-status", "HTTP/1.1 200 OK\r\n"},
+          {"inside-type", "Content-Type: te"},
+          {"before-signature", "X-Attempt-Id: "},
+          {"before-blank", "\r\n\r"},
+          {"reset-after-status", "HTTP/1.1 200 OK\r\n", true},
+          {"reset-before-blank", "\r\n\r", true}};
+}
+
 // What comes before the head that ends early.
 struct Prefix {
   const char* name;
@@ -282,4 +301,100 @@
   }
 }
 
+TEST_GROUP(ResponseHeadEndFleet) {
+  standins::FleetTargets::Options options;
+  std::unique_ptr<FleetFloor> floor;
+
+  void StartFleet() {
+    options.proxied = true;
+    floor = std::make_unique<FleetFloor>(1, options);
+    if (!floor->Start())
+      FAIL(("could not start: " + floor->Output(0)).c_str());
+  }
+  void teardown() override {
+    floor.reset();
+  }
+  int target_count() const {
+    return options.engines + options.services;
+  }
+  // Ends the responses to all requests whose head has `request_text`, at the
+  // targets from `first` to `last`, excluding `last`.
+  void CutResponses(const std::string& request_text, const Ending& ending,
+                    int first, int last) {
+    for (int it = first; it < last; ++it)
+      floor->targets().proxy(it).SetResponseCut(
+          {request_text, ending.response_text, ending.reset});
+  }
+  int Runs(const std::string& id) {
+    return floor->targets().ExecutionCounts()[id];
+  }
+  // Calls `route` once for each ending. Returns the calls that targets did not
+  // run `runs` times or that did not end as unknown.
+  std::string CallWithEndings(const std::string& route, int runs) {
+    std::string failures;
+    for (const Ending& it : MakeEndings()) {
+      const std::string path = "/" + route + "/" + it.name;
+      CutResponses(path, it, 0, target_count());
+      const auto answer = floor->Call(0, path, it.name);
+      const int status = answer ? answer->status : 0;
+      if ((status != 502 && status != 504) || Runs(it.name) != runs)
+        failures += path + ": status " + std::to_string(status) + ", runs " +
+                    std::to_string(Runs(it.name)) + "\n";
+    }
+    return failures;
+  }
+};
+
+TEST(ResponseHeadEndFleet, ASafeCallIsSentElsewhereAndNotAnsweredWithACutHead) {
+  StartFleet();
+  STRCMP_EQUAL("", CallWithEndings("safe", options.max_attempts).c_str());
+}
+
+TEST(ResponseHeadEndFleet, AnUnsafeCallRunsOnceAndItsOutcomeIsUnknown) {
+  StartFleet();
+  STRCMP_EQUAL("", CallWithEndings("unsafe", 1).c_str());
+}
+
+TEST(ResponseHeadEndFleet, AStreamThatMayNotBeResumedRunsOnce) {
+  StartFleet();
+  STRCMP_EQUAL("", CallWithEndings("feed", 1).c_str());
+}
+
+TEST(ResponseHeadEndFleet, AStreamIsSentElsewhereAndNotAnsweredWithACutHead) {
+  StartFleet();
+  STRCMP_EQUAL("", CallWithEndings("stream", options.max_attempts).c_str());
+}
+
+TEST(ResponseHeadEndFleet, AnotherTargetAnswersASafeCall) {
+  StartFleet();
+  int runs = 0;
+  int calls = 0;
+  for (const Ending& it : MakeEndings()) {
+    // One of the targets is asked first.
+    for (int target = options.engines; target < target_count(); ++target) {
+      const std::string id = it.name + std::to_string(target);
+      CutResponses("/safe/" + id, it, target, target + 1);
+      const auto answer = floor->Call(0, "/safe/" + id, id);
+      CHECK_TEXT(answer && answer->status == 200, id.c_str());
+      STRCMP_EQUAL_TEXT("done for account", answer->body.c_str(), id.c_str());
+      runs += Runs(id);
+      ++calls;
+    }
+  }
+  CHECK(runs > calls);
+}
+
+TEST(ResponseHeadEndFleet, AResumedStreamBreaksOffVisibly) {
+  options.cut_event = "id: 21\nda";
+  StartFleet();
+  for (const Ending& it : MakeEndings()) {
+    CutResponses("Last-Event-Id: 20\r\n", it, 0, target_count());
+    const std::string path = std::string("/stream/") + it.name;
+    const StreamAnswer answer = floor->Stream(0, it.name, {}, path);
+    CHECK_TEXT(!answer.whole, it.name);
+    CHECK_EQUAL_TEXT(20, answer.events.size(), it.name);
+    CHECK_EQUAL_TEXT(options.max_attempts, Runs(it.name), it.name);
+  }
+}
+
 }  // namespace bbv
--- a/tests/standins/fault_proxy.cc
+++ b/tests/standins/fault_proxy.cc
@@ -101,19 +101,64 @@
     const sockaddr_in address = Loopback(target_port_);
     if (connect(back, reinterpret_cast<const sockaddr*>(&address),
                 sizeof(address)) != 0) {
-      Link refused{caller, back, {}, {}, false};
+      Link refused;
+      refused.caller = caller;
+      refused.back = back;
       Close(&refused, true);
       continue;
     }
     MakeQuick(back);
-    links_.push_back({caller, back, {}, {}, false});
+    Link& link = links_.emplace_back();
+    link.caller = caller;
+    link.back = back;
   }
 }
 
+void FaultProxy::SetResponseCut(const ResponseCut& cut) {
+  const std::lock_guard lock(mutex_);
+  response_cut_ = cut;
+}
+
+ResponseCut FaultProxy::response_cut() {
+  const std::lock_guard lock(mutex_);
+  return response_cut_;
+}
+
+void FaultProxy::FindRequest(const ResponseCut& cut,
+                             std::size_t chunks_before,
+                             Link* link) {
+  if (cut.request_text.empty())
+    return;
+  for (std::size_t it = chunks_before; it < link->to_back.size(); ++it) {
+    if (link->to_back[it].bytes.find(cut.request_text) != std::string::npos)
+      link->cuts_response = true;
+  }
+}
+
+void FaultProxy::CutResponse(const ResponseCut& cut,
+                             std::size_t chunks_before,
+                             Link* link) {
+  if (!link->cuts_response || chunks_before >= link->to_caller.size())
+    return;
+  std::string& bytes = link->to_caller[chunks_before].bytes;
+  const std::size_t found = bytes.find(cut.response_text);
+  if (found == std::string::npos)
+    return;
+  bytes.resize(found + cut.response_text.size());
+  while (link->to_caller.size() > chunks_before + 1)
+    link->to_caller.pop_back();
+  link->is_cut = true;
+}
+
 void FaultProxy::Move(Link* link) {
+  const ResponseCut cut = response_cut();
+  const std::size_t requests_before = link->to_back.size();
   bool alive = Read(link->caller, &link->to_back);
-  if (fault_ != LinkFault::kOneWay)
+  FindRequest(cut, requests_before, link);
+  const std::size_t responses_before = link->to_caller.size();
+  if (fault_ != LinkFault::kOneWay && !link->is_cut)
     alive = Read(link->back, &link->to_caller) && alive;
+  CutResponse(cut, responses_before, link);
   const bool written =
       Write(link->back, &link->to_back) &&
       (fault_ == LinkFault::kOneWay || Write(link->caller, &link->to_caller));
@@ -121,6 +166,8 @@
   const bool drained = link->to_back.empty() && link->to_caller.empty();
   if (!written || (!alive && drained))
     Close(link, false);
+  else if (link->is_cut && link->to_caller.empty())
+    Close(link, cut.reset);
 }
 
 bool FaultProxy::Read(int source, std::deque<Chunk>* chunks) {
--- a/tests/standins/fault_proxy.h
+++ b/tests/standins/fault_proxy.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <list>
+#include <mutex>
 #include <string>
 #include <thread>
 
@@ -22,6 +23,17 @@
   kSilent,
 };
 
+// Where the responses to some requests end early.
+struct ResponseCut {
+  // Text in the heads of these requests; empty for none.
+  std::string request_text;
+  // Text in the first block of a response after which it ends; an empty one
+  // ends it before its first byte.
+  std::string response_text;
+  // Whether the connection is reset or closed.
+  bool reset = false;
+};
+
 // A loopback proxy before one port, whose connections can be harmed. Bytes that
 // are held back arrive when the fault ends, as after a loss of packets.
 //
@@ -42,6 +54,9 @@
   // Resets every connection that is open now.
   void ResetConnections() { ++resets_; }
 
+  // Applies to requests from now on.
+  void SetResponseCut(const ResponseCut& cut);
+
  private:
   using Clock = std::chrono::steady_clock;
 
@@ -56,11 +71,24 @@
     std::deque<Chunk> to_back;
     std::deque<Chunk> to_caller;
     bool ended = false;
+    // Whether the response that comes next ends early, and whether its last
+    // byte was read.
+    bool cuts_response = false;
+    bool is_cut = false;
   };
 
   void Run();
   void Accept();
   void Move(Link* link);
+  // Finds requests and responses to which `cut` applies in the bytes that were
+  // read after the first `chunks_before` chunks.
+  static void FindRequest(const ResponseCut& cut,
+                          std::size_t chunks_before,
+                          Link* link);
+  static void CutResponse(const ResponseCut& cut,
+                          std::size_t chunks_before,
+                          Link* link);
+  ResponseCut response_cut();
   // Reads from `source` into `chunks`; false when the connection has ended.
   bool Read(int source, std::deque<Chunk>* chunks);
   // Writes what is due; false when the connection has ended.
@@ -74,6 +102,8 @@
   std::atomic<int> resets_{0};
   int resets_done_ = 0;
   std::atomic<bool> stopping_{false};
+  std::mutex mutex_;
+  ResponseCut response_cut_;
   std::list<Link> links_;
   std::thread thread_;
 };
