A stopping entry takes only calls that can end before it exits

Callers saw: a call sent in the later part of a stop, in calm, was passed on to its target and cut at the end of the stop, with 502 and an unknown outcome; one that may not be repeated was lost.

Cause: a plain call counted as ended after 1.5 s at most, whatever its route permits. With a route's limit of 5 s and a stop of 8 s calls were taken for 6.2 s and cut at 7.7 s. Streams were taken up to 4.8 s before the end, so with a long stop timeout as late as one liked.

Now a call whose own limit (the earlier of the caller's and the route's) passes by the stop deadline is always taken: it ends by itself. A longer one is taken only in the first 2.9 s, while callers cannot know of the stop, and only if it is expected to end in time: a stream that may be resumed within 4.8 s as before, since a cut costs it a resumption; any other within twice the longest call that its route had in the last one to two minutes. If nothing is known it is refused. A refusal is 503 with Retry-After and not run, so that it costs one retry at another entry, while a call that is taken too late is lost. With the usual stop of 8 s nothing changes for streams with long limits and for routes of up to 1.5 s; a route of 2 s is taken for 5.7 s instead of 6.2 s. The deadlines are fixed at the signal, so a reload cannot cut what was taken.

The decision is StopAdmission, the observed durations are CallDurations; both without a network. A call that waits for capacity is decided on when it is read and keeps its deadline; requests read late or behind a slow call are decided on when they have been read.

Evidence: EntryStop.UnsafeCallsAsSlowAsTheirRoutePermitsAreNotCut and EntryStop.CallsWhoseLimitExceedsTheStopAreNotCut failed on (502 for the calls sent 3150 ms and 2850 ms after the signal; the first one that was cut ends the test) and pass now.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -41,10 +41,6 @@
 // Link bandwidth in Mbit/s that one processor core can fill. An instance with
 // less bandwidth per core is ranked by its link.
 constexpr double kMegabitsPerCore = 200;
-// Usual upper bounds of the duration of a call. A stopping entry refuses calls
-// that its own exit would cut off.
-constexpr Milliseconds kMaxStreamTime{4800};
-constexpr Milliseconds kMaxPlainCallTime{1500};
 // Delays of the event loop or of connections from which on they are logged, and
 // the interval of these lines.
 constexpr Milliseconds kLoggedDelay{60};
@@ -268,7 +264,13 @@
     Refuse(connection, fields.attempt_id, kNotFound, "no route", false);
     return;
   }
-  if (!CanFinishBeforeStop(*route, now)) {
+  const Instant caller_deadline =
+      now + Milliseconds(fields.caller_timeout_ms.value_or(
+                kDefaultCallerTimeout.count()));
+  Instant deadline = caller_deadline;
+  if (route->timeout_ms > 0)
+    deadline = std::min(deadline, now + Milliseconds(route->timeout_ms));
+  if (stop_admission_ && !stop_admission_->Accepts(*route, deadline, now)) {
     Refuse(connection, fields.attempt_id, kUnavailable, "stopping", true);
     return;
   }
@@ -286,19 +288,13 @@
     Refuse(connection, fields.attempt_id, kBadRequest, "no id", false);
     return;
   }
-  const Milliseconds wait(
-      fields.caller_timeout_ms.value_or(kDefaultCallerTimeout.count()));
   request.attempt_id = fields.attempt_id;
   request.route = route;
   request.service =
       FleetIndex::PickService(*route, HashBytes(fields.attempt_id));
   request.arrived = now;
-  request.caller_deadline = now + wait;
-  request.deadline = request.caller_deadline;
-  if (route->timeout_ms > 0) {
-    request.deadline =
-        std::min(request.deadline, now + Milliseconds(route->timeout_ms));
-  }
+  request.caller_deadline = caller_deadline;
+  request.deadline = deadline;
   request.prompt_tokens = fields.prompt_tokens;
   request.max_output_tokens = fields.max_answer_tokens;
   const ServiceDescription* service = index->FindService(request.service);
@@ -317,29 +313,30 @@
   RelayedCall* started = call.get();
   std::unique_ptr<RelayedCall>& slot = calls_[connection->id()];
   if (slot != nullptr)
-    ended_calls_.push_back(std::move(slot));
+    RetireCall(std::move(slot), now);
   slot = std::move(call);
   started->Start(now);
 }
 
-bool FleetEntry::CanFinishBeforeStop(const ServiceRoute& route,
-                                     Instant now) const {
-  if (!stopping_)
-    return true;
-  const Milliseconds needed =
-      route.kind == CallKind::kStream
-          ? kMaxStreamTime
-          : std::min(kMaxPlainCallTime, Milliseconds(route.timeout_ms));
-  return now + needed <= stop_deadline_;
+void FleetEntry::RetireCall(std::unique_ptr<RelayedCall> call, Instant now) {
+  const CallRequest& request = call->call().request();
+  // A call that reached no target does not show how long calls take.
+  if (call->call().sends() > 0) {
+    call_durations_.Record(
+        request.route->name,
+        std::chrono::duration_cast<Milliseconds>(now - request.arrived), now);
+  }
+  ended_calls_.push_back(std::move(call));
 }
 
 void FleetEntry::OnCallerGone(CallerConnection* connection) {
   const auto it = calls_.find(connection->id());
   if (it == calls_.end())
     return;
+  const Instant now = EventLoop::Now();
   admission_queue_.Remove(connection->id());
-  it->second->OnCallerGone(EventLoop::Now());
-  ended_calls_.push_back(std::move(it->second));
+  it->second->OnCallerGone(now);
+  RetireCall(std::move(it->second), now);
   calls_.erase(it);
 }
 
@@ -619,7 +616,7 @@
   }
   for (auto it = calls_.begin(); it != calls_.end();) {
     if (it->second->done()) {
-      ended_calls_.push_back(std::move(it->second));
+      RetireCall(std::move(it->second), now);
       it = calls_.erase(it);
       continue;
     }
@@ -751,8 +748,10 @@
   if (std::exchange(stopping_, true))
     return;
   stop_began_ = EventLoop::Now();
-  stop_deadline_ =
-      stop_began_ + Milliseconds(settings_.stop_timeout_ms) - kForcedStopMargin;
+  stop_admission_.emplace(
+      stop_began_,
+      stop_began_ + Milliseconds(settings_.stop_timeout_ms) - kForcedStopMargin,
+      &call_durations_);
   exit_deadline_ =
       stop_began_ + Milliseconds(settings_.stop_timeout_ms) - kExitMargin;
   // Callers held since the start are answered now.
@@ -772,7 +771,7 @@
 }
 
 void FleetEntry::TickStop(Instant now) {
-  const bool forced = now >= stop_deadline_;
+  const bool forced = now >= stop_admission_->stop_deadline();
   if (forced) {
     callers_listener_.Close();
     EndOpenCalls(now);
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -124,8 +125,9 @@
               int status,
               std::string_view cause,
               bool may_retry);
-  // Whether a call accepted now can finish before this entry stops.
-  bool CanFinishBeforeStop(const ServiceRoute& route, Instant now) const;
+  // Records the duration of a call that has ended or will be answered no more,
+  // and keeps it until the end of the tick.
+  void RetireCall(std::unique_ptr<RelayedCall> call, Instant now);
   SharedRetryBudget::Limits RetryLimits() const;
   MemberRecord OwnRecord() const;
 
@@ -150,6 +152,7 @@
   PeerExchange peers_;
   AdmissionQueue admission_queue_;
   ResponseLengthEstimator response_length_estimator_;
+  CallDurations call_durations_;
   // Delays given to refused callers, by service.
   std::map<std::string, RetryAfterScheduler> retry_after_schedulers_;
   CallContext context_;
@@ -166,9 +169,10 @@
 
   bool stopping_ = false;
   Instant stop_began_{};
-  // Time at which open calls are ended, and at which the process exits even if
-  // callers have not taken their responses.
-  Instant stop_deadline_{};
+  // Set while stopping.
+  std::optional<StopAdmission> stop_admission_;
+  // Time at which the process exits even if callers have not taken their
+  // responses.
   Instant exit_deadline_{};
   bool calls_ended_ = false;
   Instant next_gauges_{};
--- a/modules/bbv_fleet/bbv_fleet.h
+++ b/modules/bbv_fleet/bbv_fleet.h
@@ -10,6 +10,7 @@
 #define MODULES_BBV_FLEET_BBV_FLEET_H_
 
 #include "bbv_fleet/admission_queue.h"
+#include "bbv_fleet/call_durations.h"
 #include "bbv_fleet/call_quarantine.h"
 #include "bbv_fleet/call_trait.h"
 #include "bbv_fleet/crash_detector.h"
@@ -28,6 +29,7 @@
 #include "bbv_fleet/retry_budgets.h"
 #include "bbv_fleet/shared_retry_budget.h"
 #include "bbv_fleet/stall_detector.h"
+#include "bbv_fleet/stop_admission.h"
 #include "bbv_fleet/target_fault.h"
 #include "bbv_fleet/target_loss_detector.h"
 #include "bbv_fleet/target_rate_limit.h"
--- /dev/null
+++ b/tests/entry_stop_test.cc
@@ -0,0 +1,106 @@
+#include <CppUTest/TestHarness.h>
+
+#include <chrono>
+#include <csignal>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "fleet_floor.h"
+#include "raw_caller.h"
+
+using bbv::FleetFloor;
+using bbv::RawCaller;
+using bbv::RequestText;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+// Answers, by attempt id.
+using Answers = std::map<std::string, std::string>;
+
+}  // namespace
+
+// A stopping entry takes calls only if they can end before it exits.
+TEST_GROUP(EntryStop) {
+  bbv::standins::FleetTargets::Options options;
+  std::unique_ptr<FleetFloor> floor;
+
+  void StartFleet(int stop_timeout_s = 8) {
+    floor = std::make_unique<FleetFloor>(2, options, stop_timeout_s);
+    if (!floor->Start())
+      FAIL(("could not start: " + floor->Output(0)).c_str());
+  }
+  void teardown() override {
+    floor.reset();
+  }
+
+  // Stops the first entry and sends it a call every `interval` for `span`;
+  // waits for all answers.
+  Answers SendThroughStop(const std::string& path, milliseconds span,
+                          milliseconds interval) {
+    std::vector<std::pair<std::string, RawCaller>> callers;
+    floor->Signal(0, SIGTERM);
+    const auto began = Clock::now();
+    for (milliseconds at{}; at < span; at += interval) {
+      std::this_thread::sleep_until(began + at);
+      const std::string id = "at-" + std::to_string(at.count());
+      callers.emplace_back(id, RawCaller(floor->callers_port(0)));
+      CHECK(callers.back().second.Send(RequestText(path, id)));
+    }
+    Answers answers;
+    for (auto& [id, caller] : callers)
+      answers[id] = caller.Receive(9000);
+    CHECK_EQUAL(0, floor->WaitForExit(0));
+    return answers;
+  }
+
+  // Checks that each call has an answer of its target, or was refused and has
+  // not run. Returns the number of calls that were answered by a target.
+  int CheckAnsweredOrRefused(const Answers& answers) {
+    const std::map<std::string, int> runs = floor->targets().ExecutionCounts();
+    int answered = 0;
+    for (const auto& [id, answer] : answers) {
+      const std::string shown = (id + ": ").append(answer);
+      if (answer.starts_with("HTTP/1.1 200")) {
+        CHECK_TEXT(answer.ends_with("done for account"), shown.c_str());
+        CHECK_EQUAL_TEXT(1, runs.at(id), shown.c_str());
+        ++answered;
+      } else {
+        CHECK_TEXT(answer.starts_with("HTTP/1.1 503"), shown.c_str());
+        CHECK_TEXT(answer.find("Retry-After: ") != std::string::npos,
+                   shown.c_str());
+        CHECK_TEXT(!runs.contains(id), shown.c_str());
+      }
+    }
+    return answered;
+  }
+};
+
+TEST(EntryStop, UnsafeCallsAsSlowAsTheirRoutePermitsAreNotCut) {
+  // The routes' limit is 5 s.
+  options.work_ms = 4800;
+  StartFleet();
+  const Answers answers =
+      SendThroughStop("/unsafe/x", milliseconds(7000), milliseconds(350));
+  CHECK_EQUAL(20, static_cast<int>(answers.size()));
+  // Until 2.7 s after the signal the limit of the calls passes in time.
+  CHECK(CheckAnsweredOrRefused(answers) >= 7);
+}
+
+TEST(EntryStop, CallsWhoseLimitExceedsTheStopAreNotCut) {
+  // The routes' limit is 5 s, the stop deadline 4.7 s.
+  options.work_ms = 2000;
+  StartFleet(5);
+  RawCaller caller(floor->callers_port(0));
+  CHECK(caller.Send(RequestText("/unsafe/x", "before")));
+  STRNCMP_EQUAL("HTTP/1.1 200", caller.Receive(4000, "done").c_str(), 12);
+  const Answers answers =
+      SendThroughStop("/unsafe/x", milliseconds(4000), milliseconds(150));
+  CHECK_EQUAL(27, static_cast<int>(answers.size()));
+  CHECK(CheckAnsweredOrRefused(answers) >= 2);
+}
