A stop follows the stop timeout that is in the settings file

Callers saw: nothing yet. With a timeout that was shortened without a signal, calls open at the end of a stop would get no answer, and late ones would be taken: the process is killed before it ends them.

Cause: the settings file may change without any signal, but the stop used the timeout of the last start or SIGHUP. Now SIGTERM reads the file as SIGHUP does, before the deadlines of the stop are fixed. Other settings already hold until a restart or, for the number of connections, until the next reload.

A reload during the stop does not move its end: calls were taken by the first deadline, and the kill follows the SIGTERM. That was so before; a test holds it.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -748,6 +748,8 @@
   if (std::exchange(stopping_, true))
     return;
   stop_began_ = EventLoop::Now();
+  // The stop timeout may have changed without a signal.
+  Reload();
   stop_admission_.emplace(
       stop_began_,
       stop_began_ + Milliseconds(settings_.stop_timeout_ms) - kForcedStopMargin,
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -40,7 +40,7 @@
 class FleetEntry final : public CallerRequestHandler,
                          public HttpClient::Observer {
  public:
-  // `settings_path` is reloaded on SIGHUP.
+  // `settings_path` is reloaded on SIGHUP and when a stop begins.
   FleetEntry(FleetSettings settings, std::string settings_path);
   ~FleetEntry() override;
 
--- a/tests/entry_stop_test.cc
+++ b/tests/entry_stop_test.cc
@@ -104,3 +104,37 @@
   CHECK_EQUAL(27, static_cast<int>(answers.size()));
   CHECK(CheckAnsweredOrRefused(answers) >= 2);
 }
+
+TEST(EntryStop, AStopTimeoutThatWasShortenedWithoutASignalHolds) {
+  options.work_ms = 4500;
+  StartFleet();
+  RawCaller caller(floor->callers_port(0));
+  CHECK(caller.Send(RequestText("/unsafe/x", "open")));
+  std::this_thread::sleep_for(milliseconds(150));
+  floor->SetStopTimeout(0, 3);
+  floor->Signal(0, SIGTERM);
+  // The process is killed at the new timeout.
+  const std::string answer = caller.Receive(3000);
+  floor->Signal(0, SIGKILL);
+  STRNCMP_EQUAL("HTTP/1.1 502", answer.c_str(), 12);
+}
+
+TEST(EntryStop, AReloadDuringTheStopDoesNotMoveItsEnd) {
+  options.work_ms = 4500;
+  StartFleet();
+  floor->SetStopTimeout(1, 3);
+  floor->Signal(1, SIGHUP);
+  RawCaller shortened(floor->callers_port(0));
+  RawCaller extended(floor->callers_port(1));
+  CHECK(shortened.Send(RequestText("/unsafe/x", "shortened")));
+  CHECK(extended.Send(RequestText("/unsafe/x", "extended")));
+  std::this_thread::sleep_for(milliseconds(150));
+  for (const int entry : {0, 1}) {
+    floor->Signal(entry, SIGTERM);
+    std::this_thread::sleep_for(milliseconds(50));
+    floor->SetStopTimeout(entry, entry == 0 ? 3 : 8);
+    floor->Signal(entry, SIGHUP);
+  }
+  STRNCMP_EQUAL("HTTP/1.1 502", extended.Receive(2900).c_str(), 12);
+  STRNCMP_EQUAL("HTTP/1.1 200", shortened.Receive(4000).c_str(), 12);
+}
--- a/tests/fleet_floor.cc
+++ b/tests/fleet_floor.cc
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 #include <thread>
 #include <utility>
@@ -145,6 +146,18 @@
   std::_Exit(127);
 }
 
+void FleetFloor::SetStopTimeout(int entry, int stop_timeout_s) {
+  const std::string& path = entries_[entry]->settings;
+  std::ifstream file(path);
+  std::string text{std::istreambuf_iterator<char>(file), {}};
+  const std::string key = "stop_timeout_s = ";
+  const std::size_t at = text.find(key) + key.size();
+  text.replace(at, text.find('\n', at) - at, std::to_string(stop_timeout_s));
+  // The file is never seen half written.
+  std::ofstream(path + ".new") << text;
+  std::filesystem::rename(path + ".new", path);
+}
+
 void FleetFloor::Signal(int entry, int signal) {
   kill(entries_[entry]->pid, signal);
 }
--- a/tests/fleet_floor.h
+++ b/tests/fleet_floor.h
@@ -54,6 +54,8 @@
   standins::FaultProxy& store_proxy(int entry);
 
   void StartEntry(int entry);
+  // Changes the stop timeout in the settings file of `entry`, without a signal.
+  void SetStopTimeout(int entry, int stop_timeout_s);
   void Signal(int entry, int signal);
   // Whether the process exists, suspended or not. An exit counts once it was
   // seen by HasExited() or WaitForExit().
