Orders and reports name the process that they are meant for

Callers saw: layers of one service were ordered at a smaller target of another one, which crashed (35,000 MB on 14,000 MB). Cause: orders and reports went by address alone. A pending order of a crashed target was repeated at its address while its record was still listed; the process that had got the address reported no orders begun, so that the precondition fitted too. FaultDetector took the report of such a process as a sign of life, or as proof of free memory, of the target that had ended. Change: PostOrder() takes the target's id and sends it as X-Expect-Instance, also for changes of path. FetchReport() takes the start of the target's process and drops the report of another one. A later process that reports at the address is a fault of the target, which no later contact disproves. It works at every moment because the receiver compares the id, however late an order comes.

--- a/modules/bbv_entry/fault_detector.cc
+++ b/modules/bbv_entry/fault_detector.cc
@@ -35,7 +35,9 @@
   if (now < next || target == nullptr || !target->AcceptsRequests(now))
     return;
   next = now + kStallReportInterval + kStallReportTimeout;
-  FetchReport(client_, {target->record.address, now + kStallReportTimeout},
+  FetchReport(client_,
+              {target->record.address, target->record.started_unix_ms,
+               now + kStallReportTimeout},
               [this, target_id, now](const ReportAnswer& answer) {
                 OnStallReport(target_id, now, answer);
               });
@@ -48,15 +50,17 @@
       !registry_->IsUsable(*target, now))
     return;
   next = now + kProbeInterval;
-  FetchReport(
-      client_,
-      {target->record.address, now + kProbeTimeout, /*may_reuse=*/false},
-      [this, target_id, now](const ReportAnswer& answer) {
-        if (!answer.answered)
-          on_fault_({target_id,
-                     "its streams fell silent and it gives no report", now,
-                     false});
-      });
+  FetchReport(client_,
+              {target->record.address, target->record.started_unix_ms,
+               now + kProbeTimeout, /*may_reuse=*/false},
+              [this, target_id, now](const ReportAnswer& answer) {
+                if (answer.is_from_successor)
+                  ReportSuccessor(target_id);
+                else if (!answer.answered)
+                  on_fault_({target_id,
+                             "its streams fell silent and it gives no report",
+                             now, false});
+              });
 }
 
 void FaultDetector::InvestigateRefusal(const std::string& target_id,
@@ -70,18 +74,27 @@
   if (now < next || !target->AcceptsRequests(now))
     return;
   next = now + kRefusalReportInterval;
-  FetchReport(
-      client_,
-      {target->record.address, now + kProbeTimeout, /*may_reuse=*/false},
-      [this, target_id, now, capacity](const ReportAnswer& answer) {
-        OnRefusalReport(target_id, now, capacity, answer);
-      });
+  FetchReport(client_,
+              {target->record.address, target->record.started_unix_ms,
+               now + kProbeTimeout, /*may_reuse=*/false},
+              [this, target_id, now, capacity](const ReportAnswer& answer) {
+                OnRefusalReport(target_id, now, capacity, answer);
+              });
+}
+
+void FaultDetector::ReportSuccessor(const std::string& target_id) {
+  on_fault_({target_id, "a later process reports at its address", std::nullopt,
+             true});
 }
 
 void FaultDetector::OnRefusalReport(const std::string& target_id,
                                     Instant asked_at,
                                     double capacity,
                                     const ReportAnswer& answer) {
+  if (answer.is_from_successor) {
+    ReportSuccessor(target_id);
+    return;
+  }
   if (!answer.answered) {
     on_fault_(
         {target_id, "turned a call away and gives no report", asked_at, true});
@@ -106,6 +119,10 @@
                                   Instant asked_at,
                                   const ReportAnswer& answer) {
   next_stall_report_[target_id] = EventLoop::Now() + kStallReportInterval;
+  if (answer.is_from_successor) {
+    ReportSuccessor(target_id);
+    return;
+  }
   if (!answer.answered) {
     on_fault_({target_id, "no report", asked_at, false});
     return;
--- a/modules/bbv_entry/fault_detector.h
+++ b/modules/bbv_entry/fault_detector.h
@@ -48,6 +48,8 @@
                           Instant now);
 
  private:
+  // Reports a target as faulty at whose address a later process has answered.
+  void ReportSuccessor(const std::string& target_id);
   void OnStallReport(const std::string& target_id,
                      Instant asked_at,
                      const ReportAnswer& answer);
--- a/modules/bbv_entry/load_poller.cc
+++ b/modules/bbv_entry/load_poller.cc
@@ -56,7 +56,9 @@
 void LoadPoller::Poll(const std::string& id,
                       const FleetTarget& target,
                       Instant now) {
-  FetchReport(client_, {target.record.address, now + kReportTimeout},
+  FetchReport(client_,
+              {target.record.address, target.record.started_unix_ms,
+               now + kReportTimeout},
               [this, id](const ReportAnswer& answer) {
                 if (answer.report) {
                   registry_->ApplyReport(id, answer.report->load,
--- a/modules/bbv_entry/planner_agent.cc
+++ b/modules/bbv_entry/planner_agent.cc
@@ -356,10 +356,14 @@
 
 void PlannerAgent::RequestReport(const std::string& id) {
   const FleetTarget* target = registry_->Find(id);
-  if (target == nullptr || target->IsInBackoff(EventLoop::Now()))
+  const auto pending = pending_orders_.find(id);
+  if (target == nullptr || pending == pending_orders_.end() ||
+      target->IsInBackoff(EventLoop::Now()))
     return;
   FetchReport(
-      client_, {target->record.address, EventLoop::Now() + kOrderTimeout},
+      client_,
+      {target->record.address, pending->second.started_unix_ms,
+       EventLoop::Now() + kOrderTimeout},
       [this, id](const ReportAnswer& answer) {
         const auto order = pending_orders_.find(id);
         const auto& report = answer.report;
@@ -395,9 +399,10 @@
                {"to_layer", static_cast<int64_t>(layers.to)},
                {"orders_begun", orders_begun}});
   PostOrder(
-      client_, target->record.address,
-      platform::EncodePlaceOrder(layers, orders_begun),
-      EventLoop::Now() + kOrderTimeout,
+      client_,
+      {id, target->record.address,
+       platform::EncodePlaceOrder(layers, orders_begun),
+       EventLoop::Now() + kOrderTimeout},
       [this, id](const OrderAnswer& answer) { OnOrderAnswer(id, answer); });
 }
 
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -182,10 +182,11 @@
 }
 
 void RelayedCall::ChangePath(const CallDispatch& path, Instant now) {
-  PostOrder(context_->client, path.target_address,
-            platform::EncodeChangePathOrder(call_.request().attempt_id,
-                                            path.hop_addresses, path.layers),
-            now + kOrderTimeout,
+  PostOrder(context_->client,
+            {path.target_id, path.target_address,
+             platform::EncodeChangePathOrder(call_.request().attempt_id,
+                                             path.hop_addresses, path.layers),
+             now + kOrderTimeout},
             [self = std::weak_ptr<RelayedCall*>(self_), exchange = exchange_,
              path](const OrderAnswer& answer) {
               const auto call = self.lock();
--- a/modules/bbv_entry/target_requests.cc
+++ b/modules/bbv_entry/target_requests.cc
@@ -17,11 +17,14 @@
                                   std::string_view method,
                                   std::string_view path,
                                   const std::string& json_body,
-                                  Instant deadline) {
+                                  Instant deadline,
+                                  std::string_view target_id) {
   ExchangeRequest request;
   request.address = ParseSocketAddress(address).value();
   request.bytes.append(method).append(" ").append(path).append(" HTTP/1.1\r\n");
   AppendField("Host", address, &request.bytes);
+  if (!target_id.empty())
+    AppendField(platform::kExpectedTargetField, target_id, &request.bytes);
   if (!json_body.empty()) {
     AppendField("Content-Type", "application/json", &request.bytes);
     AppendField("Content-Length", std::to_string(json_body.size()),
@@ -48,14 +51,12 @@
 }
 
 void PostOrder(HttpClient* client,
-               const std::string& address,
-               const std::string& json_body,
-               Instant deadline,
+               const OrderRequest& order,
                std::function<void(const OrderAnswer&)> done) {
   ResponseCollector::Fetch(
       client,
-      MakeTargetRequest(address, "POST", platform::kOrderPath, json_body,
-                        deadline),
+      MakeTargetRequest(order.address, "POST", platform::kOrderPath,
+                        order.json_body, order.deadline, order.target_id),
       [done = std::move(done)](const HttpResponse* answer) {
         OrderAnswer result;
         if (answer != nullptr)
@@ -77,11 +78,19 @@
   request.may_reuse = report_request.may_reuse;
   ResponseCollector::Fetch(
       client, std::move(request),
-      [done = std::move(done)](const HttpResponse* answer) {
+      [done = std::move(done),
+       started_unix_ms =
+           report_request.started_unix_ms](const HttpResponse* answer) {
         ReportAnswer result;
         result.answered = answer != nullptr;
         if (result.answered && answer->head.status == kOk)
           result.report = platform::DecodeTargetReport(answer->body);
+        if (result.report &&
+            result.report->load.started_unix_ms != started_unix_ms) {
+          result.is_from_successor =
+              result.report->load.started_unix_ms > started_unix_ms;
+          result.report.reset();
+        }
         done(result);
       });
 }
--- a/modules/bbv_entry/target_requests.h
+++ b/modules/bbv_entry/target_requests.h
@@ -1,6 +1,7 @@
 #ifndef MODULES_BBV_ENTRY_TARGET_REQUESTS_H_
 #define MODULES_BBV_ENTRY_TARGET_REQUESTS_H_
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -13,13 +14,15 @@
 namespace bbv {
 
 // Returns a request that this entry itself makes to a target, such as for its
-// report or an order. Precondition: `address` has the form ip:port. Thread
+// report or an order. If `target_id` is not empty, only the target with this id
+// carries the request out. Precondition: `address` has the form ip:port. Thread
 // safe.
 ExchangeRequest MakeTargetRequest(const std::string& address,
                                   std::string_view method,
                                   std::string_view path,
                                   const std::string& json_body,
-                                  Instant deadline);
+                                  Instant deadline,
+                                  std::string_view target_id = {});
 
 // Typical age of a report's values on arrival.
 inline constexpr Milliseconds kTypicalReportAge{200};
@@ -28,7 +31,10 @@
 struct ReportAnswer {
   // Whether a complete HTTP response arrived in time.
   bool answered = false;
-  // Set if the response was a valid report.
+  // Whether the response was the report of another process, which has taken
+  // over the address: the target has ended.
+  bool is_from_successor = false;
+  // Set if the response was a valid report of the target.
   std::optional<platform::TargetReport> report;
 };
 
@@ -36,6 +42,9 @@
 struct ReportRequest {
   // In the form ip:port.
   std::string address;
+  // Start of the target's process, by which its report is told from one of a
+  // later process at the same address.
+  int64_t started_unix_ms = 0;
   Instant deadline;
   // Whether an idle connection may be reused. A connection to an instance that
   // is gone gives no error, so a liveness check needs a new one.
@@ -63,13 +72,21 @@
   bool is_conflict() const;
 };
 
-// Sends the order in `json_body` to the target at `address`. `done` is called
-// exactly once and never synchronously. Precondition: `address` has the form
-// ip:port. Thread safety: none, the loop's thread.
+// An order for a target.
+struct OrderRequest {
+  // The only target that may carry out the order; any other one that listens at
+  // the address rejects it.
+  std::string target_id;
+  // In the form ip:port.
+  std::string address;
+  std::string json_body;
+  Instant deadline;
+};
+
+// Sends an order. `done` is called exactly once and never synchronously. Thread
+// safety: none, the loop's thread.
 void PostOrder(HttpClient* client,
-               const std::string& address,
-               const std::string& json_body,
-               Instant deadline,
+               const OrderRequest& order,
                std::function<void(const OrderAnswer&)> done);
 
 }  // namespace bbv
--- a/tests/stale_response_test.cc
+++ b/tests/stale_response_test.cc
@@ -325,11 +325,13 @@
   SendCall("a", &first);
   loop.Run();
   OrderAnswer order;
-  PostOrder(&client, server->address().ToString(), "{}",
-            EventLoop::Now() + kTimeout, [&](const OrderAnswer& answer) {
-              order = answer;
-              loop.Stop();
-            });
+  PostOrder(
+      &client,
+      {"i-1", server->address().ToString(), "{}", EventLoop::Now() + kTimeout},
+      [&](const OrderAnswer& answer) {
+        order = answer;
+        loop.Stop();
+      });
   loop.Run();
   CHECK_EQUAL(1, server->connections());
   CHECK_EQUAL(202, order.status);
@@ -343,7 +345,7 @@
   loop.Run();
   ReportAnswer report;
   FetchReport(&client,
-              {server->address().ToString(), EventLoop::Now() + kTimeout},
+              {server->address().ToString(), 0, EventLoop::Now() + kTimeout},
               [&](const ReportAnswer& answer) {
                 report = answer;
                 loop.Stop();
