A record of a service that no configuration names evicts no target

Cause: TargetRegistry::Apply() gave an address to the record with the latest start, whatever its service, and removed the other row. Change: the registry knows the services that the configuration names, those of its routes included. Only targets of named services contend for an address; a row of another service stays beside them and gets no calls. When a configuration names further services, contention is settled again, so that neither the order of the records nor a list read before the configuration matters. Evidence: with each service counted as named, as before, three tests of TargetRegistry (RecordOfAnUnnamedServiceTakesNoTargetOutOfUse, ListReadBeforeTheConfigurationKeepsTargetsInUse, AddressBelongsToTheLaterStartOnceItsServiceIsNamed) and OddEntry's RecordOfAnUnnamedServiceTakesNoTargetOutOfUse failed. Result: they pass, with the other 20 of the two groups. The group TargetRegistry now names its service, as an entry does; its checks are unchanged. The same cause was looked for in UnlistedTarget and FindByHash(): both go by the id.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -540,6 +540,7 @@
   crash_guard_.OnTick(now);
   const std::size_t reader_rank = peers_.reader_rank();
   configuration_.OnTick(reader_rank < kConfigurationReaders, jitter_seed_, now);
+  UpdateServices(now);
   targets_.OnTick(reader_rank, jitter_seed_, now);
   planner_.SetCandidate(peers_.known_entries().has_value() &&
                         now >= seek_lease_at_ && reader_rank == 0);
@@ -561,6 +562,13 @@
     TickStop(now);
 }
 
+void FleetEntry::UpdateServices(Instant now) {
+  if (configuration_.current() == services_source_)
+    return;
+  services_source_ = configuration_.current();
+  targets_.SetServices(services_source_->ServiceNames(), now);
+}
+
 void FleetEntry::LogCongestion(Instant now) {
   const Instant last = std::exchange(last_tick_, now);
   if (last != Instant{}) {
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -111,6 +111,8 @@
   void SuspectTarget(FleetTarget* target,
                      const TargetFault& fault,
                      Instant now);
+  // Names the services of the current configuration to the target registry.
+  void UpdateServices(Instant now);
   // Logs once a second how busy this entry's processor and connections were, if
   // they delayed anything.
   void LogCongestion(Instant now);
@@ -142,6 +144,8 @@
   TargetSelector selector_;
   ConfigurationFollower configuration_;
   TargetFollower targets_;
+  // The configuration that last named the services.
+  std::shared_ptr<FleetIndex> services_source_;
   PlannerAgent planner_;
   FaultDetector fault_detector_;
   CrashGuard crash_guard_;
--- a/modules/bbv_entry/target_follower.cc
+++ b/modules/bbv_entry/target_follower.cc
@@ -89,6 +89,15 @@
   ReadNewest({});
 }
 
+void TargetFollower::SetServices(std::set<std::string, std::less<>> services,
+                                 Instant now) {
+  for (const std::string& id : registry_->SetServices(std::move(services))) {
+    log_->Write(
+        Event::kTargetGone, now,
+        {{"target", id}, {"evidence", "a later target has its address"}});
+  }
+}
+
 void TargetFollower::StartMissingTargetGrace(Instant read_at) {
   continuous_since_ = read_at;
   missing_removal_due_ = true;
--- a/modules/bbv_entry/target_follower.h
+++ b/modules/bbv_entry/target_follower.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_set>
@@ -40,6 +41,9 @@
   // staggers entries that have to read at the same time.
   void OnTick(std::size_t rank, uint64_t jitter_seed, Instant now);
 
+  // Sets the services that the configuration names; see TargetRegistry.
+  void SetServices(std::set<std::string, std::less<>> services, Instant now);
+
   // Applies the changes read by another entry of the zone.
   void ApplyDelta(const wire::TargetListDeltaT& delta, Instant now);
 
--- a/modules/bbv_fleet/fleet_index.cc
+++ b/modules/bbv_fleet/fleet_index.cc
@@ -35,6 +35,17 @@
   return nullptr;
 }
 
+std::set<std::string, std::less<>> FleetIndex::ServiceNames() const {
+  std::set<std::string, std::less<>> names;
+  for (const ServiceDescription& it : configuration_.services)
+    names.insert(it.name);
+  for (const ServiceRoute& route : configuration_.routes) {
+    for (const WeightedService& it : route.services)
+      names.insert(it.service);
+  }
+  return names;
+}
+
 const FleetAccount* FleetIndex::FindAccount(std::string_view key) const {
   const auto it = accounts_.find(key);
   return it == accounts_.end() ? nullptr : it->second;
--- a/modules/bbv_fleet/fleet_index.h
+++ b/modules/bbv_fleet/fleet_index.h
@@ -2,6 +2,8 @@
 #define MODULES_BBV_FLEET_FLEET_INDEX_H_
 
 #include <cstdint>
+#include <functional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -38,6 +40,10 @@
   static const std::string& PickService(const ServiceRoute& route,
                                         uint64_t random_value);
 
+  // Returns the names of the services that the configuration describes or that
+  // its routes use.
+  std::set<std::string, std::less<>> ServiceNames() const;
+
   const FleetConfiguration& configuration() const { return configuration_; }
 
  private:
--- a/modules/bbv_fleet/target_registry.cc
+++ b/modules/bbv_fleet/target_registry.cc
@@ -64,12 +64,46 @@
          layers.from < layers.to && layers.to <= kMaxLayers;
 }
 
+std::vector<std::string> TargetRegistry::SetServices(
+    std::set<std::string, std::less<>> services) {
+  services_ = std::move(services);
+  by_address_.clear();
+  std::vector<std::string> removed;
+  for (const auto& [id, row] : rows_) {
+    FleetTarget*& holder = by_address_[row->record.address];
+    const bool has_rival = holder != nullptr && IsNamed(holder->record);
+    if (!IsNamed(row->record)) {
+      if (!has_rival)
+        holder = row.get();
+      continue;
+    }
+    if (has_rival &&
+        row->record.started_unix_ms < holder->record.started_unix_ms) {
+      removed.push_back(id);
+      continue;
+    }
+    if (has_rival)
+      removed.push_back(holder->record.id);
+    holder = row.get();
+  }
+  for (const std::string& it : removed)
+    RemoveRow(it, kNeverRemoved);
+  return removed;
+}
+
+bool TargetRegistry::IsNamed(const TargetRecord& record) const {
+  return services_.contains(record.service);
+}
+
 bool TargetRegistry::Apply(const TargetRecord& record, Instant now) {
   if (IsOutdated(record))
     return false;
   // Only one process can listen at an address: the one that started last.
+  const bool named = IsNamed(record);
   const FleetTarget* holder = FindAddress(record.address);
-  if (holder != nullptr && holder->record.id != record.id) {
+  const bool has_rival = holder != nullptr && holder->record.id != record.id &&
+                         IsNamed(holder->record);
+  if (named && has_rival) {
     if (record.started_unix_ms < holder->record.started_unix_ms)
       return false;
     RemoveRow(std::string(holder->record.id), kNeverRemoved);
@@ -106,7 +140,8 @@
   if (recently_reported)
     row->record.layers = reported;
   row->listed_at = now;
-  by_address_[record.address] = row.get();
+  if (named || !has_rival)
+    by_address_[record.address] = row.get();
   if (restarted) {
     row->consecutive_faults = 0;
     row->failure_rate = 0;
--- a/modules/bbv_fleet/target_registry.h
+++ b/modules/bbv_fleet/target_registry.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -165,6 +166,13 @@
 // Deterministic; reads no clock. Thread safety: none, owned by one thread.
 class TargetRegistry {
  public:
+  // Sets the services that the configuration names. A record of any other
+  // service takes no address from their targets: it may come from another
+  // writer. Removes the targets whose address turns out to belong to one that
+  // started later and returns their ids.
+  std::vector<std::string> SetServices(
+      std::set<std::string, std::less<>> services);
+
   // Applies a listed record. Returns true if anything but its heartbeat
   // changed. A record that is older than the known state of its target is
   // ignored, because a list restored from a backup contains such records: it
@@ -194,7 +202,8 @@
   // Returns the row whose id has the short hash `hash`, or nullptr.
   FleetTarget* FindByHash(uint32_t hash);
 
-  // Returns the row whose address is `address`, or nullptr.
+  // Returns the row whose address is `address`, or nullptr. Rows of services
+  // that the configuration does not name come last.
   FleetTarget* FindAddress(std::string_view address);
 
   // Records that a target announced that it is leaving, to this or another
@@ -277,9 +286,12 @@
   // kNeverRemoved. Precondition: the row exists.
   void RemoveRow(std::string_view id, int64_t removed_at_heartbeat);
   void RememberUnlisted(const std::string& id, const UnlistedTarget& unlisted);
+  // Whether the configuration names the service of `record`.
+  bool IsNamed(const TargetRecord& record) const;
   // Returns whether `record` is older than the known state of its target.
   bool IsOutdated(const TargetRecord& record) const;
 
+  std::set<std::string, std::less<>> services_;
   std::map<std::string, UnlistedTarget, std::less<>> unlisted_;
   std::map<std::string, std::unique_ptr<FleetTarget>, std::less<>> rows_;
   std::unordered_map<std::string, FleetTarget*> by_address_;
--- a/modules/bbv_fleet/target_registry_test.cc
+++ b/modules/bbv_fleet/target_registry_test.cc
@@ -2,6 +2,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <string>
+#include <vector>
+
 #include "bbv_fleet/fleet_index.h"
 #include "tests/fleet_fixtures.h"
 
@@ -14,8 +17,17 @@
   bbv::TargetRecord record = bbv_test::MakeRecord("t", "s", "a");
 
   void setup() override {
+    registry.SetServices({"s", "other"});
     registry.Apply(record, now);
   }
+  // A record of another writer: a service that no configuration names, at the
+  // address of "t", with a later start.
+  bbv::TargetRecord MakeForeignRecord() {
+    bbv::TargetRecord foreign = bbv_test::MakeRecord("foreign", "unnamed", "a");
+    foreign.address = record.address;
+    foreign.started_unix_ms = record.started_unix_ms + 5000;
+    return foreign;
+  }
   bool Usable(Milliseconds after) {
     return registry.IsUsable(*registry.Find("t"), now + after);
   }
@@ -128,6 +140,43 @@
   CHECK(registry.FindAddress(record.address) == registry.Find("next"));
 }
 
+TEST(TargetRegistry, RecordOfAnUnnamedServiceTakesNoTargetOutOfUse) {
+  const bbv::TargetRecord foreign = MakeForeignRecord();
+  registry.Apply(foreign, now);
+  CHECK(registry.Find("t") != nullptr);
+  CHECK(registry.FindAddress(record.address) == registry.Find("t"));
+  // Nor does it keep out a target that is listed after it.
+  registry.Remove("t");
+  registry.Apply(foreign, now);
+  ++record.heartbeat;
+  CHECK(registry.Apply(record, now));
+  CHECK(registry.FindAddress(record.address) == registry.Find("t"));
+  CHECK(Usable(Milliseconds(0)));
+}
+
+TEST(TargetRegistry, ListReadBeforeTheConfigurationKeepsTargetsInUse) {
+  for (const bool foreign_first : {false, true}) {
+    bbv::TargetRegistry unconfigured;
+    if (foreign_first)
+      unconfigured.Apply(MakeForeignRecord(), now);
+    unconfigured.Apply(record, now);
+    if (!foreign_first)
+      unconfigured.Apply(MakeForeignRecord(), now);
+    CHECK(unconfigured.SetServices({"s"}).empty());
+    CHECK(unconfigured.Find("t") != nullptr);
+    CHECK(unconfigured.FindAddress(record.address) == unconfigured.Find("t"));
+  }
+}
+
+TEST(TargetRegistry, AddressBelongsToTheLaterStartOnceItsServiceIsNamed) {
+  registry.Apply(MakeForeignRecord(), now);
+  const std::vector<std::string> removed =
+      registry.SetServices({"s", "unnamed"});
+  CHECK_EQUAL(1U, removed.size());
+  STRCMP_EQUAL("t", removed.front().c_str());
+  CHECK(registry.FindAddress(record.address) == registry.Find("foreign"));
+}
+
 TEST(TargetRegistry, ALeavingAnnouncementOverridesTheList) {
   CHECK(registry.MarkLeaving("t", record.started_unix_ms));
   CHECK_FALSE(registry.MarkLeaving("t", record.started_unix_ms));
--- a/tests/odd_entry_test.cc
+++ b/tests/odd_entry_test.cc
@@ -4,11 +4,15 @@
 #include <chrono>
 #include <csignal>
 #include <memory>
+#include <set>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <utility>
 #include <vector>
 
+#include <nlohmann/json.hpp>
+
 #include "fleet_floor.h"
 
 using bbv::FleetFloor;
@@ -64,6 +68,18 @@
   return n;
 }
 
+// Returns the addresses at which a log lists targets of the plain service.
+std::set<std::string> PlainAddresses(const std::string& log) {
+  std::set<std::string> addresses;
+  std::istringstream lines(log);
+  for (std::string line; std::getline(lines, line);) {
+    const auto json = nlohmann::json::parse(line, nullptr, false);
+    if (json.is_object() && json.value("service", "") == "plain")
+      addresses.insert(json.value("address", ""));
+  }
+  return addresses;
+}
+
 }  // namespace
 
 TEST_GROUP(OddEntry) {
@@ -131,6 +147,33 @@
   CheckEntriesRun();
 }
 
+TEST(OddEntry, RecordOfAnUnnamedServiceTakesNoTargetOutOfUse) {
+  WaitForTargets(options.engines + options.services);
+  int foreign = 0;
+  for (const std::string& it : PlainAddresses(floor->Output(0))) {
+    floor->store().Put(kTargetTopic, "odd-" + std::to_string(++foreign),
+                       R"({"service":"unnamed","zone":"zone-a","slots":64,)"
+                       R"("state":"ready","version":"v1","sequence":1,)"
+                       R"("born":4000000000000,"address":")" +
+                           it + "\"}");
+  }
+  CHECK_EQUAL(options.services, foreign);
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  for (int it = 0; it < kEntries; ++it) {
+    // Restarted entries read the list before or after the configuration.
+    floor->Signal(it, SIGKILL);
+    floor->WaitForExit(it);
+    floor->StartEntry(it);
+    CHECK(floor->WaitReady(it, 5000));
+  }
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  for (int it = 0; it < 20; ++it) {
+    const auto answer =
+        floor->Call(it % kEntries, "/safe/x", "foreign" + std::to_string(it));
+    CHECK(answer && answer->status == 200);
+  }
+}
+
 TEST(OddEntry, EntriesStartWithOddRecordsInAListOfManyPages) {
   PutOddRecords();
   floor->store().SetPageSize(2);
