A crash is not missed because the listening socket closes last

Cause: after a broken connection the guard tried to connect once. A process that ends closes its connections and its listening socket one after the other; if the attempt came in between, it was accepted, and the detector dropped the crash for good.

Test: CrashDetector.AListeningSocketThatOutlivesItsConnectionsHidesACrash fails if one check is enough (that constant changed back).

Why it works: a target is taken for alive only if it accepts connections at three checks, 100 ms apart. A refusal at any of them confirms the crash. As before, a later start does not confirm it once a check was accepted, and a target that goes on listening is forgotten: now after at most 0.3 s or so. Checks stay bounded: three for the calls that break at one target within 0.3 s, where there was one.

--- a/modules/bbv_entry/crash_guard.cc
+++ b/modules/bbv_entry/crash_guard.cc
@@ -153,6 +153,11 @@
 
 void CrashGuard::OnTick(Instant now) {
   listen_checker_.OnTick(now);
+  for (const auto& [id, started_unix_ms] : crash_detector_.TakeDueChecks(now)) {
+    const FleetTarget* target = registry_->Find(id);
+    if (target != nullptr && target->record.started_unix_ms == started_unix_ms)
+      CheckTarget(*target, now);
+  }
   for (const TargetCrash& it : crash_detector_.TakeCrashes(*registry_, now))
     OnCrash(it, now);
   WithdrawDisprovedCrashes(now);
--- a/modules/bbv_fleet/crash_detector.cc
+++ b/modules/bbv_fleet/crash_detector.cc
@@ -9,6 +9,10 @@
 // Bounds the evidence that one crash can bring.
 constexpr std::size_t kMaxSuspects = 256;
 constexpr Milliseconds kCheckInterval{300};
+// Successive checks that must find a target listening, and the time between
+// them, until it is taken for alive.
+constexpr int kChecksOfLiveTarget = 3;
+constexpr Milliseconds kRepeatedCheckInterval{100};
 // How long a broken connection is remembered. A target that restarts is listed
 // again within this time.
 constexpr Milliseconds kPendingLifetime{15'000};
@@ -41,6 +45,7 @@
   if (pending.confirmed || now < pending.next_check)
     return false;
   pending.next_check = now + kCheckInterval;
+  pending.repeat_check_at = now + kRepeatedCheckInterval;
   return true;
 }
 
@@ -50,10 +55,30 @@
   const auto it = pending_.find({target_id, started_unix_ms});
   if (it == pending_.end())
     return;
-  if (result == ListenCheckResult::kRefused)
-    it->second.confirmed = true;
-  else if (result == ListenCheckResult::kListening && !it->second.confirmed)
+  PendingCrash& pending = it->second;
+  if (result == ListenCheckResult::kRefused) {
+    pending.confirmed = true;
+    return;
+  }
+  if (result != ListenCheckResult::kListening || pending.confirmed)
+    return;
+  if (++pending.listening_checks == kChecksOfLiveTarget)
     pending_.erase(it);
+  else
+    pending.is_repeat_due = true;
+}
+
+std::vector<CrashDetector::ProcessKey> CrashDetector::TakeDueChecks(
+    Instant now) {
+  std::vector<ProcessKey> due;
+  for (auto& [key, pending] : pending_) {
+    if (!pending.is_repeat_due || now < pending.repeat_check_at)
+      continue;
+    pending.is_repeat_due = false;
+    pending.repeat_check_at = now + kRepeatedCheckInterval;
+    due.push_back(key);
+  }
+  return due;
 }
 
 std::vector<TargetCrash> CrashDetector::TakeCrashes(
@@ -63,7 +88,8 @@
   for (auto it = pending_.begin(); it != pending_.end();) {
     PendingCrash& pending = it->second;
     const FleetTarget* target = registry.Find(pending.crash.target_id);
-    if (target != nullptr &&
+    // A target that was found listening may be started again for any reason.
+    if (target != nullptr && pending.listening_checks == 0 &&
         target->record.started_unix_ms > pending.crash.started_unix_ms)
       pending.confirmed = true;
     if (pending.confirmed && pending.crash.broken_calls > 0) {
--- a/modules/bbv_fleet/crash_detector.h
+++ b/modules/bbv_fleet/crash_detector.h
@@ -55,11 +55,17 @@
 //
 // A broken connection alone proves nothing: networks reset connections, and
 // faulty targets close them. A target has crashed if it refuses connections
-// right after some broke, or if it is listed with a later start. Targets that
-// are leaving end as planned and are ignored. Deterministic; reads no clock.
+// right after some broke, or if it is listed with a later start. A process that
+// ends may close its connections before its listening socket, so a target is
+// taken for alive only if it goes on accepting connections for a while. Targets
+// that are leaving end as planned and are ignored. Deterministic; reads no
+// clock.
 // Thread safety: none, owned by one thread.
 class CrashDetector {
  public:
+  // Identifies one process: the target's id and the time of its start.
+  using ProcessKey = std::pair<std::string, int64_t>;
+
   // Records a call whose connection to `target` broke. Returns whether the
   // caller should try to connect to the target and call RecordCheck().
   bool RecordBrokenCall(const FleetTarget& target,
@@ -72,6 +78,10 @@
                    int64_t started_unix_ms,
                    ListenCheckResult result);
 
+  // Returns the processes that accepted a connection after one broke and are to
+  // be checked once more. Each check of them is due once.
+  std::vector<ProcessKey> TakeDueChecks(Instant now);
+
   // Returns the crashes found since the last call. A crash is returned again
   // with the calls that broke later.
   std::vector<TargetCrash> TakeCrashes(const TargetRegistry& registry,
@@ -81,12 +91,17 @@
   struct PendingCrash {
     TargetCrash crash;
     bool confirmed = false;
+    // From when the next broken call leads to a check.
     Instant next_check{};
+    // Successive checks that found the target listening, whether another one
+    // follows and from when.
+    int listening_checks = 0;
+    bool is_repeat_due = false;
+    Instant repeat_check_at{};
     Instant last_broken{};
   };
 
-  // By target id and start.
-  std::map<std::pair<std::string, int64_t>, PendingCrash> pending_;
+  std::map<ProcessKey, PendingCrash> pending_;
 };
 
 }  // namespace bbv
--- a/modules/bbv_fleet/crash_detector_test.cc
+++ b/modules/bbv_fleet/crash_detector_test.cc
@@ -67,6 +67,33 @@
   CHECK(detector.TakeCrashes(registry, kStart).empty());
 }
 
+TEST(CrashDetector, AListeningSocketThatOutlivesItsConnectionsHidesACrash) {
+  RecordBroken(1, false);
+  detector.RecordCheck("engine", 1, ListenCheckResult::kListening);
+  CHECK(detector.TakeDueChecks(kStart + Milliseconds(50)).empty());
+  CHECK_EQUAL(1, detector.TakeDueChecks(kStart + Milliseconds(150)).size());
+  CHECK(detector.TakeDueChecks(kStart + Milliseconds(300)).empty());
+  detector.RecordCheck("engine", 1, ListenCheckResult::kRefused);
+  CHECK_EQUAL(1, detector.TakeCrashes(registry, kStart).size());
+}
+
+TEST(CrashDetector, ATargetThatGoesOnListeningIsAccusedByALaterCrash) {
+  RecordBroken(1, false);
+  Instant now = kStart;
+  int checks = 1;
+  detector.RecordCheck("engine", 1, ListenCheckResult::kListening);
+  for (int it = 0; it < 100; ++it) {
+    now += Milliseconds(50);
+    for (const auto& [id, started] : detector.TakeDueChecks(now)) {
+      ++checks;
+      detector.RecordCheck(id, started, ListenCheckResult::kListening);
+    }
+  }
+  CHECK(checks <= 4);
+  detector.RecordCheck("engine", 1, ListenCheckResult::kRefused);
+  CHECK(detector.TakeCrashes(registry, now).empty());
+}
+
 TEST(CrashDetector, ATargetThatIsCutOffHasNotCrashed) {
   RecordBroken(1, false);
   detector.RecordCheck("engine", 1, ListenCheckResult::kNoAnswer);
