A stream that is cut short without length or chunks may be a crash

Cause: for such a stream the end of the connection is the end of the answer, so the exchange does not fail but ends. OnResponseEnd() found the partial event, or that no event had come, and failed the send without telling the crash guard.

Why it works: such a stream was broken off, so its target may have crashed. The guard now checks the target as after any broken connection; a target that goes on listening is not accused.

--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -591,6 +591,8 @@
   const Instant now = EventLoop::Now();
   if (streaming_) {
     if (splitter_.has_partial_event() || !has_output()) {
+      context_->crash_guard->OnCallBroken(Guarded(), dispatch_.target_id,
+                                          sent_at_, began_output(), now);
       FailSend({CallEndReason::kBadAnswer, false, false, {}}, "stream cut");
       return;
     }
--- a/tests/deadly_part_test.cc
+++ b/tests/deadly_part_test.cc
@@ -28,6 +28,14 @@
   CHECK(DeadlyFleet::AreServed(*sound));
 }
 
+TEST(DeadlyPart, CrashInsideACloseDelimitedStreamIsTakenForItsEnd) {
+  options.close_delimited = true;
+  StartFleet();
+  StartStreams(kDeadlyPart);
+  CheckFewLaterCalls(kCrashesToLearn);
+  CHECK(DeadlyFleet::AreServed(*sound));
+}
+
 TEST(DeadlyPart, ErrorResponsesClearAPartThatCrashesTargets) {
   options.failing_every = 2;
   StartFleet();
