--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -721,6 +721,9 @@
   // A replacement that has brought no event yet cannot end the stream.
   if (IsReplacement(send) || send->splitter.has_partial_event() ||
       !has_output(*send)) {
+    context_->crash_guard->OnCallBroken(Guarded(), send->dispatch.target_id,
+                                        send->sent_at, send->began_output(),
+                                        now);
     FailSend(send, {CallEndReason::kBadAnswer, false, false, {}}, "stream cut");
     return;
   }
