--- a/tests/response_head_end_test.cc
+++ b/tests/response_head_end_test.cc
@@ -258,11 +258,13 @@
     const RawServer server(MakeHead().substr(0, cut), false);
     ClientLoop entry;
     std::optional<OrderAnswer> order;
-    PostOrder(&entry.client, server.address().ToString(), "{}",
-              EventLoop::Now() + kTimeout, [&](const OrderAnswer& answer) {
-                order = answer;
-                entry.loop.Stop();
-              });
+    PostOrder(
+        &entry.client,
+        {"t", server.address().ToString(), "{}", EventLoop::Now() + kTimeout},
+        [&](const OrderAnswer& answer) {
+          order = answer;
+          entry.loop.Stop();
+        });
     entry.loop.Run();
     CHECK_EQUAL(0, order->status);
   }
@@ -274,7 +276,8 @@
     ClientLoop entry;
     std::optional<ReportAnswer> report;
     FetchReport(&entry.client,
-                {server.address().ToString(), EventLoop::Now() + kTimeout},
+                {server.address().ToString(), /*started_unix_ms=*/0,
+                 EventLoop::Now() + kTimeout},
                 [&](const ReportAnswer& answer) {
                   report = answer;
                   entry.loop.Stop();
