A zone's first reader notices silent connections to the store within 1.75 s

Callers saw: a key that was taken away was still accepted 3.04 s after the acknowledgement, 2 s allowed, when the open connections to the store had fallen silent just after a long poll began. Cause: the long poll's limit was 3.1 s, a retry came 250 ms later, and it could go out on another idle connection that was as silent. An entry that had heard of the newer version from peers did not read while its long poll was in flight. Change: the first reader waits 1.3 s (limit 1.75 s) and the second one, which reads only in case the first one can't, 6 s. A long poll that went unanswered to its limit is followed at once by a read on a new connection; a call without an answer closes the idle connections to the store. A long poll is abandoned when peers know a newer version that it hasn't brought, or when its entry becomes the first reader.

--- a/modules/bbv_entry/configuration_follower.cc
+++ b/modules/bbv_entry/configuration_follower.cc
@@ -9,11 +9,15 @@
 namespace {
 
 constexpr Milliseconds kCallTimeout{1500};
-// Maximum long-poll time of a read for the next configuration. Bounds how long
-// a silently broken connection can hide a change.
-constexpr int kLongPollMs = 2500;
+// Number of entries of a zone that read for it.
+constexpr std::size_t kReaders = 2;
+// Maximum long-poll times of a read for the next configuration, of the zone's
+// first reader and of the other one. The first one bounds how long silently
+// broken connections can hide a change from the zone.
+constexpr Milliseconds kFirstLongPoll{1300};
+constexpr Milliseconds kOtherLongPoll{6000};
 // Additional time within which the response to a long poll must arrive.
-constexpr Milliseconds kLongPollMargin{600};
+constexpr Milliseconds kLongPollMargin{450};
 constexpr Milliseconds kRetryInterval{250};
 // Interval between reads of an entry that is not a reader and has no
 // configuration yet.
@@ -52,11 +56,17 @@
          now >= *behind_since_ + kReaderDistributionTime + Milliseconds(spread);
 }
 
-void ConfigurationFollower::OnTick(bool is_reader,
+void ConfigurationFollower::OnTick(std::size_t reader_rank,
                                    uint64_t jitter_seed,
                                    Instant now) {
+  const bool waits_too_long =
+      reader_rank == 0 && wait_end_ && *wait_end_ > now + kFirstLongPoll;
+  // A newer version ends a long poll, unless its connection is broken.
+  if (wait_end_ && (waits_too_long || IsBehind(jitter_seed, now)))
+    AbandonWait();
   if (call_in_flight_ || now < next_call_at_)
     return;
+  const bool is_reader = reader_rank < kReaders;
   const bool must_read = !has_position_ || IsBehind(jitter_seed, now);
   // Until the first configuration every entry reads the store, in case no
   // reader distributes it.
@@ -66,7 +76,7 @@
   next_initial_read_ = now + kInitialReadInterval;
   call_in_flight_ = true;
   if (is_reader && !must_read)
-    WaitForNext();
+    WaitForNext(reader_rank == 0 ? kFirstLongPoll : kOtherLongPoll, now);
   else
     ReadNewest();
 }
@@ -84,6 +94,13 @@
   next_call_at_ = EventLoop::Now() + kRetryInterval;
 }
 
+void ConfigurationFollower::AbandonWait() {
+  ++wait_;
+  wait_end_.reset();
+  store_->CloseIdleConnections();
+  call_in_flight_ = false;
+}
+
 void ConfigurationFollower::ReadNewest() {
   store_->ReadNewest(platform::kOperatorTopic, {}, kCallTimeout,
                      [this](const Result<platform::NewestPage>& page) {
@@ -110,15 +127,24 @@
                      });
 }
 
-void ConfigurationFollower::WaitForNext() {
+void ConfigurationFollower::WaitForNext(Milliseconds wait, Instant now) {
+  wait_end_ = now + wait;
   store_->Call(
       platform::EncodeRead(platform::kOperatorTopic, read_position_.offset,
-                           kLongPollMs),
-      Milliseconds(kLongPollMs) + kLongPollMargin,
-      [this](const Result<StoreAnswer>& answer) {
+                           static_cast<int>(wait.count())),
+      wait + kLongPollMargin,
+      [this, wait_end = now + wait,
+       id = ++wait_](const Result<StoreAnswer>& answer) {
+        if (id != wait_)
+          return;
+        wait_end_.reset();
         if (!answer || answer->status != kOk) {
           OnReadFailed();
-          if (answer && answer->status == kGone)
+          const bool is_gone = answer && answer->status == kGone;
+          // The store holds the call no longer than this, so that the
+          // connection may be broken.
+          const bool is_silent = !answer && EventLoop::Now() >= wait_end;
+          if (is_gone || is_silent)
             next_call_at_ = EventLoop::Now();
           return;
         }
--- a/modules/bbv_entry/configuration_follower.h
+++ b/modules/bbv_entry/configuration_follower.h
@@ -1,6 +1,7 @@
 #ifndef MODULES_BBV_ENTRY_CONFIGURATION_FOLLOWER_H_
 #define MODULES_BBV_ENTRY_CONFIGURATION_FOLLOWER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -29,10 +30,10 @@
 
   ConfigurationFollower(StoreClient* store, DecisionLog* log, OnRead on_read);
 
-  // Starts the next store call when one is due. `is_reader` is set if this
-  // entry reads for its zone; `jitter_seed` staggers entries that have to read
-  // at the same time.
-  void OnTick(bool is_reader, uint64_t jitter_seed, Instant now);
+  // Starts the next store call when one is due. `reader_rank` is this entry's
+  // rank among its zone's readers; `jitter_seed` staggers entries that have to
+  // read at the same time.
+  void OnTick(std::size_t reader_rank, uint64_t jitter_seed, Instant now);
 
   // Applies `text` if it decodes to a newer configuration. Returns whether it
   // was applied.
@@ -53,7 +54,11 @@
   bool IsBehind(uint64_t jitter_seed, Instant now) const;
   void ApplyRead(std::string_view text);
   void ReadNewest();
-  void WaitForNext();
+  // Waits up to `wait` for the next records.
+  void WaitForNext(Milliseconds wait, Instant now);
+  // Ignores the answer of the long poll in flight; the next call uses a new
+  // connection.
+  void AbandonWait();
   void OnReadFailed();
 
   StoreClient* store_;
@@ -63,6 +68,10 @@
   std::string text_;
   Instant applied_at_{};
   bool call_in_flight_ = false;
+  // Number of the last long poll, and until when the store may hold the one in
+  // flight.
+  uint64_t wait_ = 0;
+  std::optional<Instant> wait_end_;
   bool has_position_ = false;
   StorePosition read_position_;
   Instant next_call_at_{};
--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -36,8 +36,6 @@
 constexpr std::size_t kMinUnreachedTargets = 4;
 constexpr std::size_t kUnreachedTargetsDivisor = 5;
 constexpr Milliseconds kUnreachedWindow{1500};
-// Number of entries per zone that long-poll the store for configurations.
-constexpr std::size_t kConfigurationReaders = 2;
 // Link bandwidth in Mbit/s that one processor core can fill. An instance with
 // less bandwidth per core is ranked by its link.
 constexpr double kMegabitsPerCore = 200;
@@ -539,7 +537,7 @@
                        peers_.known_entries().value_or(1));
   crash_guard_.OnTick(now);
   const std::size_t reader_rank = peers_.reader_rank();
-  configuration_.OnTick(reader_rank < kConfigurationReaders, jitter_seed_, now);
+  configuration_.OnTick(reader_rank, jitter_seed_, now);
   UpdateServices(now);
   targets_.OnTick(reader_rank, jitter_seed_, now);
   planner_.SetCandidate(peers_.known_entries().has_value() &&
--- a/modules/bbv_entry/store_client.cc
+++ b/modules/bbv_entry/store_client.cc
@@ -48,6 +48,8 @@
       [this, done = std::move(done)](const HttpResponse* answer) {
         if (answer == nullptr) {
           SetReachable(false, "no answer");
+          // A path that is broken without notice affects them too.
+          CloseIdleConnections();
           done(Fail(Operation::kLogRead, address_.ToString(), "no answer"));
           return;
         }
--- a/modules/bbv_entry/store_client.h
+++ b/modules/bbv_entry/store_client.h
@@ -46,6 +46,9 @@
       Milliseconds timeout,
       std::function<void(const Result<platform::NewestPage>&)> done);
 
+  // Closes the idle connections, because they may be broken without notice.
+  void CloseIdleConnections() { client_->CloseIdleConnections(address_); }
+
   // Whether the last call got an answer other than a server error or 429.
   bool reachable() const { return reachable_; }
   // Since when `reachable()` has had its value; the epoch of the clock before
--- a/tests/fleet_floor_test.cc
+++ b/tests/fleet_floor_test.cc
@@ -162,7 +162,7 @@
   // first is late.
   if (calls("/v1/log-read keyed.servers") > 2 * kSeconds)
     FAIL(all.c_str());
-  // Two entries read the configuration with long polls of 2.5 s.
+  // Two entries read the configuration, with long polls of 1.3 s and 6 s.
   if (calls("/v1/log-read keyed.op") > kSeconds)
     FAIL(all.c_str());
   // One entry tries to acquire the planner lease.
