SIGHUP during a start ends no process and is obeyed after it

Callers would see: a starting entry ended by a reload of its settings. Found by reading. Cause: until FleetEntry::Start() sets its handler, SIGHUP has its default action. Change: main() blocks it first and admits it once the handler is set; it then reloads the settings. In the node's mode, which has no handler, it stays blocked. SIGTERM keeps its default action during a start: there is nothing to drain. Open: a signal between exec and main(), while the libraries are loaded, still ends the process.

--- a/apps/bluebellvalved/main.cc
+++ b/apps/bluebellvalved/main.cc
@@ -60,6 +60,15 @@
   return kExitStopped;
 }
 
+// Holds back or admits the signal to reload the settings, which ends a process
+// that has no handler for it.
+void SetReloadSignalBlocked(bool blocked) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGHUP);
+  pthread_sigmask(blocked ? SIG_BLOCK : SIG_UNBLOCK, &signals, nullptr);
+}
+
 int PrintFaults(const bbv::SettingsFaults& faults) {
   for (const bbv::SettingsFault& fault : faults)
     std::fprintf(stderr, "%s\n", fault.ToString().c_str());
@@ -80,6 +89,7 @@
     LOG(ERROR) << fault;
     return kExitStartFailed;
   }
+  SetReloadSignalBlocked(false);
   entry.Run();
   return kExitStopped;
 }
@@ -96,6 +106,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  SetReloadSignalBlocked(true);
   absl::SetProgramUsageMessage(
       "Runs one bluebellvalve node.\n"
       "usage: bluebellvalved [--fleet] --settings=FILE\n"
