The bytes of a request leave memory once they are sent

Cause: an idle connection to a target kept the bytes of its last request for up to 4 s, since unsafe calls never take one over. Besides, a body under way was held by the call, by its exchange and, while it was written, by the stream's queue. Change: the call owns its body and shares it. A connection hands head and body over to the stream when it sends them, and the stream's queue refers to the shared body without a copy. A body is held once, from its receipt to the end of its call or its writing, whichever is later. Not a request's memory: an answer that is relayed whole is still copied; idle caller connections still keep theirs.

--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -76,10 +76,10 @@
       index_(std::move(index)),
       caller_(caller),
       head_(std::move(head)),
-      body_(std::move(body)),
+      body_(std::make_shared<const std::string>(std::move(body))),
       traits_({request.account == nullptr ? std::string_view()
                                           : request.account->name,
-               head_.method, head_.target, body_},
+               head_.method, head_.target, *body_},
               request.shared_parts),
       call_(std::move(request), this) {
   assert(context != nullptr && caller != nullptr);
@@ -239,10 +239,11 @@
   }
   if (dispatch_.last_event >= 0)
     fields.last_event = dispatch_.last_event;
-  fields.body_bytes = body_.size();
+  fields.body_bytes = body_->size();
   ExchangeRequest exchange;
   exchange.address = ParseSocketAddress(dispatch_.target_address).value();
-  exchange.bytes = platform::EncodeForwardedHead(head_, fields) + body_;
+  exchange.bytes = platform::EncodeForwardedHead(head_, fields);
+  exchange.body = body_;
   exchange.id_field = platform::kAttemptIdField;
   exchange.attempt_id = request.attempt_id;
   // The peer may have closed an idle connection without notice, and an unsafe
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -167,7 +167,8 @@
   // Null after the caller was answered or has disconnected.
   CallerConnection* caller_;
   HttpHead head_;
-  std::string body_;
+  // Shared with the exchange that sends it, and kept for a repetition.
+  std::shared_ptr<const std::string> body_;
   CallTraits traits_;
   FleetCall call_;
 
--- a/modules/bbv_front/http_client.cc
+++ b/modules/bbv_front/http_client.cc
@@ -221,7 +221,8 @@
     sent_ = true;
     received_early_ = false;
     sent_at_ = EventLoop::Now();
-    stream_->Write(request_.bytes);
+    stream_->Write(std::exchange(request_.bytes, {}),
+                   std::exchange(request_.body, nullptr));
   }
 
   void Fail(ExchangeFailure failure) {
--- a/modules/bbv_front/http_client.h
+++ b/modules/bbv_front/http_client.h
@@ -42,8 +42,11 @@
 // A request, its destination and its deadlines.
 struct ExchangeRequest {
   SocketAddress address;
-  // Serialized head and body.
+  // Serialized head, and the body unless `body` holds it.
   std::string bytes;
+  // Body that follows `bytes`, shared with whoever may send it again; nullptr
+  // for none. Both are released once they have been sent.
+  std::shared_ptr<const std::string> body;
   // Name of the response field that echoes the request's id, and that id. A
   // response with a different id is skipped. A response without an id counts
   // only if it cannot belong to an earlier request. If the request has no id,
--- a/modules/bbv_front/tcp_stream.cc
+++ b/modules/bbv_front/tcp_stream.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cassert>
 #include <utility>
@@ -51,12 +52,36 @@
   buf->len = buffer.size();
 }
 
+// The buffers of a write of two parts, without those that are empty.
+class WriteBuffers {
+ public:
+  WriteBuffers(std::string_view first, std::string_view second) {
+    Add(first);
+    Add(second);
+  }
+
+  const uv_buf_t* data() const { return buffers_.data(); }
+  unsigned size() const { return size_; }
+
+ private:
+  void Add(std::string_view part) {
+    if (part.empty())
+      return;
+    buffers_[size_++] = uv_buf_init(const_cast<char*>(part.data()),
+                                    static_cast<unsigned>(part.size()));
+  }
+
+  std::array<uv_buf_t, 2> buffers_{};
+  unsigned size_ = 0;
+};
+
 }  // namespace
 
-// A libuv write request and the data it sends.
+// A libuv write request and the data it sends: `data` and the end of `shared`.
 struct TcpStream::WriteRequest {
   uv_write_t request{};
   std::string data;
+  std::shared_ptr<const std::string> shared;
 };
 
 void TcpStream::Initialise(EventLoop* loop) {
@@ -154,38 +179,42 @@
     uv_read_stop(reinterpret_cast<uv_stream_t*>(handle_));
 }
 
-void TcpStream::Write(std::string_view data) {
-  if (ended_ || data.empty())
+void TcpStream::Write(std::string_view data,
+                      std::shared_ptr<const std::string> shared) {
+  std::string_view rest = shared == nullptr ? std::string_view() : *shared;
+  if (ended_ || (data.empty() && rest.empty()))
     return;
   auto* stream = reinterpret_cast<uv_stream_t*>(handle_);
   if (uv_stream_get_write_queue_size(stream) == 0) {
-    uv_buf_t buf = uv_buf_init(const_cast<char*>(data.data()),
-                               static_cast<unsigned>(data.size()));
-    const int n = uv_try_write(stream, &buf, 1);
+    const WriteBuffers buffers(data, rest);
     // An error is reported by the next read or queued write.
-    if (n > 0)
-      data.remove_prefix(static_cast<std::size_t>(n));
-    if (data.empty())
+    const auto n = static_cast<std::size_t>(
+        std::max(0, uv_try_write(stream, buffers.data(), buffers.size())));
+    const std::size_t n_of_data = std::min(n, data.size());
+    data.remove_prefix(n_of_data);
+    rest.remove_prefix(n - n_of_data);
+    if (data.empty() && rest.empty())
       return;
   }
   auto* request = new WriteRequest;
   request->data = data;
+  request->shared = std::move(shared);
   request->request.data = request;
-  uv_buf_t buf = uv_buf_init(request->data.data(),
-                             static_cast<unsigned>(request->data.size()));
-  const int result = uv_write(
-      &request->request, stream, &buf, 1, [](uv_write_t* write, int status) {
-        auto* self = static_cast<TcpStream*>(write->handle->data);
-        delete static_cast<WriteRequest*>(write->data);
-        if (self == nullptr)
-          return;
-        if (status != 0) {
-          self->End(StreamEnd::kBroken);
-          return;
-        }
-        if (self->queued_bytes() == 0 && self->delegate_ != nullptr)
-          self->delegate_->OnWriteQueueEmpty();
-      });
+  const WriteBuffers buffers(request->data, rest);
+  const int result =
+      uv_write(&request->request, stream, buffers.data(), buffers.size(),
+               [](uv_write_t* write, int status) {
+                 auto* self = static_cast<TcpStream*>(write->handle->data);
+                 delete static_cast<WriteRequest*>(write->data);
+                 if (self == nullptr)
+                   return;
+                 if (status != 0) {
+                   self->End(StreamEnd::kBroken);
+                   return;
+                 }
+                 if (self->queued_bytes() == 0 && self->delegate_ != nullptr)
+                   self->delegate_->OnWriteQueueEmpty();
+               });
   if (result != 0)
     delete request;
 }
--- a/modules/bbv_front/tcp_stream.h
+++ b/modules/bbv_front/tcp_stream.h
@@ -70,7 +70,11 @@
   void StopReading();
 
   // Sends or queues `data`. Has no effect after the stream has ended.
-  void Write(std::string_view data);
+  void Write(std::string_view data) { Write(data, nullptr); }
+
+  // The same for `data` followed by `shared`, which may be null. `shared` is
+  // not copied; it is released when it has been written or discarded.
+  void Write(std::string_view data, std::shared_ptr<const std::string> shared);
 
   // Ends this direction of the connection after the queued data; reading goes
   // on. Nothing may be written afterwards.
--- a/tests/fleet_floor.cc
+++ b/tests/fleet_floor.cc
@@ -243,4 +243,16 @@
   return answer ? answer->body : std::string();
 }
 
+std::size_t FleetFloor::PeakMemory(int entry) const {
+  constexpr std::size_t kBytesPerKilobyte = 1024;
+  const std::string name = "VmHWM:";
+  std::ifstream file("/proc/" + std::to_string(entries_[entry]->pid) +
+                     "/status");
+  for (std::string line; std::getline(file, line);) {
+    if (line.starts_with(name))
+      return std::stoull(line.substr(name.size())) * kBytesPerKilobyte;
+  }
+  std::abort();
+}
+
 }  // namespace bbv
--- a/tests/fleet_floor.h
+++ b/tests/fleet_floor.h
@@ -82,6 +82,8 @@
   // What the entry has written to its standard output and standard error.
   std::string Output(int entry) const;
   std::string Metrics(int entry);
+  // The most memory that the process has used, in bytes. Precondition: it runs.
+  std::size_t PeakMemory(int entry) const;
 
  private:
   struct Entry;
