An idle caller connection keeps nothing of its last answer

Cause: each connection composed its answers in a buffer of its own that kept the size of the largest one; the part not yet written was copied once more into the stream's queue, and the call kept its own until the next tick. Change: the call gives its answer away, and the stream's queue holds it without a copy until it is written. The connection has no buffer left.

--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -385,7 +385,7 @@
     return;
   std::exchange(caller_, nullptr)
       ->SendResponse(answer_head_.status, answer_head_.reason, RelayedFields(),
-                     answer_body_);
+                     TakeBufferedAnswer());
 }
 
 void RelayedCall::AbortResponse(CallEndReason end) {
@@ -437,9 +437,9 @@
   }
 }
 
-void RelayedCall::DropBufferedAnswer() {
+std::string RelayedCall::TakeBufferedAnswer() {
   context_->buffered_bytes -= answer_body_.size();
-  answer_body_.clear();
+  return std::exchange(answer_body_, {});
 }
 
 void RelayedCall::FailBadAnswer(std::string_view evidence) {
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -135,7 +135,9 @@
   bool is_success() const {
     return answer_head_.status >= 200 && answer_head_.status < 300;
   }
-  void DropBufferedAnswer();
+  // Returns what was received of an answer that is not a stream.
+  std::string TakeBufferedAnswer();
+  void DropBufferedAnswer() { TakeBufferedAnswer(); }
   void FailSend(const SendFailure& failure, std::string_view evidence);
   void FinishSend(bool failed, Instant now);
   void RecordEventGap(int64_t event_id, Instant now);
--- a/modules/bbv_front/caller_connection.cc
+++ b/modules/bbv_front/caller_connection.cc
@@ -128,9 +128,10 @@
   SendResponse(status, {}, {}, {});
 }
 
-void CallerConnection::Write(std::string_view data) {
-  bytes_written_ += data.size();
-  stream_->Write(data);
+void CallerConnection::Write(std::string_view data,
+                             std::shared_ptr<const std::string> shared) {
+  bytes_written_ += data.size() + (shared == nullptr ? 0 : shared->size());
+  stream_->Write(data, std::move(shared));
 }
 
 CallerConnectionEnd CallerConnection::MakeEnd(CallerEndCause cause) const {
@@ -182,29 +183,29 @@
          !stream_->HasUnreadData();
 }
 
-void CallerConnection::BeginResponseHead(int status,
-                                         std::string_view reason,
-                                         std::string_view fields) {
+std::string CallerConnection::BeginResponseHead(int status,
+                                                std::string_view reason,
+                                                std::string_view fields) {
   response_begun_ = true;
-  output_.clear();
-  AppendStatusLine(status, reason, &output_);
-  output_.append(fields);
+  std::string head;
+  AppendStatusLine(status, reason, &head);
+  head.append(fields);
   close_announced_ = MustClose();
   if (close_announced_)
-    output_.append("Connection: close\r\n");
+    head.append("Connection: close\r\n");
+  return head;
 }
 
 void CallerConnection::SendResponse(int status,
                                     std::string_view reason,
                                     std::string_view fields,
-                                    std::string_view body) {
+                                    std::string body) {
   if (closed() || !request_open_)
     return;
-  BeginResponseHead(status, reason, fields);
-  AppendField("Content-Length", std::to_string(body.size()), &output_);
-  output_.append("\r\n");
-  output_.append(body);
-  Write(output_);
+  std::string head = BeginResponseHead(status, reason, fields);
+  AppendField("Content-Length", std::to_string(body.size()), &head);
+  head.append("\r\n");
+  Write(head, std::make_shared<const std::string>(std::move(body)));
   FinishResponse();
 }
 
@@ -214,18 +215,18 @@
                                    std::string_view first_chunk) {
   if (closed() || !request_open_)
     return;
-  BeginResponseHead(status, reason, fields);
-  output_.append("Transfer-Encoding: chunked\r\n\r\n");
-  AppendChunk(first_chunk, &output_);
-  Write(output_);
+  std::string output = BeginResponseHead(status, reason, fields);
+  output.append("Transfer-Encoding: chunked\r\n\r\n");
+  AppendChunk(first_chunk, &output);
+  Write(output);
 }
 
 void CallerConnection::WriteChunk(std::string_view data) {
   if (closed() || !request_open_)
     return;
-  output_.clear();
-  AppendChunk(data, &output_);
-  Write(output_);
+  std::string output;
+  AppendChunk(data, &output);
+  Write(output);
 }
 
 void CallerConnection::EndStream() {
--- a/modules/bbv_front/caller_connection.h
+++ b/modules/bbv_front/caller_connection.h
@@ -92,11 +92,12 @@
 
   // Sends a complete response to the open request. An empty `reason` selects
   // the standard phrase. `fields` holds complete field lines; the
-  // Content-Length and Connection fields are added.
+  // Content-Length and Connection fields are added. `body` is released when it
+  // has been sent.
   void SendResponse(int status,
                     std::string_view reason,
                     std::string_view fields,
-                    std::string_view body);
+                    std::string body);
 
   // Starts a chunked response. Empty chunks are ignored.
   void BeginStream(int status,
@@ -155,10 +156,10 @@
   void SetReadTimeout(Milliseconds timeout);
   bool TickClosing(Instant now);
   void Reject(int status);
-  // Replaces `output_` by the status line, `fields` and the Connection field.
-  void BeginResponseHead(int status,
-                         std::string_view reason,
-                         std::string_view fields);
+  // Returns the status line, `fields` and the Connection field.
+  std::string BeginResponseHead(int status,
+                                std::string_view reason,
+                                std::string_view fields);
   void FinishResponse();
   // Whether the connection must close after the response that begins now.
   bool MustClose() const;
@@ -168,7 +169,8 @@
   void RefuseIfStalled(Instant now);
   // Closes the connection once the last response has reached the caller.
   void BeginClosing();
-  void Write(std::string_view data);
+  void Write(std::string_view data,
+             std::shared_ptr<const std::string> shared = nullptr);
   CallerConnectionEnd MakeEnd(CallerEndCause cause) const;
 
   uint64_t id_;
@@ -180,7 +182,6 @@
   std::string body_;
   std::string request_name_;
   std::string pipelined_input_;
-  std::string output_;
   bool request_open_ = false;
   bool response_begun_ = false;
   uint64_t bytes_read_ = 0;
--- a/modules/bbv_front/small_http_server.cc
+++ b/modules/bbv_front/small_http_server.cc
@@ -31,11 +31,11 @@
 void SmallHttpServer::OnRequest(CallerConnection* connection,
                                 HttpHead head,
                                 std::string) {
-  const SmallHttpResponse answer = handler_(head);
+  SmallHttpResponse answer = handler_(head);
   std::string fields;
   if (!answer.content_type.empty())
     AppendField("Content-Type", answer.content_type, &fields);
-  connection->SendResponse(answer.status, {}, fields, answer.body);
+  connection->SendResponse(answer.status, {}, fields, std::move(answer.body));
 }
 
 }  // namespace bbv
--- a/tests/request_memory_test.cc
+++ b/tests/request_memory_test.cc
@@ -92,3 +92,25 @@
     CHECK(it.Receive(kAnswerTimeoutMs, "done for").starts_with("HTTP/1.1 200"));
   CHECK_COMPARE(PeakBodies() - before, <, kMaxBodies);
 }
+
+TEST(RequestMemory, IdleConnectionsDoNotKeepTheirAnswers) {
+  constexpr int kConnections = 20;
+  constexpr double kMaxBodies = 10;
+  options.plain_padding = kBodyBytes;
+  StartFleet();
+  const double before = PeakBodies();
+  std::vector<RawCaller> callers;
+  callers.reserve(kConnections);
+  for (int it = 0; it < kConnections; ++it) {
+    RawCaller& caller = callers.emplace_back(floor->callers_port(0));
+    CHECK(caller.Send(
+        bbv::RequestText("/safe/x", "answer-" + std::to_string(it))));
+    const auto is_whole = [&] {
+      return caller.Receive(20).size() > kBodyBytes;
+    };
+    for (int waited = 0; !is_whole() && waited < kAnswerTimeoutMs; waited += 20)
+      CHECK_FALSE(caller.ended());
+    CHECK(is_whole());
+  }
+  CHECK_COMPARE(PeakBodies() - before, <, kMaxBodies);
+}
