--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -76,10 +76,10 @@
       index_(std::move(index)),
       caller_(caller),
       head_(std::move(head)),
-      body_(std::move(body)),
+      body_(std::make_shared<const std::string>(std::move(body))),
       traits_({request.account == nullptr ? std::string_view()
                                           : request.account->name,
-               head_.method, head_.target, body_},
+               head_.method, head_.target, *body_},
               request.shared_parts),
       call_(std::move(request), this) {
   assert(context != nullptr && caller != nullptr);
@@ -275,10 +275,11 @@
   }
   if (dispatch.last_event >= 0)
     fields.last_event = dispatch.last_event;
-  fields.body_bytes = body_.size();
+  fields.body_bytes = body_->size();
   ExchangeRequest exchange;
   exchange.address = ParseSocketAddress(dispatch.target_address).value();
-  exchange.bytes = platform::EncodeForwardedHead(head_, fields) + body_;
+  exchange.bytes = platform::EncodeForwardedHead(head_, fields);
+  exchange.body = body_;
   exchange.id_field = platform::kAttemptIdField;
   exchange.attempt_id = request.attempt_id;
   // The peer may have closed an idle connection without notice, and an unsafe
@@ -479,7 +480,7 @@
     return;
   std::exchange(caller_, nullptr)
       ->SendResponse(active_->head.status, active_->head.reason,
-                     RelayedFields(), active_->body);
+                     RelayedFields(), TakeBufferedAnswer(active_));
 }
 
 void RelayedCall::AbortResponse(CallEndReason end) {
@@ -532,9 +533,9 @@
   }
 }
 
-void RelayedCall::DropBufferedAnswer(TargetSend* send) {
+std::string RelayedCall::TakeBufferedAnswer(TargetSend* send) {
   context_->buffered_bytes -= send->body.size();
-  send->body.clear();
+  return std::exchange(send->body, {});
 }
 
 void RelayedCall::FailBadAnswer(TargetSend* send, std::string_view evidence) {
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -154,7 +154,9 @@
   // returns whether that is so.
   bool FailUnusableAnswer(TargetSend* send);
   void FinishStream(TargetSend* send, Instant now);
-  void DropBufferedAnswer(TargetSend* send);
+  // Returns what was received of an answer that is not a stream.
+  std::string TakeBufferedAnswer(TargetSend* send);
+  void DropBufferedAnswer(TargetSend* send) { TakeBufferedAnswer(send); }
   void FailSend(TargetSend* send,
                 const SendFailure& failure,
                 std::string_view evidence);
@@ -188,7 +190,8 @@
   // Null after the caller was answered or has disconnected.
   CallerConnection* caller_;
   HttpHead head_;
-  std::string body_;
+  // Shared with the exchange that sends it, and kept for a repetition.
+  std::shared_ptr<const std::string> body_;
   CallTraits traits_;
   FleetCall call_;
 
