Put the length of the refused request back in a test

A replacement meant for a new test (8,000,000 for 30,000,000 bytes) had hit the declared length in AnEarlyRefusalReachesACallerThatStillSends too: the caller declares more than it sends again.

--- a/modules/bbv_front/caller_connection_test.cc
+++ b/modules/bbv_front/caller_connection_test.cc
@@ -158,7 +158,7 @@
   std::thread body([this, &sent] {
     const std::string piece(2'000'000, 'x');
     sent = caller->Send(
-        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 8000000\r\n\r\n");
+        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 30000000\r\n\r\n");
     for (int it = 0; it < 10; ++it)
       sent = sent && caller->Send(piece);
     caller->Receive(1000);
