Streams that break off don't look complete to HTTP/1.0 callers

Callers that use HTTP/1.0, such as a proxy before an entry, got streams in chunks, which HTTP/1.0 does not have: the lines with the sizes of the chunks were part of the body. As the end of the connection ends such a body, a stream that broke off and was closed cleanly was framed as whole.

CallerConnection chunked every stream, whatever the version of the request, and Abort() closed the connection with a FIN. Change: streams to callers of HTTP/1.0 have no chunks, announce the close and end with it; Abort() resets their connection. Streams to other callers are unchanged, and so are responses with a length.

--- a/modules/bbv_front/caller_connection.cc
+++ b/modules/bbv_front/caller_connection.cc
@@ -214,9 +214,14 @@
                                    std::string_view first_chunk) {
   if (closed() || !request_open_)
     return;
+  close_delimited_ = !parser_.understands_chunks();
+  if (close_delimited_)
+    request_keeps_alive_ = false;
   BeginResponseHead(status, reason, fields);
-  output_.append("Transfer-Encoding: chunked\r\n\r\n");
-  AppendChunk(first_chunk, &output_);
+  if (!close_delimited_)
+    output_.append("Transfer-Encoding: chunked\r\n");
+  output_.append("\r\n");
+  AppendPart(first_chunk);
   Write(output_);
 }
 
@@ -224,20 +229,29 @@
   if (closed() || !request_open_)
     return;
   output_.clear();
-  AppendChunk(data, &output_);
+  AppendPart(data);
   Write(output_);
 }
 
+void CallerConnection::AppendPart(std::string_view data) {
+  if (close_delimited_)
+    output_.append(data);
+  else
+    AppendChunk(data, &output_);
+}
+
 void CallerConnection::EndStream() {
   if (closed() || !request_open_)
     return;
-  Write("0\r\n\r\n");
+  if (!close_delimited_)
+    Write("0\r\n\r\n");
   FinishResponse();
 }
 
 void CallerConnection::FinishResponse() {
   request_open_ = false;
   response_begun_ = false;
+  close_delimited_ = false;
   if (std::exchange(close_announced_, false)) {
     BeginClosing();
     return;
@@ -256,6 +270,8 @@
   if (!closed())
     request_handler_->OnConnectionEnd(this, MakeEnd(CallerEndCause::kAborted));
   request_open_ = false;
+  if (close_delimited_ && stream_ != nullptr)
+    TcpStream::Reset(std::move(stream_));
   stream_.reset();
 }
 
--- a/modules/bbv_front/caller_connection.h
+++ b/modules/bbv_front/caller_connection.h
@@ -98,7 +98,8 @@
                     std::string_view fields,
                     std::string_view body);
 
-  // Starts a chunked response. Empty chunks are ignored.
+  // Starts a response that is chunked or, if the caller uses HTTP/1.0, ends
+  // with its connection. Empty chunks are ignored.
   void BeginStream(int status,
                    std::string_view reason,
                    std::string_view fields,
@@ -107,7 +108,8 @@
   void EndStream();
 
   // Closes the connection without ending a started response, so that the caller
-  // does not take it for complete.
+  // does not take it for complete. Resets the connection if closing it would
+  // end the response.
   void Abort();
 
   // Stops reading from the socket until Resume(). Requests wait unread.
@@ -169,6 +171,8 @@
   // Closes the connection once the last response has reached the caller.
   void BeginClosing();
   void Write(std::string_view data);
+  // Appends a part of a stream to `output_`.
+  void AppendPart(std::string_view data);
   CallerConnectionEnd MakeEnd(CallerEndCause cause) const;
 
   uint64_t id_;
@@ -189,6 +193,8 @@
   Instant stalled_since_{};
   bool request_keeps_alive_ = true;
   bool keep_alive_disabled_ = false;
+  // Whether the end of the connection ends the response to the open request.
+  bool close_delimited_ = false;
   // Whether the open request's response announced that the connection closes.
   bool close_announced_ = false;
   // Whether the last response was written and the connection is to close, and
--- a/modules/bbv_front/caller_connection_test.cc
+++ b/modules/bbv_front/caller_connection_test.cc
@@ -242,3 +242,29 @@
   CHECK_EQUAL(1, CountOf(received, "Content-Length: 8000000\r\n"));
   CHECK(received.size() < handler.answer.size());
 }
+
+// For such a caller, the end of the connection ends a stream.
+TEST(CallerConnection, AnAbortedStreamOfAnHttp10CallerIsReset) {
+  handler.first_chunk = "id: 1\ndata: 0\n\n";
+  CHECK(caller->Send("GET /a HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"));
+  RunFor(30);
+  caller->Receive(100);
+  connection->Abort();
+  RunFor(30);
+  caller->Receive(1000);
+  CHECK(caller->ended() && caller->was_reset());
+}
+
+TEST(CallerConnection, AStreamOfAnHttp10CallerIsNotChunked) {
+  handler.first_chunk = "id: 1\ndata: 0\n\n";
+  CHECK(caller->Send("GET /a HTTP/1.0\r\nConnection: keep-alive\r\n\r\n"));
+  RunFor(30);
+  connection->WriteChunk("id: 2\ndata: 1\n\n");
+  connection->EndStream();
+  RunFor(30);
+  STRCMP_EQUAL(
+      "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+      "id: 1\ndata: 0\n\nid: 2\ndata: 1\n\n",
+      caller->Receive(1000).c_str());
+  CHECK(caller->ended() && !caller->was_reset());
+}
--- a/modules/bbv_front/tcp_stream.cc
+++ b/modules/bbv_front/tcp_stream.cc
@@ -228,6 +228,15 @@
   stream->handle_ = nullptr;
 }
 
+void TcpStream::Reset(std::unique_ptr<TcpStream> stream) {
+  assert(stream != nullptr);
+  auto* handle = stream->handle_;
+  handle->data = nullptr;
+  // Fails only if the connection is being shut down; the destructor closes it.
+  if (uv_tcp_close_reset(handle, DeleteHandle) == 0)
+    stream->handle_ = nullptr;
+}
+
 std::size_t TcpStream::queued_bytes() const {
   return uv_stream_get_write_queue_size(
       reinterpret_cast<const uv_stream_t*>(handle_));
--- a/modules/bbv_front/tcp_stream.h
+++ b/modules/bbv_front/tcp_stream.h
@@ -80,6 +80,10 @@
   // further calls to the delegate.
   static void FlushAndClose(std::unique_ptr<TcpStream> stream);
 
+  // Discards the queued data and resets the connection, without further calls
+  // to the delegate.
+  static void Reset(std::unique_ptr<TcpStream> stream);
+
   // Returns whether the peer has sent bytes that have not been read.
   // Precondition: connected().
   bool HasUnreadData() const;
--- a/modules/bbv_http/http_parser.cc
+++ b/modules/bbv_http/http_parser.cc
@@ -13,6 +13,9 @@
 using boost::beast::error_code;
 using boost::beast::string_view;
 
+// HTTP/1.1, in Beast's notation.
+constexpr int kFirstChunkedVersion = 11;
+
 std::string_view ToStdStringView(string_view text) {
   return {text.data(), text.size()};
 }
@@ -52,6 +55,7 @@
   virtual bool has_head() const = 0;
   virtual bool keeps_alive() const = 0;
   virtual bool has_framing() const = 0;
+  virtual bool understands_chunks() const = 0;
 };
 
 template <bool kIsRequest>
@@ -80,20 +84,25 @@
   bool has_framing() const override {
     return this->chunked() || this->content_length().has_value();
   }
+  bool understands_chunks() const override {
+    return version_ >= kFirstChunkedVersion;
+  }
 
  private:
   void on_request_impl(http::verb /*method*/,
                        string_view method,
                        string_view target,
-                       int /*version*/,
+                       int version,
                        error_code& /*ec*/) override {
+    version_ = version;
     head_.method = ToStdStringView(method);
     head_.target = ToStdStringView(target);
   }
   void on_response_impl(int status,
                         string_view reason,
-                        int /*version*/,
+                        int version,
                         error_code& /*ec*/) override {
+    version_ = version;
     head_.status = status;
     head_.reason = ToStdStringView(reason);
   }
@@ -138,6 +147,8 @@
 
   HttpSink* sink_;
   HttpHead head_;
+  // Ten times the major plus the minor version.
+  int version_ = 0;
   bool has_data_ = false;
   bool interim_ = false;
 
@@ -237,6 +248,10 @@
   return message_parser_->has_head();
 }
 
+bool HttpParser::understands_chunks() const {
+  return message_parser_->understands_chunks();
+}
+
 bool HttpParser::has_framing() const {
   return message_parser_->has_framing();
 }
--- a/modules/bbv_http/http_parser.h
+++ b/modules/bbv_http/http_parser.h
@@ -80,6 +80,10 @@
   // the connection ends any other response.
   bool has_framing() const;
 
+  // Whether the sender of the current message understands chunked messages;
+  // false before its head is complete.
+  bool understands_chunks() const;
+
   // Bytes received and not yet parsed.
   std::size_t pending_bytes() const { return pending_.size(); }
 
--- a/tests/response_head_end_test.cc
+++ b/tests/response_head_end_test.cc
@@ -14,6 +14,7 @@
 #include "bbv_platform/service_client.h"
 #include "fleet_floor.h"
 #include "platform/call_codec.h"
+#include "raw_caller.h"
 #include "raw_server.h"
 
 namespace bbv {
@@ -397,4 +398,19 @@
   }
 }
 
+TEST(ResponseHeadEndFleet, AResumedStreamOfAnHttp10CallerBreaksOffVisibly) {
+  options.cut_event = "id: 21\nda";
+  StartFleet();
+  CutResponses("Last-Event-Id: 20\r\n", MakeEndings().front(), 0,
+               target_count());
+  std::string request = RequestText("/stream/x", "old");
+  request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
+  RawCaller caller(floor->callers_port(0));
+  CHECK(caller.Send(request));
+  const std::string& received = caller.Receive(5000);
+  CHECK_EQUAL(0, CountOf(received, "Transfer-Encoding"));
+  CHECK_EQUAL(20, CountOf(received, "id: "));
+  CHECK(caller.ended() && caller.was_reset());
+}
+
 }  // namespace bbv
