A node streams no completions to HTTP/1.0 callers

Callers of /v1/completions with "stream": true that use HTTP/1.0 got chunks, which HTTP/1.0 does not have; as the end of the connection ends such a body, a stream that broke off looked complete.

Evidence: RealFloor.AnHttp10CallerGetsNoStreamThatCouldLookComplete fails on: no 505 but a chunked stream. Change: such requests are refused before they run, with status 505, code bad-version and outcome not-run. Requests without a stream are unchanged.

--- a/modules/bbv_node/completion_handler.cc
+++ b/modules/bbv_node/completion_handler.cc
@@ -143,6 +143,9 @@
   if (body.contains("stream") && !body["stream"].is_boolean())
     return Reject(400, "bad-stream", "stream must be true or false");
   completion->stream = body.value("stream", false);
+  // Without chunks, a stream would look complete wherever it breaks off.
+  if (completion->stream && http.version == "HTTP/1.0")
+    return Reject(505, "bad-version", "a stream needs HTTP/1.1");
   const auto maximum_tokens = ParseMaximumTokens(body);
   if (!maximum_tokens)
     return tl::make_unexpected(maximum_tokens.error());
--- a/tests/real_floor_test.cc
+++ b/tests/real_floor_test.cc
@@ -12,9 +12,13 @@
 #include <thread>
 #include <vector>
 
+#include "raw_caller.h"
+
 namespace {
 
 using bbv::CompletionAnswer;
+using bbv::CountOf;
+using bbv::RawCaller;
 using bbv::RealFloor;
 using nlohmann::json;
 
@@ -334,3 +338,19 @@
   CHECK_TRUE(floor.Metrics("e0").find("bbv_client_faults_total") !=
              std::string::npos);
 }
+
+TEST(RealFloor, AnHttp10CallerGetsNoStreamThatCouldLookComplete) {
+  RealFloor floor({});
+  CHECK_TRUE(floor.started());
+  const std::string body =
+      R"({"model":"assistant","prompt":"a","stream":true})";
+  RawCaller caller(floor.PortOf("e0.http"));
+  CHECK_TRUE(
+      caller.Send("POST /v1/completions HTTP/1.0\r\n"
+                  "Authorization: Bearer key-of-account-0\r\nContent-Length: " +
+                  std::to_string(body.size()) + "\r\n\r\n" + body));
+  const std::string& received = caller.Receive(5000);
+  CHECK_EQUAL(1, CountOf(received, "HTTP/1.1 505 "));
+  CHECK_EQUAL(1, CountOf(received, "Bluebellvalve-Outcome: not-run"));
+  CHECK_EQUAL(0, CountOf(received, "Transfer-Encoding"));
+}
