--- a/modules/bbv_front/caller_connection.cc
+++ b/modules/bbv_front/caller_connection.cc
@@ -215,9 +215,14 @@
                                    std::string_view first_chunk) {
   if (closed() || !request_open_)
     return;
+  close_delimited_ = !parser_.understands_chunks();
+  if (close_delimited_)
+    request_keeps_alive_ = false;
   std::string output = BeginResponseHead(status, reason, fields);
-  output.append("Transfer-Encoding: chunked\r\n\r\n");
-  AppendChunk(first_chunk, &output);
+  if (!close_delimited_)
+    output.append("Transfer-Encoding: chunked\r\n");
+  output.append("\r\n");
+  AppendPart(first_chunk, &output);
   Write(output);
 }
 
@@ -225,20 +230,30 @@
   if (closed() || !request_open_)
     return;
   std::string output;
-  AppendChunk(data, &output);
+  AppendPart(data, &output);
   Write(output);
 }
 
+void CallerConnection::AppendPart(std::string_view data,
+                                  std::string* output) const {
+  if (close_delimited_)
+    output->append(data);
+  else
+    AppendChunk(data, output);
+}
+
 void CallerConnection::EndStream() {
   if (closed() || !request_open_)
     return;
-  Write("0\r\n\r\n");
+  if (!close_delimited_)
+    Write("0\r\n\r\n");
   FinishResponse();
 }
 
 void CallerConnection::FinishResponse() {
   request_open_ = false;
   response_begun_ = false;
+  close_delimited_ = false;
   if (std::exchange(close_announced_, false)) {
     BeginClosing();
     return;
@@ -257,6 +272,8 @@
   if (!closed())
     request_handler_->OnConnectionEnd(this, MakeEnd(CallerEndCause::kAborted));
   request_open_ = false;
+  if (close_delimited_ && stream_ != nullptr)
+    TcpStream::Reset(std::move(stream_));
   stream_.reset();
 }
 
--- a/modules/bbv_front/caller_connection.h
+++ b/modules/bbv_front/caller_connection.h
@@ -99,7 +99,8 @@
                     std::string_view fields,
                     std::string body);
 
-  // Starts a chunked response. Empty chunks are ignored.
+  // Starts a response that is chunked or, if the caller uses HTTP/1.0, ends
+  // with its connection. Empty chunks are ignored.
   void BeginStream(int status,
                    std::string_view reason,
                    std::string_view fields,
@@ -108,7 +109,8 @@
   void EndStream();
 
   // Closes the connection without ending a started response, so that the caller
-  // does not take it for complete.
+  // does not take it for complete. Resets the connection if closing it would
+  // end the response.
   void Abort();
 
   // Stops reading from the socket until Resume(). Requests wait unread.
@@ -171,6 +173,8 @@
   void BeginClosing();
   void Write(std::string_view data,
              std::shared_ptr<const std::string> shared = nullptr);
+  // Appends a part of a stream to `output`.
+  void AppendPart(std::string_view data, std::string* output) const;
   CallerConnectionEnd MakeEnd(CallerEndCause cause) const;
 
   uint64_t id_;
@@ -190,6 +194,8 @@
   Instant stalled_since_{};
   bool request_keeps_alive_ = true;
   bool keep_alive_disabled_ = false;
+  // Whether the end of the connection ends the response to the open request.
+  bool close_delimited_ = false;
   // Whether the open request's response announced that the connection closes.
   bool close_announced_ = false;
   // Whether the last response was written and the connection is to close, and
