An entry with sides takes no request that outlasts its stop

Callers saw: with a stop timeout close to or below the requests' timeout, a stream that began while a stopping entry still took requests broke off at the stop timeout.

Cause: for 1.5 s after the signal every request was taken, whatever its deadline. At the stop timeout the HTTP server stops, and its streams end in mid-way. With the defaults (120 s, requests 60 s) this could not happen.

Now requests are refused as not run from the moment on at which their deadline would pass less than 0.5 s before the stop timeout, or after 1.5 s as before, whichever comes first. All requests have the same timeout, so one time decides. A side was not concerned: it refuses new work from the signal on.

--- a/modules/bbv_node/entry_node.cc
+++ b/modules/bbv_node/entry_node.cc
@@ -1,5 +1,6 @@
 #include "bbv_node/entry_node.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -18,6 +19,8 @@
 // Time for which a stopping entry still accepts requests, so that load
 // balancers first notice that it is not ready.
 constexpr Milliseconds kStopGracePeriod{1500};
+// Time after the deadline of a request in which its response ends.
+constexpr Milliseconds kResponseEndTime{500};
 constexpr Milliseconds kStopPollInterval{20};
 // Time without request activity before a stopping entry closes its listener:
 // callers send their next request immediately after a response.
@@ -81,12 +84,16 @@
 void EntryNode::Stop() {
   started_ = false;
   LogEvent(Event::kNodeLeaving, {{"node", settings_.name}});
-  const Instant stop_deadline = std::chrono::steady_clock::now() +
-                                Milliseconds(settings_.stop_timeout_ms);
+  const Instant began = std::chrono::steady_clock::now();
+  const Instant stop_deadline = began + Milliseconds(settings_.stop_timeout_ms);
+  const Instant grace_end = began + kStopGracePeriod;
+  // A request that was taken must end before the HTTP server stops.
+  reject_requests_from_ =
+      std::min(grace_end, stop_deadline - kResponseEndTime -
+                              Milliseconds(settings_.request_timeout_ms));
   leaving_ = true;
   control_.Post([this](Instant) { logic_.set_leaving(true); });
-  std::this_thread::sleep_for(kStopGracePeriod);
-  rejecting_requests_ = true;
+  std::this_thread::sleep_until(grace_end);
   while (!IsIdle(std::chrono::steady_clock::now()) &&
          std::chrono::steady_clock::now() < stop_deadline)
     std::this_thread::sleep_for(kStopPollInterval);
@@ -164,8 +171,9 @@
 }
 
 Reason EntryNode::BeginCallerRequest() {
-  last_request_ = std::chrono::steady_clock::now();
-  if (rejecting_requests_)
+  const Instant now = std::chrono::steady_clock::now();
+  last_request_ = now;
+  if (now >= reject_requests_from_.load())
     return Reason::kLeaving;
   if (++open_requests_ <= settings_.maximum_open_requests)
     return Reason::kNone;
--- a/modules/bbv_node/entry_node.h
+++ b/modules/bbv_node/entry_node.h
@@ -39,7 +39,9 @@
 
   // Shuts the node down gracefully: reports not ready, keeps serving for a
   // grace period so that load balancers notice, then refuses new requests as
-  // not run, waits for those in flight and stops. Blocks until then.
+  // not run, waits for those in flight and stops. Requests whose deadline would
+  // not pass before the stop timeout are refused from the beginning. Blocks
+  // until then.
   void Stop();
 
   // Methods for HTTP handlers.
@@ -128,7 +130,8 @@
 
   std::atomic<bool> ready_{false};
   std::atomic<bool> leaving_{false};
-  std::atomic<bool> rejecting_requests_{false};
+  // When a stopping node begins to reject requests.
+  std::atomic<Instant> reject_requests_from_{Instant::max()};
   std::atomic<int> open_requests_{0};
   // Time at which a caller's request last began or ended.
   std::atomic<Instant> last_request_{Instant{}};
--- a/tests/entry_stop_test.cc
+++ b/tests/entry_stop_test.cc
@@ -10,9 +10,11 @@
 
 #include "fleet_floor.h"
 #include "raw_caller.h"
+#include "real_floor.h"
 
 using bbv::FleetFloor;
 using bbv::RawCaller;
+using bbv::RealFloor;
 using bbv::RequestText;
 
 namespace {
@@ -138,3 +140,41 @@
   STRNCMP_EQUAL("HTTP/1.1 502", extended.Receive(2900).c_str(), 12);
   STRNCMP_EQUAL("HTTP/1.1 200", shortened.Receive(4000).c_str(), 12);
 }
+
+// The same for an entry with sides.
+TEST_GROUP(EntryNodeStop) {
+  RealFloor::Shape shape;
+
+  void setup() override {
+    shape.entries = 1;
+    shape.stages = 1;
+    shape.replicas = 1;
+    shape.services = 0;
+    shape.step_us = 20'000;
+  }
+};
+
+TEST(EntryNodeStop, AStreamThatMayOutlastTheStopIsRefusedAsNotRun) {
+  shape.stop_timeout_ms = 2000;
+  RealFloor floor(shape);
+  CHECK_TRUE(floor.started());
+  floor.Signal("e0", SIGTERM);
+  std::this_thread::sleep_for(milliseconds(500));
+  // About 3 s.
+  const auto answer = floor.Complete(0, 0, "late", 150, true);
+  CHECK_FALSE(answer.whole);
+  CHECK_EQUAL(503, answer.status);
+  STRCMP_EQUAL("not-run", answer.outcome.c_str());
+  CHECK_EQUAL(0, floor.WaitForExit("e0"));
+}
+
+TEST(EntryNodeStop, StreamsThatFitIntoTheStopAreTakenUntilTheBalancerKnows) {
+  shape.stop_timeout_ms = 6000;
+  shape.request_timeout_ms = 4000;
+  RealFloor floor(shape);
+  CHECK_TRUE(floor.started());
+  floor.Signal("e0", SIGTERM);
+  std::this_thread::sleep_for(milliseconds(500));
+  CHECK_TRUE(floor.Complete(0, 0, "in time", 100, true).whole);
+  CHECK_EQUAL(0, floor.WaitForExit("e0"));
+}
--- a/tests/real_floor.cc
+++ b/tests/real_floor.cc
@@ -159,7 +159,8 @@
   };
   file << "[node]\nname = \"" << name << "\"\nrole = \"" << role
        << "\"\nzone = \"" << zone
-       << "\"\n[http]\nthreads = " << (role == "entry" ? 512 : 8)
+       << "\"\nstop_timeout_ms = " << shape_.stop_timeout_ms
+       << "\n[http]\nthreads = " << (role == "entry" ? 512 : 8)
        << "\naddress = " << address(TakePort(name + ".http"))
        << "operator_key = \"" << kOperatorKey
        << "\"\nrequest_timeout_ms = " << shape_.request_timeout_ms
--- a/tests/real_floor.h
+++ b/tests/real_floor.h
@@ -41,6 +41,7 @@
     int step_us = 500;
     int token_us = 0;
     int request_timeout_ms = 20'000;
+    int stop_timeout_ms = 120'000;
     int maximum_running = 64;
   };
 
