An entry that is gone for good is not alive again when its record is read

Callers would see: after a change, an older configuration in use for up to 2.5 s longer: with entries that are gone ranked first, no live entry of the zone reads configurations in that time. Found by reading. Cause: the topic of entries keeps their records. MemberTable removes an entry after 30 s of silence, and the next read of the topic added it as one just heard from, able to read the store. Change: an entry that was removed and is listed again counts as alive only once it was heard from. It stays a member that others send to, so that the two sides of a long network fault find each other. Open: an entry that has just started can't tell, and counts all that the first read lists as alive for 2.5 s.

--- a/modules/bbv_membership/member_table.cc
+++ b/modules/bbv_membership/member_table.cc
@@ -52,8 +52,12 @@
   if (member == nullptr) {
     member = std::make_unique<Member>();
     member->hash = HashBytes32(record.address);
-    // A new entry is given the same timeout as one just heard from.
-    member->last_contact_at = now;
+    // A new entry is given the same timeout as one just heard from. One that
+    // was removed has to be heard from first, since its record stays listed
+    // after its end.
+    member->last_contact_at = removed_.contains(member->hash)
+                                  ? now - kMemberTimeout - Milliseconds(1)
+                                  : now;
     by_hash_[member->hash] = member.get();
   }
   member->record = record;
@@ -69,6 +73,7 @@
   Member* member = it->second;
   if (member == own_)
     return true;
+  removed_.erase(hash);
   member->last_contact_at = now;
   member->current_status = current_status;
   return true;
@@ -78,6 +83,7 @@
   const auto it = members_.find(address);
   if (it == members_.end())
     return;
+  removed_.erase(it->second->hash);
   it->second->last_contact_at = now;
   it->second->last_digest_at = now;
 }
@@ -127,6 +133,7 @@
     }
     was_alive_.erase(it->first);
     by_hash_.erase(member.hash);
+    removed_.insert(member.hash);
     it = members_.erase(it);
   }
   // Summaries expire after the same time as entries.
--- a/modules/bbv_membership/member_table.h
+++ b/modules/bbv_membership/member_table.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "bbv_core/instant.h"
@@ -74,7 +75,7 @@
   explicit MemberTable(const MemberRecord& own);
 
   // Adds an entry or updates its record. Does not count as contact with a known
-  // entry.
+  // entry, nor with one that was removed for its silence.
   void AddOrUpdate(const MemberRecord& record, Instant now);
 
   // Records contact with an entry, directly or through a relay. Returns false
@@ -155,6 +156,8 @@
 
   std::map<std::string, std::unique_ptr<Member>, std::less<>> members_;
   std::unordered_map<uint32_t, Member*> by_hash_;
+  // Hashes of the entries that were removed and not heard from since.
+  std::unordered_set<uint32_t> removed_;
   Member* own_ = nullptr;
   Ranking zone_ranking_;
   std::map<std::string, bool, std::less<>> was_alive_;
--- a/modules/bbv_membership/member_table_test.cc
+++ b/modules/bbv_membership/member_table_test.cc
@@ -129,6 +129,30 @@
   CHECK_EQUAL(1, zone.table().known());
 }
 
+// The store keeps the records of entries that are gone for good.
+TEST(MemberTable, EntryThatIsGoneIsNotAliveWhenItsRecordIsReadAgain) {
+  FourEntryZone zone;
+  zone.Advance(Milliseconds(1000), {1, 2, 3});
+  zone.Advance(Milliseconds(34'000), {1, 2});
+  CHECK(zone.table().Find(MakeRecord(3, "a", 0).address) == nullptr);
+  const std::size_t reader_rank = zone.table().own_reader_rank();
+  for (int reads = 0; reads < 3; ++reads) {
+    zone.table().AddOrUpdate(MakeRecord(3, "a", 0.5), zone.now());
+    for (int it = 0; it < 30; ++it) {
+      zone.Advance(Milliseconds(100), {1, 2});
+      CHECK_EQUAL(3, zone.table().live(zone.now()));
+      CHECK_EQUAL(reader_rank, zone.table().own_reader_rank());
+    }
+    // It can be reached, in case only the network was at fault.
+    CHECK_EQUAL(3U, zone.table().ZoneMembers().size());
+    zone.Advance(Milliseconds(32'000), {1, 2});
+  }
+  zone.table().AddOrUpdate(MakeRecord(3, "a", 0.5), zone.now());
+  zone.Advance(Milliseconds(100), {1, 2, 3});
+  CHECK_EQUAL(4, zone.table().live(zone.now()));
+  CHECK_EQUAL(std::string("entry-3"), zone.First());
+}
+
 TEST(MemberTable, AllEntriesComputeTheSameRanking) {
   std::vector<std::string> firsts;
   for (int self = 0; self < 20; ++self) {
