A caller's request is judged by the configuration in force when it comes

Cause: a connection copied the limits when it was accepted. Before the configuration was read these were the built-in ones; after a change they were those of an older version. And an entry without a configuration answered 431 or 413 by the built-in limits, which no configuration had set. Change: a connection asks its handler for the limits with each message until the head is complete and holds none. An entry that knows no configuration refuses what exceeds the built-in limits with 503, as all else. Not changed: a body whose head was complete keeps the limits of that moment; the idle time that runs when the configuration changes is kept.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -53,6 +53,8 @@
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
+constexpr int kBodyTooLarge = 413;
+constexpr int kHeadTooLarge = 431;
 constexpr int kUnavailable = 503;
 // Retry-After in seconds while this entry is not ready.
 constexpr std::string_view kNotReadyRetryAfter = "0.5";
@@ -198,13 +200,9 @@
                {{"connections", static_cast<int64_t>(callers_.size())}});
     return;
   }
-  const CallerLimits limits =
-      configuration_.current() == nullptr
-          ? CallerLimits{}
-          : configuration_.current()->configuration().limits;
   const uint64_t id = next_connection_++;
   auto connection =
-      std::make_unique<CallerConnection>(id, std::move(stream), limits, this);
+      std::make_unique<CallerConnection>(id, std::move(stream), this);
   if (stopping_)
     connection->DisableKeepAlive();
   else if (!IsReady() && EventLoop::Now() < hold_until_)
@@ -212,6 +210,12 @@
   callers_.emplace(id, std::move(connection));
 }
 
+CallerLimits FleetEntry::limits() const {
+  return configuration_.current() == nullptr
+             ? CallerLimits{}
+             : configuration_.current()->configuration().limits;
+}
+
 MemberRecord FleetEntry::OwnRecord() const {
   MemberRecord record;
   record.address = settings_.peers_address.ToString();
@@ -343,11 +347,18 @@
   calls_.erase(it);
 }
 
-void FleetEntry::OnBadRequest(CallerConnection*, int status) {
-  metrics_.CountBadRequest(status);
-  log_.Write(Event::kCallRefused, EventLoop::Now(),
-             {{"status", static_cast<int64_t>(status)},
-              {"cause", "malformed request"}});
+int FleetEntry::OnBadRequest(CallerConnection*, int status) {
+  // Only the configuration says which requests are too large.
+  const bool is_limit_unknown =
+      configuration_.current() == nullptr &&
+      (status == kBodyTooLarge || status == kHeadTooLarge);
+  const int answered = is_limit_unknown ? kUnavailable : status;
+  metrics_.CountBadRequest(answered);
+  log_.Write(
+      Event::kCallRefused, EventLoop::Now(),
+      {{"status", static_cast<int64_t>(answered)},
+       {"cause", is_limit_unknown ? "no configuration" : "malformed request"}});
+  return answered;
 }
 
 void FleetEntry::OnConnectionEnd(CallerConnection* connection,
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -50,11 +50,12 @@
   void Run();
 
   // CallerRequestHandler:
+  CallerLimits limits() const override;
   void OnRequest(CallerConnection* connection,
                  HttpHead head,
                  std::string body) override;
   void OnCallerGone(CallerConnection* connection) override;
-  void OnBadRequest(CallerConnection* connection, int status) override;
+  int OnBadRequest(CallerConnection* connection, int status) override;
   void OnConnectionEnd(CallerConnection* connection,
                        const CallerConnectionEnd& end) override;
 
--- a/modules/bbv_front/caller_connection.cc
+++ b/modules/bbv_front/caller_connection.cc
@@ -34,6 +34,10 @@
   out->append("\r\n");
 }
 
+ParserLimits ToParserLimits(const CallerLimits& limits) {
+  return {limits.max_header_bytes, limits.max_body_bytes};
+}
+
 void AppendStatusLine(int status, std::string_view reason, std::string* out) {
   out->append("HTTP/1.1 ");
   out->append(std::to_string(status));
@@ -46,18 +50,14 @@
 
 CallerConnection::CallerConnection(uint64_t id,
                                    std::unique_ptr<TcpStream> stream,
-                                   CallerLimits limits,
                                    CallerRequestHandler* request_handler)
     : id_(id),
       stream_(std::move(stream)),
-      limits_(limits),
       request_handler_(request_handler),
-      parser_(HttpParser::Kind::kRequests,
-              {limits.max_header_bytes, limits.max_body_bytes},
-              this),
+      parser_(HttpParser::Kind::kRequests, {}, this),
       opened_at_(EventLoop::Now()) {
   assert(request_handler != nullptr);
-  SetReadTimeout(Milliseconds(limits.idle_timeout_ms));
+  SetReadTimeout(Milliseconds(request_handler->limits().idle_timeout_ms));
   stream_->SetDelegate(this);
   stream_->StartReading();
 }
@@ -90,11 +90,13 @@
 
 ParseStatus CallerConnection::ParseInput(std::string_view data) {
   const bool message_started = parser_.in_message();
+  const CallerLimits limits = request_handler_->limits();
+  parser_.SetLimits(ToParserLimits(limits));
   const ParseStatus status = parser_.Parse(data);
   switch (status) {
     case ParseStatus::kNeedMore:
       if (!message_started && parser_.in_message())
-        SetReadTimeout(Milliseconds(limits_.header_timeout_ms));
+        SetReadTimeout(Milliseconds(limits.header_timeout_ms));
       if (parser_.has_head())
         SetReadTimeout(kBodyReadTimeout);
       break;
@@ -122,10 +124,10 @@
 }
 
 void CallerConnection::Reject(int status) {
-  request_handler_->OnBadRequest(this, status);
+  const int answered = request_handler_->OnBadRequest(this, status);
   request_keeps_alive_ = false;
   request_open_ = true;
-  SendResponse(status, {}, {}, {});
+  SendResponse(answered, {}, {}, {});
 }
 
 void CallerConnection::Write(std::string_view data,
@@ -246,7 +248,7 @@
   parser_.StartNextMessage();
   head_ = {};
   body_.clear();
-  SetReadTimeout(Milliseconds(limits_.idle_timeout_ms));
+  SetReadTimeout(Milliseconds(request_handler_->limits().idle_timeout_ms));
   stream_->StartReading();
   // The parser's own buffer may already hold a complete request.
   if (!parsing_ && has_buffered_input())
--- a/modules/bbv_front/caller_connection.h
+++ b/modules/bbv_front/caller_connection.h
@@ -58,6 +58,8 @@
 class CallerRequestHandler {
  public:
   virtual ~CallerRequestHandler() = default;
+  // Returns the limits that apply to requests now.
+  virtual CallerLimits limits() const { return {}; }
   // Called when a complete request was received. Exactly one response must
   // follow, unless the connection ends first.
   virtual void OnRequest(CallerConnection* connection,
@@ -65,9 +67,9 @@
                          std::string body) = 0;
   // Called when the connection was closed or failed while a request was open.
   virtual void OnCallerGone(CallerConnection* connection) = 0;
-  // Called before `status` is sent in response to an invalid, oversized or
-  // overdue request.
-  virtual void OnBadRequest(CallerConnection* connection, int status) = 0;
+  // Called before an invalid, oversized or overdue request is refused with
+  // `status`. Returns the status to refuse it with.
+  virtual int OnBadRequest(CallerConnection* connection, int status) = 0;
   // Called once when the connection has ended, before OnCallerGone().
   virtual void OnConnectionEnd(CallerConnection*, const CallerConnectionEnd&) {}
 };
@@ -82,12 +84,13 @@
 // connection and may destroy the response.
 //
 // Limits the size of heads and bodies, the time to receive them, and the idle
-// time. Thread safety: none, used on the event loop's thread.
+// time. A request is under the limits of the moment at which its head is
+// complete, whenever the connection was accepted. Thread safety: none, used on
+// the event loop's thread.
 class CallerConnection final : public TcpStreamDelegate, public HttpSink {
  public:
   CallerConnection(uint64_t id,
                    std::unique_ptr<TcpStream> stream,
-                   CallerLimits limits,
                    CallerRequestHandler* request_handler);
 
   // Sends a complete response to the open request. An empty `reason` selects
@@ -175,7 +178,6 @@
 
   uint64_t id_;
   std::unique_ptr<TcpStream> stream_;
-  CallerLimits limits_;
   CallerRequestHandler* request_handler_;
   HttpParser parser_;
   HttpHead head_;
--- a/modules/bbv_front/caller_connection_test.cc
+++ b/modules/bbv_front/caller_connection_test.cc
@@ -36,7 +36,7 @@
       connection->SendResponse(200, {}, {}, answer);
     }
     void OnCallerGone(CallerConnection*) override {}
-    void OnBadRequest(CallerConnection*, int) override {}
+    int OnBadRequest(CallerConnection*, int status) override { return status; }
 
     int requests = 0;
     std::string answer = "answer";
@@ -54,7 +54,7 @@
     listener.Listen(&loop, {"127.0.0.1", static_cast<uint16_t>(port)},
                     [this](std::unique_ptr<bbv::TcpStream> stream) {
                       connection = std::make_unique<CallerConnection>(
-                          1, std::move(stream), bbv::CallerLimits{}, &handler);
+                          1, std::move(stream), &handler);
                     });
     caller = std::make_unique<RawCaller>(port, receive_bytes);
     while (connection == nullptr)
--- a/modules/bbv_front/small_http_server.cc
+++ b/modules/bbv_front/small_http_server.cc
@@ -18,8 +18,8 @@
         if (connections_.size() >= kMaxConnections)
           return;
         const uint64_t id = next_id_++;
-        connections_[id] = std::make_unique<CallerConnection>(
-            id, std::move(stream), CallerLimits{}, this);
+        connections_[id] =
+            std::make_unique<CallerConnection>(id, std::move(stream), this);
       });
 }
 
--- a/modules/bbv_front/small_http_server.h
+++ b/modules/bbv_front/small_http_server.h
@@ -41,7 +41,7 @@
                  HttpHead head,
                  std::string body) override;
   void OnCallerGone(CallerConnection*) override {}
-  void OnBadRequest(CallerConnection*, int) override {}
+  int OnBadRequest(CallerConnection*, int status) override { return status; }
 
  private:
   TcpListener listener_;
--- a/modules/bbv_http/http_parser.cc
+++ b/modules/bbv_http/http_parser.cc
@@ -47,6 +47,7 @@
   virtual ~MessageParser() = default;
   virtual std::size_t Put(std::string_view data, error_code* ec) = 0;
   virtual void PutEof(error_code* ec) = 0;
+  virtual void SetLimits(const ParserLimits& limits) = 0;
   virtual bool done() const = 0;
   virtual bool has_data() const = 0;
   virtual bool has_head() const = 0;
@@ -63,8 +64,7 @@
 
   BeastMessageParser(const ParserLimits& limits, HttpSink* sink) : sink_(sink) {
     this->eager(true);
-    this->header_limit(static_cast<uint32_t>(limits.head_bytes));
-    this->body_limit(limits.body_bytes);
+    ApplyLimits(limits);
   }
 
   std::size_t Put(std::string_view data, error_code* ec) override {
@@ -73,6 +73,7 @@
     return Base::put(boost::asio::const_buffer(data.data(), data.size()), *ec);
   }
   void PutEof(error_code* ec) override { Base::put_eof(*ec); }
+  void SetLimits(const ParserLimits& limits) override { ApplyLimits(limits); }
   bool done() const override { return this->is_done(); }
   bool has_data() const override { return has_data_; }
   bool has_head() const override { return this->is_header_done(); }
@@ -136,6 +137,11 @@
       sink_->OnMessageComplete();
   }
 
+  void ApplyLimits(const ParserLimits& limits) {
+    this->header_limit(static_cast<uint32_t>(limits.head_bytes));
+    this->body_limit(limits.body_bytes);
+  }
+
   HttpSink* sink_;
   HttpHead head_;
   bool has_data_ = false;
@@ -221,6 +227,12 @@
   return ParseStatus::kComplete;
 }
 
+void HttpParser::SetLimits(ParserLimits limits) {
+  limits_ = limits;
+  if (!message_parser_->has_head())
+    message_parser_->SetLimits(limits);
+}
+
 void HttpParser::StartNextMessage() {
   CreateMessageParser();
 }
--- a/modules/bbv_http/http_parser.h
+++ b/modules/bbv_http/http_parser.h
@@ -64,6 +64,10 @@
   // current message, otherwise kMalformed.
   ParseStatus ParseEof();
 
+  // Replaces the limits. They apply to the current message unless its head is
+  // complete, and to all later ones.
+  void SetLimits(ParserLimits limits);
+
   // Precondition: the last result was kComplete.
   void StartNextMessage();
 
