Each copy of a deadly request counts against it, also at the same time

Cause: crashes by calls that were sent before the crash before count once, so that a pair of copies counted as one crash. Where hardly any other call has output, the bound on chance then wants five or six pairs.

Why it works: three independent crashes are still needed, so that one failing rack or one burst proves nothing. Then each target that had a copy of the request without output is weighed: copies are chosen one by one, while many calls of a client may share a part. Parts are judged as before.

--- a/modules/bbv_fleet/crash_evidence.cc
+++ b/modules/bbv_fleet/crash_evidence.cc
@@ -141,6 +141,15 @@
   return keys;
 }
 
+std::vector<CrashKey> CrashEvidence::AllCrashes(
+    const Accusations& accusations) {
+  std::vector<CrashKey> keys;
+  keys.reserve(accusations.size());
+  for (const Accusation& it : accusations)
+    keys.push_back(it.key);
+  return keys;
+}
+
 int CrashEvidence::CrashCount(uint64_t trait) const {
   const auto it = accusations_.find(trait);
   return it == accusations_.end()
@@ -216,9 +225,14 @@
     if (list.size() < kMinCrashes)
       continue;
     std::vector<CrashKey> crashes = IndependentCrashes(list);
-    if (crashes.size() >= kMinCrashes &&
-        ChanceIfSound(list, crashes, MaxPopularity(trait)) <=
-            AcceptedChance(crashes.size()))
+    if (crashes.size() < kMinCrashes)
+      continue;
+    // Copies of one request at several targets are chosen one by one, while
+    // many calls of one client may share a part.
+    const std::vector<CrashKey> draws =
+        IsRequestTrait(trait) ? AllCrashes(list) : crashes;
+    if (ChanceIfSound(list, draws, MaxPopularity(trait)) <=
+        AcceptedChance(draws.size()))
       candidates.push_back({trait, std::move(crashes)});
   }
   std::sort(candidates.begin(), candidates.end(),
--- a/modules/bbv_fleet/crash_evidence.h
+++ b/modules/bbv_fleet/crash_evidence.h
@@ -54,7 +54,9 @@
 //    entry, as a deadly trait leaves none;
 //  - a sound trait would hardly show the same: however popular it is, it either
 //    has output among that of all calls since then, or is rarely under way
-//    without output when a target crashes;
+//    without output when a target crashes. A whole request that comes several
+//    times at once is weighed by each target that it was at, a part only by
+//    independent crashes;
 //  - no other explanation is as good: traits accused by exactly the same
 //  crashes
 //    are deadly together, and rivals accused by some of them delay the verdict
@@ -129,12 +131,14 @@
   // nothing if the same call is behind all of them.
   static std::vector<CrashKey> IndependentCrashes(
       const Accusations& accusations);
+  // Returns the keys of all crashes, in the order of their times.
+  static std::vector<CrashKey> AllCrashes(const Accusations& accusations);
   // Returns the traits that are hardly sound, most crashes first.
   std::vector<Candidate> FindCandidates() const;
   // Returns how probable it is at most that a sound trait with these
-  // accusations is accused by as many of the known crashes as `crashes`, its
-  // independent ones, and has had no output since, if at most the share
-  // `max_popularity` of all calls has it.
+  // accusations is accused by as many of the known crashes as `crashes`, those
+  // of its accusations that count, and has had no output since, if at most the
+  // share `max_popularity` of all calls has it.
   double ChanceIfSound(const Accusations& accusations,
                        const std::vector<CrashKey>& crashes,
                        double max_popularity) const;
--- a/modules/bbv_fleet/crash_evidence_test.cc
+++ b/modules/bbv_fleet/crash_evidence_test.cc
@@ -273,6 +273,34 @@
   CHECK(Finds({request}));
 }
 
+// The request comes at two entries at once, and hardly any call has output.
+TEST(CrashEvidence, DeadlyRequestThatComesTwiceAtOnceCountsOnce) {
+  const uint64_t request = RequestTrait({"bank", "POST", "/a", "body"});
+  for (int outputs = 0; outputs < 4; ++outputs) {
+    CrashEvidence other;
+    for (int pair = 1; pair <= 3; ++pair) {
+      other.AddCrash(MakeCrash({{request}}, Milliseconds(4000)));
+      other.AddCrash(MakeCrash({{request}}, Milliseconds(2)));
+      CHECK_EQUAL(pair == 3, other.TakeDeadlyTraits().has_value());
+      for (int it = 0; it < outputs; ++it)
+        other.RecordOutput({});
+    }
+  }
+}
+
+// Racks fail with copies of a sound request that comes in bursts.
+TEST(CrashEvidence, SoundRequestInTwoBurstsIsNotDeadly) {
+  const uint64_t request = RequestTrait({"bank", "GET", "/rates", ""});
+  for (int burst = 0; burst < 2; ++burst) {
+    now += Milliseconds(60'000);
+    for (int it = 0; it < 8; ++it)
+      evidence.AddCrash(MakeCrash({{request}}, Milliseconds(5)));
+    CHECK(!evidence.TakeDeadlyTraits());
+  }
+  CHECK(evidence.RecordOutput({request}) == std::vector<uint64_t>({request}));
+  CHECK_EQUAL(0, evidence.size());
+}
+
 // Two calls in five are one sound request, and targets fail for other reasons.
 TEST(CrashEvidence, CrashesOfOtherCausesQuarantineNoPopularRequest) {
   const uint64_t popular = RequestTrait({"bank", "GET", "/rates", ""});
