Heartbeats from before a crash do not disprove it

Callers saw: nothing yet that is traced to this. A crash that was withdrawn wrongly is missing in the evidence, so that a deadly part or request crashes further targets before it is known.

Cause: a crash is withdrawn when the target's heartbeat in the target list rises by two or more. The list is read at intervals of up to 70 % of drain_ms, so that heartbeats from before the crash become known after it.

No log line told of withdrawn crashes; crash-withdrawn (BBV0140) does now.

Why it works: heartbeats that become known within 5 s of the crash only move the mark from which later ones count.

--- a/modules/bbv_core/event.cc
+++ b/modules/bbv_core/event.cc
@@ -81,6 +81,7 @@
     EventDescription{Event::kCallerTurnedAway, "caller-turned-away"},
     EventDescription{Event::kNodeCongested, "node-congested"},
     EventDescription{Event::kTargetFaultDoubted, "target-fault-doubted"},
+    EventDescription{Event::kCrashWithdrawn, "crash-withdrawn"},
 };
 
 // Returns whether `event` occurs in the normal processing of every request.
--- a/modules/bbv_core/event.h
+++ b/modules/bbv_core/event.h
@@ -78,6 +78,7 @@
   kCallerTurnedAway = 111,
   kNodeCongested = 112,
   kTargetFaultDoubted = 113,
+  kCrashWithdrawn = 140,
 };
 
 // The name under which an event is logged.
--- a/modules/bbv_entry/crash_guard.cc
+++ b/modules/bbv_entry/crash_guard.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <iterator>
 #include <utility>
 
 #include "bbv_core/hashing.h"
@@ -15,8 +16,10 @@
 // Independent crashes that accuse a trait of a call from which on the call is
 // not repeated.
 constexpr int kCrashesWithoutRepeat = 2;
-// Heartbeats that may have been on their way when their target crashed. A later
-// one disproves the crash within this time.
+// Time after a crash within which heartbeats from before it may become known,
+// since the target list is not read at once. Later ones disprove the crash, but
+// for those that may still have been on their way.
+constexpr Milliseconds kHeartbeatDelay{5000};
 constexpr int64_t kHeartbeatsInTransit = 1;
 constexpr Milliseconds kDisproofTime{15'000};
 // Interval at which all quarantines are sent, for entries that missed a notice.
@@ -223,17 +226,29 @@
 }
 
 void CrashGuard::WithdrawDisprovedCrashes(Instant now) {
-  std::erase_if(recent_crashes_, [&](const auto& it) {
-    const auto& [key, crash] = it;
+  for (auto it = recent_crashes_.begin(); it != recent_crashes_.end();) {
+    const CrashKey& key = it->first;
+    RecentCrash& crash = it->second;
     const FleetTarget* target = registry_->FindByHash(key.target);
-    const bool is_alive =
+    const bool is_same_process =
         target != nullptr &&
-        target->record.started_unix_ms == key.started_unix_ms &&
+        target->record.started_unix_ms == key.started_unix_ms;
+    if (is_same_process && now < crash.crashed_at + kHeartbeatDelay)
+      crash.heartbeat = target->record.heartbeat;
+    const bool is_alive =
+        is_same_process &&
         target->record.heartbeat > crash.heartbeat + kHeartbeatsInTransit;
-    if (is_alive)
+    if (is_alive) {
+      log_->Write(Event::kCrashWithdrawn, now,
+                  {{"target", target->record.id},
+                   {"service", crash.service},
+                   {"heartbeat", target->record.heartbeat}});
       evidence_[crash.service].WithdrawCrash(key);
-    return is_alive || now >= crash.crashed_at + kDisproofTime;
-  });
+    }
+    it = is_alive || now >= crash.crashed_at + kDisproofTime
+             ? recent_crashes_.erase(it)
+             : std::next(it);
+  }
 }
 
 void CrashGuard::QuarantineDeadlyTraits(Instant now) {
