Quarantines outlive a kill of all entries

Cause: quarantines lived in the entries only, and in what they tell each other.

Why it works: the entry that probes writes a record when a quarantine begins and deletes it when it ends, in the topic of the entries, which each entry reads at startup anyway: no further read. Failed writes are tried again every half second and logged (quarantine-not-stored, BBV0141); a store restored from an older copy gets the records anew. Ages count from the read on, so that a probe may come up to one interval later than without the kill.

Open: crashes that have not led to a quarantine are still forgotten.

--- a/modules/bbv_core/event.cc
+++ b/modules/bbv_core/event.cc
@@ -82,6 +82,7 @@
     EventDescription{Event::kNodeCongested, "node-congested"},
     EventDescription{Event::kTargetFaultDoubted, "target-fault-doubted"},
     EventDescription{Event::kCrashWithdrawn, "crash-withdrawn"},
+    EventDescription{Event::kQuarantineNotStored, "quarantine-not-stored"},
 };
 
 // Returns whether `event` occurs in the normal processing of every request.
--- a/modules/bbv_core/event.h
+++ b/modules/bbv_core/event.h
@@ -79,6 +79,7 @@
   kNodeCongested = 112,
   kTargetFaultDoubted = 113,
   kCrashWithdrawn = 140,
+  kQuarantineNotStored = 141,
 };
 
 // The name under which an event is logged.
--- a/modules/bbv_entry/member_directory.cc
+++ b/modules/bbv_entry/member_directory.cc
@@ -3,6 +3,7 @@
 #include <cassert>
 #include <utility>
 
+#include "bbv_entry/quarantine_store.h"
 #include "platform/store_codec.h"
 
 namespace bbv {
@@ -37,13 +38,16 @@
                                  DecisionLog* log,
                                  MemberRecord own,
                                  OnMember on_member,
+                                 OnQuarantine on_quarantine,
                                  OnRead on_read)
     : store_(store),
       log_(log),
       own_(std::move(own)),
       on_member_(std::move(on_member)),
+      on_quarantine_(std::move(on_quarantine)),
       on_read_(std::move(on_read)) {
-  assert(store != nullptr && log != nullptr && on_member_);
+  assert(store != nullptr && log != nullptr);
+  assert(on_member_ && on_quarantine_);
 }
 
 void MemberDirectory::OnTick(bool is_relay,
@@ -91,6 +95,8 @@
         if (!page)
           return;
         for (const platform::KeyedRecord& it : page->records) {
+          if (QuarantineStore::IsKey(it.key) && on_quarantine_(it))
+            continue;
           FrameReader reader(kMaxRecordBytes);
           reader.Append(it.value);
           wire::FrameT frame;
--- a/modules/bbv_entry/member_directory.h
+++ b/modules/bbv_entry/member_directory.h
@@ -21,6 +21,9 @@
  public:
   // Called for each record read.
   using OnMember = std::function<void(const MemberRecord& record)>;
+  // Called for each record read that holds a quarantine; returns whether it is
+  // well formed.
+  using OnQuarantine = std::function<bool(const platform::KeyedRecord& record)>;
   // Called after all records were read.
   using OnRead = std::function<void()>;
 
@@ -28,6 +31,7 @@
                   DecisionLog* log,
                   MemberRecord own,
                   OnMember on_member,
+                  OnQuarantine on_quarantine,
                   OnRead on_read);
 
   // Starts the write or read that is due. Entries with `is_relay` set read more
@@ -45,6 +49,7 @@
   DecisionLog* log_;
   MemberRecord own_;
   OnMember on_member_;
+  OnQuarantine on_quarantine_;
   OnRead on_read_;
   bool registered_ = false;
   // Era of the store in which this entry's record was written.
--- a/modules/bbv_entry/peer_exchange.cc
+++ b/modules/bbv_entry/peer_exchange.cc
@@ -48,6 +48,7 @@
     : parts_(parts),
       members_(own),
       links_(loop, parts.log, own),
+      quarantine_store_(parts.store, parts.log),
       directory_(
           parts.store,
           parts.log,
@@ -55,6 +56,12 @@
           [this](const MemberRecord& record) {
             members_.AddOrUpdate(record, EventLoop::Now());
           },
+          [this](const platform::KeyedRecord& record) {
+            const auto row = quarantine_store_.OnRecord(record);
+            if (row)
+              parts_.crash_guard->OnQuarantines({*row}, EventLoop::Now());
+            return row.has_value();
+          },
           [this] { gossip_.ClearUnknownMembers(); }),
       gossip_(&members_, this, retry_window),
       on_fault_(std::move(on_fault)) {
@@ -89,6 +96,9 @@
   }
   links_.OnTick(now);
   directory_.OnTick(members_.is_relay(), gossip_.has_unknown_members(), now);
+  quarantine_store_.OnTick(parts_.crash_guard->quarantine(),
+                           directory_.was_read() && members_.IsFleetLeader(now),
+                           now);
   parts_.planner->SetPeers(members_.HasOtherPlanner(now),
                            members_.IsFleetLeader(now), now);
   gossip_.OnTick(now);
--- a/tests/deadly_part_test.cc
+++ b/tests/deadly_part_test.cc
@@ -1,5 +1,10 @@
 #include <CppUTest/TestHarness.h>
 
+#include <chrono>
+#include <csignal>
+#include <string>
+#include <thread>
+
 #include "deadly_fleet.h"
 
 namespace bbv {
@@ -43,4 +48,26 @@
   CheckFewLaterCalls(kCrashesToLearn);
 }
 
+TEST(DeadlyPart, RestartOfAllEntriesForgetsAPartThatCrashesTargets) {
+  StartFleet();
+  StartStreams(kDeadlyPart);
+  fleet->CountLaterCalls(kCrashesToLearn);
+  deadly.reset();
+  for (int it = 0; it < DeadlyFleet::kEntries; ++it)
+    fleet->floor().Signal(it, SIGKILL);
+  for (int it = 0; it < DeadlyFleet::kEntries; ++it) {
+    fleet->floor().WaitForExit(it);
+    fleet->floor().StartEntry(it);
+  }
+  for (int it = 0; it < DeadlyFleet::kEntries; ++it)
+    CHECK_TRUE(fleet->floor().WaitReady(it, 5000));
+  std::this_thread::sleep_for(DeadlyFleet::kTimeToAct);
+  const int calls = fleet->floor().targets().DeadlyCallCount();
+  deadly = fleet->SendStreams("again", DeadlyFleet::kDeadlyInterval,
+                              [](int) { return std::string(kDeadlyPart); });
+  std::this_thread::sleep_for(DeadlyFleet::kTimeToAct);
+  LONGS_EQUAL(calls, fleet->floor().targets().DeadlyCallCount());
+  CHECK(DeadlyFleet::AreServed(*sound));
+}
+
 }  // namespace bbv
