--- a/modules/bbv_core/event.cc
+++ b/modules/bbv_core/event.cc
@@ -83,6 +83,7 @@
     EventDescription{Event::kTargetFaultDoubted, "target-fault-doubted"},
     EventDescription{Event::kCallSendCancelled, "call-send-cancelled"},
     EventDescription{Event::kCrashWithdrawn, "crash-withdrawn"},
+    EventDescription{Event::kQuarantineNotStored, "quarantine-not-stored"},
 };
 
 // Returns whether `event` occurs in the normal processing of every request.
--- a/modules/bbv_core/event.h
+++ b/modules/bbv_core/event.h
@@ -80,6 +80,7 @@
   kTargetFaultDoubted = 113,
   kCallSendCancelled = 114,
   kCrashWithdrawn = 140,
+  kQuarantineNotStored = 141,
 };
 
 // The name under which an event is logged.
