FleetCall: one look-up of a replacement by its number

Cause: TakeReplacement() and OnReplacementFailed() held the same search. Change: FindReplacement() serves both; the struct moves up, before its use. Conclusion: no behaviour changes.

--- a/modules/bbv_fleet/fleet_call.cc
+++ b/modules/bbv_fleet/fleet_call.cc
@@ -118,10 +118,15 @@
     delegate_->CancelReplacement(it.send, reason, now);
 }
 
+std::vector<FleetCall::Replacement>::iterator FleetCall::FindReplacement(
+    int send) {
+  return std::find_if(
+      replacements_.begin(), replacements_.end(),
+      [send](const Replacement& it) { return it.send == send; });
+}
+
 void FleetCall::TakeReplacement(int send) {
-  const auto it =
-      std::find_if(replacements_.begin(), replacements_.end(),
-                   [send](const Replacement& row) { return row.send == send; });
+  const auto it = FindReplacement(send);
   assert(it != replacements_.end());
   dispatch_ = std::move(it->path);
   silent_since_ = it->sent_at;
@@ -277,9 +282,7 @@
 void FleetCall::OnReplacementFailed(int send,
                                     const SendFailure& failure,
                                     Instant now) {
-  const auto it =
-      std::find_if(replacements_.begin(), replacements_.end(),
-                   [send](const Replacement& row) { return row.send == send; });
+  const auto it = FindReplacement(send);
   if (done_ || it == replacements_.end())
     return;
   const CallDispatch path = std::move(it->path);
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -312,6 +312,15 @@
   const std::vector<std::string>& excluded() const { return excluded_; }
 
  private:
+  // A send beside the active one.
+  struct Replacement {
+    int send = 0;
+    CallDispatch path;
+    Instant sent_at{};
+    // Whether a hop of its path seems dead.
+    bool suspected = false;
+  };
+
   Instant CapacityDeadline() const;
   bool WaitsForPath(Instant now) const;
   bool CanRetry(const SendFailure& failure) const;
@@ -321,6 +330,7 @@
   void SendTo(CallDispatch dispatch, Instant now);
   void SendReplacement(CallDispatch dispatch, Instant now);
   void CancelReplacements(SendCancelReason reason, Instant now);
+  std::vector<Replacement>::iterator FindReplacement(int send);
   // Replacement `send` becomes the active send, which has ended.
   void TakeReplacement(int send);
   // Whether a replacement is under way whose path has no suspected hop.
@@ -388,13 +398,6 @@
   Instant next_path_change_{};
   // Sends that take over if they bring output before the active one does, in
   // the order in which they were sent.
-  struct Replacement {
-    int send = 0;
-    CallDispatch path;
-    Instant sent_at{};
-    // Whether a hop of its path seems dead.
-    bool suspected = false;
-  };
   std::vector<Replacement> replacements_;
   // When the last send ended that may have run.
   Instant run_ended_{};
