A stopping entry does not take streams that outlast it while others serve

Callers saw: streams that an entry had taken up to 2.9 s after it was told to stop were broken off in mid-answer at its forced end.

Cause: StopAdmission took streams that may be resumed whenever 4.8 s were left, whatever streams last. Class: a fixed time stands for one that can be observed.

Now a stream is taken after the signal only if 98 of 100 recent streams of its route took less than the time that is left, as long as at least half of the zone's entries serve: a refused caller is served at once by one of them. While most of the zone stops as well, the former rule holds, since a refused caller would find no entry and a cut stream can be resumed.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -272,9 +272,12 @@
   Instant deadline = caller_deadline;
   if (route->timeout_ms > 0)
     deadline = std::min(deadline, now + Milliseconds(route->timeout_ms));
-  if (stop_admission_ && !stop_admission_->Accepts(*route, deadline, now)) {
-    Refuse(connection, fields.attempt_id, kUnavailable, "stopping", true);
-    return;
+  if (stop_admission_) {
+    const bool others_serve = peers_.members().MostOfZoneServes(now);
+    if (!stop_admission_->Accepts(*route, deadline, others_serve, now)) {
+      Refuse(connection, fields.attempt_id, kUnavailable, "stopping", true);
+      return;
+    }
   }
   CallRequest request;
   const bool keyed = !index->configuration().accounts.empty();
--- a/modules/bbv_fleet/call_durations.h
+++ b/modules/bbv_fleet/call_durations.h
@@ -1,6 +1,9 @@
 #ifndef MODULES_BBV_FLEET_CALL_DURATIONS_H_
 #define MODULES_BBV_FLEET_CALL_DURATIONS_H_
 
+#include <array>
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -9,7 +12,7 @@
 
 namespace bbv {
 
-// Tracks the longest recent duration of the calls of each route.
+// Tracks how long the recent calls of each route took.
 //
 // Durations are kept for one to two windows of a fixed length, so that a single
 // slow call does not count for ever and routes that are gone take no memory.
@@ -24,8 +27,26 @@
   std::optional<Milliseconds> Longest(const std::string& route,
                                       Instant now) const;
 
+  // Returns a duration that at least `percent` of the calls recorded lately did
+  // not exceed, rounded up to a step of 250 ms; nullopt if there is none.
+  // Precondition: 0 < percent <= 100.
+  std::optional<Milliseconds> Percentile(const std::string& route,
+                                         int percent,
+                                         Instant now) const;
+
  private:
-  using Window = std::map<std::string, Milliseconds>;
+  // Calls counted by duration; the last step holds all longer ones.
+  static constexpr std::size_t kSteps = 128;
+  struct Durations {
+    Milliseconds longest{0};
+    std::array<uint32_t, kSteps> counts{};
+  };
+  using Window = std::map<std::string, Durations>;
+
+  // Calls `visit` with the durations of `route` in each window that still
+  // counts at `now`.
+  template <typename Visitor>
+  void VisitRecent(const std::string& route, Instant now, Visitor visit) const;
 
   Window current_;
   Window previous_;
--- a/modules/bbv_fleet/call_durations_test.cc
+++ b/modules/bbv_fleet/call_durations_test.cc
@@ -17,6 +17,12 @@
         .value_or(Milliseconds(-1))
         .count();
   }
+  int64_t PercentileAt(const char* route, int percent, int seconds) const {
+    return durations
+        .Percentile(route, percent, start + std::chrono::seconds(seconds))
+        .value_or(Milliseconds(-1))
+        .count();
+  }
   void RecordAt(const char* route, int duration_ms, int seconds) {
     durations.Record(route, Milliseconds(duration_ms),
                      start + std::chrono::seconds(seconds));
@@ -48,3 +54,26 @@
   RecordAt("b", 40, 120);
   CHECK_EQUAL(-1, LongestAt("a", 120));
 }
+
+TEST(CallDurations, APercentileIsRoundedUpToAStep) {
+  CHECK_EQUAL(-1, PercentileAt("a", 90, 0));
+  for (int it = 0; it < 9; ++it)
+    RecordAt("a", 100, 0);
+  RecordAt("a", 5100, 0);
+  CHECK_EQUAL(250, PercentileAt("a", 90, 0));
+  CHECK_EQUAL(5250, PercentileAt("a", 91, 0));
+  CHECK_EQUAL(-1, PercentileAt("b", 90, 0));
+}
+
+TEST(CallDurations, APercentileBeyondAllStepsIsTheLongestDuration) {
+  RecordAt("a", 90'000, 0);
+  CHECK_EQUAL(90'000, PercentileAt("a", 50, 0));
+}
+
+TEST(CallDurations, APercentileForgetsOldCalls) {
+  RecordAt("a", 9000, 0);
+  RecordAt("a", 100, 60);
+  CHECK_EQUAL(9250, PercentileAt("a", 90, 119));
+  RecordAt("a", 100, 120);
+  CHECK_EQUAL(250, PercentileAt("a", 90, 120));
+}
--- a/modules/bbv_membership/member_table.cc
+++ b/modules/bbv_membership/member_table.cc
@@ -237,6 +237,19 @@
   return members;
 }
 
+bool MemberTable::MostOfZoneServes(Instant now) const {
+  std::size_t known = 0;
+  std::size_t serving = 0;
+  for (const auto& [address, member] : members_) {
+    if (!IsInOwnZone(*member))
+      continue;
+    ++known;
+    if (IsAlive(*member, now) && !member->current_status.leaving)
+      ++serving;
+  }
+  return 2 * serving >= known;
+}
+
 std::vector<std::string> MemberTable::Zones() const {
   std::set<std::string> zones;
   for (const auto& [address, member] : members_)
--- a/modules/bbv_membership/member_table.h
+++ b/modules/bbv_membership/member_table.h
@@ -128,6 +128,10 @@
   // Known entries of this zone, without this one.
   Ranking ZoneMembers() const;
 
+  // Whether at least half of the known entries of this zone, including this
+  // one, are alive and not shutting down.
+  bool MostOfZoneServes(Instant now) const;
+
   // Zones with at least one known entry, including this entry's zone.
   std::vector<std::string> Zones() const;
 
--- a/modules/bbv_membership/member_table_test.cc
+++ b/modules/bbv_membership/member_table_test.cc
@@ -176,4 +176,23 @@
   CHECK_EQUAL(std::string("entry-5"), first.front()->record.name);
 }
 
+TEST(MemberTable, MostOfAZoneServesUntilHalfOfItLeavesOrIsSilent) {
+  FourEntryZone zone;
+  zone.Advance(Milliseconds(3000), {1, 2, 3});
+  CHECK_TRUE(zone.table().MostOfZoneServes(zone.now()));
+  MemberStatus leaving;
+  leaving.leaving = true;
+  zone.table().SetOwnStatus(leaving);
+  zone.table().RecordContact(HashBytes32(MakeRecord(3, "a", 0).address),
+                             leaving, zone.now());
+  CHECK_TRUE(zone.table().MostOfZoneServes(zone.now()));
+  zone.table().RecordContact(HashBytes32(MakeRecord(2, "a", 0).address),
+                             leaving, zone.now());
+  CHECK_FALSE(zone.table().MostOfZoneServes(zone.now()));
+  zone.table().SetOwnStatus({});
+  CHECK_TRUE(zone.table().MostOfZoneServes(zone.now()));
+  zone.Advance(Milliseconds(4000), {});
+  CHECK_FALSE(zone.table().MostOfZoneServes(zone.now()));
+}
+
 }  // namespace bbv
--- a/tests/fleet_floor.h
+++ b/tests/fleet_floor.h
@@ -69,6 +69,8 @@
   // Waits up to `limit_ms` until `entry` is ready.
   bool WaitReady(int entry, int limit_ms);
 
+  // Sets how long callers of Stream() wait; call before Start().
+  void SetStreamWait(int wait_ms) { stream_wait_ms_ = wait_ms; }
   // `parts` names the parts of the prompt, for example "a:40,b:60"; empty for
   // none.
   StreamAnswer Stream(int entry,
@@ -94,6 +96,7 @@
   standins::FleetTargets targets_;
   const bool proxied_;
   const int stop_timeout_s_;
+  int stream_wait_ms_ = 5000;
   std::string folder_;
   std::vector<std::unique_ptr<Entry>> entries_;
 };
--- a/tests/standins/fleet_standin.h
+++ b/tests/standins/fleet_standin.h
@@ -144,6 +144,8 @@
     int failing_every = 0;
     // `max_attempts` of every route.
     int max_attempts = 2;
+    // `timeout_ms` of every route.
+    int timeout_ms = 5000;
     // Responses to calls that resume a stream, by the path of the request.
     std::map<std::string, ResumedAnswer> resumed_answers;
     // If not 0, plain targets refuse each call whose id begins with "refused"
