Refused callers of a stopping entry come back at once while others serve

Callers saw: a call refused by a stopping entry came with Retry-After: 0.5, as long as the objective of most streams, although the other entries of the zone could have served it at once.

Cause: one fixed delay for each refusal of an entry that is not ready, whether another one is or not.

Now it is 0.05 s while at least half of the zone's entries serve, and 0.5 s as before while they do not.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -52,6 +52,8 @@
 constexpr int kUnavailable = 503;
 // Retry-After in seconds while this entry is not ready.
 constexpr std::string_view kNotReadyRetryAfter = "0.5";
+// Retry-After in seconds while other entries of the zone serve.
+constexpr std::string_view kElsewhereRetryAfter = "0.05";
 
 // Returns -1 for a fault that rests on no question.
 int64_t AskedMillisecondsAgo(const TargetFault& fault, Instant now) {
@@ -232,7 +234,7 @@
                         const std::string& attempt_id,
                         int status,
                         std::string_view cause,
-                        bool may_retry) {
+                        std::string_view retry_after) {
   log_.Write(Event::kCallRefused, EventLoop::Now(),
              {{"id", attempt_id},
               {"status", static_cast<int64_t>(status)},
@@ -242,8 +244,8 @@
   std::string fields;
   if (!attempt_id.empty())
     AppendField(platform::kAttemptIdField, attempt_id, &fields);
-  if (may_retry)
-    AppendField("Retry-After", kNotReadyRetryAfter, &fields);
+  if (!retry_after.empty())
+    AppendField("Retry-After", retry_after, &fields);
   connection->SendResponse(status, {}, fields, {});
 }
 
@@ -256,14 +258,14 @@
   const std::shared_ptr<FleetIndex>& index = configuration_.current();
   if (index == nullptr) {
     Refuse(connection, fields.attempt_id, kUnavailable, "no configuration",
-           true);
+           kNotReadyRetryAfter);
     return;
   }
   const std::string_view path =
       std::string_view(head.target).substr(0, head.target.find('?'));
   const ServiceRoute* route = index->FindRoute(fields.host, path);
   if (route == nullptr) {
-    Refuse(connection, fields.attempt_id, kNotFound, "no route", false);
+    Refuse(connection, fields.attempt_id, kNotFound, "no route", {});
     return;
   }
   const Instant caller_deadline =
@@ -275,7 +277,8 @@
   if (stop_admission_) {
     const bool others_serve = peers_.members().MostOfZoneServes(now);
     if (!stop_admission_->Accepts(*route, deadline, others_serve, now)) {
-      Refuse(connection, fields.attempt_id, kUnavailable, "stopping", true);
+      Refuse(connection, fields.attempt_id, kUnavailable, "stopping",
+             others_serve ? kElsewhereRetryAfter : kNotReadyRetryAfter);
       return;
     }
   }
@@ -284,13 +287,12 @@
   if (keyed && !route->allow_anonymous) {
     request.account = index->FindAccount(fields.key);
     if (request.account == nullptr) {
-      Refuse(connection, fields.attempt_id, kUnauthorized, "unknown key",
-             false);
+      Refuse(connection, fields.attempt_id, kUnauthorized, "unknown key", {});
       return;
     }
   }
   if (fields.attempt_id.empty()) {
-    Refuse(connection, fields.attempt_id, kBadRequest, "no id", false);
+    Refuse(connection, fields.attempt_id, kBadRequest, "no id", {});
     return;
   }
   request.attempt_id = fields.attempt_id;
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -127,7 +127,7 @@
               const std::string& attempt_id,
               int status,
               std::string_view cause,
-              bool may_retry);
+              std::string_view retry_after);
   // Records the duration of a call that has ended or will be answered no more,
   // and keeps it until the end of the tick.
   void RetireCall(std::unique_ptr<RelayedCall> call, Instant now);
--- a/tests/entry_stop_test.cc
+++ b/tests/entry_stop_test.cc
@@ -178,6 +178,23 @@
   }
 }
 
+TEST(EntryStop, RefusedCallersWaitLongAlthoughAnotherEntryServes) {
+  // The routes' limit is 5 s, the stop deadline 4.7 s.
+  StartFleet(5);
+  const auto refusal = [this](int entry, const std::string& id) {
+    RawCaller caller(floor->callers_port(entry));
+    CHECK(caller.Send(RequestText("/unsafe/x", id)));
+    return caller.Receive(1000);
+  };
+  floor->Signal(0, SIGTERM);
+  const std::string answer = refusal(0, "other-serves");
+  STRNCMP_EQUAL("HTTP/1.1 503", answer.c_str(), 12);
+  STRCMP_CONTAINS("Retry-After: 0.05\r\n", answer.c_str());
+  floor->Signal(1, SIGTERM);
+  std::this_thread::sleep_for(milliseconds(600));
+  STRCMP_CONTAINS("Retry-After: 0.5\r\n", refusal(0, "none-serves").c_str());
+}
+
 // The same for an entry with sides.
 TEST_GROUP(EntryNodeStop) {
   RealFloor::Shape shape;
