One server on the event loop for two test files

tests/silent_store_test.cc and tests/stale_response_test.cc each built a listener and connections that collect what they receive. tests/loop_server.h holds that once; each file keeps how it answers.

--- a/tests/silent_store_test.cc
+++ b/tests/silent_store_test.cc
@@ -11,8 +11,7 @@
 #include <vector>
 
 #include "bbv_entry/configuration_follower.h"
-#include "bbv_front/tcp_stream.h"
-#include "free_port.h"
+#include "loop_server.h"
 #include "platform/store_codec.h"
 
 namespace bbv {
@@ -26,18 +25,11 @@
 class SilentStore {
  public:
   explicit SilentStore(EventLoop* loop)
-      : address_{"127.0.0.1", static_cast<uint16_t>(FreePort())} {
-    STRCMP_EQUAL(
-        "", listener_
-                .Listen(loop, address_,
-                        [this](std::unique_ptr<TcpStream> stream) {
-                          connections_.push_back(std::make_unique<Connection>(
-                              this, std::move(stream)));
-                        })
-                .c_str());
-  }
+      : server_(loop, [this](LoopServer::Connection* connection) {
+          Answer(connection);
+        }) {}
 
-  const SocketAddress& address() const { return address_; }
+  const SocketAddress& address() const { return server_.address(); }
   int calls() const { return calls_; }
   void SetOnWait(std::function<void()> on_wait) {
     on_wait_ = std::move(on_wait);
@@ -46,37 +38,21 @@
   void Acknowledge(int version) { version_ = version; }
   // Lets every connection that is open now fall silent.
   void Silence() {
-    for (const auto& it : connections_)
+    for (const auto& it : server_.connections())
       it->is_silent = true;
   }
 
  private:
-  struct Connection final : TcpStreamDelegate {
-    Connection(SilentStore* owner, std::unique_ptr<TcpStream> accepted)
-        : store(owner), stream(std::move(accepted)) {
-      stream->SetDelegate(this);
-      stream->StartReading();
-    }
-    void OnData(std::string_view data) override {
-      if (is_silent)
-        return;
-      received.append(data);
-      if (!received.ends_with("\r\n\r\n"))
-        return;
-      const std::string request = std::exchange(received, {});
-      ++store->calls_;
-      if (request.find("log-newest") != std::string::npos)
-        stream->Write(store->NewestRecords());
-      else if (store->on_wait_)
-        store->on_wait_();
-    }
-    void OnStreamEnd(StreamEnd) override {}
-
-    SilentStore* store;
-    std::unique_ptr<TcpStream> stream;
-    std::string received;
-    bool is_silent = false;
-  };
+  void Answer(LoopServer::Connection* connection) {
+    if (!connection->received.ends_with("\r\n\r\n"))
+      return;
+    const std::string request = std::exchange(connection->received, {});
+    ++calls_;
+    if (request.find("log-newest") != std::string::npos)
+      connection->stream->Write(NewestRecords());
+    else if (on_wait_)
+      on_wait_();
+  }
 
   std::string NewestRecords() const {
     // {"version":N} in base64; the version has one digit.
@@ -90,9 +66,7 @@
            std::to_string(body.size()) + "\r\n\r\n" + body;
   }
 
-  SocketAddress address_;
-  TcpListener listener_;
-  std::vector<std::unique_ptr<Connection>> connections_;
+  LoopServer server_;
   std::function<void()> on_wait_;
   int version_ = 1;
   int calls_ = 0;
--- a/tests/stale_response_test.cc
+++ b/tests/stale_response_test.cc
@@ -17,7 +17,7 @@
 #include "bbv_entry/target_requests.h"
 #include "bbv_front/http_client.h"
 #include "fleet_floor.h"
-#include "free_port.h"
+#include "loop_server.h"
 #include "platform/call_codec.h"
 
 namespace bbv {
@@ -43,60 +43,41 @@
 class ScriptedServer {
  public:
   explicit ScriptedServer(EventLoop* loop)
-      : address_{"127.0.0.1", static_cast<uint16_t>(FreePort())} {
-    STRCMP_EQUAL(
-        "", listener_
-                .Listen(loop, address_,
-                        [this](std::unique_ptr<TcpStream> stream) {
-                          connections_.push_back(std::make_unique<Connection>(
-                              this, std::move(stream)));
-                        })
-                .c_str());
-  }
+      : server_(loop, [this](LoopServer::Connection* connection) {
+          Answer(connection);
+        }) {}
 
-  const SocketAddress& address() const { return address_; }
-  int connections() const { return static_cast<int>(connections_.size()); }
+  const SocketAddress& address() const { return server_.address(); }
+  int connections() const {
+    return static_cast<int>(server_.connections().size());
+  }
 
   void Script(std::vector<std::string> texts) { texts_ = std::move(texts); }
 
   // Sends `text` unasked on the first connection and waits until the peer's
   // kernel holds it.
   void SendUnasked(const std::string& text) {
-    connections_.front()->stream->Write(text);
+    server_.connections().front()->stream->Write(text);
     std::this_thread::sleep_for(std::chrono::milliseconds(20));
   }
 
  private:
-  struct Connection final : TcpStreamDelegate {
-    Connection(ScriptedServer* owner, std::unique_ptr<TcpStream> accepted)
-        : server(owner), stream(std::move(accepted)) {
-      stream->SetDelegate(this);
-      stream->StartReading();
-    }
-    void OnData(std::string_view data) override {
-      received.append(data);
-      if (received.find("\r\n\r\n") == std::string::npos) {
-        received.erase(
-            0, received.size() - std::min<std::size_t>(received.size(), 3));
-        return;
-      }
-      received.clear();
-      if (server->next_ < server->texts_.size())
-        stream->Write(server->texts_[server->next_++]);
-      // Leaves the rest of a long body in the network.
-      if (server->next_ == server->texts_.size())
-        stream->StopReading();
+  void Answer(LoopServer::Connection* connection) {
+    std::string& received = connection->received;
+    if (received.find("\r\n\r\n") == std::string::npos) {
+      received.erase(
+          0, received.size() - std::min<std::size_t>(received.size(), 3));
+      return;
     }
-    void OnStreamEnd(StreamEnd) override {}
-
-    ScriptedServer* server;
-    std::unique_ptr<TcpStream> stream;
-    std::string received;
-  };
+    received.clear();
+    if (next_ < texts_.size())
+      connection->stream->Write(texts_[next_++]);
+    // Leaves the rest of a long body in the network.
+    if (next_ == texts_.size())
+      connection->stream->StopReading();
+  }
 
-  SocketAddress address_;
-  TcpListener listener_;
-  std::vector<std::unique_ptr<Connection>> connections_;
+  LoopServer server_;
   std::vector<std::string> texts_;
   std::size_t next_ = 0;
 };
