CongestionMeter: how busy an entry is, apart from FleetEntry

FleetEntry kept what delayed its event loop and connections itself, with the rule when that is reported.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -39,10 +39,6 @@
 // Link bandwidth in Mbit/s that one processor core can fill. An instance with
 // less bandwidth per core is ranked by its link.
 constexpr double kMegabitsPerCore = 200;
-// Delays of the event loop or of connections from which on they are logged, and
-// the interval of these lines.
-constexpr Milliseconds kLoggedDelay{60};
-constexpr Milliseconds kCongestionLogInterval{1000};
 constexpr int kReservedDescriptors = 400;
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
@@ -405,14 +401,13 @@
 
 void FleetEntry::OnBytesReceived(const std::string& address,
                                  std::size_t bytes) {
-  congestion_.bytes_received += bytes;
+  congestion_.RecordReceived(bytes);
   if (FleetTarget* target = registry_.FindAddress(address))
     target->heard_at = EventLoop::Now();
 }
 
 void FleetEntry::OnConnected(const std::string&, Milliseconds took) {
-  ++congestion_.connects;
-  congestion_.slowest_connect = std::max(congestion_.slowest_connect, took);
+  congestion_.RecordConnect(took);
 }
 
 void FleetEntry::OnHeadReceived(const std::string& address,
@@ -581,27 +576,18 @@
 }
 
 void FleetEntry::LogCongestion(Instant now) {
-  const Instant last = std::exchange(last_tick_, now);
-  if (last != Instant{}) {
-    congestion_.longest_tick_gap =
-        std::max(congestion_.longest_tick_gap,
-                 std::chrono::duration_cast<Milliseconds>(now - last));
-  }
-  if (now < next_congestion_log_)
-    return;
-  next_congestion_log_ = now + kCongestionLogInterval;
-  const Congestion seen = std::exchange(congestion_, {});
-  if (std::max(seen.longest_tick_gap, seen.slowest_connect) < kLoggedDelay)
+  const std::optional<CongestionReport> seen = congestion_.OnTick(now);
+  if (!seen)
     return;
   std::size_t queued = 0;
   for (const auto& [id, connection] : callers_)
     queued += connection->queued_bytes();
   log_.Write(
       Event::kNodeCongested, now,
-      {{"tick_gap_ms", static_cast<int64_t>(seen.longest_tick_gap.count())},
-       {"connect_ms", static_cast<int64_t>(seen.slowest_connect.count())},
-       {"connects", static_cast<int64_t>(seen.connects)},
-       {"received_bytes", static_cast<int64_t>(seen.bytes_received)},
+      {{"tick_gap_ms", static_cast<int64_t>(seen->longest_tick_gap.count())},
+       {"connect_ms", static_cast<int64_t>(seen->slowest_connect.count())},
+       {"connects", static_cast<int64_t>(seen->connects)},
+       {"received_bytes", static_cast<int64_t>(seen->bytes_received)},
        {"unsent_bytes", static_cast<int64_t>(queued)},
        {"calls", static_cast<int64_t>(calls_.size())},
        {"stopping", stopping_}});
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "bbv_entry/configuration_follower.h"
+#include "bbv_entry/congestion_meter.h"
 #include "bbv_entry/crash_guard.h"
 #include "bbv_entry/fault_detector.h"
 #include "bbv_entry/load_poller.h"
@@ -186,16 +187,7 @@
   uint64_t jitter_seed_ = 0;
   // Targets that this entry failed to connect to recently, and when.
   std::map<std::string, Instant> unreached_targets_;
-  // What delayed this entry since the last line about it.
-  struct Congestion {
-    Milliseconds longest_tick_gap{};
-    Milliseconds slowest_connect{};
-    int connects = 0;
-    std::size_t bytes_received = 0;
-  };
-  Congestion congestion_;
-  Instant last_tick_{};
-  Instant next_congestion_log_{};
+  CongestionMeter congestion_;
   // Number of entries last used to divide the retry budget.
   int budget_entries_ = 0;
   // Gossip propagation time last used for the retry budget.
