A planned end soon after a broken call is no crash

Callers saw: nothing yet that is traced to this. A target that closes one connection, begins to leave and ends as planned was taken for crashed, so that the calls without output at the broken connection were accused.

Cause: the crash detector ignores calls that break at a leaving target, but the checks that follow a broken call went on after the target was known to leave. A check that was refused then confirmed a crash.

Why it works: no further check is made of a target that leaves; its end is planned, whatever came before.

--- a/modules/bbv_entry/crash_guard.cc
+++ b/modules/bbv_entry/crash_guard.cc
@@ -158,7 +158,8 @@
   listen_checker_.OnTick(now);
   for (const auto& [id, started_unix_ms] : crash_detector_.TakeDueChecks(now)) {
     const FleetTarget* target = registry_->Find(id);
-    if (target != nullptr && target->record.started_unix_ms == started_unix_ms)
+    if (target != nullptr && !target->IsLeaving() &&
+        target->record.started_unix_ms == started_unix_ms)
       CheckTarget(*target, now);
   }
   for (const TargetCrash& it : crash_detector_.TakeCrashes(*registry_, now))
--- a/modules/bbv_entry/crash_guard_test.cc
+++ b/modules/bbv_entry/crash_guard_test.cc
@@ -1,9 +1,14 @@
 #include "bbv_entry/crash_guard.h"
 
 #include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "bbv_core/hashing.h"
@@ -18,14 +23,45 @@
   return "engine-" + std::to_string(target);
 }
 
+// A target's socket, which accepts connections until it is closed.
+class ListeningSocket {
+ public:
+  ListeningSocket() {
+    sockaddr_in own{};
+    own.sin_family = AF_INET;
+    own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    CHECK_EQUAL(0, bind(fd_, reinterpret_cast<sockaddr*>(&own), sizeof(own)));
+    CHECK_EQUAL(0, listen(fd_, 4));
+    socklen_t length = sizeof(own);
+    getsockname(fd_, reinterpret_cast<sockaddr*>(&own), &length);
+    port_ = ntohs(own.sin_port);
+  }
+  ~ListeningSocket() { Close(); }
+  ListeningSocket(const ListeningSocket&) = delete;
+  ListeningSocket& operator=(const ListeningSocket&) = delete;
+
+  void Close() {
+    if (fd_ >= 0)
+      close(std::exchange(fd_, -1));
+  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+
+ private:
+  int fd_ = socket(AF_INET, SOCK_STREAM, 0);
+  int port_ = 0;
+};
+
 }  // namespace
 
 TEST_GROUP(CrashGuard) {
   EventLoop loop;
   DecisionLog log{"entry"};
   TargetRegistry registry;
+  std::size_t announced_crashes = 0;
   CrashGuard guard{&loop, &log, &registry,
-                   [](const wire::CrashNoticeT&, Instant) {}};
+                   [this](const wire::CrashNoticeT& notice, Instant) {
+                     announced_crashes += notice.crashes.size();
+                   }};
   Instant now = kStart;
   std::string service = "model";
   std::string id = "again";
@@ -62,6 +98,25 @@
       registry.ApplyHeartbeat(HashBytes32(TargetId(it)), heartbeat, now);
     guard.OnTick(now);
   }
+  // A call breaks at a target that is listed with the address of `socket`.
+  void BreakCallAt(const ListeningSocket& socket) {
+    TargetRecord record;
+    record.id = "own";
+    record.service = service;
+    record.address = socket.address();
+    record.started_unix_ms = 1;
+    registry.Apply(record, now);
+    guard.OnCallBroken({service, id, traits}, "own", now - Milliseconds(10),
+                       false, now);
+  }
+  // Lets half a second pass for the checks.
+  void RunChecks() {
+    for (int it = 0; it < 25; ++it) {
+      now += Milliseconds(20);
+      uv_run(loop.raw(), UV_RUN_NOWAIT);
+      guard.OnTick(now);
+    }
+  }
   bool IsSuspect() {
     return guard.FindObstacle({service, id, traits}, true, now).has_value();
   }
@@ -84,4 +139,15 @@
   CHECK(!IsSuspect());
 }
 
+TEST(CrashGuard, APlannedEndAfterABrokenCallIsTakenForACrash) {
+  ListeningSocket socket;
+  BreakCallAt(socket);
+  uv_run(loop.raw(), UV_RUN_NOWAIT);
+  guard.OnTick(now);
+  CHECK(registry.MarkLeaving("own", 1));
+  socket.Close();
+  RunChecks();
+  CHECK_EQUAL(0, announced_crashes);
+}
+
 }  // namespace bbv
