A check of a target that gets no answer is repeated

Cause: after a call broke, one connection is tried to tell a crash from a reset. A process that is being killed may still take the attempt into its listening socket's queue and reset it there, so that connect() ends with ECONNRESET instead of ECONNREFUSED. The detector took that for "no answer" and made no other check, and the crash was never found: with a new id of the restarted target no later start showed it either. A delayed entry had the same: its timer runs before the result is read.

Tests that failed before: CrashDetector.ACheckWithoutAnAnswerHidesACrash (no second check) and CrashGuard.ADelayedEntryMissesACrash (no crash announced).

Why it works: a check without an answer proves nothing either way and is repeated, as one that finds the target listening is, up to ten checks. A target that is cut off is still not accused (CrashDetector.ATargetThatIsCutOffHasNotCrashed), and its checks end (CrashDetector.ATargetThatIsCutOffIsCheckedWithoutEnd).

--- a/modules/bbv_entry/crash_guard_test.cc
+++ b/modules/bbv_entry/crash_guard_test.cc
@@ -139,6 +139,18 @@
   CHECK(!IsSuspect());
 }
 
+TEST(CrashGuard, ADelayedEntryMissesACrash) {
+  ListeningSocket socket;
+  socket.Close();
+  BreakCallAt(socket);
+  // The result of the check has come, but was not read yet.
+  now += Milliseconds(400);
+  guard.OnTick(now);
+  CHECK_EQUAL(0, announced_crashes);
+  RunChecks();
+  CHECK_EQUAL(1, announced_crashes);
+}
+
 TEST(CrashGuard, APlannedEndAfterABrokenCallIsTakenForACrash) {
   ListeningSocket socket;
   BreakCallAt(socket);
--- a/modules/bbv_fleet/crash_detector.cc
+++ b/modules/bbv_fleet/crash_detector.cc
@@ -13,6 +13,8 @@
 // them, until it is taken for alive.
 constexpr int kChecksOfLiveTarget = 3;
 constexpr Milliseconds kRepeatedCheckInterval{100};
+// Checks without an answer, which prove nothing, after which no other follows.
+constexpr int kMaxUnansweredChecks = 10;
 // How long a broken connection is remembered. A target that restarts is listed
 // again within this time.
 constexpr Milliseconds kPendingLifetime{15'000};
@@ -60,8 +62,12 @@
     pending.confirmed = true;
     return;
   }
-  if (result != ListenCheckResult::kListening || pending.confirmed)
+  if (pending.confirmed)
     return;
+  if (result == ListenCheckResult::kNoAnswer) {
+    pending.is_repeat_due = ++pending.unanswered_checks < kMaxUnansweredChecks;
+    return;
+  }
   if (++pending.listening_checks == kChecksOfLiveTarget)
     pending_.erase(it);
   else
--- a/modules/bbv_fleet/crash_detector.h
+++ b/modules/bbv_fleet/crash_detector.h
@@ -57,7 +57,9 @@
 // faulty targets close them. A target has crashed if it refuses connections
 // right after some broke, or if it is listed with a later start. A process that
 // ends may close its connections before its listening socket, so a target is
-// taken for alive only if it goes on accepting connections for a while. Targets
+// taken for alive only if it goes on accepting connections for a while. A check
+// without an answer proves nothing and is repeated: a process that ends may
+// reset it, and a delayed entry may miss its result. Targets
 // that are leaving end as planned and are ignored. Deterministic; reads no
 // clock.
 // Thread safety: none, owned by one thread.
@@ -78,8 +80,8 @@
                    int64_t started_unix_ms,
                    ListenCheckResult result);
 
-  // Returns the processes that accepted a connection after one broke and are to
-  // be checked once more. Each check of them is due once.
+  // Returns the processes whose checks have not shown a crash and are to be
+  // checked once more. Each check of them is due once.
   std::vector<ProcessKey> TakeDueChecks(Instant now);
 
   // Returns the crashes found since the last call. A crash is returned again
@@ -93,9 +95,10 @@
     bool confirmed = false;
     // From when the next broken call leads to a check.
     Instant next_check{};
-    // Successive checks that found the target listening, whether another one
-    // follows and from when.
+    // Checks that found the target listening and those without an answer,
+    // whether another one follows and from when.
     int listening_checks = 0;
+    int unanswered_checks = 0;
     bool is_repeat_due = false;
     Instant repeat_check_at{};
     Instant last_broken{};
--- a/modules/bbv_fleet/crash_detector_test.cc
+++ b/modules/bbv_fleet/crash_detector_test.cc
@@ -100,6 +100,33 @@
   CHECK(detector.TakeCrashes(registry, kStart + Milliseconds(9000)).empty());
 }
 
+// A process that is ending may reset the check, or the entry may be delayed.
+TEST(CrashDetector, ACheckWithoutAnAnswerHidesACrash) {
+  RecordBroken(1, false);
+  detector.RecordCheck("engine", 1, ListenCheckResult::kNoAnswer);
+  CHECK(detector.TakeDueChecks(kStart + Milliseconds(50)).empty());
+  CHECK_EQUAL(1, detector.TakeDueChecks(kStart + Milliseconds(150)).size());
+  detector.RecordCheck("engine", 1, ListenCheckResult::kNoAnswer);
+  CHECK_EQUAL(1, detector.TakeDueChecks(kStart + Milliseconds(300)).size());
+  detector.RecordCheck("engine", 1, ListenCheckResult::kRefused);
+  CHECK_EQUAL(1, detector.TakeCrashes(registry, kStart).size());
+}
+
+TEST(CrashDetector, ATargetThatIsCutOffIsCheckedWithoutEnd) {
+  RecordBroken(1, false);
+  int checks = 1;
+  detector.RecordCheck("engine", 1, ListenCheckResult::kNoAnswer);
+  for (int it = 0; it < 300; ++it) {
+    for (const auto& [id, started] :
+         detector.TakeDueChecks(kStart + Milliseconds(50 * it))) {
+      ++checks;
+      detector.RecordCheck(id, started, ListenCheckResult::kNoAnswer);
+    }
+  }
+  CHECK(checks <= 10);
+  CHECK(detector.TakeCrashes(registry, kStart + Milliseconds(14'000)).empty());
+}
+
 TEST(CrashDetector, ALaterStartConfirmsACrashThatNoCheckShowed) {
   RecordBroken(1, false);
   detector.RecordCheck("engine", 1, ListenCheckResult::kNoAnswer);
