Copies of a deadly request at one target count each

Cause: a whole request was weighed by the targets that it was at. With eight targets both copies of a pair are at the same one now and then; that pair brought one crash, so that three pairs brought five. Where hardly any other call has output six are needed: the chance that a sound request shows the same is 0.01 to 0.03 with five (calculated), 0.005 allowed. Besides, what the second entry saw of such a crash was not passed on when its copy had been sent before the other one.

CrashEvidence.CopiesOfADeadlyRequestAtOneTargetCountAsOne failed before, at the second entry's report that was not new.

Why it works: the chance is that of at least two copies among the calls that the crash ended, if it ended two, and the limit grows with the copies, as with copies at several targets. Three independent crashes are still needed. Parts are judged as before.

--- a/modules/bbv_fleet/crash_evidence.cc
+++ b/modules/bbv_fleet/crash_evidence.cc
@@ -23,6 +23,9 @@
 // from a popular one.
 constexpr int kPopularitySteps = 200;
 constexpr double kMaxRequestPopularity = 0.5;
+// Copies of a request at one target that count: further ones are taken for one
+// burst.
+constexpr std::size_t kMaxCopiesOfCrash = 2;
 // Retention of accusations; deadly requests may be minutes apart.
 constexpr Milliseconds kAccusationLifetime{600'000};
 constexpr Milliseconds kExpiryInterval{1000};
@@ -36,8 +39,21 @@
                   std::lgamma(n - k + 1));
 }
 
-double AcceptedChance(std::size_t crashes) {
-  const auto further = static_cast<double>(crashes - kMinCrashes);
+// Returns how probable it is that at least `copies` of `calls` hold a trait
+// that the share `popularity` of all calls has.
+double ChanceOfCopies(std::size_t calls, int copies, double popularity) {
+  const auto n = static_cast<double>(calls);
+  double fewer = 0;
+  for (int it = 0; it < copies; ++it) {
+    fewer += BinomialCoefficient(n, it) * std::pow(popularity, it) *
+             std::pow(1 - popularity, n - it);
+  }
+  return std::max(0.0, 1 - fewer);
+}
+
+// Returns the limit of the chance for `draws` calls that crashes ended.
+double AcceptedChance(std::size_t draws) {
+  const auto further = static_cast<double>(draws - kMinCrashes);
   return std::min(kMaxChanceLimit,
                   kMaxChance * std::pow(kChanceGrowthPerCrash, further));
 }
@@ -55,8 +71,12 @@
   for (const CrashSuspect& it : report.suspects) {
     if (silent.calls.size() < kMaxSilentCallsOfCrash)
       silent.calls.insert(it.call);
-    is_new |= Accuse(it.trait, {report.key, report.crashed_at, it.sent_at,
-                                it.call, outputs_});
+    is_new |= Accuse(it.trait, {report.key,
+                                report.crashed_at,
+                                it.sent_at,
+                                it.call,
+                                outputs_,
+                                {it.call}});
   }
   has_news_ |= is_new;
   LimitMemory();
@@ -68,14 +88,8 @@
   const auto same = std::find_if(
       list.begin(), list.end(),
       [&](const Accusation& it) { return it.key == accusation.key; });
-  if (same != list.end()) {
-    // The call sent last tells most about crashes before this one.
-    if (accusation.sent_at <= same->sent_at)
-      return false;
-    same->sent_at = accusation.sent_at;
-    same->call = accusation.call;
-    return true;
-  }
+  if (same != list.end())
+    return MergeAccusation(accusation, &*same);
   const auto later =
       std::find_if(list.begin(), list.end(), [&](const Accusation& it) {
         return it.crashed_at > accusation.crashed_at;
@@ -86,6 +100,19 @@
   return true;
 }
 
+bool CrashEvidence::MergeAccusation(const Accusation& accusation,
+                                    Accusation* known) {
+  bool is_new = false;
+  if (known->copies.size() < kMaxCopiesOfCrash)
+    is_new = known->copies.insert(accusation.call).second;
+  // The call sent last tells most about crashes before this one.
+  if (accusation.sent_at <= known->sent_at)
+    return is_new;
+  known->sent_at = accusation.sent_at;
+  known->call = accusation.call;
+  return true;
+}
+
 template <typename Predicate>
 void CrashEvidence::RemoveAccusations(Predicate predicate) {
   for (auto& [trait, list] : accusations_) {
@@ -141,13 +168,28 @@
   return keys;
 }
 
-std::vector<CrashKey> CrashEvidence::AllCrashes(
-    const Accusations& accusations) {
-  std::vector<CrashKey> keys;
-  keys.reserve(accusations.size());
-  for (const Accusation& it : accusations)
-    keys.push_back(it.key);
-  return keys;
+std::vector<CrashEvidence::Draw> CrashEvidence::MakeDraws(
+    uint64_t trait,
+    const Accusations& accusations,
+    const std::vector<CrashKey>& independent) {
+  std::vector<Draw> draws;
+  // Copies of one request are chosen one by one, while many calls of one client
+  // may share a part.
+  if (IsRequestTrait(trait)) {
+    for (const Accusation& it : accusations)
+      draws.push_back({it.key, static_cast<int>(it.copies.size())});
+  } else {
+    for (const CrashKey& it : independent)
+      draws.push_back({it});
+  }
+  return draws;
+}
+
+std::size_t CrashEvidence::CountCopies(const std::vector<Draw>& draws) {
+  std::size_t copies = 0;
+  for (const Draw& it : draws)
+    copies += static_cast<std::size_t>(it.copies);
+  return copies;
 }
 
 int CrashEvidence::CrashCount(uint64_t trait) const {
@@ -158,9 +200,9 @@
 }
 
 double CrashEvidence::ChanceIfSound(const Accusations& accusations,
-                                    const std::vector<CrashKey>& crashes,
+                                    const std::vector<Draw>& draws,
                                     double max_popularity) const {
-  const auto first = silent_calls_.find(crashes.front());
+  const auto first = silent_calls_.find(draws.front().key);
   if (first == silent_calls_.end())
     return 1;
   // Crashes that accuse the trait, but not independently, prove nothing.
@@ -168,24 +210,25 @@
       silent_calls_.begin(), silent_calls_.end(), [&](const auto& it) {
         return it.second.crashed_at >= first->second.crashed_at &&
                (!IsAccusedBy(accusations, it.first) ||
-                std::find(crashes.begin(), crashes.end(), it.first) !=
-                    crashes.end());
+                std::any_of(draws.begin(), draws.end(), [&](const Draw& draw) {
+                  return draw.key == it.first;
+                }));
       });
   const double selections =
       BinomialCoefficient(static_cast<double>(independent_crashes),
-                          static_cast<double>(crashes.size()));
+                          static_cast<double>(draws.size()));
   const double outputs = outputs_ - accusations.front().outputs_before;
   double highest = 0;
   for (int step = 1; step < kPopularitySteps; ++step) {
     // Share of all calls that hold the trait.
     const double popularity = max_popularity * step / kPopularitySteps;
     double chance = selections * std::pow(1 - popularity, outputs);
-    for (const CrashKey& it : crashes) {
-      const auto silent = silent_calls_.find(it);
+    for (const Draw& it : draws) {
+      const auto silent = silent_calls_.find(it.key);
       if (silent == silent_calls_.end())
         continue;
-      const auto calls = static_cast<double>(silent->second.calls.size());
-      chance *= 1 - std::pow(1 - popularity, calls);
+      chance *=
+          ChanceOfCopies(silent->second.calls.size(), it.copies, popularity);
     }
     highest = std::max(highest, chance);
   }
@@ -227,12 +270,9 @@
     std::vector<CrashKey> crashes = IndependentCrashes(list);
     if (crashes.size() < kMinCrashes)
       continue;
-    // Copies of one request at several targets are chosen one by one, while
-    // many calls of one client may share a part.
-    const std::vector<CrashKey> draws =
-        IsRequestTrait(trait) ? AllCrashes(list) : crashes;
+    const std::vector<Draw> draws = MakeDraws(trait, list, crashes);
     if (ChanceIfSound(list, draws, MaxPopularity(trait)) <=
-        AcceptedChance(draws.size()))
+        AcceptedChance(CountCopies(draws)))
       candidates.push_back({trait, std::move(crashes)});
   }
   std::sort(candidates.begin(), candidates.end(),
--- a/modules/bbv_fleet/crash_evidence.h
+++ b/modules/bbv_fleet/crash_evidence.h
@@ -55,8 +55,8 @@
 //  - a sound trait would hardly show the same: however popular it is, it either
 //    has output among that of all calls since then, or is rarely under way
 //    without output when a target crashes. A whole request that comes several
-//    times at once is weighed by each target that it was at, a part only by
-//    independent crashes;
+//    times at once is weighed by each target that it was at, and by two of its
+//    copies where more were at one target; a part only by independent crashes;
 //  - no other explanation is as good: traits accused by exactly the same
 //  crashes
 //    are deadly together, and rivals accused by some of them delay the verdict
@@ -109,6 +109,8 @@
     uint32_t call = 0;
     // Value of `outputs_` when the accusation arrived.
     double outputs_before = 0;
+    // The calls with the trait that the crash ended.
+    std::set<uint32_t> copies;
   };
   // The calls that a crash ended before they had output.
   struct SilentCalls {
@@ -116,14 +118,22 @@
     std::set<uint32_t> calls;
   };
   using Accusations = std::vector<Accusation>;
+  // A crash that accuses a trait, and how many calls with it count.
+  struct Draw {
+    CrashKey key;
+    int copies = 1;
+  };
   struct Candidate {
     uint64_t trait = 0;
     // Keys of its independent crashes, in the order of their times.
     std::vector<CrashKey> crashes;
   };
 
-  // Adds an accusation; returns whether it was new.
+  // Adds an accusation of one call; returns whether it was new.
   bool Accuse(uint64_t trait, const Accusation& accusation);
+  // Adds an accusation to `known`, of the same trait and crash; returns whether
+  // it was new.
+  static bool MergeAccusation(const Accusation& accusation, Accusation* known);
   // Removes the accusations for which `predicate(trait, accusation)` holds.
   template <typename Predicate>
   void RemoveAccusations(Predicate predicate);
@@ -131,16 +141,20 @@
   // nothing if the same call is behind all of them.
   static std::vector<CrashKey> IndependentCrashes(
       const Accusations& accusations);
-  // Returns the keys of all crashes, in the order of their times.
-  static std::vector<CrashKey> AllCrashes(const Accusations& accusations);
+  // Returns the draws by which a trait is weighed: all crashes for a whole
+  // request, otherwise the `independent` ones, in the order of their times.
+  static std::vector<Draw> MakeDraws(uint64_t trait,
+                                     const Accusations& accusations,
+                                     const std::vector<CrashKey>& independent);
+  static std::size_t CountCopies(const std::vector<Draw>& draws);
   // Returns the traits that are hardly sound, most crashes first.
   std::vector<Candidate> FindCandidates() const;
   // Returns how probable it is at most that a sound trait with these
-  // accusations is accused by as many of the known crashes as `crashes`, those
-  // of its accusations that count, and has had no output since, if at most the
-  // share `max_popularity` of all calls has it.
+  // accusations is accused by as many of the known crashes as `draws`, those
+  // of its accusations that count, each time by as many calls, and has had no
+  // output since, if at most the share `max_popularity` of all calls has it.
   double ChanceIfSound(const Accusations& accusations,
-                       const std::vector<CrashKey>& crashes,
+                       const std::vector<Draw>& draws,
                        double max_popularity) const;
   // Whether another candidate has as many crashes and shares some with `best`.
   bool HasRival(const std::vector<Candidate>& candidates,
--- a/modules/bbv_fleet/crash_evidence_test.cc
+++ b/modules/bbv_fleet/crash_evidence_test.cc
@@ -288,6 +288,50 @@
   }
 }
 
+// Both copies of some pairs are at the same target, each sent by another entry.
+TEST(CrashEvidence, CopiesOfADeadlyRequestAtOneTargetCountAsOne) {
+  const uint64_t request = RequestTrait({"bank", "POST", "/a", "body"});
+  constexpr int kPairs = 3;
+  for (unsigned shared = 1; shared < 1U << kPairs; ++shared) {
+    CrashEvidence other;
+    for (int pair = 0; pair < kPairs; ++pair) {
+      const CrashReport first = MakeCrash({{request}}, Milliseconds(4000));
+      CrashReport second = MakeCrash({{request}}, Milliseconds(2));
+      if ((shared >> pair & 1U) != 0) {
+        second.key = first.key;
+        second.suspects[0].sent_at = first.suspects[0].sent_at;
+      }
+      CHECK(!other.TakeDeadlyTraits());
+      CHECK(other.AddCrash(first));
+      CHECK(other.AddCrash(second));
+      CHECK(!other.AddCrash(second));
+    }
+    CHECK(other.TakeDeadlyTraits().has_value());
+  }
+}
+
+// Many calls end with each target, and copies are often among them.
+TEST(CrashEvidence, CopiesOfAPopularRequestInLargeCrashesAreDeadly) {
+  const uint64_t request = RequestTrait({"bank", "GET", "/rates", ""});
+  for (int crash = 0; crash < 16; ++crash) {
+    std::vector<std::vector<uint64_t>> calls(6, {request});
+    for (uint64_t it = 0; it < 10; ++it)
+      calls.push_back({next_call + 1000 + it});
+    evidence.AddCrash(MakeCrash(calls));
+    CHECK(!evidence.TakeDeadlyTraits());
+  }
+}
+
+// Copies at one target are of one burst.
+TEST(CrashEvidence, ManyCopiesInTwoCrashesAreDeadly) {
+  const uint64_t request = RequestTrait({"bank", "GET", "/rates", ""});
+  for (int crash = 0; crash < 2; ++crash) {
+    evidence.AddCrash(
+        MakeCrash(std::vector<std::vector<uint64_t>>(40, {request})));
+    CHECK(!evidence.TakeDeadlyTraits());
+  }
+}
+
 // Racks fail with copies of a sound request that comes in bursts.
 TEST(CrashEvidence, SoundRequestInTwoBurstsIsNotDeadly) {
   const uint64_t request = RequestTrait({"bank", "GET", "/rates", ""});
