End the suspicion of a target that was only silent soon after it answers again

Callers saw calls refused for seconds after a sound target had been silent for one and a half seconds and went on: "no target", 503, although the target that held the layers was there again. On paths through other targets they saw less room, as the sound target got no calls.

Cause: a silent target is suspected for 600 ms, and for 5 s more unless a later heartbeat shows that it lives.

Now each entry asks the targets that it suspects for their reports, each 500 ms, as long as their limits and Retry-After allow it. The first answer after a question without an answer counts as a later heartbeat does: the target gets calls again once the suspicion's own time is over. A target that has answered all along is suspected for another reason (another target cannot reach it, it turns calls away with memory to spare), and an answer changes nothing there. A later process at the address is reported as one.

The unit tests name the rule's limits.

--- a/modules/bbv_entry/fault_detector.cc
+++ b/modules/bbv_entry/fault_detector.cc
@@ -12,6 +12,8 @@
 constexpr Milliseconds kRefusalReportInterval{200};
 constexpr Milliseconds kProbeTimeout{70};
 constexpr Milliseconds kProbeInterval{1000};
+constexpr Milliseconds kSuspectCheckInterval{500};
+constexpr Milliseconds kSuspectCheckTimeout{300};
 // Share of its memory in use below which a target has room for any call.
 constexpr double kFreeCapacityUtilization = 0.7;
 
@@ -63,6 +65,38 @@
               });
 }
 
+void FaultDetector::CheckSuspects(Instant now) {
+  for (const auto& [id, row] : registry_->rows()) {
+    if (TargetRegistry::LacksSignOfLife(*row) &&
+        !registry_->IsUsable(*row, now))
+      CheckSuspect(id, *row, now);
+  }
+  std::erase_if(next_suspect_check_,
+                [now](const auto& it) { return now >= it.second; });
+}
+
+void FaultDetector::CheckSuspect(const std::string& target_id,
+                                 const FleetTarget& target,
+                                 Instant now) {
+  if (!target.AcceptsRequests(now))
+    return;
+  Instant& next = next_suspect_check_[target_id];
+  if (now < next)
+    return;
+  next = now + kSuspectCheckInterval;
+  FetchReport(client_,
+              {target.record.address, target.record.started_unix_ms,
+               now + kSuspectCheckTimeout, /*may_reuse=*/false},
+              [this, target_id](const ReportAnswer& answer) {
+                if (answer.is_from_successor) {
+                  ReportSuccessor(target_id);
+                  return;
+                }
+                if (FleetTarget* asked = registry_->Find(target_id))
+                  registry_->RecordCheck(asked, answer.answered);
+              });
+}
+
 void FaultDetector::InvestigateRefusal(const std::string& target_id,
                                        double capacity,
                                        Instant now) {
--- a/modules/bbv_entry/fault_detector.h
+++ b/modules/bbv_entry/fault_detector.h
@@ -47,7 +47,14 @@
                           double capacity,
                           Instant now);
 
+  // Asks suspected targets for their reports until they have shown a sign of
+  // life, so that those that were only silent get calls again. Call often.
+  void CheckSuspects(Instant now);
+
  private:
+  void CheckSuspect(const std::string& target_id,
+                    const FleetTarget& target,
+                    Instant now);
   // Reports a target as faulty at whose address a later process has answered.
   void ReportSuccessor(const std::string& target_id);
   void OnStallReport(const std::string& target_id,
@@ -66,6 +73,7 @@
   std::map<std::string, Instant> next_stall_report_;
   std::map<std::string, Instant> next_refusal_report_;
   std::map<std::string, Instant> next_probe_;
+  std::map<std::string, Instant> next_suspect_check_;
 };
 
 }  // namespace bbv
--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -462,6 +462,8 @@
                                const TargetFault& fault,
                                Instant now) {
   const Instant until = registry_.Suspect(target, now);
+  if (fault.asked_at)
+    registry_.RecordCheck(target, /*answered=*/false);
   log_.Write(
       Event::kTargetSuspected, now,
       {{"target", target->record.id},
@@ -646,6 +648,7 @@
       fault_detector_.InvestigateStall(path->target_id, now);
   }
   ProbeSilentTargets(open, now);
+  fault_detector_.CheckSuspects(now);
   RerouteReleasedLayers(open, now);
   ended_calls_.clear();
 }
--- a/modules/bbv_fleet/target_registry.cc
+++ b/modules/bbv_fleet/target_registry.cc
@@ -152,9 +152,9 @@
     row->rate_limit = {};
   }
   row->known_leaving = row->IsLeaving();
-  const bool still_suspected = row->health == TargetHealth::kSuspected &&
-                               (now < row->suspected_until ||
-                                record.heartbeat == row->suspected_heartbeat);
+  const bool still_suspected =
+      row->health == TargetHealth::kSuspected &&
+      (now < row->suspected_until || LacksSignOfLife(*row));
   if (row->known_leaving)
     row->health = TargetHealth::kLeaving;
   else if (!still_suspected)
@@ -336,11 +336,21 @@
       std::min(target->consecutive_faults + 1, kMaxConsecutiveFaults);
   target->suspected_until = now + duration;
   target->suspected_heartbeat = target->record.heartbeat;
+  target->is_silent = false;
+  target->has_answered_again = false;
   if (target->health != TargetHealth::kLeaving)
     target->health = TargetHealth::kSuspected;
   return target->suspected_until;
 }
 
+void TargetRegistry::RecordCheck(FleetTarget* target, bool answered) {
+  assert(target != nullptr);
+  if (target->health != TargetHealth::kSuspected)
+    return;
+  target->has_answered_again = answered && target->is_silent;
+  target->is_silent = target->is_silent || !answered;
+}
+
 void TargetRegistry::RecordOutcome(FleetTarget* target,
                                    bool failed,
                                    double answer_ms) {
@@ -383,13 +393,17 @@
     return true;
   if (target.health == TargetHealth::kLeaving)
     return false;
-  // Without a heartbeat since the suspicion, the target stays excluded for the
-  // maximum time in addition, so that it is tried again even if the list is not
-  // available.
-  const bool has_newer_heartbeat =
-      target.record.heartbeat != target.suspected_heartbeat;
-  return has_newer_heartbeat ? now >= target.suspected_until
-                             : now >= target.suspected_until + kMaxSuspicion;
+  // Without a sign of life since the suspicion, the target stays excluded for
+  // the maximum time in addition, so that it is tried again even if it is not
+  // reached and the list is not available.
+  return LacksSignOfLife(target) ? now >= target.suspected_until + kMaxSuspicion
+                                 : now >= target.suspected_until;
+}
+
+bool TargetRegistry::LacksSignOfLife(const FleetTarget& target) {
+  return target.health == TargetHealth::kSuspected &&
+         target.record.heartbeat == target.suspected_heartbeat &&
+         !target.has_answered_again;
 }
 
 bool TargetRegistry::IsSlow(const FleetTarget& target, Instant now) {
--- a/modules/bbv_fleet/target_registry.h
+++ b/modules/bbv_fleet/target_registry.h
@@ -117,6 +117,10 @@
   // Heartbeat at the time of the suspicion; a later one shows that the target
   // is alive.
   int64_t suspected_heartbeat = -1;
+  // Whether the target left a question unanswered in its suspicion, and whether
+  // it has answered one since, which shows the same as a later heartbeat.
+  bool is_silent = false;
+  bool has_answered_again = false;
   Instant listed_at{};
   // When bytes of any answer of the target last reached this process.
   Instant heard_at{};
@@ -228,6 +232,13 @@
   // gets no calls until the returned time.
   Instant Suspect(FleetTarget* target, Instant now);
 
+  // Records whether a suspected target has answered a question. The first
+  // answer after an unanswered one shows that it goes on: it gets calls again
+  // once the time returned by Suspect() has come. A target that has answered
+  // all along is suspected for another reason, which an answer does not refute.
+  // Does nothing if the target is not suspected.
+  void RecordCheck(FleetTarget* target, bool answered);
+
   // Records that a target rejected a call but is alive: it gets no new calls
   // for a short time and keeps those that it has.
   void MarkFull(FleetTarget* target, Instant now);
@@ -253,6 +264,9 @@
   // Returns whether `target` accepts new calls at `now`.
   bool AcceptsCalls(const FleetTarget& target, Instant now) const;
 
+  // Returns whether `target` is suspected and has shown no sign of life since.
+  static bool LacksSignOfLife(const FleetTarget& target);
+
   // Returns whether `target` is working at `now`, though it may be full.
   bool IsUsable(const FleetTarget& target, Instant now) const;
 
--- a/modules/bbv_fleet/target_registry_test.cc
+++ b/modules/bbv_fleet/target_registry_test.cc
@@ -47,6 +47,29 @@
   CHECK(Usable(Milliseconds(6000)));
 }
 
+TEST(TargetRegistry, ASilentTargetThatAnswersAgainIsNotExcludedForLonger) {
+  registry.Suspect(registry.Find("t"), now);
+  registry.RecordCheck(registry.Find("t"), false);
+  CHECK(!Usable(Milliseconds(700)));
+  registry.RecordCheck(registry.Find("t"), true);
+  CHECK(!Usable(Milliseconds(500)));
+  CHECK(Usable(Milliseconds(700)));
+}
+
+TEST(TargetRegistry, AnAnswerDoesNotRefuteASuspicionOfATargetThatWasNotSilent) {
+  registry.Suspect(registry.Find("t"), now);
+  registry.RecordCheck(registry.Find("t"), true);
+  CHECK(!Usable(Milliseconds(700)));
+}
+
+TEST(TargetRegistry, AnAnswerInAnEarlierSuspicionDoesNotEndTheNextOne) {
+  registry.Suspect(registry.Find("t"), now);
+  registry.RecordCheck(registry.Find("t"), false);
+  registry.RecordCheck(registry.Find("t"), true);
+  registry.Suspect(registry.Find("t"), now + Milliseconds(700));
+  CHECK(!Usable(Milliseconds(4000)));
+}
+
 TEST(TargetRegistry, SuspicionsInARowLastLonger) {
   const Instant first = registry.Suspect(registry.Find("t"), now);
   ++record.heartbeat;
--- a/tests/silent_target_test.cc
+++ b/tests/silent_target_test.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <csignal>
 #include <memory>
+#include <numeric>
 #include <string>
 #include <thread>
 #include <vector>
@@ -26,13 +27,29 @@
       FAIL(("could not start: " + floor->Output(0)).c_str());
   }
   // Starts streams that last 0.8 s if nothing disturbs them.
-  void StartStreams() {
+  void StartStreams(const std::string& id = "s",
+                    const std::string& path = "/stream/x") {
     for (std::size_t it = 0; it < answers.size(); ++it) {
-      callers.emplace_back([this, it] {
-        answers[it] = floor->Stream(0, "s" + std::to_string(it));
+      callers.emplace_back([this, it, id, path] {
+        answers[it] = floor->Stream(0, id + std::to_string(it), {}, path);
       });
     }
   }
+  // Silences the holder of `layer` while streams run on `path`.
+  void SilenceUnderWay(int layer, milliseconds duration,
+                       const std::string& path) {
+    const std::string id = path + std::to_string(layer);
+    StartStreams(id, path);
+    std::this_thread::sleep_for(milliseconds(300));
+    floor->targets().FallSilent(floor->targets().FindHolder(layer), duration);
+    CheckWhole();
+    CheckRunsOnce(id);
+  }
+  void CheckRunsOnce(const std::string& id) {
+    const auto runs = floor->targets().ExecutionCounts();
+    for (std::size_t it = 0; it < answers.size(); ++it)
+      CHECK_EQUAL(1, runs.at(id + std::to_string(it)));
+  }
   void SilenceAllEngines(milliseconds duration) {
     for (int it = 0; it < options.engines; ++it)
       floor->targets().FallSilent(it, duration);
@@ -44,8 +61,11 @@
   }
   void CheckWhole() {
     JoinCallers();
+    std::vector<int> events(options.events);
+    std::iota(events.begin(), events.end(), 1);
     for (const bbv::StreamAnswer& it : answers) {
       CHECK_EQUAL(options.events, static_cast<int>(it.events.size()));
+      CHECK(it.events == events);
       CHECK(it.whole);
     }
   }
@@ -88,7 +108,14 @@
   for (int it = 0; it < options.engines; ++it)
     floor->targets().RejectRequests(it, "0");
   CheckWhole();
-  const auto runs = floor->targets().ExecutionCounts();
-  for (std::size_t it = 0; it < answers.size(); ++it)
-    CHECK_EQUAL(1, runs.at("s" + std::to_string(it)));
+  CheckRunsOnce("s");
+}
+
+TEST(SilentTarget, CallsAreNotRefusedOnceTheOnlyTargetOfTheirLayersHasGoneOn) {
+  options.engines = 3;
+  options.layers = 9;
+  StartFloor();
+  SilenceUnderWay(4, milliseconds(1500), "/stream/x");
+  StartStreams("later");
+  CheckWhole();
 }
