CallerConnection: an idle connection gets the longer idle time of later limits

Callers saw: after a configuration with a longer idle timeout, a request sent on a kept connection could cross this entry's close: no answer and no refusal. A caller may use a connection for four fifths of the timeout in force. Cause: the end of the idle time was set when the last response was written, by the limits of that moment, and a later configuration did not change it. Evidence: AnIdleConnectionGetsTheLongerIdleTimeOfLaterLimits failed before: the connection was closed at its old time. Fix: an idle connection is overdue when both the old and the present timeout have passed. A shorter timeout does not close connections sooner, as before. Looked at for the same cause: limits of a message apply until its head is complete (HttpParser::SetLimits); the time for a head is that of its first byte and ends in an answer (408); routes, keys and deadlines are taken when a request is whole and stay with the call.

--- a/modules/bbv_front/caller_connection.cc
+++ b/modules/bbv_front/caller_connection.cc
@@ -57,7 +57,7 @@
       parser_(HttpParser::Kind::kRequests, {}, this),
       opened_at_(EventLoop::Now()) {
   assert(request_handler != nullptr);
-  SetReadTimeout(Milliseconds(request_handler->limits().idle_timeout_ms));
+  BeginIdleTime();
   stream_->SetDelegate(this);
   stream_->StartReading();
 }
@@ -123,6 +123,18 @@
   deadline_extended_ = false;
 }
 
+void CallerConnection::BeginIdleTime() {
+  idle_since_ = EventLoop::Now();
+  SetReadTimeout(Milliseconds(request_handler_->limits().idle_timeout_ms));
+}
+
+bool CallerConnection::IsReadOverdue(Instant now) const {
+  if (now < read_deadline_)
+    return false;
+  const Milliseconds idle_timeout(request_handler_->limits().idle_timeout_ms);
+  return parser_.in_message() || now >= idle_since_ + idle_timeout;
+}
+
 void CallerConnection::Reject(int status) {
   const int answered = request_handler_->OnBadRequest(this, status);
   request_keeps_alive_ = false;
@@ -263,7 +275,7 @@
   parser_.StartNextMessage();
   head_ = {};
   body_.clear();
-  SetReadTimeout(Milliseconds(request_handler_->limits().idle_timeout_ms));
+  BeginIdleTime();
   stream_->StartReading();
   // The parser's own buffer may already hold a complete request.
   if (!parsing_ && has_buffered_input())
@@ -339,7 +351,7 @@
     return false;
   if (closing_)
     return TickClosing(now);
-  if (request_open_ || now < read_deadline_ || stream_->queued_bytes() > 0)
+  if (request_open_ || !IsReadOverdue(now) || stream_->queued_bytes() > 0)
     return true;
   // After a suspension the bytes may have arrived in time.
   if (!std::exchange(deadline_extended_, true) && stream_->HasUnreadData())
--- a/modules/bbv_front/caller_connection.h
+++ b/modules/bbv_front/caller_connection.h
@@ -85,8 +85,11 @@
 //
 // Limits the size of heads and bodies, the time to receive them, and the idle
 // time. A request is under the limits of the moment at which its head is
-// complete, whenever the connection was accepted. Thread safety: none, used on
-// the event loop's thread.
+// complete, whenever the connection was accepted. If the limits change while
+// the connection is idle, the longer idle time holds, because a caller may send
+// under either.
+//
+// Thread safety: none, used on the event loop's thread.
 class CallerConnection final : public TcpStreamDelegate, public HttpSink {
  public:
   CallerConnection(uint64_t id,
@@ -159,6 +162,10 @@
     return !pipelined_input_.empty() || parser_.pending_bytes() > 0;
   }
   void SetReadTimeout(Milliseconds timeout);
+  void BeginIdleTime();
+  // Whether the rest of a request or, on an idle connection, the next one is
+  // overdue.
+  bool IsReadOverdue(Instant now) const;
   bool TickClosing(Instant now);
   void Reject(int status);
   // Returns the status line, `fields` and the Connection field.
@@ -207,6 +214,8 @@
   bool parsing_ = false;
   // Deadline for the head, the body or the next request.
   Instant read_deadline_;
+  // When the last response was written, or the connection was opened.
+  Instant idle_since_;
   // Whether the deadline has passed while received bytes were unread.
   bool deadline_extended_ = false;
   Instant opened_at_;
--- a/modules/bbv_front/caller_connection_test.cc
+++ b/modules/bbv_front/caller_connection_test.cc
@@ -39,9 +39,11 @@
         connection->BeginStream(200, {}, {}, first_chunk);
     }
     void OnCallerGone(CallerConnection*) override {}
+    bbv::CallerLimits limits() const override { return caller_limits; }
     int OnBadRequest(CallerConnection*, int status) override { return status; }
 
     int requests = 0;
+    bbv::CallerLimits caller_limits;
     std::string answer = "answer";
     // If not empty, requests are answered with a stream that does not end.
     std::string first_chunk;
@@ -93,6 +95,19 @@
   CHECK_EQUAL(1, CountOf(caller->Receive(100, "answer"), "HTTP/1.1 200"));
 }
 
+TEST(CallerConnection, AnIdleConnectionGetsTheLongerIdleTimeOfLaterLimits) {
+  CHECK(caller->Send(kRequest));
+  RunFor(50);
+  handler.caller_limits.idle_timeout_ms = 600'000;
+  connection->OnTick(Late());
+  CHECK_FALSE(connection->closed());
+  CHECK(caller->Send(kRequest));
+  RunFor(50);
+  CHECK_EQUAL(2, CountOf(caller->Receive(100), "HTTP/1.1 200"));
+  connection->OnTick(Late() + std::chrono::minutes(10));
+  CHECK(connection->closed());
+}
+
 TEST(CallerConnection, HeadTimeoutSparesARequestWhoseRestIsNotReadYet) {
   CHECK(caller->Send("GET /a HTTP/1.1\r\n"));
   RunFor(30);
