Tests: a configuration that drops all ends no call

What they guard: a call in service, in the admission queue or broken off by its target, a request whose head or body is under way, and a kept connection, while a configuration takes away their route, service, key and limits. Each gets its answer, or the refusal of the new configuration; runs are not repeated. By reading, nothing else demands it: a call keeps the configuration, route and account under which it began (RelayedCall::index_). The stand-in target can have fewer slots, answer in two halves, and leave reports alone unanswered; a silent plain target answers no call that is in work either.

--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -274,6 +274,8 @@
   std::string retry_after;
   // Until when the target is silent. Guarded by the owner's mutex.
   std::chrono::steady_clock::time_point silent_until;
+  // Until when it answers no report request. Guarded by the owner's mutex.
+  std::chrono::steady_clock::time_point reports_silent_until;
   // Rate limit that the target names; empty if it names none.
   std::string rate_limit;
   // When requests arrived.
@@ -379,7 +381,7 @@
       {"address", "127.0.0.1:" + std::to_string(target->listed_port)},
       {"zone", options_.zone},
       {"version", "v1"},
-      {"slots", 64},
+      {"slots", options_.slots},
       {"state", target->draining ? "draining" : "ready"},
       {"born", target->born}};
   if (target->engine)
@@ -657,6 +659,8 @@
   ++target->requests;
   std::this_thread::sleep_for(milliseconds(target->answer_delay_ms));
   WaitWhileSilent(*target);
+  if (request.path == "/v1/report")
+    WaitForReports(*target);
   target->calls += is_call ? 1 : 0;
   if (target->announces_leaving)
     response.set_header("Server-Leaving", "1");
@@ -751,6 +755,21 @@
   }
 }
 
+void FleetTargets::SilenceReports(int target, milliseconds duration) {
+  const std::lock_guard lock(mutex_);
+  targets_[target]->reports_silent_until =
+      std::chrono::steady_clock::now() + duration;
+}
+
+void FleetTargets::WaitForReports(const Target& target) {
+  const auto is_silent = [this, &target] {
+    const std::lock_guard lock(mutex_);
+    return std::chrono::steady_clock::now() < target.reports_silent_until;
+  };
+  while (!stopping_ && is_silent())
+    std::this_thread::sleep_for(milliseconds(kSilencePollMs));
+}
+
 bool FleetTargets::IsPathSilent(const std::string& path) const {
   return std::any_of(
       targets_.begin(), targets_.end(), [this, &path](const auto& it) {
@@ -802,13 +821,32 @@
     return;
   }
   std::this_thread::sleep_for(milliseconds(options_.work_ms));
+  WaitWhileSilent(*target);
   response.set_header("X-Response-Signature", "signature-of-" + target->id);
+  const std::string body = "done for " + request.get_header_value("X-Tenant") +
+                           std::string(options_.plain_padding, '.');
   if (request.path.starts_with("/feed/"))
     response.set_content("id: 1\ndata: x\n\n", "text/event-stream");
+  else if (options_.half_body_ms > 0)
+    AnswerInHalves(target, body, &response);
   else
-    response.set_content("done for " + request.get_header_value("X-Tenant") +
-                             std::string(options_.plain_padding, '.'),
-                         "text/plain");
+    response.set_content(body, "text/plain");
+}
+
+void FleetTargets::AnswerInHalves(Target* target,
+                                  const std::string& body,
+                                  httplib::Response* response) {
+  response->set_content_provider(
+      body.size(), "text/plain",
+      [this, target, body](std::size_t offset, std::size_t,
+                           httplib::DataSink& sink) {
+        const std::size_t half = body.size() / 2;
+        if (offset == 0)
+          return sink.write(body.data(), half);
+        std::this_thread::sleep_for(milliseconds(options_.half_body_ms));
+        WaitWhileSilent(*target);
+        return sink.write(body.data() + half, body.size() - half);
+      });
 }
 
 void FleetTargets::RefuseTwice(httplib::Response* response) const {
--- a/tests/standins/fleet_standin.h
+++ b/tests/standins/fleet_standin.h
@@ -122,8 +122,13 @@
     std::size_t padding = 0;
     // Additional bytes in the answer to a plain call.
     std::size_t plain_padding = 0;
+    // Calls that each target can run at a time, according to its record.
+    int slots = 64;
     // Duration of a plain call.
     int work_ms = 0;
+    // If not 0, half of the body of the answer to a plain call follows its head
+    // at once, and the rest after this time.
+    int half_body_ms = 0;
     // Whether each target is reached through a proxy.
     bool proxied = false;
     // Whether streams have neither chunks nor a length and end with their
@@ -187,6 +192,9 @@
   // no event of a stream that passes through it and publishes no record. Then
   // it goes on where it was.
   void FallSilent(int target, std::chrono::milliseconds duration);
+  // Makes a sound target answer no report request for `duration`, while its
+  // calls go on.
+  void SilenceReports(int target, std::chrono::milliseconds duration);
   // Makes a target answer every new request this much later. Answers that have
   // begun are not affected.
   void DelayAnswers(int target, std::chrono::milliseconds delay);
@@ -239,6 +247,10 @@
   void HandlePlainCall(Target* target,
                        const httplib::Request& request,
                        httplib::Response& response);
+  // Answers with `body`, the second half of it after `half_body_ms`.
+  void AnswerInHalves(Target* target,
+                      const std::string& body,
+                      httplib::Response* response);
   // Refuses a call and repeats the refusal after `repeat_refusal_ms`.
   void RefuseTwice(httplib::Response* response) const;
   std::unique_ptr<httplib::Server> MakeServer(Target* target);
@@ -246,6 +258,8 @@
   bool IsSilent(const Target& target) const;
   // Blocks while `target` is silent.
   void WaitWhileSilent(const Target& target);
+  // Blocks while the reports of `target` are silent.
+  void WaitForReports(const Target& target);
   // Whether a target on `path` is silent now. Requires `mutex_`.
   bool IsPathSilent(const std::string& path) const;
   // Answers a call that resumes a stream as Options::resumed_answers says;
