One ledger of the memory that requests use, with a bound

Cause: requests were taken into memory without asking whether there is room; the same holds for requests that wait behind an open one on their connection, up to 256 KB each.

MemoryLedger counts the bytes of requests that an entry holds: bodies while they are received and, through the call and its repetitions, until the last owner lets go of them, and input that waits. Bodies above 64 KB may raise the sum to 40 % of the memory of the instance, small ones to 45 %; answers will have 60 %, so that an accepted call finds room for its answer. A body that its head announces is counted whole at its head and gets its memory at once; chunked bodies count as they grow. One without room is refused with 503, not run, and a Retry-After that spreads the callers over the rate at which large bodies are accepted. No 100 Continue precedes that. The connection stays open if the whole request was there, otherwise it closes as after any early refusal. Waiting input that finds no room is left in the socket. The memory comes from the new key instance.memory_mb, which the platform fills in, 260 by default.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -52,6 +52,12 @@
 constexpr int kUnavailable = 503;
 // Retry-After in seconds while this entry is not ready.
 constexpr std::string_view kNotReadyRetryAfter = "0.5";
+constexpr double kMillisecondsPerSecond = 1000;
+constexpr std::size_t kBytesPerMegabyte = 1'000'000;
+// Bounds of Retry-After for bodies that find no room. Room comes back when
+// calls end.
+constexpr Milliseconds kMinRoomDelay{500};
+constexpr Milliseconds kMaxRoomDelay{8000};
 
 // Returns -1 for a fault that rests on no question.
 int64_t AskedMillisecondsAgo(const TargetFault& fault, Instant now) {
@@ -64,6 +70,8 @@
 FleetEntry::FleetEntry(FleetSettings settings, std::string settings_path)
     : settings_(std::move(settings)),
       settings_path_(std::move(settings_path)),
+      memory_ledger_(static_cast<std::size_t>(settings_.memory_mb) *
+                     kBytesPerMegabyte),
       log_(settings_.name),
       random_(std::random_device{}()),
       retry_budgets_(RetryLimits()),
@@ -232,7 +240,7 @@
                         const std::string& attempt_id,
                         int status,
                         std::string_view cause,
-                        bool may_retry) {
+                        std::string_view retry_after) {
   log_.Write(Event::kCallRefused, EventLoop::Now(),
              {{"id", attempt_id},
               {"status", static_cast<int64_t>(status)},
@@ -242,8 +250,8 @@
   std::string fields;
   if (!attempt_id.empty())
     AppendField(platform::kAttemptIdField, attempt_id, &fields);
-  if (may_retry)
-    AppendField("Retry-After", kNotReadyRetryAfter, &fields);
+  if (!retry_after.empty())
+    AppendField("Retry-After", retry_after, &fields);
   connection->SendResponse(status, {}, fields, {});
 }
 
@@ -256,14 +264,14 @@
   const std::shared_ptr<FleetIndex>& index = configuration_.current();
   if (index == nullptr) {
     Refuse(connection, fields.attempt_id, kUnavailable, "no configuration",
-           true);
+           kNotReadyRetryAfter);
     return;
   }
   const std::string_view path =
       std::string_view(head.target).substr(0, head.target.find('?'));
   const ServiceRoute* route = index->FindRoute(fields.host, path);
   if (route == nullptr) {
-    Refuse(connection, fields.attempt_id, kNotFound, "no route", false);
+    Refuse(connection, fields.attempt_id, kNotFound, "no route", {});
     return;
   }
   const Instant caller_deadline =
@@ -273,7 +281,8 @@
   if (route->timeout_ms > 0)
     deadline = std::min(deadline, now + Milliseconds(route->timeout_ms));
   if (stop_admission_ && !stop_admission_->Accepts(*route, deadline, now)) {
-    Refuse(connection, fields.attempt_id, kUnavailable, "stopping", true);
+    Refuse(connection, fields.attempt_id, kUnavailable, "stopping",
+           kNotReadyRetryAfter);
     return;
   }
   CallRequest request;
@@ -281,15 +290,16 @@
   if (keyed && !route->allow_anonymous) {
     request.account = index->FindAccount(fields.key);
     if (request.account == nullptr) {
-      Refuse(connection, fields.attempt_id, kUnauthorized, "unknown key",
-             false);
+      Refuse(connection, fields.attempt_id, kUnauthorized, "unknown key", {});
       return;
     }
   }
   if (fields.attempt_id.empty()) {
-    Refuse(connection, fields.attempt_id, kBadRequest, "no id", false);
+    Refuse(connection, fields.attempt_id, kBadRequest, "no id", {});
     return;
   }
+  if (body.size() > MemoryLedger::kMaxSmallBody)
+    refused_bodies_.RecordAccepted(now);
   request.attempt_id = fields.attempt_id;
   request.route = route;
   request.service =
@@ -307,9 +317,9 @@
   }
   request.last_event = fields.last_event.value_or(kNoEvent);
   request.shared_parts = PartTraits(fields.prompt_parts);
-  auto call = std::make_unique<RelayedCall>(&context_, index, connection,
-                                            std::move(request), std::move(head),
-                                            std::move(body));
+  auto call = std::make_unique<RelayedCall>(
+      &context_, index, connection, std::move(request), std::move(head),
+      ShareHeldText(std::move(body), connection->TakeBodyHold()));
   // An earlier call that waited on this connection has been answered.
   admission_queue_.Remove(connection->id());
   RelayedCall* started = call.get();
@@ -356,6 +366,17 @@
   return answered;
 }
 
+void FleetEntry::OnBodyRefused(CallerConnection* connection) {
+  const std::string attempt_id =
+      platform::DecodeRequest(connection->head()).attempt_id;
+  connection->SetRequestName(attempt_id);
+  const Milliseconds delay = refused_bodies_.ReserveDelay(
+      kMinRoomDelay, kMaxRoomDelay, EventLoop::Now());
+  Refuse(connection, attempt_id, kUnavailable, "memory",
+         std::to_string(static_cast<double>(delay.count()) /
+                        kMillisecondsPerSecond));
+}
+
 void FleetEntry::OnConnectionEnd(CallerConnection* connection,
                                  const CallerConnectionEnd& end) {
   if (!end.is_incomplete())
@@ -704,6 +725,8 @@
   metrics_.SetGauge("calls_under_way", static_cast<double>(calls_.size()));
   metrics_.SetGauge("calls_waiting",
                     static_cast<double>(admission_queue_.size()));
+  metrics_.SetGauge("held_bytes",
+                    static_cast<double>(memory_ledger_.held_bytes()));
   metrics_.SetGauge("targets", static_cast<double>(registry_.rows().size()));
   metrics_.SetGauge("rejected_target_records",
                     static_cast<double>(targets_.rejected_records()));
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -52,11 +52,13 @@
 
   // CallerRequestHandler:
   CallerLimits limits() const override;
+  MemoryLedger* memory_ledger() override { return &memory_ledger_; }
   void OnRequest(CallerConnection* connection,
                  HttpHead head,
                  std::string body) override;
   void OnCallerGone(CallerConnection* connection) override;
   int OnBadRequest(CallerConnection* connection, int status) override;
+  void OnBodyRefused(CallerConnection* connection) override;
   void OnConnectionEnd(CallerConnection* connection,
                        const CallerConnectionEnd& end) override;
 
@@ -123,11 +125,12 @@
   // be the cause.
   bool IsLocalNetworkFault(const std::string& target_id, Instant now);
   bool IsReady() const;
+  // An empty `retry_after` says that a repetition does not help.
   void Refuse(CallerConnection* connection,
               const std::string& attempt_id,
               int status,
               std::string_view cause,
-              bool may_retry);
+              std::string_view retry_after);
   // Records the duration of a call that has ended or will be answered no more,
   // and keeps it until the end of the tick.
   void RetireCall(std::unique_ptr<RelayedCall> call, Instant now);
@@ -136,6 +139,7 @@
 
   FleetSettings settings_;
   std::string settings_path_;
+  MemoryLedger memory_ledger_;
   EventLoop loop_;
   DecisionLog log_;
   FleetMetrics metrics_;
@@ -160,6 +164,8 @@
   CallDurations call_durations_;
   // Delays given to refused callers, by service.
   std::map<std::string, RetryAfterScheduler> retry_after_schedulers_;
+  // Delays given to callers whose bodies found no room.
+  RetryAfterScheduler refused_bodies_;
   CallContext context_;
   TcpListener callers_listener_;
   SmallHttpServer readiness_server_;
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -71,12 +71,12 @@
                          CallerConnection* caller,
                          CallRequest request,
                          HttpHead head,
-                         std::string body)
+                         std::shared_ptr<const std::string> body)
     : context_(context),
       index_(std::move(index)),
       caller_(caller),
       head_(std::move(head)),
-      body_(std::make_shared<const std::string>(std::move(body))),
+      body_(std::move(body)),
       traits_({request.account == nullptr ? std::string_view()
                                           : request.account->name,
                head_.method, head_.target, *body_},
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -56,13 +56,14 @@
 // Thread safety: none, the loop's thread.
 class RelayedCall final : public FleetCallDelegate, public TargetSendOwner {
  public:
-  // `index` is the configuration that applies to the call until it ends.
+  // `index` is the configuration that applies to the call until it ends. `body`
+  // is not null.
   RelayedCall(CallContext* context,
               std::shared_ptr<FleetIndex> index,
               CallerConnection* caller,
               CallRequest request,
               HttpHead head,
-              std::string body);
+              std::shared_ptr<const std::string> body);
   ~RelayedCall() override;
 
   void Start(Instant now);
--- a/modules/bbv_fleet/bbv_fleet.h
+++ b/modules/bbv_fleet/bbv_fleet.h
@@ -22,6 +22,7 @@
 #include "bbv_fleet/layer_coverage.h"
 #include "bbv_fleet/layer_planner.h"
 #include "bbv_fleet/layer_replicator.h"
+#include "bbv_fleet/memory_ledger.h"
 #include "bbv_fleet/path_chooser.h"
 #include "bbv_fleet/rate_limit_allocator.h"
 #include "bbv_fleet/response_length_estimator.h"
--- a/modules/bbv_front/caller_connection.cc
+++ b/modules/bbv_front/caller_connection.cc
@@ -18,6 +18,7 @@
 // Time without a byte after which a partly received request does not keep its
 // connection open.
 constexpr Milliseconds kStalledTime{500};
+constexpr int kUnavailable = 503;
 
 void AppendHexadecimal(std::size_t value, std::string* out) {
   char buf[20];
@@ -38,6 +39,14 @@
   return {limits.max_header_bytes, limits.max_body_bytes};
 }
 
+// Returns the size of the body that `head` announces; 0 if it names none.
+std::size_t AnnouncedBytes(const HttpHead& head) {
+  std::size_t bytes = 0;
+  if (const std::string* length = head.Find("Content-Length"))
+    std::from_chars(length->data(), length->data() + length->size(), bytes);
+  return bytes;
+}
+
 void AppendStatusLine(int status, std::string_view reason, std::string* out) {
   out->append("HTTP/1.1 ");
   out->append(std::to_string(status));
@@ -48,6 +57,10 @@
 
 }  // namespace
 
+void CallerRequestHandler::OnBodyRefused(CallerConnection* connection) {
+  connection->SendResponse(kUnavailable, {}, {}, {});
+}
+
 CallerConnection::CallerConnection(uint64_t id,
                                    std::unique_ptr<TcpStream> stream,
                                    CallerRequestHandler* request_handler)
@@ -55,6 +68,9 @@
       stream_(std::move(stream)),
       request_handler_(request_handler),
       parser_(HttpParser::Kind::kRequests, {}, this),
+      body_hold_(request_handler->memory_ledger(), MemoryLedger::Use::kRequest),
+      input_hold_(request_handler->memory_ledger(),
+                  MemoryLedger::Use::kRequest),
       opened_at_(EventLoop::Now()) {
   assert(request_handler != nullptr);
   SetReadTimeout(Milliseconds(request_handler->limits().idle_timeout_ms));
@@ -71,7 +87,7 @@
     return;
   }
   pipelined_input_.append(data);
-  if (pipelined_input_.size() > kMaxPipelinedBytes)
+  if (!CountBufferedInput() || pipelined_input_.size() > kMaxPipelinedBytes)
     stream_->StopReading();
 }
 
@@ -86,6 +102,11 @@
     status = ParseInput(input);
   }
   parsing_ = false;
+  CountBufferedInput();
+}
+
+bool CallerConnection::CountBufferedInput() {
+  return input_hold_.Set(pipelined_input_.size() + parser_.pending_bytes());
 }
 
 ParseStatus CallerConnection::ParseInput(std::string_view data) {
@@ -93,6 +114,10 @@
   const CallerLimits limits = request_handler_->limits();
   parser_.SetLimits(ToParserLimits(limits));
   const ParseStatus status = parser_.Parse(data);
+  if (std::exchange(body_refused_, false)) {
+    RefuseBody(status == ParseStatus::kComplete);
+    return status;
+  }
   switch (status) {
     case ParseStatus::kNeedMore:
       if (!message_started && parser_.in_message())
@@ -130,6 +155,17 @@
   SendResponse(answered, {}, {}, {});
 }
 
+void CallerConnection::RefuseBody(bool is_complete) {
+  request_keeps_alive_ = is_complete && parser_.keeps_alive();
+  request_open_ = true;
+  request_handler_->OnBodyRefused(this);
+}
+
+void CallerConnection::DropBody() {
+  body_ = {};
+  body_hold_.Release();
+}
+
 void CallerConnection::Write(std::string_view data,
                              std::shared_ptr<const std::string> shared) {
   bytes_written_ += data.size() + (shared == nullptr ? 0 : shared->size());
@@ -166,12 +202,25 @@
 
 void CallerConnection::OnHead(HttpHead head) {
   head_ = std::move(head);
+  const std::size_t announced = AnnouncedBytes(head_);
+  if (!body_hold_.GrowTo(announced)) {
+    body_refused_ = true;
+    return;
+  }
+  body_.reserve(announced);
   const std::string* expect = head_.Find("Expect");
   if (expect != nullptr && SameFieldName(*expect, "100-continue"))
     Write("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
 void CallerConnection::OnBody(std::string_view data) {
+  if (body_refused_)
+    return;
+  if (!body_hold_.GrowTo(body_.size() + data.size())) {
+    body_refused_ = true;
+    DropBody();
+    return;
+  }
   body_.append(data);
 }
 
@@ -256,13 +305,13 @@
   request_open_ = false;
   response_begun_ = false;
   close_delimited_ = false;
+  DropBody();
   if (std::exchange(close_announced_, false)) {
     BeginClosing();
     return;
   }
   parser_.StartNextMessage();
   head_ = {};
-  body_.clear();
   SetReadTimeout(Milliseconds(request_handler_->limits().idle_timeout_ms));
   stream_->StartReading();
   // The parser's own buffer may already hold a complete request.
--- a/modules/bbv_front/caller_connection.h
+++ b/modules/bbv_front/caller_connection.h
@@ -11,6 +11,7 @@
 #include "bbv_core/instant.h"
 #include "bbv_core/name_table.h"
 #include "bbv_fleet/fleet_configuration.h"
+#include "bbv_fleet/memory_ledger.h"
 #include "bbv_front/tcp_stream.h"
 #include "bbv_http/bbv_http.h"
 
@@ -60,6 +61,9 @@
   virtual ~CallerRequestHandler() = default;
   // Returns the limits that apply to requests now.
   virtual CallerLimits limits() const { return {}; }
+  // Returns the ledger of the bytes that requests use, which must outlive the
+  // connections; null if they are not counted.
+  virtual MemoryLedger* memory_ledger() { return nullptr; }
   // Called when a complete request was received. Exactly one response must
   // follow, unless the connection ends first.
   virtual void OnRequest(CallerConnection* connection,
@@ -70,6 +74,11 @@
   // Called before an invalid, oversized or overdue request is refused with
   // `status`. Returns the status to refuse it with.
   virtual int OnBadRequest(CallerConnection* connection, int status) = 0;
+  // Called when memory_ledger() has no room for the body of a request, whose
+  // head is head(). One response must follow before this returns; the
+  // connection closes after it unless the whole request was received. Answers
+  // 503 by default.
+  virtual void OnBodyRefused(CallerConnection* connection);
   // Called once when the connection has ended, before OnCallerGone().
   virtual void OnConnectionEnd(CallerConnection*, const CallerConnectionEnd&) {}
 };
@@ -131,6 +140,10 @@
   // Enforces the timeouts. Returns false if the connection is closed.
   bool OnTick(Instant now);
 
+  // Returns what counts the body of the open request, for its new owner.
+  // Otherwise the body is counted until the request is answered.
+  MemoryLedger::Hold TakeBodyHold() { return std::move(body_hold_); }
+
   uint64_t id() const { return id_; }
   // A name of the last request that was handled, for the log.
   void SetRequestName(std::string name) { request_name_ = std::move(name); }
@@ -161,6 +174,11 @@
   void SetReadTimeout(Milliseconds timeout);
   bool TickClosing(Instant now);
   void Reject(int status);
+  // Refuses a request whose body finds no room.
+  void RefuseBody(bool is_complete);
+  void DropBody();
+  // Counts the input that waits; returns false if there is no room for more.
+  bool CountBufferedInput();
   // Returns the status line, `fields` and the Connection field.
   std::string BeginResponseHead(int status,
                                 std::string_view reason,
@@ -186,8 +204,12 @@
   HttpParser parser_;
   HttpHead head_;
   std::string body_;
+  MemoryLedger::Hold body_hold_;
+  // Whether the ledger had no room for the body of the current request.
+  bool body_refused_ = false;
   std::string request_name_;
   std::string pipelined_input_;
+  MemoryLedger::Hold input_hold_;
   bool request_open_ = false;
   bool response_begun_ = false;
   uint64_t bytes_read_ = 0;
--- a/modules/bbv_front/caller_connection_test.cc
+++ b/modules/bbv_front/caller_connection_test.cc
@@ -21,6 +21,9 @@
 namespace {
 
 constexpr char kRequest[] = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
+constexpr char kSmallRequest[] =
+    "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody";
+constexpr std::size_t kInstanceBytes = 4'000'000;
 
 }  // namespace
 
@@ -40,7 +43,9 @@
     }
     void OnCallerGone(CallerConnection*) override {}
     int OnBadRequest(CallerConnection*, int status) override { return status; }
+    bbv::MemoryLedger* memory_ledger() override { return &ledger; }
 
+    bbv::MemoryLedger ledger{kInstanceBytes};
     int requests = 0;
     std::string answer = "answer";
     // If not empty, requests are answered with a stream that does not end.
@@ -70,6 +75,13 @@
     caller.reset();
   }
 
+  // Uses the memory up for requests.
+  bbv::MemoryLedger::Hold FillMemory() {
+    bbv::MemoryLedger::Hold rest(&handler.ledger,
+                                 bbv::MemoryLedger::Use::kRequest);
+    rest.Set(kInstanceBytes);
+    return rest;
+  }
   // Runs the loop and the connection's timeouts.
   void RunFor(int milliseconds) {
     for (int it = 0; it < milliseconds / 5; ++it) {
@@ -268,3 +280,78 @@
       caller->Receive(1000).c_str());
   CHECK(caller->ended() && !caller->was_reset());
 }
+
+TEST(CallerConnection, ABodyWithoutRoomIsReceivedBeforeItIsRefused) {
+  CHECK(
+      caller->Send("POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 3000000\r\n"
+                   "Expect: 100-continue\r\n\r\n"));
+  RunFor(50);
+  CHECK(caller->Receive(200, "503").starts_with("HTTP/1.1 503"));
+  CHECK_EQUAL(0, handler.requests);
+  CHECK_EQUAL(0, handler.ledger.held_bytes());
+}
+
+TEST(CallerConnection, AChunkedBodyGrowsBeyondTheMemory) {
+  CHECK(caller->Send(
+      "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"));
+  std::thread sender([this] {
+    for (int it = 0; it < 40; ++it)
+      caller->Send("10000\r\n" + std::string(65536, 'x') + "\r\n");
+  });
+  RunFor(400);
+  sender.join();
+  CHECK_EQUAL(1, CountOf(caller->Receive(200, "503"), "HTTP/1.1 503"));
+  CHECK_EQUAL(0, handler.requests);
+  CHECK_EQUAL(0, handler.ledger.held_bytes());
+}
+
+TEST(CallerConnection, ARefusedWholeRequestEndsItsConnection) {
+  bbv::MemoryLedger::Hold rest = FillMemory();
+  CHECK(caller->Send(kSmallRequest));
+  RunFor(50);
+  CHECK_EQUAL(1, CountOf(caller->Receive(200, "503"), "HTTP/1.1 503"));
+  rest.Release();
+  CHECK(caller->Send(kSmallRequest));
+  RunFor(50);
+  CHECK_EQUAL(1, CountOf(caller->Receive(200, "200"), "HTTP/1.1 200"));
+  CHECK_EQUAL(1, handler.requests);
+}
+
+TEST(CallerConnection, AnAnsweredOrLostBodyStaysCounted) {
+  CHECK(caller->Send(kSmallRequest));
+  RunFor(50);
+  CHECK_EQUAL(1, handler.requests);
+  CHECK_EQUAL(0, handler.ledger.held_bytes());
+  CHECK(caller->Send(
+      "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\nbody"));
+  RunFor(50);
+  CHECK_EQUAL(1000, handler.ledger.held_bytes());
+  connection.reset();
+  CHECK_EQUAL(0, handler.ledger.held_bytes());
+}
+
+TEST(CallerConnection, PipelinedInputGrowsAlthoughTheMemoryIsUsedUp) {
+  constexpr int kRequests = 4000;
+  handler.first_chunk = "id: 1\ndata: 0\n\n";
+  CHECK(caller->Send(kRequest));
+  RunFor(30);
+  bbv::MemoryLedger::Hold rest = FillMemory();
+  std::string requests;
+  for (int it = 0; it < kRequests; ++it)
+    requests += kSmallRequest;
+  CHECK(requests.size() > 200'000);
+  std::thread sender([&] { caller->Send(requests); });
+  RunFor(200);
+  const std::size_t held = handler.ledger.held_bytes();
+  rest.Release();
+  handler.first_chunk.clear();
+  connection->EndStream();
+  for (int it = 0; handler.requests <= kRequests && it < 100; ++it)
+    RunFor(20);
+  sender.join();
+  // One read at most.
+  CHECK_COMPARE(held, >, kInstanceBytes);
+  CHECK_COMPARE(held, <=, kInstanceBytes + 65536);
+  CHECK_EQUAL(kRequests + 1, handler.requests);
+  CHECK_EQUAL(0, handler.ledger.held_bytes());
+}
--- a/modules/bbv_settings/fleet_settings.cc
+++ b/modules/bbv_settings/fleet_settings.cc
@@ -14,6 +14,7 @@
 constexpr double kMaximumRetryExtra = 1'000'000;
 constexpr double kMaximumCores = 1024;
 constexpr double kMaximumLinkMbps = 1'000'000;
+constexpr IntegerRange kMemoryRangeMb{64, 1'000'000};
 constexpr int kMillisecondsPerSecond = 1000;
 
 SocketAddress RequiredAddress(TomlReader* reader, const char* key) {
@@ -49,6 +50,8 @@
   settings->core_share = reader->Number("core_share", 1, kMaximumCores);
   settings->core_speed = reader->Number("core_speed", 1, kMaximumCores);
   settings->link_mbps = reader->Number("link_mbps", 1000, kMaximumLinkMbps);
+  settings->memory_mb =
+      static_cast<int>(reader->Integer("memory_mb", 260, kMemoryRangeMb));
 }
 
 void ReadStore(TomlReader* reader, FleetSettings* settings) {
--- a/modules/bbv_settings/fleet_settings.h
+++ b/modules/bbv_settings/fleet_settings.h
@@ -35,6 +35,8 @@
   double core_share = 1;
   double core_speed = 1;
   double link_mbps = 1000;
+  // Memory in megabytes beyond which the process is ended.
+  int memory_mb = 0;
 
   SocketAddress store_address;
   // Shortest lease duration that the store grants.
--- a/tests/request_memory_test.cc
+++ b/tests/request_memory_test.cc
@@ -136,3 +136,38 @@
                 kMaxBodies);
   CHECK(refused > 0);
 }
+
+TEST(RequestMemory, BodiesThatFillTheMemoryStarveOtherRequests) {
+  constexpr int kConnections = 40;
+  constexpr int kSmallRequests = 20;
+  StartFleet();
+  std::vector<RawCaller> callers;
+  callers.reserve(kConnections);
+  for (int it = 0; it < kConnections; ++it) {
+    std::string request = ReservationRequest("partial-" + std::to_string(it));
+    request.pop_back();
+    callers.emplace_back(floor->callers_port(0)).Send(request);
+  }
+  const std::string& refusal = callers.back().Receive(1000, "\r\n\r\n");
+  CHECK(refusal.starts_with("HTTP/1.1 503"));
+  CHECK_EQUAL(1, bbv::CountOf(refusal, "Retry-After: "));
+  CHECK_EQUAL(1, bbv::CountOf(refusal, "partial-39"));
+  const auto wait_for_gauge = [this](bool is_held) {
+    while ((Gauge("held_bytes") > 0) != is_held)
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  };
+  wait_for_gauge(true);
+  RawCaller other(floor->callers_port(0));
+  for (int it = 0; it < kSmallRequests; ++it) {
+    const std::string id = "small-" + std::to_string(it);
+    CHECK(other.Send(bbv::RequestText("/unsafe/x", id, {}, "small")));
+    CHECK(other.Receive(kAnswerTimeoutMs, id).find(id) != std::string::npos);
+  }
+  CHECK_EQUAL(kSmallRequests, bbv::CountOf(other.Receive(0), "HTTP/1.1 200"));
+  callers.clear();
+  wait_for_gauge(false);
+  CHECK(other.Send(ReservationRequest("later")));
+  other.Receive(kAnswerTimeoutMs, "later");
+  CHECK_EQUAL(kSmallRequests + 1,
+              bbv::CountOf(other.Receive(0), "HTTP/1.1 200"));
+}
