--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -50,6 +50,12 @@
 constexpr std::string_view kNotReadyRetryAfter = "0.5";
 // Retry-After in seconds while other entries of the zone serve.
 constexpr std::string_view kElsewhereRetryAfter = "0.05";
+constexpr double kMillisecondsPerSecond = 1000;
+constexpr std::size_t kBytesPerMegabyte = 1'000'000;
+// Bounds of Retry-After for bodies that find no room. Room comes back when
+// calls end.
+constexpr Milliseconds kMinRoomDelay{500};
+constexpr Milliseconds kMaxRoomDelay{8000};
 
 // Returns -1 for a fault that rests on no question.
 int64_t AskedMillisecondsAgo(const TargetFault& fault, Instant now) {
@@ -62,6 +68,8 @@
 FleetEntry::FleetEntry(FleetSettings settings, std::string settings_path)
     : settings_(std::move(settings)),
       settings_path_(std::move(settings_path)),
+      memory_ledger_(static_cast<std::size_t>(settings_.memory_mb) *
+                     kBytesPerMegabyte),
       log_(settings_.name),
       random_(std::random_device{}()),
       retry_budgets_(RetryLimits()),
@@ -291,6 +299,8 @@
     Refuse(connection, fields.attempt_id, kBadRequest, "no id", {});
     return;
   }
+  if (body.size() > MemoryLedger::kMaxSmallBody)
+    refused_bodies_.RecordAccepted(now);
   request.attempt_id = fields.attempt_id;
   request.route = route;
   request.service =
@@ -308,9 +318,9 @@
   }
   request.last_event = fields.last_event.value_or(kNoEvent);
   request.shared_parts = PartTraits(fields.prompt_parts);
-  auto call = std::make_unique<RelayedCall>(&context_, index, connection,
-                                            std::move(request), std::move(head),
-                                            std::move(body));
+  auto call = std::make_unique<RelayedCall>(
+      &context_, index, connection, std::move(request), std::move(head),
+      ShareHeldText(std::move(body), connection->TakeBodyHold()));
   // An earlier call that waited on this connection has been answered.
   admission_queue_.Remove(connection->id());
   RelayedCall* started = call.get();
@@ -357,6 +367,17 @@
   return answered;
 }
 
+void FleetEntry::OnBodyRefused(CallerConnection* connection) {
+  const std::string attempt_id =
+      platform::DecodeRequest(connection->head()).attempt_id;
+  connection->SetRequestName(attempt_id);
+  const Milliseconds delay = refused_bodies_.ReserveDelay(
+      kMinRoomDelay, kMaxRoomDelay, EventLoop::Now());
+  Refuse(connection, attempt_id, kUnavailable, "memory",
+         std::to_string(static_cast<double>(delay.count()) /
+                        kMillisecondsPerSecond));
+}
+
 void FleetEntry::OnConnectionEnd(CallerConnection* connection,
                                  const CallerConnectionEnd& end) {
   if (!end.is_incomplete())
@@ -698,6 +719,8 @@
   metrics_.SetGauge("calls_under_way", static_cast<double>(calls_.size()));
   metrics_.SetGauge("calls_waiting",
                     static_cast<double>(admission_queue_.size()));
+  metrics_.SetGauge("held_bytes",
+                    static_cast<double>(memory_ledger_.held_bytes()));
   metrics_.SetGauge("targets", static_cast<double>(registry_.rows().size()));
   metrics_.SetGauge("rejected_target_records",
                     static_cast<double>(targets_.rejected_records()));
