A side that falls silent ends no work

Callers of the own mode saw 502 (unknown, peer-lost) for calls without a key that ran to a good end, and streams broken off after a pause of 1.5 s of one side, of all sides of a service, or of the entry.

Cause: PeerNetwork closed a connection that had been silent for a second, and PeerLost stands for lost frames: the answer that the side gave afterwards had no way back, calls that may not be repeated ended, attempts were released before another chain was known, and each of them counted as a fault of the sound side, which was ejected for longer than its streams wait for a chain.

A silent service behind its side, a killed side and one killed while silent were sound.

A silent connection is now kept and its peer reported silent: it gets no new work. Streams leave a silent stage for another chain only if there is one.

Calls on a path that is really broken while the side lives still end as unknown.

--- a/modules/bbv_pipeline/request_coordinator.cc
+++ b/modules/bbv_pipeline/request_coordinator.cc
@@ -11,6 +11,8 @@
 
 // An attempt that produces no token for this time is abandoned.
 constexpr Milliseconds kProgressTimeout{5000};
+// How often a request with a silent stage looks for another chain.
+constexpr Milliseconds kSilentStageInterval{500};
 // How long a request that may have started waits for a usable chain.
 constexpr Milliseconds kChainTimeout{3000};
 // How long a request continues after its caller disconnected.
@@ -411,6 +413,46 @@
   }
 }
 
+void RequestCoordinator::PeerSilent(const std::string& peer,
+                                    bool silent,
+                                    Instant now) {
+  const auto affected = FindRequests([&](const Request& request) {
+    return request.phase == Phase::kRunning &&
+           std::any_of(request.chain.begin(), request.chain.end(),
+                       [&](const Target& stage) { return stage.name == peer; });
+  });
+  for (const RequestId& id : affected) {
+    const auto it = requests_.find(id);
+    if (it == requests_.end())
+      continue;
+    if (silent)
+      LeaveSilentChain(&it->second, now);
+    else
+      it->second.progress_deadline = now + kProgressTimeout;
+  }
+}
+
+bool RequestCoordinator::HasSilentStage(const Request& request) const {
+  return std::any_of(request.chain.begin(), request.chain.end(),
+                     [this](const Target& stage) {
+                       const TargetEntry* entry = table_->Find(stage.name);
+                       return entry != nullptr && entry->silent;
+                     });
+}
+
+void RequestCoordinator::LeaveSilentChain(Request* request, Instant now) {
+  // The silent stage may go on, so its work is given up for another chain only.
+  const bool other_chain = !chooser_
+                                ->ChooseChain(request->spec.model, {},
+                                              CapacityPolicy::kAnyUsable, now)
+                                .empty();
+  if (!other_chain || request->detached) {
+    request->progress_deadline = now + kSilentStageInterval;
+    return;
+  }
+  FailAttempt(request, "", Reason::kPeerLost, now);
+}
+
 void RequestCoordinator::Tick(Instant now) {
   const auto due = FindRequests([&](const Request& request) {
     return request.spec.deadline <= now ||
@@ -438,6 +480,10 @@
   }
   switch (request->phase) {
     case Phase::kRunning:
+      if (HasSilentStage(*request)) {
+        LeaveSilentChain(request, now);
+        return;
+      }
       FailAttempt(request, "", Reason::kDeadline, now);
       return;
     case Phase::kResuming:
--- a/modules/bbv_routing/target_table.cc
+++ b/modules/bbv_routing/target_table.cc
@@ -32,6 +32,7 @@
   if (entry == nullptr)
     return;
   entry->connected = connected;
+  entry->silent = false;
   // The new connection may be to a new process, so discard what the previous
   // process reported.
   entry->ready = false;
@@ -41,6 +42,11 @@
     entry->outstanding = 0;
 }
 
+void TargetTable::SetSilent(const std::string& target, bool silent) {
+  if (TargetEntry* entry = FindMutable(target))
+    entry->silent = silent;
+}
+
 void TargetTable::ApplyHeartbeat(const std::string& target,
                                  const wire::HeartbeatT& heartbeat) {
   TargetEntry* entry = FindMutable(target);
@@ -105,8 +111,8 @@
 
 bool TargetTable::IsUsable(const TargetEntry& entry, Instant now) {
   return entry.target.state == TargetState::kActive && entry.connected &&
-         entry.ready && !entry.leaving && !entry.listed_leaving &&
-         entry.ejected_until <= now;
+         entry.ready && !entry.silent && !entry.leaving &&
+         !entry.listed_leaving && entry.ejected_until <= now;
 }
 
 int64_t TargetTable::Load(const TargetEntry& entry) {
--- a/modules/bbv_routing/target_table.h
+++ b/modules/bbv_routing/target_table.h
@@ -16,6 +16,8 @@
 struct TargetEntry {
   Target target;
   bool connected = false;
+  // Nothing has come from the side for the silence timeout.
+  bool silent = false;
   // From the side's last heartbeat.
   bool ready = false;
   bool leaving = false;
@@ -49,6 +51,9 @@
   void Rebuild(const Configuration& configuration);
 
   void SetConnected(const std::string& target, bool connected);
+  // Sets whether the connected side of `target` is silent. A silent target gets
+  // no new work but keeps its own.
+  void SetSilent(const std::string& target, bool silent);
   void ApplyHeartbeat(const std::string& target,
                       const wire::HeartbeatT& heartbeat);
 
@@ -68,8 +73,8 @@
   const TargetEntry* Find(const std::string& target) const;
 
   // Returns whether new work may be sent to `entry`: it is configured as
-  // active, connected, ready, not ejected, and neither its heartbeat nor the
-  // instance list says that it is leaving.
+  // active, connected, ready, not silent, not ejected, and neither its
+  // heartbeat nor the instance list says that it is leaving.
   static bool IsUsable(const TargetEntry& entry, Instant now);
 
   // Returns the load of the target: its last heartbeat plus the changes made by
