A stream keeps its place while any stage it needs is silent

Read after, shown with a stand-in of the sides: a stream whose chain was lost while another stage of the only chain was silent got "no target" after 3 s; a request without output was given up at a silent chain for one that was full and refused it; and the eighth silence that a stream met ended it as its eighth failed attempt.

Cause: the wait for a chain, the choice of the next chain and the count of failed attempts took a silence for a loss, as before the connection did.

A stream that has begun now waits for a chain as long as a target of its model is silent, and its limit of 3 s counts from the end of the silence. A silent chain is left without counting a failure, and by requests without output only for a chain with room.

--- a/modules/bbv_pipeline/request_coordinator.cc
+++ b/modules/bbv_pipeline/request_coordinator.cc
@@ -441,16 +441,27 @@
 }
 
 void RequestCoordinator::LeaveSilentChain(Request* request, Instant now) {
-  // The silent stage may go on, so its work is given up for another chain only.
-  const bool other_chain = !chooser_
-                                ->ChooseChain(request->spec.model, {},
-                                              CapacityPolicy::kAnyUsable, now)
-                                .empty();
-  if (!other_chain || request->detached) {
+  // The silent stage may go on, so its work is given up only for a chain that
+  // will take the request. Without tokens, a refusal would end the request.
+  const CapacityPolicy capacity_policy = request->tokens.empty()
+                                             ? CapacityPolicy::kOnlyWithCapacity
+                                             : CapacityPolicy::kAnyUsable;
+  const Chain other =
+      chooser_->ChooseChain(request->spec.model, {}, capacity_policy, now);
+  if (other.empty() || request->detached) {
     request->progress_deadline = now + kSilentStageInterval;
     return;
   }
-  FailAttempt(request, "", Reason::kPeerLost, now);
+  LogEvent(Event::kAttemptFailed,
+           {{"request", ToString(request->spec.id)},
+            {"attempt", std::to_string(request->attempt_number)},
+            {"target", ""},
+            {"reason", std::string(kReasonNames.Name(Reason::kPeerLost))}});
+  // A silence is no fault, so it does not count as a failed attempt.
+  ReleaseAttempt(*request);
+  request->chain.clear();
+  request->may_have_run = true;
+  Retry(request, now);
 }
 
 void RequestCoordinator::Tick(Instant now) {
@@ -496,6 +507,8 @@
         Refuse(id, {Outcome::kUnknown, Reason::kUnknownRequest, 0});
       return;
     case Phase::kWaitingForChain:
+      if (table_->HasSilentTarget(request->spec.model.name))
+        request->phase_deadline = now + kChainTimeout;
       if (request->phase_deadline <= now) {
         Refuse(id, {Outcome::kRan, Reason::kNoTarget, kNoTargetRetryAfterMs});
         return;
--- a/modules/bbv_routing/target_table.cc
+++ b/modules/bbv_routing/target_table.cc
@@ -147,6 +147,12 @@
   return usable;
 }
 
+bool TargetTable::HasSilentTarget(const std::string& model) const {
+  return std::any_of(entries_.begin(), entries_.end(), [&](const auto& row) {
+    return row.second.silent && row.second.target.model == model;
+  });
+}
+
 TargetEntry* TargetTable::FindMutable(const std::string& target) {
   const auto it = entries_.find(target);
   return it == entries_.end() ? nullptr : &it->second;
--- a/modules/bbv_routing/target_table.h
+++ b/modules/bbv_routing/target_table.h
@@ -91,6 +91,9 @@
   std::vector<const TargetEntry*> UsableForService(const std::string& service,
                                                    Instant now) const;
 
+  // Returns whether a connected target of `model` is silent and may go on.
+  bool HasSilentTarget(const std::string& model) const;
+
   const std::map<std::string, TargetEntry>& entries() const { return entries_; }
 
  private:
