--- a/tests/silent_side_test.cc
+++ b/tests/silent_side_test.cc
@@ -149,8 +149,9 @@
   CheckRanOnce(floor, keyed);
 }
 
-// Lets the middle stage of the only chain fall silent while streams run.
-void CheckStreamsOutlastSilence(milliseconds silence) {
+// Lets `process` of the only chain fall silent while streams run.
+void CheckStreamsOutlastSilence(const std::string& process,
+                                milliseconds silence) {
   RealFloor floor({.replicas = 1, .services = 0, .step_us = 3000});
   CHECK_TRUE(floor.started());
   constexpr int kStreams = 8;
@@ -159,7 +160,7 @@
   for (int it = 0; it < kStreams; ++it)
     callers.Stream("silence " + std::to_string(it), 60, &streams);
   std::this_thread::sleep_for(kCallUnderWay);
-  Pause(&floor, {"side-t1-0"}, silence);
+  Pause(&floor, {process}, silence);
   callers.Join();
   CheckServed(kStreams, streams);
   CHECK_TRUE(floor.EngineTraceFaults().empty());
@@ -186,11 +187,19 @@
 }
 
 TEST(SilentSide, StreamsOfTheOnlyChainEndAfterAShortSilence) {
-  CheckStreamsOutlastSilence(kSilence);
+  CheckStreamsOutlastSilence("side-t1-0", kSilence);
 }
 
 TEST(SilentSide, StreamsOfTheOnlyChainEndDuringALongSilence) {
-  CheckStreamsOutlastSilence(kLongSilence);
+  CheckStreamsOutlastSilence("side-t1-0", kLongSilence);
+}
+
+TEST(SilentSide, StreamsOfTheOnlyChainEndWhileAnEngineIsSilent) {
+  CheckStreamsOutlastSilence("engine-t1-0", kSilence);
+}
+
+TEST(SilentSide, StreamsOfTheOnlyChainEndWhileTheirEntryIsSilent) {
+  CheckStreamsOutlastSilence("e0", kSilence);
 }
 
 TEST(SilentSide, ADeadSideHoldsItsCallsForItsSilence) {
