--- a/modules/bbv_once/service_coordinator_test.cc
+++ b/modules/bbv_once/service_coordinator_test.cc
@@ -71,7 +71,7 @@
   }
 
   std::string FallSilent() {
-    const std::string peer = actions.sent.back().peer;
+    std::string peer = actions.sent.back().peer;
     table.SetSilent(peer, true);
     coordinator.PeerSilent(peer, now);
     return peer;
