--- a/modules/bbv_node/entry_node.cc
+++ b/modules/bbv_node/entry_node.cc
@@ -257,12 +257,6 @@
   control_.Post([this, peer](Instant now) { logic_.PeerLost(peer, now); });
 }
 
-void EntryNode::PeerSilent(const std::string& peer, bool silent) {
-  control_.Post([this, peer, silent](Instant now) {
-    logic_.PeerSilent(peer, silent, now);
-  });
-}
-
 void EntryNode::FrameReceived(const std::string& peer, wire::FrameT frame) {
   auto shared = std::make_shared<wire::FrameT>(std::move(frame));
   control_.Post([this, peer, shared](Instant now) {
--- a/modules/bbv_node/entry_node.h
+++ b/modules/bbv_node/entry_node.h
@@ -91,7 +91,6 @@
   // PeerNetworkListener, called on the network thread.
   void PeerConnected(const NodeIdentity& peer) override;
   void PeerLost(const std::string& peer) override;
-  void PeerSilent(const std::string& peer, bool silent) override;
   void FrameReceived(const std::string& peer, wire::FrameT frame) override;
   void PeerFault(const std::string& fault) override;
 
--- a/modules/bbv_node/peer_network.cc
+++ b/modules/bbv_node/peer_network.cc
@@ -27,12 +27,6 @@
 constexpr std::size_t kHandshakeFrameBytes = 4096;
 constexpr Milliseconds kHandshakeTimeout{2000};
 constexpr Milliseconds kFirstReconnectDelay{50};
-constexpr Milliseconds kProbeInterval{500};
-// Heartbeat intervals in which a sound peer speaks on all of its connections.
-constexpr int kHeartbeatsOfProof = 2;
-// The kernel of a paused peer still acknowledges data, a host that is gone does
-// not.
-constexpr unsigned kUnacknowledgedTimeoutMs = 15'000;
 constexpr uint32_t kMaximumReconnectDoublings = 4;
 // Time for which a stopping network waits for its peers to end connections.
 constexpr Milliseconds kFinishTime{200};
@@ -52,8 +46,6 @@
     return fd;
   const int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedTimeoutMs,
-             sizeof(kUnacknowledgedTimeoutMs));
   return fd;
 }
 
@@ -92,8 +84,6 @@
   // Name that the connection was opened for; empty for inbound connections.
   std::string expected_name;
   bool outbound = false;
-  // Where an outbound connection leads.
-  SocketAddress address;
   FrameReader reader;
   PeerHandshake handshake;
   std::string peer;
@@ -102,10 +92,6 @@
   // Frames to send once the handshake has completed.
   std::vector<std::string> deferred_frames;
   Instant last_received;
-  bool silent = false;
-  // Since when the connection has been ready and not silent.
-  Instant speaking_since{};
-  Instant next_probe_at{};
   Instant handshake_deadline;
   Instant next_heartbeat{};
 };
@@ -233,7 +219,6 @@
         break;
     }
     ConnectPersistentPeers(std::chrono::steady_clock::now());
-    ProbeSilentPeers(std::chrono::steady_clock::now());
     Poll();
     CheckTimeouts(std::chrono::steady_clock::now());
     RemoveClosed();
@@ -335,8 +320,6 @@
     }
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedTimeoutMs,
-               sizeof(kUnacknowledgedTimeoutMs));
     Connection* connection = Add(fd, "", std::chrono::steady_clock::now());
     Queue(connection,
           EncodeFrame(MakeFrame(connection->handshake.MakeHello())));
@@ -360,35 +343,6 @@
   }
 }
 
-void PeerNetwork::ProbeSilentPeers(Instant now) {
-  std::vector<Connection*> due;
-  for (const auto& connection : connections_) {
-    if (connection->ready() && connection->silent && connection->outbound &&
-        connection->next_probe_at <= now && !HasProbe(*connection))
-      due.push_back(connection.get());
-  }
-  for (Connection* connection : due) {
-    connection->next_probe_at = now + kProbeInterval;
-    Open(connection->expected_name, connection->address);
-  }
-}
-
-bool PeerNetwork::HasProbe(const Connection& silent) const {
-  return std::any_of(
-      connections_.begin(), connections_.end(), [&](const auto& other) {
-        return !other->closed && other->outbound && !other->silent &&
-               other->expected_name == silent.expected_name;
-      });
-}
-
-void PeerNetwork::CloseProbes(const Connection& connection) {
-  for (const auto& other : connections_) {
-    if (!other->closed && other->outbound && !other->ready() &&
-        other->expected_name == connection.expected_name)
-      Close(other.get(), "");
-  }
-}
-
 PeerNetwork::Connection* PeerNetwork::Open(const std::string& name,
                                            const SocketAddress& address) {
   const int fd = OpenSocket();
@@ -403,7 +357,6 @@
   }
   Connection* connection = Add(fd, name, std::chrono::steady_clock::now());
   connection->outbound = true;
-  connection->address = address;
   connection->connecting = true;
   return connection;
 }
@@ -422,9 +375,6 @@
   getsockopt(connection->fd, SOL_SOCKET, SO_ERROR, &ec, &n);
   if (ec != 0) {
     Close(connection, "");
-    // No process listens any more: the peer is gone, not silent.
-    if (ec == ECONNREFUSED && silent_peers_.contains(connection->expected_name))
-      ClosePeerConnections(connection->expected_name, nullptr);
     return;
   }
   connection->connecting = false;
@@ -442,8 +392,6 @@
       return;
     }
     connection->last_received = now;
-    if (connection->silent)
-      EndSilence(connection, now);
     connection->reader.Append({buf.data(), static_cast<std::size_t>(n)});
     ProcessFrames(connection);
     if (static_cast<std::size_t>(n) < buf.size())
@@ -516,7 +464,6 @@
       ClosePeerConnections(peer.name, connection);
   }
   connection->peer = peer.name;
-  connection->speaking_since = connection->last_received;
   connection->reader.SetMaximumBytes(options_.maximum_frame_bytes);
   LogEvent(Event::kPeerConnected, {{"peer", peer.name}});
   if (ready_connection_counts_[peer.name]++ == 0)
@@ -573,12 +520,9 @@
         Close(connection.get(), "handshake-timeout");
       continue;
     }
-    const bool silent =
-        now - connection->last_received > options_.silence_timeout;
-    if (silent && !connection->silent)
-      BeginSilence(connection.get());
-    if (IsBroken(*connection, now)) {
-      Close(connection.get(), "");
+    if (now - connection->last_received > options_.silence_timeout) {
+      LogEvent(Event::kPeerSilent, {{"peer", connection->peer}});
+      Close(connection.get(), "silent");
       continue;
     }
     if (now >= connection->next_heartbeat && !heartbeat_.empty()) {
@@ -589,48 +533,6 @@
   }
 }
 
-bool PeerNetwork::IsBroken(const Connection& connection, Instant now) const {
-  if (!connection.silent)
-    return false;
-  const Instant proved_since =
-      now - options_.heartbeat_interval * kHeartbeatsOfProof;
-  return std::any_of(connections_.begin(), connections_.end(),
-                     [&](const auto& other) {
-                       return other->ready() && !other->silent &&
-                              other->peer == connection.peer &&
-                              other->speaking_since <= proved_since;
-                     });
-}
-
-void PeerNetwork::BeginSilence(Connection* connection) {
-  LogEvent(Event::kPeerSilent, {{"peer", connection->peer}});
-  connection->silent = true;
-  listener_->PeerFault("silent");
-  UpdateSilence(connection->peer);
-}
-
-void PeerNetwork::EndSilence(Connection* connection, Instant now) {
-  connection->silent = false;
-  connection->speaking_since = now;
-  CloseProbes(*connection);
-  UpdateSilence(connection->peer);
-}
-
-void PeerNetwork::UpdateSilence(const std::string& peer) {
-  const bool silent = std::any_of(
-      connections_.begin(), connections_.end(), [&](const auto& connection) {
-        return connection->ready() && connection->silent &&
-               connection->peer == peer;
-      });
-  if (silent == silent_peers_.contains(peer))
-    return;
-  if (silent)
-    silent_peers_.insert(peer);
-  else
-    silent_peers_.erase(peer);
-  listener_->PeerSilent(peer, silent);
-}
-
 void PeerNetwork::Close(Connection* connection, const std::string& cause) {
   if (connection->closed)
     return;
@@ -685,7 +587,6 @@
 }
 
 void PeerNetwork::ReportPeerLost(const std::string& peer) {
-  silent_peers_.erase(peer);
   LogEvent(Event::kPeerLost, {{"peer", peer}});
   listener_->PeerLost(peer);
 }
--- a/modules/bbv_node/peer_network.h
+++ b/modules/bbv_node/peer_network.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <memory>
 #include <mutex>
-#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -48,15 +47,6 @@
   // SendToStage() that could not connect.
   virtual void PeerLost(const std::string& peer) = 0;
 
-  // Called when a connection to `peer` has received nothing for the silence
-  // timeout, and with `silent` false when the peer goes on. A silent peer may
-  // be sound: nothing is lost yet, and frames to it wait. Not called between
-  // PeerLost() and PeerConnected(). Does nothing by default.
-  virtual void PeerSilent(const std::string& peer, bool silent) {
-    (void)peer;
-    (void)silent;
-  }
-
   virtual void FrameReceived(const std::string& peer, wire::FrameT frame) = 0;
 
   // Called when a connection is rejected or closed because of an error.
@@ -68,11 +58,9 @@
 //
 // A single thread polls all connections. Both ends prove that they hold the
 // shared key before any other frame is accepted. Heartbeats are sent on each
-// connection. A connection that receives nothing within the silence timeout is
-// kept, because its peer may be paused and go on, and another one is opened
-// beside it. If the peer speaks on the other one and not on the silent one, a
-// device on the path has dropped its state, and the peer's connections are
-// replaced. A peer that refuses the other one is lost.
+// connection, and a connection that receives nothing within the silence timeout
+// is closed: a device on the path may have dropped its state while new
+// connections still work.
 // Thread safety: all public methods may be called from any thread.
 class PeerNetwork {
  public:
@@ -130,11 +118,6 @@
   // Sends what is queued, and discards what comes until the peer's end.
   void Finish(Connection* connection);
   void ConnectPersistentPeers(Instant now);
-  // Opens a second connection to each silent peer.
-  void ProbeSilentPeers(Instant now);
-  bool HasProbe(const Connection& silent) const;
-  // Closes the unfinished probes beside a connection that has gone on.
-  void CloseProbes(const Connection& connection);
   Connection* Open(const std::string& name, const SocketAddress& address);
   Connection* Add(int fd, const std::string& expected_name, Instant now);
   void FinishConnecting(Connection* connection);
@@ -150,12 +133,6 @@
   // connection is broken.
   bool SendOutgoing(Connection* connection);
   void CheckTimeouts(Instant now);
-  // Returns whether the peer speaks on another connection meanwhile.
-  bool IsBroken(const Connection& connection, Instant now) const;
-  void BeginSilence(Connection* connection);
-  void EndSilence(Connection* connection, Instant now);
-  // Reports a change of whether any connection to `peer` is silent.
-  void UpdateSilence(const std::string& peer);
   void Close(Connection* connection, const std::string& cause);
   void ClosePeerConnections(const std::string& peer, const Connection* except);
   void RemoveClosed();
@@ -177,7 +154,6 @@
   std::vector<std::unique_ptr<Connection>> connections_;
   std::map<std::string, PersistentPeer> persistent_peers_;
   std::map<std::string, uint32_t> ready_connection_counts_;
-  std::set<std::string> silent_peers_;
   std::string heartbeat_;
   std::atomic<uint64_t> bytes_sent_{0};
   std::atomic<uint64_t> control_bytes_sent_{0};
--- a/modules/bbv_node/peer_network_test.cc
+++ b/modules/bbv_node/peer_network_test.cc
@@ -91,14 +91,8 @@
     return std::find(faults_.begin(), faults_.end(), fault) != faults_.end();
   }
 
-  void PeerSilent(const std::string&, bool silent) override {
-    ++(silent ? silences : returns);
-  }
-
   std::atomic<int> connected{0};
   std::atomic<int> lost{0};
-  std::atomic<int> silences{0};
-  std::atomic<int> returns{0};
   std::atomic<int> pulls{0};
 
  private:
@@ -124,7 +118,7 @@
 }
 
 // TCP proxy that can stall all open connections permanently while new ones
-// still work, pause all of them, or refuse new ones.
+// still work.
 class StallingProxy {
  public:
   explicit StallingProxy(int target_port) : target_port_(target_port) {
@@ -142,8 +136,6 @@
   }
   int port() const { return port_; }
   void StallOpenConnections() { stall_requested_ = true; }
-  void SetPaused(bool paused) { paused_ = paused; }
-  void RefuseNewConnections() { refuse_requested_ = true; }
 
  private:
   struct Pair {
@@ -161,14 +153,7 @@
         polled.push_back({pair.left, POLLIN, 0});
         polled.push_back({pair.right, POLLIN, 0});
       }
-      poll(polled.data(), paused_ ? 0 : polled.size(), 10);
-      if (paused_)
-        continue;
-      if (refuse_requested_.exchange(false)) {
-        close(listen_fd_);
-        listen_fd_ = -1;
-        polled[0].revents = 0;
-      }
+      poll(polled.data(), polled.size(), 10);
       if (stall_requested_.exchange(false)) {
         for (Pair& pair : pairs_)
           pair.silent = true;
@@ -199,8 +184,6 @@
   int port_ = 0;
   std::vector<Pair> pairs_;
   std::atomic<bool> stall_requested_{false};
-  std::atomic<bool> paused_{false};
-  std::atomic<bool> refuse_requested_{false};
   std::atomic<bool> stopping_{false};
   std::thread thread_;
 };
@@ -320,52 +303,6 @@
   CHECK_TRUE(WaitFor([&] { return right_events.pulls == 1; }));
 }
 
-TEST(PeerNetwork, APausedPeerIsLost) {
-  bbv::PeerNetwork left(MakeOptions("left", left_port, "key-one"),
-                        &left_events);
-  bbv::PeerNetwork right(MakeOptions("right", right_port, "key-one"),
-                         &right_events);
-  CHECK_TRUE(left.Start() && right.Start());
-  bbv::wire::HeartbeatT heartbeat;
-  const std::string frame = bbv::EncodeFrame(bbv::MakeFrame(heartbeat));
-  left.SetHeartbeat(frame);
-  right.SetHeartbeat(frame);
-  StallingProxy proxy(right_port);
-  left.Connect("right", Loopback(proxy.port()));
-  CHECK_TRUE(WaitFor([&] { return left_events.connected == 1; }));
-  proxy.SetPaused(true);
-  CHECK_TRUE(WaitFor([&] { return left_events.silences == 1; }));
-  left.Send("right", PullFrame());
-  std::this_thread::sleep_for(Milliseconds(500));
-  CHECK_EQUAL(0, right_events.pulls.load());
-  proxy.SetPaused(false);
-  CHECK_TRUE(WaitFor([&] { return right_events.pulls == 1; }));
-  CHECK_TRUE(WaitFor([&] { return left_events.returns == 1; }));
-  std::this_thread::sleep_for(Milliseconds(500));
-  CHECK_EQUAL(0, left_events.lost.load());
-  CHECK_EQUAL(0, right_events.lost.load());
-}
-
-TEST(PeerNetwork, ASilentPeerThatRefusesConnectionsIsKept) {
-  bbv::PeerNetwork left(MakeOptions("left", left_port, "key-one"),
-                        &left_events);
-  bbv::PeerNetwork right(MakeOptions("right", right_port, "key-one"),
-                         &right_events);
-  CHECK_TRUE(left.Start() && right.Start());
-  bbv::wire::HeartbeatT heartbeat;
-  const std::string frame = bbv::EncodeFrame(bbv::MakeFrame(heartbeat));
-  left.SetHeartbeat(frame);
-  right.SetHeartbeat(frame);
-  StallingProxy proxy(right_port);
-  left.Connect("right", Loopback(proxy.port()));
-  CHECK_TRUE(WaitFor([&] { return left_events.connected == 1; }));
-  proxy.StallOpenConnections();
-  proxy.RefuseNewConnections();
-  const auto began = std::chrono::steady_clock::now();
-  CHECK_TRUE(WaitFor([&] { return left_events.lost == 1; }));
-  CHECK_TRUE(std::chrono::steady_clock::now() - began < Milliseconds(800));
-}
-
 TEST(PeerNetwork, UnreachableStageIsReportedLost) {
   bbv::PeerNetwork left(MakeOptions("left", left_port, "key-one"),
                         &left_events);
--- a/modules/bbv_once/service_coordinator.cc
+++ b/modules/bbv_once/service_coordinator.cc
@@ -48,11 +48,16 @@
 }
 
 void ServiceCoordinator::SendToNextTarget(Call* call, Instant now) {
-  const std::string target = ChooseTarget(*call, call->excluded, now);
+  const std::string& service = call->call.service;
+  const std::string target =
+      call->call.keyed
+          ? chooser_->ChooseForKey(service, call->call.request, call->excluded,
+                                   now)
+          : chooser_->ChooseForService(service, call->excluded, now);
   const bool retry = call->attempts > 0;
   if (target.empty() || call->attempts >= kMaxAttempts ||
       (retry && !retry_budget_.TryTakeRetry())) {
-    RefuseOrWait(call, call->last_refusal);
+    Refuse(call, call->last_refusal);
     return;
   }
   if (retry)
@@ -60,16 +65,6 @@
   SendTo(call, target, now);
 }
 
-std::string ServiceCoordinator::ChooseTarget(
-    const Call& call,
-    const std::set<std::string>& excluded,
-    Instant now) {
-  const std::string& service = call.call.service;
-  return call.call.keyed
-             ? chooser_->ChooseForKey(service, call.call.request, excluded, now)
-             : chooser_->ChooseForService(service, excluded, now);
-}
-
 void ServiceCoordinator::SendTo(Call* call,
                                 const std::string& target,
                                 Instant now) {
@@ -86,33 +81,9 @@
                                       const wire::ServiceAnswerT& answer,
                                       Instant now) {
   const auto it = calls_.find(answer.caller);
-  if (it == calls_.end() || !(it->second.call.request == answer.request))
-    return;
-  if (it->second.target == peer)
+  if (it != calls_.end() && it->second.target == peer &&
+      it->second.call.request == answer.request)
     HandleAnswerForCall(&it->second, peer, answer, now);
-  else if (it->second.silent_target == peer)
-    HandleSilentTargetAnswer(&it->second, answer);
-}
-
-void ServiceCoordinator::HandleSilentTargetAnswer(
-    Call* call,
-    const wire::ServiceAnswerT& answer) {
-  if (answer.outcome == Outcome::kRan) {
-    table_->RecordSuccess(call->silent_target);
-    Finish(call, answer);
-    return;
-  }
-  // The other target answers for the call.
-  table_->RemoveOutstanding(call->silent_target);
-  call->silent_target.clear();
-}
-
-void ServiceCoordinator::Finish(Call* call,
-                                const wire::ServiceAnswerT& answer) {
-  ReleaseTargets(call);
-  const uint64_t caller = call->caller;
-  calls_.erase(caller);
-  actions_->AnswerCall(caller, answer);
 }
 
 void ServiceCoordinator::HandleAnswerForCall(Call* call,
@@ -124,7 +95,9 @@
   switch (answer.outcome) {
     case Outcome::kRan: {
       table_->RecordSuccess(peer);
-      Finish(call, answer);
+      const uint64_t caller = call->caller;
+      calls_.erase(caller);
+      actions_->AnswerCall(caller, answer);
       return;
     }
     case Outcome::kNotRun:
@@ -150,7 +123,7 @@
                      reason == Reason::kDeadline ||
                      reason == Reason::kLogUnavailable;
   if (final) {
-    RefuseOrWait(call, call->last_refusal);
+    Refuse(call, call->last_refusal);
     return;
   }
   call->excluded.insert(peer);
@@ -180,19 +153,13 @@
 void ServiceCoordinator::SendToClaimHolder(Call* call,
                                            const std::string& holder,
                                            Instant now) {
-  // The holder has the call already.
-  if (holder == call->silent_target) {
-    call->target = std::exchange(call->silent_target, "");
-    return;
-  }
   const TargetEntry* entry = table_->Find(holder);
   const bool reachable = entry != nullptr && entry->connected;
   // Only the holder of the claim knows whether the call ran. While the holder
   // is unreachable the outcome is unknown. Other side nodes may still read its
   // answer from the log, so the caller may retry.
   if (!reachable || call->attempts >= kMaxAttempts) {
-    RefuseOrWait(call,
-                 {Outcome::kUnknown, Reason::kClaimedElsewhere, kRetryAfterMs});
+    Refuse(call, {Outcome::kUnknown, Reason::kClaimedElsewhere, kRetryAfterMs});
     return;
   }
   SendTo(call, holder, now);
@@ -200,9 +167,7 @@
 
 void ServiceCoordinator::PeerLost(const std::string& peer, Instant now) {
   std::vector<uint64_t> callers;
-  for (auto& [caller, call] : calls_) {
-    if (call.silent_target == peer)
-      call.silent_target.clear();
+  for (const auto& [caller, call] : calls_) {
     if (call.target == peer)
       callers.push_back(caller);
   }
@@ -223,29 +188,6 @@
   }
 }
 
-void ServiceCoordinator::PeerSilent(const std::string& peer, Instant now) {
-  for (auto& [caller, call] : calls_) {
-    const bool repeatable = call.call.idempotent || call.call.keyed;
-    if (call.target == peer && call.silent_target.empty() && repeatable)
-      SendBesideSilentTarget(&call, now);
-  }
-}
-
-void ServiceCoordinator::SendBesideSilentTarget(Call* call, Instant now) {
-  std::set<std::string> excluded = call->excluded;
-  excluded.insert(call->target);
-  const std::string target = ChooseTarget(*call, excluded, now);
-  if (target.empty() || call->attempts >= kMaxAttempts ||
-      !retry_budget_.TryTakeRetry())
-    return;
-  call->excluded = std::move(excluded);
-  call->silent_target = call->target;
-  call->earlier_outcome_unknown = true;
-  call->last_refusal = {Outcome::kUnknown, Reason::kPeerLost, kRetryAfterMs};
-  ++retries_;
-  SendTo(call, target, now);
-}
-
 void ServiceCoordinator::Tick(Instant now) {
   std::vector<uint64_t> callers;
   for (const auto& [caller, call] : calls_) {
@@ -259,17 +201,11 @@
   }
 }
 
-void ServiceCoordinator::RefuseOrWait(Call* call, const Refusal& refusal) {
-  if (call->silent_target.empty())
-    Refuse(call, refusal);
-  else
-    call->target = std::exchange(call->silent_target, "");
-}
-
 void ServiceCoordinator::Refuse(Call* call, const Refusal& refusal) {
   // `refusal` may refer to a member of `*call`, which is erased below.
   const Refusal refusal_copy = refusal;
-  ReleaseTargets(call);
+  if (!call->target.empty())
+    table_->RemoveOutstanding(call->target);
   if (refusal_copy.outcome == Outcome::kUnknown) {
     LogEvent(Event::kCallOutcomeUnknown,
              {{"request", ToString(call->call.request)},
@@ -280,12 +216,4 @@
   actions_->RefuseCall(caller, refusal_copy);
 }
 
-void ServiceCoordinator::ReleaseTargets(Call* call) {
-  for (std::string* target : {&call->target, &call->silent_target}) {
-    if (!target->empty())
-      table_->RemoveOutstanding(*target);
-    target->clear();
-  }
-}
-
 }  // namespace bbv
--- a/modules/bbv_once/service_coordinator.h
+++ b/modules/bbv_once/service_coordinator.h
@@ -54,10 +54,6 @@
                     const wire::ServiceAnswerT& answer,
                     Instant now);
   void PeerLost(const std::string& peer, Instant now);
-
-  // Called when a side falls silent. Its calls are awaited further. A call that
-  // may be repeated also goes to another target; the first answer counts.
-  void PeerSilent(const std::string& peer, Instant now);
   void Tick(Instant now);
 
   std::size_t open_calls() const { return calls_.size(); }
@@ -69,8 +65,6 @@
     wire::ServiceCallT call;
     Instant deadline{};
     std::string target;
-    // An earlier target that fell silent and may still answer.
-    std::string silent_target;
     std::set<std::string> excluded;
     uint32_t attempts = 0;
     // Whether an earlier attempt ended without proof that it did not run.
@@ -81,17 +75,11 @@
   using Calls = std::unordered_map<uint64_t, Call>;
 
   void SendToNextTarget(Call* call, Instant now);
-  std::string ChooseTarget(const Call& call,
-                           const std::set<std::string>& excluded,
-                           Instant now);
   void SendTo(Call* call, const std::string& target, Instant now);
   void HandleAnswerForCall(Call* call,
                            const std::string& peer,
                            const wire::ServiceAnswerT& answer,
                            Instant now);
-  void HandleSilentTargetAnswer(Call* call, const wire::ServiceAnswerT& answer);
-  void SendBesideSilentTarget(Call* call, Instant now);
-  void Finish(Call* call, const wire::ServiceAnswerT& answer);
   void SendToClaimHolder(Call* call, const std::string& holder, Instant now);
   void HandleNotRunAnswer(Call* call,
                           const std::string& peer,
@@ -101,10 +89,7 @@
                            const std::string& peer,
                            const wire::ServiceAnswerT& answer,
                            Instant now);
-  // Waits for a silent target if the call has one, and refuses it otherwise.
-  void RefuseOrWait(Call* call, const Refusal& refusal);
   void Refuse(Call* call, const Refusal& refusal);
-  void ReleaseTargets(Call* call);
 
   TargetTable* table_;
   TargetChooser* chooser_;
--- a/modules/bbv_pipeline/request_coordinator.cc
+++ b/modules/bbv_pipeline/request_coordinator.cc
@@ -11,8 +11,6 @@
 
 // An attempt that produces no token for this time is abandoned.
 constexpr Milliseconds kProgressTimeout{5000};
-// How often a request with a silent stage looks for another chain.
-constexpr Milliseconds kSilentStageInterval{500};
 // How long a request that may have started waits for a usable chain.
 constexpr Milliseconds kChainTimeout{3000};
 // How long a request continues after its caller disconnected.
@@ -413,57 +411,6 @@
   }
 }
 
-void RequestCoordinator::PeerSilent(const std::string& peer,
-                                    bool silent,
-                                    Instant now) {
-  const auto affected = FindRequests([&](const Request& request) {
-    return request.phase == Phase::kRunning &&
-           std::any_of(request.chain.begin(), request.chain.end(),
-                       [&](const Target& stage) { return stage.name == peer; });
-  });
-  for (const RequestId& id : affected) {
-    const auto it = requests_.find(id);
-    if (it == requests_.end())
-      continue;
-    if (silent)
-      LeaveSilentChain(&it->second, now);
-    else
-      it->second.progress_deadline = now + kProgressTimeout;
-  }
-}
-
-bool RequestCoordinator::HasSilentStage(const Request& request) const {
-  return std::any_of(request.chain.begin(), request.chain.end(),
-                     [this](const Target& stage) {
-                       const TargetEntry* entry = table_->Find(stage.name);
-                       return entry != nullptr && entry->silent;
-                     });
-}
-
-void RequestCoordinator::LeaveSilentChain(Request* request, Instant now) {
-  // The silent stage may go on, so its work is given up only for a chain that
-  // will take the request. Without tokens, a refusal would end the request.
-  const CapacityPolicy capacity_policy = request->tokens.empty()
-                                             ? CapacityPolicy::kOnlyWithCapacity
-                                             : CapacityPolicy::kAnyUsable;
-  const Chain other =
-      chooser_->ChooseChain(request->spec.model, {}, capacity_policy, now);
-  if (other.empty() || request->detached) {
-    request->progress_deadline = now + kSilentStageInterval;
-    return;
-  }
-  LogEvent(Event::kAttemptFailed,
-           {{"request", ToString(request->spec.id)},
-            {"attempt", std::to_string(request->attempt_number)},
-            {"target", ""},
-            {"reason", std::string(kReasonNames.Name(Reason::kPeerLost))}});
-  // A silence is no fault, so it does not count as a failed attempt.
-  ReleaseAttempt(*request);
-  request->chain.clear();
-  request->may_have_run = true;
-  Retry(request, now);
-}
-
 void RequestCoordinator::Tick(Instant now) {
   const auto due = FindRequests([&](const Request& request) {
     return request.spec.deadline <= now ||
@@ -491,10 +438,6 @@
   }
   switch (request->phase) {
     case Phase::kRunning:
-      if (HasSilentStage(*request)) {
-        LeaveSilentChain(request, now);
-        return;
-      }
       FailAttempt(request, "", Reason::kDeadline, now);
       return;
     case Phase::kResuming:
@@ -507,8 +450,6 @@
         Refuse(id, {Outcome::kUnknown, Reason::kUnknownRequest, 0});
       return;
     case Phase::kWaitingForChain:
-      if (table_->HasSilentTarget(request->spec.model.name))
-        request->phase_deadline = now + kChainTimeout;
       if (request->phase_deadline <= now) {
         Refuse(id, {Outcome::kRan, Reason::kNoTarget, kNoTargetRetryAfterMs});
         return;
--- a/modules/bbv_pipeline/request_coordinator.h
+++ b/modules/bbv_pipeline/request_coordinator.h
@@ -92,10 +92,6 @@
   // the side.
   void PeerLost(const std::string& peer, Instant now);
 
-  // Called when a side falls silent or goes on. Attempts that use a silent side
-  // are left for another chain if there is one and kept otherwise.
-  void PeerSilent(const std::string& peer, bool silent, Instant now);
-
   // Enforces deadlines. Call at least a few times per second.
   void Tick(Instant now);
 
@@ -149,8 +145,6 @@
                    Reason reason,
                    Instant now);
   void Retry(Request* request, Instant now);
-  bool HasSilentStage(const Request& request) const;
-  void LeaveSilentChain(Request* request, Instant now);
   // These take the id by value: a reference might be to the request they erase.
   void EndRequest(RequestId id);
   void Refuse(RequestId id, const Refusal& refusal);
--- a/modules/bbv_roles/entry_logic.cc
+++ b/modules/bbv_roles/entry_logic.cc
@@ -65,13 +65,6 @@
   services_.PeerLost(peer, now);
 }
 
-void EntryLogic::PeerSilent(const std::string& peer, bool silent, Instant now) {
-  targets_.SetSilent(peer, silent);
-  requests_.PeerSilent(peer, silent, now);
-  if (silent)
-    services_.PeerSilent(peer, now);
-}
-
 void EntryLogic::HandleConfigurationRecords(const LogRecords& records,
                                             Instant now) {
   if (sharing_.HandleLogRecords(records))
--- a/modules/bbv_roles/entry_logic.h
+++ b/modules/bbv_roles/entry_logic.h
@@ -51,8 +51,6 @@
                    Instant now);
   void PeerConnected(const std::string& peer);
   void PeerLost(const std::string& peer, Instant now);
-  // A silent peer gets no new work. What runs there is awaited.
-  void PeerSilent(const std::string& peer, bool silent, Instant now);
 
   void HandleConfigurationRecords(const LogRecords& records, Instant now);
   void ApplyInstanceList(const std::vector<std::string>& leaving);
--- a/modules/bbv_routing/target_table.cc
+++ b/modules/bbv_routing/target_table.cc
@@ -32,7 +32,6 @@
   if (entry == nullptr)
     return;
   entry->connected = connected;
-  entry->silent = false;
   // The new connection may be to a new process, so discard what the previous
   // process reported.
   entry->ready = false;
@@ -42,11 +41,6 @@
     entry->outstanding = 0;
 }
 
-void TargetTable::SetSilent(const std::string& target, bool silent) {
-  if (TargetEntry* entry = FindMutable(target))
-    entry->silent = silent;
-}
-
 void TargetTable::ApplyHeartbeat(const std::string& target,
                                  const wire::HeartbeatT& heartbeat) {
   TargetEntry* entry = FindMutable(target);
@@ -111,8 +105,8 @@
 
 bool TargetTable::IsUsable(const TargetEntry& entry, Instant now) {
   return entry.target.state == TargetState::kActive && entry.connected &&
-         entry.ready && !entry.silent && !entry.leaving &&
-         !entry.listed_leaving && entry.ejected_until <= now;
+         entry.ready && !entry.leaving && !entry.listed_leaving &&
+         entry.ejected_until <= now;
 }
 
 int64_t TargetTable::Load(const TargetEntry& entry) {
@@ -147,12 +141,6 @@
   return usable;
 }
 
-bool TargetTable::HasSilentTarget(const std::string& model) const {
-  return std::any_of(entries_.begin(), entries_.end(), [&](const auto& row) {
-    return row.second.silent && row.second.target.model == model;
-  });
-}
-
 TargetEntry* TargetTable::FindMutable(const std::string& target) {
   const auto it = entries_.find(target);
   return it == entries_.end() ? nullptr : &it->second;
--- a/modules/bbv_routing/target_table.h
+++ b/modules/bbv_routing/target_table.h
@@ -16,8 +16,6 @@
 struct TargetEntry {
   Target target;
   bool connected = false;
-  // Nothing has come from the side for the silence timeout.
-  bool silent = false;
   // From the side's last heartbeat.
   bool ready = false;
   bool leaving = false;
@@ -51,9 +49,6 @@
   void Rebuild(const Configuration& configuration);
 
   void SetConnected(const std::string& target, bool connected);
-  // Sets whether the connected side of `target` is silent. A silent target gets
-  // no new work but keeps its own.
-  void SetSilent(const std::string& target, bool silent);
   void ApplyHeartbeat(const std::string& target,
                       const wire::HeartbeatT& heartbeat);
 
@@ -73,8 +68,8 @@
   const TargetEntry* Find(const std::string& target) const;
 
   // Returns whether new work may be sent to `entry`: it is configured as
-  // active, connected, ready, not silent, not ejected, and neither its
-  // heartbeat nor the instance list says that it is leaving.
+  // active, connected, ready, not ejected, and neither its heartbeat nor the
+  // instance list says that it is leaving.
   static bool IsUsable(const TargetEntry& entry, Instant now);
 
   // Returns the load of the target: its last heartbeat plus the changes made by
@@ -91,9 +86,6 @@
   std::vector<const TargetEntry*> UsableForService(const std::string& service,
                                                    Instant now) const;
 
-  // Returns whether a connected target of `model` is silent and may go on.
-  bool HasSilentTarget(const std::string& model) const;
-
   const std::map<std::string, TargetEntry>& entries() const { return entries_; }
 
  private:
