Play a silent later hop of a path with real programs

No fault: a test that keeps it so. Until now only first targets and whole fleets fell silent with real programs.

The stand-in's configuration has a route with streams that may not be resumed, and a floor's entries may have no retry budget.

--- a/tests/fleet_floor.cc
+++ b/tests/fleet_floor.cc
@@ -74,10 +74,12 @@
 
 FleetFloor::FleetFloor(int entries,
                        const standins::FleetTargets::Options& options,
-                       int stop_timeout_s)
+                       int stop_timeout_s,
+                       const std::string& retries)
     : targets_(&store_, options),
       proxied_(options.proxied),
-      stop_timeout_s_(stop_timeout_s) {
+      stop_timeout_s_(stop_timeout_s),
+      retries_(retries) {
   std::string folder =
       (std::filesystem::temp_directory_path() / "bbv-fleet-XXXXXX").string();
   folder_ = mkdtemp(folder.data());
@@ -118,7 +120,9 @@
          << "peers = " << TomlAddress(entry.peers)
          << "metrics = " << TomlAddress(entry.metrics) << "[store]\naddress = "
          << TomlAddress(proxied_ ? entry.store.port() : store_.port())
-         << "[retries]\nshare = 0.2\nextra = 100\nwindow_s = 10\n"
+         << "[retries]\n"
+         << retries_
+         << "window_s = 10\n"
             "[targets]\nleave_within_ms = 2000\n";
     file.close();
     StartEntry(static_cast<int>(it));
--- a/tests/fleet_floor.h
+++ b/tests/fleet_floor.h
@@ -37,9 +37,14 @@
 // methods from the owning thread only.
 class FleetFloor {
  public:
+  // Retry budgets in the settings of the entries.
+  static constexpr const char* kUsualRetries = "share = 0.2\nextra = 100\n";
+  static constexpr const char* kNoRetries = "share = 0.0\nextra = 0\n";
+
   FleetFloor(int entries,
              const standins::FleetTargets::Options& options,
-             int stop_timeout_s = 8);
+             int stop_timeout_s = 8,
+             const std::string& retries = kUsualRetries);
   ~FleetFloor();
 
   // Starts all processes and stand-ins and waits until the layers are placed
@@ -94,6 +99,7 @@
   standins::FleetTargets targets_;
   const bool proxied_;
   const int stop_timeout_s_;
+  const std::string retries_;
   std::string folder_;
   std::vector<std::unique_ptr<Entry>> entries_;
 };
--- a/tests/silent_target_test.cc
+++ b/tests/silent_target_test.cc
@@ -6,6 +6,7 @@
 #include <numeric>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "fleet_floor.h"
@@ -19,10 +20,10 @@
   std::vector<bbv::StreamAnswer> answers = std::vector<bbv::StreamAnswer>(6);
   std::vector<std::thread> callers;
 
-  void StartFloor() {
+  void StartFloor(const char* retries = bbv::FleetFloor::kUsualRetries) {
     options.event_ms = 20;
     options.events = 40;
-    floor = std::make_unique<bbv::FleetFloor>(1, options);
+    floor = std::make_unique<bbv::FleetFloor>(1, options, 8, retries);
     if (!floor->Start())
       FAIL(("could not start: " + floor->Output(0)).c_str());
   }
@@ -119,3 +120,17 @@
   StartStreams("later");
   CheckWhole();
 }
+
+TEST(SilentTarget, StreamsThroughASilentLaterHopMoveAtOnceAndRunOnce) {
+  options.engines = 8;
+  StartFloor(bbv::FleetFloor::kNoRetries);
+  const std::vector<std::pair<int, const char*>> rounds = {{4, "/stream/x"},
+                                                           {10, "/once/x"}};
+  for (const auto& [layer, path] : rounds) {
+    const int changes = floor->targets().PathChangeCount();
+    const auto began = std::chrono::steady_clock::now();
+    SilenceUnderWay(layer, milliseconds(2500), path);
+    CHECK(std::chrono::steady_clock::now() < began + milliseconds(2000));
+    CHECK(floor->targets().PathChangeCount() > changes);
+  }
+}
--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -430,6 +430,7 @@
   const Json configuration = {
       {"version", version},
       {"routes", Json::array({route("stream", "streaming", "engine"),
+                              route("once", "streaming", "engine"),
                               route("safe", "safe", "plain"),
                               route("unsafe", "unsafe", "plain"),
                               route("feed", "streaming", "plain"),
