Learn the path of a run whose silent first target changed it late

Callers saw streams stand still until their deadline, or until they left, when a hop died on a path that the entry did not know: the stream had another one, and its first target was sound.

Cause: an order to change a path was given up after 300 ms, its connection with it. A first target that is silent for longer carries the order out when it goes on, and nobody reads its answer. The entry then takes the old path for the true one: a fault of the new hop finds no call (OnPathFault looks at the known hops), also if the first target's report names the call and the hop. For calls whose first target is suspected there is no second order whose answer would tell.

The order's answer is now awaited until the call's deadline. The call itself still takes the order for unanswered after 150 ms and looks for other ways, as before; a late answer only tells the path (OnPathChanged, which already took answers after its timeout).

--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -25,7 +25,6 @@
 // time.
 constexpr int kRetryAfterDeadlineDivisor = 3;
 constexpr int kFirstServerErrorStatus = 500;
-constexpr Milliseconds kOrderTimeout{300};
 
 double MillisecondsBetween(Instant from, Instant to) {
   return std::chrono::duration<double, std::milli>(to - from).count();
@@ -190,12 +189,14 @@
                                            (*context_->random)(), now);
 }
 
-void RelayedCall::ChangePath(const CallDispatch& path, Instant now) {
+void RelayedCall::ChangePath(const CallDispatch& path, Instant) {
+  // A silent target carries the order out when it goes on. Its answer is then
+  // the only way to learn the path of the run.
   PostOrder(context_->client,
             {path.target_id, path.target_address,
              platform::EncodeChangePathOrder(call_.request().attempt_id,
                                              path.hop_addresses, path.layers),
-             now + kOrderTimeout},
+             call_.request().deadline},
             [self = std::weak_ptr<RelayedCall*>(self_), send = active_,
              path](const OrderAnswer& answer) {
               const auto call = self.lock();
--- a/tests/silent_target_test.cc
+++ b/tests/silent_target_test.cc
@@ -46,6 +46,15 @@
     CheckWhole();
     CheckRunsOnce(id);
   }
+  // Engines whose first layer is `layer`.
+  std::vector<int> HoldersFrom(int layer) {
+    std::vector<int> holders;
+    for (int it = 0; it < options.engines; ++it) {
+      if (floor->targets().FirstLayerOf(it) == layer)
+        holders.push_back(it);
+    }
+    return holders;
+  }
   void CheckRunsOnce(const std::string& id) {
     const auto runs = floor->targets().ExecutionCounts();
     for (std::size_t it = 0; it < answers.size(); ++it)
@@ -134,3 +143,22 @@
     CHECK(floor->targets().PathChangeCount() > changes);
   }
 }
+
+TEST(SilentTarget,
+     APathThatASilentFirstTargetChangedLateIsKnownWhenItsHopDies) {
+  options.engines = 8;
+  StartFloor(bbv::FleetFloor::kNoRetries);
+  StartStreams();
+  std::this_thread::sleep_for(milliseconds(300));
+  const std::vector<int> middle = HoldersFrom(3);
+  CHECK_EQUAL(2, static_cast<int>(middle.size()));
+  floor->targets().FallSilent(middle[0], milliseconds(1500));
+  std::this_thread::sleep_for(milliseconds(120));
+  for (const int it : HoldersFrom(0))
+    floor->targets().FallSilent(it, milliseconds(900));
+  std::this_thread::sleep_for(milliseconds(1130));
+  CHECK(floor->targets().PathChangeCount() > 0);
+  floor->targets().Crash(middle[1]);
+  CheckWhole();
+  CheckRunsOnce("s");
+}
