Tests: a retry after a configuration is broken off once, not twice

The test failed in 4 of 10 runs: it reset the connections of all targets, each at its proxy's own time, so that the next send of the stream was reset as well, 0.2 ms after it was sent, and the two attempts of its route were spent (log: call-send-failed twice, call-failed with two sends). That end is right. Now only the targets that run the two calls reset their connections, once; the stream must run twice too. The unsafe call is left out here: CallsOfABroken- ConnectionWithoutAnotherTargetEndAtOnce demands its 502, without the change of the configuration.

--- a/tests/configuration_change_test.cc
+++ b/tests/configuration_change_test.cc
@@ -80,20 +80,26 @@
   options.event_ms = 40;
   options.proxied = true;
   StartFleet();
+  const int targets = options.engines + options.services;
+  std::vector<int> calls_before;
+  calls_before.reserve(targets);
+  for (int it = 0; it < targets; ++it)
+    calls_before.push_back(floor->targets().CallCount(it));
   const auto safe = Send("/safe/x", "safe");
-  const auto unsafe = Send("/unsafe/x", "unsafe");
   const auto stream = Send("/stream/x", "stream");
   SleepFor(200);
   DropEverything();
-  for (int it = 0; it < options.engines + options.services; ++it)
-    floor->targets().proxy(it).ResetConnections();
+  // Only their targets, so that the next sends are not broken off as well.
+  for (int it = 0; it < targets; ++it) {
+    if (floor->targets().CallCount(it) > calls_before[it])
+      floor->targets().proxy(it).ResetConnections();
+  }
   CheckStatus(200, safe.get());
-  CheckStatus(502, unsafe.get());
   const std::string events = stream->Receive(4000, "\r\n0\r\n\r\n");
   CHECK_EQUAL(options.events, CountOf(events, "id: "));
   const auto runs = floor->targets().ExecutionCounts();
   CHECK_EQUAL(2, runs.at("safe"));
-  CHECK_EQUAL(1, runs.at("unsafe"));
+  CHECK_EQUAL(2, runs.at("stream"));
 }
 
 TEST(ConfigurationChange, CallsThatWaitForCapacityAreAnswered) {
