Buffered and unread answers are in the ledger of the memory

Cause: the sum of the answers being received was bounded by kMaxBufferedBytes, but an answer left that count when it was handed to its caller's connection, where its bytes stay until the caller takes them.

An answer that is not a stream is now counted by the ledger from its first byte until the connection has sent or dropped its last one; the count is freed with the text. kMaxBufferedBytes is gone. Large answers may raise the sum to 60 % of the memory, small ones to 63 %, so that unread large answers do not displace small ones. An answer without room fails as a too large one did, its evidence says "no memory left" instead.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -124,6 +124,7 @@
   context_.selector = &selector_;
   context_.log = &log_;
   context_.metrics = &metrics_;
+  context_.memory_ledger = &memory_ledger_;
   context_.random = &random_;
   context_.admission_queue = &admission_queue_;
   context_.response_length_estimator = &response_length_estimator_;
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -10,9 +10,6 @@
 constexpr Milliseconds kConnectTimeout{250};
 // Answers that are not streams are buffered and relayed whole, up to this size.
 constexpr std::size_t kMaxAnswerBytes = 16U << 20U;
-// Limit for all buffered answers together, so that targets that send endless
-// answers leave memory for other calls.
-constexpr std::size_t kMaxBufferedBytes = 48U << 20U;
 // Amounts of data not yet taken by the caller at which reading of the answer
 // stops and resumes.
 constexpr std::size_t kStopReadingBytes = 256U << 10U;
@@ -233,6 +230,8 @@
   sends_.push_back(std::make_unique<TargetSend>(this, call_.sends(), dispatch,
                                                 head_relayed_, now));
   TargetSend* send = sends_.back().get();
+  send->body_hold =
+      MemoryLedger::Hold(context_->memory_ledger, MemoryLedger::Use::kAnswer);
   const bool is_replacement = is_sending();
   if (is_replacement) {
     replacements_.push_back(send);
@@ -479,8 +478,8 @@
   if (caller_ == nullptr)
     return;
   std::exchange(caller_, nullptr)
-      ->SendResponse(active_->head.status, active_->head.reason,
-                     RelayedFields(), TakeBufferedAnswer(active_));
+      ->SendSharedResponse(active_->head.status, active_->head.reason,
+                           RelayedFields(), TakeBufferedAnswer(active_));
 }
 
 void RelayedCall::AbortResponse(CallEndReason end) {
@@ -524,18 +523,20 @@
     RelayEvents(send, data);
     return;
   }
-  send->body.append(data);
-  context_->buffered_bytes += data.size();
-  if (send->body.size() > kMaxAnswerBytes ||
-      context_->buffered_bytes > kMaxBufferedBytes) {
+  const std::size_t bytes = send->body.size() + data.size();
+  const bool too_large = bytes > kMaxAnswerBytes;
+  if (too_large || !send->body_hold.GrowTo(bytes)) {
     DropBufferedAnswer(send);
-    FailBadAnswer(send, "answer too large");
+    FailBadAnswer(send, too_large ? "answer too large" : "no memory left");
+    return;
   }
+  send->body.append(data);
 }
 
-std::string RelayedCall::TakeBufferedAnswer(TargetSend* send) {
-  context_->buffered_bytes -= send->body.size();
-  return std::exchange(send->body, {});
+std::shared_ptr<const std::string> RelayedCall::TakeBufferedAnswer(
+    TargetSend* send) {
+  return ShareHeldText(std::exchange(send->body, {}),
+                       std::move(send->body_hold));
 }
 
 void RelayedCall::FailBadAnswer(TargetSend* send, std::string_view evidence) {
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -46,8 +46,7 @@
   ResponseLengthEstimator* response_length_estimator = nullptr;
   CrashGuard* crash_guard = nullptr;
   RateLimitExchange* rate_limits = nullptr;
-  // Bytes of incomplete non-streamed answers buffered for all calls.
-  std::size_t buffered_bytes = 0;
+  MemoryLedger* memory_ledger = nullptr;
 };
 
 // Relays one call: carries out the decisions of FleetCall on the caller's
@@ -156,8 +155,9 @@
   bool FailUnusableAnswer(TargetSend* send);
   void FinishStream(TargetSend* send, Instant now);
   // Returns what was received of an answer that is not a stream.
-  std::string TakeBufferedAnswer(TargetSend* send);
-  void DropBufferedAnswer(TargetSend* send) { TakeBufferedAnswer(send); }
+  static std::shared_ptr<const std::string> TakeBufferedAnswer(
+      TargetSend* send);
+  static void DropBufferedAnswer(TargetSend* send) { TakeBufferedAnswer(send); }
   void FailSend(TargetSend* send,
                 const SendFailure& failure,
                 std::string_view evidence);
--- a/modules/bbv_entry/target_send.h
+++ b/modules/bbv_entry/target_send.h
@@ -6,6 +6,7 @@
 
 #include "bbv_core/instant.h"
 #include "bbv_fleet/fleet_call.h"
+#include "bbv_fleet/memory_ledger.h"
 #include "bbv_front/http_client.h"
 #include "platform/call_codec.h"
 
@@ -64,6 +65,7 @@
   platform::ResponseFields fields;
   // Body received so far; unused for streams.
   std::string body;
+  MemoryLedger::Hold body_hold;
   // Whether the head is that of a stream that can be relayed.
   bool streaming = false;
   const bool resuming;
--- a/modules/bbv_fleet/memory_ledger.cc
+++ b/modules/bbv_fleet/memory_ledger.cc
@@ -9,7 +9,8 @@
 // bytes may be raised.
 constexpr std::size_t kLargeRequestPercent = 40;
 constexpr std::size_t kSmallRequestPercent = 45;
-constexpr std::size_t kAnswerPercent = 60;
+constexpr std::size_t kLargeAnswerPercent = 60;
+constexpr std::size_t kSmallAnswerPercent = 63;
 
 struct HeldText {
   // Destroyed after the text.
@@ -54,11 +55,10 @@
 }
 
 std::size_t MemoryLedger::Bound(Use use, std::size_t bytes) const {
-  std::size_t percent = kAnswerPercent;
-  if (use == Use::kRequest) {
-    percent =
-        bytes > kMaxSmallBody ? kLargeRequestPercent : kSmallRequestPercent;
-  }
+  const bool is_large = bytes > kMaxSmallBody;
+  std::size_t percent = is_large ? kLargeAnswerPercent : kSmallAnswerPercent;
+  if (use == Use::kRequest)
+    percent = is_large ? kLargeRequestPercent : kSmallRequestPercent;
   return instance_bytes_ / 100 * percent;
 }
 
--- a/modules/bbv_fleet/memory_ledger.h
+++ b/modules/bbv_fleet/memory_ledger.h
@@ -14,8 +14,8 @@
 //
 // What is accepted must be finished: request bodies may use only a part of the
 // bound, so that the answers of accepted calls find room. Large bodies may use
-// less of it than small ones, so that many large requests do not displace the
-// small ones.
+// less of it than small ones, and so may large answers, so that large calls do
+// not displace the small ones.
 //
 // Thread safety: none, used on one thread.
 class MemoryLedger {
@@ -27,7 +27,7 @@
     kAnswer,
   };
 
-  // A body above this size is a large one.
+  // A body or answer above this size is a large one.
   static constexpr std::size_t kMaxSmallBody = 64U << 10U;
 
   // Bytes that one owner holds; given back on destruction. A
--- a/modules/bbv_fleet/memory_ledger_test.cc
+++ b/modules/bbv_fleet/memory_ledger_test.cc
@@ -98,6 +98,14 @@
   CHECK(answer.GrowTo(kLargeBody));
 }
 
+TEST(MemoryLedger, LargeAnswersDisplaceSmallOnes) {
+  const std::vector<Hold> large = Fill(Use::kAnswer, kLargeBody);
+  const std::vector<Hold> medium =
+      Fill(Use::kAnswer, MemoryLedger::kMaxSmallBody + 1);
+  Hold small(&ledger, Use::kAnswer);
+  CHECK(small.GrowTo(kSmallBody));
+}
+
 TEST(MemoryLedger, ABodyThatGrowsInSmallStepsPassesAsASmallOne) {
   const std::vector<Hold> large = Fill(Use::kRequest, kLargeBody);
   Hold growing(&ledger, Use::kRequest);
--- a/modules/bbv_front/caller_connection.cc
+++ b/modules/bbv_front/caller_connection.cc
@@ -251,12 +251,21 @@
                                     std::string_view reason,
                                     std::string_view fields,
                                     std::string body) {
+  SendSharedResponse(status, reason, fields,
+                     std::make_shared<const std::string>(std::move(body)));
+}
+
+void CallerConnection::SendSharedResponse(
+    int status,
+    std::string_view reason,
+    std::string_view fields,
+    std::shared_ptr<const std::string> body) {
   if (closed() || !request_open_)
     return;
   std::string head = BeginResponseHead(status, reason, fields);
-  AppendField("Content-Length", std::to_string(body.size()), &head);
+  AppendField("Content-Length", std::to_string(body->size()), &head);
   head.append("\r\n");
-  Write(head, std::make_shared<const std::string>(std::move(body)));
+  Write(head, std::move(body));
   FinishResponse();
 }
 
--- a/modules/bbv_front/caller_connection.h
+++ b/modules/bbv_front/caller_connection.h
@@ -111,6 +111,12 @@
                     std::string_view fields,
                     std::string body);
 
+  // The same for a body that is not null and is not copied.
+  void SendSharedResponse(int status,
+                          std::string_view reason,
+                          std::string_view fields,
+                          std::shared_ptr<const std::string> body);
+
   // Starts a response that is chunked or, if the caller uses HTTP/1.0, ends
   // with its connection. Empty chunks are ignored.
   void BeginStream(int status,
--- a/tests/request_memory_test.cc
+++ b/tests/request_memory_test.cc
@@ -171,3 +171,23 @@
   CHECK_EQUAL(kSmallRequests + 1,
               bbv::CountOf(other.Receive(0), "HTTP/1.1 200"));
 }
+
+TEST(RequestMemory, AnswersThatAreNotReadExceedTheMemoryOfAnInstance) {
+  constexpr int kConnections = 50;
+  constexpr int kReceiveBytes = 8192;
+  constexpr std::size_t kAnswerBytes = 12'000'000;
+  constexpr double kMaxBodies = 260e6 / kBodyBytes;
+  options.plain_padding = kAnswerBytes;
+  StartFleet();
+  std::vector<RawCaller> callers;
+  callers.reserve(kConnections);
+  for (int it = 0; it < kConnections; ++it) {
+    RawCaller& caller =
+        callers.emplace_back(floor->callers_port(0), kReceiveBytes);
+    CHECK(caller.Send(
+        bbv::RequestText("/safe/x", "unread-" + std::to_string(it))));
+    // Reads no more than the head.
+    caller.Receive(1000, "HTTP/1.1");
+  }
+  CHECK_COMPARE(PeakBodies(), <, kMaxBodies);
+}
