The memory of an instance is taken from the machine, without a key in the template

Without the key an entry takes 260 MB, or the machine's memory if that is less; that holds on instances of 160 MB, which 260 would have exceeded, and is cautious on larger ones, where the key can be set.

--- a/modules/bbv_settings/fleet_settings.cc
+++ b/modules/bbv_settings/fleet_settings.cc
@@ -1,6 +1,10 @@
 #include "bbv_settings/fleet_settings.h"
 
+#include <unistd.h>
+
+#include <algorithm>
 #include <cassert>
+#include <cstdint>
 
 #include "bbv_settings/toml_reader.h"
 
@@ -15,6 +19,8 @@
 constexpr double kMaximumCores = 1024;
 constexpr double kMaximumLinkMbps = 1'000'000;
 constexpr IntegerRange kMemoryRangeMb{64, 1'000'000};
+constexpr int64_t kUsualMemoryMb = 260;
+constexpr int64_t kBytesPerMegabyte = 1'000'000;
 constexpr int kMillisecondsPerSecond = 1000;
 
 SocketAddress RequiredAddress(TomlReader* reader, const char* key) {
@@ -46,12 +52,21 @@
       reader->Integer("maximum_connections", 4096, kDescriptorRange));
 }
 
+// Returns the usual memory of an instance, or that of this machine if it has
+// less.
+int64_t DefaultMemoryMb() {
+  const int64_t bytes =
+      int64_t{sysconf(_SC_PHYS_PAGES)} * int64_t{sysconf(_SC_PAGESIZE)};
+  const int64_t machine_mb = bytes / kBytesPerMegabyte;
+  return std::clamp(machine_mb, kMemoryRangeMb.minimum, kUsualMemoryMb);
+}
+
 void ReadInstance(TomlReader* reader, FleetSettings* settings) {
   settings->core_share = reader->Number("core_share", 1, kMaximumCores);
   settings->core_speed = reader->Number("core_speed", 1, kMaximumCores);
   settings->link_mbps = reader->Number("link_mbps", 1000, kMaximumLinkMbps);
-  settings->memory_mb =
-      static_cast<int>(reader->Integer("memory_mb", 260, kMemoryRangeMb));
+  settings->memory_mb = static_cast<int>(
+      reader->Integer("memory_mb", DefaultMemoryMb(), kMemoryRangeMb));
 }
 
 void ReadStore(TomlReader* reader, FleetSettings* settings) {
--- a/review/harness/harness.cc
+++ b/review/harness/harness.cc
@@ -518,7 +518,6 @@
       {"{{limits.cpu_share}}", "0.19"},
       {"{{limits.cores}}", "1"},
       {"{{limits.link_mbps}}", "1000.0"},
-      {"{{limits.memory_mb}}", "260"},
       {"{{platform.address|json}}", Quoted(LoopbackText(options_.store_port))},
       {"{{platform.ttl_min_ms}}", "1000"},
       {"{{bounds.retry_ratio}}", "0.2"},
