EntryStop: the refusal is asked for once the stop has begun

The test waits for the log lines of both stops now, and for the message that tells the first entry of the second stop instead of 600 ms.

--- a/tests/entry_stop_test.cc
+++ b/tests/entry_stop_test.cc
@@ -42,6 +42,12 @@
     floor.reset();
   }
 
+  // Waits until `entry` has handled its stop signal.
+  void WaitForStop(int entry) const {
+    while (floor->Output(entry).find("node-leaving") == std::string::npos)
+      std::this_thread::sleep_for(milliseconds(5));
+  }
+
   // Stops the first entry and sends it a call every `interval` for `span`;
   // waits for all answers.
   Answers SendThroughStop(const std::string& path, milliseconds span,
@@ -187,12 +193,21 @@
     return caller.Receive(1000);
   };
   floor->Signal(0, SIGTERM);
+  WaitForStop(0);
   const std::string answer = refusal(0, "other-serves");
   STRNCMP_EQUAL("HTTP/1.1 503", answer.c_str(), 12);
   STRCMP_CONTAINS("Retry-After: 0.05\r\n", answer.c_str());
   floor->Signal(1, SIGTERM);
-  std::this_thread::sleep_for(milliseconds(600));
-  STRCMP_CONTAINS("Retry-After: 0.5\r\n", refusal(0, "none-serves").c_str());
+  WaitForStop(1);
+  // The other entry hears of the stop with the next messages.
+  std::string last;
+  for (int it = 0;
+       it < 15 && last.find("Retry-After: 0.5\r\n") == std::string::npos;
+       ++it) {
+    std::this_thread::sleep_for(milliseconds(100));
+    last = refusal(0, "none-serves-" + std::to_string(it));
+  }
+  STRCMP_CONTAINS("Retry-After: 0.5\r\n", last.c_str());
 }
 
 // The same for an entry with sides.
