bbv_admission: AdmissionQueue and RetryAfterScheduler in a module of their own

Cause: bbv_fleet holds choosing, placing and guarding in one room, and new decisions on who gets capacity need one of their own. Change: the two classes and their tests move; nothing else. Not run yet beyond the build that follows.

--- a/modules/bbv_fleet/admission_queue.cc
+++ b/modules/bbv_admission/admission_queue.cc
@@ -1,4 +1,4 @@
-#include "bbv_fleet/admission_queue.h"
+#include "bbv_admission/admission_queue.h"
 
 #include <algorithm>
 #include <cassert>
--- a/modules/bbv_fleet/admission_queue.h
+++ b/modules/bbv_admission/admission_queue.h
@@ -1,5 +1,5 @@
-#ifndef MODULES_BBV_FLEET_ADMISSION_QUEUE_H_
-#define MODULES_BBV_FLEET_ADMISSION_QUEUE_H_
+#ifndef MODULES_BBV_ADMISSION_ADMISSION_QUEUE_H_
+#define MODULES_BBV_ADMISSION_ADMISSION_QUEUE_H_
 
 #include <cstdint>
 #include <functional>
@@ -76,4 +76,4 @@
 
 }  // namespace bbv
 
-#endif  // MODULES_BBV_FLEET_ADMISSION_QUEUE_H_
+#endif  // MODULES_BBV_ADMISSION_ADMISSION_QUEUE_H_
--- a/modules/bbv_fleet/retry_after_scheduler_test.cc
+++ b/modules/bbv_admission/retry_after_scheduler_test.cc
@@ -1,4 +1,4 @@
-#include "bbv_fleet/retry_after_scheduler.h"
+#include "bbv_admission/retry_after_scheduler.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "bbv_admission/bbv_admission.h"
 #include "bbv_entry/crash_guard.h"
 #include "bbv_entry/rate_limit_exchange.h"
 #include "bbv_entry/target_requests.h"
--- a/modules/bbv_fleet/bbv_fleet.h
+++ b/modules/bbv_fleet/bbv_fleet.h
@@ -9,7 +9,6 @@
 #ifndef MODULES_BBV_FLEET_BBV_FLEET_H_
 #define MODULES_BBV_FLEET_BBV_FLEET_H_
 
-#include "bbv_fleet/admission_queue.h"
 #include "bbv_fleet/call_durations.h"
 #include "bbv_fleet/call_quarantine.h"
 #include "bbv_fleet/call_trait.h"
@@ -26,7 +25,6 @@
 #include "bbv_fleet/path_chooser.h"
 #include "bbv_fleet/rate_limit_allocator.h"
 #include "bbv_fleet/response_length_estimator.h"
-#include "bbv_fleet/retry_after_scheduler.h"
 #include "bbv_fleet/retry_budgets.h"
 #include "bbv_fleet/shared_retry_budget.h"
 #include "bbv_fleet/stall_detector.h"
