Admission: room kept for more urgent calls, displacement, return times by priority

Cause: nothing but the order within one entry's queue knows a priority, so a burst of the lowest one fills the targets and the urgent calls are refused. Not wired yet; inert with one priority.

--- a/modules/bbv_admission/admission_queue.cc
+++ b/modules/bbv_admission/admission_queue.cc
@@ -2,31 +2,36 @@
 
 #include <algorithm>
 #include <cassert>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace bbv {
 namespace {
 
-// Maximum number of waiting calls per service.
-constexpr std::size_t kMaxWaitingCalls = 48;
 constexpr int kMaxPriorityValue = 255;
 
+// Returns the rank in which FairQueue serves higher numbers first.
+uint8_t QueueRank(int priority) {
+  return static_cast<uint8_t>(kMaxPriorityValue -
+                              std::clamp(priority, 0, kMaxPriorityValue));
+}
+
 }  // namespace
 
 bool AdmissionQueue::Add(uint64_t id, const CallParameters& parameters) {
   assert(!calls_.contains(id));
   FairQueue<Call>& queue = queues_[parameters.service];
-  if (queue.size() >= kMaxWaitingCalls)
+  const uint8_t rank = QueueRank(parameters.priority);
+  if (queue.size() >= std::min(parameters.max_waiting, kMaxWaitingCalls) &&
+      !Displace(parameters.service, rank))
     return false;
   auto call = std::make_unique<Call>();
   call->id = id;
   call->number = next_number_++;
   call->service = parameters.service;
   call->account = parameters.account;
-  // FairQueue serves higher numbers first.
-  call->priority = static_cast<uint8_t>(
-      kMaxPriorityValue -
-      std::clamp(parameters.priority, 0, kMaxPriorityValue));
+  call->priority = rank;
   call->cost = static_cast<uint64_t>(std::max(1.0, parameters.cost));
   call->deadline = parameters.deadline;
   queue.Push(call.get());
@@ -42,6 +47,43 @@
   calls_.erase(it);
 }
 
+const AdmissionQueue::Call* AdmissionQueue::FindLeastUrgent(
+    const std::string& service) const {
+  std::map<std::pair<uint8_t, std::string_view>, int> waiting;
+  for (const auto& [id, it] : calls_) {
+    if (it->service == service)
+      ++waiting[{it->priority, it->account}];
+  }
+  const auto loses_less = [&](const Call& call, const Call& other) {
+    if (call.priority != other.priority)
+      return call.priority < other.priority;
+    const int count = waiting[{call.priority, call.account}];
+    const int other_count = waiting[{other.priority, other.account}];
+    return count != other_count ? count > other_count
+                                : call.number > other.number;
+  };
+  const Call* least = nullptr;
+  for (const auto& [id, it] : calls_) {
+    if (it->service == service && (least == nullptr || loses_less(*it, *least)))
+      least = it.get();
+  }
+  return least;
+}
+
+bool AdmissionQueue::Displace(const std::string& service, uint8_t priority) {
+  const Call* least = FindLeastUrgent(service);
+  if (least == nullptr || least->priority >= priority)
+    return false;
+  displaced_.push_back({least->id, kMaxPriorityValue - least->priority,
+                        kMaxPriorityValue - priority});
+  Remove(least->id);
+  return true;
+}
+
+std::vector<AdmissionQueue::Displacement> AdmissionQueue::TakeDisplaced() {
+  return std::exchange(displaced_, {});
+}
+
 void AdmissionQueue::OnTick(Instant now,
                             const TrySend& try_send,
                             const OnExpired& on_expired) {
--- a/modules/bbv_admission/admission_queue.h
+++ b/modules/bbv_admission/admission_queue.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "bbv_core/instant.h"
 #include "bbv_core/intrusive_list.h"
@@ -21,8 +22,9 @@
 // only after several hundred. Calls are ordered by priority, then fairly
 // between client accounts by tokens. No call waits beyond its own deadline. The
 // number of waiting calls per service is limited, because further calls could
-// not be served in time. Deterministic. Not thread-safe; must be used from one
-// thread.
+// not be served in time. If the limit is reached, a more urgent call displaces
+// one of the least urgent. Deterministic. Not thread-safe; must be used from
+// one thread.
 class AdmissionQueue {
  public:
   struct CallParameters {
@@ -34,15 +36,27 @@
     double cost = 1;
     // Time at which the call is removed and refused if it is still waiting.
     Instant deadline;
+    // Number of calls of the service, this one included, that may wait.
+    std::size_t max_waiting = kMaxWaitingCalls;
   };
 
+  // A call that gave up its place to a more urgent one.
+  struct Displacement {
+    uint64_t id = 0;
+    int priority = 0;
+    int urgent_priority = 0;
+  };
+
+  // Maximum number of waiting calls per service.
+  static constexpr std::size_t kMaxWaitingCalls = 48;
+
   // Tries to send call `id`. Returns false if there is still no capacity.
   using TrySend = std::function<bool(uint64_t id)>;
   // Called for a call `id` that has reached its deadline.
   using OnExpired = std::function<void(uint64_t id)>;
 
-  // Adds call `id`. Returns false if the queue of its service is full.
-  // Precondition: the call is not in the queue.
+  // Adds call `id`. Returns false if the queue of its service is full and no
+  // waiting call is less urgent. Precondition: the call is not in the queue.
   bool Add(uint64_t id, const CallParameters& parameters);
 
   // Removes call `id` if it is in the queue.
@@ -54,6 +68,10 @@
               const TrySend& try_send,
               const OnExpired& on_expired);
 
+  // Returns the calls displaced since the last time. They are no longer in the
+  // queue and must be refused.
+  std::vector<Displacement> TakeDisplaced();
+
   std::size_t size() const { return calls_.size(); }
 
  private:
@@ -69,7 +87,14 @@
     Instant deadline;
   };
 
+  // Removes one of the least urgent calls of `service` if it is less urgent
+  // than `priority`: of the account with the most waiting calls, the latest.
+  // Returns whether there was one.
+  bool Displace(const std::string& service, uint8_t priority);
+  const Call* FindLeastUrgent(const std::string& service) const;
+
   uint64_t next_number_ = 0;
+  std::vector<Displacement> displaced_;
   std::map<uint64_t, std::unique_ptr<Call>> calls_;
   std::map<std::string, FairQueue<Call>> queues_;
 };
--- a/modules/bbv_admission/retry_after_scheduler.cc
+++ b/modules/bbv_admission/retry_after_scheduler.cc
@@ -34,16 +34,22 @@
 
 Milliseconds RetryAfterScheduler::ReserveDelay(Milliseconds min_delay,
                                                Milliseconds max_delay,
-                                               Instant now) {
+                                               Instant now,
+                                               int priority) {
   assert(min_delay <= max_delay);
   const double retries_per_second =
       kRetryShare * std::max(kMinAcceptedPerSecond, AcceptedPerSecond(now));
   const auto spacing = std::chrono::duration_cast<Instant::duration>(
       std::chrono::duration<double>(1 / retries_per_second));
-  const Instant at = std::max(reserved_until_ + spacing, now + min_delay);
+  Instant last{};
+  for (const auto& [other, until] : reserved_until_) {
+    if (other <= priority)
+      last = std::max(last, until);
+  }
+  const Instant at = std::max(last + spacing, now + min_delay);
   if (at > now + max_delay)
     return max_delay;
-  reserved_until_ = at;
+  reserved_until_[priority] = at;
   return std::chrono::duration_cast<Milliseconds>(at - now);
 }
 
