Entries admit calls by the room kept for more urgent ones

CallAdmission applies the decisions of bbv_admission to an entry's calls: limits for TargetSelector, the queue, displacement and return times, with the events call-displaced and room-kept and a counter by priority. Inert where a service's calls have one priority.

--- a/modules/bbv_admission/admission_queue.cc
+++ b/modules/bbv_admission/admission_queue.cc
@@ -74,7 +74,7 @@
   const Call* least = FindLeastUrgent(service);
   if (least == nullptr || least->priority >= priority)
     return false;
-  displaced_.push_back({least->id, kMaxPriorityValue - least->priority,
+  displaced_.push_back({least->id, service, kMaxPriorityValue - least->priority,
                         kMaxPriorityValue - priority});
   Remove(least->id);
   return true;
--- a/modules/bbv_admission/admission_queue.h
+++ b/modules/bbv_admission/admission_queue.h
@@ -43,6 +43,7 @@
   // A call that gave up its place to a more urgent one.
   struct Displacement {
     uint64_t id = 0;
+    std::string service;
     int priority = 0;
     int urgent_priority = 0;
   };
--- a/modules/bbv_admission/priority_reservation.cc
+++ b/modules/bbv_admission/priority_reservation.cc
@@ -143,7 +143,7 @@
     sent += it.sent;
   const double sends =
       sent / kDecaySeconds * std::chrono::duration<double>(wait).count();
-  return std::max(kMinWaiting, static_cast<std::size_t>(sends));
+  return std::max(kMinWaiting, static_cast<std::size_t>(std::max(0.0, sends)));
 }
 
 std::vector<PriorityReservation::HeldBack> PriorityReservation::TakeReport() {
--- /dev/null
+++ b/modules/bbv_entry/call_admission.cc
@@ -0,0 +1,137 @@
+#include "bbv_entry/call_admission.h"
+
+#include <cassert>
+
+namespace bbv {
+namespace {
+
+constexpr Milliseconds kReportInterval{1000};
+constexpr double kPercent = 100;
+
+double WorkOf(const CallRequest& request) {
+  return request.prompt_tokens + request.output_tokens;
+}
+
+}  // namespace
+
+int PriorityOf(const CallRequest& request) {
+  if (request.account != nullptr && request.account->priority)
+    return *request.account->priority;
+  return request.route->priority;
+}
+
+CallAdmission::CallAdmission(DecisionLog* log, FleetMetrics* metrics)
+    : log_(log), metrics_(metrics) {
+  assert(log != nullptr && metrics != nullptr);
+}
+
+void CallAdmission::OnArrival(const CallRequest& request, Instant now) {
+  reservations_[request.service].RecordArrival(
+      PriorityOf(request), WorkOf(request), request.route->objective_ms, now);
+}
+
+void CallAdmission::OnSent(const CallRequest& request, Instant now) {
+  reservations_[request.service].RecordSent(PriorityOf(request), now);
+  retry_schedulers_[request.service].RecordAccepted(now);
+  metrics_->CountAdmission(request.service, PriorityOf(request),
+                           AdmissionOutcome::kSent);
+}
+
+void CallAdmission::OnResponse(const CallRequest& request, Milliseconds after) {
+  reservations_[request.service].RecordResponse(after);
+}
+
+RoomLimits CallAdmission::Limits(const CallRequest& request) {
+  // Whoever continues a stream has been served part of it already.
+  if (request.last_event != kNoEvent)
+    return {};
+  return reservations_[request.service].Limits(PriorityOf(request),
+                                               request.route->objective_ms);
+}
+
+void CallAdmission::OnNoRoom(const CallRequest& request,
+                             const RoomLimits& limits) {
+  if (!limits.keeps_room())
+    return;
+  reservations_[request.service].RecordHeldBack(PriorityOf(request), limits);
+  metrics_->CountAdmission(request.service, PriorityOf(request),
+                           AdmissionOutcome::kHeldBack);
+}
+
+bool CallAdmission::Wait(uint64_t id,
+                         const CallRequest& request,
+                         Instant deadline) {
+  AdmissionQueue::CallParameters parameters;
+  parameters.service = request.service;
+  if (request.account != nullptr)
+    parameters.account = request.account->name;
+  parameters.priority = PriorityOf(request);
+  parameters.cost = WorkOf(request);
+  parameters.deadline = deadline;
+  const PriorityReservation& reservation = reservations_[request.service];
+  if (reservation.HasSeveralPriorities()) {
+    parameters.priority = reservation.EffectivePriority(parameters.priority);
+    parameters.deadline = reservation.WaitDeadline(
+        request.arrived, request.route->objective_ms, request.deadline);
+    parameters.max_waiting =
+        reservation.MaxWaiting(std::chrono::duration_cast<Milliseconds>(
+            parameters.deadline - request.arrived));
+  }
+  return queue_.Add(id, parameters);
+}
+
+Milliseconds CallAdmission::ReserveRetry(const CallRequest& request,
+                                         Milliseconds min_delay,
+                                         Milliseconds max_delay,
+                                         Instant now) {
+  metrics_->CountAdmission(request.service, PriorityOf(request),
+                           AdmissionOutcome::kRefused);
+  return retry_schedulers_[request.service].ReserveDelay(
+      min_delay, max_delay, now, PriorityOf(request));
+}
+
+void CallAdmission::OnTick(Instant now,
+                           const AdmissionQueue::TrySend& try_send,
+                           const AdmissionQueue::OnExpired& on_refused) {
+  RefuseDisplaced(now, on_refused);
+  queue_.OnTick(now, try_send, on_refused);
+  LogKeptRoom(now);
+}
+
+void CallAdmission::RefuseDisplaced(
+    Instant now,
+    const AdmissionQueue::OnExpired& on_refused) {
+  for (const AdmissionQueue::Displacement& it : queue_.TakeDisplaced()) {
+    log_->Write(Event::kCallDisplaced, now,
+                {{"connection", static_cast<int64_t>(it.id)},
+                 {"service", it.service},
+                 {"priority", int64_t{it.priority}},
+                 {"urgent_priority", int64_t{it.urgent_priority}}});
+    metrics_->CountAdmission(it.service, it.priority,
+                             AdmissionOutcome::kDisplaced);
+    on_refused(it.id);
+  }
+}
+
+void CallAdmission::LogKeptRoom(Instant now) {
+  if (now < next_report_)
+    return;
+  next_report_ = now + kReportInterval;
+  for (auto& [service, reservation] : reservations_) {
+    for (const PriorityReservation::HeldBack& it : reservation.TakeReport()) {
+      log_->Write(
+          Event::kRoomKept, now,
+          {{"service", service},
+           {"priority", int64_t{it.priority}},
+           {"held_back", int64_t{it.calls}},
+           {"unread_prompts_ms",
+            static_cast<int64_t>(it.limits.max_backlog_ms)},
+           {"kept_percent",
+            static_cast<int64_t>(kPercent * it.limits.kept_share)},
+           {"kept_link_percent",
+            static_cast<int64_t>(kPercent * it.limits.kept_link_share)}});
+    }
+  }
+}
+
+}  // namespace bbv
--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -115,7 +115,8 @@
              Milliseconds(settings_.retry_window_ms),
              [this](const std::string& id, std::string_view) {
                CheckRefusalCause(id);
-             }) {
+             }),
+      admission_(&log_, &metrics_) {
   jitter_seed_ = random_();
   context_.client = &client_;
   context_.registry = &registry_;
@@ -124,16 +125,13 @@
   context_.metrics = &metrics_;
   context_.memory_ledger = &memory_ledger_;
   context_.random = &random_;
-  context_.admission_queue = &admission_queue_;
+  context_.admission = &admission_;
   context_.response_length_estimator = &response_length_estimator_;
   context_.crash_guard = &crash_guard_;
   context_.rate_limits = &rate_limits_;
   context_.retry_budget = [this](const std::string& service) {
     return retry_budgets_.ForService(service);
   };
-  context_.retry_after_scheduler = [this](const std::string& service) {
-    return &retry_after_schedulers_[service];
-  };
   context_.on_target_fault = [this](const TargetFault& fault) {
     OnTargetFault(fault);
   };
@@ -323,7 +321,7 @@
       &context_, index, connection, std::move(request), std::move(head),
       ShareHeldText(std::move(body), connection->TakeBodyHold()));
   // An earlier call that waited on this connection has been answered.
-  admission_queue_.Remove(connection->id());
+  admission_.Remove(connection->id());
   RelayedCall* started = call.get();
   std::unique_ptr<RelayedCall>& slot = calls_[connection->id()];
   if (slot != nullptr)
@@ -348,7 +346,7 @@
   if (it == calls_.end())
     return;
   const Instant now = EventLoop::Now();
-  admission_queue_.Remove(connection->id());
+  admission_.Remove(connection->id());
   it->second->OnCallerGone(now);
   RetireCall(std::move(it->second), now);
   calls_.erase(it);
@@ -631,7 +629,7 @@
 }
 
 void FleetEntry::TickCalls(Instant now) {
-  admission_queue_.OnTick(
+  admission_.OnTick(
       now,
       [this, now](uint64_t id) {
         const auto it = calls_.find(id);
@@ -718,8 +716,7 @@
   next_gauges_ = now + kGaugeInterval;
   metrics_.SetGauge("caller_connections", static_cast<double>(callers_.size()));
   metrics_.SetGauge("calls_under_way", static_cast<double>(calls_.size()));
-  metrics_.SetGauge("calls_waiting",
-                    static_cast<double>(admission_queue_.size()));
+  metrics_.SetGauge("calls_waiting", static_cast<double>(admission_.waiting()));
   metrics_.SetGauge("held_bytes",
                     static_cast<double>(memory_ledger_.held_bytes()));
   metrics_.SetGauge("targets", static_cast<double>(registry_.rows().size()));
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -160,11 +160,9 @@
   RateLimitExchange rate_limits_;
   LoadPoller load_poller_;
   PeerExchange peers_;
-  AdmissionQueue admission_queue_;
+  CallAdmission admission_;
   ResponseLengthEstimator response_length_estimator_;
   CallDurations call_durations_;
-  // Delays given to refused callers, by service.
-  std::map<std::string, RetryAfterScheduler> retry_after_schedulers_;
   // Delays given to callers whose bodies found no room.
   RetryAfterScheduler refused_bodies_;
   CallContext context_;
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -96,6 +96,7 @@
 void RelayedCall::Start(Instant now) {
   context_->retry_budget(call_.request().service)->RecordCall(now);
   context_->rate_limits->RecordCall(call_.request().service, now);
+  context_->admission->OnArrival(call_.request(), now);
   call_.Start(now);
 }
 
@@ -169,8 +170,12 @@
       return std::nullopt;
     }
   }
-  auto dispatch = context_->selector->Select(*index_, request, excluded,
-                                             (*context_->random)(), now, end);
+  const RoomLimits limits =
+      call_.sends() == 0 ? context_->admission->Limits(request) : RoomLimits();
+  auto dispatch = context_->selector->Select(
+      *index_, request, excluded, (*context_->random)(), now, end, limits);
+  if (!dispatch && *end == CallEndReason::kNoRoom)
+    context_->admission->OnNoRoom(request, limits);
   path_failure_ = context_->selector->last_failure();
   if (path_failure_ == PathFailure::kRateLimit)
     context_->rate_limits->RecordShortage(request.service, now);
@@ -244,7 +249,7 @@
   }
   context_->selector->AddInFlight(send->dispatch);
   if (send->number == 1)
-    context_->retry_after_scheduler(request.service)->RecordAccepted(now);
+    context_->admission->OnSent(request, now);
   if (send->number > 1) {
     context_->log->Write(
         Event::kCallSent, now,
@@ -380,17 +385,8 @@
 
 bool RelayedCall::WaitForCapacity(const CallRequest& request,
                                   Instant deadline) {
-  AdmissionQueue::CallParameters parameters;
-  parameters.service = request.service;
-  if (request.account != nullptr)
-    parameters.account = request.account->name;
-  parameters.priority = request.route->priority;
-  if (request.account != nullptr && request.account->priority)
-    parameters.priority = *request.account->priority;
-  parameters.cost = request.prompt_tokens + request.output_tokens;
-  parameters.deadline = deadline;
   return caller_ != nullptr &&
-         context_->admission_queue->Add(caller_->id(), parameters);
+         context_->admission->Wait(caller_->id(), request, deadline);
 }
 
 Milliseconds RelayedCall::RetryAfter(const CallRequest& request,
@@ -417,8 +413,7 @@
   const Milliseconds latest =
       std::max(earliest, left / kRetryAfterDeadlineDivisor);
   const Milliseconds reserved_delay =
-      context_->retry_after_scheduler(request.service)
-          ->ReserveDelay(earliest, latest, now);
+      context_->admission->ReserveRetry(request, earliest, latest, now);
   const auto spread =
       static_cast<int>((*context_->random)() % kRetrySpreadPercent);
   return std::min(latest, reserved_delay + earliest * spread / 100);
@@ -617,6 +612,9 @@
   head_relayed_ = true;
   media_type_ = MediaType(send.head);
   first_relayed_ = now;
+  context_->admission->OnResponse(
+      call_.request(),
+      std::chrono::duration_cast<Milliseconds>(now - send.sent_at));
   context_->metrics->ObserveFirstEvent(
       MillisecondsBetween(call_.request().arrived, now) / 1000);
   caller_->BeginStream(send.head.status, send.head.reason, RelayedFields(),
@@ -715,6 +713,9 @@
   call_.OnResponseComplete(now);
   context_->metrics->CountServed(call_.request().service);
   LogFinished(now);
+  context_->admission->OnResponse(
+      call_.request(),
+      std::chrono::duration_cast<Milliseconds>(now - send->sent_at));
   context_->metrics->ObserveAnswer(
       MillisecondsBetween(call_.request().arrived, now) / 1000);
   RelayBufferedResponse();
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -10,7 +10,7 @@
 #include <string_view>
 #include <vector>
 
-#include "bbv_admission/bbv_admission.h"
+#include "bbv_entry/call_admission.h"
 #include "bbv_entry/crash_guard.h"
 #include "bbv_entry/rate_limit_exchange.h"
 #include "bbv_entry/target_requests.h"
@@ -34,16 +34,13 @@
   std::mt19937_64* random = nullptr;
   // Returns the retry budget of a service.
   std::function<SharedRetryBudget*(const std::string&)> retry_budget;
-  // Returns the retry schedule for refused callers of a service.
-  std::function<RetryAfterScheduler*(const std::string&)> retry_after_scheduler;
   // Called for a target fault that affects all calls on the target.
   std::function<void(const TargetFault& fault)> on_target_fault;
   // Called for a target that was named as the cause of a refused call.
   std::function<void(const std::string& target_id)> on_refusal_cause;
   // Returns whether the entry was told to stop.
   std::function<bool()> is_stopping;
-  // Calls that wait for capacity, by connection id of their callers.
-  AdmissionQueue* admission_queue = nullptr;
+  CallAdmission* admission = nullptr;
   ResponseLengthEstimator* response_length_estimator = nullptr;
   CrashGuard* crash_guard = nullptr;
   RateLimitExchange* rate_limits = nullptr;
--- a/modules/bbv_fleet/path_chooser.cc
+++ b/modules/bbv_fleet/path_chooser.cc
@@ -130,10 +130,11 @@
         query.max_backlog_ms > 0 && backlog_ms > query.max_backlog_ms;
     // Calls that outgrew their estimates may exceed the capacity; free memory
     // is not negative then.
-    candidate.free_token_layers = std::max(0.0, capacity - used);
+    candidate.free_token_layers =
+        std::max(0.0, capacity * (1 - query.kept_share) - used);
     if (model.first_hop_slots > 0 && candidate.layers.from == 0) {
       const double taken = share.calls / model.first_hop_slots;
-      candidate.has_first_hop_slot = taken < 1;
+      candidate.has_first_hop_slot = taken < 1 - query.kept_share;
       candidate.first_hop_ms = kTakenSlotsPenaltyMs * taken * taken;
     }
     candidates.push_back(candidate);
--- a/modules/bbv_fleet/path_chooser.h
+++ b/modules/bbv_fleet/path_chooser.h
@@ -44,6 +44,8 @@
   // Maximum time that a hop may need to prefill the prompts queued there; 0 for
   // no limit.
   double max_backlog_ms = 0;
+  // Share of the slots and memory of each hop that the call must leave free.
+  double kept_share = 0;
   // Whether a path may cross zones.
   bool allow_zone_crossing = true;
   // Targets excluded after earlier failures of this call.
--- a/modules/bbv_fleet/target_selector.cc
+++ b/modules/bbv_fleet/target_selector.cc
@@ -44,14 +44,15 @@
     const std::vector<std::string>& excluded,
     uint64_t random_value,
     Instant now,
-    CallEndReason* end) {
+    CallEndReason* end,
+    const RoomLimits& limits) {
   assert(end != nullptr);
   last_failure_ = PathFailure::kNone;
   const ServiceDescription* service = index.FindService(request.service);
   if (service != nullptr && service->engine)
     return SelectPath(*service->engine, request, excluded, random_value, now,
-                      end);
-  return SelectTarget(request, excluded, random_value, now, end);
+                      end, limits);
+  return SelectTarget(request, excluded, random_value, now, end, limits);
 }
 
 std::optional<CallDispatch> TargetSelector::SelectPath(
@@ -60,12 +61,18 @@
     const std::vector<std::string>& excluded,
     uint64_t random_value,
     Instant now,
-    CallEndReason* end) {
+    CallEndReason* end,
+    const RoomLimits& limits) {
   PathQuery query = MakeQuery(request, excluded, random_value);
   // Active streams lose more by waiting elsewhere than by queueing.
   if (request.last_event == kNoEvent && excluded.empty())
-    query.max_backlog_ms = kMaxBacklogShare * request.route->objective_ms;
-  query.allow_zone_crossing = zone_link_limiter_.HasCapacity(now);
+    query.max_backlog_ms =
+        kMaxBacklogShare * (limits.max_backlog_ms > 0
+                                ? limits.max_backlog_ms
+                                : request.route->objective_ms);
+  query.kept_share = limits.kept_share;
+  query.allow_zone_crossing =
+      zone_link_limiter_.HasCapacity(now, limits.kept_link_share);
   const EnginePath path =
       path_chooser_.Choose(model, query, now, &last_failure_);
   if (path.empty()) {
@@ -146,7 +153,8 @@
     const std::vector<std::string>& excluded,
     uint64_t random_value,
     Instant now,
-    CallEndReason* end) const {
+    CallEndReason* end,
+    const RoomLimits& limits) const {
   const FleetTarget* best = nullptr;
   double best_ms = std::numeric_limits<double>::infinity();
   bool has_candidate = false;
@@ -163,7 +171,7 @@
     has_candidate = true;
     const int calls = target.own_calls + target.peer_calls;
     const int slots = std::max(1, target.record.slots);
-    if (calls >= slots + kMaxQueuedAtTarget)
+    if (calls >= (slots + kMaxQueuedAtTarget) * (1 - limits.kept_share))
       continue;
     random_value =
         random_value * 6364136223846793005ULL + 1442695040888963407ULL;
--- a/modules/bbv_fleet/target_selector.h
+++ b/modules/bbv_fleet/target_selector.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "bbv_admission/room_limits.h"
 #include "bbv_core/instant.h"
 #include "bbv_fleet/fleet_call.h"
 #include "bbv_fleet/fleet_index.h"
@@ -25,14 +26,15 @@
   // `registry` must outlive the selector; `zone` is that of this entry.
   TargetSelector(TargetRegistry* registry, std::string zone);
 
-  // Returns the destination of `request`, or nullopt with `end` set.
-  // Precondition: `end` is not null.
+  // Returns the destination of `request` within `limits`, or nullopt with `end`
+  // set. Precondition: `end` is not null.
   std::optional<CallDispatch> Select(const FleetIndex& index,
                                      const CallRequest& request,
                                      const std::vector<std::string>& excluded,
                                      uint64_t random_value,
                                      Instant now,
-                                     CallEndReason* end);
+                                     CallEndReason* end,
+                                     const RoomLimits& limits = {});
 
   // Returns why the last Select() for an engine found no path; kNone if it did.
   PathFailure last_failure() const { return last_failure_; }
@@ -65,13 +67,15 @@
       const std::vector<std::string>& excluded,
       uint64_t random_value,
       Instant now,
-      CallEndReason* end);
+      CallEndReason* end,
+      const RoomLimits& limits);
   std::optional<CallDispatch> SelectTarget(
       const CallRequest& request,
       const std::vector<std::string>& excluded,
       uint64_t random_value,
       Instant now,
-      CallEndReason* end) const;
+      CallEndReason* end,
+      const RoomLimits& limits) const;
 
   // Returns why a call ends whose targets have rate limits that leave this
   // entry no request now: kNoRoom if it may soon send one.
--- a/modules/bbv_fleet/target_selector_test.cc
+++ b/modules/bbv_fleet/target_selector_test.cc
@@ -131,6 +131,27 @@
   CHECK(taken <= 12);
 }
 
+TEST(TargetSelector, LessUrgentCallsLeaveTheRoomKeptForOthers) {
+  bbv_test::ListThreeZones(&registry, now);
+  registry.Apply(bbv_test::MakeRecord("p", "plain", "a"), now);
+  const bbv::FleetIndex index = MakeIndex();
+  request.route = &route;
+  route.objective_ms = 500;
+  request.prompt_tokens = 760;
+  request.output_tokens = 146;
+  const bbv::RoomLimits limits = {200, 0.1, 0.4};
+  for (const char* service : {"engine", "plain"}) {
+    request.service = service;
+    uint64_t n = 0;
+    while (const auto dispatch =
+               selector.Select(index, request, {}, ++n, now, &end, limits))
+      selector.AddInFlight(*dispatch);
+    CHECK(end == CallEndReason::kNoRoom);
+    CHECK(n > 5);
+    CHECK_TRUE(Select(index, n).has_value());
+  }
+}
+
 TEST(TargetSelector, PlainCallsAvoidTargetsWhoseRateLimitIsUsedUp) {
   constexpr int kTargets = 3;
   for (int it = 0; it < kTargets; ++it) {
--- a/modules/bbv_fleet/zone_link_limiter.cc
+++ b/modules/bbv_fleet/zone_link_limiter.cc
@@ -20,13 +20,13 @@
   entries_ = entries;
 }
 
-bool ZoneLinkLimiter::HasCapacity(Instant now) {
+bool ZoneLinkLimiter::HasCapacity(Instant now, double kept_share) {
   const double elapsed_ms =
       std::chrono::duration<double, std::milli>(now - refilled_at_).count();
   refilled_at_ = now;
   balance_ms_ = std::min(kMaxBurstMs / entries_,
                          balance_ms_ + kLinkShare * elapsed_ms / entries_);
-  return balance_ms_ > 0;
+  return balance_ms_ > kept_share * kMaxBurstMs / entries_;
 }
 
 void ZoneLinkLimiter::Consume(double link_ms) {
--- a/modules/bbv_fleet/zone_link_limiter.h
+++ b/modules/bbv_fleet/zone_link_limiter.h
@@ -18,8 +18,9 @@
   // Sets the number of entries that share the links. Precondition: above 0.
   void SetEntries(int entries);
 
-  // Returns whether a path may cross zones at `now`.
-  bool HasCapacity(Instant now);
+  // Returns whether a path may cross zones at `now` by a call that must leave
+  // `kept_share` of the permitted burst to others.
+  bool HasCapacity(Instant now, double kept_share = 0);
 
   // Deducts `link_ms` milliseconds of link time.
   void Consume(double link_ms);
--- a/modules/bbv_observe/fleet_metrics.cc
+++ b/modules/bbv_observe/fleet_metrics.cc
@@ -33,6 +33,10 @@
                         .Name("bbv_fleet_bad_requests_total")
                         .Help("Requests that were rejected by their form")
                         .Register(registry_)),
+      admissions_(prometheus::BuildCounter()
+                      .Name("bbv_fleet_admissions_total")
+                      .Help("Calls that sought capacity, by what became of it")
+                      .Register(registry_)),
       gauges_(prometheus::BuildGauge()
                   .Name("bbv_fleet_state")
                   .Help("State of the entry, by name")
@@ -84,6 +88,20 @@
   bad_requests_.Add({{"status", std::to_string(status)}}).Increment();
 }
 
+void FleetMetrics::CountAdmission(const std::string& service,
+                                  int priority,
+                                  AdmissionOutcome outcome) {
+  prometheus::Counter*& counter =
+      admissions_by_outcome_[{service, priority, outcome}];
+  if (counter == nullptr) {
+    counter = &admissions_.Add(
+        {{"service", service},
+         {"priority", std::to_string(priority)},
+         {"outcome", std::string(kAdmissionOutcomeNames.Name(outcome))}});
+  }
+  counter->Increment();
+}
+
 void FleetMetrics::ObserveFirstEvent(double seconds) {
   first_event_.Observe(seconds);
 }
--- a/modules/bbv_observe/fleet_metrics.h
+++ b/modules/bbv_observe/fleet_metrics.h
@@ -6,14 +6,29 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 #include <utility>
 
+#include "bbv_core/name_table.h"
 #include "bbv_fleet/fleet_call.h"
 
 namespace bbv {
 
+// What became of a call that sought capacity.
+enum class AdmissionOutcome : uint8_t {
+  kSent,
+  // Found none while some was kept for more urgent calls.
+  kHeldBack,
+  // Gave up its place in the queue to a more urgent call.
+  kDisplaced,
+  kRefused,
+};
+inline constexpr NameTable<AdmissionOutcome, 4> kAdmissionOutcomeNames(
+    {"sent", "held-back", "displaced", "refused"});
+
 // Metrics of a fleet entry, whose targets forward calls to each other;
 // docs/METRICS.md lists them.
 //
@@ -25,6 +40,10 @@
   void CountServed(const std::string& service);
   void CountFailure(const std::string& service, CallEndReason end);
   void CountBadRequest(int status);
+  // Counts what became of a call that sought capacity.
+  void CountAdmission(const std::string& service,
+                      int priority,
+                      AdmissionOutcome outcome);
   void ObserveFirstEvent(double seconds);
   void ObserveAnswer(double seconds);
   void SetGauge(const std::string& name, double value);
@@ -55,6 +74,7 @@
   prometheus::Family<prometheus::Counter>& served_;
   prometheus::Family<prometheus::Counter>& failures_;
   prometheus::Family<prometheus::Counter>& bad_requests_;
+  prometheus::Family<prometheus::Counter>& admissions_;
   prometheus::Family<prometheus::Gauge>& gauges_;
   GaugeSet quarantine_ages_;
   GaugeSet rate_limits_;
@@ -65,6 +85,8 @@
   std::map<std::string, prometheus::Counter*> served_by_service_;
   std::map<std::pair<std::string, CallEndReason>, prometheus::Counter*>
       failures_by_end_;
+  std::map<std::tuple<std::string, int, AdmissionOutcome>, prometheus::Counter*>
+      admissions_by_outcome_;
 };
 
 }  // namespace bbv
