--- a/modules/bbv_entry/call_admission.cc
+++ b/modules/bbv_entry/admission_control.cc
@@ -1,4 +1,4 @@
-#include "bbv_entry/call_admission.h"
+#include "bbv_entry/admission_control.h"
 
 #include <cassert>
 
@@ -20,28 +20,28 @@
   return request.route->priority;
 }
 
-CallAdmission::CallAdmission(DecisionLog* log, FleetMetrics* metrics)
+AdmissionControl::AdmissionControl(DecisionLog* log, FleetMetrics* metrics)
     : log_(log), metrics_(metrics) {
   assert(log != nullptr && metrics != nullptr);
 }
 
-void CallAdmission::OnArrival(const CallRequest& request, Instant now) {
+void AdmissionControl::OnArrival(const CallRequest& request, Instant now) {
   reservations_[request.service].RecordArrival(
       PriorityOf(request), WorkOf(request), request.route->objective_ms, now);
 }
 
-void CallAdmission::OnSent(const CallRequest& request, Instant now) {
+void AdmissionControl::OnSent(const CallRequest& request, Instant now) {
   reservations_[request.service].RecordSent(PriorityOf(request), now);
   retry_schedulers_[request.service].RecordAccepted(now);
   metrics_->CountAdmission(request.service, PriorityOf(request),
                            AdmissionOutcome::kSent);
 }
 
-void CallAdmission::OnResponse(const CallRequest& request, Milliseconds after) {
+void AdmissionControl::OnResponse(const CallRequest& request, Milliseconds after) {
   reservations_[request.service].RecordResponse(after);
 }
 
-RoomLimits CallAdmission::Limits(const CallRequest& request) {
+RoomLimits AdmissionControl::Limits(const CallRequest& request) {
   // Whoever continues a stream has been served part of it already.
   if (request.last_event != kNoEvent)
     return {};
@@ -49,7 +49,7 @@
                                                request.route->objective_ms);
 }
 
-void CallAdmission::OnNoRoom(const CallRequest& request,
+void AdmissionControl::OnNoRoom(const CallRequest& request,
                              const RoomLimits& limits) {
   if (!limits.keeps_room())
     return;
@@ -58,7 +58,7 @@
                            AdmissionOutcome::kHeldBack);
 }
 
-bool CallAdmission::Wait(uint64_t id,
+bool AdmissionControl::Wait(uint64_t id,
                          const CallRequest& request,
                          Instant deadline) {
   AdmissionQueue::CallParameters parameters;
@@ -80,7 +80,7 @@
   return queue_.Add(id, parameters);
 }
 
-Milliseconds CallAdmission::ReserveRetry(const CallRequest& request,
+Milliseconds AdmissionControl::ReserveRetry(const CallRequest& request,
                                          Milliseconds min_delay,
                                          Milliseconds max_delay,
                                          Instant now) {
@@ -90,7 +90,7 @@
       min_delay, max_delay, now, PriorityOf(request));
 }
 
-void CallAdmission::OnTick(Instant now,
+void AdmissionControl::OnTick(Instant now,
                            const AdmissionQueue::TrySend& try_send,
                            const AdmissionQueue::OnExpired& on_refused) {
   RefuseDisplaced(now, on_refused);
@@ -98,7 +98,7 @@
   LogKeptRoom(now);
 }
 
-void CallAdmission::RefuseDisplaced(
+void AdmissionControl::RefuseDisplaced(
     Instant now,
     const AdmissionQueue::OnExpired& on_refused) {
   for (const AdmissionQueue::Displacement& it : queue_.TakeDisplaced()) {
@@ -113,7 +113,7 @@
   }
 }
 
-void CallAdmission::LogKeptRoom(Instant now) {
+void AdmissionControl::LogKeptRoom(Instant now) {
   if (now < next_report_)
     return;
   next_report_ = now + kReportInterval;
--- a/modules/bbv_entry/call_admission.h
+++ b/modules/bbv_entry/admission_control.h
@@ -1,5 +1,5 @@
-#ifndef MODULES_BBV_ENTRY_CALL_ADMISSION_H_
-#define MODULES_BBV_ENTRY_CALL_ADMISSION_H_
+#ifndef MODULES_BBV_ENTRY_ADMISSION_CONTROL_H_
+#define MODULES_BBV_ENTRY_ADMISSION_CONTROL_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -22,10 +22,10 @@
 //
 // Waiting calls are named by the connection ids of their callers. Thread
 // safety: none, the loop's thread.
-class CallAdmission {
+class AdmissionControl {
  public:
   // `log` and `metrics` must outlive it.
-  CallAdmission(DecisionLog* log, FleetMetrics* metrics);
+  AdmissionControl(DecisionLog* log, FleetMetrics* metrics);
 
   // Records a call that arrived, was sent for the first time, or brought its
   // first response `after` that.
@@ -77,4 +77,4 @@
 
 }  // namespace bbv
 
-#endif  // MODULES_BBV_ENTRY_CALL_ADMISSION_H_
+#endif  // MODULES_BBV_ENTRY_ADMISSION_CONTROL_H_
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -160,7 +160,7 @@
   RateLimitExchange rate_limits_;
   LoadPoller load_poller_;
   PeerExchange peers_;
-  CallAdmission admission_;
+  AdmissionControl admission_;
   ResponseLengthEstimator response_length_estimator_;
   CallDurations call_durations_;
   // Delays given to callers whose bodies found no room.
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -10,7 +10,7 @@
 #include <string_view>
 #include <vector>
 
-#include "bbv_entry/call_admission.h"
+#include "bbv_entry/admission_control.h"
 #include "bbv_entry/crash_guard.h"
 #include "bbv_entry/rate_limit_exchange.h"
 #include "bbv_entry/target_requests.h"
@@ -40,7 +40,7 @@
   std::function<void(const std::string& target_id)> on_refusal_cause;
   // Returns whether the entry was told to stop.
   std::function<bool()> is_stopping;
-  CallAdmission* admission = nullptr;
+  AdmissionControl* admission = nullptr;
   ResponseLengthEstimator* response_length_estimator = nullptr;
   CrashGuard* crash_guard = nullptr;
   RateLimitExchange* rate_limits = nullptr;
