FleetEntry divided: callers, calls, targets and telemetry in classes of their own

It keeps construction, start, the order of the tick, stop and reload. Code is moved without a change of behaviour: - CallIntake: callers' connections, requests into calls, refusals - OpenCalls: the calls by connection, and how long calls take - TargetMonitor: what is believed of targets, HttpClient::Observer - EntryTelemetry: gauges and the line on congestion

--- /dev/null
+++ b/modules/bbv_entry/open_calls.cc
@@ -0,0 +1,61 @@
+#include "bbv_entry/open_calls.h"
+
+#include <cassert>
+#include <utility>
+
+namespace bbv {
+
+void OpenCalls::Add(uint64_t id,
+                    std::unique_ptr<RelayedCall> call,
+                    Instant now) {
+  assert(call != nullptr);
+  std::unique_ptr<RelayedCall>& slot = calls_[id];
+  if (slot != nullptr)
+    Keep(std::move(slot), now);
+  slot = std::move(call);
+}
+
+RelayedCall* OpenCalls::Find(uint64_t id) const {
+  const auto it = calls_.find(id);
+  return it == calls_.end() ? nullptr : it->second.get();
+}
+
+void OpenCalls::Retire(uint64_t id, Instant now) {
+  const auto it = calls_.find(id);
+  if (it == calls_.end())
+    return;
+  Keep(std::move(it->second), now);
+  calls_.erase(it);
+}
+
+void OpenCalls::RetireDone(Instant now) {
+  for (auto it = calls_.begin(); it != calls_.end();) {
+    if (it->second->done()) {
+      Keep(std::move(it->second), now);
+      it = calls_.erase(it);
+      continue;
+    }
+    ++it;
+  }
+}
+
+std::vector<RelayedCall*> OpenCalls::List() const {
+  std::vector<RelayedCall*> open;
+  open.reserve(calls_.size());
+  for (const auto& [id, call] : calls_)
+    open.push_back(call.get());
+  return open;
+}
+
+void OpenCalls::Keep(std::unique_ptr<RelayedCall> call, Instant now) {
+  const CallRequest& request = call->call().request();
+  // A call that reached no target does not show how long calls take.
+  if (call->call().sends() > 0) {
+    durations_.Record(
+        request.route->name,
+        std::chrono::duration_cast<Milliseconds>(now - request.arrived), now);
+  }
+  ended_.push_back(std::move(call));
+}
+
+}  // namespace bbv
