--- a/modules/bbv_entry/admission_control.cc
+++ b/modules/bbv_entry/admission_control.cc
@@ -37,7 +37,8 @@
                            AdmissionOutcome::kSent);
 }
 
-void AdmissionControl::OnResponse(const CallRequest& request, Milliseconds after) {
+void AdmissionControl::OnResponse(const CallRequest& request,
+                                  Milliseconds after) {
   reservations_[request.service].RecordResponse(after);
 }
 
@@ -50,7 +51,7 @@
 }
 
 void AdmissionControl::OnNoRoom(const CallRequest& request,
-                             const RoomLimits& limits) {
+                                const RoomLimits& limits) {
   if (!limits.keeps_room())
     return;
   reservations_[request.service].RecordHeldBack(PriorityOf(request), limits);
@@ -59,8 +60,8 @@
 }
 
 bool AdmissionControl::Wait(uint64_t id,
-                         const CallRequest& request,
-                         Instant deadline) {
+                            const CallRequest& request,
+                            Instant deadline) {
   AdmissionQueue::CallParameters parameters;
   parameters.service = request.service;
   if (request.account != nullptr)
@@ -81,9 +82,9 @@
 }
 
 Milliseconds AdmissionControl::ReserveRetry(const CallRequest& request,
-                                         Milliseconds min_delay,
-                                         Milliseconds max_delay,
-                                         Instant now) {
+                                            Milliseconds min_delay,
+                                            Milliseconds max_delay,
+                                            Instant now) {
   metrics_->CountAdmission(request.service, PriorityOf(request),
                            AdmissionOutcome::kRefused);
   return retry_schedulers_[request.service].ReserveDelay(
@@ -91,8 +92,8 @@
 }
 
 void AdmissionControl::OnTick(Instant now,
-                           const AdmissionQueue::TrySend& try_send,
-                           const AdmissionQueue::OnExpired& on_refused) {
+                              const AdmissionQueue::TrySend& try_send,
+                              const AdmissionQueue::OnExpired& on_refused) {
   RefuseDisplaced(now, on_refused);
   queue_.OnTick(now, try_send, on_refused);
   LogKeptRoom(now);
