Admission: the route's priority decides among equal account priorities

Cause: where every account has a priority, the route's never counted, and a service's routes competed as equals. Change: PriorityReservation::Rank() orders by the account's priority, then by the route's; FairQueue takes any integer.

--- a/modules/bbv_admission/admission_queue.cc
+++ b/modules/bbv_admission/admission_queue.cc
@@ -7,31 +7,18 @@
 #include <vector>
 
 namespace bbv {
-namespace {
-
-constexpr int kMaxPriorityValue = 255;
-
-// Returns the rank in which FairQueue serves higher numbers first.
-uint8_t QueueRank(int priority) {
-  return static_cast<uint8_t>(kMaxPriorityValue -
-                              std::clamp(priority, 0, kMaxPriorityValue));
-}
-
-}  // namespace
-
 bool AdmissionQueue::Add(uint64_t id, const CallParameters& parameters) {
   assert(!calls_.contains(id));
   FairQueue<Call>& queue = queues_[parameters.service];
-  const uint8_t rank = QueueRank(parameters.priority);
   if (queue.size() >= std::min(parameters.max_waiting, kMaxWaitingCalls) &&
-      !Displace(parameters.service, rank))
+      !Displace(parameters.service, parameters.priority))
     return false;
   auto call = std::make_unique<Call>();
   call->id = id;
   call->number = next_number_++;
   call->service = parameters.service;
   call->account = parameters.account;
-  call->priority = rank;
+  call->priority = -parameters.priority;
   call->cost = static_cast<uint64_t>(std::max(1.0, parameters.cost));
   call->deadline = parameters.deadline;
   queue.Push(call.get());
@@ -49,7 +36,7 @@
 
 const AdmissionQueue::Call* AdmissionQueue::FindLeastUrgent(
     const std::string& service) const {
-  std::map<std::pair<uint8_t, std::string_view>, int> waiting;
+  std::map<std::pair<int, std::string_view>, int> waiting;
   for (const auto& [id, it] : calls_) {
     if (it->service == service)
       ++waiting[{it->priority, it->account}];
@@ -70,12 +57,11 @@
   return least;
 }
 
-bool AdmissionQueue::Displace(const std::string& service, uint8_t priority) {
+bool AdmissionQueue::Displace(const std::string& service, int priority) {
   const Call* least = FindLeastUrgent(service);
-  if (least == nullptr || least->priority >= priority)
+  if (least == nullptr || least->priority >= -priority)
     return false;
-  displaced_.push_back({least->id, service, kMaxPriorityValue - least->priority,
-                        kMaxPriorityValue - priority});
+  displaced_.push_back({least->id, service, -least->priority, priority});
   Remove(least->id);
   return true;
 }
--- a/modules/bbv_admission/admission_queue.h
+++ b/modules/bbv_admission/admission_queue.h
@@ -30,7 +30,7 @@
   struct CallParameters {
     std::string service;
     std::string account;
-    // 0 is the highest priority.
+    // The lowest is the most urgent.
     int priority = 0;
     // Number of tokens, or 1 for calls of plain services.
     double cost = 1;
@@ -83,7 +83,8 @@
     std::string service;
     std::string account;
     uint32_t weight = 1;
-    uint8_t priority = 0;
+    // Negated: FairQueue serves higher numbers first.
+    int priority = 0;
     uint64_t cost = 1;
     Instant deadline;
   };
@@ -91,7 +92,7 @@
   // Removes one of the least urgent calls of `service` if it is less urgent
   // than `priority`: of the account with the most waiting calls, the latest.
   // Returns whether there was one.
-  bool Displace(const std::string& service, uint8_t priority);
+  bool Displace(const std::string& service, int priority);
   const Call* FindLeastUrgent(const std::string& service) const;
 
   uint64_t next_number_ = 0;
--- a/modules/bbv_admission/priority_reservation.cc
+++ b/modules/bbv_admission/priority_reservation.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr int kMaxPriority = 255;
+constexpr int kPriorities = kMaxPriority + 1;
 // Time constant of the decay: after it a count has fallen to 1 / e.
 constexpr double kDecaySeconds = 4;
 // A priority with fewer recent calls than this is forgotten.
@@ -26,8 +27,14 @@
 
 }  // namespace
 
-int PriorityReservation::Clamp(int priority) {
-  return std::clamp(priority, 0, kMaxPriority);
+int PriorityReservation::Rank(std::optional<int> account, int route) {
+  const int own = std::clamp(route, 0, kMaxPriority);
+  return std::clamp(account.value_or(own), 0, kMaxPriority) * kPriorities + own;
+}
+
+std::string PriorityReservation::RankText(int rank) {
+  return std::to_string(rank / kPriorities) + '.' +
+         std::to_string(rank % kPriorities);
 }
 
 void PriorityReservation::Decay(Instant now) {
@@ -52,7 +59,7 @@
                                         int64_t objective_ms,
                                         Instant now) {
   Decay(now);
-  Demand& demand = demands_[Clamp(priority)];
+  Demand& demand = demands_[priority];
   demand.work += std::max(1.0, work);
   demand.calls += 1;
   if (objective_ms <= 0)
@@ -64,7 +71,7 @@
 
 void PriorityReservation::RecordSent(int priority, Instant now) {
   Decay(now);
-  if (const auto it = demands_.find(Clamp(priority)); it != demands_.end())
+  if (const auto it = demands_.find(priority); it != demands_.end())
     it->second.sent += 1;
 }
 
@@ -77,8 +84,8 @@
 
 void PriorityReservation::RecordHeldBack(int priority,
                                          const RoomLimits& limits) {
-  HeldBack& row = held_back_[Clamp(priority)];
-  row.priority = Clamp(priority);
+  HeldBack& row = held_back_[priority];
+  row.priority = priority;
   ++row.calls;
   row.limits = limits;
 }
@@ -108,10 +115,9 @@
 }
 
 int PriorityReservation::EffectivePriority(int priority) const {
-  const int own = Clamp(priority);
-  const auto it = demands_.find(own);
+  const auto it = demands_.find(priority);
   const bool is_below = it != demands_.end() && IsBelowFloor(it->second);
-  return is_below ? demands_.begin()->first : own;
+  return is_below ? demands_.begin()->first : priority;
 }
 
 bool PriorityReservation::IsBelowFloor(const Demand& demand) const {
--- a/modules/bbv_admission/priority_reservation.h
+++ b/modules/bbv_admission/priority_reservation.h
@@ -4,6 +4,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "bbv_admission/room_limits.h"
@@ -31,8 +33,14 @@
     RoomLimits limits;
   };
 
-  // Returns `priority` within the range that is told apart.
-  static int Clamp(int priority);
+  // Returns the priority of a call among those of its service; the lowest is
+  // the most urgent. The account's priority decides, or the route's if it has
+  // none; the route's decides among equal ones. Priorities outside 0 to 255
+  // count as the nearest of these.
+  static int Rank(std::optional<int> account, int route);
+
+  // Returns the two priorities of a rank as "account.route".
+  static std::string RankText(int rank);
 
   // Records a call that arrived at `now` with `work` tokens, or 1 for plain
   // services. `objective_ms` is that of its first response, 0 for none.
--- a/modules/bbv_admission/priority_reservation_test.cc
+++ b/modules/bbv_admission/priority_reservation_test.cc
@@ -252,14 +252,25 @@
   CHECK(!reservation.Limits(1, 500).keeps_room());
 }
 
+TEST(PriorityReservation, TheRoutesPriorityDecidesAmongEqualAccounts) {
+  using Reservation = PriorityReservation;
+  CHECK(Reservation::Rank(0, 2) < Reservation::Rank(1, 0));
+  CHECK(Reservation::Rank(1, 0) < Reservation::Rank(1, 2));
+  CHECK(Reservation::Rank(1, 1) == Reservation::Rank(std::nullopt, 1));
+  STRCMP_EQUAL("1.2", Reservation::RankText(Reservation::Rank(1, 2)).c_str());
+}
+
 TEST(PriorityReservation, OddInputKeepsTodaysLimits) {
   PriorityReservation reservation;
   const Instant now = Instant() + Milliseconds(1000);
-  reservation.RecordArrival(-7, 0, -1, now);
-  reservation.RecordArrival(0, 0, 0, now);
+  const int rank = PriorityReservation::Rank(std::nullopt, -7);
+  CHECK_EQUAL(rank, PriorityReservation::Rank(0, 0));
+  reservation.RecordArrival(rank, 0, -1, now);
+  reservation.RecordArrival(rank, 0, 0, now);
   CHECK(!reservation.HasSeveralPriorities());
-  CHECK(!reservation.Limits(-3, 0).keeps_room());
-  CHECK_EQUAL(255, PriorityReservation::Clamp(100'000));
+  CHECK(!reservation.Limits(rank, 0).keeps_room());
+  CHECK_EQUAL(PriorityReservation::Rank(255, 0),
+              PriorityReservation::Rank(100'000, 0));
   // A route without an objective limits no backlog.
   DOUBLES_EQUAL(0, reservation.Limits(9, 0).max_backlog_ms, 0);
 }
--- a/modules/bbv_entry/admission_control.cc
+++ b/modules/bbv_entry/admission_control.cc
@@ -1,6 +1,7 @@
 #include "bbv_entry/admission_control.h"
 
 #include <cassert>
+#include <optional>
 
 namespace bbv {
 namespace {
@@ -12,12 +13,16 @@
   return request.prompt_tokens + request.output_tokens;
 }
 
+std::string RankText(const CallRequest& request) {
+  return PriorityReservation::RankText(RankOf(request));
+}
+
 }  // namespace
 
-int PriorityOf(const CallRequest& request) {
-  if (request.account != nullptr && request.account->priority)
-    return *request.account->priority;
-  return request.route->priority;
+int RankOf(const CallRequest& request) {
+  const std::optional<int> account =
+      request.account == nullptr ? std::nullopt : request.account->priority;
+  return PriorityReservation::Rank(account, request.route->priority);
 }
 
 AdmissionControl::AdmissionControl(DecisionLog* log, FleetMetrics* metrics)
@@ -27,13 +32,13 @@
 
 void AdmissionControl::OnArrival(const CallRequest& request, Instant now) {
   reservations_[request.service].RecordArrival(
-      PriorityOf(request), WorkOf(request), request.route->objective_ms, now);
+      RankOf(request), WorkOf(request), request.route->objective_ms, now);
 }
 
 void AdmissionControl::OnSent(const CallRequest& request, Instant now) {
-  reservations_[request.service].RecordSent(PriorityOf(request), now);
+  reservations_[request.service].RecordSent(RankOf(request), now);
   retry_schedulers_[request.service].RecordAccepted(now);
-  metrics_->CountAdmission(request.service, PriorityOf(request),
+  metrics_->CountAdmission(request.service, RankText(request),
                            AdmissionOutcome::kSent);
 }
 
@@ -46,7 +51,7 @@
   // Whoever continues a stream has been served part of it already.
   if (request.last_event != kNoEvent)
     return {};
-  return reservations_[request.service].Limits(PriorityOf(request),
+  return reservations_[request.service].Limits(RankOf(request),
                                                request.route->objective_ms);
 }
 
@@ -54,8 +59,8 @@
                                 const RoomLimits& limits) {
   if (!limits.keeps_room())
     return;
-  reservations_[request.service].RecordHeldBack(PriorityOf(request), limits);
-  metrics_->CountAdmission(request.service, PriorityOf(request),
+  reservations_[request.service].RecordHeldBack(RankOf(request), limits);
+  metrics_->CountAdmission(request.service, RankText(request),
                            AdmissionOutcome::kHeldBack);
 }
 
@@ -66,7 +71,7 @@
   parameters.service = request.service;
   if (request.account != nullptr)
     parameters.account = request.account->name;
-  parameters.priority = PriorityOf(request);
+  parameters.priority = RankOf(request);
   parameters.cost = WorkOf(request);
   parameters.deadline = deadline;
   const PriorityReservation& reservation = reservations_[request.service];
@@ -85,10 +90,10 @@
                                             Milliseconds min_delay,
                                             Milliseconds max_delay,
                                             Instant now) {
-  metrics_->CountAdmission(request.service, PriorityOf(request),
+  metrics_->CountAdmission(request.service, RankText(request),
                            AdmissionOutcome::kRefused);
-  return retry_schedulers_[request.service].ReserveDelay(
-      min_delay, max_delay, now, PriorityOf(request));
+  return retry_schedulers_[request.service].ReserveDelay(min_delay, max_delay,
+                                                         now, RankOf(request));
 }
 
 void AdmissionControl::OnTick(Instant now,
@@ -106,9 +111,11 @@
     log_->Write(Event::kCallDisplaced, now,
                 {{"connection", static_cast<int64_t>(it.id)},
                  {"service", it.service},
-                 {"priority", int64_t{it.priority}},
-                 {"urgent_priority", int64_t{it.urgent_priority}}});
-    metrics_->CountAdmission(it.service, it.priority,
+                 {"priority", PriorityReservation::RankText(it.priority)},
+                 {"urgent_priority",
+                  PriorityReservation::RankText(it.urgent_priority)}});
+    metrics_->CountAdmission(it.service,
+                             PriorityReservation::RankText(it.priority),
                              AdmissionOutcome::kDisplaced);
     on_refused(it.id);
   }
@@ -123,7 +130,7 @@
       log_->Write(
           Event::kRoomKept, now,
           {{"service", service},
-           {"priority", int64_t{it.priority}},
+           {"priority", PriorityReservation::RankText(it.priority)},
            {"held_back", int64_t{it.calls}},
            {"unread_prompts_ms",
             static_cast<int64_t>(it.limits.max_backlog_ms)},
--- a/modules/bbv_entry/admission_control.h
+++ b/modules/bbv_entry/admission_control.h
@@ -14,8 +14,9 @@
 
 namespace bbv {
 
-// Returns the priority of a call: its account's, or else its route's.
-int PriorityOf(const CallRequest& request);
+// Returns the rank of a call among those of its service, see
+// PriorityReservation::Rank().
+int RankOf(const CallRequest& request);
 
 // Applies the decisions of bbv_admission to the calls of an entry, and logs and
 // counts them.
--- a/modules/bbv_observe/fleet_metrics.cc
+++ b/modules/bbv_observe/fleet_metrics.cc
@@ -89,14 +89,14 @@
 }
 
 void FleetMetrics::CountAdmission(const std::string& service,
-                                  int priority,
+                                  const std::string& priority,
                                   AdmissionOutcome outcome) {
   prometheus::Counter*& counter =
       admissions_by_outcome_[{service, priority, outcome}];
   if (counter == nullptr) {
     counter = &admissions_.Add(
         {{"service", service},
-         {"priority", std::to_string(priority)},
+         {"priority", priority},
          {"outcome", std::string(kAdmissionOutcomeNames.Name(outcome))}});
   }
   counter->Increment();
--- a/modules/bbv_observe/fleet_metrics.h
+++ b/modules/bbv_observe/fleet_metrics.h
@@ -42,7 +42,7 @@
   void CountBadRequest(int status);
   // Counts what became of a call that sought capacity.
   void CountAdmission(const std::string& service,
-                      int priority,
+                      const std::string& priority,
                       AdmissionOutcome outcome);
   void ObserveFirstEvent(double seconds);
   void ObserveAnswer(double seconds);
@@ -85,7 +85,8 @@
   std::map<std::string, prometheus::Counter*> served_by_service_;
   std::map<std::pair<std::string, CallEndReason>, prometheus::Counter*>
       failures_by_end_;
-  std::map<std::tuple<std::string, int, AdmissionOutcome>, prometheus::Counter*>
+  std::map<std::tuple<std::string, std::string, AdmissionOutcome>,
+           prometheus::Counter*>
       admissions_by_outcome_;
 };
 
--- a/modules/bbv_routing/fair_queue.h
+++ b/modules/bbv_routing/fair_queue.h
@@ -16,7 +16,7 @@
 // client accounts (start-time fair queueing), then by arrival.
 //
 // T must derive from IntrusiveNode and have the members `account`
-// (std::string), `weight` (uint32_t, above 0), `priority` (uint8_t, higher
+// (std::string), `weight` (uint32_t, above 0), `priority` (an integer, higher
 // first) and `cost` (uint64_t). The flow of an account that was idle starts at
 // the current virtual time, so unused share goes to other accounts immediately
 // and is not accumulated. Thread safety: none, owned by the control thread.
@@ -62,7 +62,7 @@
   static constexpr uint64_t kVirtualTimeScale = 1024;
 
   struct FlowKey {
-    uint8_t priority = 0;
+    int priority = 0;
     std::string account;
     bool operator<(const FlowKey& other) const {
       if (priority != other.priority)
