--- a/modules/bbv_fleet/target_selector.cc
+++ b/modules/bbv_fleet/target_selector.cc
@@ -171,7 +171,7 @@
     has_candidate = true;
     const int calls = target.own_calls + target.peer_calls;
     const int slots = std::max(1, target.record.slots);
-    if (calls >= (slots + kMaxQueuedAtTarget) * (1 - limits.kept_share))
+    if (calls + 1 > (slots + kMaxQueuedAtTarget) * (1 - limits.kept_share))
       continue;
     random_value =
         random_value * 6364136223846793005ULL + 1442695040888963407ULL;
