The effective priority of a call is told to engines whose service has unlike ones

Cause: no target knew which calls are urgent, so that a burst of the least urgent class delayed all alike. Change: the account's priority, before the route's, goes with each request of a service whose calls differ in priority; services whose calls are alike are sent as before.

--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -306,6 +306,8 @@
   request.route = route;
   request.service =
       FleetIndex::PickService(*route, HashBytes(fields.attempt_id));
+  request.priority = FleetIndex::EffectivePriority(*route, request.account);
+  request.has_unlike_priorities = index->HasUnlikePriorities(request.service);
   request.arrived = now;
   request.caller_deadline = caller_deadline;
   request.deadline = deadline;
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -268,6 +268,8 @@
   if (request.account != nullptr)
     fields.account = request.account->name;
   fields.remaining_ms = RemainingMilliseconds(request.deadline, now);
+  if (request.has_unlike_priorities)
+    fields.priority = request.priority;
   fields.target_id = dispatch.target_id;
   if (!dispatch.layers.empty()) {
     fields.hop_addresses = dispatch.hop_addresses;
@@ -384,9 +386,7 @@
   parameters.service = request.service;
   if (request.account != nullptr)
     parameters.account = request.account->name;
-  parameters.priority = request.route->priority;
-  if (request.account != nullptr && request.account->priority)
-    parameters.priority = *request.account->priority;
+  parameters.priority = request.priority;
   parameters.cost = request.prompt_tokens + request.output_tokens;
   parameters.deadline = deadline;
   return caller_ != nullptr &&
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -66,6 +66,10 @@
   const ServiceRoute* route = nullptr;
   const FleetAccount* account = nullptr;
   std::string service;
+  // Effective priority; 0 is the highest.
+  int priority = 0;
+  // Whether calls of the service may differ in priority.
+  bool has_unlike_priorities = false;
   // When the caller stops waiting.
   Instant caller_deadline;
   // Earlier of `caller_deadline` and the route's timeout.
--- a/modules/bbv_fleet/fleet_index.cc
+++ b/modules/bbv_fleet/fleet_index.cc
@@ -1,6 +1,7 @@
 #include "bbv_fleet/fleet_index.h"
 
 #include <cassert>
+#include <map>
 #include <utility>
 
 namespace bbv {
@@ -15,6 +16,42 @@
   }
   for (const ServiceDescription& it : configuration_.services)
     services_[it.name] = &it;
+  FindUnlikePriorities();
+}
+
+void FleetIndex::FindUnlikePriorities() {
+  const std::vector<FleetAccount>& accounts = configuration_.accounts;
+  std::set<int> account_priorities;
+  bool has_plain_account = accounts.empty();
+  for (const FleetAccount& it : accounts) {
+    if (it.priority)
+      account_priorities.insert(*it.priority);
+    else
+      has_plain_account = true;
+  }
+  std::map<std::string, std::set<int>> priorities;
+  for (const ServiceRoute& route : configuration_.routes) {
+    for (const WeightedService& it : route.services) {
+      std::set<int>& found = priorities[it.service];
+      found.insert(account_priorities.begin(), account_priorities.end());
+      if (has_plain_account || route.allow_anonymous)
+        found.insert(route.priority);
+    }
+  }
+  for (const auto& [service, found] : priorities) {
+    if (found.size() > 1)
+      unlike_priorities_.insert(service);
+  }
+}
+
+int FleetIndex::EffectivePriority(const ServiceRoute& route,
+                                  const FleetAccount* account) {
+  return account != nullptr && account->priority ? *account->priority
+                                                 : route.priority;
+}
+
+bool FleetIndex::HasUnlikePriorities(std::string_view service) const {
+  return unlike_priorities_.contains(service);
 }
 
 const ServiceRoute* FleetIndex::FindRoute(std::string_view host,
--- a/modules/bbv_fleet/fleet_index.h
+++ b/modules/bbv_fleet/fleet_index.h
@@ -40,6 +40,15 @@
   static const std::string& PickService(const ServiceRoute& route,
                                         uint64_t random_value);
 
+  // Returns the priority of the calls that `account`, which may be null, makes
+  // on `route`: the account's own one goes before the route's. 0 is the highest
+  // priority.
+  static int EffectivePriority(const ServiceRoute& route,
+                               const FleetAccount* account);
+
+  // Whether calls of `service` may differ in priority.
+  bool HasUnlikePriorities(std::string_view service) const;
+
   // Returns the names of the services that the configuration describes or that
   // its routes use.
   std::set<std::string, std::less<>> ServiceNames() const;
@@ -57,7 +66,11 @@
   using StringMap =
       std::unordered_map<std::string, Value, StringHash, std::equal_to<>>;
 
+  void FindUnlikePriorities();
+
   FleetConfiguration configuration_;
+  // Services whose calls may differ in priority.
+  std::set<std::string, std::less<>> unlike_priorities_;
   // Routes by host and prefix.
   StringMap<StringMap<const ServiceRoute*>> routes_;
   StringMap<const FleetAccount*> accounts_;
--- a/modules/bbv_fleet/target_registry_test.cc
+++ b/modules/bbv_fleet/target_registry_test.cc
@@ -117,6 +117,35 @@
   CHECK(index.FindRoute("other", "/a/b/c") == nullptr);
 }
 
+TEST(FleetIndex, PrioritiesOfAServiceAreComparedOverRoutesAndAccounts) {
+  bbv::FleetConfiguration configuration;
+  bbv::ServiceRoute route;
+  route.services = {{"mixed", 1}, {"alike", 1}};
+  route.priority = 1;
+  configuration.routes.push_back(route);
+  route.services = {{"mixed", 1}};
+  route.priority = 2;
+  configuration.routes.push_back(route);
+  const bbv::FleetIndex without_accounts(configuration);
+  CHECK(without_accounts.HasUnlikePriorities("mixed"));
+  CHECK(!without_accounts.HasUnlikePriorities("alike"));
+  CHECK(!without_accounts.HasUnlikePriorities("unknown"));
+  configuration.accounts = {{"first", {}, 1}, {"second", {}, 1}};
+  CHECK(!bbv::FleetIndex(configuration).HasUnlikePriorities("mixed"));
+  configuration.accounts.push_back({"third", {}, 0});
+  CHECK(bbv::FleetIndex(configuration).HasUnlikePriorities("alike"));
+}
+
+TEST(FleetIndex, ThePriorityOfAnAccountGoesBeforeItsRoutes) {
+  bbv::ServiceRoute route;
+  route.priority = 2;
+  bbv::FleetAccount account;
+  CHECK_EQUAL(2, bbv::FleetIndex::EffectivePriority(route, nullptr));
+  CHECK_EQUAL(2, bbv::FleetIndex::EffectivePriority(route, &account));
+  account.priority = 0;
+  CHECK_EQUAL(0, bbv::FleetIndex::EffectivePriority(route, &account));
+}
+
 TEST(FleetIndex, WeightsDivideTheCalls) {
   bbv::ServiceRoute route;
   route.services = {{"s", 9}, {"t", 1}};
