Loss recovery: streams of a lost target move in order, paced by their replacements

Cause: all entries moved all streams of a lost target at once to the same replacement, and the prefill that this causes counted nowhere. Change: the prefill of a changed path counts at its new hops from the order on, with what peers are expected to add; replacements that would be late are avoided; urgent and short streams go first; streams that would be late wait for the others, bounded by their callers' patience (bbv_recovery). Hops that refuse a changed path count as full. Events 160 and 161, bbv_fleet_streams_moved_total.

--- a/modules/bbv_core/event.cc
+++ b/modules/bbv_core/event.cc
@@ -84,6 +84,8 @@
     EventDescription{Event::kCallSendCancelled, "call-send-cancelled"},
     EventDescription{Event::kCrashWithdrawn, "crash-withdrawn"},
     EventDescription{Event::kQuarantineNotStored, "quarantine-not-stored"},
+    EventDescription{Event::kStreamHeld, "stream-held"},
+    EventDescription{Event::kStreamMoved, "stream-moved"},
 };
 
 // Returns whether `event` occurs in the normal processing of every request.
--- a/modules/bbv_core/event.h
+++ b/modules/bbv_core/event.h
@@ -81,6 +81,8 @@
   kCallSendCancelled = 114,
   kCrashWithdrawn = 140,
   kQuarantineNotStored = 141,
+  kStreamHeld = 160,
+  kStreamMoved = 161,
 };
 
 // The name under which an event is logged.
--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -249,7 +249,8 @@
       it->CheckQuarantine(now);
   }
   calls_.RetireDone(now);
-  const std::vector<RelayedCall*> open = calls_.List();
+  const std::vector<RelayedCall*> open =
+      calls_.HasBrokenPath() ? calls_.ListByUrgency(now) : calls_.List();
   for (RelayedCall* it : open) {
     it->OnTick(now);
     target_monitor_.InvestigateStall(*it, now);
--- a/modules/bbv_entry/open_calls.cc
+++ b/modules/bbv_entry/open_calls.cc
@@ -1,5 +1,6 @@
 #include "bbv_entry/open_calls.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -47,6 +48,34 @@
   return open;
 }
 
+std::vector<RelayedCall*> OpenCalls::ListByUrgency(Instant now) const {
+  std::vector<RelayedCall*> others;
+  std::vector<std::pair<LostStream, RelayedCall*>> streams;
+  for (const auto& [id, call] : calls_) {
+    if (call->call().request().route->event_gap_objective_ms > 0)
+      streams.emplace_back(call->lost_stream(), call.get());
+    else
+      others.push_back(call.get());
+  }
+  std::sort(streams.begin(), streams.end(),
+            [now](const auto& left, const auto& right) {
+              return RecoverySchedule::IsMoreUrgent(left.first, right.first,
+                                                    now);
+            });
+  std::vector<RelayedCall*> open;
+  open.reserve(calls_.size());
+  for (const auto& [stream, call] : streams)
+    open.push_back(call);
+  open.insert(open.end(), others.begin(), others.end());
+  return open;
+}
+
+bool OpenCalls::HasBrokenPath() const {
+  return std::any_of(calls_.begin(), calls_.end(), [](const auto& it) {
+    return it.second->call().is_path_broken();
+  });
+}
+
 void OpenCalls::Keep(std::unique_ptr<RelayedCall> call, Instant now) {
   const CallRequest& request = call->call().request();
   // A call that reached no target does not show how long calls take.
--- a/modules/bbv_entry/open_calls.h
+++ b/modules/bbv_entry/open_calls.h
@@ -38,6 +38,13 @@
   // if a call ends before that.
   std::vector<RelayedCall*> List() const;
 
+  // Returns the open calls, those first that are to move first if they have
+  // lost a hop. Without an objective for the time between events, in any order.
+  std::vector<RelayedCall*> ListByUrgency(Instant now) const;
+
+  // Returns whether any call has lost a hop that is not replaced yet.
+  bool HasBrokenPath() const;
+
   std::size_t size() const { return calls_.size(); }
   bool empty() const { return calls_.empty(); }
   const CallDurations& durations() const { return durations_; }
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -34,7 +34,8 @@
       call_(std::move(request), this),
       relay_(Milliseconds(call_.request().route->event_gap_objective_ms)),
       log_(context, &call_, &relay_),
-      admission_(context) {
+      admission_(context),
+      path_change_(context, &call_) {
   assert(context != nullptr && caller != nullptr);
 }
 
@@ -114,16 +115,17 @@
   return dispatch;
 }
 
-std::optional<CallDispatch> RelayedCall::ChooseReroute(
-    const CallRequest& request,
+RerouteChoice RelayedCall::ChooseReroute(
+    const CallRequest&,
     const CallDispatch& current,
+    const StreamProgress& progress,
     const std::vector<std::string>& excluded,
     Instant now) {
-  return context_->selector->SelectReroute(*index_, request, current, excluded,
-                                           (*context_->random)(), now);
+  return path_change_.Choose(*index_, current, progress, excluded, now);
 }
 
 void RelayedCall::ChangePath(const CallDispatch& path, Instant) {
+  path_change_.OnOrdered(path);
   // A silent target carries the order out when it goes on. Its answer is then
   // the only way to learn the path of the run.
   PostOrder(context_->client,
@@ -146,6 +148,7 @@
                                      const CallDispatch& path) {
   const Instant now = EventLoop::Now();
   log_.WritePathChanged(sends_.active()->dispatch.target_id, answer, now);
+  path_change_.Release();
   if (answer.is_accepted()) {
     context_->selector->RemoveInFlight(&sends_.active()->dispatch);
     sends_.active()->dispatch = path;
@@ -155,6 +158,9 @@
     call_.OnPathChangeUnanswered(now);
     return;
   }
+  // Other streams avoid a target without room from now on.
+  if (!answer.is_accepted())
+    ReportRefusalCause(answer.fault_address);
   call_.OnPathChanged(path, answer.is_accepted(), answer.fault_address, now);
 }
 
@@ -210,6 +216,8 @@
   send->in_flight = false;
   send->is_continuation_refused = false;
   context_->selector->RemoveInFlight(&send->dispatch);
+  if (send == sends_.active())
+    path_change_.Release();
   FleetTarget* target = context_->registry->Find(send->dispatch.target_id);
   if (target != nullptr && now > send->sent_at) {
     context_->registry->RecordOutcome(target, failed,
@@ -317,7 +325,7 @@
   if (batch.text.empty() || caller_ == nullptr)
     return;
   AcceptOutput(send, now);
-  context_->selector->MarkPromptRead(&send->dispatch);
+  path_change_.OnEvent(&send->dispatch, relay_.last_relayed(), now);
   if (!call_.relaying())
     call_.OnResponseStarted(now);
   if (!relay_.has_begun()) {
@@ -430,10 +438,13 @@
   } else {
     call_.OnSendFailed(failure, now);
   }
-  if (failure.fault_address.empty())
+  ReportRefusalCause(failure.fault_address);
+}
+
+void RelayedCall::ReportRefusalCause(const std::string& address) {
+  if (address.empty())
     return;
-  if (const FleetTarget* it =
-          context_->registry->FindAddress(failure.fault_address))
+  if (const FleetTarget* it = context_->registry->FindAddress(address))
     context_->on_refusal_cause(it->record.id);
 }
 
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -14,6 +14,7 @@
 #include "bbv_entry/call_sends.h"
 #include "bbv_entry/crash_guard.h"
 #include "bbv_entry/event_relay.h"
+#include "bbv_entry/path_change.h"
 #include "bbv_entry/target_requests.h"
 #include "bbv_entry/target_send.h"
 #include "bbv_fleet/bbv_fleet.h"
@@ -63,17 +64,22 @@
   // slowly.
   bool is_paused() const { return relay_.is_paused(); }
   const FleetCall& call() const { return call_; }
+  // The call as a stream that has lost a hop.
+  LostStream lost_stream() const {
+    return TargetSelector::MakeLostStream(*index_, call_.request(),
+                                          call_.progress());
+  }
 
   // FleetCallDelegate:
   std::optional<CallDispatch> Choose(const CallRequest& request,
                                      const std::vector<std::string>& excluded,
                                      Instant now,
                                      CallEndReason* end) override;
-  std::optional<CallDispatch> ChooseReroute(
-      const CallRequest& request,
-      const CallDispatch& current,
-      const std::vector<std::string>& excluded,
-      Instant now) override;
+  RerouteChoice ChooseReroute(const CallRequest& request,
+                              const CallDispatch& current,
+                              const StreamProgress& progress,
+                              const std::vector<std::string>& excluded,
+                              Instant now) override;
   void ChangePath(const CallDispatch& path, Instant now) override;
   void Send(const CallDispatch& dispatch, Instant now) override;
   void CancelSend(SendCancelReason reason, Instant now) override;
@@ -112,6 +118,8 @@
   void FailSend(TargetSend* send,
                 const SendFailure& failure,
                 std::string_view evidence);
+  // Reports the target that a refusal names as its cause, if it names one.
+  void ReportRefusalCause(const std::string& address);
   void FinishSend(TargetSend* send, bool failed, Instant now);
   // Closes the connection of `send` if it is in flight.
   void CloseSend(TargetSend* send);
@@ -136,6 +144,7 @@
   EventRelay relay_;
   CallLog log_;
   CallAdmission admission_;
+  PathChange path_change_;
 
   // Why the last path selection failed.
   PathFailure path_failure_ = PathFailure::kNone;
--- a/modules/bbv_entry/target_monitor.cc
+++ b/modules/bbv_entry/target_monitor.cc
@@ -55,7 +55,7 @@
     SuspectTarget(target, fault, now);
   if (const auto address = ParseSocketAddress(target->record.address))
     parts_.client->CloseIdleConnections(*address);
-  for (RelayedCall* it : parts_.calls->List())
+  for (RelayedCall* it : parts_.calls->ListByUrgency(now))
     it->OnPathFault(fault.target_id, now);
 }
 
--- a/modules/bbv_fleet/fleet_call.cc
+++ b/modules/bbv_fleet/fleet_call.cc
@@ -442,7 +442,13 @@
   if (path_changes_ >= kMaxPathChanges || first_target_suspected_ ||
       now < next_path_change_)
     return false;
-  pending_path_ = delegate_->ChooseReroute(request_, dispatch_, excluded_, now);
+  RerouteChoice choice =
+      delegate_->ChooseReroute(request_, dispatch_, progress(), excluded_, now);
+  if (choice.search_again_at) {
+    next_path_search_ = *choice.search_again_at;
+    return true;
+  }
+  pending_path_ = std::move(choice.path);
   if (!pending_path_)
     return false;
   ++path_changes_;
@@ -535,6 +541,19 @@
                      [this](const std::string& it) { return IsExcluded(it); });
 }
 
+StreamProgress FleetCall::progress() const {
+  const ServiceRoute& route = *request_.route;
+  StreamProgress progress;
+  progress.last_event = last_event_;
+  progress.event_deadline =
+      relaying_ ? last_progress_ + Milliseconds(route.event_gap_objective_ms)
+                : request_.arrived + Milliseconds(route.objective_ms);
+  progress.caller_deadline =
+      std::min(last_progress_ + kPathWait, request_.deadline);
+  progress.is_broken = path_broken_since_.has_value();
+  return progress;
+}
+
 std::optional<Instant> FleetCall::last_event_time() const {
   const bool running = !done_ && sending_ && relaying_ && !path_broken_since_ &&
                        last_event_ != dispatch_.last_event;
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -95,9 +95,13 @@
   std::vector<std::string> hop_ids;
   std::vector<std::string> hop_addresses;
   double tokens = 0;
-  // Prompt tokens to prefill at every hop, multiplied by the number of
-  // entries that are expected to send similar calls at the same time.
+  // Tokens to prefill at every hop but `prefilled_hop_ids`.
   double unread_tokens = 0;
+  // Tokens that other entries are expected to add there at the same time, of
+  // which they have not told yet.
+  double expected_peer_tokens = 0;
+  // Hops that have prefilled the call's tokens before.
+  std::vector<std::string> prefilled_hop_ids;
   // Time for which the prompt occupies links between zones, in milliseconds.
   double link_ms = 0;
   // Expected interval between two events of a stream, in milliseconds.
@@ -107,6 +111,25 @@
   int64_t last_event = kNoEvent;
 };
 
+// How far a stream had come when it lost a hop of its path.
+struct StreamProgress {
+  int64_t last_event = kNoEvent;
+  // When its next event is due by the route's objectives.
+  Instant event_deadline{};
+  // When its caller is expected to disconnect.
+  Instant caller_deadline{};
+  // Whether the stream stands still until its path is changed.
+  bool is_broken = false;
+};
+
+// Result of a search for a path that replaces lost hops.
+struct RerouteChoice {
+  // Nullopt if there is none, or none yet.
+  std::optional<CallDispatch> path;
+  // Set if the stream waits for others to move first: when to search again.
+  std::optional<Instant> search_again_at;
+};
+
 // Final result of a call that did not end with a response from a target.
 struct CallFailure {
   CallEndReason end = CallEndReason::kNoTarget;
@@ -141,12 +164,12 @@
       Instant now,
       CallEndReason* end) = 0;
   // Chooses a path on which the current send can continue from its first target
-  // without the excluded hops. Returns nullopt if there is none.
-  virtual std::optional<CallDispatch> ChooseReroute(
-      const CallRequest& request,
-      const CallDispatch& current,
-      const std::vector<std::string>& excluded,
-      Instant now) = 0;
+  // without the excluded hops.
+  virtual RerouteChoice ChooseReroute(const CallRequest& request,
+                                      const CallDispatch& current,
+                                      const StreamProgress& progress,
+                                      const std::vector<std::string>& excluded,
+                                      Instant now) = 0;
   // Instructs the first target to continue along `path`; its reply is passed to
   // OnPathChanged().
   virtual void ChangePath(const CallDispatch& path, Instant now) = 0;
@@ -310,6 +333,8 @@
   int64_t last_event() const { return last_event_; }
   ExecutionStatus execution_status() const { return execution_status_; }
   const std::vector<std::string>& excluded() const { return excluded_; }
+  // How far the active send has come.
+  StreamProgress progress() const;
 
  private:
   // A send beside the active one.
@@ -357,7 +382,8 @@
   bool IsExcluded(const std::string& id) const;
   // Reroutes a call with a failed hop, or sends it to another target.
   void TryReroute(Instant now);
-  // Tells the first target to continue on another path; false if there is none.
+  // Tells the first target to continue on another path, or waits until it is
+  // the call's turn to be moved; false if there is no other path.
   bool StartReroute(Instant now);
   void TryResend(Instant now);
   void CheckBrokenPath(Instant now);
--- a/modules/bbv_fleet/fleet_call_test.cc
+++ b/modules/bbv_fleet/fleet_call_test.cc
@@ -43,19 +43,22 @@
   void Send(const bbv::CallDispatch& dispatch, Instant) override {
     sent.push_back(dispatch);
   }
-  std::optional<bbv::CallDispatch> ChooseReroute(
-      const bbv::CallRequest&,
-      const bbv::CallDispatch& current,
-      const std::vector<std::string>& excluded,
-      Instant) override {
+  bbv::RerouteChoice ChooseReroute(const bbv::CallRequest&,
+                                   const bbv::CallDispatch& current,
+                                   const bbv::StreamProgress& progress,
+                                   const std::vector<std::string>& excluded,
+                                   Instant) override {
     excluded_at_reroute = excluded;
+    progress_at_reroute = progress;
+    if (hold_until)
+      return {std::nullopt, hold_until};
     if (replacement_hops.empty())
-      return std::nullopt;
+      return {};
     bbv::CallDispatch dispatch = current;
     dispatch.hop_ids[1] = replacement_hops.front();
     dispatch.hop_addresses[1] = replacement_hops.front() + ":1";
     replacement_hops.erase(replacement_hops.begin());
-    return dispatch;
+    return {dispatch, std::nullopt};
   }
   void ChangePath(const bbv::CallDispatch& path, Instant) override {
     changed.push_back(path);
@@ -88,6 +91,9 @@
   // Replacements for the second hop, in order.
   std::vector<std::string> replacement_hops;
   std::vector<std::string> excluded_at_reroute;
+  bbv::StreamProgress progress_at_reroute;
+  // Set while the call has to wait for its turn to be moved.
+  std::optional<Instant> hold_until;
   std::vector<bbv::CallDispatch> changed;
   int cancelled = 0;
   int replacements_cancelled = 0;
@@ -395,6 +401,25 @@
   CHECK_EQUAL(2, static_cast<int>(delegate.changed.size()));
 }
 
+TEST(FleetCall, AStreamThatIsHeldBackIsMovedWhenItsTurnComes) {
+  route.event_gap_objective_ms = 250;
+  auto call = MakeStreamAt(3);
+  delegate.replacement_hops = {"c-hop"};
+  delegate.hold_until = now + Milliseconds(20);
+  call.OnPathFault("a-hop", now + Milliseconds(10));
+  CHECK(delegate.progress_at_reroute.is_broken);
+  CHECK(delegate.progress_at_reroute.event_deadline == now + Milliseconds(250));
+  CHECK_EQUAL(3, static_cast<int>(delegate.progress_at_reroute.last_event));
+  // It waits for its run, which nothing replaces meanwhile.
+  CHECK_EQUAL(1, static_cast<int>(delegate.sent.size()));
+  delegate.hold_until.reset();
+  call.OnTick(now + Milliseconds(19));
+  CHECK(delegate.changed.empty());
+  call.OnTick(now + Milliseconds(20));
+  CHECK_EQUAL(1, static_cast<int>(delegate.changed.size()));
+  CHECK_EQUAL(1, static_cast<int>(delegate.sent.size()));
+}
+
 TEST(FleetCall, AnUnsafeStreamKeepsItsRunOnAChangedPath) {
   delegate.replacement_hops = {"m"};
   auto call = MakeCall(CallKind::kStream, 1);
--- a/modules/bbv_fleet/path_chooser.cc
+++ b/modules/bbv_fleet/path_chooser.cc
@@ -117,8 +117,8 @@
                          (1 + (kFullTargetFactor - 1) * load * load) *
                          (1 + 4 * target->failure_rate) * spread;
     const double prefill_rate = EngineTiming::PrefillTokensPerMs(model, share);
-    const double backlog_ms = PrefillMs(
-        prefill_rate, target->own_unread_tokens + target->peer_unread_tokens);
+    const double backlog_ms = PrefillMs(prefill_rate, target->UnreadTokens());
+    candidate.backlog_ms = backlog_ms;
     candidate.prefill_ms =
         backlog_ms + PrefillMs(prefill_rate, query.prompt_tokens);
     // At a busy target a token waits for the current pass to end.
@@ -221,6 +221,10 @@
   std::erase_if(candidates, [first](const Candidate& it) {
     return it.target == first || it.target->record.zone != first->record.zone;
   });
+  for (Candidate& it : candidates) {
+    if (query.max_prefill_ms && it.prefill_ms > *query.max_prefill_ms)
+      it.hop_ms += kLatePenaltyMs + it.prefill_ms;
+  }
   for (auto it = current.begin() + 1; it != current.end(); ++it) {
     FleetTarget* target = registry_->Find(it->target_id);
     if (target == nullptr || IsExcluded(query, it->target_id) ||
@@ -393,6 +397,7 @@
     const Candidate& it = candidates[arrival.candidate];
     path.hops.push_back({it.target, {arrival.from, layer}});
     path.prefill_ms += it.prefill_ms;
+    path.backlog_ms += it.backlog_ms;
     layer = arrival.from;
     if (layer == limits.from)
       break;
--- a/modules/bbv_fleet/path_chooser.h
+++ b/modules/bbv_fleet/path_chooser.h
@@ -2,6 +2,7 @@
 #define MODULES_BBV_FLEET_PATH_CHOOSER_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -26,6 +27,8 @@
   // milliseconds.
   double token_ms = 0;
   double prefill_ms = 0;
+  // The part of it for which its tokens are queued behind those of other calls.
+  double backlog_ms = 0;
 
   bool empty() const { return hops.empty(); }
 };
@@ -44,6 +47,9 @@
   // Maximum time that a hop may need to prefill the prompts queued there; 0 for
   // no limit.
   double max_backlog_ms = 0;
+  // Time after which the prefill at a hop that replaces another is late;
+  // nullopt for no limit.
+  std::optional<double> max_prefill_ms;
   // Whether a path may cross zones.
   bool allow_zone_crossing = true;
   // Targets excluded after earlier failures of this call.
@@ -113,8 +119,9 @@
                        double tokens);
 
   // Returns the path `current` with as few hops replaced as possible. Its first
-  // hop and its zone stay. Empty if there is no such path. Precondition:
-  // `current` is not empty.
+  // hop and its zone stay. Replacements that would prefill late are avoided,
+  // and else the one taken that is done first. Empty if there is no such path.
+  // Precondition: `current` is not empty.
   EnginePath Reroute(const EngineModel& model,
                      const PathQuery& query,
                      const std::vector<CurrentHop>& current,
@@ -147,6 +154,7 @@
     // Time until the call's prompt is prefilled behind the queued ones, in
     // milliseconds.
     double prefill_ms = 0;
+    double backlog_ms = 0;
     double free_token_layers = 0;
     // Whether the prefill backlog exceeds the limit of the query.
     bool exceeds_backlog = false;
--- a/modules/bbv_fleet/target_registry.h
+++ b/modules/bbv_fleet/target_registry.h
@@ -145,6 +145,9 @@
   // the other entries.
   double own_unread_tokens = 0;
   double peer_unread_tokens = 0;
+  // Tokens that other entries are expected to have sent at the same time as
+  // this one, after a fault that all of them noticed.
+  double expected_peer_tokens = 0;
   // The last report and the time at which it was valid.
   EngineLoadReport report;
   Instant reported_at{};
@@ -158,6 +161,12 @@
   bool AcceptsRequests(Instant now) const {
     return !IsInBackoff(now) && rate_limit.HasAllowance(now);
   }
+  // Returns the tokens that are not prefilled yet: those of this process, and
+  // those that other entries have told of or are expected to have sent.
+  double UnreadTokens() const {
+    return own_unread_tokens +
+           std::max(peer_unread_tokens, expected_peer_tokens);
+  }
   // Returns the slowdown factor last reported, or 1 if it is not known.
   double Pace(Instant now) const;
   // Returns the tokens times layers in use: the larger of the calls known here
@@ -258,6 +267,9 @@
   // Replaces the in-flight calls of `peer`; pass an empty list when it is gone.
   void SetPeerLoad(const std::string& peer, std::vector<PeerLoad> loads);
 
+  // Returns whether any peer has told of its in-flight calls.
+  bool HasPeerLoads() const { return !peers_.empty(); }
+
   // Records the end of a call at `target`; `answer_ms` is ignored if it failed.
   void RecordOutcome(FleetTarget* target, bool failed, double answer_ms);
 
--- a/modules/bbv_fleet/target_selector.cc
+++ b/modules/bbv_fleet/target_selector.cc
@@ -85,28 +85,97 @@
   return dispatch;
 }
 
-std::optional<CallDispatch> TargetSelector::SelectReroute(
+RerouteChoice TargetSelector::SelectReroute(
     const FleetIndex& index,
     const CallRequest& request,
     const CallDispatch& current,
+    const StreamProgress& progress,
     const std::vector<std::string>& excluded,
     uint64_t random_value,
     Instant now) const {
   const ServiceDescription* service = index.FindService(request.service);
   if (service == nullptr || !service->engine || current.layers.empty())
-    return std::nullopt;
-  const PathQuery query = MakeQuery(request, excluded, random_value);
+    return {};
+  const LostStream stream = MakeLostStream(index, request, progress);
+  // A stream that still gets its events on the old path is not in a hurry.
+  const Milliseconds objective(
+      progress.is_broken ? request.route->event_gap_objective_ms : 0);
+  PathQuery query = MakeQuery(request, excluded, random_value);
+  query.prompt_tokens = stream.unread_tokens;
+  if (objective > Milliseconds(0))
+    query.max_prefill_ms = RemainingMilliseconds(stream.event_deadline, now);
   std::vector<CurrentHop> hops;
   for (std::size_t it = 0; it < current.layers.size(); ++it)
     hops.push_back({current.hop_ids[it], current.layers[it]});
   const EnginePath path =
       path_chooser_.Reroute(*service->engine, query, hops, now);
   if (path.empty())
-    return std::nullopt;
+    return {};
+  RerouteChoice choice;
+  choice.search_again_at = RecoverySchedule::HoldUntil(
+      stream, {path.backlog_ms, path.prefill_ms}, objective, now);
+  if (choice.search_again_at)
+    return choice;
   CallDispatch dispatch = MakeDispatch(*service->engine, path, request);
   // Hops that stay do not prefill again; the prefill of the others is short.
   dispatch.event_ms = std::max(dispatch.event_ms, current.event_ms);
-  return dispatch;
+  dispatch.prefilled_hop_ids = current.hop_ids;
+  dispatch.unread_tokens = stream.unread_tokens;
+  dispatch.expected_peer_tokens =
+      stream.unread_tokens * (LostStreamsFactor(current, dispatch) - 1);
+  choice.path = std::move(dispatch);
+  return choice;
+}
+
+LostStream TargetSelector::MakeLostStream(const FleetIndex& index,
+                                          const CallRequest& request,
+                                          const StreamProgress& progress) {
+  const ServiceDescription* service = index.FindService(request.service);
+  const double tokens_per_event = service != nullptr && service->engine
+                                      ? service->engine->tokens_per_event
+                                      : 0;
+  // Events are numbered from 0.
+  const auto events = static_cast<double>(progress.last_event + 1);
+  LostStream stream;
+  stream.priority = request.route->priority;
+  if (request.account != nullptr && request.account->priority)
+    stream.priority = *request.account->priority;
+  stream.unread_tokens = request.prompt_tokens + events * tokens_per_event;
+  stream.event_deadline = progress.event_deadline;
+  stream.caller_deadline = progress.caller_deadline;
+  return stream;
+}
+
+double TargetSelector::LostStreamsFactor(const CallDispatch& current,
+                                         const CallDispatch& next) const {
+  const double entries = std::max(1, entries_);
+  // Without news of them, peers are assumed to have lost as many.
+  if (!registry_->HasPeerLoads())
+    return entries;
+  double factor = 1;
+  for (const std::string& it : current.hop_ids) {
+    const FleetTarget* lost =
+        Contains(next.hop_ids, it) ? nullptr : registry_->Find(it);
+    if (lost != nullptr && lost->own_calls > 0) {
+      factor = std::max(
+          factor, 1 + static_cast<double>(lost->peer_calls) / lost->own_calls);
+    }
+  }
+  return std::min(factor, entries);
+}
+
+CallDispatch TargetSelector::NewHops(const CallDispatch& path) {
+  CallDispatch part;
+  part.tokens = path.tokens;
+  part.unread_tokens = path.unread_tokens;
+  part.expected_peer_tokens = path.expected_peer_tokens;
+  for (std::size_t it = 0; it < path.hop_ids.size(); ++it) {
+    if (Contains(path.prefilled_hop_ids, path.hop_ids[it]))
+      continue;
+    part.hop_ids.push_back(path.hop_ids[it]);
+    part.layers.push_back(path.layers[it]);
+  }
+  return part;
 }
 
 PathQuery TargetSelector::MakeQuery(const CallRequest& request,
@@ -214,22 +283,28 @@
     if (target == nullptr)
       continue;
     ++target->own_calls;
-    target->own_unread_tokens += dispatch.unread_tokens;
     if (it < dispatch.layers.size())
       target->own_token_layers += dispatch.tokens * dispatch.layers[it].size();
+    if (Contains(dispatch.prefilled_hop_ids, dispatch.hop_ids[it]))
+      continue;
+    target->own_unread_tokens += dispatch.unread_tokens;
+    target->expected_peer_tokens += dispatch.expected_peer_tokens;
   }
 }
 
 void TargetSelector::MarkPromptRead(CallDispatch* dispatch) {
   const double tokens = std::exchange(dispatch->unread_tokens, 0);
+  const double expected = std::exchange(dispatch->expected_peer_tokens, 0);
   if (tokens == 0)
     return;
   for (const std::string& id : dispatch->hop_ids) {
     FleetTarget* target = registry_->Find(id);
-    if (target != nullptr) {
-      target->own_unread_tokens =
-          std::max(0.0, target->own_unread_tokens - tokens);
-    }
+    if (target == nullptr || Contains(dispatch->prefilled_hop_ids, id))
+      continue;
+    target->own_unread_tokens =
+        std::max(0.0, target->own_unread_tokens - tokens);
+    target->expected_peer_tokens =
+        std::max(0.0, target->expected_peer_tokens - expected);
   }
 }
 
--- a/modules/bbv_fleet/target_selector.h
+++ b/modules/bbv_fleet/target_selector.h
@@ -12,6 +12,7 @@
 #include "bbv_fleet/path_chooser.h"
 #include "bbv_fleet/target_registry.h"
 #include "bbv_fleet/zone_link_limiter.h"
+#include "bbv_recovery/bbv_recovery.h"
 
 namespace bbv {
 
@@ -38,14 +39,22 @@
   PathFailure last_failure() const { return last_failure_; }
 
   // Returns `current` with the hops replaced that are excluded or unusable, or
-  // nullopt if that is not possible.
-  std::optional<CallDispatch> SelectReroute(
-      const FleetIndex& index,
-      const CallRequest& request,
-      const CallDispatch& current,
-      const std::vector<std::string>& excluded,
-      uint64_t random_value,
-      Instant now) const;
+  // no path if that is not possible or if other streams are to move first.
+  RerouteChoice SelectReroute(const FleetIndex& index,
+                              const CallRequest& request,
+                              const CallDispatch& current,
+                              const StreamProgress& progress,
+                              const std::vector<std::string>& excluded,
+                              uint64_t random_value,
+                              Instant now) const;
+
+  // Returns the stream of `request` as RecoverySchedule takes it.
+  static LostStream MakeLostStream(const FleetIndex& index,
+                                   const CallRequest& request,
+                                   const StreamProgress& progress);
+
+  // Returns the part of `path` that its new hops add to their load.
+  static CallDispatch NewHops(const CallDispatch& path);
 
   // Adds a send to the load of its targets, or removes it.
   void AddInFlight(const CallDispatch& dispatch);
@@ -77,6 +86,11 @@
   // entry no request now: kNoRoom if it may soon send one.
   CallEndReason RateLimitEnd(std::string_view service, Instant now) const;
 
+  // Returns the number of streams of all entries that have lost the hops of
+  // `current` that `next` replaces, as a multiple of those of this entry.
+  double LostStreamsFactor(const CallDispatch& current,
+                           const CallDispatch& next) const;
+
   // `request` and `excluded` must outlive the query.
   PathQuery MakeQuery(const CallRequest& request,
                       const std::vector<std::string>& excluded,
--- a/modules/bbv_observe/fleet_metrics.cc
+++ b/modules/bbv_observe/fleet_metrics.cc
@@ -33,6 +33,10 @@
                         .Name("bbv_fleet_bad_requests_total")
                         .Help("Requests that were rejected by their form")
                         .Register(registry_)),
+      moved_(prometheus::BuildCounter()
+                 .Name("bbv_fleet_streams_moved_total")
+                 .Help("Streams that went on after they lost a hop")
+                 .Register(registry_)),
       gauges_(prometheus::BuildGauge()
                   .Name("bbv_fleet_state")
                   .Help("State of the entry, by name")
@@ -70,6 +74,12 @@
   counter->Increment();
 }
 
+void FleetMetrics::CountMoved(const std::string& service, bool is_in_time) {
+  moved_
+      .Add({{"service", service}, {"outcome", is_in_time ? "in-time" : "late"}})
+      .Increment();
+}
+
 void FleetMetrics::CountFailure(const std::string& service, CallEndReason end) {
   prometheus::Counter*& counter = failures_by_end_[{service, end}];
   if (counter == nullptr) {
--- a/modules/bbv_observe/fleet_metrics.h
+++ b/modules/bbv_observe/fleet_metrics.h
@@ -25,6 +25,8 @@
   void CountServed(const std::string& service);
   void CountFailure(const std::string& service, CallEndReason end);
   void CountBadRequest(int status);
+  // Counts a stream that has gone on after it lost a hop of its path.
+  void CountMoved(const std::string& service, bool is_in_time);
   void ObserveFirstEvent(double seconds);
   void ObserveAnswer(double seconds);
   void SetGauge(const std::string& name, double value);
@@ -55,6 +57,7 @@
   prometheus::Family<prometheus::Counter>& served_;
   prometheus::Family<prometheus::Counter>& failures_;
   prometheus::Family<prometheus::Counter>& bad_requests_;
+  prometheus::Family<prometheus::Counter>& moved_;
   prometheus::Family<prometheus::Gauge>& gauges_;
   GaugeSet quarantine_ages_;
   GaugeSet rate_limits_;
