--- a/modules/bbv_entry/call_admission.cc
+++ b/modules/bbv_entry/call_admission.cc
@@ -19,14 +19,7 @@
 bool CallAdmission::Wait(const CallRequest& request,
                          uint64_t id,
                          Instant deadline) const {
-  AdmissionQueue::CallParameters parameters;
-  parameters.service = request.service;
-  if (request.account != nullptr)
-    parameters.account = request.account->name;
-  parameters.priority = request.priority;
-  parameters.cost = request.prompt_tokens + request.output_tokens;
-  parameters.deadline = deadline;
-  return context_->admission_queue->Add(id, parameters);
+  return context_->admission_control->Wait(id, request, deadline);
 }
 
 Milliseconds CallAdmission::EarliestRetry(const CallRequest& request,
@@ -62,8 +55,7 @@
   const Milliseconds latest =
       std::max(earliest, left / kRetryAfterDeadlineDivisor);
   const Milliseconds reserved_delay =
-      context_->retry_after_scheduler(request.service)
-          ->ReserveDelay(earliest, latest, now);
+      context_->admission_control->ReserveRetry(request, earliest, latest, now);
   const auto spread =
       static_cast<int>((*context_->random)() % kRetrySpreadPercent);
   return std::min(latest, reserved_delay + earliest * spread / 100);
--- a/modules/bbv_entry/call_intake.cc
+++ b/modules/bbv_entry/call_intake.cc
@@ -138,7 +138,7 @@
       parts_.context, index, connection, std::move(request), std::move(head),
       ShareHeldText(std::move(body), connection->TakeBodyHold()));
   // An earlier call that waited on this connection has been answered.
-  parts_.admission_queue->Remove(connection->id());
+  parts_.admission_control->Remove(connection->id());
   RelayedCall* started = call.get();
   parts_.calls->Add(connection->id(), std::move(call), now);
   started->Start(now);
@@ -210,7 +210,7 @@
   if (call == nullptr)
     return;
   const Instant now = EventLoop::Now();
-  parts_.admission_queue->Remove(connection->id());
+  parts_.admission_control->Remove(connection->id());
   call->OnCallerGone(now);
   parts_.calls->Retire(connection->id(), now);
 }
--- a/modules/bbv_entry/call_intake.h
+++ b/modules/bbv_entry/call_intake.h
@@ -38,7 +38,7 @@
     FleetMetrics* metrics = nullptr;
     const ConfigurationFollower* configuration = nullptr;
     const PeerExchange* peers = nullptr;
-    AdmissionQueue* admission_queue = nullptr;
+    AdmissionControl* admission_control = nullptr;
     ResponseLengthEstimator* response_length_estimator = nullptr;
     CallContext* context = nullptr;
     OpenCalls* calls = nullptr;
--- a/modules/bbv_entry/entry_telemetry.cc
+++ b/modules/bbv_entry/entry_telemetry.cc
@@ -50,7 +50,7 @@
   metrics->SetGauge("calls_under_way",
                     static_cast<double>(parts_.calls->size()));
   metrics->SetGauge("calls_waiting",
-                    static_cast<double>(parts_.admission_queue->size()));
+                    static_cast<double>(parts_.admission_control->waiting()));
   metrics->SetGauge("held_bytes",
                     static_cast<double>(parts_.memory_ledger->held_bytes()));
   metrics->SetGauge("log_lines_dropped",
--- a/modules/bbv_entry/entry_telemetry.h
+++ b/modules/bbv_entry/entry_telemetry.h
@@ -31,7 +31,7 @@
     CongestionMeter* congestion = nullptr;
     const CallIntake* intake = nullptr;
     const OpenCalls* calls = nullptr;
-    const AdmissionQueue* admission_queue = nullptr;
+    const AdmissionControl* admission_control = nullptr;
     const MemoryLedger* memory_ledger = nullptr;
     const TargetRegistry* registry = nullptr;
     const TargetFollower* targets = nullptr;
--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -79,12 +79,13 @@
              [this](const std::string& id, std::string_view) {
                target_monitor_.CheckRefusalCause(id);
              }),
+      admission_control_(&log_, &metrics_),
       intake_({&settings_, &memory_ledger_, &log_, &metrics_, &configuration_,
-               &peers_, &admission_queue_, &response_length_estimator_,
+               &peers_, &admission_control_, &response_length_estimator_,
                &context_, &calls_},
               [this] { return IsReady(); }),
       telemetry_({&metrics_, &log_, &congestion_, &intake_, &calls_,
-                  &admission_queue_, &memory_ledger_, &registry_, &targets_,
+                  &admission_control_, &memory_ledger_, &registry_, &targets_,
                   &planner_, &peers_, &store_, &client_, &crash_guard_,
                   &configuration_}) {
   jitter_seed_ = random_();
@@ -95,16 +96,13 @@
   context_.metrics = &metrics_;
   context_.memory_ledger = &memory_ledger_;
   context_.random = &random_;
-  context_.admission_queue = &admission_queue_;
+  context_.admission_control = &admission_control_;
   context_.response_length_estimator = &response_length_estimator_;
   context_.crash_guard = &crash_guard_;
   context_.rate_limits = &rate_limits_;
   context_.retry_budget = [this](const std::string& service) {
     return retry_budgets_.ForService(service);
   };
-  context_.retry_after_scheduler = [this](const std::string& service) {
-    return &retry_after_schedulers_[service];
-  };
   context_.on_target_fault = [this](const TargetFault& fault) {
     target_monitor_.OnTargetFault(fault);
   };
@@ -234,7 +232,7 @@
 }
 
 void FleetEntry::TickCalls(Instant now) {
-  admission_queue_.OnTick(
+  admission_control_.OnTick(
       now,
       [this, now](uint64_t id) {
         RelayedCall* call = calls_.Find(id);
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -85,10 +85,8 @@
   RateLimitExchange rate_limits_;
   LoadPoller load_poller_;
   PeerExchange peers_;
-  AdmissionQueue admission_queue_;
+  AdmissionControl admission_control_;
   ResponseLengthEstimator response_length_estimator_;
-  // Delays given to refused callers, by service.
-  std::map<std::string, RetryAfterScheduler> retry_after_schedulers_;
   CallContext context_;
   CongestionMeter congestion_;
   CallIntake intake_;
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -49,6 +49,7 @@
 void RelayedCall::Start(Instant now) {
   context_->retry_budget(call_.request().service)->RecordCall(now);
   context_->rate_limits->RecordCall(call_.request().service, now);
+  context_->admission_control->OnArrival(call_.request(), now);
   call_.Start(now);
 }
 
@@ -107,8 +108,13 @@
       return std::nullopt;
     }
   }
-  auto dispatch = context_->selector->Select(*index_, request, excluded,
-                                             (*context_->random)(), now, end);
+  const RoomLimits limits = call_.sends() == 0
+                                ? context_->admission_control->Limits(request)
+                                : RoomLimits();
+  auto dispatch = context_->selector->Select(
+      *index_, request, excluded, (*context_->random)(), now, end, limits);
+  if (!dispatch && *end == CallEndReason::kNoRoom)
+    context_->admission_control->OnNoRoom(request, limits);
   path_failure_ = context_->selector->last_failure();
   if (path_failure_ == PathFailure::kRateLimit)
     context_->rate_limits->RecordShortage(request.service, now);
@@ -175,7 +181,7 @@
     relay_.OnSendChanged();
   context_->selector->AddInFlight(send->dispatch);
   if (send->number == 1)
-    context_->retry_after_scheduler(request.service)->RecordAccepted(now);
+    context_->admission_control->OnSent(request, now);
   if (send->number > 1) {
     log_.WriteSent(
         *send, is_replacement ? sends_.active()->dispatch.target_id : "", now);
@@ -331,6 +337,7 @@
   if (!relay_.has_begun()) {
     context_->metrics->ObserveFirstEvent(
         MillisecondsBetween(call_.request().arrived, now) / 1000);
+    RecordResponseTime(*send, now);
   }
   relay_.Write(batch, sends_.active()->head, sends_.path(), caller_, now);
   call_.OnEventRelayed(batch.last_event, now);
@@ -376,11 +383,18 @@
   call_.OnResponseComplete(now);
   context_->metrics->CountServed(call_.request().service);
   log_.WriteFinished(sends_.path(), now);
+  RecordResponseTime(*send, now);
   context_->metrics->ObserveAnswer(
       MillisecondsBetween(call_.request().arrived, now) / 1000);
   RelayBufferedResponse();
 }
 
+void RelayedCall::RecordResponseTime(const TargetSend& send, Instant now) {
+  context_->admission_control->OnResponse(
+      call_.request(),
+      std::chrono::duration_cast<Milliseconds>(now - send.sent_at));
+}
+
 void RelayedCall::FinishStream(TargetSend* send, Instant now) {
   // A replacement that has brought no event yet cannot end the stream.
   if (sends_.IsReplacement(send) || send->splitter.has_partial_event() ||
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -115,6 +115,8 @@
   // returns whether that is so.
   bool FailUnusableAnswer(TargetSend* send);
   void FinishStream(TargetSend* send, Instant now);
+  // Records how long `send` took to bring its first event, or its whole answer.
+  void RecordResponseTime(const TargetSend& send, Instant now);
   void FailSend(TargetSend* send,
                 const SendFailure& failure,
                 std::string_view evidence);
--- a/modules/bbv_fleet/path_chooser.h
+++ b/modules/bbv_fleet/path_chooser.h
@@ -50,6 +50,8 @@
   // Time after which the prefill at a hop that replaces another is late;
   // nullopt for no limit.
   std::optional<double> max_prefill_ms;
+  // Share of the slots and memory of each hop that the call must leave free.
+  double kept_share = 0;
   // Whether a path may cross zones.
   bool allow_zone_crossing = true;
   // Targets excluded after earlier failures of this call.
