ChainPartition: parallel chains in zones with memory for them

A zone was divided into at most two chains that mix slow and fast targets, with the largest targets alone above them where two didn't fit. The loss of one target took the path of half of the zone's calls or of all, and one stand-in read all their prompts. Now a zone that starts empty forms as many chains as fit beside the memory for the typical calls of a zone, of targets of similar speed, cut for the highest call rate after the loss of the fastest chain. A target that returns empty takes the layers with the fewest holders, and the replicator doesn't take the chains' layers for too many. Zones without the memory are planned as before.

--- a/modules/bbv_fleet/layer_planner.cc
+++ b/modules/bbv_fleet/layer_planner.cc
@@ -3,11 +3,13 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <numeric>
 #include <set>
 
 #include "bbv_core/hashing.h"
+#include "bbv_fleet/chain_partition.h"
 #include "bbv_fleet/layer_coverage.h"
 #include "bbv_fleet/layer_replicator.h"
 
@@ -296,6 +298,10 @@
           LayerRange{gap->from, std::min(gap->to, gap->from + capacity)};
       return;
     }
+    if (const int n = ChainLayers(index); n > 0) {
+      desired_[index] = MostConstrainedSpan(n);
+      return;
+    }
     // Replicates the range with the least memory for requests, as far as it
     // fits.
     const std::size_t most_constrained = FindMostConstrainedRange();
@@ -306,6 +312,65 @@
     desired_[index] = range;
   }
 
+  // Returns the number of layers that the target holds if the members form
+  // parallel chains; 0 if they do not.
+  int ChainLayers(std::size_t index) {
+    if (index >= members_)
+      return 0;
+    if (!chain_layers_) {
+      chain_layers_ = ChainPartition::LayersByKind(
+          model_, {targets_.begin(),
+                   targets_.begin() + static_cast<std::ptrdiff_t>(members_)});
+    }
+    const auto it = chain_layers_->find(targets_[index].accelerator);
+    return it == chain_layers_->end() ? 0
+                                      : std::min(it->second, Capacity(index));
+  }
+
+  // Returns the `n` consecutive layers with the most layers that the fewest
+  // targets hold; among equals, those with the least memory for requests.
+  LayerRange MostConstrainedSpan(int n) const {
+    const LayerCoverage coverage = Coverage();
+    const std::vector<double> free_memory = FreeMemoryByLayer();
+    int min_holders = std::numeric_limits<int>::max();
+    for (int it = 0; it < model_.layers; ++it)
+      min_holders = std::min(min_holders, coverage.holders(it));
+    LayerRange best{0, 0};
+    int best_scarce = -1;
+    double best_memory = 0;
+    for (int from = 0; from + n <= model_.layers; ++from) {
+      int scarce = 0;
+      double memory = 0;
+      for (int it = from; it < from + n; ++it) {
+        scarce += coverage.holders(it) == min_holders ? 1 : 0;
+        memory += free_memory[it];
+      }
+      if (scarce < best_scarce ||
+          (scarce == best_scarce && memory >= best_memory))
+        continue;
+      best_scarce = scarce;
+      best_memory = memory;
+      best = {from, from + n};
+    }
+    return best;
+  }
+
+  // Returns the memory for requests per layer, summed over all targets that
+  // hold the layer.
+  std::vector<double> FreeMemoryByLayer() const {
+    std::vector<double> free_memory(model_.layers, 0);
+    for (std::size_t it = 0; it < targets_.size(); ++it) {
+      if (!desired_[it] || desired_[it]->to > model_.layers)
+        continue;
+      const double per_layer =
+          model_.MemoryMb(targets_[it].accelerator) / desired_[it]->size() -
+          model_.layer_mb;
+      for (int layer = desired_[it]->from; layer < desired_[it]->to; ++layer)
+        free_memory[layer] += per_layer;
+    }
+    return free_memory;
+  }
+
   // Returns the number of layers that leaves about half of the target's memory
   // for requests.
   int PreferredLayers(std::size_t index) const {
@@ -384,6 +449,8 @@
   std::vector<PlannerTarget> targets_;
   std::size_t members_;
   std::vector<std::optional<LayerRange>> desired_;
+  // Layers by kind in parallel chains; computed when first needed.
+  std::optional<std::map<std::string, int>> chain_layers_;
 };
 
 // Whether calls can begin at the target, but only at a limited rate.
--- a/modules/bbv_fleet/layer_replicator.cc
+++ b/modules/bbv_fleet/layer_replicator.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "bbv_core/hashing.h"
+#include "bbv_fleet/chain_partition.h"
 #include "bbv_fleet/layer_coverage.h"
 
 namespace bbv {
@@ -292,6 +293,7 @@
     layer_memory_share_ = LayerMemoryShare(model_, targets_);
     for (const PlannerTarget& it : targets_)
       desired_.push_back(*it.layers);
+    chain_layers_ = ChainPartition::LayersByKind(model_, targets_);
   }
 
   bool HoldsCompleteCopy() const { return !Coverage().FirstGap(); }
@@ -315,7 +317,10 @@
 
  private:
   int PreferredLayers(std::size_t index) const {
-    return PreferredLayerCount(model_, targets_[index], layer_memory_share_);
+    const auto in_chain = chain_layers_.find(targets_[index].accelerator);
+    return std::max(
+        PreferredLayerCount(model_, targets_[index], layer_memory_share_),
+        in_chain == chain_layers_.end() ? 0 : in_chain->second);
   }
 
   // Returns the number of additional layers that the target can hold now.
@@ -484,6 +489,8 @@
   std::vector<LayerRange> desired_;
   // Share of the zone's memory that layers may occupy.
   double layer_memory_share_ = 1;
+  // Layers that a target of each kind holds if the zone forms parallel chains.
+  std::map<std::string, int> chain_layers_;
 };
 
 }  // namespace
@@ -493,6 +500,8 @@
     const std::vector<PlannerTarget>& members) {
   if (model.layers <= 0 || model.layer_mb <= 0)
     return std::nullopt;
+  if (auto chains = ChainPartition(model, members).Compute())
+    return chains;
   ReplicatedPartition partition(model, members);
   if (!partition.Compute())
     return std::nullopt;
