--- a/modules/bbv_fleet/chain_partition.cc
+++ b/modules/bbv_fleet/chain_partition.cc
@@ -16,6 +16,9 @@
 constexpr std::size_t kMinChains = 2;
 // Typical calls for which the chains together keep memory.
 constexpr double kMinCalls = 240;
+// Chains of large zones end only after each n-th target, so that this many ends
+// are compared.
+constexpr std::size_t kMaxChainEnds = 24;
 // Precision of the number of calls that fit into memory.
 constexpr double kCallPrecision = 1;
 // Share of that number that a chain uses before a loss, because the calls of a
@@ -51,6 +54,7 @@
 std::optional<std::vector<LayerRange>> ChainPartition::Compute() {
   if (model_.layers <= 0 || model_.layer_mb <= 0)
     return std::nullopt;
+  step_ = order_.size() / kMaxChainEnds + 1;
   EvaluateAllChains();
   std::vector<Chain> best;
   for (std::size_t n = kMinChains; n <= order_.size(); ++n) {
@@ -86,9 +90,12 @@
     return 0;
   const auto needed = static_cast<std::size_t>(
       std::ceil(CallsOf(chains) / model_.first_hop_slots));
-  return needed <= chains.size()
-             ? 0
-             : std::min(needed - chains.size(), order_.size());
+  if (needed <= chains.size())
+    return 0;
+  std::size_t extra = std::min(needed - chains.size(), order_.size());
+  while (!IsChainEnd(order_.size() - extra))
+    ++extra;
+  return extra;
 }
 
 std::map<std::string, int> ChainPartition::LayersByKind(
@@ -106,12 +113,14 @@
 void ChainPartition::EvaluateAllChains() {
   const std::size_t n = order_.size();
   limits_.assign((n + 1) * (n + 1), {});
-  for (std::size_t first = 0; first < n; ++first) {
+  for (std::size_t first = 0; first < n; first += step_) {
     std::vector<KindCount> kinds;
     for (std::size_t it = first; it < n; ++it) {
       if (kinds.empty() || kinds.back().kind != kinds_[it])
         kinds.push_back({kinds_[it], 0});
       ++kinds.back().targets;
+      if (!IsChainEnd(it + 1))
+        continue;
       limits_[first * (n + 1) + it + 1] = Evaluate(kinds);
     }
   }
@@ -194,8 +203,10 @@
   best[0][0].remaining_rate = 0;
   for (std::size_t chain = 1; chain <= n; ++chain) {
     for (std::size_t last = 1; last <= targets; ++last) {
+      if (!IsChainEnd(last))
+        continue;
       State& state = best[chain][last];
-      for (std::size_t first = 0; first < last; ++first) {
+      for (std::size_t first = 0; first < last; first += step_) {
         const State& before = best[chain - 1][first];
         const double rate = Limits(first, last).call_rate;
         if (before.remaining_rate < 0 || rate <= 0)
--- a/modules/bbv_fleet/chain_partition.h
+++ b/modules/bbv_fleet/chain_partition.h
@@ -76,6 +76,10 @@
   double CallsOf(const std::vector<Chain>& chains) const;
   void Assign(const Chain& chain, std::vector<LayerRange>* ranges) const;
   void EvaluateAllChains();
+  // Whether a chain may end before target `index` of `order_`.
+  bool IsChainEnd(std::size_t index) const {
+    return index % step_ == 0 || index == order_.size();
+  }
   const ChainLimits& Limits(std::size_t first, std::size_t last) const {
     return limits_[first * (order_.size() + 1) + last];
   }
@@ -86,6 +90,9 @@
   std::vector<std::size_t> order_;
   std::vector<const AcceleratorKind*> kinds_;
   std::size_t target_count_;
+  // Number of targets between two possible ends of chains.
+  std::size_t step_ = 1;
+  // Limits of every possible chain, by its first and last target.
   std::vector<ChainLimits> limits_;
 };
 
