ChainPartition: members chosen by the call rates before and after a loss

By the call rate after a loss alone, slow targets were mixed into the fast chain's stand-in of zones with two chains, and a fast chain with memory for 43 calls stood in one of the wide zones.

--- a/modules/bbv_fleet/chain_partition.cc
+++ b/modules/bbv_fleet/chain_partition.cc
@@ -191,16 +191,16 @@
 std::vector<ChainPartition::Chain> ChainPartition::BestChains(
     std::size_t n,
     std::size_t targets) const {
-  // Dynamic programming over (number of chains, targets used). The fastest
-  // chain is unknown until the end, so that each state keeps the call rate
-  // without its fastest chain and the rate of that chain.
+  // Dynamic programming over (number of chains, targets used).
   struct State {
-    double remaining_rate = -1;
+    double call_rate = -1;
     double fastest_rate = 0;
     std::size_t first = 0;
+    // Sum of the call rates before and after the loss of the fastest chain.
+    double score() const { return 2 * call_rate - fastest_rate; }
   };
   std::vector<std::vector<State>> best(n + 1, std::vector<State>(targets + 1));
-  best[0][0].remaining_rate = 0;
+  best[0][0].call_rate = 0;
   for (std::size_t chain = 1; chain <= n; ++chain) {
     for (std::size_t last = 1; last <= targets; ++last) {
       if (!IsChainEnd(last))
@@ -209,19 +209,17 @@
       for (std::size_t first = 0; first < last; first += step_) {
         const State& before = best[chain - 1][first];
         const double rate = Limits(first, last).call_rate;
-        if (before.remaining_rate < 0 || rate <= 0)
+        if (before.call_rate < 0 || rate <= 0)
           continue;
-        const double fastest = std::max(before.fastest_rate, rate);
-        const double remaining =
-            before.remaining_rate + before.fastest_rate + rate - fastest;
-        if (std::tie(remaining, fastest) >
-            std::tie(state.remaining_rate, state.fastest_rate))
-          state = {remaining, fastest, first};
+        const State next{before.call_rate + rate,
+                         std::max(before.fastest_rate, rate), first};
+        if (next.score() > state.score())
+          state = next;
       }
     }
   }
   std::vector<Chain> chains;
-  if (best[n][targets].remaining_rate < 0)
+  if (best[n][targets].call_rate < 0)
     return chains;
   std::size_t last = targets;
   for (std::size_t chain = n; chain > 0; --chain) {
--- a/modules/bbv_fleet/chain_partition.h
+++ b/modules/bbv_fleet/chain_partition.h
@@ -18,9 +18,10 @@
 // other chains share the prefill of the calls that move. There are as many
 // chains as fit beside the memory for the typical calls of a zone. Targets of
 // similar speed form a chain, because the slowest hops dominate the time per
-// token; the members are chosen for the highest call rate after the loss of the
-// fastest chain. The call rate of a chain is limited by the memory beside its
-// layers, the slots of its first hop, and the prefill rate of its slowest hop.
+// token; the members are chosen for the highest sum of the call rates before
+// and after the loss of the fastest chain. The call rate of a chain is limited
+// by the memory beside its layers, the slots of its first hop, and the prefill
+// rate of its slowest hop.
 //
 // Deterministic: depends only on the ids and kinds of the targets. Not
 // thread-safe.
@@ -68,8 +69,9 @@
   double CallsThatFit(const std::vector<KindCount>& kinds) const;
   // Returns the layers that fit a target beside the memory of `calls` calls.
   int LayersBeside(const AcceleratorKind& kind, double calls) const;
-  // Returns the `n` chains of the first `targets` targets with the highest call
-  // rate after the loss of the fastest chain; empty if there are none.
+  // Returns the `n` chains of the first `targets` targets with the highest sum
+  // of the call rates before and after the loss of the fastest chain; empty if
+  // there are none.
   std::vector<Chain> BestChains(std::size_t n, std::size_t targets) const;
   // Returns the number of first hops needed in addition to those of `chains`.
   std::size_t CountExtraFirstHops(const std::vector<Chain>& chains) const;
