--- a/modules/bbv_fleet/layer_replicator.h
+++ b/modules/bbv_fleet/layer_replicator.h
@@ -18,13 +18,17 @@
 // targets hold more layers than that allows. Their neighbours then replicate
 // part of these layers, and the overcommitted targets drop them afterwards.
 //
+// A zone with memory for several whole copies forms parallel chains instead,
+// see ChainPartition.
+//
 // A pure function of its arguments. Thread-safe.
 class LayerReplicator {
  public:
   // Partitions all layers over `members`, the targets of one zone that hold no
-  // layers yet, so that as few targets as possible are the sole holder of a
-  // layer. Returns their ranges in the same order, or nullopt if there is not
-  // enough memory to replicate any layer.
+  // layers yet: in parallel chains if they fit, otherwise so that as few
+  // targets as possible are the sole holder of a layer. Returns their ranges in
+  // the same order, or nullopt if there is not enough memory to replicate any
+  // layer.
   static std::optional<std::vector<LayerRange>> PartitionEmptyZone(
       const EngineModel& model,
       const std::vector<PlannerTarget>& members);
