--- a/modules/bbv_core/event.cc
+++ b/modules/bbv_core/event.cc
@@ -86,6 +86,8 @@
     EventDescription{Event::kQuarantineNotStored, "quarantine-not-stored"},
     EventDescription{Event::kCallDisplaced, "call-displaced"},
     EventDescription{Event::kRoomKept, "room-kept"},
+    EventDescription{Event::kStreamHeld, "stream-held"},
+    EventDescription{Event::kStreamMoved, "stream-moved"},
 };
 
 // Returns whether `event` occurs in the normal processing of every request.
--- a/modules/bbv_core/event.h
+++ b/modules/bbv_core/event.h
@@ -83,6 +83,8 @@
   kQuarantineNotStored = 141,
   kCallDisplaced = 150,
   kRoomKept = 151,
+  kStreamHeld = 160,
+  kStreamMoved = 161,
 };
 
 // The name under which an event is logged.
--- a/modules/bbv_entry/call_intake.cc
+++ b/modules/bbv_entry/call_intake.cc
@@ -190,6 +190,9 @@
   request->attempt_id = fields.attempt_id;
   request->service =
       FleetIndex::PickService(*request->route, HashBytes(fields.attempt_id));
+  request->priority =
+      FleetIndex::EffectivePriority(*request->route, request->account);
+  request->has_unlike_priorities = index.HasUnlikePriorities(request->service);
   request->prompt_tokens = fields.prompt_tokens;
   request->max_output_tokens = fields.max_answer_tokens;
   const ServiceDescription* service = index.FindService(request->service);
--- a/modules/bbv_observe/fleet_metrics.h
+++ b/modules/bbv_observe/fleet_metrics.h
@@ -40,6 +40,8 @@
   void CountServed(const std::string& service);
   void CountFailure(const std::string& service, CallEndReason end);
   void CountBadRequest(int status);
+  // Counts a stream that has gone on after it lost a hop of its path.
+  void CountMoved(const std::string& service, bool is_in_time);
   // Counts what became of a call that sought capacity.
   void CountAdmission(const std::string& service,
                       const std::string& priority,
@@ -74,6 +76,7 @@
   prometheus::Family<prometheus::Counter>& served_;
   prometheus::Family<prometheus::Counter>& failures_;
   prometheus::Family<prometheus::Counter>& bad_requests_;
+  prometheus::Family<prometheus::Counter>& moved_;
   prometheus::Family<prometheus::Counter>& admissions_;
   prometheus::Family<prometheus::Gauge>& gauges_;
   GaugeSet quarantine_ages_;
