PathChooser: a refusal in whole zones names what they are short of

While the links were not to be crossed, every refusal for which hops of several zones together would have made a path was logged as crossing, also where each zone held all layers and was short of room. Its zones are asked now, one by one. Only the log line changes.

--- a/modules/bbv_fleet/path_chooser.cc
+++ b/modules/bbv_fleet/path_chooser.cc
@@ -189,7 +189,7 @@
   limits.across_zones = true;
   if (!query.allow_zone_crossing &&
       !SearchSimplePath(model, candidates, limits).empty())
-    return PathFailure::kCrossing;
+    return DiagnoseZones(model, query, now);
   limits.ignores_rate_limits = true;
   if (!SearchSimplePath(model, candidates, limits).empty())
     return PathFailure::kRateLimit;
@@ -207,6 +207,28 @@
              : PathFailure::kMemory;
 }
 
+PathFailure PathChooser::DiagnoseZones(const EngineModel& model,
+                                       const PathQuery& query,
+                                       Instant now) const {
+  std::map<std::string_view, std::vector<Candidate>> zones;
+  for (const Candidate& it : CollectCandidates(model, query, now, true))
+    zones[it.target->record.zone].push_back(it);
+  const auto has_path = [&](const SearchLimits& limits) {
+    return std::any_of(zones.begin(), zones.end(), [&](const auto& zone) {
+      return !SearchSimplePath(model, zone.second, limits).empty();
+    });
+  };
+  SearchLimits limits{query.tokens};
+  limits.ignores_backlog = true;
+  if (has_path(limits))
+    return PathFailure::kUnreadPrompts;
+  limits.ignores_slots = true;
+  if (has_path(limits))
+    return PathFailure::kFirstSlots;
+  limits.tokens = 0;
+  return has_path(limits) ? PathFailure::kMemory : PathFailure::kCrossing;
+}
+
 EnginePath PathChooser::Reroute(const EngineModel& model,
                                 const PathQuery& query,
                                 const std::vector<CurrentHop>& current,
--- a/modules/bbv_fleet/path_chooser.h
+++ b/modules/bbv_fleet/path_chooser.h
@@ -65,8 +65,8 @@
   kNone,
   // Some layer is held by no usable target.
   kLayersMissing,
-  // All layers are held, but not within one zone, and calls may not cross zones
-  // at present.
+  // Targets of several zones together have all layers, but no zone has them or
+  // a first hop below its rate limit, and calls may not cross zones at present.
   kCrossing,
   // The targets with the first layers have rate limits that leave this entry no
   // request.
@@ -178,6 +178,10 @@
                               const std::vector<Candidate>& candidates,
                               const PathQuery& query,
                               Instant now) const;
+  // Returns why no zone has a path of its own, while one across zones exists.
+  PathFailure DiagnoseZones(const EngineModel& model,
+                            const PathQuery& query,
+                            Instant now) const;
   static bool IsExcluded(const PathQuery& query, std::string_view id);
   static bool HasRepeatedTarget(const EnginePath& path);
 
--- a/modules/bbv_fleet/path_chooser_test.cc
+++ b/modules/bbv_fleet/path_chooser_test.cc
@@ -113,6 +113,24 @@
   CHECK(failure == PathFailure::kCrossing);
 }
 
+// Every zone holds all layers, but prompts are queued at different hops in
+// each. Guards against a refusal that blames the links between the zones.
+TEST(PathChooser, NamesTheQueuedPromptsOfWholeZones) {
+  for (const auto& [id, row] : registry.rows()) {
+    const auto& layers = *row->record.layers;
+    if ((row->record.zone == "a" && layers.from == 0) ||
+        (row->record.zone == "b" && layers.to == model.layers) ||
+        (row->record.zone == "c" && layers.Contains({39, 40})))
+      row->own_unread_tokens = 1e6;
+  }
+  PathQuery query = MakeQuery("a");
+  query.max_backlog_ms = 100;
+  CheckComplete(chooser.Choose(model, query, now, &failure));
+  query.allow_zone_crossing = false;
+  CHECK(chooser.Choose(model, query, now, &failure).empty());
+  CHECK(failure == PathFailure::kUnreadPrompts);
+}
+
 TEST(PathChooser, ComputesHowLongAPromptOccupiesLinksBetweenZones) {
   model.activation_bytes = 16'400;
   model.zone_link_mbps = 2'080;
