Crowds of callers outside the limits: tests on the entry as it stands

One entry of 64 MB and 800 descriptors on loopback, one shape a test: many bodies and heads that do not end, bodies over the limit, pipelined requests and answers that nobody reads, the ports of peers, status checks and metrics. Each checks that the process lives, its peak memory, its descriptors and an ordinary request, status check and reading of the metrics while the crowd is connected.

--- a/tests/fleet_floor.cc
+++ b/tests/fleet_floor.cc
@@ -118,7 +118,8 @@
          << "\n[front]\ncallers = " << TomlAddress(entry.callers)
          << "readiness = " << TomlAddress(entry.readiness)
          << "peers = " << TomlAddress(entry.peers)
-         << "metrics = " << TomlAddress(entry.metrics) << "[store]\naddress = "
+         << "metrics = " << TomlAddress(entry.metrics) << front_lines_
+         << instance_lines_ << "[store]\naddress = "
          << TomlAddress(proxied_ ? entry.store.port() : store_.port())
          << "[retries]\n"
          << retries_
@@ -150,6 +151,13 @@
   std::_Exit(127);
 }
 
+void FleetFloor::SetInstance(int memory_mb, int maximum_connections) {
+  front_lines_ =
+      "maximum_connections = " + std::to_string(maximum_connections) + "\n";
+  instance_lines_ =
+      "[instance]\nmemory_mb = " + std::to_string(memory_mb) + "\n";
+}
+
 void FleetFloor::SetStopTimeout(int entry, int stop_timeout_s) {
   const std::string& path = entries_[entry]->settings;
   std::ifstream file(path);
@@ -247,6 +255,18 @@
   return entries_[entry]->callers;
 }
 
+int FleetFloor::readiness_port(int entry) const {
+  return entries_[entry]->readiness;
+}
+
+int FleetFloor::peers_port(int entry) const {
+  return entries_[entry]->peers;
+}
+
+int FleetFloor::metrics_port(int entry) const {
+  return entries_[entry]->metrics;
+}
+
 std::string FleetFloor::Output(int entry) const {
   std::ifstream file(entries_[entry]->output);
   std::stringstream text;
@@ -272,4 +292,10 @@
   std::abort();
 }
 
+std::size_t FleetFloor::OpenDescriptors(int entry) const {
+  const std::filesystem::directory_iterator folder(
+      "/proc/" + std::to_string(entries_[entry]->pid) + "/fd");
+  return static_cast<std::size_t>(std::distance(begin(folder), end(folder)));
+}
+
 }  // namespace bbv
--- a/tests/fleet_floor.h
+++ b/tests/fleet_floor.h
@@ -74,6 +74,9 @@
   // Waits up to `limit_ms` until `entry` is ready.
   bool WaitReady(int entry, int limit_ms);
 
+  // Sets the memory and the descriptors that the settings allow the entries;
+  // call before Start().
+  void SetInstance(int memory_mb, int maximum_connections);
   // Sets how long callers of Stream() wait; call before Start().
   void SetStreamWait(int wait_ms) { stream_wait_ms_ = wait_ms; }
   // `parts` names the parts of the prompt, for example "a:40,b:60"; empty for
@@ -88,11 +91,16 @@
                        const std::string& id,
                        const std::string& key = "key");
   int callers_port(int entry) const;
+  int readiness_port(int entry) const;
+  int peers_port(int entry) const;
+  int metrics_port(int entry) const;
   // What the entry has written to its standard output and standard error.
   std::string Output(int entry) const;
   std::string Metrics(int entry);
   // The most memory that the process has used, in bytes. Precondition: it runs.
   std::size_t PeakMemory(int entry) const;
+  // The descriptors that the process has open.
+  std::size_t OpenDescriptors(int entry) const;
 
  private:
   struct Entry;
@@ -102,6 +110,9 @@
   const bool proxied_;
   const int stop_timeout_s_;
   const std::string retries_;
+  // Lines of the settings' sections "front" and "instance".
+  std::string front_lines_;
+  std::string instance_lines_;
   int stream_wait_ms_ = 5000;
   std::string folder_;
   std::vector<std::unique_ptr<Entry>> entries_;
