What a caller can make an entry hold is bounded; room for others is made

Cause: freed bodies kept their buffers (an empty string assigned keeps the memory), pipelined requests were read and answered without end, ended calls piled up between two ticks, the ports of peers, readiness and metrics counted nothing, and a full table turned everybody else away.

Change: the next request is parsed once the answer before it is sent; 16 KB are read ahead. A body's buffer and a large head are counted. Frames of peers received in part are counted and bounded; the first must come in 5 s. A full table closes the connection that stands still longest (ConnectionEviction). A whole body must come within front.body_timeout_s. Large buffers go back to the system.

PipelinedInputGrowsAlthoughTheMemoryIsUsedUp never read its answers and asked for 4000 requests to run all the same, which is the fault; its caller reads now, and all are still asked for.

Groups CallerConnection, TcpStream, Connection- Eviction, HttpParser, MemoryLedger, RequestMemory and CallerLimits pass. The other tests were not run.

--- a/apps/bluebellvalved/main.cc
+++ b/apps/bluebellvalved/main.cc
@@ -10,6 +10,7 @@
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
 #include <glog/logging.h>
+#include <malloc.h>
 
 #include <csignal>
 #include <cstdio>
@@ -75,6 +76,15 @@
   return kExitInvalidSettings;
 }
 
+// Makes large buffers go back to the system when they are freed. Otherwise the
+// allocator keeps them as soon as some were freed.
+void SetAllocatorLimits() {
+  constexpr int kOwnMappingBytes = 128 << 10;
+  constexpr int kKeptBytes = 1 << 20;
+  mallopt(M_MMAP_THRESHOLD, kOwnMappingBytes);
+  mallopt(M_TRIM_THRESHOLD, kKeptBytes);
+}
+
 int RunFleetEntry(const std::string& path) {
   bbv::SettingsFaults faults;
   bbv::FleetSettings settings = bbv::LoadFleetSettings(path, &faults);
@@ -84,6 +94,7 @@
   google::InitGoogleLogging("bluebellvalved");
   google::InstallFailureSignalHandler();
   std::signal(SIGPIPE, SIG_IGN);
+  SetAllocatorLimits();
   bbv::FleetEntry entry(std::move(settings), path);
   if (const std::string fault = entry.Start(); !fault.empty()) {
     LOG(ERROR) << fault;
--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -40,6 +40,14 @@
 // less bandwidth per core is ranked by its link.
 constexpr double kMegabitsPerCore = 200;
 constexpr int kReservedDescriptors = 400;
+// Ended calls that are kept until the end of the tick, above which requests
+// that callers have pipelined wait.
+constexpr std::size_t kMaxEndedCalls = 512;
+// Parts of the descriptors and of the memory that connections of other entries
+// may use.
+constexpr std::size_t kPeerConnectionsDivisor = 8;
+constexpr std::size_t kMinPeerConnections = 64;
+constexpr std::size_t kPeerMemoryDivisor = 8;
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
@@ -110,7 +118,7 @@
       load_poller_(&client_, &registry_),
       peers_(&loop_,
              {&store_, &log_, &registry_, &configuration_, &targets_, &planner_,
-              &retry_budgets_, &crash_guard_, &rate_limits_},
+              &retry_budgets_, &crash_guard_, &rate_limits_, PeerLimits()},
              OwnRecord(),
              Milliseconds(settings_.retry_window_ms),
              [this](const std::string& id, std::string_view) {
@@ -196,7 +204,10 @@
 void FleetEntry::AcceptCaller(std::unique_ptr<TcpStream> stream) {
   const auto limit = static_cast<std::size_t>(std::max(
       64, (settings_.maximum_connections - kReservedDescriptors) * 3 / 4));
-  if (callers_.size() >= limit) {
+  const bool is_full = callers_.size() >= limit;
+  const bool evicted = is_full && EvictCaller(&callers_, EventLoop::Now());
+  callers_evicted_ += evicted ? 1 : 0;
+  if (is_full && !evicted) {
     log_.Write(Event::kCallerTurnedAway, EventLoop::Now(),
                {{"connections", static_cast<int64_t>(callers_.size())}});
     return;
@@ -212,9 +223,15 @@
 }
 
 CallerLimits FleetEntry::limits() const {
-  return configuration_.current() == nullptr
-             ? CallerLimits{}
-             : configuration_.current()->configuration().limits;
+  CallerLimits limits;
+  if (configuration_.current() != nullptr)
+    limits = configuration_.current()->configuration().limits;
+  limits.body_timeout_ms = settings_.body_timeout_ms;
+  return limits;
+}
+
+bool FleetEntry::TakesWaitingRequests() const {
+  return ended_calls_.size() < kMaxEndedCalls;
 }
 
 MemberRecord FleetEntry::OwnRecord() const {
@@ -227,6 +244,21 @@
   return record;
 }
 
+PeerLinks::Limits FleetEntry::PeerLimits() {
+  const auto connections =
+      static_cast<std::size_t>(settings_.maximum_connections);
+  const auto memory =
+      static_cast<std::size_t>(settings_.memory_mb) * kBytesPerMegabyte;
+  PeerLinks::Limits limits;
+  limits.ledger = &memory_ledger_;
+  limits.incoming_connections =
+      std::clamp(connections / kPeerConnectionsDivisor, kMinPeerConnections,
+                 limits.incoming_connections);
+  limits.buffered_bytes =
+      std::min(limits.buffered_bytes, memory / kPeerMemoryDivisor);
+  return limits;
+}
+
 SharedRetryBudget::Limits FleetEntry::RetryLimits() const {
   SharedRetryBudget::Limits limits;
   limits.ratio = settings_.retry_share;
@@ -717,6 +749,7 @@
     return;
   next_gauges_ = now + kGaugeInterval;
   metrics_.SetGauge("caller_connections", static_cast<double>(callers_.size()));
+  metrics_.SetGauge("callers_evicted", static_cast<double>(callers_evicted_));
   metrics_.SetGauge("calls_under_way", static_cast<double>(calls_.size()));
   metrics_.SetGauge("calls_waiting",
                     static_cast<double>(admission_queue_.size()));
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -54,6 +54,7 @@
   // CallerRequestHandler:
   CallerLimits limits() const override;
   MemoryLedger* memory_ledger() override { return &memory_ledger_; }
+  bool TakesWaitingRequests() const override;
   void OnRequest(CallerConnection* connection,
                  HttpHead head,
                  std::string body) override;
@@ -136,6 +137,7 @@
   // and keeps it until the end of the tick.
   void RetireCall(std::unique_ptr<RelayedCall> call, Instant now);
   SharedRetryBudget::Limits RetryLimits() const;
+  PeerLinks::Limits PeerLimits();
   MemberRecord OwnRecord() const;
 
   FleetSettings settings_;
@@ -173,7 +175,8 @@
   SmallHttpServer metrics_server_;
 
   uint64_t next_connection_ = 1;
-  std::unordered_map<uint64_t, std::unique_ptr<CallerConnection>> callers_;
+  CallerConnections callers_;
+  uint64_t callers_evicted_ = 0;
   // Calls by connection id of their caller, and ended calls, which are kept
   // until the end of the tick.
   std::unordered_map<uint64_t, std::unique_ptr<RelayedCall>> calls_;
--- a/modules/bbv_entry/peer_exchange.cc
+++ b/modules/bbv_entry/peer_exchange.cc
@@ -47,7 +47,7 @@
                            OnFault on_fault)
     : parts_(parts),
       members_(own),
-      links_(loop, parts.log, own),
+      links_(loop, parts.log, own, parts.links),
       quarantine_store_(parts.store, parts.log),
       directory_(
           parts.store,
--- a/modules/bbv_entry/peer_exchange.h
+++ b/modules/bbv_entry/peer_exchange.h
@@ -40,6 +40,7 @@
     RetryBudgets* budgets = nullptr;
     CrashGuard* crash_guard = nullptr;
     RateLimitExchange* rate_limits = nullptr;
+    PeerLinks::Limits links;
   };
   // Called for a target that another entry found faulty.
   using OnFault =
--- a/modules/bbv_entry/peer_links.cc
+++ b/modules/bbv_entry/peer_links.cc
@@ -2,8 +2,10 @@
 
 #include <cassert>
 #include <utility>
+#include <vector>
 
 #include "bbv_entry/member_directory.h"
+#include "bbv_front/connection_eviction.h"
 
 namespace bbv {
 namespace {
@@ -15,9 +17,10 @@
 constexpr Milliseconds kIdleTimeout{60'000};
 // How long a connection is kept after it was last requested.
 constexpr Milliseconds kUnwantedConnectionLifetime{10'000};
-constexpr std::size_t kMaxFrameBytes = 16U << 20U;
 constexpr std::size_t kMaxQueuedBytes = 8U << 20U;
-constexpr std::size_t kMaxIncoming = 1024;
+// Size of the first frame, and time until it must have come.
+constexpr std::size_t kMaxHelloBytes = 16U << 10U;
+constexpr Milliseconds kHelloTimeout{5000};
 
 }  // namespace
 
@@ -73,14 +76,24 @@
   Incoming(PeerLinks* links, std::unique_ptr<TcpStream> stream, Instant now)
       : links_(links),
         stream_(std::move(stream)),
-        reader_(kMaxFrameBytes),
+        reader_(kMaxHelloBytes),
+        hold_(links->limits_.ledger, MemoryLedger::Use::kAnswer),
+        hello_deadline_(now + kHelloTimeout),
         last_data_at_(now) {
     stream_->SetDelegate(this);
     stream_->StartReading();
   }
 
   bool IsClosedOrIdle(Instant now) const {
-    return stream_ == nullptr || now > last_data_at_ + kIdleTimeout;
+    return stream_ == nullptr || now > last_data_at_ + kIdleTimeout ||
+           (peer_.empty() && now > hello_deadline_);
+  }
+
+  ConnectionActivity activity(uint64_t id) const {
+    return {id,
+            peer_.empty() ? ConnectionPhase::kRequestPartial
+                          : ConnectionPhase::kIdle,
+            last_data_at_};
   }
 
   void OnData(std::string_view data) override {
@@ -97,12 +110,28 @@
         return;
       }
       if (!*next)
-        return;
-      if (const auto* hello = frame.body.AsEntryHello())
+        break;
+      if (const auto* hello = frame.body.AsEntryHello()) {
         peer_ = hello->address;
+        reader_.SetMaximumBytes(links_->limits_.buffered_bytes);
+      }
       if (!peer_.empty())
         links_->on_message_(peer_, frame);
     }
+    hold_.Set(reader_.buffered_bytes());
+    links_->EnforceBufferBound(last_data_at_);
+  }
+
+  std::size_t buffered_bytes() const { return reader_.buffered_bytes(); }
+
+  // Closes the connection and drops what was received of a frame.
+  void Drop(Instant now) {
+    links_->log_->Write(
+        Event::kFrameRejected, now,
+        {{"peer", peer_}, {"error", "no memory for the frames of all peers"}});
+    reader_ = FrameReader(kMaxHelloBytes);
+    hold_.Release();
+    stream_.reset();
   }
   void OnStreamEnd(StreamEnd) override { stream_.reset(); }
 
@@ -110,12 +139,17 @@
   PeerLinks* links_;
   std::unique_ptr<TcpStream> stream_;
   FrameReader reader_;
+  MemoryLedger::Hold hold_;
+  Instant hello_deadline_;
   std::string peer_;
   Instant last_data_at_;
 };
 
-PeerLinks::PeerLinks(EventLoop* loop, DecisionLog* log, MemberRecord own)
-    : loop_(loop), log_(log), own_(std::move(own)) {
+PeerLinks::PeerLinks(EventLoop* loop,
+                     DecisionLog* log,
+                     MemberRecord own,
+                     Limits limits)
+    : loop_(loop), log_(log), own_(std::move(own)), limits_(limits) {
   assert(loop != nullptr && log != nullptr);
 }
 
@@ -123,15 +157,39 @@
 
 std::string PeerLinks::Start(OnMessage on_message) {
   on_message_ = std::move(on_message);
-  return listener_.Listen(loop_, ParseSocketAddress(own_.address).value(),
-                          [this](std::unique_ptr<TcpStream> stream) {
-                            if (incoming_.size() >= kMaxIncoming)
-                              return;
-                            incoming_.emplace(
-                                next_id_++,
-                                std::make_unique<Incoming>(
-                                    this, std::move(stream), EventLoop::Now()));
-                          });
+  return listener_.Listen(
+      loop_, ParseSocketAddress(own_.address).value(),
+      [this](std::unique_ptr<TcpStream> stream) { Accept(std::move(stream)); });
+}
+
+void PeerLinks::Accept(std::unique_ptr<TcpStream> stream) {
+  const Instant now = EventLoop::Now();
+  if (incoming_.size() >= limits_.incoming_connections && !EvictIncoming(now))
+    return;
+  incoming_.emplace(next_id_++,
+                    std::make_unique<Incoming>(this, std::move(stream), now));
+}
+
+bool PeerLinks::EvictIncoming(Instant now) {
+  std::vector<ConnectionActivity> activities;
+  activities.reserve(incoming_.size());
+  for (const auto& [id, link] : incoming_)
+    activities.push_back(link->activity(id));
+  const auto id = ConnectionEviction::Choose(activities, now);
+  return id && incoming_.erase(*id) > 0;
+}
+
+void PeerLinks::EnforceBufferBound(Instant now) {
+  std::size_t sum = 0;
+  Incoming* largest = nullptr;
+  for (const auto& [id, link] : incoming_) {
+    sum += link->buffered_bytes();
+    if (largest == nullptr ||
+        link->buffered_bytes() > largest->buffered_bytes())
+      largest = link.get();
+  }
+  if (sum > limits_.buffered_bytes)
+    largest->Drop(now);
 }
 
 void PeerLinks::RequestConnections(const std::set<std::string>& addresses,
--- a/modules/bbv_entry/peer_links.h
+++ b/modules/bbv_entry/peer_links.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 
+#include "bbv_fleet/memory_ledger.h"
 #include "bbv_front/event_loop.h"
 #include "bbv_front/tcp_stream.h"
 #include "bbv_membership/bbv_membership.h"
@@ -28,7 +29,17 @@
   using OnMessage =
       std::function<void(const std::string& peer, const wire::FrameT&)>;
 
-  PeerLinks(EventLoop* loop, DecisionLog* log, MemberRecord own);
+  // Bounds of what others can make this entry hold.
+  struct Limits {
+    // Counts the frames that are received in part; may be null.
+    MemoryLedger* ledger = nullptr;
+    std::size_t incoming_connections = 1024;
+    // Bytes of these frames beyond which the connection that holds most of them
+    // is closed. Also bounds the size of a frame.
+    std::size_t buffered_bytes = 16U << 20U;
+  };
+
+  PeerLinks(EventLoop* loop, DecisionLog* log, MemberRecord own, Limits limits);
   ~PeerLinks();
 
   // Returns an empty string, or the reason why it cannot listen.
@@ -49,9 +60,15 @@
   class Outgoing;
   class Incoming;
 
+  void Accept(std::unique_ptr<TcpStream> stream);
+  // Closes the incoming connection that ConnectionEviction chooses.
+  bool EvictIncoming(Instant now);
+  void EnforceBufferBound(Instant now);
+
   EventLoop* loop_;
   DecisionLog* log_;
   MemberRecord own_;
+  Limits limits_;
   OnMessage on_message_;
   TcpListener listener_;
   std::map<std::string, std::unique_ptr<Outgoing>> outgoing_;
--- a/modules/bbv_fleet/fleet_configuration.h
+++ b/modules/bbv_fleet/fleet_configuration.h
@@ -129,6 +129,8 @@
   std::size_t max_body_bytes = 4U << 20U;
   int64_t header_timeout_ms = 3000;
   int64_t idle_timeout_ms = 15000;
+  // Maximum time to receive a body; not part of the configuration.
+  int64_t body_timeout_ms = 300'000;
 };
 
 // A client account and the API keys that authenticate it.
--- a/modules/bbv_front/caller_connection.cc
+++ b/modules/bbv_front/caller_connection.cc
@@ -1,14 +1,18 @@
 #include "bbv_front/caller_connection.h"
 
+#include <algorithm>
 #include <cassert>
 #include <charconv>
 #include <utility>
+#include <vector>
 
 namespace bbv {
 namespace {
 
 // Buffered bytes of pipelined requests above which reading stops.
-constexpr std::size_t kMaxPipelinedBytes = 256U << 10U;
+constexpr std::size_t kMaxPipelinedBytes = 16U << 10U;
+// Bytes read at a time outside of bodies, which bounds what waits unparsed.
+constexpr std::size_t kHeadReadBytes = 16U << 10U;
 // Maximum time to receive a body. CallerLimits bounds the time for a head.
 constexpr Milliseconds kBodyReadTimeout{20'000};
 // Time for which a caller may still close its side after the last response.
@@ -18,6 +22,9 @@
 // Time without a byte after which a partly received request does not keep its
 // connection open.
 constexpr Milliseconds kStalledTime{500};
+// Memory of a head that is left to the rest of the instance's memory.
+constexpr std::size_t kUncountedHeadBytes = 4096;
+constexpr int kRequestTimeout = 408;
 constexpr int kUnavailable = 503;
 
 void AppendHexadecimal(std::size_t value, std::string* out) {
@@ -47,6 +54,15 @@
   return bytes;
 }
 
+// Returns the memory that `head` uses.
+std::size_t MemoryOf(const HttpHead& head) {
+  std::size_t bytes =
+      head.target.size() + head.fields.capacity() * sizeof(head.fields.front());
+  for (const auto& it : head.fields)
+    bytes += it.name.size() + it.value.size();
+  return bytes;
+}
+
 void AppendStatusLine(int status, std::string_view reason, std::string* out) {
   out->append("HTTP/1.1 ");
   out->append(std::to_string(status));
@@ -73,22 +89,67 @@
                   MemoryLedger::Use::kRequest),
       opened_at_(EventLoop::Now()) {
   assert(request_handler != nullptr);
+  last_progress_ = opened_at_;
   BeginIdleTime();
+  stream_->SetReadSize(kHeadReadBytes);
   stream_->SetDelegate(this);
   stream_->StartReading();
 }
 
 void CallerConnection::OnData(std::string_view data) {
   bytes_read_ += data.size();
-  if (closing_)
+  last_progress_ = EventLoop::Now();
+  if (closing_ || input_discarded_)
     return;
-  if (!request_open_) {
+  if (can_parse())
     ParseAll(data);
-    return;
-  }
+  else
+    BufferInput(data);
+}
+
+bool CallerConnection::can_parse() const {
+  return !request_open_ && !yields_ && stream_->queued_bytes() == 0;
+}
+
+void CallerConnection::BufferInput(std::string_view data) {
   pipelined_input_.append(data);
-  if (!CountBufferedInput() || pipelined_input_.size() > kMaxPipelinedBytes)
+  if (!CountBufferedInput() || buffered_bytes() > kMaxPipelinedBytes)
+    stream_->StopReading();
+}
+
+void CallerConnection::DiscardInput() {
+  std::string().swap(pipelined_input_);
+  parser_.DropPending();
+  input_hold_.Release();
+  input_discarded_ = true;
+  request_keeps_alive_ = false;
+  if (!request_open_)
+    BeginClosing();
+}
+
+void CallerConnection::OnNoRoomForInput() {
+  if (!can_parse()) {
     stream_->StopReading();
+    return;
+  }
+  parser_.DropPending();
+  input_hold_.Release();
+  RefuseBody(/*is_complete=*/false);
+}
+
+void CallerConnection::OnWriteQueueEmpty() {
+  if (!closing_ && !input_discarded_)
+    GoOnParsing();
+}
+
+void CallerConnection::GoOnParsing() {
+  // OnWriteQueueEmpty() or OnTick() goes on otherwise.
+  if (!can_parse() || parsing_)
+    return;
+  if (has_buffered_input())
+    ParseAll(std::exchange(pipelined_input_, std::string()));
+  if (!closed() && (can_parse() || buffered_bytes() <= kMaxPipelinedBytes))
+    stream_->StartReading();
 }
 
 void CallerConnection::ParseAll(std::string_view data) {
@@ -96,21 +157,24 @@
   // from within the response, so that the stack does not grow with each one.
   parsing_ = true;
   ParseStatus status = ParseInput(data);
-  while (status == ParseStatus::kComplete && !request_open_ && !closing_ &&
-         !closed() && has_buffered_input()) {
-    const std::string input = std::exchange(pipelined_input_, {});
+  while (status == ParseStatus::kComplete && !closed() && !closing_ &&
+         can_parse() && has_buffered_input()) {
+    yields_ = !request_handler_->TakesWaitingRequests();
+    if (yields_)
+      break;
+    const std::string input = std::exchange(pipelined_input_, std::string());
     status = ParseInput(input);
   }
   parsing_ = false;
-  CountBufferedInput();
+  if (!CountBufferedInput() && !closed() && !closing_)
+    OnNoRoomForInput();
 }
 
 bool CallerConnection::CountBufferedInput() {
-  return input_hold_.Set(pipelined_input_.size() + parser_.pending_bytes());
+  return input_hold_.Set(buffered_bytes());
 }
 
 ParseStatus CallerConnection::ParseInput(std::string_view data) {
-  const bool message_started = parser_.in_message();
   const CallerLimits limits = request_handler_->limits();
   parser_.SetLimits(ToParserLimits(limits));
   const ParseStatus status = parser_.Parse(data);
@@ -120,8 +184,10 @@
   }
   switch (status) {
     case ParseStatus::kNeedMore:
-      if (!message_started && parser_.in_message())
+      if (!head_timed_ && parser_.in_message()) {
+        head_timed_ = true;
         SetReadTimeout(Milliseconds(limits.header_timeout_ms));
+      }
       if (parser_.has_head())
         SetReadTimeout(kBodyReadTimeout);
       break;
@@ -154,6 +220,8 @@
 }
 
 bool CallerConnection::IsReadOverdue(Instant now) const {
+  if (body_deadline_ && now >= *body_deadline_)
+    return true;
   if (now < read_deadline_)
     return false;
   const Milliseconds idle_timeout(request_handler_->limits().idle_timeout_ms);
@@ -174,7 +242,9 @@
 }
 
 void CallerConnection::DropBody() {
-  body_ = {};
+  // An assignment of an empty string would keep the memory.
+  std::string().swap(body_);
+  head_bytes_ = 0;
   body_hold_.Release();
 }
 
@@ -214,12 +284,15 @@
 
 void CallerConnection::OnHead(HttpHead head) {
   head_ = std::move(head);
-  const std::size_t announced = AnnouncedBytes(head_);
-  if (!body_hold_.GrowTo(announced)) {
+  head_bytes_ =
+      std::max(MemoryOf(head_), kUncountedHeadBytes) - kUncountedHeadBytes;
+  body_deadline_ = EventLoop::Now() +
+                   Milliseconds(request_handler_->limits().body_timeout_ms);
+  stream_->SetReadSize(TcpStream::kReadBytes);
+  if (!ReserveBody(AnnouncedBytes(head_))) {
     body_refused_ = true;
     return;
   }
-  body_.reserve(announced);
   const std::string* expect = head_.Find("Expect");
   if (expect != nullptr && SameFieldName(*expect, "100-continue"))
     Write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -228,7 +301,7 @@
 void CallerConnection::OnBody(std::string_view data) {
   if (body_refused_)
     return;
-  if (!body_hold_.GrowTo(body_.size() + data.size())) {
+  if (!ReserveBody(body_.size() + data.size())) {
     body_refused_ = true;
     DropBody();
     return;
@@ -236,6 +309,20 @@
   body_.append(data);
 }
 
+bool CallerConnection::ReserveBody(std::size_t bytes) {
+  if (bytes <= body_.capacity())
+    return body_hold_.GrowTo(head_bytes_ + bytes);
+  const std::size_t ample =
+      std::min(std::max(bytes, 2 * body_.size()),
+               std::max(bytes, request_handler_->limits().max_body_bytes));
+  const std::size_t granted =
+      body_hold_.GrowTo(head_bytes_ + ample) ? ample : bytes;
+  if (!body_hold_.GrowTo(head_bytes_ + granted))
+    return false;
+  body_.reserve(granted);
+  return true;
+}
+
 void CallerConnection::OnMessageComplete() {}
 
 bool CallerConnection::MustClose() const {
@@ -327,17 +414,20 @@
   response_begun_ = false;
   close_delimited_ = false;
   DropBody();
-  if (std::exchange(close_announced_, false)) {
+  body_deadline_.reset();
+  stream_->SetReadSize(kHeadReadBytes);
+  head_ = {};
+  if (std::exchange(close_announced_, false) || input_discarded_) {
+    parser_.DropPending();
+    CountBufferedInput();
     BeginClosing();
     return;
   }
   parser_.StartNextMessage();
-  head_ = {};
+  head_timed_ = false;
   BeginIdleTime();
-  stream_->StartReading();
   // The parser's own buffer may already hold a complete request.
-  if (!parsing_ && has_buffered_input())
-    ParseAll(std::exchange(pipelined_input_, {}));
+  GoOnParsing();
 }
 
 void CallerConnection::Abort() {
@@ -368,7 +458,8 @@
   }
   if (bytes_read_ == 0 && now < opened_at_ + kFirstRequestTime)
     return;
-  if (stream_->queued_bytes() == 0 && !stream_->HasUnreadData())
+  if (stream_->queued_bytes() == 0 && !has_buffered_input() &&
+      !stream_->HasUnreadData())
     Close();
 }
 
@@ -377,8 +468,9 @@
     stalled_since_ = now;
     return;
   }
-  if (now >= stalled_since_ + kStalledTime && !stream_->HasUnreadData())
-    Reject(408);
+  if (now >= stalled_since_ + kStalledTime && stream_->queued_bytes() == 0 &&
+      !stream_->HasUnreadData())
+    Reject(kRequestTimeout);
 }
 
 void CallerConnection::Close() {
@@ -393,8 +485,12 @@
 }
 
 bool CallerConnection::TickClosing(Instant now) {
-  if (stream_->queued_bytes() > 0)
-    return true;
+  if (stream_->queued_bytes() > 0) {
+    if (!IsAnswerUntaken(now))
+      return true;
+    EndNow(CallerEndCause::kAnswered);
+    return false;
+  }
   if (!closing_deadline_)
     closing_deadline_ = now + kClosingTime;
   if (now < *closing_deadline_)
@@ -404,12 +500,65 @@
   return false;
 }
 
+void CallerConnection::TrackProgress(Instant now) {
+  const std::size_t queued = stream_->queued_bytes();
+  if (queued < last_queued_bytes_)
+    last_progress_ = now;
+  last_queued_bytes_ = queued;
+}
+
+bool CallerConnection::IsAnswerUntaken(Instant now) const {
+  return now >= last_progress_ +
+                    Milliseconds(request_handler_->limits().idle_timeout_ms);
+}
+
+ConnectionActivity CallerConnection::activity() const {
+  ConnectionActivity activity{id_, ConnectionPhase::kIdle, last_progress_};
+  if (closing_ || stream_->queued_bytes() > 0)
+    activity.phase = ConnectionPhase::kAnswerUntaken;
+  else if (request_open_)
+    activity.phase = ConnectionPhase::kBusy;
+  else if (parser_.in_message())
+    activity.phase = ConnectionPhase::kRequestPartial;
+  return activity;
+}
+
+void CallerConnection::Evict() {
+  if (closed())
+    return;
+  if (!closing_ && !request_open_ && parser_.in_message())
+    Reject(kRequestTimeout);
+  EndNow(CallerEndCause::kEvicted);
+}
+
+void CallerConnection::EndNow(CallerEndCause cause) {
+  request_handler_->OnConnectionEnd(this, MakeEnd(cause));
+  const bool open = std::exchange(request_open_, false);
+  if (close_delimited_)
+    TcpStream::Reset(std::move(stream_));
+  stream_.reset();
+  if (open)
+    request_handler_->OnCallerGone(this);
+}
+
 bool CallerConnection::OnTick(Instant now) {
   if (closed())
     return false;
+  TrackProgress(now);
   if (closing_)
     return TickClosing(now);
-  if (request_open_ || !IsReadOverdue(now) || stream_->queued_bytes() > 0)
+  if (std::exchange(yields_, false))
+    GoOnParsing();
+  if (closed() || closing_)
+    return !closed();
+  if (request_open_)
+    return true;
+  if (stream_->queued_bytes() > 0) {
+    if (IsAnswerUntaken(now))
+      EndNow(CallerEndCause::kIdle);
+    return !closed();
+  }
+  if (!IsReadOverdue(now))
     return true;
   // After a suspension the bytes may have arrived in time.
   if (!std::exchange(deadline_extended_, true) && stream_->HasUnreadData())
@@ -418,7 +567,7 @@
     Close();
     return false;
   }
-  Reject(408);
+  Reject(kRequestTimeout);
   return true;
 }
 
@@ -426,4 +575,38 @@
   return stream_ == nullptr ? 0 : stream_->queued_bytes();
 }
 
+namespace {
+
+// Makes the connection on which most waits unparsed close after its answer.
+void ShedPipelinedInput(const CallerConnections& connections) {
+  CallerConnection* longest = nullptr;
+  for (const auto& [id, connection] : connections) {
+    if (longest == nullptr ||
+        connection->buffered_bytes() > longest->buffered_bytes())
+      longest = connection.get();
+  }
+  if (longest != nullptr && longest->buffered_bytes() > 0)
+    longest->DiscardInput();
+}
+
+}  // namespace
+
+bool EvictCaller(CallerConnections* connections, Instant now) {
+  std::vector<ConnectionActivity> activities;
+  activities.reserve(connections->size());
+  for (const auto& [id, connection] : *connections) {
+    if (!connection->closed())
+      activities.push_back(connection->activity());
+  }
+  const auto id = ConnectionEviction::Choose(activities, now);
+  if (!id) {
+    ShedPipelinedInput(*connections);
+    return false;
+  }
+  const std::unique_ptr<CallerConnection> evicted =
+      std::move(connections->extract(*id).mapped());
+  evicted->Evict();
+  return true;
+}
+
 }  // namespace bbv
--- a/modules/bbv_front/caller_connection.h
+++ b/modules/bbv_front/caller_connection.h
@@ -6,12 +6,14 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <utility>
 
 #include "bbv_core/instant.h"
 #include "bbv_core/name_table.h"
 #include "bbv_fleet/fleet_configuration.h"
 #include "bbv_fleet/memory_ledger.h"
+#include "bbv_front/connection_eviction.h"
 #include "bbv_front/tcp_stream.h"
 #include "bbv_http/bbv_http.h"
 
@@ -29,10 +31,12 @@
   kAnswered,
   kIdle,
   kAborted,
+  // This process closed it to make room for other callers.
+  kEvicted,
 };
-inline constexpr NameTable<CallerEndCause, 5> kCallerEndCauseNames(
+inline constexpr NameTable<CallerEndCause, 6> kCallerEndCauseNames(
     {"caller-closed", "caller-reset", "entry-answered", "entry-idle",
-     "entry-aborted"});
+     "entry-aborted", "entry-evicted"});
 
 // State of a caller's connection when it ended.
 struct CallerConnectionEnd {
@@ -64,6 +68,9 @@
   // Returns the ledger of the bytes that requests use, which must outlive the
   // connections; null if they are not counted.
   virtual MemoryLedger* memory_ledger() { return nullptr; }
+  // Whether requests that were received while others were open may be handled
+  // now; otherwise they are at the next tick.
+  virtual bool TakesWaitingRequests() const { return true; }
   // Called when a complete request was received. Exactly one response must
   // follow, unless the connection ends first.
   virtual void OnRequest(CallerConnection* connection,
@@ -84,7 +91,8 @@
 };
 
 // Server side of one caller's HTTP/1.1 connection. Requests are handled one at
-// a time; pipelined requests wait.
+// a time; pipelined requests wait until the answers before them are sent. What
+// waits is bounded and counted.
 //
 // The connection is closed only when no request has been received that lacks
 // its response, in this process or in the socket's buffer. After the last
@@ -146,6 +154,22 @@
   // connection, unless a further request has been received by then.
   void DisableKeepAlive() { keep_alive_disabled_ = true; }
 
+  // What the connection waits for, to choose one to evict.
+  ConnectionActivity activity() const;
+
+  // Closes the connection, whatever was left unfinished, to make room. A
+  // request that was received in part is refused with 408, as far as the caller
+  // takes the answer at once.
+  void Evict();
+
+  // Drops the requests that wait unparsed, which have not run. The connection
+  // closes after the answer under way.
+  void DiscardInput();
+  // The bytes that wait unparsed.
+  std::size_t buffered_bytes() const {
+    return pipelined_input_.size() + parser_.pending_bytes();
+  }
+
   // Enforces the timeouts. Returns false if the connection is closed.
   bool OnTick(Instant now);
 
@@ -167,6 +191,7 @@
   // TcpStreamDelegate:
   void OnData(std::string_view data) override;
   void OnStreamEnd(StreamEnd end) override;
+  void OnWriteQueueEmpty() override;
 
   // HttpSink:
   void OnHead(HttpHead head) override;
@@ -177,9 +202,23 @@
   ParseStatus ParseInput(std::string_view data);
   // Parses `data` and whatever else was received until a request is open.
   void ParseAll(std::string_view data);
-  bool has_buffered_input() const {
-    return !pipelined_input_.empty() || parser_.pending_bytes() > 0;
-  }
+  // Whether the next request may be parsed: the one before has been answered,
+  // the answer is sent, and it is this connection's turn.
+  bool can_parse() const;
+  void BufferInput(std::string_view data);
+  // Reads on and handles what waits, if it may be parsed.
+  void GoOnParsing();
+  // Grows the buffer of the body; returns false if there is no room for that.
+  bool ReserveBody(std::size_t bytes);
+  // Ends the connection at once.
+  void EndNow(CallerEndCause cause);
+  void TrackProgress(Instant now);
+  // Whether the caller has taken nothing of its answers for the idle time.
+  bool IsAnswerUntaken(Instant now) const;
+  // Refuses a request of which a part waits unparsed, or stops reading if whole
+  // requests may wait.
+  void OnNoRoomForInput();
+  bool has_buffered_input() const { return buffered_bytes() > 0; }
   void SetReadTimeout(Milliseconds timeout);
   void BeginIdleTime();
   // Whether the rest of a request or, on an idle connection, the next one is
@@ -217,7 +256,9 @@
   HttpParser parser_;
   HttpHead head_;
   std::string body_;
+  // Counts the body's buffer and the head.
   MemoryLedger::Hold body_hold_;
+  std::size_t head_bytes_ = 0;
   // Whether the ledger had no room for the body of the current request.
   bool body_refused_ = false;
   std::string request_name_;
@@ -225,6 +266,11 @@
   MemoryLedger::Hold input_hold_;
   bool request_open_ = false;
   bool response_begun_ = false;
+  // Whether received bytes were dropped, so that nothing can follow.
+  bool input_discarded_ = false;
+  // When the caller last sent or took a byte.
+  Instant last_progress_;
+  std::size_t last_queued_bytes_ = 0;
   uint64_t bytes_read_ = 0;
   uint64_t bytes_written_ = 0;
   uint64_t bytes_at_last_check_ = 0;
@@ -240,8 +286,14 @@
   bool closing_ = false;
   std::optional<Instant> closing_deadline_;
   bool parsing_ = false;
+  // Whether the requests that wait unparsed are left for the next tick.
+  bool yields_ = false;
   // Deadline for the head, the body or the next request.
   Instant read_deadline_;
+  // Whether it is set for the current message's head.
+  bool head_timed_ = false;
+  // Deadline for the whole body, however steadily it comes.
+  std::optional<Instant> body_deadline_;
   // When the last response was written, or the connection was opened.
   Instant idle_since_;
   // Whether the deadline has passed while received bytes were unread.
@@ -249,6 +301,16 @@
   Instant opened_at_;
 };
 
+// Connections by their ids.
+using CallerConnections =
+    std::unordered_map<uint64_t, std::unique_ptr<CallerConnection>>;
+
+// Closes and removes the connection that ConnectionEviction chooses. If there
+// is none, makes the one on which most waits unparsed close after its answer
+// and returns false. Must not be called by a connection. Thread safety: none,
+// the loop's thread.
+bool EvictCaller(CallerConnections* connections, Instant now);
+
 }  // namespace bbv
 
 #endif  // MODULES_BBV_FRONT_CALLER_CONNECTION_H_
--- a/modules/bbv_front/caller_connection_test.cc
+++ b/modules/bbv_front/caller_connection_test.cc
@@ -361,9 +361,12 @@
   rest.Release();
   handler.first_chunk.clear();
   connection->EndStream();
+  // No request is handled before the answers to those before it are taken.
+  std::thread receiver([this] { caller->Receive(2000); });
   for (int it = 0; handler.requests <= kRequests && it < 100; ++it)
     RunFor(20);
   sender.join();
+  receiver.join();
   // One read at most.
   CHECK_COMPARE(held, >, kInstanceBytes);
   CHECK_COMPARE(held, <=, kInstanceBytes + 65536);
--- a/modules/bbv_front/small_http_server.cc
+++ b/modules/bbv_front/small_http_server.cc
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr std::size_t kMaxConnections = 64;
+constexpr std::size_t kMaxBodyBytes = 64U << 10U;
 
 }  // namespace
 
@@ -15,7 +16,8 @@
   handler_ = std::move(handler);
   return listener_.Listen(
       loop, address, [this](std::unique_ptr<TcpStream> stream) {
-        if (connections_.size() >= kMaxConnections)
+        if (connections_.size() >= kMaxConnections &&
+            !EvictCaller(&connections_, EventLoop::Now()))
           return;
         const uint64_t id = next_id_++;
         connections_[id] =
@@ -23,6 +25,12 @@
       });
 }
 
+CallerLimits SmallHttpServer::limits() const {
+  CallerLimits limits;
+  limits.max_body_bytes = kMaxBodyBytes;
+  return limits;
+}
+
 void SmallHttpServer::OnTick(Instant now) {
   std::erase_if(connections_,
                 [now](auto& it) { return !it.second->OnTick(now); });
--- a/modules/bbv_front/small_http_server.h
+++ b/modules/bbv_front/small_http_server.h
@@ -21,7 +21,8 @@
 };
 
 // HTTP server for requests that are answered synchronously, such as readiness
-// and metrics.
+// and metrics. Their bodies must be small. A connection that finds no slot
+// takes that of another (ConnectionEviction).
 //
 // Thread safety: none, used on the event loop's thread.
 class SmallHttpServer final : public CallerRequestHandler {
@@ -37,6 +38,7 @@
   void OnTick(Instant now);
 
   // CallerRequestHandler:
+  CallerLimits limits() const override;
   void OnRequest(CallerConnection* connection,
                  HttpHead head,
                  std::string body) override;
@@ -47,7 +49,7 @@
   TcpListener listener_;
   Handler handler_;
   uint64_t next_id_ = 1;
-  std::unordered_map<uint64_t, std::unique_ptr<CallerConnection>> connections_;
+  CallerConnections connections_;
 };
 
 }  // namespace bbv
--- a/modules/bbv_front/tcp_stream.cc
+++ b/modules/bbv_front/tcp_stream.cc
@@ -17,7 +17,6 @@
 // A connection fails if sent data stays unacknowledged for this long, so that
 // data queued on an unresponsive link is discarded.
 constexpr unsigned kUserTimeoutMs = 4000;
-constexpr std::size_t kReadBytes = 64U << 10U;
 constexpr std::size_t kMaxCountedUnreadBytes = 4096;
 
 void DeleteHandle(uv_handle_t* handle) {
@@ -44,14 +43,6 @@
   return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
-// All streams share one read buffer, because each delegate consumes the data
-// before the next read.
-void ProvideReadBuffer(uv_handle_t*, std::size_t, uv_buf_t* buf) {
-  static std::array<char, kReadBytes> buffer;
-  buf->base = buffer.data();
-  buf->len = buffer.size();
-}
-
 // The buffers of a write of two parts, without those that are empty.
 class WriteBuffers {
  public:
@@ -155,6 +146,16 @@
     uv_close(reinterpret_cast<uv_handle_t*>(handle_), DeleteHandle);
 }
 
+void TcpStream::ProvideReadBuffer(uv_handle_t* handle,
+                                  std::size_t,
+                                  uv_buf_t* buf) {
+  static std::array<char, kReadBytes> buffer;
+  const auto* self = static_cast<const TcpStream*>(handle->data);
+  buf->base = buffer.data();
+  buf->len = self == nullptr ? buffer.size()
+                             : std::min(buffer.size(), self->read_size_);
+}
+
 void TcpStream::StartReading() {
   if (ended_)
     return;
--- a/modules/bbv_front/tcp_stream.h
+++ b/modules/bbv_front/tcp_stream.h
@@ -69,6 +69,11 @@
   void StartReading();
   void StopReading();
 
+  // Bounds the bytes that one call of OnData() brings, at most and by default
+  // kReadBytes.
+  static constexpr std::size_t kReadBytes = 64U << 10U;
+  void SetReadSize(std::size_t bytes) { read_size_ = bytes; }
+
   // Sends or queues `data`. Has no effect after the stream has ended.
   void Write(std::string_view data) { Write(data, nullptr); }
 
@@ -101,6 +106,12 @@
  private:
   struct WriteRequest;
 
+  // Provides the buffer that all streams share, because each delegate consumes
+  // the data before the next read.
+  static void ProvideReadBuffer(uv_handle_t* handle,
+                                std::size_t suggested,
+                                uv_buf_t* buf);
+
   TcpStream() = default;
   // Copies received bytes that were not read yet to `buf` and leaves them
   // unread. Returns their number.
@@ -112,6 +123,7 @@
   TcpStreamDelegate* delegate_ = nullptr;
   bool connected_ = false;
   bool ended_ = false;
+  std::size_t read_size_ = kReadBytes;
 };
 
 // A listening socket.
--- a/modules/bbv_http/http_parser.cc
+++ b/modules/bbv_http/http_parser.cc
@@ -111,6 +111,9 @@
                      string_view name,
                      string_view value,
                      error_code& /*ec*/) override {
+    // Trailers are not used.
+    if (this->is_header_done())
+      return;
     head_.fields.push_back({std::string(ToStdStringView(name)),
                             std::string(ToStdStringView(value))});
   }
--- a/modules/bbv_http/http_parser.h
+++ b/modules/bbv_http/http_parser.h
@@ -91,6 +91,9 @@
   // Bytes received and not yet parsed.
   std::size_t pending_bytes() const { return pending_.size(); }
 
+  // Discards them.
+  void DropPending() { std::string().swap(pending_); }
+
  private:
   class MessageParser;
   template <bool kIsRequest>
--- a/modules/bbv_settings/fleet_settings.cc
+++ b/modules/bbv_settings/fleet_settings.cc
@@ -13,6 +13,7 @@
 
 constexpr IntegerRange kTimeRangeMs{1, 600'000};
 constexpr double kMaximumSeconds = 600;
+constexpr int kMinimumBodyTimeoutMs = 1000;
 constexpr IntegerRange kDescriptorRange{64, 1'000'000};
 constexpr double kMaximumRetryShare = 1.0;
 constexpr double kMaximumRetryExtra = 1'000'000;
@@ -50,6 +51,11 @@
   }
   settings->maximum_connections = static_cast<int>(
       reader->Integer("maximum_connections", 4096, kDescriptorRange));
+  settings->body_timeout_ms =
+      static_cast<int>(kMillisecondsPerSecond *
+                       reader->Number("body_timeout_s", 300, kMaximumSeconds));
+  if (settings->body_timeout_ms < kMinimumBodyTimeoutMs)
+    reader->AddFault("body_timeout_s", "must be at least 1");
 }
 
 // Returns the usual memory of an instance, or that of this machine if it has
--- a/modules/bbv_settings/fleet_settings.h
+++ b/modules/bbv_settings/fleet_settings.h
@@ -28,6 +28,8 @@
   std::vector<SocketAddress> peer_seeds;
   // Maximum number of file descriptors used by the process.
   int maximum_connections = 0;
+  // Maximum time to receive the body of a request.
+  int body_timeout_ms = 0;
 
   // Share of a processor core available to the instance, the speed of that core
   // relative to the standard one, and the network bandwidth of the instance.
--- a/modules/bbv_wire/frame_codec.h
+++ b/modules/bbv_wire/frame_codec.h
@@ -47,6 +47,9 @@
   // the stream cannot be read any further.
   Result<bool> Next(wire::FrameT* frame);
 
+  // Bytes in memory of frames that are not decoded.
+  std::size_t buffered_bytes() const { return buffer_.size(); }
+
  private:
   std::size_t maximum_bytes_;
   std::size_t read_position_ = 0;
