--- a/modules/bbv_entry/call_intake.cc
+++ b/modules/bbv_entry/call_intake.cc
@@ -10,6 +10,9 @@
 namespace bbv {
 namespace {
 
+// Ended calls that are kept until the end of the tick, above which requests
+// that callers have pipelined wait.
+constexpr std::size_t kMaxEndedCalls = 512;
 constexpr Milliseconds kDefaultCallerTimeout{30'000};
 constexpr int kReservedDescriptors = 400;
 constexpr int kBadRequest = 400;
@@ -37,7 +40,10 @@
   const auto limit = static_cast<std::size_t>(std::max(
       64,
       (parts_.settings->maximum_connections - kReservedDescriptors) * 3 / 4));
-  if (callers_.size() >= limit) {
+  const bool is_full = callers_.size() >= limit;
+  const bool evicted = is_full && EvictCaller(&callers_, EventLoop::Now());
+  evicted_ += evicted ? 1 : 0;
+  if (is_full && !evicted) {
     parts_.log->Write(Event::kCallerTurnedAway, EventLoop::Now(),
                       {{"connections", static_cast<int64_t>(callers_.size())}});
     return;
@@ -93,8 +99,15 @@
 }
 
 CallerLimits CallIntake::limits() const {
-  const FleetIndex* index = parts_.configuration->current().get();
-  return index == nullptr ? CallerLimits{} : index->configuration().limits;
+  CallerLimits limits;
+  if (const FleetIndex* index = parts_.configuration->current().get())
+    limits = index->configuration().limits;
+  limits.body_timeout_ms = parts_.settings->body_timeout_ms;
+  return limits;
+}
+
+bool CallIntake::TakesWaitingRequests() const {
+  return parts_.calls->ended() < kMaxEndedCalls;
 }
 
 void CallIntake::Refuse(CallerConnection* connection,
@@ -191,7 +204,7 @@
   request->service =
       FleetIndex::PickService(*request->route, HashBytes(fields.attempt_id));
   request->priority =
-      FleetIndex::EffectivePriority(*request->route, request->account);
+      index.PriorityRank(request->service, *request->route, request->account);
   request->has_unlike_priorities = index.HasUnlikePriorities(request->service);
   request->prompt_tokens = fields.prompt_tokens;
   request->max_output_tokens = fields.max_answer_tokens;
--- a/modules/bbv_entry/call_intake.h
+++ b/modules/bbv_entry/call_intake.h
@@ -8,7 +8,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 
 #include "bbv_entry/configuration_follower.h"
 #include "bbv_entry/open_calls.h"
@@ -64,12 +63,15 @@
   void Abort();
 
   std::size_t connections() const { return callers_.size(); }
+  // Connections that were closed to make room for others.
+  uint64_t evicted() const { return evicted_; }
   // Bytes of responses that callers have not taken.
   std::size_t queued_bytes() const;
 
   // CallerRequestHandler:
   CallerLimits limits() const override;
   MemoryLedger* memory_ledger() override { return parts_.memory_ledger; }
+  bool TakesWaitingRequests() const override;
   void OnRequest(CallerConnection* connection,
                  HttpHead head,
                  std::string body) override;
@@ -106,7 +108,9 @@
   Parts parts_;
   std::function<bool()> is_ready_;
   uint64_t next_connection_ = 1;
-  std::unordered_map<uint64_t, std::unique_ptr<CallerConnection>> callers_;
+  CallerConnections callers_;
+  // Connections closed to make room for others.
+  uint64_t evicted_ = 0;
   // Delays given to callers whose bodies found no room.
   RetryAfterScheduler refused_bodies_;
   // Whether new connections may be held during startup, and until when.
--- a/modules/bbv_entry/entry_telemetry.cc
+++ b/modules/bbv_entry/entry_telemetry.cc
@@ -47,6 +47,8 @@
   FleetMetrics* metrics = parts_.metrics;
   metrics->SetGauge("caller_connections",
                     static_cast<double>(parts_.intake->connections()));
+  metrics->SetGauge("callers_evicted",
+                    static_cast<double>(parts_.intake->evicted()));
   metrics->SetGauge("calls_under_way",
                     static_cast<double>(parts_.calls->size()));
   metrics->SetGauge("calls_waiting",
--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -26,6 +26,11 @@
 // Link bandwidth in Mbit/s that one processor core can fill. An instance with
 // less bandwidth per core is ranked by its link.
 constexpr double kMegabitsPerCore = 200;
+// Parts of the descriptors and of the memory that connections of other entries
+// may use.
+constexpr std::size_t kPeerConnectionsDivisor = 8;
+constexpr std::size_t kMinPeerConnections = 64;
+constexpr std::size_t kPeerMemoryDivisor = 8;
 constexpr int kUnavailable = 503;
 constexpr std::size_t kBytesPerMegabyte = 1'000'000;
 
@@ -73,7 +78,7 @@
       load_poller_(&client_, &registry_),
       peers_(&loop_,
              {&store_, &log_, &registry_, &configuration_, &targets_, &planner_,
-              &retry_budgets_, &crash_guard_, &rate_limits_},
+              &retry_budgets_, &crash_guard_, &rate_limits_, PeerLimits()},
              OwnRecord(),
              Milliseconds(settings_.retry_window_ms),
              [this](const std::string& id, std::string_view) {
@@ -172,6 +177,21 @@
   return record;
 }
 
+PeerLinks::Limits FleetEntry::PeerLimits() {
+  const auto connections =
+      static_cast<std::size_t>(settings_.maximum_connections);
+  const auto memory =
+      static_cast<std::size_t>(settings_.memory_mb) * kBytesPerMegabyte;
+  PeerLinks::Limits limits;
+  limits.ledger = &memory_ledger_;
+  limits.incoming_connections =
+      std::clamp(connections / kPeerConnectionsDivisor, kMinPeerConnections,
+                 limits.incoming_connections);
+  limits.buffered_bytes =
+      std::min(limits.buffered_bytes, memory / kPeerMemoryDivisor);
+  return limits;
+}
+
 SharedRetryBudget::Limits FleetEntry::RetryLimits() const {
   SharedRetryBudget::Limits limits;
   limits.ratio = settings_.retry_share;
--- a/modules/bbv_entry/fleet_entry.h
+++ b/modules/bbv_entry/fleet_entry.h
@@ -61,6 +61,7 @@
   void UpdateServices(Instant now);
   bool IsReady() const;
   SharedRetryBudget::Limits RetryLimits() const;
+  PeerLinks::Limits PeerLimits();
   MemberRecord OwnRecord() const;
 
   FleetSettings settings_;
--- a/modules/bbv_entry/open_calls.h
+++ b/modules/bbv_entry/open_calls.h
@@ -47,6 +47,8 @@
 
   std::size_t size() const { return calls_.size(); }
   bool empty() const { return calls_.empty(); }
+  // Number of calls that are retired and not destroyed yet.
+  std::size_t ended() const { return ended_.size(); }
   const CallDurations& durations() const { return durations_; }
 
  private:
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -66,7 +66,8 @@
   const ServiceRoute* route = nullptr;
   const FleetAccount* account = nullptr;
   std::string service;
-  // Effective priority; 0 is the highest.
+  // Rank of its priority among those of its service, see
+  // FleetIndex::PriorityRank(); 0 is the highest.
   int priority = 0;
   // Whether calls of the service may differ in priority.
   bool has_unlike_priorities = false;
--- a/modules/bbv_fleet/fleet_index.cc
+++ b/modules/bbv_fleet/fleet_index.cc
@@ -1,9 +1,12 @@
 #include "bbv_fleet/fleet_index.h"
 
 #include <cassert>
-#include <map>
+#include <iterator>
+#include <optional>
 #include <utility>
 
+#include "bbv_admission/bbv_admission.h"
+
 namespace bbv {
 
 FleetIndex::FleetIndex(FleetConfiguration configuration)
@@ -16,42 +19,39 @@
   }
   for (const ServiceDescription& it : configuration_.services)
     services_[it.name] = &it;
-  FindUnlikePriorities();
+  CollectPriorities();
 }
 
-void FleetIndex::FindUnlikePriorities() {
-  const std::vector<FleetAccount>& accounts = configuration_.accounts;
-  std::set<int> account_priorities;
-  bool has_plain_account = accounts.empty();
-  for (const FleetAccount& it : accounts) {
-    if (it.priority)
-      account_priorities.insert(*it.priority);
-    else
-      has_plain_account = true;
-  }
-  std::map<std::string, std::set<int>> priorities;
+void FleetIndex::CollectPriorities() {
+  std::set<std::optional<int>> account_priorities;
+  for (const FleetAccount& it : configuration_.accounts)
+    account_priorities.insert(it.priority);
   for (const ServiceRoute& route : configuration_.routes) {
-    for (const WeightedService& it : route.services) {
-      std::set<int>& found = priorities[it.service];
-      found.insert(account_priorities.begin(), account_priorities.end());
-      if (has_plain_account || route.allow_anonymous)
-        found.insert(route.priority);
-    }
-  }
-  for (const auto& [service, found] : priorities) {
-    if (found.size() > 1)
-      unlike_priorities_.insert(service);
+    std::set<int> ranks;
+    for (const std::optional<int>& it : account_priorities)
+      ranks.insert(PriorityReservation::Rank(it, route.priority));
+    if (account_priorities.empty() || route.allow_anonymous)
+      ranks.insert(PriorityReservation::Rank(std::nullopt, route.priority));
+    for (const WeightedService& it : route.services)
+      priorities_[it.service].insert(ranks.begin(), ranks.end());
   }
 }
 
-int FleetIndex::EffectivePriority(const ServiceRoute& route,
-                                  const FleetAccount* account) {
-  return account != nullptr && account->priority ? *account->priority
-                                                 : route.priority;
+int FleetIndex::PriorityRank(std::string_view service,
+                             const ServiceRoute& route,
+                             const FleetAccount* account) const {
+  const auto it = priorities_.find(service);
+  if (it == priorities_.end())
+    return 0;
+  const int rank = PriorityReservation::Rank(
+      account == nullptr ? std::nullopt : account->priority, route.priority);
+  return static_cast<int>(
+      std::distance(it->second.begin(), it->second.lower_bound(rank)));
 }
 
 bool FleetIndex::HasUnlikePriorities(std::string_view service) const {
-  return unlike_priorities_.contains(service);
+  const auto it = priorities_.find(service);
+  return it != priorities_.end() && it->second.size() > 1;
 }
 
 const ServiceRoute* FleetIndex::FindRoute(std::string_view host,
--- a/modules/bbv_fleet/fleet_index.h
+++ b/modules/bbv_fleet/fleet_index.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -40,11 +41,12 @@
   static const std::string& PickService(const ServiceRoute& route,
                                         uint64_t random_value);
 
-  // Returns the priority of the calls that `account`, which may be null, makes
-  // on `route`: the account's own one goes before the route's. 0 is the highest
-  // priority.
-  static int EffectivePriority(const ServiceRoute& route,
-                               const FleetAccount* account);
+  // Returns how many priorities of calls to `service` are higher than that of
+  // the calls that `account`, which may be null, makes on `route`. The
+  // account's priority goes before the route's; 0 is the highest.
+  int PriorityRank(std::string_view service,
+                   const ServiceRoute& route,
+                   const FleetAccount* account) const;
 
   // Whether calls of `service` may differ in priority.
   bool HasUnlikePriorities(std::string_view service) const;
@@ -66,11 +68,12 @@
   using StringMap =
       std::unordered_map<std::string, Value, StringHash, std::equal_to<>>;
 
-  void FindUnlikePriorities();
+  void CollectPriorities();
 
   FleetConfiguration configuration_;
-  // Services whose calls may differ in priority.
-  std::set<std::string, std::less<>> unlike_priorities_;
+  // The priorities of the calls to each service, as
+  // PriorityReservation::Rank().
+  std::map<std::string, std::set<int>, std::less<>> priorities_;
   // Routes by host and prefix.
   StringMap<StringMap<const ServiceRoute*>> routes_;
   StringMap<const FleetAccount*> accounts_;
--- a/modules/bbv_fleet/loss_recovery_test.cc
+++ b/modules/bbv_fleet/loss_recovery_test.cc
@@ -113,6 +113,7 @@
       stream.request.service = "engine";
       stream.request.route = &route;
       stream.request.account = &accounts[it % kPriorities];
+      stream.request.priority = it % kPriorities;
       stream.request.prompt_tokens = 200 + 29 * it;
       stream.request.output_tokens = 150;
       stream.path.target_id = "first";
--- a/modules/bbv_fleet/target_registry_test.cc
+++ b/modules/bbv_fleet/target_registry_test.cc
@@ -131,19 +131,32 @@
   CHECK(!without_accounts.HasUnlikePriorities("alike"));
   CHECK(!without_accounts.HasUnlikePriorities("unknown"));
   configuration.accounts = {{"first", {}, 1}, {"second", {}, 1}};
-  CHECK(!bbv::FleetIndex(configuration).HasUnlikePriorities("mixed"));
+  CHECK(bbv::FleetIndex(configuration).HasUnlikePriorities("mixed"));
+  CHECK(!bbv::FleetIndex(configuration).HasUnlikePriorities("alike"));
   configuration.accounts.push_back({"third", {}, 0});
   CHECK(bbv::FleetIndex(configuration).HasUnlikePriorities("alike"));
 }
 
-TEST(FleetIndex, ThePriorityOfAnAccountGoesBeforeItsRoutes) {
-  bbv::ServiceRoute route;
-  route.priority = 2;
-  bbv::FleetAccount account;
-  CHECK_EQUAL(2, bbv::FleetIndex::EffectivePriority(route, nullptr));
-  CHECK_EQUAL(2, bbv::FleetIndex::EffectivePriority(route, &account));
-  account.priority = 0;
-  CHECK_EQUAL(0, bbv::FleetIndex::EffectivePriority(route, &account));
+TEST(FleetIndex, PrioritiesRankByAccountAndThenByRoute) {
+  bbv::FleetConfiguration configuration;
+  for (const int priority : {0, 2}) {
+    bbv::ServiceRoute route;
+    route.services = {{"s", 1}};
+    route.priority = priority;
+    configuration.routes.push_back(route);
+  }
+  configuration.accounts = {{"first", {}, 0}, {"second", {}, 1}};
+  const bbv::FleetIndex index(configuration);
+  const auto rank = [&](int route, int account) {
+    const bbv::FleetConfiguration& it = index.configuration();
+    return index.PriorityRank("s", it.routes[route], &it.accounts[account]);
+  };
+  CHECK_EQUAL(0, rank(0, 0));
+  CHECK_EQUAL(1, rank(1, 0));
+  CHECK_EQUAL(2, rank(0, 1));
+  CHECK_EQUAL(3, rank(1, 1));
+  CHECK_EQUAL(0,
+              index.PriorityRank("unknown", configuration.routes[1], nullptr));
 }
 
 TEST(FleetIndex, WeightsDivideTheCalls) {
