Loss recovery: a stream waits until its deadline at most

The expected prefill is too pessimistic, and replacements idled between the small portions of late streams. Change: no portions after the deadline; a stream that would be late lets the others go first until its deadline, and is then moved. Late streams may still be held that would have been in time, as the expected prefill is the same.

--- a/modules/bbv_fleet/fleet_call.cc
+++ b/modules/bbv_fleet/fleet_call.cc
@@ -548,8 +548,6 @@
   progress.event_deadline =
       relaying_ ? last_progress_ + Milliseconds(route.event_gap_objective_ms)
                 : request_.arrived + Milliseconds(route.objective_ms);
-  progress.caller_deadline =
-      std::min(last_progress_ + kPathWait, request_.deadline);
   progress.is_broken = path_broken_since_.has_value();
   return progress;
 }
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -116,8 +116,6 @@
   int64_t last_event = kNoEvent;
   // When its next event is due by the route's objectives.
   Instant event_deadline{};
-  // When its caller is expected to disconnect.
-  Instant caller_deadline{};
   // Whether the stream stands still until its path is changed.
   bool is_broken = false;
 };
--- a/modules/bbv_fleet/path_chooser.cc
+++ b/modules/bbv_fleet/path_chooser.cc
@@ -118,7 +118,6 @@
                          (1 + 4 * target->failure_rate) * spread;
     const double prefill_rate = EngineTiming::PrefillTokensPerMs(model, share);
     const double backlog_ms = PrefillMs(prefill_rate, target->UnreadTokens());
-    candidate.backlog_ms = backlog_ms;
     candidate.prefill_ms =
         backlog_ms + PrefillMs(prefill_rate, query.prompt_tokens);
     // At a busy target a token waits for the current pass to end.
@@ -397,7 +396,6 @@
     const Candidate& it = candidates[arrival.candidate];
     path.hops.push_back({it.target, {arrival.from, layer}});
     path.prefill_ms += it.prefill_ms;
-    path.backlog_ms += it.backlog_ms;
     layer = arrival.from;
     if (layer == limits.from)
       break;
--- a/modules/bbv_fleet/path_chooser.h
+++ b/modules/bbv_fleet/path_chooser.h
@@ -27,8 +27,6 @@
   // milliseconds.
   double token_ms = 0;
   double prefill_ms = 0;
-  // The part of it for which its tokens are queued behind those of other calls.
-  double backlog_ms = 0;
 
   bool empty() const { return hops.empty(); }
 };
@@ -154,7 +152,6 @@
     // Time until the call's prompt is prefilled behind the queued ones, in
     // milliseconds.
     double prefill_ms = 0;
-    double backlog_ms = 0;
     double free_token_layers = 0;
     // Whether the prefill backlog exceeds the limit of the query.
     bool exceeds_backlog = false;
--- a/modules/bbv_fleet/target_selector.cc
+++ b/modules/bbv_fleet/target_selector.cc
@@ -98,11 +98,11 @@
     return {};
   const LostStream stream = MakeLostStream(index, request, progress);
   // A stream that still gets its events on the old path is not in a hurry.
-  const Milliseconds objective(
-      progress.is_broken ? request.route->event_gap_objective_ms : 0);
+  const bool is_urgent =
+      progress.is_broken && request.route->event_gap_objective_ms > 0;
   PathQuery query = MakeQuery(request, excluded, random_value);
   query.prompt_tokens = stream.unread_tokens;
-  if (objective > Milliseconds(0))
+  if (is_urgent)
     query.max_prefill_ms = RemainingMilliseconds(stream.event_deadline, now);
   std::vector<CurrentHop> hops;
   for (std::size_t it = 0; it < current.layers.size(); ++it)
@@ -112,8 +112,10 @@
   if (path.empty())
     return {};
   RerouteChoice choice;
-  choice.search_again_at = RecoverySchedule::HoldUntil(
-      stream, {path.backlog_ms, path.prefill_ms}, objective, now);
+  if (is_urgent) {
+    choice.search_again_at =
+        RecoverySchedule::HoldUntil(stream, path.prefill_ms, now);
+  }
   if (choice.search_again_at)
     return choice;
   CallDispatch dispatch = MakeDispatch(*service->engine, path, request);
@@ -142,7 +144,6 @@
     stream.priority = *request.account->priority;
   stream.unread_tokens = request.prompt_tokens + events * tokens_per_event;
   stream.event_deadline = progress.event_deadline;
-  stream.caller_deadline = progress.caller_deadline;
   return stream;
 }
 
--- a/modules/bbv_recovery/lost_stream.h
+++ b/modules/bbv_recovery/lost_stream.h
@@ -14,16 +14,6 @@
   double unread_tokens = 0;
   // When its next event is due by the route's objective.
   Instant event_deadline{};
-  // When its caller is expected to disconnect.
-  Instant caller_deadline{};
-};
-
-// Expected prefill of a lost stream at its best replacement, in milliseconds.
-struct PrefillEstimate {
-  // Time for the prompts that are queued there already.
-  double backlog_ms = 0;
-  // Time until the stream's own tokens are prefilled behind them.
-  double total_ms = 0;
 };
 
 }  // namespace bbv
--- a/modules/bbv_recovery/recovery_schedule.h
+++ b/modules/bbv_recovery/recovery_schedule.h
@@ -11,8 +11,8 @@
 // Decides the order and the time in which lost streams move to a replacement.
 //
 // An engine prefills in the order of arrival. A stream that will be late in any
-// case, if moved first, makes those behind it late as well; it therefore waits
-// until they are done. Pure functions; thread-safe.
+// case, if moved first, makes those behind it late as well; it therefore lets
+// them go first until its deadline has passed. Pure functions; thread-safe.
 class RecoverySchedule {
  public:
   // Returns whether `left` moves before `right`: streams that can still meet
@@ -23,12 +23,12 @@
                            Instant now);
 
   // Returns when to decide again about a stream that must wait, or nullopt if
-  // it is to be moved now. A stream waits while it would miss its deadline and
-  // others may need the replacement, but never so long that its caller would
-  // disconnect. `event_gap_objective` is that of its route.
+  // it is to be moved now. `prefill_ms` is the expected time until its best
+  // replacement has prefilled it. A stream waits while it would miss its
+  // deadline and others may still meet theirs, thus until its deadline at most:
+  // no later than its route would have it go on.
   static std::optional<Instant> HoldUntil(const LostStream& stream,
-                                          const PrefillEstimate& prefill,
-                                          Milliseconds event_gap_objective,
+                                          double prefill_ms,
                                           Instant now);
 };
 
