Findings of the reviews of admission, recovery, placement and callers outside the limits

Causes and changes: - Chains: without memory for requests the search for calls that fit did not end. - Callers: a pipelining caller that disconnected while all slots were busy ended the process; a late answer counted as not taken at once; requests in the socket's buffer were crossed by a close; closed connections held slots; one newcomer is let in for each connection that will close after its answer. - Peers: connections without a hello are closed before peers' links. - Admission: a waiting call keeps the place of its own priority; late sends do not count as the time to the first response; displaced calls are forgotten with their connections; slots for returns are removed. - Recovery: no backlog of changed paths without an objective between events; an order that is not answered in time frees its backlog; only the first target's zone is searched. - Public routes have no account priorities. - Names and comments as the readers proposed.

--- a/modules/bbv_admission/account_demand.h
+++ b/modules/bbv_admission/account_demand.h
@@ -1,10 +1,10 @@
 #ifndef MODULES_BBV_ADMISSION_ACCOUNT_DEMAND_H_
 #define MODULES_BBV_ADMISSION_ACCOUNT_DEMAND_H_
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <tuple>
 #include <vector>
 
 #include "bbv_core/instant.h"
@@ -18,7 +18,11 @@
   // 0 is the highest priority.
   uint8_t priority = 0;
 
-  auto operator<=>(const DemandGroup&) const = default;
+  bool operator<(const DemandGroup& other) const {
+    return std::tie(service, priority) <
+           std::tie(other.service, other.priority);
+  }
+  bool operator==(const DemandGroup&) const = default;
 };
 
 // The calls of one client account in a group.
@@ -27,7 +31,10 @@
   // Short hash of the account's name, or kOtherAccounts.
   uint32_t account = 0;
 
-  auto operator<=>(const DemandKey&) const = default;
+  bool operator<(const DemandKey& other) const {
+    return std::tie(group, account) < std::tie(other.group, other.account);
+  }
+  bool operator==(const DemandKey&) const = default;
 };
 
 // Stands for the accounts that have no row of their own.
--- a/modules/bbv_admission/account_shares.h
+++ b/modules/bbv_admission/account_shares.h
@@ -22,8 +22,9 @@
 // of what all accounts have taken lately, by tokens. With one account, or
 // without unmet demand, nothing yields.
 //
-// Reports that are older than kMaxReportAge do not count. An entry without any
-// divides what it sees itself.
+// Not connected yet: no call asks it and no message carries its reports, see
+// docs/design/account-shares.md. Reports that are older than kMaxReportAge do
+// not count. An entry without any divides what it sees itself.
 //
 // Deterministic. Not thread-safe; must be used from one thread. `now` must not
 // decrease from call to call.
--- a/modules/bbv_admission/admission_queue.cc
+++ b/modules/bbv_admission/admission_queue.cc
@@ -27,6 +27,7 @@
 }
 
 void AdmissionQueue::Remove(uint64_t id) {
+  std::erase_if(displaced_, [id](const auto& it) { return it.id == id; });
   const auto it = calls_.find(id);
   if (it == calls_.end())
     return;
@@ -41,7 +42,7 @@
     if (it->service == service)
       ++waiting[{it->priority, it->account}];
   }
-  const auto loses_less = [&](const Call& call, const Call& other) {
+  const auto is_displaced_before = [&](const Call& call, const Call& other) {
     if (call.priority != other.priority)
       return call.priority < other.priority;
     const int count = waiting[{call.priority, call.account}];
@@ -51,7 +52,8 @@
   };
   const Call* least = nullptr;
   for (const auto& [id, it] : calls_) {
-    if (it->service == service && (least == nullptr || loses_less(*it, *least)))
+    if (it->service == service &&
+        (least == nullptr || is_displaced_before(*it, *least)))
       least = it.get();
   }
   return least;
@@ -61,8 +63,10 @@
   const Call* least = FindLeastUrgent(service);
   if (least == nullptr || least->priority >= -priority)
     return false;
-  displaced_.push_back({least->id, service, -least->priority, priority});
+  const Displacement displacement{least->id, service, -least->priority,
+                                  priority};
   Remove(least->id);
+  displaced_.push_back(displacement);
   return true;
 }
 
--- a/modules/bbv_admission/priority_reservation.cc
+++ b/modules/bbv_admission/priority_reservation.cc
@@ -27,12 +27,12 @@
 
 }  // namespace
 
-int PriorityReservation::Rank(std::optional<int> account, int route) {
+int PriorityReservation::PriorityKey(std::optional<int> account, int route) {
   const int own = std::clamp(route, 0, kMaxPriority);
   return std::clamp(account.value_or(own), 0, kMaxPriority) * kPriorities + own;
 }
 
-std::string PriorityReservation::RankText(int rank) {
+std::string PriorityReservation::PriorityKeyText(int rank) {
   return std::to_string(rank / kPriorities) + '.' +
          std::to_string(rank % kPriorities);
 }
@@ -101,7 +101,7 @@
     if (other >= own)
       continue;
     urgent += demand.work;
-    if (demand.objective_ms > 0)
+    if (demand.objective_ms > 0 && demand.calls >= 1)
       shortest_ms = std::min(shortest_ms, demand.objective_ms);
   }
   RoomLimits limits;
--- a/modules/bbv_admission/priority_reservation.h
+++ b/modules/bbv_admission/priority_reservation.h
@@ -17,11 +17,11 @@
 //
 // Without it, a burst of calls of low priority fills the targets, and urgent
 // calls that arrive meanwhile are refused. The demand of each priority is
-// measured over some seconds. A call may use only the capacity that the more
-// urgent calls expected while its prompt is prefilled do not need; kept
-// capacity is released as their share of the demand falls. A priority whose
-// calls are served much less often than the others' counts as the most urgent
-// until it has caught up. With a single priority nothing is kept.
+// measured over some seconds. A call leaves free what the more urgent calls are
+// expected to need while its prompt is prefilled. Less is kept as their share
+// of the demand falls. A priority whose calls are served much less often than
+// the others' counts as the most urgent until it has caught up. With a single
+// priority nothing is kept. "Priority" below is the result of PriorityKey().
 //
 // Deterministic. Not thread-safe; must be used from one thread.
 class PriorityReservation {
@@ -33,14 +33,14 @@
     RoomLimits limits;
   };
 
-  // Returns the priority of a call among those of its service; the lowest is
-  // the most urgent. The account's priority decides, or the route's if it has
+  // Combines the account's and the route's priority into one number; lower is
+  // more urgent. The account's priority decides, or the route's if it has
   // none; the route's decides among equal ones. Priorities outside 0 to 255
   // count as the nearest of these.
-  static int Rank(std::optional<int> account, int route);
+  static int PriorityKey(std::optional<int> account, int route);
 
-  // Returns the two priorities of a rank as "account.route".
-  static std::string RankText(int rank);
+  // Returns the two priorities of a key as "account.route".
+  static std::string PriorityKeyText(int rank);
 
   // Records a call that arrived at `now` with `work` tokens, or 1 for plain
   // services. `objective_ms` is that of its first response, 0 for none.
--- a/modules/bbv_admission/priority_reservation_test.cc
+++ b/modules/bbv_admission/priority_reservation_test.cc
@@ -120,7 +120,6 @@
         now_ +
         std::min(Milliseconds(400), Milliseconds(kind.objective_ms * 60 / 100));
     if (reserves_ && reservation_.HasSeveralPriorities()) {
-      parameters.priority = reservation_.EffectivePriority(kind.priority);
       parameters.deadline = reservation_.WaitDeadline(
           now_, kind.objective_ms, now_ + Milliseconds(20'000));
       parameters.max_waiting = reservation_.MaxWaiting(
@@ -254,23 +253,26 @@
 
 TEST(PriorityReservation, TheRoutesPriorityDecidesAmongEqualAccounts) {
   using Reservation = PriorityReservation;
-  CHECK(Reservation::Rank(0, 2) < Reservation::Rank(1, 0));
-  CHECK(Reservation::Rank(1, 0) < Reservation::Rank(1, 2));
-  CHECK(Reservation::Rank(1, 1) == Reservation::Rank(std::nullopt, 1));
-  STRCMP_EQUAL("1.2", Reservation::RankText(Reservation::Rank(1, 2)).c_str());
+  CHECK(Reservation::PriorityKey(0, 2) < Reservation::PriorityKey(1, 0));
+  CHECK(Reservation::PriorityKey(1, 0) < Reservation::PriorityKey(1, 2));
+  CHECK(Reservation::PriorityKey(1, 1) ==
+        Reservation::PriorityKey(std::nullopt, 1));
+  STRCMP_EQUAL(
+      "1.2",
+      Reservation::PriorityKeyText(Reservation::PriorityKey(1, 2)).c_str());
 }
 
 TEST(PriorityReservation, OddInputKeepsTodaysLimits) {
   PriorityReservation reservation;
   const Instant now = Instant() + Milliseconds(1000);
-  const int rank = PriorityReservation::Rank(std::nullopt, -7);
-  CHECK_EQUAL(rank, PriorityReservation::Rank(0, 0));
+  const int rank = PriorityReservation::PriorityKey(std::nullopt, -7);
+  CHECK_EQUAL(rank, PriorityReservation::PriorityKey(0, 0));
   reservation.RecordArrival(rank, 0, -1, now);
   reservation.RecordArrival(rank, 0, 0, now);
   CHECK(!reservation.HasSeveralPriorities());
   CHECK(!reservation.Limits(rank, 0).keeps_room());
-  CHECK_EQUAL(PriorityReservation::Rank(255, 0),
-              PriorityReservation::Rank(100'000, 0));
+  CHECK_EQUAL(PriorityReservation::PriorityKey(255, 0),
+              PriorityReservation::PriorityKey(100'000, 0));
   // A route without an objective limits no backlog.
   DOUBLES_EQUAL(0, reservation.Limits(9, 0).max_backlog_ms, 0);
 }
--- a/modules/bbv_admission/retry_after_scheduler.cc
+++ b/modules/bbv_admission/retry_after_scheduler.cc
@@ -14,6 +14,7 @@
 // Lower bound of the assumed acceptance rate, so that retries are at most one
 // second apart.
 constexpr double kMinAcceptedPerSecond = 1 / kRetryShare;
+constexpr Milliseconds kMaxSpacing{1000};
 
 double SecondsBetween(Instant from, Instant to) {
   return std::chrono::duration<double>(to - from).count();
@@ -41,6 +42,9 @@
       kRetryShare * std::max(kMinAcceptedPerSecond, AcceptedPerSecond(now));
   const auto spacing = std::chrono::duration_cast<Instant::duration>(
       std::chrono::duration<double>(1 / retries_per_second));
+  std::erase_if(reserved_until_, [now](const auto& it) {
+    return it.second + kMaxSpacing < now;
+  });
   Instant last{};
   for (const auto& [other, until] : reserved_until_) {
     if (other <= priority)
--- a/modules/bbv_entry/admission_control.cc
+++ b/modules/bbv_entry/admission_control.cc
@@ -13,16 +13,16 @@
   return request.prompt_tokens + request.output_tokens;
 }
 
-std::string RankText(const CallRequest& request) {
-  return PriorityReservation::RankText(RankOf(request));
+std::string PriorityLabel(const CallRequest& request) {
+  return PriorityReservation::PriorityKeyText(PriorityKeyOf(request));
 }
 
 }  // namespace
 
-int RankOf(const CallRequest& request) {
+int PriorityKeyOf(const CallRequest& request) {
   const std::optional<int> account =
       request.account == nullptr ? std::nullopt : request.account->priority;
-  return PriorityReservation::Rank(account, request.route->priority);
+  return PriorityReservation::PriorityKey(account, request.route->priority);
 }
 
 AdmissionControl::AdmissionControl(DecisionLog* log, FleetMetrics* metrics)
@@ -32,13 +32,14 @@
 
 void AdmissionControl::OnArrival(const CallRequest& request, Instant now) {
   reservations_[request.service].RecordArrival(
-      RankOf(request), WorkOf(request), request.route->objective_ms, now);
+      PriorityKeyOf(request), WorkOf(request), request.route->objective_ms,
+      now);
 }
 
 void AdmissionControl::OnSent(const CallRequest& request, Instant now) {
-  reservations_[request.service].RecordSent(RankOf(request), now);
+  reservations_[request.service].RecordSent(PriorityKeyOf(request), now);
   retry_schedulers_[request.service].RecordAccepted(now);
-  metrics_->CountAdmission(request.service, RankText(request),
+  metrics_->CountAdmission(request.service, PriorityLabel(request),
                            AdmissionOutcome::kSent);
 }
 
@@ -51,7 +52,7 @@
   // Whoever continues a stream has been served part of it already.
   if (request.last_event != kNoEvent)
     return {};
-  return reservations_[request.service].Limits(RankOf(request),
+  return reservations_[request.service].Limits(PriorityKeyOf(request),
                                                request.route->objective_ms);
 }
 
@@ -59,8 +60,8 @@
                                 const RoomLimits& limits) {
   if (!limits.keeps_room())
     return;
-  reservations_[request.service].RecordHeldBack(RankOf(request), limits);
-  metrics_->CountAdmission(request.service, RankText(request),
+  reservations_[request.service].RecordHeldBack(PriorityKeyOf(request), limits);
+  metrics_->CountAdmission(request.service, PriorityLabel(request),
                            AdmissionOutcome::kHeldBack);
 }
 
@@ -71,12 +72,11 @@
   parameters.service = request.service;
   if (request.account != nullptr)
     parameters.account = request.account->name;
-  parameters.priority = RankOf(request);
+  parameters.priority = PriorityKeyOf(request);
   parameters.cost = WorkOf(request);
   parameters.deadline = deadline;
   const PriorityReservation& reservation = reservations_[request.service];
   if (reservation.HasSeveralPriorities()) {
-    parameters.priority = reservation.EffectivePriority(parameters.priority);
     parameters.deadline = reservation.WaitDeadline(
         request.arrived, request.route->objective_ms, request.deadline);
     parameters.max_waiting =
@@ -90,10 +90,10 @@
                                             Milliseconds min_delay,
                                             Milliseconds max_delay,
                                             Instant now) {
-  metrics_->CountAdmission(request.service, RankText(request),
+  metrics_->CountAdmission(request.service, PriorityLabel(request),
                            AdmissionOutcome::kRefused);
-  return retry_schedulers_[request.service].ReserveDelay(min_delay, max_delay,
-                                                         now, RankOf(request));
+  return retry_schedulers_[request.service].ReserveDelay(
+      min_delay, max_delay, now, PriorityKeyOf(request));
 }
 
 void AdmissionControl::OnTick(Instant now,
@@ -108,14 +108,15 @@
     Instant now,
     const AdmissionQueue::OnExpired& on_refused) {
   for (const AdmissionQueue::Displacement& it : queue_.TakeDisplaced()) {
-    log_->Write(Event::kCallDisplaced, now,
-                {{"connection", static_cast<int64_t>(it.id)},
-                 {"service", it.service},
-                 {"priority", PriorityReservation::RankText(it.priority)},
-                 {"urgent_priority",
-                  PriorityReservation::RankText(it.urgent_priority)}});
+    log_->Write(
+        Event::kCallDisplaced, now,
+        {{"connection", static_cast<int64_t>(it.id)},
+         {"service", it.service},
+         {"priority", PriorityReservation::PriorityKeyText(it.priority)},
+         {"urgent_priority",
+          PriorityReservation::PriorityKeyText(it.urgent_priority)}});
     metrics_->CountAdmission(it.service,
-                             PriorityReservation::RankText(it.priority),
+                             PriorityReservation::PriorityKeyText(it.priority),
                              AdmissionOutcome::kDisplaced);
     on_refused(it.id);
   }
@@ -130,7 +131,7 @@
       log_->Write(
           Event::kRoomKept, now,
           {{"service", service},
-           {"priority", PriorityReservation::RankText(it.priority)},
+           {"priority", PriorityReservation::PriorityKeyText(it.priority)},
            {"held_back", int64_t{it.calls}},
            {"unread_prompts_ms",
             static_cast<int64_t>(it.limits.max_backlog_ms)},
--- a/modules/bbv_entry/admission_control.h
+++ b/modules/bbv_entry/admission_control.h
@@ -14,9 +14,9 @@
 
 namespace bbv {
 
-// Returns the rank of a call among those of its service, see
-// PriorityReservation::Rank().
-int RankOf(const CallRequest& request);
+// Returns the key by which the calls of a service are ordered, see
+// PriorityReservation::PriorityKey(). Precondition: request.route is not null.
+int PriorityKeyOf(const CallRequest& request);
 
 // Applies the decisions of bbv_admission to the calls of an entry, and logs and
 // counts them.
@@ -28,10 +28,12 @@
   // `log` and `metrics` must outlive it.
   AdmissionControl(DecisionLog* log, FleetMetrics* metrics);
 
-  // Records a call that arrived, was sent for the first time, or brought its
-  // first response `after` that.
+  // Records a call that arrived.
   void OnArrival(const CallRequest& request, Instant now);
+  // Records that the call was sent for the first time.
   void OnSent(const CallRequest& request, Instant now);
+  // Records the time from its first send to its first event, or to its whole
+  // answer if that is no stream.
   void OnResponse(const CallRequest& request, Milliseconds after);
 
   // Returns how much capacity a call may use that was not sent yet.
@@ -40,14 +42,16 @@
   // Records that the call found no capacity within `limits`.
   void OnNoRoom(const CallRequest& request, const RoomLimits& limits);
 
-  // Queues call `id`, by default until `deadline`. Returns false if it cannot
-  // be queued.
+  // Queues call `id` until `deadline`. If calls of several priorities have
+  // arrived lately, it waits until PriorityReservation::WaitDeadline() instead.
+  // Returns false if the queue is full.
   bool Wait(uint64_t id, const CallRequest& request, Instant deadline);
 
   // Removes call `id` if it waits.
   void Remove(uint64_t id) { queue_.Remove(id); }
 
-  // Returns when the refused caller should return, within the bounds.
+  // Returns when the refused caller should return, within the bounds, and
+  // counts the refusal.
   // Precondition: min_delay <= max_delay.
   Milliseconds ReserveRetry(const CallRequest& request,
                             Milliseconds min_delay,
--- a/modules/bbv_entry/call_intake.cc
+++ b/modules/bbv_entry/call_intake.cc
@@ -13,6 +13,9 @@
 // Ended calls that are kept until the end of the tick, above which requests
 // that callers have pipelined wait.
 constexpr std::size_t kMaxEndedCalls = 512;
+// Part of the connections that may be accepted beyond their number while others
+// are about to close after their answers.
+constexpr std::size_t kSurplusDivisor = 8;
 constexpr Milliseconds kDefaultCallerTimeout{30'000};
 constexpr int kReservedDescriptors = 400;
 constexpr int kBadRequest = 400;
@@ -40,10 +43,7 @@
   const auto limit = static_cast<std::size_t>(std::max(
       64,
       (parts_.settings->maximum_connections - kReservedDescriptors) * 3 / 4));
-  const bool is_full = callers_.size() >= limit;
-  const bool evicted = is_full && EvictCaller(&callers_, EventLoop::Now());
-  evicted_ += evicted ? 1 : 0;
-  if (is_full && !evicted) {
+  if (callers_.size() >= limit && !MakeRoom(limit)) {
     parts_.log->Write(Event::kCallerTurnedAway, EventLoop::Now(),
                       {{"connections", static_cast<int64_t>(callers_.size())}});
     return;
@@ -58,6 +58,23 @@
   callers_.emplace(id, std::move(connection));
 }
 
+bool CallIntake::MakeRoom(std::size_t limit) {
+  const RoomForCaller room = EvictOne();
+  const bool has_room =
+      room == RoomForCaller::kEvicted || room == RoomForCaller::kFree;
+  // More than one if connections above the limit were accepted before.
+  if (has_room && callers_.size() >= limit)
+    EvictOne();
+  return has_room || (room == RoomForCaller::kAfterAnswer &&
+                      callers_.size() < limit + limit / kSurplusDivisor);
+}
+
+RoomForCaller CallIntake::EvictOne() {
+  const RoomForCaller room = EvictCaller(&callers_, EventLoop::Now());
+  evicted_ += room == RoomForCaller::kEvicted ? 1 : 0;
+  return room;
+}
+
 void CallIntake::OnTick(Instant now) {
   if (holding_ && (is_ready_() || now >= hold_until_)) {
     holding_ = false;
@@ -205,7 +222,8 @@
       FleetIndex::PickService(*request->route, HashBytes(fields.attempt_id));
   request->priority =
       index.PriorityRank(request->service, *request->route, request->account);
-  request->has_unlike_priorities = index.HasUnlikePriorities(request->service);
+  request->has_several_priorities =
+      index.HasSeveralPriorities(request->service);
   request->prompt_tokens = fields.prompt_tokens;
   request->max_output_tokens = fields.max_answer_tokens;
   const ServiceDescription* service = index.FindService(request->service);
--- a/modules/bbv_entry/call_intake.h
+++ b/modules/bbv_entry/call_intake.h
@@ -105,6 +105,11 @@
               const std::string& attempt_id,
               const Refusal& refusal);
 
+  // Returns whether one more connection may be accepted although `limit` are
+  // open; closes others for it.
+  bool MakeRoom(std::size_t limit);
+  RoomForCaller EvictOne();
+
   Parts parts_;
   std::function<bool()> is_ready_;
   uint64_t next_connection_ = 1;
--- a/modules/bbv_entry/forwarded_request.cc
+++ b/modules/bbv_entry/forwarded_request.cc
@@ -21,7 +21,7 @@
   if (request.account != nullptr)
     fields.account = request.account->name;
   fields.remaining_ms = RemainingMilliseconds(request.deadline, now);
-  if (request.has_unlike_priorities)
+  if (request.has_several_priorities)
     fields.priority = request.priority;
   fields.target_id = dispatch.target_id;
   if (!dispatch.layers.empty()) {
--- a/modules/bbv_entry/open_calls.h
+++ b/modules/bbv_entry/open_calls.h
@@ -38,8 +38,9 @@
   // if a call ends before that.
   std::vector<RelayedCall*> List() const;
 
-  // Returns the open calls, those first that are to move first if they have
-  // lost a hop. Without an objective for the time between events, in any order.
+  // Returns the open calls in the order of RecoverySchedule::IsMoreUrgent().
+  // Calls of routes without an objective for the time between events come last,
+  // in no particular order.
   std::vector<RelayedCall*> ListByUrgency(Instant now) const;
 
   // Returns whether any call has lost a hop that is not replaced yet.
--- a/modules/bbv_entry/path_change.cc
+++ b/modules/bbv_entry/path_change.cc
@@ -47,6 +47,7 @@
       path->unread_tokens > 0 && !path->prefilled_hop_ids.empty();
   if (is_first_after_change && last_relayed != Instant{})
     RecordMoved(*path, last_relayed, now);
+  held_since_.reset();
   context_->selector->MarkPromptRead(path);
 }
 
--- a/modules/bbv_entry/peer_links.cc
+++ b/modules/bbv_entry/peer_links.cc
@@ -89,6 +89,9 @@
            (peer_.empty() && now > hello_deadline_);
   }
 
+  // Whether the peer has named itself and the connection is open.
+  bool is_peer() const { return stream_ != nullptr && !peer_.empty(); }
+
   ConnectionActivity activity(uint64_t id) const {
     return {id,
             peer_.empty() ? ConnectionPhase::kRequestPartial
@@ -171,11 +174,14 @@
 }
 
 bool PeerLinks::EvictIncoming(Instant now) {
-  std::vector<ConnectionActivity> activities;
-  activities.reserve(incoming_.size());
+  // Connections that have not said who they are go first, however lately they
+  // sent something.
+  std::vector<ConnectionActivity> unknown;
+  std::vector<ConnectionActivity> peers;
   for (const auto& [id, link] : incoming_)
-    activities.push_back(link->activity(id));
-  const auto id = ConnectionEviction::Choose(activities, now);
+    (link->is_peer() ? peers : unknown).push_back(link->activity(id));
+  const auto id =
+      ConnectionEviction::Choose(unknown.empty() ? peers : unknown, now);
   return id && incoming_.erase(*id) > 0;
 }
 
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -75,6 +75,9 @@
     FailUnusableAnswer(it);
   }
   call_.OnTick(now);
+  // An order that was not answered in time counts no longer.
+  if (!call_.is_changing_path())
+    path_change_.Release();
 }
 
 void RelayedCall::OnPathFault(const std::string& target_id, Instant now) {
@@ -390,6 +393,9 @@
 }
 
 void RelayedCall::RecordResponseTime(const TargetSend& send, Instant now) {
+  // Later sends and resumed streams say little about new calls.
+  if (send.number > 1 || call_.request().last_event != kNoEvent)
+    return;
   context_->admission_control->OnResponse(
       call_.request(),
       std::chrono::duration_cast<Milliseconds>(now - send.sent_at));
--- a/modules/bbv_fleet/bbv_fleet.h
+++ b/modules/bbv_fleet/bbv_fleet.h
@@ -4,8 +4,8 @@
 // Contains the routes and client accounts of a configuration, the table of
 // targets with their health and load, layer placement, path selection, the life
 // cycle of a call until its final outcome, and retry budgets. Depends on
-// bbv_core and on the fair queue of bbv_routing. Opens no sockets, reads no
-// clocks and starts no threads.
+// bbv_core, bbv_admission, bbv_recovery and the fair queue of bbv_routing.
+// Opens no sockets, reads no clocks and starts no threads.
 #ifndef MODULES_BBV_FLEET_BBV_FLEET_H_
 #define MODULES_BBV_FLEET_BBV_FLEET_H_
 
--- a/modules/bbv_fleet/chain_partition.cc
+++ b/modules/bbv_fleet/chain_partition.cc
@@ -13,6 +13,8 @@
 namespace bbv {
 namespace {
 
+// Calls above which the memory of requests does not matter.
+constexpr double kMaxCalls = 1e6;
 constexpr std::size_t kMinChains = 2;
 // Typical calls for which the chains together keep memory.
 constexpr double kMinCalls = 240;
@@ -146,7 +148,8 @@
   for (const KindCount& it : kinds)
     memory += it.targets * it.kind->memory_mb;
   double low = kCallPrecision;
-  double high = memory / (request_mb_per_layer_ * model_.layers);
+  const double call_mb = request_mb_per_layer_ * model_.layers;
+  double high = call_mb * kMaxCalls > memory ? memory / call_mb : kMaxCalls;
   while (high - low > kCallPrecision) {
     const double middle = (low + high) / 2;
     (fits(middle) ? low : high) = middle;
--- a/modules/bbv_fleet/chain_partition_test.cc
+++ b/modules/bbv_fleet/chain_partition_test.cc
@@ -172,3 +172,10 @@
   CHECK(ranges.has_value());
   CHECK_EQUAL(0, ranges->back().size());
 }
+
+TEST(ChainPartition, RequestsWithoutMemoryBoundNoSearch) {
+  for (const double kv_bytes : {0.0, 1e-12}) {
+    model.kv_bytes_per_token = kv_bytes;
+    CHECK(!PlaceZone(model, {{"l4", 9}}).empty());
+  }
+}
--- a/modules/bbv_fleet/fleet_call.h
+++ b/modules/bbv_fleet/fleet_call.h
@@ -70,7 +70,7 @@
   // FleetIndex::PriorityRank(); 0 is the highest.
   int priority = 0;
   // Whether calls of the service may differ in priority.
-  bool has_unlike_priorities = false;
+  bool has_several_priorities = false;
   // When the caller stops waiting.
   Instant caller_deadline;
   // Earlier of `caller_deadline` and the route's timeout.
--- a/modules/bbv_fleet/fleet_index.cc
+++ b/modules/bbv_fleet/fleet_index.cc
@@ -23,15 +23,17 @@
 }
 
 void FleetIndex::CollectPriorities() {
+  static const std::set<std::optional<int>> kNoPriority{std::nullopt};
   std::set<std::optional<int>> account_priorities;
   for (const FleetAccount& it : configuration_.accounts)
     account_priorities.insert(it.priority);
   for (const ServiceRoute& route : configuration_.routes) {
     std::set<int> ranks;
-    for (const std::optional<int>& it : account_priorities)
-      ranks.insert(PriorityReservation::Rank(it, route.priority));
-    if (account_priorities.empty() || route.allow_anonymous)
-      ranks.insert(PriorityReservation::Rank(std::nullopt, route.priority));
+    const bool is_anonymous =
+        account_priorities.empty() || route.allow_anonymous;
+    for (const std::optional<int>& it :
+         is_anonymous ? kNoPriority : account_priorities)
+      ranks.insert(PriorityReservation::PriorityKey(it, route.priority));
     for (const WeightedService& it : route.services)
       priorities_[it.service].insert(ranks.begin(), ranks.end());
   }
@@ -43,13 +45,13 @@
   const auto it = priorities_.find(service);
   if (it == priorities_.end())
     return 0;
-  const int rank = PriorityReservation::Rank(
+  const int rank = PriorityReservation::PriorityKey(
       account == nullptr ? std::nullopt : account->priority, route.priority);
   return static_cast<int>(
       std::distance(it->second.begin(), it->second.lower_bound(rank)));
 }
 
-bool FleetIndex::HasUnlikePriorities(std::string_view service) const {
+bool FleetIndex::HasSeveralPriorities(std::string_view service) const {
   const auto it = priorities_.find(service);
   return it != priorities_.end() && it->second.size() > 1;
 }
--- a/modules/bbv_fleet/fleet_index.h
+++ b/modules/bbv_fleet/fleet_index.h
@@ -49,7 +49,7 @@
                    const FleetAccount* account) const;
 
   // Whether calls of `service` may differ in priority.
-  bool HasUnlikePriorities(std::string_view service) const;
+  bool HasSeveralPriorities(std::string_view service) const;
 
   // Returns the names of the services that the configuration describes or that
   // its routes use.
@@ -72,7 +72,7 @@
 
   FleetConfiguration configuration_;
   // The priorities of the calls to each service, as
-  // PriorityReservation::Rank().
+  // PriorityReservation::PriorityKey().
   std::map<std::string, std::set<int>, std::less<>> priorities_;
   // Routes by host and prefix.
   StringMap<StringMap<const ServiceRoute*>> routes_;
--- a/modules/bbv_fleet/path_chooser.cc
+++ b/modules/bbv_fleet/path_chooser.cc
@@ -95,6 +95,8 @@
     if (target->record.service != query.service || !target->record.layers ||
         IsExcluded(query, id))
       continue;
+    if (!query.only_zone.empty() && target->record.zone != query.only_zone)
+      continue;
     if (include_full ? !registry_->IsUsable(*target, now)
                      : !registry_->AcceptsCalls(*target, now))
       continue;
@@ -239,10 +241,11 @@
   if (first == nullptr || !first->AcceptsRequests(now) ||
       IsExcluded(query, current.front().target_id))
     return {};
-  std::vector<Candidate> candidates = CollectCandidates(model, query, now);
-  std::erase_if(candidates, [first](const Candidate& it) {
-    return it.target == first || it.target->record.zone != first->record.zone;
-  });
+  PathQuery zone_query = query;
+  zone_query.only_zone = first->record.zone;
+  std::vector<Candidate> candidates = CollectCandidates(model, zone_query, now);
+  std::erase_if(candidates,
+                [first](const Candidate& it) { return it.target == first; });
   for (Candidate& it : candidates) {
     if (query.max_prefill_ms && it.prefill_ms > *query.max_prefill_ms)
       it.hop_ms += kLatePenaltyMs + it.prefill_ms;
--- a/modules/bbv_fleet/path_chooser.h
+++ b/modules/bbv_fleet/path_chooser.h
@@ -50,6 +50,8 @@
   std::optional<double> max_prefill_ms;
   // Share of the slots and memory of each hop that the call must leave free.
   double kept_share = 0;
+  // The only zone whose targets may be hops; empty for all zones.
+  std::string_view only_zone;
   // Whether a path may cross zones.
   bool allow_zone_crossing = true;
   // Targets excluded after earlier failures of this call.
--- a/modules/bbv_fleet/target_registry_test.cc
+++ b/modules/bbv_fleet/target_registry_test.cc
@@ -127,14 +127,14 @@
   route.priority = 2;
   configuration.routes.push_back(route);
   const bbv::FleetIndex without_accounts(configuration);
-  CHECK(without_accounts.HasUnlikePriorities("mixed"));
-  CHECK(!without_accounts.HasUnlikePriorities("alike"));
-  CHECK(!without_accounts.HasUnlikePriorities("unknown"));
+  CHECK(without_accounts.HasSeveralPriorities("mixed"));
+  CHECK(!without_accounts.HasSeveralPriorities("alike"));
+  CHECK(!without_accounts.HasSeveralPriorities("unknown"));
   configuration.accounts = {{"first", {}, 1}, {"second", {}, 1}};
-  CHECK(bbv::FleetIndex(configuration).HasUnlikePriorities("mixed"));
-  CHECK(!bbv::FleetIndex(configuration).HasUnlikePriorities("alike"));
+  CHECK(bbv::FleetIndex(configuration).HasSeveralPriorities("mixed"));
+  CHECK(!bbv::FleetIndex(configuration).HasSeveralPriorities("alike"));
   configuration.accounts.push_back({"third", {}, 0});
-  CHECK(bbv::FleetIndex(configuration).HasUnlikePriorities("alike"));
+  CHECK(bbv::FleetIndex(configuration).HasSeveralPriorities("alike"));
 }
 
 TEST(FleetIndex, PrioritiesRankByAccountAndThenByRoute) {
--- a/modules/bbv_fleet/target_selector.cc
+++ b/modules/bbv_fleet/target_selector.cc
@@ -129,9 +129,11 @@
   // Hops that stay do not prefill again; the prefill of the others is short.
   dispatch.event_ms = std::max(dispatch.event_ms, current.event_ms);
   dispatch.prefilled_hop_ids = current.hop_ids;
-  dispatch.unread_tokens = stream.unread_tokens;
-  dispatch.expected_peer_tokens =
-      stream.unread_tokens * (LostStreamsFactor(current, dispatch) - 1);
+  if (request.route->event_gap_objective_ms > 0) {
+    dispatch.unread_tokens = stream.unread_tokens;
+    dispatch.expected_peer_tokens =
+        stream.unread_tokens * (LostStreamsFactor(current, dispatch) - 1);
+  }
   choice.path = std::move(dispatch);
   return choice;
 }
--- a/modules/bbv_front/caller_connection.cc
+++ b/modules/bbv_front/caller_connection.cc
@@ -13,8 +13,9 @@
 constexpr std::size_t kMaxPipelinedBytes = 16U << 10U;
 // Bytes read at a time outside of bodies, which bounds what waits unparsed.
 constexpr std::size_t kHeadReadBytes = 16U << 10U;
-// Maximum time to receive a body. CallerLimits bounds the time for a head.
-constexpr Milliseconds kBodyReadTimeout{20'000};
+// Maximum time between two received parts of a body. CallerLimits bounds the
+// time for the head and for the whole body.
+constexpr Milliseconds kBodyProgressTimeout{20'000};
 // Time for which a caller may still close its side after the last response.
 constexpr Milliseconds kClosingTime{1000};
 // Time in which a new connection is expected to bring its first request.
@@ -22,7 +23,7 @@
 // Time without a byte after which a partly received request does not keep its
 // connection open.
 constexpr Milliseconds kStalledTime{500};
-// Memory of a head that is left to the rest of the instance's memory.
+// Bytes of each head that MemoryLedger does not count.
 constexpr std::size_t kUncountedHeadBytes = 4096;
 constexpr int kRequestTimeout = 408;
 constexpr int kUnavailable = 503;
@@ -118,6 +119,8 @@
 }
 
 void CallerConnection::DiscardInput() {
+  if (closed())
+    return;
   std::string().swap(pipelined_input_);
   parser_.DropPending();
   input_hold_.Release();
@@ -189,7 +192,7 @@
         SetReadTimeout(Milliseconds(limits.header_timeout_ms));
       }
       if (parser_.has_head())
-        SetReadTimeout(kBodyReadTimeout);
+        SetReadTimeout(kBodyProgressTimeout);
       break;
     case ParseStatus::kComplete:
       request_open_ = true;
@@ -250,6 +253,9 @@
 
 void CallerConnection::Write(std::string_view data,
                              std::shared_ptr<const std::string> shared) {
+  // The caller had taken all that was written before.
+  if (stream_->queued_bytes() == 0)
+    last_progress_ = EventLoop::Now();
   bytes_written_ += data.size() + (shared == nullptr ? 0 : shared->size());
   stream_->Write(data, std::move(shared));
 }
@@ -501,10 +507,9 @@
 }
 
 void CallerConnection::TrackProgress(Instant now) {
-  const std::size_t queued = stream_->queued_bytes();
-  if (queued < last_queued_bytes_)
+  const uint64_t taken = bytes_written_ - stream_->queued_bytes();
+  if (taken != std::exchange(last_taken_bytes_, taken))
     last_progress_ = now;
-  last_queued_bytes_ = queued;
 }
 
 bool CallerConnection::IsAnswerUntaken(Instant now) const {
@@ -516,7 +521,7 @@
   ConnectionActivity activity{id_, ConnectionPhase::kIdle, last_progress_};
   if (closing_ || stream_->queued_bytes() > 0)
     activity.phase = ConnectionPhase::kAnswerUntaken;
-  else if (request_open_)
+  else if (request_open_ || yields_)
     activity.phase = ConnectionPhase::kBusy;
   else if (parser_.in_message())
     activity.phase = ConnectionPhase::kRequestPartial;
@@ -577,36 +582,63 @@
 
 namespace {
 
+// Limit on the idle connections that are asked for unread bytes.
+constexpr int kMaxUnreadChecks = 16;
+
 // Makes the connection on which most waits unparsed close after its answer.
-void ShedPipelinedInput(const CallerConnections& connections) {
+// Returns whether there is one.
+bool ShedPipelinedInput(const CallerConnections& connections) {
   CallerConnection* longest = nullptr;
   for (const auto& [id, connection] : connections) {
     if (longest == nullptr ||
         connection->buffered_bytes() > longest->buffered_bytes())
       longest = connection.get();
   }
-  if (longest != nullptr && longest->buffered_bytes() > 0)
-    longest->DiscardInput();
+  if (longest == nullptr || longest->buffered_bytes() == 0)
+    return false;
+  longest->DiscardInput();
+  return true;
 }
 
-}  // namespace
-
-bool EvictCaller(CallerConnections* connections, Instant now) {
+// Returns the connection to close. An idle one whose next request waits in the
+// socket's buffer is kept.
+std::optional<uint64_t> ChooseEvicted(const CallerConnections& connections,
+                                      Instant now) {
   std::vector<ConnectionActivity> activities;
-  activities.reserve(connections->size());
-  for (const auto& [id, connection] : *connections) {
-    if (!connection->closed())
-      activities.push_back(connection->activity());
+  activities.reserve(connections.size());
+  for (const auto& [id, connection] : connections)
+    activities.push_back(connection->activity());
+  for (int n = 0; n < kMaxUnreadChecks; ++n) {
+    const auto id = ConnectionEviction::Choose(activities, now);
+    if (!id)
+      return std::nullopt;
+    const auto it =
+        std::find_if(activities.begin(), activities.end(),
+                     [&id](const auto& other) { return other.id == *id; });
+    if (it->phase != ConnectionPhase::kIdle ||
+        !connections.at(*id)->HasUnreadData())
+      return id;
+    it->phase = ConnectionPhase::kBusy;
   }
-  const auto id = ConnectionEviction::Choose(activities, now);
+  return std::nullopt;
+}
+
+}  // namespace
+
+RoomForCaller EvictCaller(CallerConnections* connections, Instant now) {
+  // Connections that have ended keep their slots until the next tick.
+  if (std::erase_if(*connections,
+                    [](const auto& it) { return it.second->closed(); }) > 0)
+    return RoomForCaller::kFree;
+  const auto id = ChooseEvicted(*connections, now);
   if (!id) {
-    ShedPipelinedInput(*connections);
-    return false;
+    return ShedPipelinedInput(*connections) ? RoomForCaller::kAfterAnswer
+                                            : RoomForCaller::kNone;
   }
   const std::unique_ptr<CallerConnection> evicted =
       std::move(connections->extract(*id).mapped());
   evicted->Evict();
-  return true;
+  return RoomForCaller::kEvicted;
 }
 
 }  // namespace bbv
--- a/modules/bbv_front/caller_connection.h
+++ b/modules/bbv_front/caller_connection.h
@@ -69,7 +69,7 @@
   // connections; null if they are not counted.
   virtual MemoryLedger* memory_ledger() { return nullptr; }
   // Whether requests that were received while others were open may be handled
-  // now; otherwise they are at the next tick.
+  // now; otherwise they are handled at the next tick.
   virtual bool TakesWaitingRequests() const { return true; }
   // Called when a complete request was received. Exactly one response must
   // follow, unless the connection ends first.
@@ -156,6 +156,10 @@
 
   // What the connection waits for, to choose one to evict.
   ConnectionActivity activity() const;
+  // Whether the socket holds bytes of the caller that were not read yet.
+  bool HasUnreadData() const {
+    return stream_ != nullptr && stream_->HasUnreadData();
+  }
 
   // Closes the connection, whatever was left unfinished, to make room. A
   // request that was received in part is refused with 408, as far as the caller
@@ -270,7 +274,8 @@
   bool input_discarded_ = false;
   // When the caller last sent or took a byte.
   Instant last_progress_;
-  std::size_t last_queued_bytes_ = 0;
+  // Bytes of responses that the caller had taken at the last tick.
+  uint64_t last_taken_bytes_ = 0;
   uint64_t bytes_read_ = 0;
   uint64_t bytes_written_ = 0;
   uint64_t bytes_at_last_check_ = 0;
@@ -305,11 +310,22 @@
 using CallerConnections =
     std::unordered_map<uint64_t, std::unique_ptr<CallerConnection>>;
 
-// Closes and removes the connection that ConnectionEviction chooses. If there
-// is none, makes the one on which most waits unparsed close after its answer
-// and returns false. Must not be called by a connection. Thread safety: none,
-// the loop's thread.
-bool EvictCaller(CallerConnections* connections, Instant now);
+// Whether there is a slot for a new connection.
+enum class RoomForCaller : uint8_t {
+  kNone,
+  // A connection will close after its answer.
+  kAfterAnswer,
+  // A connection was closed to make room.
+  kEvicted,
+  // A connection had ended by itself.
+  kFree,
+};
+
+// Removes connections that have ended; if there are none, closes the one that
+// ConnectionEviction chooses, and else makes the one on which most waits
+// unparsed close after its answer. Must not be called by a connection. Not
+// thread-safe; must be used on the event loop's thread.
+RoomForCaller EvictCaller(CallerConnections* connections, Instant now);
 
 }  // namespace bbv
 
--- a/modules/bbv_front/caller_connection_test.cc
+++ b/modules/bbv_front/caller_connection_test.cc
@@ -373,3 +373,32 @@
   CHECK_EQUAL(kRequests + 1, handler.requests);
   CHECK_EQUAL(0, handler.ledger.held_bytes());
 }
+
+TEST(CallerConnection, ALateAnswerIsNotCutOffWhileItsCallerBeginsToTakeIt) {
+  handler.caller_limits.idle_timeout_ms = 100;
+  handler.first_chunk = "first";
+  CHECK(caller->Send(kRequest));
+  RunFor(200);
+  connection->WriteChunk(std::string(16U << 20U, 'x'));
+  connection->EndStream();
+  RunFor(40);
+  CHECK_FALSE(connection->closed());
+}
+
+TEST(CallerConnection, AnEndedConnectionMakesRoomForAnother) {
+  handler.first_chunk = "first";
+  CHECK(caller->Send(std::string(kRequest) + kRequest));
+  RunFor(50);
+  CHECK(connection->buffered_bytes() > 0);
+  caller.reset();
+  for (int it = 0; it < 100 && !connection->closed(); ++it) {
+    uv_run(loop.raw(), UV_RUN_NOWAIT);
+    std::this_thread::sleep_for(Milliseconds(5));
+  }
+  CHECK(connection->closed());
+  bbv::CallerConnections connections;
+  connections.emplace(1, std::move(connection));
+  CHECK(bbv::EvictCaller(&connections, EventLoop::Now()) ==
+        bbv::RoomForCaller::kFree);
+  CHECK(connections.empty());
+}
--- a/modules/bbv_front/small_http_server.h
+++ b/modules/bbv_front/small_http_server.h
@@ -49,6 +49,9 @@
   TcpListener listener_;
   Handler handler_;
   uint64_t next_id_ = 1;
+  // Returns whether there is a slot for one more connection.
+  bool MakeRoom();
+
   CallerConnections connections_;
 };
 
--- a/modules/bbv_recovery/recovery_schedule.h
+++ b/modules/bbv_recovery/recovery_schedule.h
@@ -15,18 +15,18 @@
 // them go first until its deadline has passed. Pure functions; thread-safe.
 class RecoverySchedule {
  public:
-  // Returns whether `left` moves before `right`: streams that can still meet
-  // their deadline precede the others, then the higher priority, then fewer
-  // tokens, so that more of them meet it. A strict weak ordering.
+  // Returns whether `left` moves before `right`: streams whose deadline has
+  // not passed precede the others, then by priority, by number of tokens (fewer
+  // first), and by deadline. A strict weak ordering.
   static bool IsMoreUrgent(const LostStream& left,
                            const LostStream& right,
                            Instant now);
 
   // Returns when to decide again about a stream that must wait, or nullopt if
   // it is to be moved now. `prefill_ms` is the expected time until its best
-  // replacement has prefilled it. A stream waits while it would miss its
-  // deadline and others may still meet theirs, thus until its deadline at most:
-  // no later than its route would have it go on.
+  // replacement has prefilled it. A stream waits if its prefill would
+  // end after its deadline and the deadline has not passed. Precondition:
+  // prefill_ms >= 0.
   static std::optional<Instant> HoldUntil(const LostStream& stream,
                                           double prefill_ms,
                                           Instant now);
--- a/tests/caller_crowd_test.cc
+++ b/tests/caller_crowd_test.cc
@@ -19,7 +19,7 @@
 constexpr int kMemoryMb = 64;
 // Leaves 300 connections to callers.
 constexpr int kDescriptors = 800;
-constexpr std::size_t kMemoryBytes = kMemoryMb * 1'000'000;
+constexpr std::size_t kMemoryBytes = std::size_t{kMemoryMb} * 1'000'000;
 constexpr int kCallers = 400;
 // More than SmallHttpServer admits.
 constexpr int kStatusCallers = 100;
@@ -27,7 +27,6 @@
 constexpr int kAttempts = 20;
 constexpr int kAnswerTimeoutMs = 20'000;
 constexpr const char* kBodyLimit = R"("max_body_bytes":100000)";
-constexpr std::size_t kBodyBytes = 100'000;
 
 std::string Head(int caller, const std::string& lines) {
   return "POST /unsafe/x HTTP/1.1\r\nHost: fleet.example\r\nX-Attempt-Id: c-" +
--- a/tests/crowd.cc
+++ b/tests/crowd.cc
@@ -74,6 +74,7 @@
   }
   while (!members.empty()) {
     std::vector<pollfd> polled;
+    polled.reserve(members.size());
     for (const Member& it : members)
       polled.push_back({it.fd, POLLOUT, 0});
     if (poll(polled.data(), polled.size(), kStillMs) <= 0)
