Chains have no more hops than targets accept

Change: chains of at most 32 targets; zones too large for that are planned without chains. Two tests of this group now use a kind of the model.

--- a/modules/bbv_fleet/chain_partition.cc
+++ b/modules/bbv_fleet/chain_partition.cc
@@ -21,6 +21,9 @@
 // Chains of large zones end only after each n-th target, so that this many ends
 // are compared.
 constexpr std::size_t kMaxChainEnds = 24;
+// Targets of a chain, which are the hops of its calls. Targets refuse longer
+// paths.
+constexpr std::size_t kMaxHops = 32;
 // Precision of the number of calls that fit into memory.
 constexpr double kCallPrecision = 1;
 // Share of that number that a chain uses before a loss, because the calls of a
@@ -57,9 +60,13 @@
   if (model_.layers <= 0 || model_.layer_mb <= 0)
     return std::nullopt;
   step_ = order_.size() / kMaxChainEnds + 1;
+  if (step_ > kMaxHops)
+    return std::nullopt;
   EvaluateAllChains();
   std::vector<Chain> best;
-  for (std::size_t n = kMinChains; n <= order_.size(); ++n) {
+  const std::size_t fewest =
+      std::max(kMinChains, (order_.size() + kMaxHops - 1) / kMaxHops);
+  for (std::size_t n = fewest; n <= order_.size(); ++n) {
     std::vector<Chain> chains = BestChains(n, order_.size());
     if (chains.empty() || CallsOf(chains) < kMinCalls)
       break;
@@ -117,7 +124,7 @@
   limits_.assign((n + 1) * (n + 1), {});
   for (std::size_t first = 0; first < n; first += step_) {
     std::vector<KindCount> kinds;
-    for (std::size_t it = first; it < n; ++it) {
+    for (std::size_t it = first; it < std::min(n, first + kMaxHops); ++it) {
       if (kinds.empty() || kinds.back().kind != kinds_[it])
         kinds.push_back({kinds_[it], 0});
       ++kinds.back().targets;
--- a/modules/bbv_fleet/chain_partition_test.cc
+++ b/modules/bbv_fleet/chain_partition_test.cc
@@ -176,6 +176,25 @@
 TEST(ChainPartition, RequestsWithoutMemoryBoundNoSearch) {
   for (const double kv_bytes : {0.0, 1e-12}) {
     model.kv_bytes_per_token = kv_bytes;
-    CHECK(!PlaceZone(model, {{"l4", 9}}).empty());
+    CHECK(!PlaceZone(model, {{"small", 9}}).empty());
+  }
+}
+
+TEST(ChainPartition, ChainsOfLargeZonesHaveNoMoreHopsThanTargetsAccept) {
+  model.first_hop_slots = 0;
+  for (const int count : {60, 200, 1000}) {
+    Targets targets;
+    for (int n = 0; n < count; ++n)
+      targets.push_back({"t" + std::to_string(n), "z", "small", {}});
+    const auto ranges = ChainPartition(model, targets).Compute();
+    if (!ranges)
+      continue;
+    int holders = 0;
+    int chains = 0;
+    for (const LayerRange& it : *ranges) {
+      holders += it.size() > 0 ? 1 : 0;
+      chains += it.size() > 0 && it.from == 0 ? 1 : 0;
+    }
+    CHECK(holders <= 32 * chains);
   }
 }
