--- a/modules/bbv_fleet/chain_partition.cc
+++ b/modules/bbv_fleet/chain_partition.cc
@@ -20,7 +20,7 @@
 constexpr double kMinCalls = 240;
 // Chains of large zones end only after each n-th target, so that this many ends
 // are compared.
-constexpr std::size_t kMaxChainEnds = 24;
+constexpr std::size_t kMaxChainEnds = 32;
 // Targets of a chain, which are the hops of its calls. Targets refuse longer
 // paths.
 constexpr std::size_t kMaxHops = 32;
