Layer plans: one division of layers, one table of chains, shared constants

Cause: ChainPartition wrote again the division of layers by capacity (ReplicatedPartition), the mean wait for a pass (PathChooser) and the requests for which a zone keeps memory (LayerReplicator); it computed its table anew for each number of chains, and once more for additional first hops even if none were needed. The replicator computed the chains of zones that it then skipped. Two searches grouped their candidates by zone with the same loop. Change: DivideLayers(), EngineTiming::MeanPassesWaited(), LayerPlanner::kRequestsPerZone, PathChooser::GroupByZone(); rows are added to the table as they are needed; the replicator asks for chains when it plans. Conclusion: no change of behaviour.

--- a/modules/bbv_fleet/chain_partition.cc
+++ b/modules/bbv_fleet/chain_partition.cc
@@ -3,12 +3,12 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
-#include <numeric>
 #include <tuple>
 #include <utility>
 
 #include "bbv_core/hashing.h"
 #include "bbv_fleet/engine_timing.h"
+#include "bbv_fleet/layer_division.h"
 
 namespace bbv {
 namespace {
@@ -16,8 +16,6 @@
 // Calls above which the memory of requests does not matter.
 constexpr double kMaxCalls = 1e6;
 constexpr std::size_t kMinChains = 2;
-// Typical calls for which the chains together keep memory.
-constexpr double kMinCalls = 240;
 // Chains of large zones end only after each n-th target, so that this many ends
 // are compared.
 constexpr std::size_t kMaxChainEnds = 32;
@@ -29,8 +27,6 @@
 // Share of that number that a chain uses before a loss, because the calls of a
 // lost chain move to the others.
 constexpr double kUsableMemoryShare = 0.5;
-// Mean number of passes of a busy target that a token waits for.
-constexpr double kMeanPassesWaited = 0.5;
 
 }  // namespace
 
@@ -68,7 +64,7 @@
       std::max(kMinChains, (order_.size() + kMaxHops - 1) / kMaxHops);
   for (std::size_t n = fewest; n <= order_.size(); ++n) {
     std::vector<Chain> chains = BestChains(n, order_.size());
-    if (chains.empty() || CallsOf(chains) < kMinCalls)
+    if (chains.empty() || !KeepMemoryForRequests(chains))
       break;
     best = std::move(chains);
   }
@@ -76,16 +72,18 @@
     return std::nullopt;
   // If memory admits more calls than the first hops of the chains have slots
   // for, the slowest targets hold the first layers in addition.
-  const std::size_t extra = CountExtraFirstHops(best);
-  const auto chains = BestChains(best.size(), order_.size() - extra);
-  const bool has_extra = extra > 0 && CallsOf(chains) >= kMinCalls;
-  if (has_extra)
-    best = chains;
+  std::size_t extra = CountExtraFirstHops(best);
+  if (extra > 0) {
+    const auto chains = BestChains(best.size(), order_.size() - extra);
+    if (KeepMemoryForRequests(chains))
+      best = chains;
+    else
+      extra = 0;
+  }
   std::vector<LayerRange> ranges(target_count_);
   for (const Chain& it : best)
     Assign(it, &ranges);
-  for (std::size_t it = order_.size() - (has_extra ? extra : 0);
-       it < order_.size(); ++it) {
+  for (std::size_t it = order_.size() - extra; it < order_.size(); ++it) {
     ranges[order_[it]] = {
         0, LayersBeside(*kinds_[it],
                         Limits(best.front().first, best.front().last).calls)};
@@ -184,9 +182,8 @@
     share.read_factor = it.kind->read_factor;
     share.layer_share = LayersBeside(*it.kind, limits.calls) / capacity;
     share.calls = calls;
-    token_ms +=
-        it.targets * EngineTiming::StepMs(model_, share) *
-        (1 + kMeanPassesWaited * EngineTiming::DecodeUtilization(share));
+    token_ms += it.targets * EngineTiming::StepMs(model_, share) *
+                (1 + EngineTiming::MeanPassesWaited(share));
     const double rate = EngineTiming::PrefillTokensPerMs(model_, share);
     if (rate > 0)
       min_prefill_rate = std::min(min_prefill_rate, rate);
@@ -198,48 +195,53 @@
   return limits;
 }
 
-std::vector<ChainPartition::Chain> ChainPartition::BestChains(
-    std::size_t n,
-    std::size_t targets) const {
-  // Dynamic programming over (number of chains, targets used).
-  struct State {
-    double call_rate = -1;
-    double fastest_rate = 0;
-    std::size_t first = 0;
-    // Sum of the call rates before and after the loss of the fastest chain.
-    double score() const { return 2 * call_rate - fastest_rate; }
-  };
-  std::vector<std::vector<State>> best(n + 1, std::vector<State>(targets + 1));
-  best[0][0].call_rate = 0;
-  for (std::size_t chain = 1; chain <= n; ++chain) {
-    for (std::size_t last = 1; last <= targets; ++last) {
-      if (!IsChainEnd(last))
+void ChainPartition::AddChain() {
+  const std::size_t targets = order_.size();
+  std::vector<BestSplit> row(targets + 1);
+  if (splits_.empty()) {
+    row[0].call_rate = 0;
+    splits_.push_back(std::move(row));
+    return;
+  }
+  for (std::size_t last = 1; last <= targets; ++last) {
+    if (!IsChainEnd(last))
+      continue;
+    for (std::size_t first = 0; first < last; first += step_) {
+      const BestSplit& before = splits_.back()[first];
+      const double rate = Limits(first, last).call_rate;
+      if (before.call_rate < 0 || rate <= 0)
         continue;
-      State& state = best[chain][last];
-      for (std::size_t first = 0; first < last; first += step_) {
-        const State& before = best[chain - 1][first];
-        const double rate = Limits(first, last).call_rate;
-        if (before.call_rate < 0 || rate <= 0)
-          continue;
-        const State next{before.call_rate + rate,
-                         std::max(before.fastest_rate, rate), first};
-        if (next.score() > state.score())
-          state = next;
-      }
+      const BestSplit next{before.call_rate + rate,
+                           std::max(before.fastest_rate, rate), first};
+      if (next.score() > row[last].score())
+        row[last] = next;
     }
   }
+  splits_.push_back(std::move(row));
+}
+
+std::vector<ChainPartition::Chain> ChainPartition::BestChains(
+    std::size_t n,
+    std::size_t targets) {
+  while (splits_.size() <= n)
+    AddChain();
   std::vector<Chain> chains;
-  if (best[n][targets].call_rate < 0)
+  if (splits_[n][targets].call_rate < 0)
     return chains;
   std::size_t last = targets;
   for (std::size_t chain = n; chain > 0; --chain) {
-    const std::size_t first = best[chain][last].first;
+    const std::size_t first = splits_[chain][last].first;
     chains.push_back({first, last});
     last = first;
   }
   return chains;
 }
 
+bool ChainPartition::KeepMemoryForRequests(
+    const std::vector<Chain>& chains) const {
+  return CallsOf(chains) >= LayerPlanner::kRequestsPerZone;
+}
+
 double ChainPartition::CallsOf(const std::vector<Chain>& chains) const {
   double calls = 0;
   for (const Chain& it : chains)
@@ -250,22 +252,13 @@
 void ChainPartition::Assign(const Chain& chain,
                             std::vector<LayerRange>* ranges) const {
   const double calls = Limits(chain.first, chain.last).calls;
-  int remaining_capacity = 0;
+  std::vector<int> capacities;
   for (std::size_t it = chain.first; it < chain.last; ++it)
-    remaining_capacity += LayersBeside(*kinds_[it], calls);
-  int at = 0;
-  for (std::size_t it = chain.first; it < chain.last; ++it) {
-    const int capacity = LayersBeside(*kinds_[it], calls);
-    const int remaining = model_.layers - at;
-    // Rounds up, so that the remaining layers always fit the other targets.
-    const int n = remaining_capacity <= 0
-                      ? 0
-                      : (remaining * capacity + remaining_capacity - 1) /
-                            remaining_capacity;
-    remaining_capacity -= capacity;
-    (*ranges)[order_[it]] = LayerRange{at, at + std::min(n, remaining)};
-    at += std::min(n, remaining);
-  }
+    capacities.push_back(LayersBeside(*kinds_[it], calls));
+  const std::vector<LayerRange> parts =
+      DivideLayers({0, model_.layers}, capacities);
+  for (std::size_t n = 0; n < parts.size(); ++n)
+    (*ranges)[order_[chain.first + n]] = parts[n];
 }
 
 }  // namespace bbv
--- a/modules/bbv_fleet/chain_partition.h
+++ b/modules/bbv_fleet/chain_partition.h
@@ -59,6 +59,17 @@
     double call_rate = 0;
   };
 
+  // The best division of the first targets into a number of chains.
+  struct BestSplit {
+    // Sum over the chains; below 0 if there is no such division.
+    double call_rate = -1;
+    double fastest_rate = 0;
+    // Where the last chain begins.
+    std::size_t first = 0;
+    // Sum of the call rates before and after the loss of the fastest chain.
+    double score() const { return 2 * call_rate - fastest_rate; }
+  };
+
   // Number of targets of one kind in a chain.
   struct KindCount {
     const AcceleratorKind* kind;
@@ -72,7 +83,11 @@
   // Returns the `n` chains of the first `targets` targets with the highest sum
   // of the call rates before and after the loss of the fastest chain; empty if
   // there are none.
-  std::vector<Chain> BestChains(std::size_t n, std::size_t targets) const;
+  std::vector<Chain> BestChains(std::size_t n, std::size_t targets);
+  // Adds the divisions into one more chain to `splits_`.
+  void AddChain();
+  // Whether the chains leave memory for the typical requests of a zone.
+  bool KeepMemoryForRequests(const std::vector<Chain>& chains) const;
   // Returns the number of first hops needed in addition to those of `chains`.
   std::size_t CountExtraFirstHops(const std::vector<Chain>& chains) const;
   double CallsOf(const std::vector<Chain>& chains) const;
@@ -96,6 +111,8 @@
   std::size_t step_ = 1;
   // Limits of every possible chain, by its first and last target.
   std::vector<ChainLimits> limits_;
+  // By number of chains and of targets, as far as they were needed.
+  std::vector<std::vector<BestSplit>> splits_;
 };
 
 }  // namespace bbv
--- a/modules/bbv_fleet/engine_timing.cc
+++ b/modules/bbv_fleet/engine_timing.cc
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr double kTokensPerThousand = 1000;
+// A token comes at any moment of the pass under way.
+constexpr double kMeanPassesWaitedWhileBusy = 0.5;
 
 // Mean number of calls that a target decodes in one pass. A call is at one hop
 // of its path at a time, in proportion to the number of layers there.
@@ -35,6 +37,10 @@
   return std::min(1.0, CallsPerPass(share));
 }
 
+double EngineTiming::MeanPassesWaited(const EngineShare& share) {
+  return kMeanPassesWaitedWhileBusy * DecodeUtilization(share);
+}
+
 double EngineTiming::PrefillTokensPerMs(const EngineModel& model,
                                         const EngineShare& share) {
   const double slowdown = share.read_factor * share.pace * share.layer_share;
--- a/modules/bbv_fleet/engine_timing.h
+++ b/modules/bbv_fleet/engine_timing.h
@@ -32,6 +32,10 @@
   // Returns the fraction of passes, at most 1, in which a call decodes.
   static double DecodeUtilization(const EngineShare& share);
 
+  // Returns the mean number of passes that a token waits for at a busy target
+  // until the current one ends.
+  static double MeanPassesWaited(const EngineShare& share);
+
   // Returns the prompt tokens per millisecond that the target can prefill in
   // addition to decoding the calls in flight; 0 if the model has no rate.
   static double PrefillTokensPerMs(const EngineModel& model,
--- a/modules/bbv_fleet/layer_planner.h
+++ b/modules/bbv_fleet/layer_planner.h
@@ -50,6 +50,9 @@
 // A pure function of its arguments. Thread-safe.
 class LayerPlanner {
  public:
+  // Number of typical requests for which a zone reserves memory.
+  static constexpr double kRequestsPerZone = 240;
+
   // Returns the placements that differ from what `targets` hold, for the
   // engines of one service; empty if nothing needs to change. Never places more
   // layers on a target than fit in its memory. If `may_move` is false, gaps are
--- a/modules/bbv_fleet/layer_replicator.cc
+++ b/modules/bbv_fleet/layer_replicator.cc
@@ -11,14 +11,13 @@
 #include "bbv_core/hashing.h"
 #include "bbv_fleet/chain_partition.h"
 #include "bbv_fleet/layer_coverage.h"
+#include "bbv_fleet/layer_division.h"
 
 namespace bbv {
 namespace {
 
-// Number of typical requests for which a zone reserves memory, and the bounds
-// of the reservation as a share of the memory that one copy of the model
-// leaves.
-constexpr double kRequestsPerZone = 240;
+// Bounds of the memory that a zone reserves for typical requests, as a share of
+// what one copy of the model leaves.
 constexpr double kMinRequestShare = 0.35;
 constexpr double kMaxRequestShare = 0.5;
 // Requests keep their current memory use multiplied by this factor.
@@ -36,8 +35,8 @@
   const double spare = memory - model.layers * model.layer_mb;
   if (spare <= 0)
     return 1;
-  const double wanted =
-      kRequestsPerZone * LayerPlanner::RequestMb(model) * model.layers;
+  const double wanted = LayerPlanner::kRequestsPerZone *
+                        LayerPlanner::RequestMb(model) * model.layers;
   const double kept =
       std::clamp(wanted / spare, kMinRequestShare, kMaxRequestShare);
   return 1 - kept * spare / memory;
@@ -255,22 +254,12 @@
 
   // Partitions `range` over `chain` in proportion to the targets' capacities.
   void FillRange(const Chain& chain, const LayerRange& range) {
-    int remaining_capacity = 0;
+    std::vector<int> capacities;
     for (const std::size_t it : chain)
-      remaining_capacity += capacities_[it];
-    int at = range.from;
-    for (const std::size_t it : chain) {
-      const int remaining = range.to - at;
-      // Rounds up, so that the remaining layers always fit the other targets.
-      const int n =
-          remaining_capacity <= 0
-              ? 0
-              : (remaining * capacities_[it] + remaining_capacity - 1) /
-                    remaining_capacity;
-      remaining_capacity -= capacities_[it];
-      ranges_[it] = LayerRange{at, at + std::min(n, remaining)};
-      at = ranges_[it].to;
-    }
+      capacities.push_back(capacities_[it]);
+    const std::vector<LayerRange> parts = DivideLayers(range, capacities);
+    for (std::size_t n = 0; n < chain.size(); ++n)
+      ranges_[chain[n]] = parts[n];
   }
 
   const EngineModel& model_;
@@ -293,12 +282,12 @@
     layer_memory_share_ = LayerMemoryShare(model_, targets_);
     for (const PlannerTarget& it : targets_)
       desired_.push_back(*it.layers);
-    chain_layers_ = ChainPartition::LayersByKind(model_, targets_);
   }
 
   bool HoldsCompleteCopy() const { return !Coverage().FirstGap(); }
 
   std::vector<Placement> Plan(int max_changes) {
+    chain_layers_ = ChainPartition::LayersByKind(model_, targets_);
     for (const std::size_t it : OrderByPriority()) {
       if (ChangedCount() >= max_changes)
         break;
--- a/modules/bbv_fleet/path_chooser.cc
+++ b/modules/bbv_fleet/path_chooser.cc
@@ -15,8 +15,6 @@
 
 // Forwarding cost of each hop, in milliseconds per token.
 constexpr double kForwardingMs = 0.1;
-// Mean number of passes of a busy target that a token waits for.
-constexpr double kMeanPassesWaited = 0.5;
 // Penalty for a path in another zone, in milliseconds per token, so that it is
 // used only if the caller's own zone is loaded or incomplete.
 constexpr double kOtherZoneMs = 8.0;
@@ -123,10 +121,9 @@
     candidate.prefill_ms =
         backlog_ms + PrefillMs(prefill_rate, query.prompt_tokens);
     // At a busy target a token waits for the current pass to end.
-    candidate.hop_ms =
-        kForwardingMs +
-        kMeanPassesWaited * EngineTiming::DecodeUtilization(share) * step_ms +
-        kBacklogWeight * backlog_ms;
+    candidate.hop_ms = kForwardingMs +
+                       EngineTiming::MeanPassesWaited(share) * step_ms +
+                       kBacklogWeight * backlog_ms;
     candidate.exceeds_backlog =
         query.max_backlog_ms > 0 && backlog_ms > query.max_backlog_ms;
     // Calls that outgrew their estimates may exceed the capacity; free memory
@@ -143,15 +140,21 @@
   return candidates;
 }
 
+PathChooser::ZoneCandidates PathChooser::GroupByZone(
+    const std::vector<Candidate>& candidates) {
+  ZoneCandidates zones;
+  for (const Candidate& it : candidates)
+    zones[it.target->record.zone].push_back(it);
+  return zones;
+}
+
 EnginePath PathChooser::Choose(const EngineModel& model,
                                const PathQuery& query,
                                Instant now,
                                PathFailure* failure) const {
   assert(failure != nullptr);
   std::vector<Candidate> all = CollectCandidates(model, query, now);
-  std::map<std::string_view, std::vector<Candidate>> zones;
-  for (const Candidate& it : all)
-    zones[it.target->record.zone].push_back(it);
+  const ZoneCandidates zones = GroupByZone(all);
   EnginePath best;
   double best_ms = kInfinity;
   for (const auto& [zone, candidates] : zones) {
@@ -212,9 +215,8 @@
 PathFailure PathChooser::DiagnoseZones(const EngineModel& model,
                                        const PathQuery& query,
                                        Instant now) const {
-  std::map<std::string_view, std::vector<Candidate>> zones;
-  for (const Candidate& it : CollectCandidates(model, query, now, true))
-    zones[it.target->record.zone].push_back(it);
+  const ZoneCandidates zones =
+      GroupByZone(CollectCandidates(model, query, now, true));
   const auto has_path = [&](const SearchLimits& limits) {
     return std::any_of(zones.begin(), zones.end(), [&](const auto& zone) {
       return !SearchSimplePath(model, zone.second, limits).empty();
--- a/modules/bbv_fleet/path_chooser.h
+++ b/modules/bbv_fleet/path_chooser.h
@@ -2,6 +2,7 @@
 #define MODULES_BBV_FLEET_PATH_CHOOSER_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -161,6 +162,9 @@
     bool exceeds_backlog = false;
   };
 
+  // Candidates by availability zone.
+  using ZoneCandidates = std::map<std::string_view, std::vector<Candidate>>;
+
   // Constraints of one search.
   struct SearchLimits {
     double tokens = 0;
@@ -191,6 +195,7 @@
   PathFailure DiagnoseZones(const EngineModel& model,
                             const PathQuery& query,
                             Instant now) const;
+  static ZoneCandidates GroupByZone(const std::vector<Candidate>& candidates);
   static bool IsExcluded(const PathQuery& query, std::string_view id);
   static bool HasRepeatedTarget(const EnginePath& path);
 
