Admission: one decay, one key of priorities, no forwarding wait

Cause: three classes wrote the same exponential decay; FleetIndex and AdmissionControl each joined the account's and the route's priority; CallAdmission::Wait() only forwarded; an ordered path change read the clock although it is given the time. Change: DecayFactor(), FleetIndex::PriorityKey(), the call goes to AdmissionControl::Wait(), PathChange::OnOrdered() takes the time. Conclusion: no change of behaviour.

--- a/modules/bbv_admission/account_demand.cc
+++ b/modules/bbv_admission/account_demand.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <cassert>
-#include <chrono>
-#include <cmath>
+
+#include "bbv_admission/decay.h"
 
 namespace bbv {
 namespace {
@@ -14,11 +14,6 @@
 // A row with fewer tokens than this is forgotten.
 constexpr double kMinTokens = 0.5;
 
-double DecayFactor(Instant from, Instant to, Milliseconds window) {
-  const std::chrono::duration<double> passed = to - from;
-  return std::exp(-passed / std::chrono::duration<double>(window));
-}
-
 // The rows of one group, by falling demand.
 using GroupRows = std::vector<DemandTable::const_iterator>;
 
--- a/modules/bbv_admission/bbv_admission.h
+++ b/modules/bbv_admission/bbv_admission.h
@@ -12,6 +12,7 @@
 #include "bbv_admission/account_demand.h"
 #include "bbv_admission/account_shares.h"
 #include "bbv_admission/admission_queue.h"
+#include "bbv_admission/decay.h"
 #include "bbv_admission/max_min.h"
 #include "bbv_admission/priority_reservation.h"
 #include "bbv_admission/retry_after_scheduler.h"
--- a/modules/bbv_admission/priority_reservation.cc
+++ b/modules/bbv_admission/priority_reservation.cc
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <cassert>
 #include <chrono>
-#include <cmath>
+
+#include "bbv_admission/decay.h"
 
 namespace bbv {
 namespace {
@@ -11,7 +12,7 @@
 constexpr int kMaxPriority = 255;
 constexpr int kPriorities = kMaxPriority + 1;
 // Time constant of the decay: after it a count has fallen to 1 / e.
-constexpr double kDecaySeconds = 4;
+constexpr std::chrono::duration<double> kDecayTime{4};
 // A priority with fewer recent calls than this is forgotten.
 constexpr double kMinRecentCalls = 0.05;
 // Calls hold slots and memory for about this multiple of their objective.
@@ -32,17 +33,15 @@
   return std::clamp(account.value_or(own), 0, kMaxPriority) * kPriorities + own;
 }
 
-std::string PriorityReservation::PriorityKeyText(int rank) {
-  return std::to_string(rank / kPriorities) + '.' +
-         std::to_string(rank % kPriorities);
+std::string PriorityReservation::PriorityKeyText(int key) {
+  return std::to_string(key / kPriorities) + '.' +
+         std::to_string(key % kPriorities);
 }
 
 void PriorityReservation::Decay(Instant now) {
   if (now <= updated_at_)
     return;
-  const double seconds =
-      std::chrono::duration<double>(now - updated_at_).count();
-  const double factor = std::exp(-seconds / kDecaySeconds);
+  const double factor = DecayFactor(updated_at_, now, kDecayTime);
   updated_at_ = now;
   for (auto& [priority, it] : demands_) {
     it.work *= factor;
@@ -148,7 +147,7 @@
   for (const auto& [priority, it] : demands_)
     sent += it.sent;
   const double sends =
-      sent / kDecaySeconds * std::chrono::duration<double>(wait).count();
+      sent / kDecayTime.count() * std::chrono::duration<double>(wait).count();
   return std::max(kMinWaiting, static_cast<std::size_t>(std::max(0.0, sends)));
 }
 
--- a/modules/bbv_admission/priority_reservation.h
+++ b/modules/bbv_admission/priority_reservation.h
@@ -40,7 +40,7 @@
   static int PriorityKey(std::optional<int> account, int route);
 
   // Returns the two priorities of a key as "account.route".
-  static std::string PriorityKeyText(int rank);
+  static std::string PriorityKeyText(int key);
 
   // Records a call that arrived at `now` with `work` tokens, or 1 for plain
   // services. `objective_ms` is that of its first response, 0 for none.
--- a/modules/bbv_admission/retry_after_scheduler.cc
+++ b/modules/bbv_admission/retry_after_scheduler.cc
@@ -2,13 +2,15 @@
 
 #include <algorithm>
 #include <cassert>
-#include <cmath>
+#include <chrono>
+
+#include "bbv_admission/decay.h"
 
 namespace bbv {
 namespace {
 
 // Time constant of the decay: after it the count has fallen to 1 / e.
-constexpr double kDecaySeconds = 2;
+constexpr std::chrono::duration<double> kDecayTime{2};
 // Rate of retries as a fraction of the rate of accepted calls.
 constexpr double kRetryShare = 0.1;
 // Lower bound of the assumed acceptance rate, so that retries are at most one
@@ -16,21 +18,16 @@
 constexpr double kMinAcceptedPerSecond = 1 / kRetryShare;
 constexpr Milliseconds kMaxSpacing{1000};
 
-double SecondsBetween(Instant from, Instant to) {
-  return std::chrono::duration<double>(to - from).count();
-}
-
 }  // namespace
 
 void RetryAfterScheduler::RecordAccepted(Instant now) {
-  accepted_count_ = AcceptedPerSecond(now) * kDecaySeconds + 1;
+  accepted_count_ = AcceptedPerSecond(now) * kDecayTime.count() + 1;
   updated_at_ = now;
 }
 
 double RetryAfterScheduler::AcceptedPerSecond(Instant now) const {
-  return accepted_count_ *
-         std::exp(-SecondsBetween(updated_at_, now) / kDecaySeconds) /
-         kDecaySeconds;
+  return accepted_count_ * DecayFactor(updated_at_, now, kDecayTime) /
+         kDecayTime.count();
 }
 
 Milliseconds RetryAfterScheduler::ReserveDelay(Milliseconds min_delay,
--- a/modules/bbv_entry/admission_control.cc
+++ b/modules/bbv_entry/admission_control.cc
@@ -1,7 +1,8 @@
 #include "bbv_entry/admission_control.h"
 
 #include <cassert>
-#include <optional>
+
+#include "bbv_fleet/fleet_index.h"
 
 namespace bbv {
 namespace {
@@ -20,9 +21,7 @@
 }  // namespace
 
 int PriorityKeyOf(const CallRequest& request) {
-  const std::optional<int> account =
-      request.account == nullptr ? std::nullopt : request.account->priority;
-  return PriorityReservation::PriorityKey(account, request.route->priority);
+  return FleetIndex::PriorityKey(*request.route, request.account);
 }
 
 AdmissionControl::AdmissionControl(DecisionLog* log, FleetMetrics* metrics)
--- a/modules/bbv_entry/call_admission.cc
+++ b/modules/bbv_entry/call_admission.cc
@@ -16,12 +16,6 @@
 
 }  // namespace
 
-bool CallAdmission::Wait(const CallRequest& request,
-                         uint64_t id,
-                         Instant deadline) const {
-  return context_->admission_control->Wait(id, request, deadline);
-}
-
 Milliseconds CallAdmission::EarliestRetry(const CallRequest& request,
                                           CallEndReason end,
                                           Instant now) const {
--- a/modules/bbv_entry/call_admission.h
+++ b/modules/bbv_entry/call_admission.h
@@ -1,16 +1,13 @@
 #ifndef MODULES_BBV_ENTRY_CALL_ADMISSION_H_
 #define MODULES_BBV_ENTRY_CALL_ADMISSION_H_
 
-#include <cstdint>
-
 #include "bbv_entry/call_context.h"
 #include "bbv_entry/crash_guard.h"
 #include "bbv_fleet/bbv_fleet.h"
 
 namespace bbv {
 
-// Decides what becomes of a call that finds no capacity: whether it waits at
-// this entry, and when its caller may ask again.
+// Decides when the caller of a call that was refused may ask again.
 //
 // Thread safety: none, the loop's thread.
 class CallAdmission {
@@ -18,10 +15,6 @@
   // `context` must outlive this.
   explicit CallAdmission(CallContext* context) : context_(context) {}
 
-  // Lets the call of connection `id` wait for capacity until `deadline`.
-  // Returns whether there is room to wait.
-  bool Wait(const CallRequest& request, uint64_t id, Instant deadline) const;
-
   // Returns the delay after which the caller of a refused call may ask again,
   // and reserves that time for it. `call` names the same call as `request`.
   Milliseconds RetryAfter(const CallRequest& request,
--- a/modules/bbv_entry/path_change.cc
+++ b/modules/bbv_entry/path_change.cc
@@ -26,11 +26,11 @@
   return choice;
 }
 
-void PathChange::OnOrdered(const CallDispatch& path) {
+void PathChange::OnOrdered(const CallDispatch& path, Instant now) {
   Release();
   reserved_ = TargetSelector::NewHops(path);
   context_->selector->AddInFlight(reserved_);
-  moved_at_ = EventLoop::Now();
+  moved_at_ = now;
 }
 
 void PathChange::Release() {
--- a/modules/bbv_entry/path_change.h
+++ b/modules/bbv_entry/path_change.h
@@ -33,7 +33,7 @@
                        Instant now);
 
   // The first target was told to continue on `path`.
-  void OnOrdered(const CallDispatch& path);
+  void OnOrdered(const CallDispatch& path, Instant now);
 
   // The order was answered, or no answer will be heeded.
   void Release();
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -133,8 +133,8 @@
   return path_change_.Choose(*index_, current, progress, excluded, now);
 }
 
-void RelayedCall::ChangePath(const CallDispatch& path, Instant) {
-  path_change_.OnOrdered(path);
+void RelayedCall::ChangePath(const CallDispatch& path, Instant now) {
+  path_change_.OnOrdered(path, now);
   // A silent target carries the order out when it goes on. Its answer is then
   // the only way to learn the path of the run.
   PostOrder(context_->client,
@@ -241,7 +241,7 @@
 bool RelayedCall::WaitForCapacity(const CallRequest& request,
                                   Instant deadline) {
   return caller_ != nullptr &&
-         admission_.Wait(request, caller_->id(), deadline);
+         context_->admission_control->Wait(caller_->id(), request, deadline);
 }
 
 Milliseconds RelayedCall::RetryAfter(const CallRequest& request,
--- a/modules/bbv_fleet/fleet_index.cc
+++ b/modules/bbv_fleet/fleet_index.cc
@@ -28,27 +28,31 @@
   for (const FleetAccount& it : configuration_.accounts)
     account_priorities.insert(it.priority);
   for (const ServiceRoute& route : configuration_.routes) {
-    std::set<int> ranks;
+    std::set<int> keys;
     const bool is_anonymous =
         account_priorities.empty() || route.allow_anonymous;
     for (const std::optional<int>& it :
          is_anonymous ? kNoPriority : account_priorities)
-      ranks.insert(PriorityReservation::PriorityKey(it, route.priority));
+      keys.insert(PriorityReservation::PriorityKey(it, route.priority));
     for (const WeightedService& it : route.services)
-      priorities_[it.service].insert(ranks.begin(), ranks.end());
+      priorities_[it.service].insert(keys.begin(), keys.end());
   }
 }
 
+int FleetIndex::PriorityKey(const ServiceRoute& route,
+                            const FleetAccount* account) {
+  return PriorityReservation::PriorityKey(
+      account == nullptr ? std::nullopt : account->priority, route.priority);
+}
+
 int FleetIndex::PriorityRank(std::string_view service,
                              const ServiceRoute& route,
                              const FleetAccount* account) const {
   const auto it = priorities_.find(service);
   if (it == priorities_.end())
     return 0;
-  const int rank = PriorityReservation::PriorityKey(
-      account == nullptr ? std::nullopt : account->priority, route.priority);
-  return static_cast<int>(
-      std::distance(it->second.begin(), it->second.lower_bound(rank)));
+  return static_cast<int>(std::distance(
+      it->second.begin(), it->second.lower_bound(PriorityKey(route, account))));
 }
 
 bool FleetIndex::HasSeveralPriorities(std::string_view service) const {
--- a/modules/bbv_fleet/fleet_index.h
+++ b/modules/bbv_fleet/fleet_index.h
@@ -41,6 +41,11 @@
   static const std::string& PickService(const ServiceRoute& route,
                                         uint64_t random_value);
 
+  // Returns the key by which the calls that `account`, which may be null, makes
+  // on `route` are ordered, see PriorityReservation::PriorityKey().
+  static int PriorityKey(const ServiceRoute& route,
+                         const FleetAccount* account);
+
   // Returns how many priorities of calls to `service` are higher than that of
   // the calls that `account`, which may be null, makes on `route`. The
   // account's priority goes before the route's; 0 is the highest.
