The choice of the connection to close stands apart from the connection

Change: CallerConnections, RoomForCaller and EvictCaller() move to caller_eviction; IsRoomNow() serves both. Conclusion: a move, no change of behaviour.

--- a/modules/bbv_entry/call_intake.cc
+++ b/modules/bbv_entry/call_intake.cc
@@ -60,8 +60,7 @@
 
 bool CallIntake::MakeRoom(std::size_t limit) {
   const RoomForCaller room = EvictOne();
-  const bool has_room =
-      room == RoomForCaller::kEvicted || room == RoomForCaller::kFree;
+  const bool has_room = IsRoomNow(room);
   // More than one if connections above the limit were accepted before.
   if (has_room && callers_.size() >= limit)
     EvictOne();
--- a/modules/bbv_entry/call_intake.h
+++ b/modules/bbv_entry/call_intake.h
@@ -14,6 +14,7 @@
 #include "bbv_entry/peer_exchange.h"
 #include "bbv_fleet/bbv_fleet.h"
 #include "bbv_front/caller_connection.h"
+#include "bbv_front/caller_eviction.h"
 #include "bbv_front/tcp_stream.h"
 #include "bbv_observe/decision_log.h"
 #include "bbv_observe/fleet_metrics.h"
--- a/modules/bbv_front/bbv_front.h
+++ b/modules/bbv_front/bbv_front.h
@@ -7,6 +7,7 @@
 #define MODULES_BBV_FRONT_BBV_FRONT_H_
 
 #include "bbv_front/caller_connection.h"
+#include "bbv_front/caller_eviction.h"
 #include "bbv_front/event_loop.h"
 #include "bbv_front/http_client.h"
 #include "bbv_front/small_http_server.h"
--- a/modules/bbv_front/caller_connection.h
+++ b/modules/bbv_front/caller_connection.h
@@ -6,7 +6,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <utility>
 
 #include "bbv_core/instant.h"
@@ -306,27 +305,6 @@
   Instant opened_at_;
 };
 
-// Connections by their ids.
-using CallerConnections =
-    std::unordered_map<uint64_t, std::unique_ptr<CallerConnection>>;
-
-// Whether there is a slot for a new connection.
-enum class RoomForCaller : uint8_t {
-  kNone,
-  // A connection will close after its answer.
-  kAfterAnswer,
-  // A connection was closed to make room.
-  kEvicted,
-  // A connection had ended by itself.
-  kFree,
-};
-
-// Removes connections that have ended; if there are none, closes the one that
-// ConnectionEviction chooses, and else makes the one on which most waits
-// unparsed close after its answer. Must not be called by a connection. Not
-// thread-safe; must be used on the event loop's thread.
-RoomForCaller EvictCaller(CallerConnections* connections, Instant now);
-
 }  // namespace bbv
 
 #endif  // MODULES_BBV_FRONT_CALLER_CONNECTION_H_
--- a/modules/bbv_front/caller_connection_test.cc
+++ b/modules/bbv_front/caller_connection_test.cc
@@ -7,6 +7,7 @@
 #include <thread>
 #include <vector>
 
+#include "bbv_front/caller_eviction.h"
 #include "free_port.h"
 #include "raw_caller.h"
 
--- a/modules/bbv_front/small_http_server.cc
+++ b/modules/bbv_front/small_http_server.cc
@@ -10,18 +10,14 @@
 
 }  // namespace
 
-bool SmallHttpServer::MakeRoom() {
-  const RoomForCaller room = EvictCaller(&connections_, EventLoop::Now());
-  return room == RoomForCaller::kEvicted || room == RoomForCaller::kFree;
-}
-
 std::string SmallHttpServer::Listen(EventLoop* loop,
                                     const SocketAddress& address,
                                     Handler handler) {
   handler_ = std::move(handler);
   return listener_.Listen(
       loop, address, [this](std::unique_ptr<TcpStream> stream) {
-        if (connections_.size() >= kMaxConnections && !MakeRoom())
+        if (connections_.size() >= kMaxConnections &&
+            !IsRoomNow(EvictCaller(&connections_, EventLoop::Now())))
           return;
         const uint64_t id = next_id_++;
         connections_[id] =
--- a/modules/bbv_front/small_http_server.h
+++ b/modules/bbv_front/small_http_server.h
@@ -5,9 +5,9 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <unordered_map>
 
 #include "bbv_front/caller_connection.h"
+#include "bbv_front/caller_eviction.h"
 #include "bbv_front/event_loop.h"
 #include "bbv_front/tcp_stream.h"
 
@@ -49,9 +49,6 @@
   TcpListener listener_;
   Handler handler_;
   uint64_t next_id_ = 1;
-  // Returns whether there is a slot for one more connection.
-  bool MakeRoom();
-
   CallerConnections connections_;
 };
 
