Tests: one connection to the loopback interface

Cause: Crowd opened its sockets with a copy of RawCaller's code. Change: ConnectToLoopback() serves both; a socket that cannot connect is closed at once, where Crowd kept it until its end.

--- a/tests/crowd.cc
+++ b/tests/crowd.cc
@@ -1,15 +1,14 @@
 #include "crowd.h"
 
-#include <fcntl.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <cerrno>
-#include <cstdint>
 #include <utility>
 
+#include "raw_caller.h"
+
 namespace bbv {
 namespace {
 
@@ -56,17 +55,10 @@
 void Crowd::Send(int n, const std::function<CrowdText(int)>& text) {
   std::vector<Member> members;
   for (int it = 0; it < n; ++it) {
-    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kReceiveBytes,
-               sizeof(kReceiveBytes));
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons(static_cast<uint16_t>(port_));
-    sockets_.push_back(fd);
-    if (connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) !=
-        0)
+    const int fd = ConnectToLoopback(port_, kReceiveBytes);
+    if (fd < 0)
       continue;
+    sockets_.push_back(fd);
     Member& member = members.emplace_back();
     member.fd = fd;
     member.text = text(it);
--- a/tests/raw_caller.cc
+++ b/tests/raw_caller.cc
@@ -14,17 +14,25 @@
 
 namespace bbv {
 
-RawCaller::RawCaller(int port, int receive_bytes) {
-  fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+int ConnectToLoopback(int port, int receive_bytes) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (receive_bytes > 0) {
-    setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
                sizeof(receive_bytes));
   }
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   address.sin_port = htons(static_cast<uint16_t>(port));
-  if (connect(fd_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0)
+  if (connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0)
+    return fd;
+  close(fd);
+  return -1;
+}
+
+RawCaller::RawCaller(int port, int receive_bytes)
+    : fd_(ConnectToLoopback(port, receive_bytes)) {
+  if (fd_ < 0)
     std::abort();
 }
 
--- a/tests/raw_caller.h
+++ b/tests/raw_caller.h
@@ -5,6 +5,11 @@
 
 namespace bbv {
 
+// Connects to `port` on the loopback interface. Returns the socket, which the
+// caller closes, or -1. A `receive_bytes` above 0 limits the window that the
+// peer can fill.
+int ConnectToLoopback(int port, int receive_bytes);
+
 // A caller on a plain TCP connection over the loopback interface, which sends
 // any bytes at any time.
 //
