--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,16 +1,16 @@
 #!/usr/bin/env bash
 # Builds every stand-in that the scripts of the second review start, into
-# review/build-2/. They use review/harness/ of the first one, and none of the
-# project's own stand-ins. Needs g++ and nlohmann-json3-dev, which the project's
+# review/build-2/ and, where review/harness/ of the first one starts it from
+# there, into review/build/. They use none of the project's own stand-ins. Needs g++ and nlohmann-json3-dev, which the project's
 # build needs too.
 set -euo pipefail
 cd "$(dirname "$0")"
-mkdir -p build-2
+mkdir -p build build-2
 flags=(-std=c++20 -O1 -g1 -Wall -Wextra -pthread)
-common=(harness/harness.cc harness/engine_fleet.cc)
-scripts=(7/limit_script.cc)
+common=(harness/harness.cc harness/engine_fleet.cc harness/deadly_case.cc)
+scripts=(?/*_script.cc)
 pids=()
-for source in "${common[@]}" harness-2/*.cc "${scripts[@]}"; do
+for source in "${common[@]}" harness/engine.cc harness-2/*.cc "${scripts[@]}"; do
   object="build-2/$(echo "${source%.cc}" | tr / -).o"
   g++ "${flags[@]}" -c "$source" -o "$object" &
   pids+=($!)
@@ -18,7 +18,9 @@
 for pid in "${pids[@]}"; do
   wait "$pid"
 done
-objects=(build-2/harness-harness.o build-2/harness-engine_fleet.o)
+objects=(build-2/harness-harness.o build-2/harness-engine_fleet.o
+  build-2/harness-deadly_case.o)
+g++ "${flags[@]}" build-2/harness-engine.o "${objects[@]}" -o build/engine
 g++ "${flags[@]}" build-2/harness-2-layer_engine.o "${objects[@]}" \
   -o build-2/layer-engine
 for source in "${scripts[@]}"; do
