--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -21,8 +21,10 @@
 objects=(build-2/harness-harness.o build-2/harness-engine_fleet.o
   build-2/harness-deadly_case.o)
 g++ "${flags[@]}" build-2/harness-engine.o "${objects[@]}" -o build/engine
-g++ "${flags[@]}" build-2/harness-2-layer_engine.o "${objects[@]}" \
-  -o build-2/layer-engine
+for program in layer_engine plain_server; do
+  g++ "${flags[@]}" "build-2/harness-2-$program.o" "${objects[@]}" \
+    -o "build-2/${program/_/-}"
+done
 for source in "${scripts[@]}"; do
   g++ "${flags[@]}" "build-2/$(echo "${source%.cc}" | tr / -).o" \
     "${objects[@]}" -o "build-2/case-$(dirname "$source")"
