--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,11 +4,12 @@
 # there, into review/build/. They use none of the project's own stand-ins. Needs g++ and nlohmann-json3-dev, which the project's
 # build needs too.
 set -euo pipefail
+shopt -s nullglob
 cd "$(dirname "$0")"
 mkdir -p build build-2
 flags=(-std=c++20 -O1 -g1 -Wall -Wextra -pthread)
 common=(harness/harness.cc harness/engine_fleet.cc harness/deadly_case.cc)
-scripts=(?/*_script.cc)
+scripts=({6,7,8,9,10}/*_script.cc)
 pids=()
 for source in "${common[@]}" harness/engine.cc harness-2/*.cc "${scripts[@]}"; do
   object="build-2/$(echo "${source%.cc}" | tr / -).o"
--- a/review/harness-2/plain_server.cc
+++ b/review/harness-2/plain_server.cc
@@ -1,5 +1,8 @@
 // Stand-in of one application server, a process of its own: it registers itself
-// with all fields of an entry and answers calls.
+// with all fields of an entry and answers calls. In a given time it can be cut
+// off from the store, or in need: calls wait then, and are turned away with 503
+// and Retry-After.
+#include <atomic>
 #include <fstream>
 #include <map>
 #include <mutex>
@@ -47,8 +50,19 @@
           {"warmup_left_ms", 0},
           {"born", born_},
           {"sequence", beat}};
-      review::AppendRecord(std::stoi(options_.at("--store")), "keyed.servers",
-                           id_, record.dump());
+      const int first_cut = std::stoi(options_.at("--cut_from_beat"));
+      const bool is_cut =
+          std::stoi(options_.at("--cut_beats")) > 0 && beat >= first_cut &&
+          beat < first_cut + std::stoi(options_.at("--cut_beats"));
+      if (!is_cut) {
+        review::AppendRecord(std::stoi(options_.at("--store")), "keyed.servers",
+                             id_, record.dump());
+      } else {
+        Trace("is cut off from the store");
+      }
+      if (beat == first_cut - 1)
+        need_from_ms_ =
+            review::NowMs() + std::stoll(options_.at("--need_after_beat_ms"));
       review::SleepMs(kHeartbeatMs);
     }
   }
@@ -70,6 +84,15 @@
       Trace("turns away " + id + " for " + request.Find("X-Expect-Instance"));
       return review::Respond(socket, 421, fields, "");
     }
+    Trace("gets " + id);
+    if (need_from_ms_ > 0 && review::NowMs() >= need_from_ms_) {
+      review::SleepMs(std::stoll(options_.at("--hold_ms")));
+      Trace("turns away " + id + " with Retry-After");
+      return review::Respond(socket, 503,
+                             fields + "X-Not-Executed: 1\r\nRetry-After: " +
+                                 options_.at("--retry_after_s") + "\r\n",
+                             "");
+    }
     Trace("runs " + id);
     review::SleepMs(kWorkMs);
     return review::Respond(socket, 200, fields + "X-Response-Signature: s\r\n",
@@ -82,13 +105,20 @@
   std::mutex mutex_;
   std::ofstream trace_;
   int64_t born_;
+  // Since when it is in need; 0 before.
+  std::atomic<int64_t> need_from_ms_{0};
   review::HttpServer server_;
 };
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  PlainServer server(review::ReadOptions(argc, argv));
+  auto options = review::ReadOptions(argc, argv);
+  for (const char* it :
+       {"--cut_from_beat", "--cut_beats", "--need_after_beat_ms", "--hold_ms",
+        "--retry_after_s"})
+    options.try_emplace(it, "0");
+  PlainServer server(std::move(options));
   if (!server.Start())
     return 4;
   server.Register();
