Targets whose address another record claims stay in use

Cause: one address had one record, the latest start; the targets' own heartbeats were dropped as older, and the 421 of the process at the address was no evidence.

Change: all claims are kept (RivalClaims), one is in use; a contested target is asked by its id; a 421, a report of another start, or silence at an address that only it claims refutes it, and the next claim is in use at once. The same for ids with two addresses, for other services, and for an invented start that falls silent. New event target-replaced.

--- a/modules/bbv_core/event.cc
+++ b/modules/bbv_core/event.cc
@@ -82,6 +82,7 @@
     EventDescription{Event::kNodeCongested, "node-congested"},
     EventDescription{Event::kTargetFaultDoubted, "target-fault-doubted"},
     EventDescription{Event::kCallSendCancelled, "call-send-cancelled"},
+    EventDescription{Event::kTargetReplaced, "target-replaced"},
     EventDescription{Event::kCrashWithdrawn, "crash-withdrawn"},
     EventDescription{Event::kQuarantineNotStored, "quarantine-not-stored"},
     EventDescription{Event::kCallDisplaced, "call-displaced"},
--- a/modules/bbv_core/event.h
+++ b/modules/bbv_core/event.h
@@ -79,6 +79,7 @@
   kNodeCongested = 112,
   kTargetFaultDoubted = 113,
   kCallSendCancelled = 114,
+  kTargetReplaced = 115,
   kCrashWithdrawn = 140,
   kQuarantineNotStored = 141,
   kCallDisplaced = 150,
--- a/modules/bbv_entry/call_context.h
+++ b/modules/bbv_entry/call_context.h
@@ -27,6 +27,9 @@
   std::function<SharedRetryBudget*(const std::string&)> retry_budget;
   // Called for a target fault that affects all calls on the target.
   std::function<void(const TargetFault& fault)> on_target_fault;
+  // Called when a process at the address of a call's first target stated that
+  // it is another one, or that it lacks the layers of the path.
+  std::function<void(const CallDispatch& dispatch)> on_misdirected;
   // Called for a target that was named as the cause of a refused call.
   std::function<void(const std::string& target_id)> on_refusal_cause;
   // Returns whether the entry was told to stop.
--- a/modules/bbv_entry/fault_detector.cc
+++ b/modules/bbv_entry/fault_detector.cc
@@ -14,6 +14,8 @@
 constexpr Milliseconds kProbeInterval{1000};
 constexpr Milliseconds kSuspectCheckInterval{500};
 constexpr Milliseconds kSuspectCheckTimeout{300};
+constexpr Milliseconds kClaimCheckInterval{500};
+constexpr Milliseconds kClaimCheckTimeout{300};
 // Share of its memory in use below which a target has room for any call.
 constexpr double kFreeCapacityUtilization = 0.7;
 
@@ -22,11 +24,13 @@
 FaultDetector::FaultDetector(HttpClient* client,
                              TargetRegistry* registry,
                              OnFault on_fault,
-                             OnLeaving on_leaving)
+                             OnLeaving on_leaving,
+                             OnRefuted on_refuted)
     : client_(client),
       registry_(registry),
       on_fault_(std::move(on_fault)),
-      on_leaving_(std::move(on_leaving)) {
+      on_leaving_(std::move(on_leaving)),
+      on_refuted_(std::move(on_refuted)) {
   assert(client != nullptr && registry != nullptr);
 }
 
@@ -97,6 +101,50 @@
               });
 }
 
+void FaultDetector::CheckContested(Instant now) {
+  if (!registry_->has_rivals())
+    return;
+  for (const auto& [id, row] : registry_->rows()) {
+    if (row->is_contested)
+      CheckClaim(id, *row, now);
+  }
+  std::erase_if(next_claim_check_,
+                [now](const auto& it) { return now >= it.second; });
+}
+
+void FaultDetector::CheckClaim(const std::string& target_id,
+                               const FleetTarget& target,
+                               Instant now) {
+  if (!target.AcceptsRequests(now))
+    return;
+  const std::string& address = target.record.address;
+  Instant& next = next_claim_check_[target_id + ' ' + address];
+  if (now < next)
+    return;
+  next = now + kClaimCheckInterval;
+  FetchReport(client_,
+              {address, target.record.started_unix_ms, now + kClaimCheckTimeout,
+               /*may_reuse=*/false, target_id},
+              [this, target_id, address](const ReportAnswer& answer) {
+                OnClaimChecked(target_id, address, answer);
+              });
+}
+
+void FaultDetector::OnClaimChecked(const std::string& target_id,
+                                   const std::string& address,
+                                   const ReportAnswer& answer) {
+  FleetTarget* target = registry_->Find(target_id);
+  if (target == nullptr || target->record.address != address)
+    return;
+  // Silence says nothing about which of two targets at one address is there.
+  const bool is_silent =
+      !answer.answered && !registry_->HasRivalAtAddress(*target);
+  if (answer.is_from_other || is_silent)
+    on_refuted_(target_id);
+  else if (answer.answered)
+    registry_->Confirm(target);
+}
+
 void FaultDetector::InvestigateRefusal(const std::string& target_id,
                                        double capacity,
                                        Instant now) {
--- a/modules/bbv_entry/fault_detector.h
+++ b/modules/bbv_entry/fault_detector.h
@@ -22,6 +22,10 @@
   // Called with a target that seems faulty.
   using OnFault = std::function<void(const TargetFault& fault)>;
 
+  // Called with a target when a process at its address states that it is
+  // another one.
+  using OnRefuted = std::function<void(const std::string& target_id)>;
+
   // Called with a target that repeatedly refuses calls although it has free
   // memory, which means that it is leaving.
   using OnLeaving = std::function<void(const std::string& target_id)>;
@@ -29,7 +33,8 @@
   FaultDetector(HttpClient* client,
                 TargetRegistry* registry,
                 OnFault on_fault,
-                OnLeaving on_leaving);
+                OnLeaving on_leaving,
+                OnRefuted on_refuted);
 
   // Handles a stalled stream whose first hop is `target_id`: requests its
   // report to find the hop that the stream waits for.
@@ -51,10 +56,20 @@
   // life, so that those that were only silent get calls again. Call often.
   void CheckSuspects(Instant now);
 
+  // Asks the targets whose id or address another listed target claims whether
+  // they are the ones that their records name. Call often.
+  void CheckContested(Instant now);
+
  private:
   void CheckSuspect(const std::string& target_id,
                     const FleetTarget& target,
                     Instant now);
+  void CheckClaim(const std::string& target_id,
+                  const FleetTarget& target,
+                  Instant now);
+  void OnClaimChecked(const std::string& target_id,
+                      const std::string& address,
+                      const ReportAnswer& answer);
   // Reports a target as faulty at whose address a later process has answered.
   void ReportSuccessor(const std::string& target_id);
   void OnStallReport(const std::string& target_id,
@@ -69,11 +84,13 @@
   TargetRegistry* registry_;
   OnFault on_fault_;
   OnLeaving on_leaving_;
+  OnRefuted on_refuted_;
   // Earliest time of the next request per target, for each kind of check.
   std::map<std::string, Instant> next_stall_report_;
   std::map<std::string, Instant> next_refusal_report_;
   std::map<std::string, Instant> next_probe_;
   std::map<std::string, Instant> next_suspect_check_;
+  std::map<std::string, Instant> next_claim_check_;
 };
 
 }  // namespace bbv
--- a/modules/bbv_entry/fleet_entry.cc
+++ b/modules/bbv_entry/fleet_entry.cc
@@ -111,6 +111,9 @@
   context_.on_target_fault = [this](const TargetFault& fault) {
     target_monitor_.OnTargetFault(fault);
   };
+  context_.on_misdirected = [this](const CallDispatch& dispatch) {
+    target_monitor_.OnMisdirected(dispatch);
+  };
   context_.is_stopping = [this] { return stopping_; };
   client_.SetObserver(&target_monitor_);
   context_.on_refusal_cause = [this](const std::string& id) {
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -365,9 +365,12 @@
 
 bool RelayedCall::FailUnusableAnswer(TargetSend* send) {
   const std::optional<AnswerFault> fault = send->FindAnswerFault();
-  if (fault)
-    FailSend(send, fault->failure, fault->evidence);
-  return fault.has_value();
+  if (!fault)
+    return false;
+  if (send->IsMisdirected())
+    context_->on_misdirected(send->dispatch);
+  FailSend(send, fault->failure, fault->evidence);
+  return true;
 }
 
 void RelayedCall::OnResponseEnd(TargetSend* send) {
--- a/modules/bbv_entry/target_follower.cc
+++ b/modules/bbv_entry/target_follower.cc
@@ -281,10 +281,10 @@
 
 void TargetFollower::ApplyRecord(const TargetRecord& record, Instant now) {
   const bool known = registry_->Find(record.id) != nullptr;
-  if (!known)
-    last_new_target_ = now;
   if (!registry_->Apply(record, now))
     return;
+  if (!known)
+    last_new_target_ = now;
   const LayerRange layers = record.layers.value_or(LayerRange{});
   log_->Write(known ? Event::kTargetChanged : Event::kTargetListed, now,
               {{"target", record.id},
--- a/modules/bbv_entry/target_monitor.cc
+++ b/modules/bbv_entry/target_monitor.cc
@@ -26,7 +26,8 @@
           parts.client,
           parts.registry,
           [this](const TargetFault& fault) { OnTargetFault(fault); },
-          [this](const std::string& id) { OnTargetLeaving(id); }) {}
+          [this](const std::string& id) { OnTargetLeaving(id); },
+          [this](const std::string& id) { OnTargetRefuted(id); }) {}
 
 void TargetMonitor::InvestigateStall(const RelayedCall& call, Instant now) {
   if (const CallDispatch* path = call.call().FindOverduePath(now))
@@ -37,6 +38,8 @@
                            Instant now) {
   ProbeSilentTargets(calls, now);
   fault_detector_.CheckSuspects(now);
+  fault_detector_.CheckContested(now);
+  LogClaimChanges(now);
   RerouteReleasedLayers(calls, now);
 }
 
@@ -59,6 +62,36 @@
     it->OnPathFault(fault.target_id, now);
 }
 
+void TargetMonitor::OnMisdirected(const CallDispatch& dispatch) {
+  const FleetTarget* target = parts_.registry->Find(dispatch.target_id);
+  if (target == nullptr || target->record.address != dispatch.target_address)
+    return;
+  // Without another claim, layers are the likely reason.
+  if (dispatch.layers.empty() || parts_.registry->HasNamedRival(*target))
+    OnTargetRefuted(dispatch.target_id);
+}
+
+void TargetMonitor::OnTargetRefuted(const std::string& target_id) {
+  const Instant now = EventLoop::Now();
+  FleetTarget* target = parts_.registry->Find(target_id);
+  if (target == nullptr)
+    return;
+  const bool was_replaced = parts_.registry->Refute(target, now);
+  if (!was_replaced && parts_.registry->IsUsable(*target, now))
+    SuspectTarget(target, {target_id, "another process has its address"}, now);
+}
+
+void TargetMonitor::LogClaimChanges(Instant now) {
+  for (const ClaimChange& it : parts_.registry->TakeClaimChanges()) {
+    parts_.log->Write(Event::kTargetReplaced, now,
+                      {{"target", it.displaced_id},
+                       {"address", it.displaced_address},
+                       {"by", it.target_id},
+                       {"by_address", it.address},
+                       {"refuted", it.was_refuted}});
+  }
+}
+
 void TargetMonitor::CheckRefusalCause(const std::string& target_id) {
   const FleetTarget* target = parts_.registry->Find(target_id);
   if (target == nullptr || parts_.configuration->current() == nullptr)
--- a/modules/bbv_entry/target_monitor.h
+++ b/modules/bbv_entry/target_monitor.h
@@ -45,6 +45,10 @@
   // Handles a target that seems faulty.
   void OnTargetFault(const TargetFault& fault);
 
+  // Handles a call that was turned away because another process has the address
+  // of its first target, or because this target lacks the layers of the path.
+  void OnMisdirected(const CallDispatch& dispatch);
+
   // Checks a target that was named as the cause of a refused call.
   void CheckRefusalCause(const std::string& target_id);
 
@@ -64,6 +68,11 @@
                       std::optional<Instant> sent_at) override;
 
  private:
+  // Handles a statement of a process at the address of `target_id` that it is
+  // not this target.
+  void OnTargetRefuted(const std::string& target_id);
+  // Logs which targets have taken over from others.
+  void LogClaimChanges(Instant now);
   // Probes targets through which several streams have stalled.
   void ProbeSilentTargets(const std::vector<RelayedCall*>& calls, Instant now);
   // Reroutes calls away from targets that no longer hold the layers that the
--- a/modules/bbv_entry/target_requests.cc
+++ b/modules/bbv_entry/target_requests.cc
@@ -74,7 +74,7 @@
                  std::function<void(const ReportAnswer&)> done) {
   ExchangeRequest request =
       MakeTargetRequest(report_request.address, "GET", platform::kReportPath,
-                        {}, report_request.deadline);
+                        {}, report_request.deadline, report_request.target_id);
   request.may_reuse = report_request.may_reuse;
   ResponseCollector::Fetch(
       client, std::move(request),
@@ -83,10 +83,13 @@
            report_request.started_unix_ms](const HttpResponse* answer) {
         ReportAnswer result;
         result.answered = answer != nullptr;
+        result.is_from_other =
+            result.answered && platform::IsFromOtherTarget(answer->head);
         if (result.answered && answer->head.status == kOk)
           result.report = platform::DecodeTargetReport(answer->body);
         if (result.report &&
             result.report->load.started_unix_ms != started_unix_ms) {
+          result.is_from_other = true;
           result.is_from_successor =
               result.report->load.started_unix_ms > started_unix_ms;
           result.report.reset();
--- a/modules/bbv_entry/target_requests.h
+++ b/modules/bbv_entry/target_requests.h
@@ -34,6 +34,9 @@
   // Whether the response was the report of another process, which has taken
   // over the address: the target has ended.
   bool is_from_successor = false;
+  // Whether the response shows that the process at the address is not the
+  // target.
+  bool is_from_other = false;
   // Set if the response was a valid report of the target.
   std::optional<platform::TargetReport> report;
 };
@@ -49,6 +52,9 @@
   // Whether an idle connection may be reused. A connection to an instance that
   // is gone gives no error, so a liveness check needs a new one.
   bool may_reuse = true;
+  // If not empty, only the target with this id reports; any other one that
+  // listens at the address rejects the request.
+  std::string target_id;
 };
 
 // Requests a target's report. `done` is called exactly once and never
--- a/modules/bbv_entry/target_send.cc
+++ b/modules/bbv_entry/target_send.cc
@@ -41,6 +41,12 @@
   return std::nullopt;
 }
 
+bool TargetSend::IsMisdirected() const {
+  const std::string& fault = fields.fault_address;
+  return platform::IsFromOtherTarget(head) &&
+         (fault.empty() || fault == dispatch.target_address);
+}
+
 std::shared_ptr<const std::string> TargetSend::TakeBody() {
   return ShareHeldText(std::exchange(body, {}), std::move(body_hold));
 }
--- a/modules/bbv_entry/target_send.h
+++ b/modules/bbv_entry/target_send.h
@@ -55,6 +55,10 @@
   bool began_output() const { return events >= kEventsOfStartedOutput; }
   bool is_success() const { return head.status >= 200 && head.status < 300; }
 
+  // Whether the process at the address of the first target states that it is
+  // another one, or that it lacks the layers of the path.
+  bool IsMisdirected() const;
+
   // Returns why the answer, which is not a stream, cannot be relayed; nullopt
   // if it can.
   std::optional<AnswerFault> FindAnswerFault() const;
--- a/modules/bbv_fleet/target_registry.cc
+++ b/modules/bbv_fleet/target_registry.cc
@@ -67,28 +67,15 @@
 std::vector<std::string> TargetRegistry::SetServices(
     std::set<std::string, std::less<>> services) {
   services_ = std::move(services);
-  by_address_.clear();
-  std::vector<std::string> removed;
+  std::vector<std::string> named;
   for (const auto& [id, row] : rows_) {
-    FleetTarget*& holder = by_address_[row->record.address];
-    const bool has_rival = holder != nullptr && IsNamed(holder->record);
-    if (!IsNamed(row->record)) {
-      if (!has_rival)
-        holder = row.get();
-      continue;
-    }
-    if (has_rival &&
-        row->record.started_unix_ms < holder->record.started_unix_ms) {
-      removed.push_back(id);
-      continue;
-    }
-    if (has_rival)
-      removed.push_back(holder->record.id);
-    holder = row.get();
+    if (IsNamed(row->record))
+      named.push_back(id);
   }
-  for (const std::string& it : removed)
-    RemoveRow(it, kNeverRemoved);
-  return removed;
+  SettleClaims();
+  std::erase_if(named,
+                [this](const std::string& id) { return rows_.contains(id); });
+  return named;
 }
 
 bool TargetRegistry::IsNamed(const TargetRecord& record) const {
@@ -96,76 +83,216 @@
 }
 
 bool TargetRegistry::Apply(const TargetRecord& record, Instant now) {
-  if (IsOutdated(record))
+  FleetTarget* claim = FindClaim(record.id, record.address);
+  if (IsOutdated(record, claim, now))
     return false;
-  // Only one process can listen at an address: the one that started last.
-  const bool named = IsNamed(record);
-  const FleetTarget* holder = FindAddress(record.address);
-  const bool has_rival = holder != nullptr && holder->record.id != record.id &&
-                         IsNamed(holder->record);
-  if (named && has_rival) {
-    if (record.started_unix_ms < holder->record.started_unix_ms)
-      return false;
-    RemoveRow(std::string(holder->record.id), kNeverRemoved);
-  }
-  std::unique_ptr<FleetTarget>& row = rows_[record.id];
-  const bool added = row == nullptr;
+  const bool added = claim == nullptr;
   if (added) {
-    row = std::make_unique<FleetTarget>();
-    const auto before = unlisted_.find(record.id);
-    if (before != unlisted_.end() &&
-        before->second.started_unix_ms == record.started_unix_ms) {
-      row->known_leaving = before->second.leaving;
-      row->backoff_until = before->second.backoff_until;
-      row->rate_limit = before->second.rate_limit;
-    }
-    if (before != unlisted_.end())
-      unlisted_.erase(before);
+    std::unique_ptr<FleetTarget> target = MakeTarget(record);
+    target->listed_at = now;
+    claim = target.get();
+    rivals_.Add(std::move(target));
   }
-  by_hash_[HashBytes32(record.id)] = row.get();
-  const bool restarted =
-      !added && row->record.started_unix_ms != record.started_unix_ms;
-  const bool changed = added || !EqualExceptHeartbeat(row->record, record);
-  if (!added && row->record.address != record.address) {
-    const auto it = by_address_.find(row->record.address);
-    if (it != by_address_.end() && it->second == row.get())
-      by_address_.erase(it);
+  const bool changed = UpdateTarget(claim, record, now);
+  if (changed && !rivals_.empty()) {
+    MarkContested(*claim);
+    SettleClaims();
+  }
+  return (added || changed) && Find(record.id) == claim;
+}
+
+std::unique_ptr<FleetTarget> TargetRegistry::MakeTarget(
+    const TargetRecord& record) {
+  auto target = std::make_unique<FleetTarget>();
+  target->record.id = record.id;
+  target->record.address = record.address;
+  target->record.started_unix_ms = record.started_unix_ms;
+  const auto before = unlisted_.find(record.id);
+  if (before == unlisted_.end())
+    return target;
+  target->refuted_at = before->second.refuted_at;
+  if (before->second.started_unix_ms == record.started_unix_ms) {
+    target->known_leaving = before->second.leaving;
+    target->backoff_until = before->second.backoff_until;
+    target->rate_limit = before->second.rate_limit;
   }
-  const std::optional<LayerRange> reported = row->record.layers;
+  unlisted_.erase(before);
+  return target;
+}
+
+bool TargetRegistry::UpdateTarget(FleetTarget* target,
+                                  const TargetRecord& record,
+                                  Instant now) {
+  const bool restarted =
+      target->record.started_unix_ms != record.started_unix_ms;
+  const bool changed = !EqualExceptHeartbeat(target->record, record);
+  const std::optional<LayerRange> reported = target->record.layers;
   const bool recently_reported =
-      !added && !restarted &&
-      now < row->reported_at + kReportedLayersPrecedence;
-  row->record = record;
-  row->listed_layers = record.layers;
+      !restarted && now < target->reported_at + kReportedLayersPrecedence;
+  target->record = record;
+  target->listed_layers = record.layers;
   if (recently_reported)
-    row->record.layers = reported;
-  row->listed_at = now;
-  if (named || !has_rival)
-    by_address_[record.address] = row.get();
+    target->record.layers = reported;
+  target->listed_at = now;
   if (restarted) {
-    row->consecutive_faults = 0;
-    row->failure_rate = 0;
-    row->health = TargetHealth::kHealthy;
-    row->suspected_until = {};
-    row->known_leaving = false;
-    row->backoff_until = {};
-    row->rate_limit = {};
+    target->consecutive_faults = 0;
+    target->failure_rate = 0;
+    target->health = TargetHealth::kHealthy;
+    target->suspected_until = {};
+    target->known_leaving = false;
+    target->backoff_until = {};
+    target->rate_limit = {};
   }
-  row->known_leaving = row->IsLeaving();
+  target->known_leaving = target->IsLeaving();
   const bool still_suspected =
-      row->health == TargetHealth::kSuspected &&
-      (now < row->suspected_until || LacksSignOfLife(*row));
-  if (row->known_leaving)
-    row->health = TargetHealth::kLeaving;
+      target->health == TargetHealth::kSuspected &&
+      (now < target->suspected_until || LacksSignOfLife(*target));
+  if (target->known_leaving)
+    target->health = TargetHealth::kLeaving;
   else if (!still_suspected)
-    row->health = TargetHealth::kHealthy;
+    target->health = TargetHealth::kHealthy;
   return changed;
 }
 
+FleetTarget* TargetRegistry::FindClaim(std::string_view id,
+                                       std::string_view address) {
+  FleetTarget* row = Find(id);
+  return row != nullptr && row->record.address == address
+             ? row
+             : rivals_.Find(id, address);
+}
+
+bool TargetRegistry::Outranks(const FleetTarget& left,
+                              const FleetTarget& right) const {
+  const bool is_named = IsNamed(left.record);
+  if (is_named != IsNamed(right.record))
+    return is_named;
+  if (left.refuted_at != right.refuted_at)
+    return left.refuted_at < right.refuted_at;
+  return left.record.started_unix_ms > right.record.started_unix_ms;
+}
+
+std::vector<FleetTarget*> TargetRegistry::HoldersAgainst(
+    const FleetTarget& claim) {
+  std::vector<FleetTarget*> holders;
+  FleetTarget* of_id = Find(claim.record.id);
+  FleetTarget* of_address = FindAddress(claim.record.address);
+  if (of_id != nullptr)
+    holders.push_back(of_id);
+  if (of_address != nullptr && of_address != of_id)
+    holders.push_back(of_address);
+  return holders;
+}
+
+void TargetRegistry::SettleClaims() {
+  bool settled = false;
+  while (!settled) {
+    settled = true;
+    std::vector<FleetTarget*> claims;
+    for (const auto& it : rivals_.all())
+      claims.push_back(it.get());
+    std::stable_sort(claims.begin(), claims.end(),
+                     [this](const FleetTarget* left, const FleetTarget* right) {
+                       return Outranks(*left, *right);
+                     });
+    for (const FleetTarget* claim : claims) {
+      const std::vector<FleetTarget*> holders = HoldersAgainst(*claim);
+      const bool is_best = std::all_of(
+          holders.begin(), holders.end(),
+          [&](const FleetTarget* it) { return Outranks(*claim, *it); });
+      if (!is_best)
+        continue;
+      PutToUse(claim);
+      if (holders.empty())
+        continue;
+      // What the displaced targets held may be free for other claims.
+      settled = false;
+      break;
+    }
+  }
+}
+
+void TargetRegistry::PutToUse(const FleetTarget* claim) {
+  std::unique_ptr<FleetTarget> target = rivals_.Take(claim);
+  FleetTarget* row = target.get();
+  for (const FleetTarget* it : HoldersAgainst(*row)) {
+    claim_changes_.push_back({row->record.id, row->record.address,
+                              it->record.id, it->record.address,
+                              it->refuted_at != Instant()});
+    Displace(it);
+  }
+  by_hash_[HashBytes32(row->record.id)] = row;
+  by_address_[row->record.address] = row;
+  rows_[row->record.id] = std::move(target);
+  row->is_contested = HasNamedRival(*row);
+}
+
+void TargetRegistry::Displace(const FleetTarget* holder) {
+  const auto it = rows_.find(holder->record.id);
+  assert(it != rows_.end() && it->second.get() == holder);
+  Unlink(*holder);
+  std::unique_ptr<FleetTarget> claim = std::move(it->second);
+  rows_.erase(it);
+  // Calls that end meanwhile do not find the row, so it counts from zero.
+  claim->own_calls = 0;
+  claim->own_token_layers = 0;
+  claim->own_unread_tokens = 0;
+  claim->expected_peer_tokens = 0;
+  claim->peer_calls = 0;
+  claim->peer_token_layers = 0;
+  claim->peer_unread_tokens = 0;
+  rivals_.Add(std::move(claim));
+}
+
+void TargetRegistry::MarkContested(const FleetTarget& claim) {
+  for (FleetTarget* it : HoldersAgainst(claim))
+    it->is_contested |=
+        it == &claim ? HasNamedRival(claim) : IsNamed(claim.record);
+}
+
+bool TargetRegistry::HasNamedRival(const FleetTarget& target) const {
+  const std::vector<FleetTarget*> rivals = rivals_.RivalsOf(target);
+  return std::any_of(
+      rivals.begin(), rivals.end(),
+      [this](const FleetTarget* it) { return IsNamed(it->record); });
+}
+
+void TargetRegistry::Unlink(const FleetTarget& target) {
+  const auto address = by_address_.find(target.record.address);
+  if (address != by_address_.end() && address->second == &target)
+    by_address_.erase(address);
+  const auto hash = by_hash_.find(HashBytes32(target.record.id));
+  if (hash != by_hash_.end() && hash->second == &target)
+    by_hash_.erase(hash);
+}
+
+bool TargetRegistry::Refute(FleetTarget* target, Instant now) {
+  assert(target != nullptr && Find(target->record.id) == target);
+  target->refuted_at = now;
+  target->is_contested = false;
+  const std::string id = target->record.id;
+  SettleClaims();
+  return Find(id) != target;
+}
+
+void TargetRegistry::Confirm(FleetTarget* target) {
+  assert(target != nullptr);
+  target->is_contested = false;
+}
+
+bool TargetRegistry::HasRivalAtAddress(const FleetTarget& target) const {
+  const std::vector<FleetTarget*> rivals = rivals_.RivalsOf(target);
+  return std::any_of(rivals.begin(), rivals.end(), [&](const FleetTarget* it) {
+    return it->record.address == target.record.address;
+  });
+}
+
 bool TargetRegistry::ApplyHeartbeat(uint32_t hash,
                                     int64_t heartbeat,
                                     Instant now) {
   const FleetTarget* row = FindByHash(hash);
+  if (row == nullptr)
+    row = rivals_.FindByHash(hash);
   if (row == nullptr)
     return false;
   TargetRecord record = row->record;
@@ -177,7 +304,7 @@
 
 bool TargetRegistry::IsListedAs(const TargetRecord& record) const {
   const FleetTarget* row = Find(record.id);
-  if (row == nullptr)
+  if (row == nullptr || rivals_.HasId(record.id))
     return false;
   TargetRecord listed = row->record;
   listed.layers = row->listed_layers;
@@ -185,10 +312,12 @@
 }
 
 bool TargetRegistry::Remove(std::string_view id) {
+  rivals_.RemoveId(id);
   const FleetTarget* row = Find(id);
   if (row == nullptr)
     return false;
   RemoveRow(id, row->record.heartbeat);
+  SettleClaims();
   return true;
 }
 
@@ -197,15 +326,10 @@
   const auto it = rows_.find(id);
   assert(it != rows_.end());
   const FleetTarget& row = *it->second;
-  RememberUnlisted(it->first,
-                   {row.record.started_unix_ms, removed_at_heartbeat,
-                    row.known_leaving, row.backoff_until, row.rate_limit});
-  const auto address = by_address_.find(it->second->record.address);
-  if (address != by_address_.end() && address->second == it->second.get())
-    by_address_.erase(address);
-  const auto hash = by_hash_.find(HashBytes32(id));
-  if (hash != by_hash_.end() && hash->second == it->second.get())
-    by_hash_.erase(hash);
+  RememberUnlisted(it->first, {row.record.started_unix_ms, removed_at_heartbeat,
+                               row.known_leaving, row.backoff_until,
+                               row.rate_limit, row.refuted_at});
+  Unlink(row);
   rows_.erase(it);
 }
 
@@ -221,26 +345,38 @@
                                    }));
 }
 
-bool TargetRegistry::IsOutdated(const TargetRecord& record) const {
-  if (const FleetTarget* row = Find(record.id)) {
-    const TargetRecord& known = row->record;
-    return record.started_unix_ms < known.started_unix_ms ||
-           (record.started_unix_ms == known.started_unix_ms &&
-            record.heartbeat < known.heartbeat);
-  }
-  const auto it = unlisted_.find(record.id);
-  if (it == unlisted_.end())
+bool TargetRegistry::IsOutdated(const TargetRecord& record,
+                                const FleetTarget* claim,
+                                Instant now) {
+  int64_t known_start = 0;
+  int64_t oldest_heartbeat = 0;
+  std::optional<Instant> renewed_at;
+  if (claim != nullptr) {
+    known_start = claim->record.started_unix_ms;
+    oldest_heartbeat = claim->record.heartbeat;
+    renewed_at = claim->listed_at;
+  } else if (const auto it = unlisted_.find(record.id); it != unlisted_.end()) {
+    known_start = it->second.started_unix_ms;
+    oldest_heartbeat = it->second.removed_at_heartbeat + 1;
+  } else {
     return false;
-  return record.started_unix_ms < it->second.started_unix_ms ||
-         (record.started_unix_ms == it->second.started_unix_ms &&
-          record.heartbeat <= it->second.removed_at_heartbeat);
+  }
+  if (record.started_unix_ms == known_start)
+    return record.heartbeat < oldest_heartbeat;
+  return record.started_unix_ms < known_start &&
+         !outdated_.ShowsLife(record.id, record.started_unix_ms,
+                              record.heartbeat, renewed_at, now);
 }
 
 bool TargetRegistry::MarkLeaving(const std::string& id,
                                  int64_t started_unix_ms) {
   FleetTarget* row = Find(id);
+  for (const auto& it : rivals_.all()) {
+    if (it->record.id == id && it->record.started_unix_ms == started_unix_ms)
+      it->known_leaving = true;
+  }
   if (row == nullptr) {
-    UnlistedTarget unlisted{started_unix_ms, kNeverRemoved, true, {}, {}};
+    UnlistedTarget unlisted{started_unix_ms, kNeverRemoved, true, {}, {}, {}};
     const auto it = unlisted_.find(id);
     if (it != unlisted_.end()) {
       if (it->second.started_unix_ms > started_unix_ms || it->second.leaving)
@@ -298,9 +434,12 @@
     if (row->listed_at < since)
       removed.push_back(id);
   }
+  rivals_.RemoveUnlistedSince(since);
   // A target that is merely missing may be listed again with the same record.
   for (const std::string& id : removed)
     RemoveRow(id, kNeverRemoved);
+  if (!removed.empty())
+    SettleClaims();
   return removed;
 }
 
--- a/modules/bbv_fleet/target_registry.h
+++ b/modules/bbv_fleet/target_registry.h
@@ -10,10 +10,12 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "bbv_core/instant.h"
 #include "bbv_core/name_table.h"
+#include "bbv_fleet/rival_claims.h"
 #include "bbv_fleet/target_rate_limit.h"
 
 namespace bbv {
@@ -122,6 +124,12 @@
   bool is_silent = false;
   bool has_answered_again = false;
   Instant listed_at{};
+  // When a process at the address of the record last stated that it is not this
+  // target; the epoch if none has.
+  Instant refuted_at{};
+  // Whether another listed target claims the id or the address, and no answer
+  // has shown yet which of them is right.
+  bool is_contested = false;
   // When bytes of any answer of the target last reached this process.
   Instant heard_at{};
   // Layers according to the list; those of `record` may come from a later
@@ -174,20 +182,37 @@
   double UsedTokenLayers(Instant now) const;
 };
 
+// One target took the id or the address of another one over.
+struct ClaimChange {
+  // The target that is in use from now on, and its address.
+  std::string target_id;
+  std::string address;
+  // The target that is no longer in use, and its address.
+  std::string displaced_id;
+  std::string displaced_address;
+  // Whether an answer has refuted the displaced target.
+  bool was_refuted = false;
+};
+
 // Table of the targets and of the observations about them.
 //
+// At most one target is in use for each id and each address. If the list names
+// several, those of services that the configuration names go first, then those
+// that no answer has refuted, then the one that started last. The others are
+// kept as long as they are listed, and replace it when it is refuted or gone.
+//
 // Deterministic; reads no clock. Thread safety: none, owned by one thread.
 class TargetRegistry {
  public:
   // Sets the services that the configuration names. A record of any other
   // service takes no address from their targets: it may come from another
-  // writer. Removes the targets whose address turns out to belong to one that
-  // started later and returns their ids.
+  // writer. Returns the ids of their targets that are no longer in use, because
+  // their address turns out to be claimed by one that started later.
   std::vector<std::string> SetServices(
       std::set<std::string, std::less<>> services);
 
   // Applies a listed record. Returns true if anything but its heartbeat
-  // changed. A record that is older than the known state of its target is
+  // changed and the target is in use. A record that is older than the known state of its target is
   // ignored, because a list restored from a backup contains such records: it
   // neither brings back a removed target nor makes a leaving one ready again.
   bool Apply(const TargetRecord& record, Instant now);
@@ -198,9 +223,33 @@
   bool ApplyHeartbeat(uint32_t hash, int64_t heartbeat, Instant now);
 
   // Returns whether the target is listed as in `record`, ignoring the
-  // heartbeat.
+  // heartbeat, and no other record names its id.
   bool IsListedAs(const TargetRecord& record) const;
 
+  // Records that a process at the address of `target` stated that it is another
+  // one. If another target claims the address or the id, it is in use from now
+  // on. Returns whether that is so.
+  bool Refute(FleetTarget* target, Instant now);
+
+  // Records that `target` answered as itself: it is not contested any more
+  // until another claim is listed.
+  void Confirm(FleetTarget* target);
+
+  // Returns whether the list names several targets for an id or an address.
+  bool has_rivals() const { return !rivals_.empty(); }
+
+  // Returns whether another listed target of a named service claims the id or
+  // the address of `target`, which is in use.
+  bool HasNamedRival(const FleetTarget& target) const;
+
+  // Returns whether another listed target claims the address of `target`.
+  bool HasRivalAtAddress(const FleetTarget& target) const;
+
+  // Returns the changes since the last call, in their order.
+  std::vector<ClaimChange> TakeClaimChanges() {
+    return std::exchange(claim_changes_, {});
+  }
+
   // Removes a target that is no longer listed. Returns false if there is none.
   bool Remove(std::string_view id);
 
@@ -215,8 +264,7 @@
   // Returns the row whose id has the short hash `hash`, or nullptr.
   FleetTarget* FindByHash(uint32_t hash);
 
-  // Returns the row whose address is `address`, or nullptr. Rows of services
-  // that the configuration does not name come last.
+  // Returns the row whose address is `address`, or nullptr.
   FleetTarget* FindAddress(std::string_view address);
 
   // Records that a target announced that it is leaving, to this or another
@@ -305,6 +353,7 @@
     bool leaving = false;
     Instant backoff_until{};
     TargetRateLimit rate_limit;
+    Instant refuted_at{};
   };
 
   // Removes the row of `id` and keeps its state in `unlisted_`.
@@ -315,7 +364,32 @@
   // Whether the configuration names the service of `record`.
   bool IsNamed(const TargetRecord& record) const;
   // Returns whether `record` is older than the known state of its target.
-  bool IsOutdated(const TargetRecord& record) const;
+  // `claim` is the target, or nullptr if no listed record names both its id and
+  // its address.
+  bool IsOutdated(const TargetRecord& record,
+                  const FleetTarget* claim,
+                  Instant now);
+  // Returns a new target as `record`, with the state that was kept for it.
+  std::unique_ptr<FleetTarget> MakeTarget(const TargetRecord& record);
+  // Applies a record to its claim. Returns whether anything but its heartbeat
+  // changed.
+  bool UpdateTarget(FleetTarget* target,
+                    const TargetRecord& record,
+                    Instant now);
+  FleetTarget* FindClaim(std::string_view id, std::string_view address);
+  // Whether `left` has the better claim to what both name.
+  bool Outranks(const FleetTarget& left, const FleetTarget& right) const;
+  // Returns the targets in use whose id or address `claim` names.
+  std::vector<FleetTarget*> HoldersAgainst(const FleetTarget& claim);
+  // Puts each claim to use that outranks all targets in use against it.
+  void SettleClaims();
+  void PutToUse(const FleetTarget* claim);
+  void Displace(const FleetTarget* holder);
+  // Marks the targets in use that the new or changed `claim` contests, and
+  // itself if it is in use and contested.
+  void MarkContested(const FleetTarget& claim);
+  // Removes the address and the hash of `target` from the look-up tables.
+  void Unlink(const FleetTarget& target);
 
   std::set<std::string, std::less<>> services_;
   std::map<std::string, UnlistedTarget, std::less<>> unlisted_;
@@ -323,6 +397,9 @@
   std::unordered_map<std::string, FleetTarget*> by_address_;
   std::unordered_map<uint32_t, FleetTarget*> by_hash_;
   std::map<std::string, std::vector<PeerLoad>> peers_;
+  RivalClaims rivals_;
+  OutdatedRecords outdated_;
+  std::vector<ClaimChange> claim_changes_;
 };
 
 }  // namespace bbv
--- a/modules/bbv_fleet/target_registry_test.cc
+++ b/modules/bbv_fleet/target_registry_test.cc
@@ -347,3 +347,131 @@
   registry.Apply(record, now);
   CHECK_TRUE(registry.Find("t")->AcceptsRequests(now));
 }
+
+TEST_GROUP(RivalClaims) {
+  bbv::TargetRegistry registry;
+  Instant now = Instant() + Milliseconds(1000);
+  bbv::TargetRecord record = bbv_test::MakeRecord("t", "s", "a");
+  // A record of another writer for the address of "t", with a later start.
+  bbv::TargetRecord rival = bbv_test::MakeRecord("rival", "s", "a");
+
+  void setup() override {
+    record.started_unix_ms = 1000;
+    record.heartbeat = 5;
+    rival.address = record.address;
+    rival.started_unix_ms = 2000;
+    registry.SetServices({"s", "other"});
+    registry.Apply(record, now);
+  }
+  bool InUse(const bbv::TargetRecord& expected) {
+    const bbv::FleetTarget* row = registry.Find(expected.id);
+    return row != nullptr && row->record.address == expected.address &&
+           registry.FindAddress(expected.address) == row;
+  }
+};
+
+// Guards against an outage: a target whose address another record claims was
+// out of use for as long as that record was listed.
+TEST(RivalClaims, ARefutedRecordGivesTheAddressBackAtOnce) {
+  registry.Apply(rival, now);
+  CHECK(InUse(rival));
+  CHECK(registry.Find("rival")->is_contested);
+  CHECK(registry.Refute(registry.Find("rival"), now));
+  CHECK(InUse(record));
+  // Neither a heartbeat nor a later start of the refuted record takes it again.
+  ++rival.heartbeat;
+  registry.Apply(rival, now);
+  CHECK(InUse(record));
+  registry.Confirm(registry.Find("t"));
+  rival.started_unix_ms = 3000;
+  registry.Apply(rival, now);
+  CHECK(InUse(record));
+  // The later start may be a true one, so the target is asked again.
+  CHECK(registry.Find("t")->is_contested);
+  CHECK(registry.Refute(registry.Find("t"), now + Milliseconds(1)));
+  CHECK(InUse(rival));
+}
+
+TEST(RivalClaims, ADisplacedTargetReturnsWhenTheOtherRecordIsGone) {
+  registry.Apply(rival, now);
+  ++record.heartbeat;
+  registry.Apply(record, now);
+  CHECK(InUse(rival));
+  registry.Remove("rival");
+  CHECK(InUse(record));
+  // The other way round too.
+  rival.heartbeat = 7;
+  registry.Apply(rival, now);
+  registry.Remove("t");
+  CHECK(InUse(rival));
+  registry.Remove("rival");
+  CHECK(registry.Find("t") == nullptr);
+}
+
+TEST(RivalClaims, HeartbeatsKeepADisplacedTargetListed) {
+  registry.Apply(rival, now);
+  const bbv::Instant later = now + Milliseconds(1200);
+  registry.Apply(rival, later);
+  ++record.heartbeat;
+  CHECK_FALSE(registry.IsListedAs(record));
+  CHECK_FALSE(registry.Apply(record, later));
+  CHECK(registry.RemoveUnlistedSince(later).empty());
+  registry.Refute(registry.Find("rival"), later);
+  CHECK(InUse(record));
+}
+
+TEST(RivalClaims, ARecordOfAnotherServiceIsRefutedToo) {
+  rival.service = "other";
+  registry.Apply(rival, now);
+  CHECK(InUse(rival));
+  registry.Refute(registry.Find("rival"), now);
+  CHECK(InUse(record));
+}
+
+// Guards against a target that is called at an address that another writer has
+// put into its record.
+TEST(RivalClaims, ARefutedAddressOfATargetGivesWayToItsOwn) {
+  bbv::TargetRecord moved = record;
+  moved.address = bbv_test::MakeRecord("other", "s", "a").address;
+  moved.started_unix_ms = 2000;
+  registry.Apply(moved, now);
+  CHECK(InUse(moved));
+  CHECK_FALSE(registry.HasRivalAtAddress(*registry.Find("t")));
+  ++record.heartbeat;
+  registry.Apply(record, now);
+  CHECK_FALSE(registry.IsListedAs(record));
+  registry.Refute(registry.Find("t"), now);
+  CHECK(InUse(record));
+  // Both records have the same key, so that the list removes both.
+  registry.Remove("t");
+  CHECK(registry.FindAddress(record.address) == nullptr);
+  CHECK(registry.FindAddress(moved.address) == nullptr);
+}
+
+// Guards against a live target that stays out of use because another writer has
+// listed a later start of it.
+TEST(RivalClaims, ATargetReturnsWhenAnInventedStartFallsSilent) {
+  bbv::TargetRecord invented = record;
+  invented.started_unix_ms = 9000;
+  for (const bool removed : {false, true}) {
+    invented.heartbeat += 10;
+    registry.Apply(invented, now);
+    if (removed)
+      registry.Remove("t");
+    // A copy of an old record does not advance.
+    ++record.heartbeat;
+    CHECK_FALSE(registry.Apply(record, now + Milliseconds(100)));
+    CHECK_FALSE(registry.Apply(record, now + Milliseconds(3000)));
+    ++record.heartbeat;
+    CHECK(registry.Apply(record, now + Milliseconds(3700)));
+    CHECK_EQUAL(1000, registry.Find("t")->record.started_unix_ms);
+    now += Milliseconds(10'000);
+  }
+}
+
+TEST(RivalClaims, CallsThatEndMeanwhileDoNotCountAtAReturnedTarget) {
+  registry.Find("t")->own_calls = 3;
+  registry.Apply(rival, now);
+  registry.Refute(registry.Find("rival"), now);
+  CHECK_EQUAL(0, registry.Find("t")->own_calls);
+}
--- a/tests/odd_entry_test.cc
+++ b/tests/odd_entry_test.cc
@@ -68,13 +68,14 @@
   return n;
 }
 
-// Returns the addresses at which a log lists targets of the plain service.
-std::set<std::string> PlainAddresses(const std::string& log) {
+// Returns the addresses at which a log lists targets of `service`.
+std::set<std::string> ListedAddresses(const std::string& log,
+                                      const std::string& service) {
   std::set<std::string> addresses;
   std::istringstream lines(log);
   for (std::string line; std::getline(lines, line);) {
     const auto json = nlohmann::json::parse(line, nullptr, false);
-    if (json.is_object() && json.value("service", "") == "plain")
+    if (json.is_object() && json.value("service", "") == service)
       addresses.insert(json.value("address", ""));
   }
   return addresses;
@@ -150,7 +151,7 @@
 TEST(OddEntry, RecordOfAnUnnamedServiceTakesNoTargetOutOfUse) {
   WaitForTargets(options.engines + options.services);
   int foreign = 0;
-  for (const std::string& it : PlainAddresses(floor->Output(0))) {
+  for (const std::string& it : ListedAddresses(floor->Output(0), "plain")) {
     floor->store().Put(kTargetTopic, "odd-" + std::to_string(++foreign),
                        R"({"service":"unnamed","zone":"zone-a","slots":64,)"
                        R"("state":"ready","version":"v1","sequence":1,)"
@@ -174,6 +175,112 @@
   }
 }
 
+namespace {
+
+// How records of another writer for the addresses of targets look.
+struct RivalKind {
+  const char* name;
+  // Service that the records name.
+  const char* service;
+  // Start time in Unix milliseconds; 0 for none.
+  int64_t born;
+  // Whether they have all fields of a target's record.
+  bool is_complete;
+};
+
+constexpr int64_t kLateBorn = 4'000'000'000'000;
+constexpr RivalKind kRivalKinds[] = {
+    {"later", "plain", kLateBorn, false},
+    {"complete", "plain", kLateBorn, true},
+    {"earlier", "plain", 1'000'000'000'000, true},
+    {"unborn", "plain", 0, false},
+    {"engine", "engine", kLateBorn, true},
+};
+
+std::string RivalRecord(const RivalKind& kind,
+                        const std::string& address,
+                        int sequence) {
+  nlohmann::json record = {{"service", kind.service}, {"address", address},
+                           {"zone", "zone-a"},        {"slots", 64},
+                           {"state", "ready"},        {"sequence", sequence}};
+  if (kind.born > 0)
+    record["born"] = kind.born;
+  if (kind.is_complete) {
+    record["version"] = "v1";
+    record["warmup_left_ms"] = 0;
+  }
+  return record.dump();
+}
+
+}  // namespace
+
+// Guards against an outage of a service: records of another writer for the
+// addresses of all its targets took the targets out of use.
+TEST(OddEntry, RecordsOfAnotherWriterTakeNoServiceOutOfUse) {
+  WaitForTargets(options.engines + options.services);
+  const std::set<std::string> addresses =
+      ListedAddresses(floor->Output(0), "plain");
+  for (const RivalKind& kind : kRivalKinds) {
+    for (int sequence = 1; sequence <= 2; ++sequence) {
+      for (const std::string& it : addresses) {
+        floor->store().Put(kTargetTopic, "of-" + it,
+                           RivalRecord(kind, it, sequence));
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(600));
+      int served = 0;
+      for (int it = 0; it < 20; ++it) {
+        const auto answer =
+            floor->Call(it % kEntries, "/safe/x",
+                        kind.name + std::to_string(20 * sequence + it));
+        served += answer && answer->status == 200 ? 1 : 0;
+      }
+      if (served < 20)
+        FAIL((std::string(kind.name) + ": " + std::to_string(served)).c_str());
+    }
+    for (const std::string& it : addresses)
+      floor->store().Put(kTargetTopic, "of-" + it, "");
+  }
+}
+
+// Guards against the same outage after a restart of all entries, which then
+// read all records at once.
+TEST(OddEntry, RestartedEntriesUseTargetsWhoseAddressAnotherWriterClaims) {
+  WaitForTargets(options.engines + options.services);
+  int n = 0;
+  for (const std::string& it : ListedAddresses(floor->Output(0), "plain")) {
+    floor->store().Put(kTargetTopic, "a-" + std::to_string(++n),
+                       RivalRecord(kRivalKinds[0], it, 1));
+  }
+  for (int it = 0; it < kEntries; ++it) {
+    floor->Signal(it, SIGKILL);
+    floor->WaitForExit(it);
+    floor->StartEntry(it);
+    CHECK(floor->WaitReady(it, 5000));
+  }
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  for (int it = 0; it < 20; ++it) {
+    const auto answer =
+        floor->Call(it % kEntries, "/safe/x", "again" + std::to_string(it));
+    CHECK(answer && answer->status == 200);
+  }
+}
+
+// Guards against streams without a path: the same records for the addresses of
+// all engines hid the layers that the engines hold.
+TEST(OddEntry, RecordsOfAnotherWriterHideNoLayers) {
+  WaitForTargets(options.engines + options.services);
+  for (const char* service : {"engine", "plain"}) {
+    for (const std::string& it : ListedAddresses(floor->Output(0), "engine")) {
+      floor->store().Put(
+          kTargetTopic, service + it,
+          RivalRecord({service, service, kLateBorn, true}, it, 1));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    for (int it = 0; it < 2 * kEntries; ++it)
+      CHECK(floor->Stream(it % kEntries, service + std::to_string(it)).whole);
+  }
+}
+
 TEST(OddEntry, EntriesStartWithOddRecordsInAListOfManyPages) {
   PutOddRecords();
   floor->store().SetPageSize(2);
--- a/tests/reused_address_test.cc
+++ b/tests/reused_address_test.cc
@@ -150,7 +150,7 @@
         CHECK(!fault.IsDisprovedBy(EventLoop::Now()));
         ++faults;
       },
-      [](const std::string&) {});
+      [](const std::string&) {}, [](const std::string&) {});
   const auto check = [&](const std::function<void(Instant now)>& start) {
     const int reports = successor.reports();
     std::optional<Instant> stop_at;
