--- a/modules/bbv_fleet/target_registry.h
+++ b/modules/bbv_fleet/target_registry.h
@@ -212,9 +212,10 @@
       std::set<std::string, std::less<>> services);
 
   // Applies a listed record. Returns true if anything but its heartbeat
-  // changed and the target is in use. A record that is older than the known state of its target is
-  // ignored, because a list restored from a backup contains such records: it
-  // neither brings back a removed target nor makes a leaving one ready again.
+  // changed and the target is in use. A record that is older than the known
+  // state of its target is ignored, because a list restored from a backup
+  // contains such records: it neither brings back a removed target nor makes a
+  // leaving one ready again.
   bool Apply(const TargetRecord& record, Instant now);
 
   // Applies a heartbeat of the target whose id has the short hash `hash` and
