Evidence of crashing calls outlives all entries

Cause: only quarantines were written to the store; the crashes that lead to one lived in the entries.

Change: the fleet's leader writes the evidence of a service once two independent crashes accuse a trait; entries read it at startup (CrashStore, formerly QuarantineStore; event crash-restored).

--- a/modules/bbv_core/event.cc
+++ b/modules/bbv_core/event.cc
@@ -85,6 +85,7 @@
     EventDescription{Event::kTargetReplaced, "target-replaced"},
     EventDescription{Event::kCrashWithdrawn, "crash-withdrawn"},
     EventDescription{Event::kQuarantineNotStored, "quarantine-not-stored"},
+    EventDescription{Event::kCrashRestored, "crash-restored"},
     EventDescription{Event::kCallDisplaced, "call-displaced"},
     EventDescription{Event::kRoomKept, "room-kept"},
     EventDescription{Event::kStreamHeld, "stream-held"},
--- a/modules/bbv_core/event.h
+++ b/modules/bbv_core/event.h
@@ -82,6 +82,7 @@
   kTargetReplaced = 115,
   kCrashWithdrawn = 140,
   kQuarantineNotStored = 141,
+  kCrashRestored = 142,
   kCallDisplaced = 150,
   kRoomKept = 151,
   kStreamHeld = 160,
--- a/modules/bbv_entry/crash_guard.cc
+++ b/modules/bbv_entry/crash_guard.cc
@@ -195,6 +195,14 @@
 bool CrashGuard::AddCrash(const std::string& service,
                           const CrashReport& report,
                           Instant now) {
+  if (!AddEvidence(service, report))
+    return false;
+  RenewFailedProbes(service, report, now);
+  return true;
+}
+
+bool CrashGuard::AddEvidence(const std::string& service,
+                             const CrashReport& report) {
   if (!evidence_[service].AddCrash(report))
     return false;
   if (const FleetTarget* target = registry_->FindByHash(report.key.target)) {
@@ -202,10 +210,23 @@
         report.key,
         RecentCrash{service, report.crashed_at, target->record.heartbeat});
   }
-  RenewFailedProbes(service, report, now);
   return true;
 }
 
+void CrashGuard::RestoreCrash(const std::string& service,
+                              const CrashReport& report,
+                              Instant now) {
+  if (!AddEvidence(service, report))
+    return;
+  log_->Write(Event::kCrashRestored, now,
+              {{"service", service},
+               {"target_hash", static_cast<int64_t>(report.key.target)},
+               {"suspects", static_cast<int64_t>(report.suspects.size())},
+               {"outputs_since", report.outputs_since},
+               {"age_ms", static_cast<int64_t>(
+                              RemainingMilliseconds(now, report.crashed_at))}});
+}
+
 void CrashGuard::RenewFailedProbes(const std::string& service,
                                    const CrashReport& report,
                                    Instant now) {
--- a/modules/bbv_entry/crash_guard.h
+++ b/modules/bbv_entry/crash_guard.h
@@ -82,7 +82,17 @@
   // nothing.
   std::vector<wire::QuarantinedPartsT> TakeDueQuarantines(Instant now);
 
+  // Adds the evidence of a crash that the entries had kept when all of them
+  // ended. Announces nothing.
+  void RestoreCrash(const std::string& service,
+                    const CrashReport& report,
+                    Instant now);
+
   const CallQuarantine& quarantine() const { return quarantine_; }
+  // By service.
+  const std::map<std::string, CrashEvidence>& evidence() const {
+    return evidence_;
+  }
 
  private:
   // A crash that would be withdrawn if its target turned out to be alive.
@@ -100,6 +110,8 @@
   bool AddCrash(const std::string& service,
                 const CrashReport& report,
                 Instant now);
+  // Adds a crash to the evidence alone; returns whether it was new.
+  bool AddEvidence(const std::string& service, const CrashReport& report);
   void RenewFailedProbes(const std::string& service,
                          const CrashReport& report,
                          Instant now);
@@ -117,7 +129,6 @@
   Announce announce_;
   ListenChecker listen_checker_;
   CrashDetector crash_detector_;
-  // By service.
   std::map<std::string, CrashEvidence> evidence_;
   CallQuarantine quarantine_;
   std::map<CrashKey, RecentCrash> recent_crashes_;
--- a/modules/bbv_entry/crash_messages.cc
+++ b/modules/bbv_entry/crash_messages.cc
@@ -1,6 +1,7 @@
 #include "bbv_entry/crash_messages.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "bbv_core/hashing.h"
 
@@ -46,6 +47,8 @@
         it.trait, it.call,
         RemainingMilliseconds(report.crashed_at, it.sent_at));
   }
+  message.silent_calls = report.silent_calls;
+  message.outputs_since = report.outputs_since;
   return message;
 }
 
@@ -59,6 +62,9 @@
     report.suspects.push_back(
         {it.part(), it.call(), report.crashed_at - BoundedTime(it.sent_ms())});
   }
+  report.silent_calls = message.silent_calls;
+  if (std::isfinite(message.outputs_since))
+    report.outputs_since = std::max(0.0, message.outputs_since);
   return report;
 }
 
--- a/modules/bbv_entry/member_directory.cc
+++ b/modules/bbv_entry/member_directory.cc
@@ -3,7 +3,7 @@
 #include <cassert>
 #include <utility>
 
-#include "bbv_entry/quarantine_store.h"
+#include "bbv_entry/crash_store.h"
 #include "platform/store_codec.h"
 
 namespace bbv {
@@ -38,16 +38,16 @@
                                  DecisionLog* log,
                                  MemberRecord own,
                                  OnMember on_member,
-                                 OnQuarantine on_quarantine,
+                                 OnCrashRecord on_crash_record,
                                  OnRead on_read)
     : store_(store),
       log_(log),
       own_(std::move(own)),
       on_member_(std::move(on_member)),
-      on_quarantine_(std::move(on_quarantine)),
+      on_crash_record_(std::move(on_crash_record)),
       on_read_(std::move(on_read)) {
   assert(store != nullptr && log != nullptr);
-  assert(on_member_ && on_quarantine_);
+  assert(on_member_ && on_crash_record_);
 }
 
 void MemberDirectory::OnTick(bool is_relay,
@@ -95,7 +95,7 @@
         if (!page)
           return;
         for (const platform::KeyedRecord& it : page->records) {
-          if (QuarantineStore::IsKey(it.key) && on_quarantine_(it))
+          if (CrashStore::IsKey(it.key) && on_crash_record_(it))
             continue;
           FrameReader reader(kMaxRecordBytes);
           reader.Append(it.value);
--- a/modules/bbv_entry/member_directory.h
+++ b/modules/bbv_entry/member_directory.h
@@ -21,9 +21,10 @@
  public:
   // Called for each record read.
   using OnMember = std::function<void(const MemberRecord& record)>;
-  // Called for each record read that holds a quarantine; returns whether it is
-  // well formed.
-  using OnQuarantine = std::function<bool(const platform::KeyedRecord& record)>;
+  // Called for each record read of the crash store; returns whether it is well
+  // formed.
+  using OnCrashRecord =
+      std::function<bool(const platform::KeyedRecord& record)>;
   // Called after all records were read.
   using OnRead = std::function<void()>;
 
@@ -31,7 +32,7 @@
                   DecisionLog* log,
                   MemberRecord own,
                   OnMember on_member,
-                  OnQuarantine on_quarantine,
+                  OnCrashRecord on_crash_record,
                   OnRead on_read);
 
   // Starts the write or read that is due. Entries with `is_relay` set read more
@@ -49,7 +50,7 @@
   DecisionLog* log_;
   MemberRecord own_;
   OnMember on_member_;
-  OnQuarantine on_quarantine_;
+  OnCrashRecord on_crash_record_;
   OnRead on_read_;
   bool registered_ = false;
   // Era of the store in which this entry's record was written.
--- a/modules/bbv_entry/peer_exchange.cc
+++ b/modules/bbv_entry/peer_exchange.cc
@@ -48,7 +48,7 @@
     : parts_(parts),
       members_(own),
       links_(loop, parts.log, own, parts.links),
-      quarantine_store_(parts.store, parts.log),
+      crash_store_(parts.store, parts.log, parts.crash_guard),
       directory_(
           parts.store,
           parts.log,
@@ -57,10 +57,7 @@
             members_.AddOrUpdate(record, EventLoop::Now());
           },
           [this](const platform::KeyedRecord& record) {
-            const auto row = quarantine_store_.OnRecord(record);
-            if (row)
-              parts_.crash_guard->OnQuarantines({*row}, EventLoop::Now());
-            return row.has_value();
+            return crash_store_.OnRecord(record, EventLoop::Now());
           },
           [this] { gossip_.ClearUnknownMembers(); }),
       gossip_(&members_, this, retry_window),
@@ -96,9 +93,8 @@
   }
   links_.OnTick(now);
   directory_.OnTick(members_.is_relay(), gossip_.has_unknown_members(), now);
-  quarantine_store_.OnTick(parts_.crash_guard->quarantine(),
-                           directory_.was_read() && members_.IsFleetLeader(now),
-                           now);
+  crash_store_.OnTick(directory_.was_read() && members_.IsFleetLeader(now),
+                      now);
   parts_.planner->SetPeers(members_.HasOtherPlanner(now),
                            members_.IsFleetLeader(now), now);
   gossip_.OnTick(now);
--- a/modules/bbv_entry/peer_exchange.h
+++ b/modules/bbv_entry/peer_exchange.h
@@ -10,10 +10,10 @@
 
 #include "bbv_entry/configuration_follower.h"
 #include "bbv_entry/crash_guard.h"
+#include "bbv_entry/crash_store.h"
 #include "bbv_entry/member_directory.h"
 #include "bbv_entry/peer_links.h"
 #include "bbv_entry/planner_agent.h"
-#include "bbv_entry/quarantine_store.h"
 #include "bbv_entry/rate_limit_exchange.h"
 #include "bbv_entry/target_follower.h"
 #include "bbv_fleet/bbv_fleet.h"
@@ -128,7 +128,7 @@
   Parts parts_;
   MemberTable members_;
   PeerLinks links_;
-  QuarantineStore quarantine_store_;
+  CrashStore crash_store_;
   MemberDirectory directory_;
   FleetGossip gossip_;
   OnFault on_fault_;
--- a/modules/bbv_fleet/crash_evidence.cc
+++ b/modules/bbv_fleet/crash_evidence.cc
@@ -33,6 +33,8 @@
 constexpr std::size_t kMaxAccusationsOfTrait = 16;
 constexpr std::size_t kMaxCrashes = 512;
 constexpr std::size_t kMaxSilentCallsOfCrash = 64;
+// Independent crashes that accuse a trait from which on they are kept.
+constexpr std::size_t kMinKeptCrashes = 2;
 
 double BinomialCoefficient(double n, double k) {
   return std::exp(std::lgamma(n + 1) - std::lgamma(k + 1) -
@@ -68,17 +70,23 @@
   bool is_new = false;
   SilentCalls& silent = silent_calls_[report.key];
   silent.crashed_at = report.crashed_at;
-  for (const CrashSuspect& it : report.suspects) {
+  const auto add_silent_call = [&silent](uint32_t call) {
     if (silent.calls.size() < kMaxSilentCallsOfCrash)
-      silent.calls.insert(it.call);
+      silent.calls.insert(call);
+  };
+  for (const CrashSuspect& it : report.suspects) {
+    add_silent_call(it.call);
     is_new |= Accuse(it.trait, {report.key,
                                 report.crashed_at,
                                 it.sent_at,
                                 it.call,
-                                outputs_,
+                                outputs_ - report.outputs_since,
                                 {it.call}});
   }
+  std::for_each(report.silent_calls.begin(), report.silent_calls.end(),
+                add_silent_call);
   has_news_ |= is_new;
+  revision_ += is_new ? 1 : 0;
   LimitMemory();
   return is_new;
 }
@@ -115,11 +123,13 @@
 
 template <typename Predicate>
 void CrashEvidence::RemoveAccusations(Predicate predicate) {
+  std::size_t removed = 0;
   for (auto& [trait, list] : accusations_) {
-    std::erase_if(list, [&, trait = trait](const Accusation& it) {
+    removed += std::erase_if(list, [&, trait = trait](const Accusation& it) {
       return predicate(trait, it);
     });
   }
+  revision_ += removed > 0 ? 1 : 0;
   std::erase_if(accusations_, [](const auto& it) { return it.second.empty(); });
 }
 
@@ -144,6 +154,7 @@
 bool CrashEvidence::ClearTrait(uint64_t trait) {
   if (accusations_.erase(trait) == 0)
     return false;
+  ++revision_;
   // Parts that were deadly together with this one are judged again without it.
   has_news_ |= std::erase_if(verdicts_, [trait](const auto& it) {
                  return std::binary_search(it.begin(), it.end(), trait);
@@ -168,6 +179,49 @@
   return keys;
 }
 
+std::vector<CrashReport> CrashEvidence::KeptCrashes() const {
+  std::map<CrashKey, CrashReport> reports;
+  Instant first = Instant::max();
+  for (const auto& [trait, list] : accusations_) {
+    if (list.size() < kMinKeptCrashes ||
+        IndependentCrashes(list).size() < kMinKeptCrashes)
+      continue;
+    first = std::min(first, list.front().crashed_at);
+    AddSuspects(trait, list, outputs_, &reports);
+  }
+  if (reports.empty())
+    return {};
+  std::vector<CrashReport> kept;
+  for (const auto& [key, silent] : silent_calls_) {
+    if (silent.crashed_at < first)
+      continue;
+    CrashReport& report = kept.emplace_back(std::move(reports[key]));
+    report.key = key;
+    report.crashed_at = silent.crashed_at;
+    report.silent_calls.assign(silent.calls.begin(), silent.calls.end());
+  }
+  std::sort(kept.begin(), kept.end(),
+            [](const CrashReport& left, const CrashReport& right) {
+              return left.crashed_at < right.crashed_at;
+            });
+  if (kept.size() > kMaxKeptCrashes)
+    kept.erase(kept.begin(), kept.end() - kMaxKeptCrashes);
+  return kept;
+}
+
+void CrashEvidence::AddSuspects(uint64_t trait,
+                                const Accusations& accusations,
+                                double outputs,
+                                std::map<CrashKey, CrashReport>* reports) {
+  for (const Accusation& it : accusations) {
+    CrashReport& report = (*reports)[it.key];
+    report.outputs_since =
+        std::max(report.outputs_since, outputs - it.outputs_before);
+    for (const uint32_t call : it.copies)
+      report.suspects.push_back({trait, call, it.sent_at});
+  }
+}
+
 std::vector<CrashEvidence::Draw> CrashEvidence::MakeDraws(
     uint64_t trait,
     const Accusations& accusations,
--- a/modules/bbv_fleet/crash_evidence.h
+++ b/modules/bbv_fleet/crash_evidence.h
@@ -27,11 +27,15 @@
   }
 };
 
-// What one entry saw of a crash.
+// What one entry saw of a crash, or what all entries knew of it earlier.
 struct CrashReport {
   CrashKey key;
   Instant crashed_at{};
   std::vector<CrashSuspect> suspects;
+  // Calls without output that the crash ended, in addition to the suspects'.
+  std::vector<uint32_t> silent_calls = {};
+  // Calls of all entries that had output between the crash and the report.
+  double outputs_since = 0;
 };
 
 // Traits by which a call that has all of them crashes every target that begins
@@ -86,6 +90,16 @@
   // Returns the number of independent crashes that accuse `trait`.
   int CrashCount(uint64_t trait) const;
 
+  // Returns the crashes that accuse a trait which several independent crashes
+  // accuse, and the other crashes since the first of them, at most the latest
+  // kMaxKeptCrashes. Another process that adds them comes to the same verdicts.
+  // Empty while no trait is accused several times.
+  std::vector<CrashReport> KeptCrashes() const;
+  static constexpr std::size_t kMaxKeptCrashes = 32;
+
+  // Changes whenever the accusations change.
+  uint64_t revision() const { return revision_; }
+
   // Returns traits that are deadly by the present evidence, or nullopt if there
   // are no more. The same traits are returned once, until one of them is
   // cleared.
@@ -137,6 +151,12 @@
   // Removes the accusations for which `predicate(trait, accusation)` holds.
   template <typename Predicate>
   void RemoveAccusations(Predicate predicate);
+  // Adds a suspect for each copy of a call with `trait` to the reports of the
+  // crashes that accuse it.
+  static void AddSuspects(uint64_t trait,
+                          const Accusations& accusations,
+                          double outputs,
+                          std::map<CrashKey, CrashReport>* reports);
   // Returns the keys of independent crashes, in the order of their times, or
   // nothing if the same call is behind all of them.
   static std::vector<CrashKey> IndependentCrashes(
@@ -175,6 +195,7 @@
   std::set<std::vector<uint64_t>> verdicts_;
   // Whether there may be a verdict that was not returned yet.
   bool has_news_ = false;
+  uint64_t revision_ = 0;
   std::map<CrashKey, SilentCalls> silent_calls_;
   // Calls of all entries that had output, as estimated from those of this one.
   double outputs_ = 0;
--- a/modules/bbv_fleet/crash_evidence_test.cc
+++ b/modules/bbv_fleet/crash_evidence_test.cc
@@ -53,6 +53,37 @@
   CHECK(Finds({kDeadly}));
 }
 
+// Guards against learning anew after a restart of all entries.
+TEST(CrashEvidence, KeptCrashesLeadToTheSameVerdictElsewhere) {
+  Crash({{1, kDeadly}});
+  CHECK(evidence.KeptCrashes().empty());
+  Crash({{2, kDeadly}, {5}});
+  Crash({{6}});
+  CHECK(!evidence.TakeDeadlyTraits());
+  const std::vector<CrashReport> kept = evidence.KeptCrashes();
+  CHECK_EQUAL(3U, kept.size());
+  CrashEvidence restored;
+  for (const CrashReport& it : kept)
+    restored.AddCrash(it);
+  CHECK(!restored.TakeDeadlyTraits());
+  const CrashReport last = MakeCrash({{3, kDeadly}, {1}});
+  evidence.AddCrash(last);
+  restored.AddCrash(last);
+  const auto verdict = restored.TakeDeadlyTraits();
+  CHECK(verdict && verdict->traits == std::vector<uint64_t>{kDeadly});
+  CHECK(Finds({kDeadly}));
+  // Output clears the trait there too, and then nothing is kept.
+  restored.RecordOutput({kDeadly});
+  CHECK(restored.KeptCrashes().empty());
+}
+
+// Guards against many writes: targets that end together accuse popular parts.
+TEST(CrashEvidence, CrashesAtOnceAreNotKept) {
+  for (int it = 0; it < 20; ++it)
+    evidence.AddCrash(MakeCrash({{kFirst, 1}, {kFirst, 2}}, Milliseconds(1)));
+  CHECK(evidence.KeptCrashes().empty());
+}
+
 TEST(CrashEvidence, CrashesThatAreNotIndependentDoNotDelayAVerdict) {
   Crash({{1, kDeadly}});
   Crash({{2, kDeadly}});
--- a/modules/bbv_wire/wire_generated.h
+++ b/modules/bbv_wire/wire_generated.h
@@ -3889,9 +3889,13 @@
   int64_t started_unix_ms = 0;
   uint32_t age_ms = 0;
   std::vector<bbv::wire::SuspectRow> suspects{};
+  std::vector<uint32_t> silent_calls{};
+  double outputs_since = 0.0;
 };
 
 /// The end of a target's process `age_ms` ago, as the sender saw it; `target` is the low half of the id's hash.
+/// `silent_calls` are the calls without output that it ended, those of other suspects too; `outputs_since` counts the calls
+/// that had output since then. Both are set in stored evidence only.
 struct TargetCrash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef TargetCrashT NativeTableType;
   typedef TargetCrashBuilder Builder;
@@ -3901,7 +3905,9 @@
     VT_TARGET = 6,
     VT_STARTED_UNIX_MS = 8,
     VT_AGE_MS = 10,
-    VT_SUSPECTS = 12
+    VT_SUSPECTS = 12,
+    VT_SILENT_CALLS = 14,
+    VT_OUTPUTS_SINCE = 16
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -3918,6 +3924,12 @@
   const flatbuffers::Vector<const bbv::wire::SuspectRow *> *suspects() const {
     return GetPointer<const flatbuffers::Vector<const bbv::wire::SuspectRow *> *>(VT_SUSPECTS);
   }
+  const flatbuffers::Vector<uint32_t> *silent_calls() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_SILENT_CALLS);
+  }
+  double outputs_since() const {
+    return GetField<double>(VT_OUTPUTS_SINCE, 0.0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVICE) &&
@@ -3927,6 +3939,9 @@
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            VerifyOffset(verifier, VT_SUSPECTS) &&
            verifier.VerifyVector(suspects()) &&
+           VerifyOffset(verifier, VT_SILENT_CALLS) &&
+           verifier.VerifyVector(silent_calls()) &&
+           VerifyField<double>(verifier, VT_OUTPUTS_SINCE, 8) &&
            verifier.EndTable();
   }
   TargetCrashT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3953,6 +3968,12 @@
   void add_suspects(flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::SuspectRow *>> suspects) {
     fbb_.AddOffset(TargetCrash::VT_SUSPECTS, suspects);
   }
+  void add_silent_calls(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> silent_calls) {
+    fbb_.AddOffset(TargetCrash::VT_SILENT_CALLS, silent_calls);
+  }
+  void add_outputs_since(double outputs_since) {
+    fbb_.AddElement<double>(TargetCrash::VT_OUTPUTS_SINCE, outputs_since, 0.0);
+  }
   explicit TargetCrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3970,9 +3991,13 @@
     uint32_t target = 0,
     int64_t started_unix_ms = 0,
     uint32_t age_ms = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::SuspectRow *>> suspects = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const bbv::wire::SuspectRow *>> suspects = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> silent_calls = 0,
+    double outputs_since = 0.0) {
   TargetCrashBuilder builder_(_fbb);
+  builder_.add_outputs_since(outputs_since);
   builder_.add_started_unix_ms(started_unix_ms);
+  builder_.add_silent_calls(silent_calls);
   builder_.add_suspects(suspects);
   builder_.add_age_ms(age_ms);
   builder_.add_target(target);
@@ -3991,16 +4016,21 @@
     uint32_t target = 0,
     int64_t started_unix_ms = 0,
     uint32_t age_ms = 0,
-    const std::vector<bbv::wire::SuspectRow> *suspects = nullptr) {
+    const std::vector<bbv::wire::SuspectRow> *suspects = nullptr,
+    const std::vector<uint32_t> *silent_calls = nullptr,
+    double outputs_since = 0.0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto suspects__ = suspects ? _fbb.CreateVectorOfStructs<bbv::wire::SuspectRow>(*suspects) : 0;
+  auto silent_calls__ = silent_calls ? _fbb.CreateVector<uint32_t>(*silent_calls) : 0;
   return bbv::wire::CreateTargetCrash(
       _fbb,
       service__,
       target,
       started_unix_ms,
       age_ms,
-      suspects__);
+      suspects__,
+      silent_calls__,
+      outputs_since);
 }
 
 flatbuffers::Offset<TargetCrash> CreateTargetCrash(flatbuffers::FlatBufferBuilder &_fbb, const TargetCrashT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7229,7 +7259,9 @@
       (lhs.target == rhs.target) &&
       (lhs.started_unix_ms == rhs.started_unix_ms) &&
       (lhs.age_ms == rhs.age_ms) &&
-      (lhs.suspects == rhs.suspects);
+      (lhs.suspects == rhs.suspects) &&
+      (lhs.silent_calls == rhs.silent_calls) &&
+      (lhs.outputs_since == rhs.outputs_since);
 }
 
 inline bool operator!=(const TargetCrashT &lhs, const TargetCrashT &rhs) {
@@ -7251,6 +7283,8 @@
   { auto _e = started_unix_ms(); _o->started_unix_ms = _e; }
   { auto _e = age_ms(); _o->age_ms = _e; }
   { auto _e = suspects(); if (_e) { _o->suspects.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->suspects[_i] = *_e->Get(_i); } } }
+  { auto _e = silent_calls(); if (_e) { _o->silent_calls.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->silent_calls[_i] = _e->Get(_i); } } }
+  { auto _e = outputs_since(); _o->outputs_since = _e; }
 }
 
 inline flatbuffers::Offset<TargetCrash> TargetCrash::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TargetCrashT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7266,13 +7300,17 @@
   auto _started_unix_ms = _o->started_unix_ms;
   auto _age_ms = _o->age_ms;
   auto _suspects = _o->suspects.size() ? _fbb.CreateVectorOfStructs(_o->suspects) : 0;
+  auto _silent_calls = _o->silent_calls.size() ? _fbb.CreateVector(_o->silent_calls) : 0;
+  auto _outputs_since = _o->outputs_since;
   return bbv::wire::CreateTargetCrash(
       _fbb,
       _service,
       _target,
       _started_unix_ms,
       _age_ms,
-      _suspects);
+      _suspects,
+      _silent_calls,
+      _outputs_since);
 }
 
 
--- a/tests/deadly_part_test.cc
+++ b/tests/deadly_part_test.cc
@@ -48,6 +48,39 @@
   CheckFewLaterCalls(kCrashesToLearn);
 }
 
+// Guards against learning anew: all entries were killed after enough crashes,
+// but before the output that the verdict needed.
+TEST(DeadlyPart, RestartOfAllEntriesForgetsCrashesWithoutAVerdict) {
+  constexpr std::chrono::milliseconds kRareDeadlyInterval{3600};
+  constexpr std::chrono::milliseconds kRareSoundInterval{5000};
+  constexpr std::chrono::milliseconds kAfterCrash{100};
+  options.restart_ms = 3000;
+  StartFleet();
+  sound = fleet->SendStreams("sound", kRareSoundInterval,
+                             [](int n) { return "5" + std::to_string(n % 7); });
+  deadly = fleet->SendStreams("deadly", kRareDeadlyInterval,
+                              [](int) { return std::string(kDeadlyPart); });
+  standins::FleetTargets& targets = fleet->floor().targets();
+  const auto deadline =
+      std::chrono::steady_clock::now() + std::chrono::seconds(15);
+  while (targets.DeadlyCrashCount() < kCrashesToLearn &&
+         std::chrono::steady_clock::now() < deadline)
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  std::this_thread::sleep_for(kAfterCrash);
+  for (int it = 0; it < DeadlyFleet::kEntries; ++it)
+    fleet->floor().Signal(it, SIGKILL);
+  for (int it = 0; it < DeadlyFleet::kEntries; ++it) {
+    fleet->floor().WaitForExit(it);
+    fleet->floor().StartEntry(it);
+  }
+  std::this_thread::sleep_for(DeadlyFleet::kTimeToAct);
+  const int calls = targets.DeadlyCallCount();
+  std::this_thread::sleep_for(6 * kRareDeadlyInterval);
+  const int later_calls = targets.DeadlyCallCount() - calls;
+  if (later_calls > DeadlyFleet::kMaxLaterCalls)
+    FAIL((std::to_string(later_calls) + " more calls reached targets").c_str());
+}
+
 TEST(DeadlyPart, RestartOfAllEntriesForgetsAPartThatCrashesTargets) {
   StartFleet();
   StartStreams(kDeadlyPart);
