Answers without end are broken off and count against their target

What callers saw: with targets that send bytes without end, calls to sound targets waited or failed, as the entry spent its core and its memory on such bytes.

Cause: nothing bounded interim responses, one-byte chunks and comments; work grew with the bytes held; a target whose answer was broken off got the next call at once; growing answers and streams' queues were counted in part or not at all.

Change: bounds for each, EventSplitter and HttpParser read each byte once, targets beyond a bound are suspected, all bytes are in the ledger.

--- a/modules/bbv_entry/event_relay.cc
+++ b/modules/bbv_entry/event_relay.cc
@@ -1,5 +1,6 @@
 #include "bbv_entry/event_relay.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -13,6 +14,33 @@
 // stops and resumes.
 constexpr std::size_t kStopReadingBytes = 256U << 10U;
 constexpr std::size_t kResumeReadingBytes = 64U << 10U;
+// The first of them while the instance has no memory left for answers.
+constexpr std::size_t kStopReadingBytesWithoutMemory = 16U << 10U;
+// Comments between two events, and their bytes: a target may send one now and
+// then to keep its stream open.
+constexpr int kMaxIdleParts = 1024;
+constexpr std::size_t kMaxIdleBytes = 64U << 10U;
+// Events at once that repeat earlier ones, above which a target does not seem
+// to end.
+constexpr int kMaxRepeatedEvents = 16;
+
+int CountRepeated(const std::vector<StreamEvent>& events, int64_t last) {
+  return static_cast<int>(std::count_if(
+      events.begin(), events.end(),
+      [last](const auto& it) { return it.id && *it.id <= last; }));
+}
+
+// Counts a part of a stream. Returns whether too many without an id or data
+// have come since the last event.
+bool IsEndless(TargetSend* send, const StreamEvent& part) {
+  if (part.id || HasData(part)) {
+    send->idle_parts = 0;
+    send->idle_bytes = 0;
+    return false;
+  }
+  send->idle_bytes += part.text.size();
+  return ++send->idle_parts > kMaxIdleParts || send->idle_bytes > kMaxIdleBytes;
+}
 
 }  // namespace
 
@@ -32,10 +60,19 @@
   chunk_.clear();
   Batch batch;
   batch.last_event = last_event;
-  for (const StreamEvent& it : send->splitter.Split(data)) {
+  const std::vector<StreamEvent>& events = send->splitter.Split(data);
+  for (const StreamEvent& it : events) {
     batch.fault = FindFault(*send, it, batch.last_event);
-    if (!batch.fault.empty())
+    if (!batch.fault.empty()) {
+      batch.is_endless =
+          CountRepeated(events, batch.last_event) > kMaxRepeatedEvents;
+      return batch;
+    }
+    if (IsEndless(send, it)) {
+      batch.fault = "no event among comments";
+      batch.is_endless = true;
       return batch;
+    }
     // Comments and the like before the first event repeat the first target's.
     if (!it.id && !HasData(it) && send->events == 0 &&
         (send->resuming || is_replacement))
@@ -50,8 +87,10 @@
     chunk_.append(it.text);
   }
   batch.text = chunk_;
-  if (send->splitter.is_overlong())
+  if (send->splitter.is_overlong()) {
     batch.fault = "event without end";
+    batch.is_endless = true;
+  }
   return batch;
 }
 
@@ -77,8 +116,10 @@
   return !send.resuming || SameFieldName(MediaType(send.head), media_type_);
 }
 
-bool EventRelay::PauseIfFull(std::size_t queued_bytes) {
-  if (paused_ || queued_bytes <= kStopReadingBytes)
+bool EventRelay::PauseIfFull(std::size_t queued_bytes, bool has_memory) {
+  const std::size_t limit =
+      has_memory ? kStopReadingBytes : kStopReadingBytesWithoutMemory;
+  if (paused_ || queued_bytes <= limit)
     return false;
   paused_ = true;
   return true;
--- a/modules/bbv_entry/event_relay.h
+++ b/modules/bbv_entry/event_relay.h
@@ -25,6 +25,9 @@
     // Why the target's output is faulty; empty if it is not. A faulty batch is
     // not to be relayed.
     std::string_view fault;
+    // Whether the fault is output that brings the stream no further and does
+    // not seem to end.
+    bool is_endless = false;
     // Valid until the next Collect().
     std::string_view text;
     // Id of the last event.
@@ -66,8 +69,9 @@
   // slowly.
   bool is_paused() const { return paused_; }
   // Returns true when reading has to stop, or may go on, with `queued_bytes`
-  // that the caller has not taken.
-  bool PauseIfFull(std::size_t queued_bytes);
+  // that the caller has not taken. `has_memory` says whether the instance has
+  // memory left for them.
+  bool PauseIfFull(std::size_t queued_bytes, bool has_memory);
   bool ResumeIfTaken(std::size_t queued_bytes);
   // Another send, whose answer is read, takes over.
   void OnSendChanged() { paused_ = false; }
--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -13,6 +13,7 @@
 
 // Answers that are not streams are buffered and relayed whole, up to this size.
 constexpr std::size_t kMaxAnswerBytes = 16U << 20U;
+constexpr char kEndlessAnswer[] = "answer without end";
 
 }  // namespace
 
@@ -35,7 +36,8 @@
       relay_(Milliseconds(call_.request().route->event_gap_objective_ms)),
       log_(context, &call_, &relay_),
       admission_(context),
-      path_change_(context, &call_) {
+      path_change_(context, &call_),
+      queued_hold_(context->memory_ledger, MemoryLedger::Use::kAnswer) {
   assert(context != nullptr && caller != nullptr);
 }
 
@@ -60,6 +62,8 @@
 }
 
 void RelayedCall::OnTick(Instant now) {
+  if (queued_hold_.bytes() > 0)
+    queued_hold_.Set(caller_ == nullptr ? 0 : caller_->queued_bytes());
   if (relay_.is_paused() && caller_ != nullptr) {
     // The gap is caused by the caller, not by a fault on the path.
     call_.OnEventRelayed(call_.last_event(), now);
@@ -224,6 +228,7 @@
 void RelayedCall::FinishSend(TargetSend* send, bool failed, Instant now) {
   send->in_flight = false;
   send->is_continuation_refused = false;
+  send->splitter.Reset();
   context_->selector->RemoveInFlight(&send->dispatch);
   if (send == sends_.active())
     path_change_.Release();
@@ -302,15 +307,27 @@
     return;
   }
   const std::size_t bytes = send->body.size() + data.size();
-  const bool too_large = bytes > kMaxAnswerBytes;
-  if (too_large || !send->body_hold.GrowTo(bytes)) {
+  if (bytes > kMaxAnswerBytes) {
     send->DropBody();
-    FailBadAnswer(send, too_large ? "answer too large" : "no memory left");
+    FailEndlessAnswer(send, "answer too large");
+    return;
+  }
+  if (!send->ReserveBody(bytes)) {
+    send->DropBody();
+    FailBadAnswer(send, "no memory left");
     return;
   }
   send->body.append(data);
 }
 
+void RelayedCall::FailEndlessAnswer(TargetSend* send,
+                                    std::string_view evidence) {
+  const std::string target_id = send->dispatch.target_id;
+  FailBadAnswer(send, evidence);
+  context_->on_target_fault(
+      {target_id, std::string(evidence), std::nullopt, true});
+}
+
 void RelayedCall::FailBadAnswer(TargetSend* send, std::string_view evidence) {
   context_->client->Cancel(send->exchange);
   FailSend(send, {CallEndReason::kBadAnswer, false, false, {}}, evidence);
@@ -328,7 +345,10 @@
   if (batch.has_started_output)
     context_->crash_guard->OnOutput(Guarded(), now);
   if (!batch.fault.empty()) {
-    FailBadAnswer(send, batch.fault);
+    if (batch.is_endless)
+      FailEndlessAnswer(send, batch.fault);
+    else
+      FailBadAnswer(send, batch.fault);
     return;
   }
   if (batch.text.empty() || caller_ == nullptr)
@@ -346,7 +366,8 @@
   call_.OnEventRelayed(batch.last_event, now);
   if (batch.ends_unnumbered)
     call_.OnUnnumberedOutput();
-  if (relay_.PauseIfFull(caller_->queued_bytes()))
+  const std::size_t queued = caller_->queued_bytes();
+  if (relay_.PauseIfFull(queued, queued_hold_.Set(queued)))
     context_->client->SetReadingPaused(send->exchange, true);
 }
 
@@ -428,7 +449,8 @@
 void RelayedCall::OnExchangeFailed(TargetSend* send, ExchangeFailure failure) {
   SendFailure send_failure;
   send_failure.not_run = failure == ExchangeFailure::kNotConnected;
-  send_failure.end = failure == ExchangeFailure::kBadAnswer
+  const bool is_endless = failure == ExchangeFailure::kEndless;
+  send_failure.end = failure == ExchangeFailure::kBadAnswer || is_endless
                          ? CallEndReason::kBadAnswer
                          : CallEndReason::kConnectionBroken;
   const std::string target_id = send->dispatch.target_id;
@@ -440,11 +462,14 @@
   FailSend(send, send_failure,
            failure == ExchangeFailure::kNotConnected ? "not connected"
            : failure == ExchangeFailure::kBroken     ? "broken"
+           : is_endless                              ? kEndlessAnswer
                                                      : "bad answer");
   // Reported after FailSend() has rerouted this call, so that it is not
   // rerouted twice.
   if (failure == ExchangeFailure::kNotConnected)
     context_->on_target_fault({target_id, "not connected", asked_at, false});
+  if (is_endless)
+    context_->on_target_fault({target_id, kEndlessAnswer, std::nullopt, true});
 }
 
 void RelayedCall::FailSend(TargetSend* send,
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -111,6 +111,9 @@
   void AcceptOutput(TargetSend* send, Instant now);
   // Fails a send because its answer violates the protocol.
   void FailBadAnswer(TargetSend* send, std::string_view evidence);
+  // Fails a send because its answer does not seem to end; its target gets no
+  // calls for a while.
+  void FailEndlessAnswer(TargetSend* send, std::string_view evidence);
   // Fails a send if its answer, which is not a stream, cannot be relayed;
   // returns whether that is so.
   bool FailUnusableAnswer(TargetSend* send);
@@ -147,6 +150,8 @@
   CallLog log_;
   CallAdmission admission_;
   PathChange path_change_;
+  // Bytes of a stream that its caller has not taken yet.
+  MemoryLedger::Hold queued_hold_;
 
   // Why the last path selection failed.
   PathFailure path_failure_ = PathFailure::kNone;
--- a/modules/bbv_entry/target_requests.cc
+++ b/modules/bbv_entry/target_requests.cc
@@ -10,6 +10,8 @@
 constexpr int kOk = 200;
 constexpr int kAccepted = 202;
 constexpr int kConflict = 409;
+// A report names each of the target's stalled calls.
+constexpr std::size_t kMaxAnswerBytes = 256U << 10U;
 
 }  // namespace
 
@@ -66,7 +68,8 @@
               platform::DecodeOrderRefusal(answer->body).fault_address;
         }
         done(result);
-      });
+      },
+      kMaxAnswerBytes);
 }
 
 void FetchReport(HttpClient* client,
@@ -95,7 +98,8 @@
           result.report.reset();
         }
         done(result);
-      });
+      },
+      kMaxAnswerBytes);
 }
 
 }  // namespace bbv
--- a/modules/bbv_entry/target_send.cc
+++ b/modules/bbv_entry/target_send.cc
@@ -47,6 +47,20 @@
          (fault.empty() || fault == dispatch.target_address);
 }
 
+bool TargetSend::ReserveBody(std::size_t bytes) {
+  if (bytes <= body.capacity())
+    return body_hold.GrowTo(bytes);
+  // The body grows by half, so that few bytes are moved and little room stays
+  // unused.
+  for (const std::size_t capacity : {bytes + bytes / 2, bytes}) {
+    if (!body_hold.GrowTo(capacity))
+      continue;
+    body.reserve(capacity);
+    return true;
+  }
+  return false;
+}
+
 std::shared_ptr<const std::string> TargetSend::TakeBody() {
   return ShareHeldText(std::exchange(body, {}), std::move(body_hold));
 }
--- a/modules/bbv_entry/target_send.h
+++ b/modules/bbv_entry/target_send.h
@@ -63,6 +63,10 @@
   // if it can.
   std::optional<AnswerFault> FindAnswerFault() const;
 
+  // Makes room for a body of `bytes`, counted in `body_hold`. Returns false if
+  // there is no memory for it.
+  [[nodiscard]] bool ReserveBody(std::size_t bytes);
+
   // Returns what was received of an answer that is not a stream, and releases
   // it.
   std::shared_ptr<const std::string> TakeBody();
@@ -94,6 +98,9 @@
   // Whether the head showed that the answer does not continue the stream.
   bool is_continuation_refused = false;
   EventSplitter splitter;
+  // Comments and the like since the last event, and their bytes.
+  int idle_parts = 0;
+  std::size_t idle_bytes = 0;
   // Events relayed from this send.
   int events = 0;
 
--- a/modules/bbv_front/caller_connection.cc
+++ b/modules/bbv_front/caller_connection.cc
@@ -205,6 +205,7 @@
       Reject(413);
       break;
     case ParseStatus::kMalformed:
+    case ParseStatus::kTooManyParts:
       Reject(400);
       break;
   }
--- a/modules/bbv_front/http_client.cc
+++ b/modules/bbv_front/http_client.cc
@@ -15,7 +15,10 @@
 constexpr Milliseconds kIdleTimeoutMargin{700};
 constexpr std::size_t kMaxResponseBytes = 64U << 20U;
 constexpr std::size_t kMaxHeadBytes = 64U << 10U;
-constexpr std::size_t kMaxCollectedResponseBytes = 8U << 20U;
+constexpr int kMaxInterimResponses = 16;
+constexpr std::size_t kMaxSmallChunks = 4096;
+// Responses to earlier requests that may precede the one to a request.
+constexpr int kMaxStaleResponses = 16;
 
 Milliseconds IdleTimeout(const HttpHead& head) {
   const std::string* keep_alive = head.Find("Keep-Alive");
@@ -59,7 +62,8 @@
       : client_(client),
         address_(std::move(address)),
         parser_(HttpParser::Kind::kResponses,
-                {kMaxHeadBytes, kMaxResponseBytes},
+                {kMaxHeadBytes, kMaxResponseBytes, kMaxInterimResponses,
+                 kMaxSmallChunks},
                 this) {}
 
   bool Open(const SocketAddress& address) {
@@ -73,6 +77,7 @@
     sink_ = sink;
     request_ = std::move(request);
     skipping_stale_response_ = false;
+    stale_responses_ = 0;
     if (stream_ != nullptr && stream_->connected())
       SendRequest();
   }
@@ -148,6 +153,10 @@
       // Response to an earlier request; the expected response may follow.
       skipping_stale_response_ = false;
       reusable_ = false;
+      if (++stale_responses_ > kMaxStaleResponses) {
+        status = ParseStatus::kTooManyParts;
+        break;
+      }
       parser_.StartNextMessage();
       status = parser_.Parse({});
     }
@@ -156,7 +165,8 @@
     if (status == ParseStatus::kComplete)
       Complete();
     else if (status != ParseStatus::kNeedMore)
-      Fail(ExchangeFailure::kBadAnswer);
+      Fail(status == ParseStatus::kMalformed ? ExchangeFailure::kBadAnswer
+                                             : ExchangeFailure::kEndless);
   }
 
   void OnStreamEnd(StreamEnd end) override {
@@ -260,6 +270,8 @@
   ExchangeRequest request_;
   ExchangeSink* sink_ = nullptr;
   bool skipping_stale_response_ = false;
+  // Responses skipped during the current exchange.
+  int stale_responses_ = 0;
   // Whether a response was received, which the peer may send again.
   bool may_have_stale_response_ = false;
   bool sent_ = false;
@@ -374,8 +386,9 @@
 
 void ResponseCollector::Fetch(HttpClient* client,
                               ExchangeRequest request,
-                              Done done) {
-  auto* sink = new ResponseCollector(client, std::move(done));
+                              Done done,
+                              std::size_t max_bytes) {
+  auto* sink = new ResponseCollector(client, std::move(done), max_bytes);
   sink->exchange_ = client->Send(std::move(request), sink);
 }
 
@@ -385,7 +398,7 @@
 
 void ResponseCollector::OnResponseBody(std::string_view data) {
   response_.body.append(data);
-  if (response_.body.size() <= kMaxCollectedResponseBytes)
+  if (response_.body.size() <= max_bytes_)
     return;
   const std::unique_ptr<ResponseCollector> self(this);
   client_->Cancel(exchange_);
--- a/modules/bbv_front/http_client.h
+++ b/modules/bbv_front/http_client.h
@@ -27,6 +27,9 @@
   // The received data is not a valid response, or it may belong to another
   // request.
   kBadAnswer,
+  // The received data exceeds what a response may have: the peer may send
+  // without end.
+  kEndless,
 };
 
 // Receives the response of one exchange. Any method may cancel the exchange.
@@ -155,8 +158,14 @@
   // Called with the response, or with nullptr if the exchange failed.
   using Done = std::function<void(const HttpResponse* answer)>;
 
-  // Sends `request` with `client` and calls `done` once.
-  static void Fetch(HttpClient* client, ExchangeRequest request, Done done);
+  static constexpr std::size_t kMaxBytes = 8U << 20U;
+
+  // Sends `request` with `client` and calls `done` once. A response whose body
+  // exceeds `max_bytes` counts as failed.
+  static void Fetch(HttpClient* client,
+                    ExchangeRequest request,
+                    Done done,
+                    std::size_t max_bytes = kMaxBytes);
 
   void OnResponseHead(HttpHead head) override;
   void OnResponseBody(std::string_view data) override;
@@ -164,12 +173,13 @@
   void OnExchangeFailed(ExchangeFailure failure) override;
 
  private:
-  ResponseCollector(HttpClient* client, Done done)
-      : client_(client), done_(std::move(done)) {}
+  ResponseCollector(HttpClient* client, Done done, std::size_t max_bytes)
+      : client_(client), done_(std::move(done)), max_bytes_(max_bytes) {}
 
   HttpClient* client_;
   HttpClient::ExchangeId exchange_ = 0;
   Done done_;
+  std::size_t max_bytes_;
   HttpResponse response_;
 };
 
--- a/modules/bbv_http/event_splitter.cc
+++ b/modules/bbv_http/event_splitter.cc
@@ -1,6 +1,8 @@
 #include "bbv_http/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace bbv {
 namespace {
@@ -39,28 +41,35 @@
 
 const std::vector<StreamEvent>& EventSplitter::Split(std::string_view data) {
   events_.clear();
-  std::string_view rest = data;
-  if (!partial_.empty()) {
-    joined_ = std::move(partial_);
-    joined_.append(data);
-    partial_.clear();
-    rest = joined_;
-  }
+  buffer_.erase(0, std::exchange(consumed_, 0));
+  // Without an incomplete event, the usual case, `data` is split in place.
+  const bool is_in_place = buffer_.empty();
+  // The end of an event may have begun in the bytes received before.
+  std::size_t search_from =
+      buffer_.size() - std::min(buffer_.size(), kEventEnd.size() - 1);
+  if (!is_in_place)
+    buffer_.append(data);
+  const std::string_view text = is_in_place ? data : buffer_;
+  std::size_t begin = 0;
   while (true) {
-    const std::size_t end = rest.find(kEventEnd);
+    const std::size_t end = text.find(kEventEnd, search_from);
     if (end == std::string_view::npos)
       break;
-    const std::string_view text = rest.substr(0, end + kEventEnd.size());
-    events_.push_back({text, FindId(text)});
-    rest.remove_prefix(text.size());
+    search_from = end + kEventEnd.size();
+    const std::string_view event = text.substr(begin, search_from - begin);
+    events_.push_back({event, FindId(event)});
+    begin = search_from;
   }
-  partial_.assign(rest);
+  if (is_in_place)
+    buffer_.assign(text.substr(begin));
+  else
+    consumed_ = begin;
   return events_;
 }
 
 void EventSplitter::Reset() {
-  partial_.clear();
-  joined_.clear();
+  std::string().swap(buffer_);
+  consumed_ = 0;
   events_.clear();
 }
 
--- a/modules/bbv_http/event_splitter.h
+++ b/modules/bbv_http/event_splitter.h
@@ -33,22 +33,26 @@
 
   // Appends received bytes and returns the events that they complete. The texts
   // point into the splitter or into `data`; they are valid until the next call
-  // and only as long as `data` is.
+  // and only as long as `data` is. The time taken depends on `data` alone, not
+  // on the incomplete event.
   const std::vector<StreamEvent>& Split(std::string_view data);
 
   // Whether the incomplete event exceeds kMaxEventBytes, so that the stream can
   // be abandoned.
-  bool is_overlong() const { return partial_.size() > kMaxEventBytes; }
+  bool is_overlong() const { return partial_bytes() > kMaxEventBytes; }
 
   // Whether an incomplete event is buffered.
-  bool has_partial_event() const { return !partial_.empty(); }
+  bool has_partial_event() const { return partial_bytes() > 0; }
 
-  // Discards all buffered data, before a stream from another source.
+  // Discards all buffered data and releases its memory.
   void Reset();
 
  private:
-  std::string partial_;
-  std::string joined_;
+  std::size_t partial_bytes() const { return buffer_.size() - consumed_; }
+
+  // The events returned last, up to `consumed_`, and the incomplete one.
+  std::string buffer_;
+  std::size_t consumed_ = 0;
   std::vector<StreamEvent> events_;
 };
 
--- a/modules/bbv_http/http_parser.cc
+++ b/modules/bbv_http/http_parser.cc
@@ -57,6 +57,10 @@
   virtual bool keeps_alive() const = 0;
   virtual bool has_framing() const = 0;
   virtual bool understands_chunks() const = 0;
+  // Whether the message was an interim (1xx) response, which the final response
+  // follows.
+  virtual bool is_interim() const = 0;
+  virtual bool has_too_many_chunks() const = 0;
 };
 
 template <bool kIsRequest>
@@ -88,6 +92,8 @@
   bool understands_chunks() const override {
     return version_ >= kFirstChunkedVersion;
   }
+  bool is_interim() const override { return interim_; }
+  bool has_too_many_chunks() const override { return too_many_chunks_; }
 
  private:
   void on_request_impl(http::verb /*method*/,
@@ -135,9 +141,15 @@
     sink_->OnBody(ToStdStringView(body));
     return body.size();
   }
-  void on_chunk_header_impl(uint64_t /*size*/,
+  void on_chunk_header_impl(uint64_t size,
                             string_view /*extensions*/,
-                            error_code& /*ec*/) override {}
+                            error_code& ec) override {
+    chunked_bytes_ += size;
+    too_many_chunks_ =
+        ++chunks_ > max_chunks_ + chunked_bytes_ / kBytesPerChunk;
+    if (too_many_chunks_)
+      ec = http::error::body_limit;
+  }
   std::size_t on_chunk_body_impl(uint64_t /*remain*/,
                                  string_view body,
                                  error_code& /*ec*/) override {
@@ -152,6 +164,7 @@
   void ApplyLimits(const ParserLimits& limits) {
     this->header_limit(static_cast<uint32_t>(limits.head_bytes));
     this->body_limit(limits.body_bytes);
+    max_chunks_ = limits.chunks;
   }
 
   HttpSink* sink_;
@@ -160,11 +173,10 @@
   int version_ = 0;
   bool has_data_ = false;
   bool interim_ = false;
-
- public:
-  // Whether the message was an interim (1xx) response, which the final response
-  // follows.
-  bool interim() const { return interim_; }
+  std::size_t max_chunks_ = 0;
+  std::size_t chunks_ = 0;
+  uint64_t chunked_bytes_ = 0;
+  bool too_many_chunks_ = false;
 };
 
 HttpParser::HttpParser(Kind kind, ParserLimits limits, HttpSink* sink)
@@ -208,20 +220,19 @@
       return pending_.size() > limits_.head_bytes ? ParseStatus::kHeadTooLarge
                                                   : ParseStatus::kNeedMore;
     }
+    if (message_parser_->has_too_many_chunks())
+      return ParseStatus::kTooManyParts;
     if (ec)
       return ToParseStatus(ec);
     if (message_parser_->done()) {
-      pending_.assign(rest);
-      if (kind_ == Kind::kResponses &&
-          static_cast<BeastMessageParser<false>*>(message_parser_.get())
-              ->interim()) {
-        CreateMessageParser();
-        joined = std::move(pending_);
-        pending_.clear();
-        rest = joined;
-        continue;
+      if (!message_parser_->is_interim()) {
+        pending_.assign(rest);
+        return ParseStatus::kComplete;
       }
-      return ParseStatus::kComplete;
+      if (++interim_responses_ > limits_.interim_responses)
+        return ParseStatus::kTooManyParts;
+      CreateMessageParser();
+      continue;
     }
     if (n == 0) {
       pending_.assign(rest);
@@ -248,6 +259,7 @@
 }
 
 void HttpParser::StartNextMessage() {
+  interim_responses_ = 0;
   CreateMessageParser();
 }
 
--- a/modules/bbv_http/http_parser.h
+++ b/modules/bbv_http/http_parser.h
@@ -2,6 +2,7 @@
 #define MODULES_BBV_HTTP_HTTP_PARSER_H_
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -31,12 +32,19 @@
   // The head or body exceeds ParserLimits.
   kHeadTooLarge,
   kBodyTooLarge,
+  // The message has more interim responses or chunks than ParserLimits allow.
+  kTooManyParts,
 };
 
 // Upper bounds of a message's size.
 struct ParserLimits {
   std::size_t head_bytes = 16384;
   std::size_t body_bytes = 4U << 20U;
+  // Interim responses before the final one.
+  int interim_responses = 16;
+  // Chunks of a body, in addition to one for each kBytesPerChunk of it: smaller
+  // ones cost far more to read than they carry.
+  std::size_t chunks = std::numeric_limits<std::size_t>::max() / 2;
 };
 
 // Strict incremental parser of consecutive HTTP/1.1 messages.
@@ -50,6 +58,9 @@
  public:
   enum class Kind : uint8_t { kRequests, kResponses };
 
+  // See ParserLimits::chunks.
+  static constexpr std::size_t kBytesPerChunk = 16;
+
   // `sink` must outlive the parser.
   HttpParser(Kind kind, ParserLimits limits, HttpSink* sink);
   ~HttpParser();
@@ -105,6 +116,8 @@
   ParserLimits limits_;
   HttpSink* sink_;
   std::unique_ptr<MessageParser> message_parser_;
+  // Interim responses since the last final one.
+  int interim_responses_ = 0;
   std::string pending_;
 };
 
--- a/modules/bbv_http/http_parser_test.cc
+++ b/modules/bbv_http/http_parser_test.cc
@@ -197,3 +197,52 @@
     CHECK_TRUE(fed <= kMaxBytesUntilRejected);
   }
 }
+
+// Guards against a connection that is read for ever: each interim response was
+// accepted, however many there were.
+TEST(HttpParser, RejectsInterimResponsesWithoutEnd) {
+  Collector sink;
+  HttpParser parser(HttpParser::Kind::kResponses, {4096, 4096, 2}, &sink);
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+  const std::string final = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+  for (int it = 0; it < 2; ++it) {
+    CHECK(parser.Parse(interim + interim + final) == ParseStatus::kComplete);
+    parser.StartNextMessage();
+  }
+  CHECK_EQUAL(2, sink.messages);
+  CHECK(parser.Parse(interim + interim + interim) ==
+        ParseStatus::kTooManyParts);
+}
+
+// Guards against the same with chunks that carry next to nothing.
+TEST(HttpParser, RejectsTinyChunksWithoutEnd) {
+  constexpr std::size_t kMaxChunks = 100;
+  Collector sink;
+  HttpParser parser(HttpParser::Kind::kResponses,
+                    {4096, 1U << 20U, 2, kMaxChunks}, &sink);
+  CHECK(parser.Parse("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") ==
+        ParseStatus::kNeedMore);
+  // Larger chunks do not count.
+  for (std::size_t it = 0; it < 2 * kMaxChunks; ++it) {
+    CHECK(parser.Parse("10\r\n0123456789abcdef\r\n") == ParseStatus::kNeedMore);
+  }
+  ParseStatus status = ParseStatus::kNeedMore;
+  std::size_t chunks = 0;
+  for (; status == ParseStatus::kNeedMore && chunks < 3 * kMaxChunks; ++chunks)
+    status = parser.Parse("1\r\nx\r\n");
+  CHECK(status == ParseStatus::kTooManyParts);
+  CHECK(chunks >= kMaxChunks);
+}
+
+// Callers may send bodies in chunks of any size.
+TEST(HttpParser, AcceptsTinyChunksOfRequests) {
+  Collector sink;
+  HttpParser parser(HttpParser::Kind::kRequests, {4096, 1U << 20U}, &sink);
+  std::string body;
+  for (int it = 0; it < 20'000; ++it)
+    body += "1\r\nx\r\n";
+  CHECK(parser.Parse(
+            "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" +
+            body + "0\r\n\r\n") == ParseStatus::kComplete);
+  CHECK_EQUAL(20'000U, sink.body.size());
+}
--- a/tests/fleet_floor.cc
+++ b/tests/fleet_floor.cc
@@ -292,6 +292,23 @@
   std::abort();
 }
 
+double FleetFloor::ProcessorSeconds(int entry) const {
+  std::ifstream file("/proc/" + std::to_string(entries_[entry]->pid) + "/stat");
+  std::string line;
+  std::getline(file, line);
+  // The name of the program may contain spaces; user and system time are the
+  // twelfth and thirteenth words after it.
+  std::istringstream words(line.substr(line.rfind(')') + 1));
+  constexpr int kWordsBefore = 11;
+  std::string word;
+  for (int it = 0; it < kWordsBefore; ++it)
+    words >> word;
+  double user = 0;
+  double system = 0;
+  words >> user >> system;
+  return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
 std::size_t FleetFloor::OpenDescriptors(int entry) const {
   const std::filesystem::directory_iterator folder(
       "/proc/" + std::to_string(entries_[entry]->pid) + "/fd");
--- a/tests/fleet_floor.h
+++ b/tests/fleet_floor.h
@@ -99,6 +99,8 @@
   std::string Metrics(int entry);
   // The most memory that the process has used, in bytes. Precondition: it runs.
   std::size_t PeakMemory(int entry) const;
+  // The processor time that the process has used. Precondition: it runs.
+  double ProcessorSeconds(int entry) const;
   // The descriptors that the process has open.
   std::size_t OpenDescriptors(int entry) const;
 
--- a/tests/standins/fleet_standin.cc
+++ b/tests/standins/fleet_standin.cc
@@ -267,6 +267,8 @@
   std::atomic<bool> draining{false};
   std::atomic<bool> unlisted{false};
   std::atomic<bool> endless{false};
+  // Not changed any more once `endless` is set.
+  std::string endless_piece;
   std::atomic<int> answer_delay_ms{0};
   std::atomic<int> requests{0};
   std::atomic<int> calls{0};
@@ -686,10 +688,10 @@
   response.set_header("X-Attempt-Id", request.get_header_value("X-Attempt-Id"));
   response.set_header("X-Response-Signature", "s");
   response.set_chunked_content_provider(
-      "text/event-stream", [this](std::size_t, httplib::DataSink& sink) {
-        const std::string junk(1 << 16, 'x');
-        sink.write(junk.data(), junk.size());
-        return !stopping_;
+      "text/event-stream",
+      [this, target](std::size_t, httplib::DataSink& sink) {
+        const std::string& piece = target->endless_piece;
+        return sink.write(piece.data(), piece.size()) && !stopping_;
       });
   return true;
 }
@@ -784,7 +786,9 @@
   targets_[target]->answer_delay_ms = static_cast<int>(delay.count());
 }
 
-void FleetTargets::SendEndlessResponses(int target) {
+void FleetTargets::SendEndlessResponses(int target, const std::string& piece) {
+  targets_[target]->endless_piece =
+      piece.empty() ? std::string(1 << 16, 'x') : piece;
   targets_[target]->endless = true;
 }
 
--- a/tests/standins/fleet_standin.h
+++ b/tests/standins/fleet_standin.h
@@ -200,8 +200,9 @@
   // Makes a target answer every new request this much later. Answers that have
   // begun are not affected.
   void DelayAnswers(int target, std::chrono::milliseconds delay);
-  // Makes a target answer calls with an endless body.
-  void SendEndlessResponses(int target);
+  // Makes a target answer calls with an endless stream of chunks, each of which
+  // is `piece`; an empty one stands for 64 KiB of text.
+  void SendEndlessResponses(int target, const std::string& piece = {});
   // Number of calls, report requests and orders that a target has received.
   int RequestCount(int target);
   // Number of calls that a target has received.
