Reports on loads of layers keep to the target's rate limit

Cause: PlannerAgent::RequestReport looked at Retry-After, not at the limit.

Conclusion: mended; orders that change paths stay without an allowance.

--- a/modules/bbv_entry/planner_agent.cc
+++ b/modules/bbv_entry/planner_agent.cc
@@ -357,8 +357,9 @@
 void PlannerAgent::RequestReport(const std::string& id) {
   const FleetTarget* target = registry_->Find(id);
   const auto pending = pending_orders_.find(id);
+  // Without a report the target list shows the end of loading, a little later.
   if (target == nullptr || pending == pending_orders_.end() ||
-      target->IsInBackoff(EventLoop::Now()))
+      !target->AcceptsRequests(EventLoop::Now()))
     return;
   FetchReport(
       client_,
