What an unlisted target answers holds once it is listed again

Cause: answers from an address without a row were dropped, though the registry keeps what is known of unlisted targets.

Change: their state is kept whole, with the address; Retry-After, Server-Leaving and Server-Limit are noted there.

--- a/modules/bbv_entry/target_monitor.cc
+++ b/modules/bbv_entry/target_monitor.cc
@@ -227,7 +227,7 @@
 }
 
 void TargetMonitor::OnRequestSending(const std::string& address) {
-  if (FleetTarget* target = parts_.registry->FindAddress(address))
+  if (FleetTarget* target = parts_.registry->FindAnswering(address))
     target->rate_limit.RecordRequest(EventLoop::Now());
 }
 
@@ -245,7 +245,7 @@
 void TargetMonitor::OnHeadReceived(const std::string& address,
                                    const HttpHead& head,
                                    std::optional<Instant> sent_at) {
-  FleetTarget* target = parts_.registry->FindAddress(address);
+  FleetTarget* target = parts_.registry->FindAnswering(address);
   if (target == nullptr)
     return;
   const platform::TargetNotice notice = platform::DecodeNotice(head);
--- a/modules/bbv_fleet/target_registry.cc
+++ b/modules/bbv_fleet/target_registry.cc
@@ -110,11 +110,12 @@
   const auto before = unlisted_.find(record.id);
   if (before == unlisted_.end())
     return target;
-  target->refuted_at = before->second.refuted_at;
-  if (before->second.started_unix_ms == record.started_unix_ms) {
-    target->known_leaving = before->second.leaving;
-    target->backoff_until = before->second.backoff_until;
-    target->rate_limit = before->second.rate_limit;
+  const FleetTarget& known = before->second.target;
+  target->refuted_at = known.refuted_at;
+  if (known.record.started_unix_ms == record.started_unix_ms) {
+    target->known_leaving = known.known_leaving;
+    target->backoff_until = known.backoff_until;
+    target->rate_limit = known.rate_limit;
   }
   unlisted_.erase(before);
   return target;
@@ -325,24 +326,22 @@
                                int64_t removed_at_heartbeat) {
   const auto it = rows_.find(id);
   assert(it != rows_.end());
-  const FleetTarget& row = *it->second;
-  RememberUnlisted(it->first, {row.record.started_unix_ms, removed_at_heartbeat,
-                               row.known_leaving, row.backoff_until,
-                               row.rate_limit, row.refuted_at});
-  Unlink(row);
+  Unlink(*it->second);
+  RememberUnlisted(it->first, {*it->second, removed_at_heartbeat});
   rows_.erase(it);
 }
 
 void TargetRegistry::RememberUnlisted(const std::string& id,
-                                      const UnlistedTarget& unlisted) {
-  unlisted_[id] = unlisted;
+                                      UnlistedTarget unlisted) {
+  unlisted_[id] = std::move(unlisted);
   if (unlisted_.size() <= kMaxUnlisted)
     return;
-  unlisted_.erase(std::min_element(unlisted_.begin(), unlisted_.end(),
-                                   [](const auto& left, const auto& right) {
-                                     return left.second.started_unix_ms <
-                                            right.second.started_unix_ms;
-                                   }));
+  unlisted_.erase(
+      std::min_element(unlisted_.begin(), unlisted_.end(),
+                       [](const auto& left, const auto& right) {
+                         return left.second.target.record.started_unix_ms <
+                                right.second.target.record.started_unix_ms;
+                       }));
 }
 
 bool TargetRegistry::IsOutdated(const TargetRecord& record,
@@ -356,7 +355,7 @@
     oldest_heartbeat = claim->record.heartbeat;
     renewed_at = claim->listed_at;
   } else if (const auto it = unlisted_.find(record.id); it != unlisted_.end()) {
-    known_start = it->second.started_unix_ms;
+    known_start = it->second.target.record.started_unix_ms;
     oldest_heartbeat = it->second.removed_at_heartbeat + 1;
   } else {
     return false;
@@ -376,15 +375,20 @@
       it->known_leaving = true;
   }
   if (row == nullptr) {
-    UnlistedTarget unlisted{started_unix_ms, kNeverRemoved, true, {}, {}, {}};
+    UnlistedTarget unlisted;
     const auto it = unlisted_.find(id);
     if (it != unlisted_.end()) {
-      if (it->second.started_unix_ms > started_unix_ms || it->second.leaving)
+      const FleetTarget& known = it->second.target;
+      const int64_t known_start = known.record.started_unix_ms;
+      if (known_start > started_unix_ms || known.known_leaving)
         return false;
-      if (it->second.started_unix_ms == started_unix_ms)
-        unlisted.removed_at_heartbeat = it->second.removed_at_heartbeat;
+      if (known_start == started_unix_ms)
+        unlisted = it->second;
     }
-    RememberUnlisted(id, unlisted);
+    unlisted.target.record.id = id;
+    unlisted.target.record.started_unix_ms = started_unix_ms;
+    unlisted.target.known_leaving = true;
+    RememberUnlisted(id, std::move(unlisted));
     return true;
   }
   if (row->record.started_unix_ms != started_unix_ms || row->known_leaving)
@@ -458,6 +462,20 @@
   return it == by_hash_.end() ? nullptr : it->second;
 }
 
+FleetTarget* TargetRegistry::FindAnswering(std::string_view address) {
+  FleetTarget* found = FindAddress(address);
+  if (found != nullptr)
+    return found;
+  for (auto& [id, unlisted] : unlisted_) {
+    FleetTarget& target = unlisted.target;
+    if (target.record.address == address &&
+        (found == nullptr ||
+         target.record.started_unix_ms > found->record.started_unix_ms))
+      found = &target;
+  }
+  return found;
+}
+
 FleetTarget* TargetRegistry::FindAddress(std::string_view address) {
   const auto it = by_address_.find(std::string(address));
   return it == by_address_.end() ? nullptr : it->second;
--- a/modules/bbv_fleet/target_registry.h
+++ b/modules/bbv_fleet/target_registry.h
@@ -268,6 +268,12 @@
   // Returns the row whose address is `address`, or nullptr.
   FleetTarget* FindAddress(std::string_view address);
 
+  // Returns the target that answers at `address`: the row, or the target that
+  // started last of those that are not listed any more. What it states about
+  // itself also holds once it is listed again. Null if there is none; valid
+  // until the next call that changes the list.
+  FleetTarget* FindAnswering(std::string_view address);
+
   // Records that a target announced that it is leaving, to this or another
   // entry; it need not be listed. It gets no new calls until its next start.
   // Returns whether this was not known before.
@@ -347,21 +353,17 @@
   // State that is kept for a target without a row, because a list may name it
   // again.
   struct UnlistedTarget {
-    int64_t started_unix_ms = 0;
+    FleetTarget target;
     // Heartbeat at which the list removed it; a later one proves that it is
     // alive.
     int64_t removed_at_heartbeat = kNeverRemoved;
-    bool leaving = false;
-    Instant backoff_until{};
-    TargetRateLimit rate_limit;
-    Instant refuted_at{};
   };
 
   // Removes the row of `id` and keeps its state in `unlisted_`.
   // `removed_at_heartbeat` is the heartbeat at which the list removed it, or
   // kNeverRemoved. Precondition: the row exists.
   void RemoveRow(std::string_view id, int64_t removed_at_heartbeat);
-  void RememberUnlisted(const std::string& id, const UnlistedTarget& unlisted);
+  void RememberUnlisted(const std::string& id, UnlistedTarget unlisted);
   // Whether the configuration names the service of `record`.
   bool IsNamed(const TargetRecord& record) const;
   // Returns whether `record` is older than the known state of its target.
--- a/modules/bbv_fleet/target_registry_test.cc
+++ b/modules/bbv_fleet/target_registry_test.cc
@@ -348,6 +348,26 @@
   CHECK_TRUE(registry.Find("t")->AcceptsRequests(now));
 }
 
+// Guards against requests in the time for which a target wants none: what it
+// answered while it was not listed was dropped.
+TEST(TargetRegistry, WhatAnUnlistedTargetStatesHoldsOnceItIsListedAgain) {
+  registry.Remove("t");
+  CHECK(registry.FindAddress(record.address) == nullptr);
+  bbv::FleetTarget* answering = registry.FindAnswering(record.address);
+  CHECK(answering != nullptr);
+  registry.SetBackoff(answering, now + Milliseconds(4000));
+  answering->rate_limit.RecordResponse(2, now, now);
+  CHECK(registry.MarkLeaving(answering->record.id,
+                             answering->record.started_unix_ms));
+  ++record.heartbeat;
+  registry.Apply(record, now);
+  const bbv::FleetTarget* target = registry.Find("t");
+  CHECK(registry.FindAnswering(record.address) == target);
+  CHECK(target->IsInBackoff(now + Milliseconds(3999)));
+  CHECK_EQUAL(2, *target->rate_limit.per_second());
+  CHECK(target->IsLeaving());
+}
+
 TEST_GROUP(RivalClaims) {
   bbv::TargetRegistry registry;
   Instant now = Instant() + Milliseconds(1000);
