A target's state stands apart from the table; one HTTP target for tests

Change: fleet_target.{h,cc}, tests/http_target.h, OddEntry's RestartEntriesInTurn. Moves alone, no change of behaviour.

--- a/modules/bbv_fleet/bbv_fleet.h
+++ b/modules/bbv_fleet/bbv_fleet.h
@@ -18,6 +18,7 @@
 #include "bbv_fleet/fleet_call.h"
 #include "bbv_fleet/fleet_configuration.h"
 #include "bbv_fleet/fleet_index.h"
+#include "bbv_fleet/fleet_target.h"
 #include "bbv_fleet/layer_coverage.h"
 #include "bbv_fleet/layer_planner.h"
 #include "bbv_fleet/layer_replicator.h"
--- a/modules/bbv_fleet/rival_claims.cc
+++ b/modules/bbv_fleet/rival_claims.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "bbv_core/hashing.h"
-#include "bbv_fleet/target_registry.h"
 
 namespace bbv {
 namespace {
--- a/modules/bbv_fleet/rival_claims.h
+++ b/modules/bbv_fleet/rival_claims.h
@@ -11,11 +11,10 @@
 #include <vector>
 
 #include "bbv_core/instant.h"
+#include "bbv_fleet/fleet_target.h"
 
 namespace bbv {
 
-struct FleetTarget;
-
 // Listed targets whose id or address is in use by another listed target, which
 // has the better claim to it. At most one process listens at an address, but a
 // list may name several: the server before the present one, or a server that
--- a/modules/bbv_fleet/target_registry.cc
+++ b/modules/bbv_fleet/target_registry.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "bbv_core/hashing.h"
-#include "bbv_settings/socket_address.h"
 
 namespace bbv {
 namespace {
@@ -21,24 +20,12 @@
 constexpr int kMaxConsecutiveFaults = 4;
 // Weight of the latest call in the moving averages.
 constexpr double kAverageWeight = 0.1;
-// How long a report is valid.
-constexpr Milliseconds kReportLifetime{2500};
-// The slowdown outlives the report: targets stay slow for longer than an entry
-// may be without reports.
-constexpr Milliseconds kPaceLifetime{6000};
 // How long the layers of a report take precedence over those of the list, which
 // lags behind.
 constexpr Milliseconds kReportedLayersPrecedence{2000};
 constexpr double kSlowPace = 2.5;
 // Limit on the targets in `unlisted_`.
 constexpr std::size_t kMaxUnlisted = 4096;
-// Limit on the length of each text in a record.
-constexpr std::size_t kMaxTextBytes = 255;
-
-bool IsPrintable(std::string_view text) {
-  return std::all_of(text.begin(), text.end(),
-                     [](char it) { return it > ' ' && it <= '~'; });
-}
 
 bool EqualExceptHeartbeat(const TargetRecord& left, const TargetRecord& right) {
   return left.service == right.service && left.address == right.address &&
@@ -50,20 +37,6 @@
 
 }  // namespace
 
-bool IsWellFormed(const TargetRecord& record) {
-  for (const std::string* it : {&record.id, &record.service, &record.address,
-                                &record.zone, &record.accelerator}) {
-    if (it->size() > kMaxTextBytes)
-      return false;
-  }
-  const LayerRange layers = record.layers.value_or(LayerRange{0, 1});
-  return !record.id.empty() && IsPrintable(record.id) &&
-         ParseSocketAddress(record.address) && record.slots >= 0 &&
-         record.started_unix_ms >= 0 && record.heartbeat >= 0 &&
-         record.heartbeat <= kMaxHeartbeat && layers.from >= 0 &&
-         layers.from < layers.to && layers.to <= kMaxLayers;
-}
-
 std::vector<std::string> TargetRegistry::SetServices(
     std::set<std::string, std::less<>> services) {
   services_ = std::move(services);
@@ -605,15 +578,4 @@
   }
 }
 
-double FleetTarget::Pace(Instant now) const {
-  return now < reported_at + kPaceLifetime ? std::max(1.0, report.pace) : 1.0;
-}
-
-double FleetTarget::UsedTokenLayers(Instant now) const {
-  const double known = own_token_layers + peer_token_layers;
-  return now < reported_at + kReportLifetime
-             ? std::max(known, report.used_token_layers)
-             : known;
-}
-
 }  // namespace bbv
--- a/modules/bbv_http/http_parser_test.cc
+++ b/modules/bbv_http/http_parser_test.cc
@@ -204,14 +204,16 @@
   Collector sink;
   HttpParser parser(HttpParser::Kind::kResponses, {4096, 4096, 2}, &sink);
   const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
-  const std::string final = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+  const std::string two = interim + interim;
+  const std::string response =
+      two + "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
   for (int it = 0; it < 2; ++it) {
-    CHECK(parser.Parse(interim + interim + final) == ParseStatus::kComplete);
+    CHECK(parser.Parse(response) == ParseStatus::kComplete);
     parser.StartNextMessage();
   }
   CHECK_EQUAL(2, sink.messages);
-  CHECK(parser.Parse(interim + interim + interim) ==
-        ParseStatus::kTooManyParts);
+  CHECK(parser.Parse(two) == ParseStatus::kNeedMore);
+  CHECK(parser.Parse(interim) == ParseStatus::kTooManyParts);
 }
 
 // Guards against the same with chunks that carry next to nothing.
@@ -238,11 +240,11 @@
 TEST(HttpParser, AcceptsTinyChunksOfRequests) {
   Collector sink;
   HttpParser parser(HttpParser::Kind::kRequests, {4096, 1U << 20U}, &sink);
-  std::string body;
+  std::string text =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
   for (int it = 0; it < 20'000; ++it)
-    body += "1\r\nx\r\n";
-  CHECK(parser.Parse(
-            "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" +
-            body + "0\r\n\r\n") == ParseStatus::kComplete);
+    text += "1\r\nx\r\n";
+  text += "0\r\n\r\n";
+  CHECK(parser.Parse(text) == ParseStatus::kComplete);
   CHECK_EQUAL(20'000U, sink.body.size());
 }
--- a/tests/limited_load_test.cc
+++ b/tests/limited_load_test.cc
@@ -11,6 +11,7 @@
 #include "bbv_entry/planner_agent.h"
 #include "fleet_fixtures.h"
 #include "free_port.h"
+#include "http_target.h"
 
 namespace bbv {
 namespace {
@@ -24,37 +25,29 @@
 // An engine that accepts orders and loads layers for as long as it lives.
 class LoadingEngine {
  public:
-  LoadingEngine() : port_(FreePort()) {
-    server_.Post("/v1/order",
-                 [this](const httplib::Request&, httplib::Response& response) {
-                   ++requests_;
-                   response.status = kAccepted;
-                 });
-    server_.Get("/v1/report", [this](const httplib::Request&,
-                                     httplib::Response& response) {
+  LoadingEngine() {
+    target_.server().Post("/v1/order", [this](const httplib::Request&,
+                                              httplib::Response& response) {
+      ++requests_;
+      response.status = kAccepted;
+    });
+    target_.server().Get("/v1/report", [this](const httplib::Request&,
+                                              httplib::Response& response) {
       ++requests_;
       response.set_content(R"({"sequence":1,"busy":true,"queued":0,"active":0,)"
                            R"("kv_used":0,"pace":1.0,"born":1,"stalled":[]})",
                            "application/json");
     });
-    server_.bind_to_port("127.0.0.1", port_);
-    thread_ = std::thread([this] { server_.listen_after_bind(); });
-    while (!server_.is_running())
-      std::this_thread::sleep_for(std::chrono::milliseconds(1));
-  }
-  ~LoadingEngine() {
-    server_.stop();
-    thread_.join();
+    target_.Start();
   }
 
-  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  std::string address() const { return target_.address(); }
   int requests() const { return requests_; }
 
  private:
-  int port_;
-  httplib::Server server_;
-  std::thread thread_;
   std::atomic<int> requests_ = 0;
+  // Ends before what its handlers use.
+  HttpTarget target_;
 };
 
 // Counts the requests to the only target against its limit.
--- a/tests/odd_entry_test.cc
+++ b/tests/odd_entry_test.cc
@@ -107,6 +107,16 @@
         FAIL(("entry ended: " + floor->Output(it)).c_str());
     }
   }
+  // Kills each entry, starts it again and waits until it is ready, before the
+  // next one follows.
+  void RestartEntriesInTurn() {
+    for (int it = 0; it < kEntries; ++it) {
+      floor->Signal(it, SIGKILL);
+      floor->WaitForExit(it);
+      floor->StartEntry(it);
+      CHECK(floor->WaitReady(it, 5000));
+    }
+  }
   // Waits until all entries list `n` targets.
   void WaitForTargets(int n) {
     const std::string listed = "targets\"} " + std::to_string(n) + "\n";
@@ -160,13 +170,8 @@
   }
   CHECK_EQUAL(options.services, foreign);
   std::this_thread::sleep_for(std::chrono::seconds(1));
-  for (int it = 0; it < kEntries; ++it) {
-    // Restarted entries read the list before or after the configuration.
-    floor->Signal(it, SIGKILL);
-    floor->WaitForExit(it);
-    floor->StartEntry(it);
-    CHECK(floor->WaitReady(it, 5000));
-  }
+  // Restarted entries read the list before or after the configuration.
+  RestartEntriesInTurn();
   std::this_thread::sleep_for(std::chrono::seconds(1));
   for (int it = 0; it < 20; ++it) {
     const auto answer =
@@ -251,12 +256,7 @@
     floor->store().Put(kTargetTopic, "a-" + std::to_string(++n),
                        RivalRecord(kRivalKinds[0], it, 1));
   }
-  for (int it = 0; it < kEntries; ++it) {
-    floor->Signal(it, SIGKILL);
-    floor->WaitForExit(it);
-    floor->StartEntry(it);
-    CHECK(floor->WaitReady(it, 5000));
-  }
+  RestartEntriesInTurn();
   std::this_thread::sleep_for(std::chrono::seconds(1));
   for (int it = 0; it < 20; ++it) {
     const auto answer =
--- a/tests/reused_address_test.cc
+++ b/tests/reused_address_test.cc
@@ -13,6 +13,7 @@
 #include "bbv_entry/planner_agent.h"
 #include "fleet_fixtures.h"
 #include "free_port.h"
+#include "http_target.h"
 
 namespace bbv {
 namespace {
@@ -27,9 +28,9 @@
 // A target that listens at the address of one that has ended.
 class Successor {
  public:
-  Successor() : port_(FreePort()) {
-    server_.Post("/v1/order", [this](const httplib::Request& request,
-                                     httplib::Response& response) {
+  Successor() {
+    target_.server().Post("/v1/order", [this](const httplib::Request& request,
+                                              httplib::Response& response) {
       ++orders_received_;
       const std::string expected =
           request.get_header_value("X-Expect-Instance");
@@ -40,37 +41,29 @@
       ++orders_begun_;
       response.status = kAccepted;
     });
-    server_.Get("/v1/report",
-                [this](const httplib::Request&, httplib::Response& response) {
-                  ++reports_;
-                  response.set_content(
-                      R"({"sequence":0,"busy":false,"queued":0,)"
-                      R"("active":0,"kv_used":0,"pace":9.0,"born":)" +
-                          std::to_string(kSuccessorBorn) + R"(,"stalled":[]})",
-                      "application/json");
-                });
-    server_.bind_to_port("127.0.0.1", port_);
-    thread_ = std::thread([this] { server_.listen_after_bind(); });
-    while (!server_.is_running())
-      std::this_thread::sleep_for(std::chrono::milliseconds(1));
-  }
-  ~Successor() {
-    server_.stop();
-    thread_.join();
+    target_.server().Get("/v1/report", [this](const httplib::Request&,
+                                              httplib::Response& response) {
+      ++reports_;
+      response.set_content(R"({"sequence":0,"busy":false,"queued":0,)"
+                           R"("active":0,"kv_used":0,"pace":9.0,"born":)" +
+                               std::to_string(kSuccessorBorn) +
+                               R"(,"stalled":[]})",
+                           "application/json");
+    });
+    target_.Start();
   }
 
-  std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+  std::string address() const { return target_.address(); }
   int orders_received() const { return orders_received_; }
   int orders_begun() const { return orders_begun_; }
   int reports() const { return reports_; }
 
  private:
-  int port_;
-  httplib::Server server_;
-  std::thread thread_;
   std::atomic<int> orders_received_ = 0;
   std::atomic<int> orders_begun_ = 0;
   std::atomic<int> reports_ = 0;
+  // Ends before what its handlers use.
+  HttpTarget target_;
 };
 
 }  // namespace
