Crashes of one repeated call are kept too

What callers saw: in trials with entries killed after the first prompt with a deadly part and again after the second, four later requests with it reached targets, three allowed.

Cause: evidence was kept from two independent crashes on, which one call and its repetition are not; at another entry the repetition, sent within a millisecond of the crash, seemed to come before it, as times are told in milliseconds.

Change: two successive crashes suffice for keeping, not for a verdict, with 20 ms for times that others tell.

Conclusion: mended as far as the store is reached before the kill.

--- a/modules/bbv_fleet/crash_evidence.cc
+++ b/modules/bbv_fleet/crash_evidence.cc
@@ -33,8 +33,12 @@
 constexpr std::size_t kMaxAccusationsOfTrait = 16;
 constexpr std::size_t kMaxCrashes = 512;
 constexpr std::size_t kMaxSilentCallsOfCrash = 64;
-// Independent crashes that accuse a trait from which on they are kept.
+// Successive crashes that accuse a trait from which on they are kept: one call
+// may be behind all of them, and the next one comes after a restart.
 constexpr std::size_t kMinKeptCrashes = 2;
+// A call is repeated within a millisecond of a crash, and the times that other
+// entries tell are less exact.
+constexpr Milliseconds kRepeatTolerance{20};
 
 double BinomialCoefficient(double n, double k) {
   return std::exp(std::lgamma(n + 1) - std::lgamma(k + 1) -
@@ -162,17 +166,25 @@
   return true;
 }
 
+CrashEvidence::Accusations CrashEvidence::SuccessiveCrashes(
+    const Accusations& accusations,
+    Milliseconds tolerance) {
+  Accusations successive;
+  for (const Accusation& it : accusations) {
+    if (successive.empty() ||
+        it.sent_at + tolerance > successive.back().crashed_at)
+      successive.push_back(it);
+  }
+  return successive;
+}
+
 std::vector<CrashKey> CrashEvidence::IndependentCrashes(
     const Accusations& accusations) {
   std::vector<CrashKey> keys;
   std::set<uint32_t> calls;
-  Instant last_crash{};
-  for (const Accusation& it : accusations) {
-    if (!keys.empty() && it.sent_at <= last_crash)
-      continue;
+  for (const Accusation& it : SuccessiveCrashes(accusations, Milliseconds(0))) {
     keys.push_back(it.key);
     calls.insert(it.call);
-    last_crash = it.crashed_at;
   }
   if (calls.size() < 2 && keys.size() > 1)
     return {};
@@ -184,7 +196,7 @@
   Instant first = Instant::max();
   for (const auto& [trait, list] : accusations_) {
     if (list.size() < kMinKeptCrashes ||
-        IndependentCrashes(list).size() < kMinKeptCrashes)
+        SuccessiveCrashes(list, kRepeatTolerance).size() < kMinKeptCrashes)
       continue;
     first = std::min(first, list.front().crashed_at);
     AddSuspects(trait, list, outputs_, &reports);
--- a/modules/bbv_fleet/crash_evidence.h
+++ b/modules/bbv_fleet/crash_evidence.h
@@ -90,10 +90,10 @@
   // Returns the number of independent crashes that accuse `trait`.
   int CrashCount(uint64_t trait) const;
 
-  // Returns the crashes that accuse a trait which several independent crashes
-  // accuse, and the other crashes since the first of them, at most the latest
-  // kMaxKeptCrashes. Another process that adds them comes to the same verdicts.
-  // Empty while no trait is accused several times.
+  // Returns the crashes that accuse a trait which several successive crashes
+  // accuse, perhaps by one call, and the other crashes since the first of them,
+  // at most the latest kMaxKeptCrashes. Another process that adds them comes to
+  // the same verdicts. Empty while no trait is accused several times.
   std::vector<CrashReport> KeptCrashes() const;
   static constexpr std::size_t kMaxKeptCrashes = 32;
 
@@ -157,6 +157,10 @@
                           const Accusations& accusations,
                           double outputs,
                           std::map<CrashKey, CrashReport>* reports);
+  // Returns the crashes whose call was sent after the one before, or at most
+  // `tolerance` earlier, in the order of their times.
+  static Accusations SuccessiveCrashes(const Accusations& accusations,
+                                       Milliseconds tolerance);
   // Returns the keys of independent crashes, in the order of their times, or
   // nothing if the same call is behind all of them.
   static std::vector<CrashKey> IndependentCrashes(
--- a/modules/bbv_fleet/crash_evidence_test.cc
+++ b/modules/bbv_fleet/crash_evidence_test.cc
@@ -77,6 +77,21 @@
   CHECK(restored.KeptCrashes().empty());
 }
 
+// Guards against learning anew: all entries may end after each call.
+TEST(CrashEvidence, CrashesOfARepeatedCallAreKept) {
+  CrashReport first = MakeCrash({{1, kDeadly}});
+  CrashReport second = MakeCrash({{1, kDeadly}});
+  // The repetition was sent at once; another entry rounds its times.
+  for (CrashSuspect& it : second.suspects) {
+    it.call = first.suspects.front().call;
+    it.sent_at = first.crashed_at - Milliseconds(1);
+  }
+  evidence.AddCrash(first);
+  CHECK(evidence.KeptCrashes().empty());
+  evidence.AddCrash(second);
+  CHECK_EQUAL(2U, evidence.KeptCrashes().size());
+}
+
 // Guards against many writes: targets that end together accuse popular parts.
 TEST(CrashEvidence, CrashesAtOnceAreNotKept) {
   for (int it = 0; it < 20; ++it)
