New rows keep their listed layers; unnamed services share addresses again

Change: a row without a report has none; addresses are exclusive only where a named service claims them, and are settled anew when the configuration names services.

--- a/modules/bbv_fleet/target_registry.cc
+++ b/modules/bbv_fleet/target_registry.cc
@@ -45,6 +45,7 @@
     if (IsNamed(row->record))
       named.push_back(id);
   }
+  DisplaceSharedAddresses();
   SettleClaims();
   std::erase_if(named,
                 [this](const std::string& id) { return rows_.contains(id); });
@@ -102,7 +103,8 @@
   const bool changed = !EqualExceptHeartbeat(target->record, record);
   const std::optional<LayerRange> reported = target->record.layers;
   const bool recently_reported =
-      !restarted && now < target->reported_at + kReportedLayersPrecedence;
+      !restarted && target->reported_at != Instant() &&
+      now < target->reported_at + kReportedLayersPrecedence;
   target->record = record;
   target->listed_layers = record.layers;
   if (recently_reported)
@@ -153,11 +155,39 @@
   FleetTarget* of_address = FindAddress(claim.record.address);
   if (of_id != nullptr)
     holders.push_back(of_id);
-  if (of_address != nullptr && of_address != of_id)
+  if (of_address != nullptr && of_address != of_id &&
+      (IsNamed(claim.record) || IsNamed(of_address->record)))
     holders.push_back(of_address);
   return holders;
 }
 
+void TargetRegistry::DisplaceSharedAddresses() {
+  std::vector<FleetTarget*> rows;
+  for (const auto& [id, row] : rows_)
+    rows.push_back(row.get());
+  std::stable_sort(rows.begin(), rows.end(),
+                   [this](const FleetTarget* left, const FleetTarget* right) {
+                     return Outranks(*left, *right);
+                   });
+  by_address_.clear();
+  for (FleetTarget* it : rows) {
+    FleetTarget*& holder = by_address_[it->record.address];
+    if (holder == nullptr) {
+      holder = it;
+    } else if (IsNamed(holder->record)) {
+      RecordChange(*holder, *it);
+      Displace(it);
+    }
+  }
+}
+
+void TargetRegistry::RecordChange(const FleetTarget& target,
+                                  const FleetTarget& displaced) {
+  claim_changes_.push_back({target.record.id, target.record.address,
+                            displaced.record.id, displaced.record.address,
+                            displaced.refuted_at != Instant()});
+}
+
 void TargetRegistry::SettleClaims() {
   bool settled = false;
   while (!settled) {
@@ -190,9 +220,7 @@
   std::unique_ptr<FleetTarget> target = rivals_.Take(claim);
   FleetTarget* row = target.get();
   for (const FleetTarget* it : HoldersAgainst(*row)) {
-    claim_changes_.push_back({row->record.id, row->record.address,
-                              it->record.id, it->record.address,
-                              it->refuted_at != Instant()});
+    RecordChange(*row, *it);
     Displace(it);
   }
   by_hash_[HashBytes32(row->record.id)] = row;
--- a/modules/bbv_fleet/target_registry.h
+++ b/modules/bbv_fleet/target_registry.h
@@ -218,11 +218,16 @@
   FleetTarget* FindClaim(std::string_view id, std::string_view address);
   // Whether `left` has the better claim to what both name.
   bool Outranks(const FleetTarget& left, const FleetTarget& right) const;
-  // Returns the targets in use whose id or address `claim` names.
+  // Returns the targets in use whose id or address `claim` names. Targets of
+  // services that the configuration does not name get no calls, so several may
+  // share an address.
   std::vector<FleetTarget*> HoldersAgainst(const FleetTarget& claim);
   // Puts each claim to use that outranks all targets in use against it.
   void SettleClaims();
   void PutToUse(const FleetTarget* claim);
+  // Displaces the targets whose address one of a named service holds.
+  void DisplaceSharedAddresses();
+  void RecordChange(const FleetTarget& target, const FleetTarget& displaced);
   void Displace(const FleetTarget* holder);
   // Marks the targets in use that the new or changed `claim` contests, and
   // itself if it is in use and contested.
