A status outside 100 to 599 is no answer

Cause: the parser took any three digits for a status, and each reader behind it asks only whether it is one that it hopes for: 0 is neither a success, nor an error of 500 or more, nor a refusal. 600 and more passed for errors of the target's own.

Change: HttpParser takes such a response for malformed, at its start line, so for all readers of an entry at once: calls, streams, orders, reports and health questions, the store. HttpParser::fault() says what is malformed, and call-send-failed shows it.

Evidence: a proxy before each target sends the broken answer.

Why it works: no reader sees a head with such a status any more, and what follows is as for any other malformed answer: connection closed, retry or 502, failure counted.

--- a/modules/bbv_entry/relayed_call.cc
+++ b/modules/bbv_entry/relayed_call.cc
@@ -15,6 +15,23 @@
 constexpr std::size_t kMaxAnswerBytes = 16U << 20U;
 constexpr char kEndlessAnswer[] = "answer without end";
 
+// Returns the evidence of a failed exchange, for the log.
+std::string Evidence(ExchangeFailure failure, MessageFault fault) {
+  switch (failure) {
+    case ExchangeFailure::kNotConnected:
+      return "not connected";
+    case ExchangeFailure::kBroken:
+      return "broken";
+    case ExchangeFailure::kEndless:
+      return kEndlessAnswer;
+    case ExchangeFailure::kBadAnswer:
+      break;
+  }
+  if (fault == MessageFault::kNone)
+    return "bad answer";
+  return "bad answer: " + std::string(kMessageFaultNames.Name(fault));
+}
+
 }  // namespace
 
 RelayedCall::RelayedCall(CallContext* context,
@@ -446,7 +463,9 @@
     std::exchange(caller_, nullptr)->EndStream();
 }
 
-void RelayedCall::OnExchangeFailed(TargetSend* send, ExchangeFailure failure) {
+void RelayedCall::OnExchangeFailed(TargetSend* send,
+                                   ExchangeFailure failure,
+                                   MessageFault fault) {
   SendFailure send_failure;
   send_failure.not_run = failure == ExchangeFailure::kNotConnected;
   const bool is_endless = failure == ExchangeFailure::kEndless;
@@ -459,11 +478,7 @@
     context_->crash_guard->OnCallBroken(Guarded(), target_id, asked_at,
                                         send->began_output(), EventLoop::Now());
   }
-  FailSend(send, send_failure,
-           failure == ExchangeFailure::kNotConnected ? "not connected"
-           : failure == ExchangeFailure::kBroken     ? "broken"
-           : is_endless                              ? kEndlessAnswer
-                                                     : "bad answer");
+  FailSend(send, send_failure, Evidence(failure, fault));
   // Reported after FailSend() has rerouted this call, so that it is not
   // rerouted twice.
   if (failure == ExchangeFailure::kNotConnected)
--- a/modules/bbv_entry/relayed_call.h
+++ b/modules/bbv_entry/relayed_call.h
@@ -99,7 +99,9 @@
   void OnResponseHead(TargetSend* send, HttpHead head) override;
   void OnResponseBody(TargetSend* send, std::string_view data) override;
   void OnResponseEnd(TargetSend* send) override;
-  void OnExchangeFailed(TargetSend* send, ExchangeFailure failure) override;
+  void OnExchangeFailed(TargetSend* send,
+                        ExchangeFailure failure,
+                        MessageFault fault) override;
 
  private:
   GuardedCall Guarded() const {
--- a/modules/bbv_entry/target_send.cc
+++ b/modules/bbv_entry/target_send.cc
@@ -77,8 +77,8 @@
   owner_->OnResponseEnd(this);
 }
 
-void TargetSend::OnExchangeFailed(ExchangeFailure failure) {
-  owner_->OnExchangeFailed(this, failure);
+void TargetSend::OnExchangeFailed(ExchangeFailure failure, MessageFault fault) {
+  owner_->OnExchangeFailed(this, failure, fault);
 }
 
 }  // namespace bbv
--- a/modules/bbv_entry/target_send.h
+++ b/modules/bbv_entry/target_send.h
@@ -24,7 +24,9 @@
   virtual void OnResponseHead(TargetSend* send, HttpHead head) = 0;
   virtual void OnResponseBody(TargetSend* send, std::string_view data) = 0;
   virtual void OnResponseEnd(TargetSend* send) = 0;
-  virtual void OnExchangeFailed(TargetSend* send, ExchangeFailure failure) = 0;
+  virtual void OnExchangeFailed(TargetSend* send,
+                                ExchangeFailure failure,
+                                MessageFault fault) = 0;
 };
 
 // Why the complete answer of a send cannot be relayed.
@@ -76,7 +78,7 @@
   void OnResponseHead(HttpHead response_head) override;
   void OnResponseBody(std::string_view data) override;
   void OnResponseEnd() override;
-  void OnExchangeFailed(ExchangeFailure failure) override;
+  void OnExchangeFailed(ExchangeFailure failure, MessageFault fault) override;
 
   // A target may fail while it writes the first event.
   static constexpr int kEventsOfStartedOutput = 2;
--- a/modules/bbv_front/http_client.cc
+++ b/modules/bbv_front/http_client.cc
@@ -239,7 +239,7 @@
     ExchangeSink* sink = std::exchange(sink_, nullptr);
     stream_.reset();
     client_->Release(this);
-    sink->OnExchangeFailed(failure);
+    sink->OnExchangeFailed(failure, parser_.fault());
   }
 
   void Complete() {
@@ -410,7 +410,7 @@
   done_(&response_);
 }
 
-void ResponseCollector::OnExchangeFailed(ExchangeFailure) {
+void ResponseCollector::OnExchangeFailed(ExchangeFailure, MessageFault) {
   const std::unique_ptr<ResponseCollector> self(this);
   done_(nullptr);
 }
--- a/modules/bbv_front/http_client.h
+++ b/modules/bbv_front/http_client.h
@@ -39,7 +39,10 @@
   virtual void OnResponseHead(HttpHead head) = 0;
   virtual void OnResponseBody(std::string_view data) = 0;
   virtual void OnResponseEnd() = 0;
-  virtual void OnExchangeFailed(ExchangeFailure failure) = 0;
+  // `fault` says what is wrong with a response that is malformed; kNone after
+  // any other failure.
+  virtual void OnExchangeFailed(ExchangeFailure failure,
+                                MessageFault fault) = 0;
 };
 
 // A request, its destination and its deadlines.
@@ -170,7 +173,7 @@
   void OnResponseHead(HttpHead head) override;
   void OnResponseBody(std::string_view data) override;
   void OnResponseEnd() override;
-  void OnExchangeFailed(ExchangeFailure failure) override;
+  void OnExchangeFailed(ExchangeFailure failure, MessageFault fault) override;
 
  private:
   ResponseCollector(HttpClient* client, Done done, std::size_t max_bytes)
--- a/modules/bbv_http/http_parser.cc
+++ b/modules/bbv_http/http_parser.cc
@@ -15,6 +15,9 @@
 
 // HTTP/1.1, in Beast's notation.
 constexpr int kFirstChunkedVersion = 11;
+constexpr int kFirstStatus = 100;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kEndOfStatuses = 600;
 
 std::string_view ToStdStringView(string_view text) {
   return {text.data(), text.size()};
@@ -28,6 +31,27 @@
   return ParseStatus::kMalformed;
 }
 
+MessageFault ToMessageFault(const error_code& ec) {
+  if (ec == http::error::bad_status)
+    return MessageFault::kStatus;
+  if (ec == http::error::bad_reason)
+    return MessageFault::kReason;
+  if (ec == http::error::bad_field)
+    return MessageFault::kFieldName;
+  if (ec == http::error::bad_value || ec == http::error::bad_obs_fold)
+    return MessageFault::kFieldValue;
+  if (ec == http::error::bad_content_length ||
+      ec == http::error::multiple_content_length)
+    return MessageFault::kLength;
+  if (ec == http::error::bad_transfer_encoding)
+    return MessageFault::kCoding;
+  if (ec == http::error::bad_chunk || ec == http::error::bad_chunk_extension)
+    return MessageFault::kChunk;
+  if (ec == http::error::bad_line_ending)
+    return MessageFault::kLineEnding;
+  return MessageFault::kStartLine;
+}
+
 // Whether the received part of a head has bare line feeds or folded fields,
 // which parsers interpret differently.
 bool IsAmbiguousHead(std::string_view text) {
@@ -108,7 +132,11 @@
   void on_response_impl(int status,
                         string_view reason,
                         int version,
-                        error_code& /*ec*/) override {
+                        error_code& ec) override {
+    if (status < kFirstStatus || status >= kEndOfStatuses) {
+      ec = http::error::bad_status;
+      return;
+    }
     version_ = version;
     head_.status = status;
     head_.reason = ToStdStringView(reason);
@@ -131,7 +159,7 @@
       ec = http::error::bad_transfer_encoding;
       return;
     }
-    interim_ = !kIsRequest && head_.status >= 100 && head_.status < 200;
+    interim_ = !kIsRequest && head_.status < kFirstFinalStatus;
     if (!interim_)
       sink_->OnHead(std::move(head_));
   }
@@ -209,7 +237,7 @@
   }
   while (!rest.empty()) {
     if (!message_parser_->has_head() && IsAmbiguousHead(rest))
-      return ParseStatus::kMalformed;
+      return Reject(MessageFault::kLineEnding);
     error_code ec;
     const std::size_t n = message_parser_->Put(rest, &ec);
     rest.remove_prefix(n);
@@ -222,8 +250,11 @@
     }
     if (message_parser_->has_too_many_chunks())
       return ParseStatus::kTooManyParts;
-    if (ec)
-      return ToParseStatus(ec);
+    if (ec) {
+      const ParseStatus status = ToParseStatus(ec);
+      return status == ParseStatus::kMalformed ? Reject(ToMessageFault(ec))
+                                               : status;
+    }
     if (message_parser_->done()) {
       if (!message_parser_->is_interim()) {
         pending_.assign(rest);
@@ -244,14 +275,19 @@
 
 ParseStatus HttpParser::ParseEof() {
   if (!message_parser_->has_data())
-    return ParseStatus::kMalformed;
+    return Reject(MessageFault::kTruncated);
   error_code ec;
   message_parser_->PutEof(&ec);
   if (ec || !message_parser_->done())
-    return ParseStatus::kMalformed;
+    return Reject(MessageFault::kTruncated);
   return ParseStatus::kComplete;
 }
 
+ParseStatus HttpParser::Reject(MessageFault fault) {
+  fault_ = fault;
+  return ParseStatus::kMalformed;
+}
+
 void HttpParser::SetLimits(ParserLimits limits) {
   limits_ = limits;
   if (!message_parser_->has_head())
--- a/modules/bbv_http/http_parser.h
+++ b/modules/bbv_http/http_parser.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "bbv_core/name_table.h"
 #include "bbv_http/http_message.h"
 
 namespace bbv {
@@ -36,6 +37,41 @@
   kTooManyParts,
 };
 
+// What makes a message malformed.
+enum class MessageFault : uint8_t {
+  kNone,
+  // The method, the target or the version.
+  kStartLine,
+  // A response's status is not a three-digit number of a known class.
+  kStatus,
+  kReason,
+  kFieldName,
+  kFieldValue,
+  // Content-Length.
+  kLength,
+  // Transfer-Encoding.
+  kCoding,
+  kChunk,
+  // A bare line feed, or a field that is folded.
+  kLineEnding,
+  // The data ended inside the message.
+  kTruncated,
+};
+
+inline constexpr NameTable<MessageFault, 11> kMessageFaultNames({
+    "none",
+    "start-line",
+    "status",
+    "reason",
+    "field-name",
+    "field-value",
+    "length",
+    "coding",
+    "chunk",
+    "line-ending",
+    "truncated",
+});
+
 // Upper bounds of a message's size.
 struct ParserLimits {
   std::size_t head_bytes = 16384;
@@ -51,7 +87,8 @@
 //
 // Prevents request smuggling by rejecting messages whose end parsers may
 // determine differently: several lengths, a length together with chunked
-// coding, bare line feeds, folded fields.
+// coding, bare line feeds, folded fields. A response whose status is not
+// between 100 and 599 is malformed too.
 //
 // Thread safety: none; used only by the owner of the connection.
 class HttpParser {
@@ -82,6 +119,9 @@
   // Precondition: the last result was kComplete.
   void StartNextMessage();
 
+  // Why the last result was kMalformed; kNone after any other result.
+  MessageFault fault() const { return fault_; }
+
   // Whether the connection persists after the current message.
   bool keeps_alive() const;
 
@@ -111,6 +151,7 @@
   class BeastMessageParser;
 
   void CreateMessageParser();
+  ParseStatus Reject(MessageFault fault);
 
   Kind kind_;
   ParserLimits limits_;
@@ -118,6 +159,7 @@
   std::unique_ptr<MessageParser> message_parser_;
   // Interim responses since the last final one.
   int interim_responses_ = 0;
+  MessageFault fault_ = MessageFault::kNone;
   std::string pending_;
 };
 
--- a/modules/bbv_http/http_parser_test.cc
+++ b/modules/bbv_http/http_parser_test.cc
@@ -109,6 +109,32 @@
   CHECK(parser.ParseEof() == ParseStatus::kMalformed);
 }
 
+// Guards against a faulty server's status that callers get as an answer: any
+// three digits were accepted.
+TEST(HttpParser, RejectsResponsesWhoseStatusIsOfNoClass) {
+  for (const char* it :
+       {"000", "001", "010", "099", "600", "700", "999", "20", "2000", "abc"}) {
+    Collector sink;
+    HttpParser parser(HttpParser::Kind::kResponses, {4096, 4096}, &sink);
+    const ParseStatus status = parser.Parse(
+        std::string("HTTP/1.1 ") + it + " OK\r\nContent-Length: 2\r\n\r\nok");
+    CHECK_TEXT(status == ParseStatus::kMalformed, it);
+    CHECK_TEXT(parser.fault() == bbv::MessageFault::kStatus, it);
+    CHECK_EQUAL_TEXT(0, sink.messages, it);
+  }
+}
+
+TEST(HttpParser, AcceptsUnusualStatusesOfKnownClasses) {
+  for (const int it : {200, 299, 304, 418, 599}) {
+    Collector sink;
+    HttpParser parser(HttpParser::Kind::kResponses, {4096, 4096}, &sink);
+    CHECK(parser.Parse("HTTP/1.1 " + std::to_string(it) +
+                       " \r\nContent-Length: 0\r\n\r\n") ==
+          ParseStatus::kComplete);
+    CHECK_EQUAL(it, sink.head.status);
+  }
+}
+
 TEST(HttpParser, SkipsInterimResponses) {
   Collector sink;
   HttpParser parser(HttpParser::Kind::kResponses, {4096, 4096}, &sink);
--- /dev/null
+++ b/tests/broken_answer_test.cc
@@ -0,0 +1,271 @@
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "bbv_entry/store_client.h"
+#include "bbv_entry/target_requests.h"
+#include "bbv_front/http_client.h"
+#include "bbv_observe/decision_log.h"
+#include "broken_answers.h"
+#include "fleet_floor.h"
+#include "platform/call_codec.h"
+#include "raw_caller.h"
+#include "raw_server.h"
+
+namespace bbv {
+namespace {
+
+constexpr Milliseconds kTimeout{2000};
+constexpr char kId[] = "9c41d07be2a35f68";
+
+// Records what reaches the owner of an exchange.
+class Recorder final : public ExchangeSink {
+ public:
+  explicit Recorder(EventLoop* loop) : loop_(loop) {}
+
+  void OnResponseHead(HttpHead) override { output_ += "head "; }
+  void OnResponseBody(std::string_view data) override { output_ += data; }
+  void OnResponseEnd() override { Stop(" whole"); }
+  void OnExchangeFailed(ExchangeFailure, MessageFault) override {
+    Stop("failed");
+  }
+
+  const std::string& output() const { return output_; }
+
+ private:
+  void Stop(const char* end) {
+    output_ += end;
+    loop_->Stop();
+  }
+
+  EventLoop* loop_;
+  std::string output_;
+};
+
+// An event loop with a client whose deadlines are checked.
+struct ClientLoop {
+  ClientLoop() {
+    loop.StartPeriodicTimer(Milliseconds(20),
+                            [this] { client.OnTick(EventLoop::Now()); });
+  }
+
+  EventLoop loop;
+  HttpClient client{&loop};
+};
+
+// What reaches a call from a target that answers with `bytes`.
+std::string ReadAsCall(const std::string& bytes) {
+  const RawServer server(bytes, false);
+  ClientLoop entry;
+  Recorder recorder(&entry.loop);
+  ExchangeRequest request;
+  request.address = server.address();
+  request.bytes =
+      std::string("GET /x HTTP/1.1\r\nX-Attempt-Id: ") + kId + "\r\n\r\n";
+  request.id_field = platform::kAttemptIdField;
+  request.attempt_id = kId;
+  request.connect_deadline = EventLoop::Now() + kTimeout;
+  request.deadline = EventLoop::Now() + kTimeout;
+  entry.client.Send(std::move(request), &recorder);
+  entry.loop.Run();
+  return recorder.output();
+}
+
+// Whether an order that was answered with `bytes` counts as answered.
+bool IsOrderAnswered(const std::string& bytes) {
+  const RawServer server(bytes, false);
+  ClientLoop entry;
+  std::optional<OrderAnswer> order;
+  PostOrder(
+      &entry.client,
+      {"t", server.address().ToString(), "{}", EventLoop::Now() + kTimeout},
+      [&](const OrderAnswer& answer) {
+        order = answer;
+        entry.loop.Stop();
+      });
+  entry.loop.Run();
+  return order->status != 0;
+}
+
+// Whether a question for a report, by which health is checked too, counts as
+// answered.
+bool IsReportAnswered(const std::string& bytes) {
+  const RawServer server(bytes, false);
+  ClientLoop entry;
+  std::optional<ReportAnswer> report;
+  FetchReport(&entry.client,
+              {server.address().ToString(), /*started_unix_ms=*/0,
+               EventLoop::Now() + kTimeout},
+              [&](const ReportAnswer& answer) {
+                report = answer;
+                entry.loop.Stop();
+              });
+  entry.loop.Run();
+  return report->answered;
+}
+
+bool IsStoreCallAnswered(const std::string& bytes) {
+  const RawServer server(bytes, false);
+  ClientLoop entry;
+  DecisionLog log("test");
+  StoreClient store(&entry.client, server.address(), &log);
+  bool answered = false;
+  store.Call({"GET", "/x", {}, {}}, kTimeout,
+             [&](const Result<StoreAnswer>& answer) {
+               answered = answer.has_value();
+               entry.loop.Stop();
+             });
+  entry.loop.Run();
+  return answered || store.reachable();
+}
+
+// `bytes` of an answer to a call, without the id that only those carry.
+std::string WithoutId(std::string bytes) {
+  const std::string line = std::string("X-Attempt-Id: ") + kId + "\r\n";
+  return bytes.erase(bytes.find(line), line.size());
+}
+
+// Returns the shapes that a reader of an entry takes for an answer.
+std::string FindTaken(MakeShapes make_shapes) {
+  std::string taken;
+  for (const AnswerShape& it : make_shapes(kId)) {
+    const std::string output = ReadAsCall(it.bytes);
+    // The body of an answer may begin before the fault in it.
+    if (output.ends_with("whole"))
+      taken += "call " + it.name + ": " + output + "\n";
+    const std::string bytes = WithoutId(it.bytes);
+    if (IsOrderAnswered(bytes))
+      taken += "order " + it.name + "\n";
+    if (IsReportAnswered(bytes))
+      taken += "report " + it.name + "\n";
+    if (IsStoreCallAnswered(bytes))
+      taken += "store " + it.name + "\n";
+  }
+  return taken;
+}
+
+}  // namespace
+
+// Answers that break the protocol, at every reader of an entry.
+TEST_GROUP(BrokenAnswer){};
+
+TEST(BrokenAnswer, AStatusThatIsNoFinalOneIsNoAnswer) {
+  STRCMP_EQUAL("", FindTaken(BadStatuses).c_str());
+}
+
+TEST(BrokenAnswer, UnusualSoundAnswersAreTaken) {
+  for (const AnswerShape& it : SoundAnswers(kId))
+    STRCMP_EQUAL_TEXT("head ok whole", ReadAsCall(it.bytes).c_str(),
+                      it.name.c_str());
+}
+
+// The same answers from targets of a fleet, as callers see them.
+TEST_GROUP(BrokenAnswerFleet) {
+  standins::FleetTargets::Options options;
+  std::unique_ptr<FleetFloor> floor;
+  int served_ = 0;
+
+  void setup() override {
+    options.proxied = true;
+    options.services = 3;
+    floor = std::make_unique<FleetFloor>(1, options);
+    if (!floor->Start())
+      FAIL(("could not start: " + floor->Output(0)).c_str());
+  }
+  void teardown() override {
+    floor.reset();
+  }
+  int target_count() const {
+    return options.engines + options.services;
+  }
+  // Answers calls of `path` at the targets from `first` on with `bytes`.
+  void Answer(const std::string& path, const std::string& bytes, int first) {
+    for (int it = first; it < target_count(); ++it)
+      floor->targets().proxy(it).SetResponseCut(
+          {"POST " + path + " ", {}, false, bytes});
+  }
+  // The first line of the answer to a call, and the whole of it if `whole` is
+  // set.
+  std::string Call(const std::string& path, const std::string& id,
+                   std::string* whole = nullptr) {
+    RawCaller caller(floor->callers_port(0));
+    CHECK(caller.Send(RequestText(path, id, "Connection: close\r\n")));
+    const std::string& received = caller.Receive(5000);
+    if (whole != nullptr)
+      *whole = received;
+    return received.substr(0, received.find("\r\n"));
+  }
+  // Calls `route` once for each shape, which all targets answer with. Returns
+  // the calls that targets did not run `runs` times or that did not end as
+  // unknown.
+  std::string CallWithShapes(const std::string& route, int runs,
+                             MakeShapes make_shapes) {
+    std::string failures;
+    for (const AnswerShape& shape : make_shapes("x")) {
+      const std::string id = route + "-" + shape.name;
+      const std::string path = "/" + route + "/" + shape.name;
+      for (const AnswerShape& it : make_shapes(id)) {
+        if (it.name == shape.name)
+          Answer(path, it.bytes, 0);
+      }
+      const std::string line = Call(path, id);
+      const int seen = floor->targets().ExecutionCounts()[id];
+      if (line != "HTTP/1.1 502 Bad Gateway" || seen != runs)
+        failures +=
+            path + ": " + line + ", runs " + std::to_string(seen) + "\n";
+    }
+    return failures;
+  }
+  // Makes `n` sequential calls, which must all be answered by a sound target.
+  void CallServed(int n) {
+    for (int it = 0; it < n; ++it)
+      STRCMP_EQUAL(
+          "HTTP/1.1 200 OK",
+          Call("/safe/x", "served" + std::to_string(++served_)).c_str());
+  }
+  // The plain target that has received the most calls.
+  int BusiestService() {
+    int busiest = options.engines;
+    for (int it = busiest; it < target_count(); ++it) {
+      if (floor->targets().CallCount(it) > floor->targets().CallCount(busiest))
+        busiest = it;
+    }
+    return busiest;
+  }
+  // Lets the plain target that is preferred answer all calls with `bytes`, and
+  // checks that others answer in its place, that it then gets fewer calls than
+  // they do, and that the log says what was `fault`.
+  void CheckIsLeftOut(const std::string& bytes, const std::string& fault) {
+    constexpr int kCalls = 60;
+    CallServed(kCalls);
+    const int broken = BusiestService();
+    floor->targets().proxy(broken).SetResponseCut(
+        {"POST /safe/", {}, false, bytes});
+    CallServed(kCalls);
+    const int calls_before = floor->targets().CallCount(broken);
+    CallServed(kCalls);
+    const int calls = floor->targets().CallCount(broken) - calls_before;
+    CHECK_TEXT(calls < kCalls / options.services,
+               std::to_string(calls).c_str());
+    CHECK(CountOf(floor->Output(0), "bad answer: " + fault) > 0);
+  }
+  std::string CallRoutes(MakeShapes make_shapes) {
+    return CallWithShapes("safe", options.max_attempts, make_shapes) +
+           CallWithShapes("unsafe", 1, make_shapes) +
+           CallWithShapes("stream", options.max_attempts, make_shapes) +
+           CallWithShapes("feed", 1, make_shapes);
+  }
+};
+
+TEST(BrokenAnswerFleet, StatusesThatAreNoFinalOnesReachCallers) {
+  STRCMP_EQUAL("", CallRoutes(BadStatuses).c_str());
+}
+
+TEST(BrokenAnswerFleet, ATargetWithABadStatusIsLeftOut) {
+  CheckIsLeftOut(WithoutId(BadStatuses(kId).front().bytes), "status");
+}
+
+}  // namespace bbv
--- a/tests/response_end_test.cc
+++ b/tests/response_end_test.cc
@@ -28,7 +28,7 @@
     whole = !splitter_.has_partial_event();
     loop_->Stop();
   }
-  void OnExchangeFailed(ExchangeFailure) override {
+  void OnExchangeFailed(ExchangeFailure, MessageFault) override {
     whole = false;
     loop_->Stop();
   }
--- a/tests/response_head_end_test.cc
+++ b/tests/response_head_end_test.cc
@@ -111,7 +111,7 @@
   void OnResponseHead(HttpHead) override { output_ += "head "; }
   void OnResponseBody(std::string_view) override { output_ += "body "; }
   void OnResponseEnd() override { Stop("whole"); }
-  void OnExchangeFailed(ExchangeFailure failure) override {
+  void OnExchangeFailed(ExchangeFailure failure, MessageFault) override {
     Stop(failure == ExchangeFailure::kBroken ? "broken" : "other failure");
   }
 
--- a/tests/stale_response_test.cc
+++ b/tests/stale_response_test.cc
@@ -97,7 +97,7 @@
     whole = true;
     on_end();
   }
-  void OnExchangeFailed(ExchangeFailure reason) override {
+  void OnExchangeFailed(ExchangeFailure reason, MessageFault) override {
     failure = reason;
     on_end();
   }
--- a/tests/standins/fault_proxy.cc
+++ b/tests/standins/fault_proxy.cc
@@ -144,7 +144,10 @@
   const std::size_t found = bytes.find(cut.response_text);
   if (found == std::string::npos)
     return;
-  bytes.resize(found + cut.response_text.size());
+  if (cut.replacement.empty())
+    bytes.resize(found + cut.response_text.size());
+  else
+    bytes = cut.replacement;
   while (link->to_caller.size() > chunks_before + 1)
     link->to_caller.pop_back();
   link->is_cut = true;
--- a/tests/standins/fault_proxy.h
+++ b/tests/standins/fault_proxy.h
@@ -23,15 +23,17 @@
   kSilent,
 };
 
-// Where the responses to some requests end early.
+// Where the responses to some requests end early, or what is sent instead.
 struct ResponseCut {
   // Text in the heads of these requests; empty for none.
   std::string request_text;
   // Text in the first block of a response after which it ends; an empty one
   // ends it before its first byte.
   std::string response_text;
-  // Whether the connection is reset or closed.
+  // Whether the connection is then reset or closed.
   bool reset = false;
+  // If not empty, sent in place of the whole response.
+  std::string replacement;
 };
 
 // A loopback proxy before one port, whose connections can be harmed. Bytes that
