A body in a transfer coding other than chunked is no answer

Cause: the parser read the coding only as far as it tells where the body ends (chunks if chunked is last, else the end of the connection). The field belongs to the connection and is not relayed, so nothing showed that the body was encoded.

Change: HttpParser takes any message whose coding is not chunked alone for malformed once its head is complete. Requests had half of this rule; they share it now: an encoded body would have reached the target without its coding.

'Chunked', 'chunked,' and 'chunked ,' are decoded as before.

Why it works: the rule stands where bodies are decoded, so no reader gets bytes that were not decoded.

--- a/modules/bbv_http/http_parser.cc
+++ b/modules/bbv_http/http_parser.cc
@@ -1,8 +1,10 @@
 #include "bbv_http/http_parser.h"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 #include <cassert>
 #include <utility>
 
@@ -66,6 +68,28 @@
   return false;
 }
 
+// Whether a Transfer-Encoding value names `chunked` and nothing else.
+bool IsChunkedAlone(std::string_view value) {
+  const http::opt_token_list codings({value.data(), value.size()});
+  if (!http::validate_list(codings))
+    return false;
+  auto it = codings.begin();
+  return it != codings.end() && boost::beast::iequals(*it, "chunked") &&
+         ++it == codings.end();
+}
+
+// Whether this parser can decode the body of a message with `head`.
+bool HasKnownCoding(const HttpHead& head) {
+  int codings = 0;
+  for (const HttpField& it : head.fields) {
+    if (!SameFieldName(it.name, "Transfer-Encoding"))
+      continue;
+    if (++codings > 1 || !IsChunkedAlone(it.value))
+      return false;
+  }
+  return true;
+}
+
 }  // namespace
 
 // Parser of a single message: a common interface for requests and responses.
@@ -152,10 +176,9 @@
                             std::string(ToStdStringView(value))});
   }
   void on_header_impl(error_code& ec) override {
-    // With any other transfer coding the end of the connection would end the
-    // body, which is not possible for requests.
-    if (kIsRequest && head_.Find("Transfer-Encoding") != nullptr &&
-        !this->chunked()) {
+    // The field is not relayed, so a body that is still encoded would pass for
+    // the sender's.
+    if (!HasKnownCoding(head_)) {
       ec = http::error::bad_transfer_encoding;
       return;
     }
--- a/modules/bbv_http/http_parser.h
+++ b/modules/bbv_http/http_parser.h
@@ -88,7 +88,8 @@
 // Prevents request smuggling by rejecting messages whose end parsers may
 // determine differently: several lengths, a length together with chunked
 // coding, bare line feeds, folded fields. A response whose status is not
-// between 100 and 599 is malformed too.
+// between 100 and 599 is malformed too, and so is a message in a transfer
+// coding other than `chunked` alone, which it cannot decode.
 //
 // Thread safety: none; used only by the owner of the connection.
 class HttpParser {
--- a/modules/bbv_http/http_parser_test.cc
+++ b/modules/bbv_http/http_parser_test.cc
@@ -124,6 +124,43 @@
   }
 }
 
+// Guards against encoded bytes that pass for a body: the coding was read only
+// as far as it told where the body ends.
+TEST(HttpParser, RejectsBodiesInCodingsThatItCannotDecode) {
+  constexpr const char* kCodings[] = {
+      "gzip",           "identity",      "xchunked",
+      "gzip, chunked",  "chunked, gzip", "chunked, chunked",
+      "chunked;q=1",    "\"chunked\"",   "",
+      "gzip, , chunked"};
+  for (const char* it : kCodings) {
+    const std::string rest = std::string("Transfer-Encoding: ") + it +
+                             "\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+    Collector sink;
+    HttpParser parser(HttpParser::Kind::kResponses, {4096, 4096}, &sink);
+    CHECK_TEXT(
+        parser.Parse("HTTP/1.1 200 OK\r\n" + rest) == ParseStatus::kMalformed,
+        it);
+    CHECK_TEXT(parser.fault() == bbv::MessageFault::kCoding, it);
+    CHECK_TEXT(sink.body.empty(), it);
+    CHECK_TEXT(
+        ParseRequest("POST / HTTP/1.1\r\n" + rest) == ParseStatus::kMalformed,
+        it);
+  }
+}
+
+TEST(HttpParser, DecodesChunksHoweverTheirCodingIsWritten) {
+  for (const char* it : {"chunked", "Chunked", " chunked ", "chunked,"}) {
+    Collector sink;
+    HttpParser parser(HttpParser::Kind::kResponses, {4096, 4096}, &sink);
+    CHECK_TEXT(parser.Parse(std::string("HTTP/1.1 200 OK\r\n"
+                                        "Transfer-Encoding:") +
+                            it + "\r\n\r\n2\r\nok\r\n0\r\n\r\n") ==
+                   ParseStatus::kComplete,
+               it);
+    STRCMP_EQUAL("ok", sink.body.c_str());
+  }
+}
+
 TEST(HttpParser, AcceptsUnusualStatusesOfKnownClasses) {
   for (const int it : {200, 299, 304, 418, 599}) {
     Collector sink;
--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -156,6 +156,10 @@
   STRCMP_EQUAL("", FindTaken(BadStatuses).c_str());
 }
 
+TEST(BrokenAnswer, ABodyInAnUnknownCodingIsNoAnswer) {
+  STRCMP_EQUAL("", FindTaken(BadCodings).c_str());
+}
+
 TEST(BrokenAnswer, UnusualSoundAnswersAreTaken) {
   for (const AnswerShape& it : SoundAnswers(kId))
     STRCMP_EQUAL_TEXT("head ok whole", ReadAsCall(it.bytes).c_str(),
@@ -268,4 +272,12 @@
   CheckIsLeftOut(WithoutId(BadStatuses(kId).front().bytes), "status");
 }
 
+TEST(BrokenAnswerFleet, BodiesInUnknownCodingsReachCallers) {
+  STRCMP_EQUAL("", CallRoutes(BadCodings).c_str());
+}
+
+TEST(BrokenAnswerFleet, ATargetWithAnUnknownCodingIsLeftOut) {
+  CheckIsLeftOut(WithoutId(BadCodings(kId).front().bytes), "coding");
+}
+
 }  // namespace bbv
