Own mode reads its answers with the parser that entries use

What callers saw: in own mode spoilt field names (blank, control byte, separator), control bytes in values, bodies whose end was guessed from a spoilt length or chunk line, undecoded bodies and statuses from 600 on, all under the target's own answer.

Cause: a second reader of answers, cpp-httplib's client, which is lenient about all of these, drops lines without a colon, and decodes percent signs in values.

Change: HttpConnection is a blocking socket before HttpParser, with the bounds that the event loop's client has (kPeerResponseLimits). Engines, services, the record log, the instance list and the operators' command read through it. cpp-httplib stays for what it serves. Values and paths are no longer rewritten on the way ('+' and ',' were). Requests whose head would be read as another one are not sent.

Why it works: one reader for one format. A fault found in it is mended for both modes.

--- a/apps/bluebellvalve/main.cc
+++ b/apps/bluebellvalve/main.cc
@@ -4,7 +4,6 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
-#include <httplib.h>
 
 #include <array>
 #include <cstdio>
@@ -94,21 +93,21 @@
     return FailWith(kExitUsage, "--entry must be IP:PORT");
   bbv::HttpConnection connection(*address, bbv::Operation::kOperator,
                                  kEntryTimeout);
-  httplib::Request request;
-  request.method = method;
-  request.path = path;
-  request.body = body;
-  request.set_header(
-      "Authorization",
-      "Bearer " + ReadFirstLine(absl::GetFlag(FLAGS_operator_key_file)));
-  request.set_header("Content-Type", "application/json");
-  const auto response = connection.Send(request);
+  bbv::HttpHead head;
+  head.method = method;
+  head.target = path;
+  head.fields = {
+      {"Authorization",
+       "Bearer " + ReadFirstLine(absl::GetFlag(FLAGS_operator_key_file))},
+      {"Content-Type", "application/json"}};
+  const auto response = connection.Send(head, body);
   if (!response)
     return FailWith(kExitNoAnswer, response.error().ToString());
   *answer = json::parse(response->body, nullptr, false);
-  if (response->status == 200)
+  const int status = response->head.status;
+  if (status == 200)
     return kExitOk;
-  std::string message = "status " + std::to_string(response->status);
+  std::string message = "status " + std::to_string(status);
   if (answer->is_object() && answer->contains("error"))
     message = (*answer)["error"].value("message", message);
   return FailWith(kExitRefused, message);
--- a/modules/bbv_entry/response_head.cc
+++ b/modules/bbv_entry/response_head.cc
@@ -13,13 +13,9 @@
 
 std::string RelayedFields(const HttpHead& head) {
   std::string fields;
-  const std::string* connection = head.Find("Connection");
   for (const HttpField& it : head.fields) {
-    if (IsConnectionSpecificField(it.name))
-      continue;
-    if (connection != nullptr && HasListToken(*connection, it.name))
-      continue;
-    AppendField(it.name, it.value, &fields);
+    if (IsEndToEndField(head, it))
+      AppendField(it.name, it.value, &fields);
   }
   return fields;
 }
--- a/modules/bbv_front/http_client.cc
+++ b/modules/bbv_front/http_client.cc
@@ -13,10 +13,6 @@
 // Idle connections are closed this much before the peer's timeout, so that no
 // request is sent on a connection that the peer is closing.
 constexpr Milliseconds kIdleTimeoutMargin{700};
-constexpr std::size_t kMaxResponseBytes = 64U << 20U;
-constexpr std::size_t kMaxHeadBytes = 64U << 10U;
-constexpr int kMaxInterimResponses = 16;
-constexpr std::size_t kMaxSmallChunks = 4096;
 // Responses to earlier requests that may precede the one to a request.
 constexpr int kMaxStaleResponses = 16;
 
@@ -61,10 +57,7 @@
   Connection(HttpClient* client, std::string address)
       : client_(client),
         address_(std::move(address)),
-        parser_(HttpParser::Kind::kResponses,
-                {kMaxHeadBytes, kMaxResponseBytes, kMaxInterimResponses,
-                 kMaxSmallChunks},
-                this) {}
+        parser_(HttpParser::Kind::kResponses, kPeerResponseLimits, this) {}
 
   bool Open(const SocketAddress& address) {
     opened_at_ = EventLoop::Now();
--- a/modules/bbv_front/http_client.h
+++ b/modules/bbv_front/http_client.h
@@ -147,12 +147,6 @@
   std::vector<std::unique_ptr<Connection>> closed_;
 };
 
-// A complete response with its body in memory.
-struct HttpResponse {
-  HttpHead head;
-  std::string body;
-};
-
 // Collects a response in memory and passes it to a callback. Owns itself and is
 // deleted after the callback. A body above a limit that no response of the
 // platform reaches counts as a failure.
--- a/modules/bbv_http/http_message.cc
+++ b/modules/bbv_http/http_message.cc
@@ -37,6 +37,13 @@
   return false;
 }
 
+bool IsEndToEndField(const HttpHead& head, const HttpField& field) {
+  if (IsConnectionSpecificField(field.name))
+    return false;
+  const std::string* connection = head.Find("Connection");
+  return connection == nullptr || !HasListToken(*connection, field.name);
+}
+
 void AppendField(std::string_view name,
                  std::string_view value,
                  std::string* out) {
--- a/modules/bbv_http/http_message.h
+++ b/modules/bbv_http/http_message.h
@@ -28,6 +28,12 @@
   const std::string* Find(std::string_view name) const;
 };
 
+// A complete response with its body in memory.
+struct HttpResponse {
+  HttpHead head;
+  std::string body;
+};
+
 // Compares two field names case-insensitively. Thread safe.
 bool SameFieldName(std::string_view left, std::string_view right);
 
@@ -38,6 +44,10 @@
 // it must not be forwarded.
 bool IsConnectionSpecificField(std::string_view name);
 
+// Whether `field` of a message with `head` is for the message's final
+// recipient, not for the connection. Thread safe.
+bool IsEndToEndField(const HttpHead& head, const HttpField& field);
+
 // Appends "name: value" and CRLF. Thread safe.
 void AppendField(std::string_view name,
                  std::string_view value,
--- a/modules/bbv_http/http_parser.cc
+++ b/modules/bbv_http/http_parser.cc
@@ -99,6 +99,7 @@
   virtual std::size_t Put(std::string_view data, error_code* ec) = 0;
   virtual void PutEof(error_code* ec) = 0;
   virtual void SetLimits(const ParserLimits& limits) = 0;
+  virtual void ExpectNoBody() = 0;
   virtual bool done() const = 0;
   virtual bool has_data() const = 0;
   virtual bool has_head() const = 0;
@@ -130,6 +131,7 @@
   }
   void PutEof(error_code* ec) override { Base::put_eof(*ec); }
   void SetLimits(const ParserLimits& limits) override { ApplyLimits(limits); }
+  void ExpectNoBody() override { this->skip(true); }
   bool done() const override { return this->is_done(); }
   bool has_data() const override { return has_data_; }
   bool has_head() const override { return this->is_header_done(); }
@@ -183,7 +185,9 @@
       return;
     }
     interim_ = !kIsRequest && head_.status < kFirstFinalStatus;
-    if (!interim_)
+    if (interim_)
+      sink_->OnInterimResponse(head_.status);
+    else
       sink_->OnHead(std::move(head_));
   }
   void on_body_init_impl(const boost::optional<uint64_t>& /*length*/,
@@ -245,6 +249,8 @@
   else
     message_parser_ =
         std::make_unique<BeastMessageParser<false>>(limits_, sink_);
+  if (expects_no_body_)
+    message_parser_->ExpectNoBody();
 }
 
 ParseStatus HttpParser::Parse(std::string_view data) {
@@ -317,8 +323,14 @@
     message_parser_->SetLimits(limits);
 }
 
+void HttpParser::ExpectNoBody() {
+  expects_no_body_ = true;
+  message_parser_->ExpectNoBody();
+}
+
 void HttpParser::StartNextMessage() {
   interim_responses_ = 0;
+  expects_no_body_ = false;
   CreateMessageParser();
 }
 
--- a/modules/bbv_http/http_parser.h
+++ b/modules/bbv_http/http_parser.h
@@ -21,6 +21,8 @@
   virtual void OnHead(HttpHead head) = 0;
   virtual void OnBody(std::string_view data) = 0;
   virtual void OnMessageComplete() = 0;
+  // Called for each interim (1xx) response, which is otherwise skipped.
+  virtual void OnInterimResponse(int /*status*/) {}
 };
 
 // Result of parsing a block of bytes.
@@ -83,6 +85,12 @@
   std::size_t chunks = std::numeric_limits<std::size_t>::max() / 2;
 };
 
+// The limits of a response from a peer that answers requests of this process.
+inline constexpr ParserLimits kPeerResponseLimits{.head_bytes = 64U << 10U,
+                                                  .body_bytes = 64U << 20U,
+                                                  .interim_responses = 16,
+                                                  .chunks = 4096};
+
 // Strict incremental parser of consecutive HTTP/1.1 messages.
 //
 // Prevents request smuggling by rejecting messages whose end parsers may
@@ -117,6 +125,10 @@
   // complete, and to all later ones.
   void SetLimits(ParserLimits limits);
 
+  // Lets the current message end with its head, as the response to a HEAD
+  // request does. Precondition: none of it was parsed.
+  void ExpectNoBody();
+
   // Precondition: the last result was kComplete.
   void StartNextMessage();
 
@@ -158,6 +170,7 @@
   ParserLimits limits_;
   HttpSink* sink_;
   std::unique_ptr<MessageParser> message_parser_;
+  bool expects_no_body_ = false;
   // Interim responses since the last final one.
   int interim_responses_ = 0;
   MessageFault fault_ = MessageFault::kNone;
--- a/modules/bbv_http/http_parser_test.cc
+++ b/modules/bbv_http/http_parser_test.cc
@@ -172,6 +172,32 @@
   }
 }
 
+TEST(HttpParser, A204EndsWithItsHeadAndA205WithItsBody) {
+  const std::string rest = " -\r\nContent-Length: 2\r\n\r\nok";
+  Collector no_content;
+  HttpParser first(HttpParser::Kind::kResponses, {4096, 4096}, &no_content);
+  CHECK(first.Parse("HTTP/1.1 204" + rest) == ParseStatus::kComplete);
+  CHECK(no_content.body.empty());
+  CHECK_EQUAL(2U, first.pending_bytes());
+  Collector reset_content;
+  HttpParser second(HttpParser::Kind::kResponses, {4096, 4096}, &reset_content);
+  CHECK(second.Parse("HTTP/1.1 205" + rest) == ParseStatus::kComplete);
+  STRCMP_EQUAL("ok", reset_content.body.c_str());
+}
+
+TEST(HttpParser, AResponseToAHeadRequestEndsWithItsHead) {
+  Collector sink;
+  HttpParser parser(HttpParser::Kind::kResponses, {4096, 4096}, &sink);
+  parser.ExpectNoBody();
+  CHECK(parser.Parse("HTTP/1.1 100 Continue\r\n\r\n"
+                     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n") ==
+        ParseStatus::kComplete);
+  parser.StartNextMessage();
+  CHECK(parser.Parse("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") ==
+        ParseStatus::kComplete);
+  STRCMP_EQUAL("ok", sink.body.c_str());
+}
+
 TEST(HttpParser, SkipsInterimResponses) {
   Collector sink;
   HttpParser parser(HttpParser::Kind::kResponses, {4096, 4096}, &sink);
--- a/modules/bbv_platform/bbv_platform.h
+++ b/modules/bbv_platform/bbv_platform.h
@@ -1,9 +1,10 @@
 // bbv_platform: clients of the services around a node.
 //
 // These are the platform's log service and instance list, and a side's target:
-// a model engine or a plain service. All clients use HTTP through cpp-httplib.
-// Calls block their thread; their errors tell whether it is certain that the
-// call was not performed.
+// a model engine or a plain service. All clients use HTTP over blocking
+// sockets; their responses are read with bbv_http's parser. Calls block their
+// thread; their errors tell whether it is certain that the call was not
+// performed.
 #ifndef MODULES_BBV_PLATFORM_BBV_PLATFORM_H_
 #define MODULES_BBV_PLATFORM_BBV_PLATFORM_H_
 
--- a/modules/bbv_platform/engine_client.cc
+++ b/modules/bbv_platform/engine_client.cc
@@ -46,9 +46,9 @@
       connection_.Post("/v1/step", body, "application/octet-stream");
   if (!response)
     return tl::make_unexpected(response.error());
-  if (response->status != 200)
+  if (response->head.status != 200)
     return Fail(Operation::kEngineStep, connection_.peer(),
-                "status " + std::to_string(response->status));
+                "status " + std::to_string(response->head.status));
   const auto* bytes = reinterpret_cast<const uint8_t*>(response->body.data());
   flatbuffers::Verifier verifier(bytes, response->body.size());
   if (!verifier.VerifyBuffer<wire::EngineResults>(nullptr))
@@ -79,10 +79,10 @@
       connection_.Post("/v1/load", order.dump(), "application/json");
   if (!response)
     return tl::make_unexpected(response.error());
-  if (response->status != 200)
-    return Fail(
-        Operation::kEngineOrder, connection_.peer(),
-        "status " + std::to_string(response->status) + " " + response->body);
+  if (response->head.status != 200)
+    return Fail(Operation::kEngineOrder, connection_.peer(),
+                "status " + std::to_string(response->head.status) + " " +
+                    response->body);
   if (IsJsonTooDeep(response->body))
     return Fail(Operation::kEngineOrder, connection_.peer(), "nested too deep");
   try {
--- a/modules/bbv_platform/instance_list_client.cc
+++ b/modules/bbv_platform/instance_list_client.cc
@@ -35,9 +35,9 @@
   const auto response = connection_.Get("/v1/instances");
   if (!response)
     return tl::make_unexpected(response.error());
-  if (response->status != 200)
+  if (response->head.status != 200)
     return Fail(Operation::kInstanceList, connection_.peer(),
-                "status " + std::to_string(response->status));
+                "status " + std::to_string(response->head.status));
   const JsonList list = SplitJsonList(response->body, "instances");
   const json document = IsJsonTooDeep(list.rest)
                             ? json()
--- a/modules/bbv_platform/log_client.cc
+++ b/modules/bbv_platform/log_client.cc
@@ -38,13 +38,13 @@
       connection_.Post(RecordsPath(stream), record, "application/json");
   if (!response)
     return tl::make_unexpected(response.error());
-  if (response->status == 200)
+  if (response->head.status == 200)
     return {};
   // The log service returns 429 before it appends anything. After any other
   // error status the record may have been appended.
-  const bool not_performed = response->status == 429;
+  const bool not_performed = response->head.status == 429;
   return Fail(Operation::kLogAppend, connection_.peer(),
-              "status " + std::to_string(response->status), not_performed);
+              "status " + std::to_string(response->head.status), not_performed);
 }
 
 Result<LogRecords> LogClient::Read(const std::string& stream,
@@ -57,9 +57,9 @@
   const auto response = connection_.Get(path);
   if (!response)
     return tl::make_unexpected(response.error());
-  if (response->status != 200)
+  if (response->head.status != 200)
     return Fail(Operation::kLogRead, connection_.peer(),
-                "status " + std::to_string(response->status));
+                "status " + std::to_string(response->head.status));
   const JsonList list = SplitJsonList(response->body, "records");
   if (IsJsonTooDeep(list.rest))
     return Fail(Operation::kLogRead, connection_.peer(), "nested too deep");
--- a/modules/bbv_platform/service_client.cc
+++ b/modules/bbv_platform/service_client.cc
@@ -1,8 +1,5 @@
 #include "bbv_platform/service_client.h"
 
-#include <algorithm>
-#include <array>
-#include <string_view>
 #include <utility>
 
 #include "bbv_wire/request_id.h"
@@ -10,16 +7,16 @@
 namespace bbv {
 namespace {
 
-// Response headers that apply to a single connection or were added by httplib;
-// they are not forwarded.
-constexpr std::array<std::string_view, 6> kConnectionSpecificHeaders = {
-    "Connection",        "Content-Length", "Keep-Alive",
-    "Transfer-Encoding", "LOCAL_ADDR",     "REMOTE_ADDR"};
+constexpr char kRequestIdField[] = "Bluebellvalve-Request-Id";
 
-bool IsConnectionSpecificHeader(std::string_view name) {
-  return std::find(kConnectionSpecificHeaders.begin(),
-                   kConnectionSpecificHeaders.end(),
-                   name) != kConnectionSpecificHeaders.end();
+HttpHead MakeHead(const wire::ServiceCallT& call) {
+  HttpHead head;
+  head.method = call.method;
+  head.target = call.path;
+  for (const wire::HeaderT& it : call.headers)
+    head.fields.push_back({it.name, it.value});
+  head.fields.push_back({kRequestIdField, ToString(call.request)});
+  return head;
 }
 
 }  // namespace
@@ -28,25 +25,19 @@
                                          Milliseconds timeout,
                                          const wire::ServiceCallT& call) {
   HttpConnection connection(address, Operation::kServiceCall, timeout);
-  httplib::Request request;
-  request.method = call.method;
-  request.path = call.path;
-  request.body.assign(call.body.begin(), call.body.end());
-  for (const wire::HeaderT& header : call.headers)
-    request.headers.emplace(header.name, header.value);
-  request.headers.emplace("Bluebellvalve-Request-Id", ToString(call.request));
-  auto response = connection.Send(std::move(request));
+  const std::string body(call.body.begin(), call.body.end());
+  const auto response = connection.Send(MakeHead(call), body);
   if (!response)
     return tl::make_unexpected(response.error());
   wire::ServiceAnswerT answer;
-  answer.status = response->status;
+  answer.status = static_cast<uint16_t>(response->head.status);
   answer.body.assign(response->body.begin(), response->body.end());
-  for (const auto& [name, value] : response->headers) {
-    if (IsConnectionSpecificHeader(name))
+  for (const HttpField& it : response->head.fields) {
+    if (!IsEndToEndField(response->head, it))
       continue;
     wire::HeaderT header;
-    header.name = name;
-    header.value = value;
+    header.name = it.name;
+    header.value = it.value;
     answer.headers.push_back(std::move(header));
   }
   return answer;
