Malformed answers to any request are logged with their fault

Change: the event loop's client tells its observer of each malformed response, and answer-malformed (BBV0116) names the address, the target and the fault. A failure that is no malformed response carries no fault.

Conclusion: the cause of a failed question can be read from the log.

--- a/modules/bbv_core/event.cc
+++ b/modules/bbv_core/event.cc
@@ -83,6 +83,7 @@
     EventDescription{Event::kTargetFaultDoubted, "target-fault-doubted"},
     EventDescription{Event::kCallSendCancelled, "call-send-cancelled"},
     EventDescription{Event::kTargetReplaced, "target-replaced"},
+    EventDescription{Event::kAnswerMalformed, "answer-malformed"},
     EventDescription{Event::kCrashWithdrawn, "crash-withdrawn"},
     EventDescription{Event::kQuarantineNotStored, "quarantine-not-stored"},
     EventDescription{Event::kCrashRestored, "crash-restored"},
--- a/modules/bbv_core/event.h
+++ b/modules/bbv_core/event.h
@@ -80,6 +80,7 @@
   kTargetFaultDoubted = 113,
   kCallSendCancelled = 114,
   kTargetReplaced = 115,
+  kAnswerMalformed = 116,
   kCrashWithdrawn = 140,
   kQuarantineNotStored = 141,
   kCrashRestored = 142,
--- a/modules/bbv_entry/target_monitor.cc
+++ b/modules/bbv_entry/target_monitor.cc
@@ -259,4 +259,13 @@
     ApplyRetryAfter(target, notice, now);
 }
 
+void TargetMonitor::OnMalformedResponse(const std::string& address,
+                                        MessageFault fault) {
+  const FleetTarget* target = parts_.registry->FindAnswering(address);
+  parts_.log->Write(Event::kAnswerMalformed, EventLoop::Now(),
+                    {{"address", address},
+                     {"target", target == nullptr ? "" : target->record.id},
+                     {"fault", std::string(kMessageFaultNames.Name(fault))}});
+}
+
 }  // namespace bbv
--- a/modules/bbv_entry/target_monitor.h
+++ b/modules/bbv_entry/target_monitor.h
@@ -66,6 +66,8 @@
   void OnHeadReceived(const std::string& address,
                       const HttpHead& head,
                       std::optional<Instant> sent_at) override;
+  void OnMalformedResponse(const std::string& address,
+                           MessageFault fault) override;
 
  private:
   // Handles a statement of a process at the address of `target_id` that it is
--- a/modules/bbv_front/http_client.cc
+++ b/modules/bbv_front/http_client.cc
@@ -157,9 +157,10 @@
       return;
     if (status == ParseStatus::kComplete)
       Complete();
+    else if (status == ParseStatus::kMalformed)
+      FailMalformed(parser_.fault());
     else if (status != ParseStatus::kNeedMore)
-      Fail(status == ParseStatus::kMalformed ? ExchangeFailure::kBadAnswer
-                                             : ExchangeFailure::kEndless);
+      Fail(ExchangeFailure::kEndless);
   }
 
   void OnStreamEnd(StreamEnd end) override {
@@ -228,11 +229,17 @@
                    std::exchange(request_.body, nullptr));
   }
 
-  void Fail(ExchangeFailure failure) {
+  void FailMalformed(MessageFault fault) {
+    if (client_->observer_ != nullptr)
+      client_->observer_->OnMalformedResponse(address_, fault);
+    Fail(ExchangeFailure::kBadAnswer, fault);
+  }
+
+  void Fail(ExchangeFailure failure, MessageFault fault = MessageFault::kNone) {
     ExchangeSink* sink = std::exchange(sink_, nullptr);
     stream_.reset();
     client_->Release(this);
-    sink->OnExchangeFailed(failure, parser_.fault());
+    sink->OnExchangeFailed(failure, fault);
   }
 
   void Complete() {
--- a/modules/bbv_front/http_client.h
+++ b/modules/bbv_front/http_client.h
@@ -118,6 +118,9 @@
     virtual void OnHeadReceived(const std::string& address,
                                 const HttpHead& head,
                                 std::optional<Instant> sent_at) = 0;
+    // `address` has answered with data that is not a valid response.
+    virtual void OnMalformedResponse(const std::string& /*address*/,
+                                     MessageFault /*fault*/) {}
   };
   // `observer` must outlive the client's exchanges.
   void SetObserver(Observer* observer) { observer_ = observer; }
--- a/modules/bbv_platform/http_connection.cc
+++ b/modules/bbv_platform/http_connection.cc
@@ -29,8 +29,8 @@
   return byte < 0x20 || byte == 0x7f;
 }
 
-// Whether `text` can be a part of a start line or a field's name, none of which
-// may end before it does.
+// Whether `text` can be a method, a target or a field's name: a blank or a
+// line's end in it would end that early.
 bool IsSingleWord(std::string_view text) {
   return !text.empty() && std::none_of(text.begin(), text.end(), [](char c) {
     return c == ' ' || IsControl(c);
@@ -131,7 +131,7 @@
   if (std::string fault = socket_.Connect(address_, timeout_); !fault.empty())
     return Fail(step_, peer_, std::move(fault), true);
   if (!socket_.IsQuiet())
-    return CloseAndFail("data before the request", true);
+    return CloseAndFail("data or an end before the request", true);
   return {};
 }
 
--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -214,6 +214,13 @@
   CheckIsLeftOut(WithoutId(BadStatuses(kId).front().bytes), "status");
 }
 
+TEST(BrokenAnswerFleet, ABrokenAnswerToAnOwnQuestionIsLogged) {
+  const std::string bytes = WithoutId(BadStatuses(kId).front().bytes);
+  for (int it = 0; it < options.engines; ++it)
+    floor->targets().proxy(it).SetResponseCut({"GET /", {}, false, bytes});
+  CHECK(IsLogged("answer-malformed"));
+}
+
 TEST(BrokenAnswerFleet, BodiesInUnknownCodingsReachCallers) {
   STRCMP_EQUAL("", CallRoutes(BadCodings).c_str());
 }
