--- a/tests/broken_answer_test.cc
+++ b/tests/broken_answer_test.cc
@@ -253,4 +253,13 @@
   }
 }
 
+TEST(BrokenAnswerFleet, AnErrorWithAnUnusualStatusReachesItsCaller) {
+  SetAnswer("/unsafe/x",
+            "HTTP/1.1 599 Odd\r\nX-Attempt-Id: odd\r\n"
+            "Content-Length: 2\r\n\r\nok");
+  const std::string received = Call("/unsafe/x", "odd");
+  STRCMP_EQUAL("HTTP/1.1 599 Odd", FirstLine(received).c_str());
+  CHECK(received.ends_with("\r\n\r\nok"));
+}
+
 }  // namespace bbv
