--- a/review/harness-3/floor.cc
+++ b/review/harness-3/floor.cc
@@ -201,7 +201,8 @@
       << "\ncore_speed = 1\nlink_mbps = 1000.0\n"
       << "[store]\naddress = " << Quoted(Loopback(store_->port()))
       << "\ngroup_minimum_ms = 1000\n"
-      << "[retries]\nshare = 0.2\nextra = 196\nwindow_s = 10\n"
+      << "[retries]\nshare = 0.2\nextra = " << retry_extra_
+      << "\nwindow_s = 10\n"
       << "[targets]\nleave_within_ms = 2000\n";
 }
 
--- a/review/harness-3/floor.h
+++ b/review/harness-3/floor.h
@@ -98,6 +98,9 @@
   // until each has written its record to the store, and kills them: machines
   // that were replaced since the store was set up. False on a timeout.
   bool RunFormerEntries(int n, const std::string& core_share);
+  // Before Start(): retry_extra of the sheet, if not that of the first two
+  // sites.
+  void SetRetryExtra(int extra) { retry_extra_ = extra; }
   // The most items in a page of the store; 0 for no limit.
   void SetPageSize(int items);
 
@@ -151,6 +154,7 @@
   std::vector<std::unique_ptr<Server>> servers_;
   std::unique_ptr<bbv::standins::FleetStore> store_;
   bool store_started_ = false;
+  int retry_extra_ = 196;
   std::atomic<uint64_t> next_id_{1};
   std::atomic<bool> stopping_{false};
   std::thread keeper_;
