--- a/review/harness-3/deadly.cc
+++ b/review/harness-3/deadly.cc
@@ -74,6 +74,10 @@
   });
   sound.join();
   killer.join();
+  if (!floor.AllReady()) {
+    record->Say("not all entries run at the end");
+    return kNotRun;
+  }
   std::vector<int64_t> crashes;
   int ran = 0;
   int late = 0;
--- a/review/harness-3/floor.cc
+++ b/review/harness-3/floor.cc
@@ -32,6 +32,7 @@
 constexpr int kHeartbeatMs = 1200;
 constexpr int kModelServers = 12;
 constexpr int kStartLimitMs = 15'000;
+constexpr int kReadyLimitMs = 5000;
 constexpr int kPollMs = 20;
 constexpr int kFormerAtOnce = 25;
 // Seeds in the settings of an entry.
@@ -305,6 +306,13 @@
   return entries_[entry]->front;
 }
 
+bool Floor::AllReady(std::size_t first) {
+  bool ready = true;
+  for (std::size_t it = first; it < entries_.size(); ++it)
+    ready = WaitReady(it, kReadyLimitMs) && ready;
+  return ready;
+}
+
 void Floor::SetFull(bool full) {
   const std::string path = folder_ + "/full";
   if (full)
@@ -343,8 +351,15 @@
                                    {"X-Key", kKey},
                                    {"X-Deadline-Ms", std::to_string(wait_ms)}},
                                   body, "text/plain");
-  if (answer)
+  request.answered_ms = NowMs();
+  if (answer) {
     request.status = answer->status;
+    request.names_limit = answer->has_header("Server-Limit");
+    const std::string signature =
+        answer->get_header_value("X-Response-Signature");
+    if (signature.starts_with("s-"))
+      request.server = signature.substr(2);
+  }
   record_->Write("request " + request.id + " to entry " +
                  std::to_string(entry) + ' ' + target + ": " +
                  std::to_string(request.status));
--- a/review/harness-3/floor.h
+++ b/review/harness-3/floor.h
@@ -55,6 +55,11 @@
   std::string target;
   // 0 if there was no complete answer.
   int status = 0;
+  int64_t answered_ms = 0;
+  // The server whose signature the answer bears; empty if it bears none.
+  std::string server;
+  // Whether the answer names a Server-Limit.
+  bool names_limit = false;
 };
 
 // A line of the servers' log.
@@ -118,6 +123,8 @@
   // Waits until the process has ended.
   void WaitForEnd(std::size_t entry);
   bool WaitReady(std::size_t entry, int limit_ms);
+  // Whether all of the entries from `first` on get ready within a few seconds.
+  bool AllReady(std::size_t first = 0);
   std::size_t entries() const { return entries_.size(); }
 
   // The store, for stand-ins that publish their own records.
