--- a/review/11/case.cc
+++ b/review/11/case.cc
@@ -135,6 +135,14 @@
     record.Say("no sound stream was served");
     return review3::kNotRun;
   }
+  if (!floor.AllReady()) {
+    record.Say("not all entries run at the end");
+    return review3::kNotRun;
+  }
+  if (review3::HasTrouble() && targets.DeadlyCrashCount() == 0) {
+    record.Say("no request with the part reached a server");
+    return review3::kNotRun;
+  }
   const int late =
       calls_before < 0 ? 0 : targets.DeadlyCallCount() - calls_before;
   record.Say(std::to_string(targets.DeadlyCrashCount()) + " crashes in all; " +
--- a/review/harness-3/deadly.cc
+++ b/review/harness-3/deadly.cc
@@ -106,6 +106,10 @@
     record->Say("nothing was served");
     return kNotRun;
   }
+  if ((HasTrouble() || !traffic.kills_at_ms.empty()) && crashes.empty()) {
+    record->Say("the deadly request reached no server");
+    return kNotRun;
+  }
   record->Say(std::to_string(crashes.size()) +
               " crashes in all; later than 3 s "
               "after the third the request reached servers " +
